--- a/glenhatch/drill.py
+++ b/mothknot/adapter.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import TextIO, TypeVar
 
-from glenhatch.interface import (
+from mothknot.interface import (
     Action,
     Cancel,
     ClassSettings,
@@ -39,7 +39,7 @@
     Timer,
     Watch,
 )
-from glenhatch.policy import Gateway
+from mothknot.policy import Gateway
 
 T = TypeVar("T")
 
--- a/glenhatch/policy.py
+++ b/mothknot/policy.py
@@ -1,6 +1,6 @@
-"""Every decision of glenhatch: which query goes to which engine, when, on what terms, or is refused.
+"""Every decision of mothknot: which query goes to which engine, when, on what terms, or is refused.
 
-Types, events and actions: `glenhatch/interface.py`; all times are nanoseconds. The mechanism is the admission
+Types, events and actions: `mothknot/interface.py`; all times are nanoseconds. The mechanism is the admission
 control of UNIT (sections 2.3, 3.2, 3.3): held queries leave each engine's line by earliest deadline; a query
 passes if `lag ratio * earliest start + mean run time` lies before its deadline and the held worth that it
 would newly push late does not exceed its own; a controller moves the lag ratio. See `docs/design.md`.
@@ -14,12 +14,12 @@
 from typing import Any
 from zlib import crc32
 
-from glenhatch.interface import (  # isort: skip
+from mothknot.interface import (  # isort: skip
     Action, Cancel, Code, Entry, Event, Fail, Gone, ListChange, ListScope, Message, Note, NoteKind,
     Outcome, Post, Refuse, Repeat, Request, Scope, Send, SetTimer, Settings, Short, State,
     Terms, Timer, Watch,
 )
-from glenhatch.records import Attempt, Class, Engine, Fading, Query
+from mothknot.records import Attempt, Class, Engine, Fading, Query
 
 MS, SEC = 1_000_000, 1_000_000_000
 
--- a/glenhatch/records.py
+++ b/mothknot/records.py
@@ -7,7 +7,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from glenhatch.interface import ClassSettings, Entry, Request
+from mothknot.interface import ClassSettings, Entry, Request
 
 
 @dataclass(slots=True)
--- a/tests/test_drill.py
+++ b/tests/test_adapter.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from glenhatch.drill import run
+from mothknot.adapter import run
 
 ROOT = Path(__file__).parent.parent
 SETTINGS = (
@@ -69,6 +69,6 @@
     for name in tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["policy"]:
         lines = (ROOT / name).read_text().splitlines()
         assert sum(bool(line.strip()) for line in lines) <= 710
-    for path in [*(ROOT / "glenhatch").glob("*.py"), *(ROOT / "tests").glob("*.py")]:
+    for path in [*(ROOT / "mothknot").glob("*.py"), *(ROOT / "tests").glob("*.py")]:
         assert all(len(line) <= 110 for line in path.read_text().splitlines()), path
-    assert "glenhatch/interface.py" in (ROOT / "glenhatch/policy.py").read_text().split('"""')[1]
+    assert "mothknot/interface.py" in (ROOT / "mothknot/policy.py").read_text().split('"""')[1]
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from glenhatch.interface import (
+from mothknot.interface import (
     Cancel,
     Code,
     Fail,
@@ -24,7 +24,7 @@
     Timer,
     Watch,
 )
-from glenhatch.policy import Gateway
+from mothknot.policy import Gateway
 from tests.world import LOAD, MS, QUICK, REPORT, SEC, SITE, World, cancels, engine
 
 ONE = (engine("a"),)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from glenhatch.interface import (
+from mothknot.interface import (
     Cancel,
     Code,
     ListChange,
@@ -21,7 +21,7 @@
     State,
     Timer,
 )
-from glenhatch.policy import Gateway
+from mothknot.policy import Gateway
 from tests.world import LOAD, MS, QUICK, REPORT, SEC, SITE, World, engine
 
 TWO = (engine("a"), engine("b"))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from glenhatch.interface import (
+from mothknot.interface import (
     Action,
     Cancel,
     Code,
@@ -30,7 +30,7 @@
     State,
     Timer,
 )
-from glenhatch.policy import Gateway
+from mothknot.policy import Gateway
 from tests.world import LOAD, MS, QUICK, REPORT, SEC, SITE, World, engine
 
 TWO = (engine("a"), engine("b"))
--- a/tests/world.py
+++ b/tests/world.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from glenhatch.interface import (
+from mothknot.interface import (
     Action,
     Cancel,
     ClassSettings,
@@ -20,7 +20,7 @@
     Short,
     State,
 )
-from glenhatch.policy import Gateway
+from mothknot.policy import Gateway
 
 MS, SEC = 1_000_000, 1_000_000_000
 
