--- /dev/null
+++ b/mothknot/config.py
@@ -0,0 +1,107 @@
+"""The configuration, read once: the platform's JSON, and an operator's file where there is one."""
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from mothknot.interface import Settings
+from mothknot.net.stream import address_of
+from mothknot.settings import WireError, settings_of
+from mothknot.targets import BadList, Names, changes_of
+
+
+class BadConfig(Exception):
+    """What is wrong with the configuration, in one line."""
+
+
+@dataclass(slots=True, frozen=True)
+class Config:
+    name: str
+    listen: tuple[str, int]
+    seed: int
+    sockets: int
+    journal: str
+    known: Any
+    settings: Settings
+    names: Names
+    classes: dict[str, tuple[int, bool, bool]]  # by name: number, whether keyed, whether in turn
+    streams: int  # attempts on one connection
+    dial_timeout: float  # seconds
+    conn_idle: float
+    most_held: int
+
+
+def flatten(value: Any, path: str = "") -> list[str]:
+    """Nested JSON as the path=value words of the simulator's first message."""
+    if isinstance(value, dict):
+        return [w for k, v in value.items() for w in flatten(v, f"{path}.{k}" if path else str(k))]
+    if isinstance(value, list) and any(isinstance(v, dict) for v in value):
+        words = [f"{path}.count={len(value)}"]
+        return words + [w for i, v in enumerate(value) for w in flatten(v, f"{path}.{i}")]
+    if isinstance(value, list):
+        return [f"{path}={','.join(_plain(v) for v in value)}"]
+    return [f"{path}={_plain(value)}"]
+
+
+def _plain(value: Any) -> str:
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    if value is None:
+        return "-"
+    return str(value).replace(" ", "_").replace(",", "_")
+
+
+def config_of(raw: Any, environ: Mapping[str, str]) -> Config:
+    try:
+        settings_raw, limits = raw["settings"], raw.get("limits", {})
+        settings = settings_of(flatten(settings_raw))
+        services = settings_raw["services"]
+        site_limits = settings_raw.get("limits", {})
+        zones, kinds = settings_raw.get("zones", []), settings_raw.get("flavors", [])
+        names = Names([str(z) for z in zones], [str(k) for k in kinds])
+        changes_of(raw["known"], names)
+        address_of(str(raw["journal"]))
+        config = Config(
+            name=str(raw.get("name") or environ.get("ROUTER_NAME", "gateway")),
+            listen=address_of(str(environ.get("ROUTER_LISTEN") or raw["listen"])),
+            seed=int(str(raw.get("seed", "0")), 16) % 2**63,
+            sockets=int(limits.get("sockets", 1024)),
+            journal=str(raw["journal"]),
+            known=raw["known"],
+            settings=settings,
+            names=names,
+            classes={
+                str(s["name"]): (i, s.get("repeat") == "deduplicated", bool(s.get("in-turn")))
+                for i, s in enumerate(services)
+            },
+            streams=int(site_limits.get("streams-per-conn", 32)),
+            dial_timeout=int(site_limits.get("dial-timeout", 250_000_000)) / 1e9,
+            conn_idle=int(site_limits.get("conn-idle", 15_000_000_000)) / 1e9,
+            most_held=int(site_limits.get("most-held", 30_000)),
+        )
+    except WireError as bad:
+        raise BadConfig(str(bad)) from None
+    except BadList as bad:
+        raise BadConfig(f"known: {bad}") from None
+    except KeyError as bad:
+        raise BadConfig(f"{bad.args[0]} is missing") from None
+    except (TypeError, ValueError, AttributeError) as bad:
+        raise BadConfig(f"a value is unusable ({bad})") from None
+    if config.sockets < 32 or config.streams < 1 or config.most_held < 1 or config.dial_timeout <= 0:
+        raise BadConfig("limits leave no room to work in")
+    return config
+
+
+def read(environ: Mapping[str, str]) -> Config:
+    path = environ.get("ROUTER_CONFIG")
+    if not path:
+        raise BadConfig("ROUTER_CONFIG names no file")
+    try:
+        raw = json.loads(Path(path).read_text())
+    except OSError as bad:
+        raise BadConfig(f"{path}: {bad.strerror}") from None
+    except ValueError as bad:
+        raise BadConfig(f"{path} is not JSON ({bad})") from None
+    return config_of(raw, environ)
--- /dev/null
+++ b/mothknot/core/exchange.py
@@ -0,0 +1,321 @@
+"""What a forwarder has taken: exchanges, their attempts, and exactly one final answer for each.
+
+The client's side and the engine's side meet only here. A planner decides; the forwarder owes the answer, so
+whatever a planner does or fails to do, the deadline ends every exchange.
+"""
+
+from collections.abc import Callable
+from typing import Protocol
+from zlib import crc32
+
+from mothknot.core.messages import Answer, Client, Engines, Query, Target, Verdict
+from mothknot.interface import (
+    Action,
+    Cancel,
+    Code,
+    Event,
+    Fail,
+    Gone,
+    ListChange,
+    ListScope,
+    Note,
+    NoteKind,
+    Outcome,
+    Refuse,
+    Repeat,
+    Request,
+    Scope,
+    Send,
+    Settings,
+    State,
+    Terms,
+)
+
+MS = 1_000_000
+GRACE = 5 * MS  # past its deadline an exchange that no planner ended is ended here
+NEVER_RAN = (Code.FULL, Code.CONNECT_FAILED, Code.MOOT)
+
+
+class Alarm(Protocol):
+    def cancel(self) -> None: ...
+
+
+Alarms = Callable[[int, Callable[[], None]], Alarm]  # at a clock time
+Tell = Callable[[Event], None]
+
+
+class Try:
+    """One attempt, out from its start until its one end."""
+
+    __slots__ = ("exchange", "number", "engine", "sent_at", "memory_mb", "priority", "out", "took", "pages")
+
+    def __init__(self, exchange: "Exchange", number: int, engine: str, now: int) -> None:
+        self.exchange, self.number, self.engine, self.sent_at = exchange, number, engine, now
+        self.memory_mb, self.priority = exchange.terms
+        self.out = True
+        self.took = 0
+        self.pages: list[bytes] = []
+
+    @property
+    def query(self) -> Query:
+        return self.exchange.query
+
+    def noted(self, kind: NoteKind, level: float) -> None:
+        if self.out:
+            self.exchange.tell(Note(self.exchange.xid, self.number, self.engine, kind, level))
+
+    def ran(self) -> None:
+        """The engine has done the work; what follows is the result's way here."""
+        self.took = self.took or self.exchange.desk.clock() - self.sent_at
+
+    def page(self, data: bytes) -> None:
+        if not self.out:
+            return
+        if self.exchange.passing:
+            self.exchange.pass_on(data)
+        else:
+            self.pages.append(data)
+
+    def ended(self, code: Code) -> None:
+        if self.out:
+            self.out = False
+            self.exchange.attempt_ended(self, code)
+
+
+class Exchange:
+    __slots__ = (
+        "desk", "xid", "query", "client", "wire", "link", "passing", "tries", "terms", "answered", "begun",
+        "alarm", "told", "may_have_run",
+    )  # fmt: skip
+
+    def __init__(self, desk: "Desk", xid: int, query: Query, client: Client, wire: str, link: int) -> None:
+        self.desk, self.xid, self.query = desk, xid, query
+        self.client, self.wire, self.link = client, wire, link
+        self.passing = desk.engines[wire].passing
+        self.tries: list[Try] = []
+        self.terms: tuple[float, int] = 0.0, 1
+        self.answered = self.begun = self.told = self.may_have_run = False
+        self.alarm: Alarm | None = None
+
+    @property
+    def attempt(self) -> Try | None:
+        return self.tries[-1] if self.tries and self.tries[-1].out else None
+
+    def tell(self, event: Event) -> None:
+        if self.told:
+            self.desk.tell[self.link](event)
+
+    # ---- what the engine side reports
+
+    def pass_on(self, data: bytes) -> None:
+        if not self.answered:
+            self.begun = True
+            self.client.rows(data)
+
+    def attempt_ended(self, attempt: Try, code: Code) -> None:
+        self.may_have_run |= code not in NEVER_RAN
+        took = attempt.took if code is Code.OK and attempt.took else self.desk.clock() - attempt.sent_at
+        if not self.answered and code is Code.OK:
+            self.answer(Answer(Verdict.SERVED, tuple(attempt.pages)))
+        elif not self.answered and self.begun:
+            # Guards the rule on refusals: rows have left, so no other attempt can stand in for this one
+            self.answer(Answer(Verdict.FAILED))
+        attempt.pages.clear()
+        self.tell(outcome(self, attempt, code, took))
+        self.desk.settle(self)
+
+    # ---- the answer
+
+    def answer(self, answer: Answer) -> None:
+        """The one final answer; whatever comes after it is nobody's."""
+        if self.answered:
+            return
+        if answer.verdict is Verdict.REFUSED and self.begun:
+            answer = Answer(Verdict.FAILED)
+        self.answered = True
+        self.desk.counts[answer.verdict] += 1
+        self.client.final(answer)
+
+    def gone(self) -> None:
+        """The client has left: no answer is owed."""
+        if not self.answered:
+            self.answered = True
+            self.tell(Gone(self.xid))
+            self.desk.settle(self)
+
+    def call_off(self, code: Code) -> None:
+        if attempt := self.attempt:
+            self.desk.engines[self.wire].stop(attempt)
+            attempt.ended(code)
+
+    def deadline(self) -> None:
+        """Time is up: the planner, told so, still says how the exchange ends, else it is ended here."""
+        self.alarm = self.desk.alarms(self.query.give_up_at + GRACE, self.overdue)
+        self.call_off(Code.TIMEOUT)
+
+    def overdue(self) -> None:
+        if not self.answered:
+            self.answer(Answer(Verdict.FAILED))
+            self.tell(Gone(self.xid))
+        self.call_off(Code.CANCELLED)
+        self.desk.settle(self)
+
+    def end_without_planner(self) -> None:
+        """Guards what a dead planner held: refuse where that is harmless, else fail."""
+        self.told = False
+        harmless = self.desk.harmless(self)
+        self.call_off(Code.CANCELLED)
+        self.answer(Answer(Verdict.REFUSED if harmless else Verdict.FAILED))
+        self.desk.settle(self)
+
+
+def outcome(exchange: Exchange, attempt: Try, code: Code, took: int) -> Outcome:
+    over = exchange.answered
+    return Outcome(exchange.xid, over, code, took, attempt.number, attempt.engine, None, None, ())
+
+
+class Wire(Engines, Protocol):
+    passing: bool  # rows go on as they come, else the result is collected first
+
+
+class Desk:
+    """The forwarder's table of exchanges."""
+
+    def __init__(
+        self, settings: Settings, clock: Callable[[], int], alarms: Alarms, most: int, first_xid: int = 1
+    ) -> None:
+        self.settings, self.clock, self.alarms, self.most = settings, clock, alarms, most
+        self.engines: dict[str, Wire] = {}
+        self.tell: list[Tell] = []
+        self.exchanges: dict[int, Exchange] = {}
+        self.targets: dict[str, Target] = {}
+        self.resting: dict[str, int] = {}
+        self.next_xid, self.turn = first_xid, 0
+        self.counts = dict.fromkeys(Verdict, 0)
+        self.idle: Callable[[], None] = lambda: None  # called when the last exchange has ended
+
+    def take(self, query: Query, client: Client, wire: str) -> Exchange:
+        """From here on one final answer is owed."""
+        xid = self.next_xid
+        self.next_xid += 1
+        exchange = Exchange(self, xid, query, client, wire, self._link(query))
+        if len(self.exchanges) >= self.most:  # guards the memory: more than anyone could serve in time
+            exchange.answer(Answer(Verdict.REFUSED, wait_ns=self.settings.max_retry_after))
+            return exchange
+        self.exchanges[xid] = exchange
+        exchange.alarm = self.alarms(query.give_up_at, exchange.deadline)
+        rested = self.resting.get(query.key, 0) if query.key else 0
+        if rested > self.clock():
+            self.alarms(rested, lambda: self._hand_over(exchange))
+        else:
+            self._hand_over(exchange)
+        return exchange
+
+    def _link(self, query: Query) -> int:
+        """A key always goes to the same planner; the rest take turns."""
+        if query.key:
+            return crc32(query.key.encode()) % len(self.tell)
+        self.turn += 1
+        return self.turn % len(self.tell)
+
+    def _hand_over(self, exchange: Exchange) -> None:
+        if exchange.answered:
+            return
+        q = exchange.query
+        exchange.told = True
+        exchange.tell(
+            Request(exchange.xid, q.cls, q.give_up_at, 0, q.tables, q.key, q.cost, q.need_mb, q.retry)
+        )
+
+    def settle(self, exchange: Exchange) -> None:
+        if not exchange.answered or exchange.attempt or exchange.xid not in self.exchanges:
+            return
+        del self.exchanges[exchange.xid]
+        if exchange.alarm:
+            exchange.alarm.cancel()
+        if not self.exchanges:
+            self.idle()
+
+    def harmless(self, exchange: Exchange) -> bool:
+        """Whether a refusal is true: nothing may have run, or the class may be asked again all the same."""
+        c = self.settings.classes[exchange.query.cls]
+        again = c.repeat is Repeat.SAFE or (c.repeat is Repeat.KEYED and c.scope is Scope.ALL)
+        return again or not (exchange.may_have_run or exchange.attempt)
+
+    # ---- what planners decide
+
+    def act(self, action: Action) -> None:
+        match action:
+            case Send(xid, engine, _):
+                self._send(xid, engine)
+            case Cancel(xid, copy):
+                self._cancel(xid, copy)
+            case Refuse(xid, wait):
+                self._answer(xid, Answer(Verdict.REFUSED, wait_ns=wait))
+            case Fail(xid):
+                self._answer(xid, Answer(Verdict.FAILED))
+            case Terms(xid, memory, priority):
+                self._terms(xid, memory, priority)
+            case _:
+                pass  # nothing else is allowed here: probes and peers are the module's for other sites
+
+    def _send(self, xid: int, engine: str) -> None:
+        exchange = self.exchanges.get(xid)
+        if exchange is None:
+            return
+        attempt = Try(exchange, len(exchange.tries), engine, self.clock())
+        # Guards the rules on single attempts, answers and drains against a planner that is behind the events
+        late = exchange.answered or exchange.begun or exchange.attempt is not None
+        target = self.targets.get(engine)
+        if late or target is None or target.entry.state is not State.UP or exchange.wire not in target.dials:
+            attempt.out = False
+            exchange.tell(outcome(exchange, attempt, Code.MOOT, 0))
+            return
+        exchange.tries.append(attempt)
+        self.engines[exchange.wire].start(attempt)
+
+    def _cancel(self, xid: int, copy: int) -> None:
+        exchange = self.exchanges.get(xid)
+        if exchange and exchange.attempt and exchange.attempt.number == copy:
+            exchange.call_off(Code.CANCELLED)
+
+    def _answer(self, xid: int, answer: Answer) -> None:
+        if exchange := self.exchanges.get(xid):
+            exchange.answer(answer)
+            self.settle(exchange)
+
+    def _terms(self, xid: int, memory: float, priority: int) -> None:
+        exchange = self.exchanges.get(xid)
+        if exchange is None:
+            return
+        exchange.terms = memory, priority
+        if (attempt := exchange.attempt) and attempt.priority != priority:
+            attempt.priority = priority
+            self.engines[exchange.wire].rank(attempt)
+
+    # ---- the list, and planners that die
+
+    def listed(self, targets: list[Target], full: bool) -> None:
+        if full:
+            self.targets = {}
+        for target in targets:
+            self.targets[target.entry.engine] = target
+        for wire in self.engines.values():
+            wire.listed(targets, full)
+        entries = tuple(t.entry for t in targets)
+        for tell in self.tell:
+            tell(ListChange(ListScope.FULL if full else ListScope.CHANGES, entries))
+        for name in [n for n, t in self.targets.items() if t.entry.state is State.GONE]:
+            del self.targets[name]  # guards the table against every engine that ever was
+
+    def planner_died(self, link: int) -> None:
+        """Settle all that it held; its keys rest before another planner takes them."""
+        now = self.clock()
+        self.resting = {k: until for k, until in self.resting.items() if until > now}
+        for exchange in [e for e in self.exchanges.values() if e.link == link]:
+            if exchange.query.key:
+                self.resting[exchange.query.key] = now + self.settings.settle
+            exchange.end_without_planner()
+
+    def planner_born(self, link: int) -> None:
+        self.tell[link](ListChange(ListScope.FULL, tuple(t.entry for t in self.targets.values())))
--- /dev/null
+++ b/mothknot/net/loop.py
@@ -0,0 +1,150 @@
+"""The loop: one epoll, timers, and generators as coroutines.
+
+A coroutine yields the time until which it sleeps at most (loop time in seconds, or None) and is resumed when
+it is woken or that time has come; whatever it waits for it checks anew. What is shared with a coroutine calls
+its `wake`.
+"""
+
+import contextlib
+import heapq
+import select
+import socket
+import time
+from collections import deque
+from collections.abc import Callable, Generator
+from itertools import count
+
+from mothknot.net.log import log
+
+Steps = Generator[float | None, None, None]
+IN, OUT = select.EPOLLIN, select.EPOLLOUT
+MANY = 512  # events taken at once
+
+
+class Timer:
+    __slots__ = ("call",)
+
+    def __init__(self, call: Callable[[], None]) -> None:
+        self.call: Callable[[], None] | None = call
+
+    def cancel(self) -> None:
+        self.call = None
+
+
+class Task:
+    """A coroutine on the loop."""
+
+    def __init__(self, loop: "Loop", steps: Steps) -> None:
+        self.loop, self.steps = loop, steps
+        self.queued = self.done = False
+        self.timer: Timer | None = None
+
+    def wake(self) -> None:
+        if not self.queued and not self.done:
+            self.queued = True
+            self.loop.ready.append(self)
+
+    def step(self) -> None:
+        self.queued = False
+        if self.timer:
+            self.timer.cancel()
+            self.timer = None
+        try:
+            until = next(self.steps)
+        except StopIteration:
+            self.done = True
+        except Exception as fault:  # guards the others: one connection's fault ends that connection alone
+            self.done = True
+            log("fault", f"a coroutine broke: {fault!r}")
+            self.loop.faults += 1
+        else:
+            if until is not None:
+                self.timer = self.loop.at(until, self.wake)
+
+
+class Loop:
+    def __init__(self) -> None:
+        self.epoll = select.epoll()
+        self.handlers: dict[int, Callable[[], None]] = {}
+        self.ready: deque[Task] = deque()
+        self.timers: list[tuple[float, int, Timer]] = []
+        self.serial = count()
+        self.after: list[Callable[[], bool]] = []  # run at the end of each turn; True: turn again at once
+        self.ended: list[socket.socket] = []
+        self.running = True
+        self.faults = 0
+
+    @staticmethod
+    def now() -> float:
+        return time.monotonic()
+
+    def at(self, when: float, call: Callable[[], None]) -> Timer:
+        timer = Timer(call)
+        heapq.heappush(self.timers, (when, next(self.serial), timer))
+        return timer
+
+    def spawn(self, steps: Steps) -> Task:
+        task = Task(self, steps)
+        task.wake()
+        return task
+
+    def watch(self, sock: socket.socket, mask: int, handler: Callable[[], None]) -> None:
+        """Call `handler` when the socket is ready; it must look for itself what has come."""
+        if sock.fileno() in self.handlers:
+            self.epoll.modify(sock, mask)
+        else:
+            self.epoll.register(sock, mask)
+        self.handlers[sock.fileno()] = handler
+
+    def dispose(self, sock: socket.socket) -> None:
+        """Close a socket once this turn's events are through, lest another gets its number among them."""
+        if self.handlers.pop(sock.fileno(), None):
+            with contextlib.suppress(OSError):
+                self.epoll.unregister(sock)
+        self.ended.append(sock)
+
+    def stop(self) -> None:
+        self.running = False
+
+    def run(self) -> None:
+        while self.running:
+            self.turn()
+
+    def turn(self) -> None:
+        wait = -1.0
+        if self.ready:
+            wait = 0.0
+        elif self.timers:
+            wait = max(0.0, self.timers[0][0] - self.now())
+        for fd, _ in self.epoll.poll(wait, MANY):
+            if handler := self.handlers.get(fd):
+                self._call(handler)
+        now = self.now()
+        while self.timers and self.timers[0][0] <= now:
+            timer = heapq.heappop(self.timers)[2]
+            if timer.call:
+                self._call(timer.call)
+        self._run_ready()
+        for _ in range(16):  # guards the sockets against events that beget events without end
+            again = False
+            for call in self.after:
+                again |= call()
+            self._run_ready()
+            if not again:
+                break
+        else:
+            self.at(now, lambda: None)
+        for sock in self.ended:
+            sock.close()
+        self.ended.clear()
+
+    def _run_ready(self) -> None:
+        for _ in range(len(self.ready)):
+            self.ready.popleft().step()
+
+    def _call(self, call: Callable[[], None]) -> None:
+        try:
+            call()
+        except Exception as fault:  # guards the others: one connection's fault ends no gateway
+            log("fault", f"a handler broke: {fault!r}")
+            self.faults += 1
--- /dev/null
+++ b/mothknot/net/stream.py
@@ -0,0 +1,212 @@
+"""Connections: non-blocking TCP with bounded buffers; each that ends leaves one line with a code."""
+
+import errno
+import socket
+from collections.abc import Callable
+from enum import Enum
+
+from mothknot.net.log import log
+from mothknot.net.loop import IN, OUT, Loop
+
+CHUNK = 65_536
+INBOX = 262_144  # bytes read ahead of who takes them; then reading rests
+
+
+class Reason(Enum):
+    """Why a connection ended; the on-call page explains each code."""
+
+    PEER_CLOSED = "peer-closed"
+    RESET = "reset"
+    IDLE = "idle"
+    DONE = "done"
+    BAD_REQUEST = "bad-request"
+    SLOW_REQUEST = "slow-request"
+    SLOW_READER = "slow-reader"
+    ABANDONED = "abandoned"
+    TOO_MANY = "too-many"
+    STOPPING = "stopping"
+    DIAL_REFUSED = "dial-refused"
+    DIAL_TIMEOUT = "dial-timeout"
+    BAD_ANSWER = "bad-answer"
+    SILENT = "silent"
+    REPLACED = "replaced"
+    HOLD_EXPIRED = "hold-expired"
+    NOTIFIED = "notified"
+    FAULT = "fault"
+
+
+def address_of(text: str) -> tuple[str, int]:
+    host, mark, port = text.rpartition(":")
+    if not mark or not port.isdigit() or not 0 <= int(port) < 65_536 or not host:
+        raise ValueError(f"{text!r} is not HOST:PORT")
+    return host, int(port)
+
+
+class Stream:
+    """One connection. `woken` is called whenever something came, went out, or ended."""
+
+    def __init__(
+        self, loop: Loop, sock: socket.socket, what: str, woken: Callable[[], None] = lambda: None
+    ) -> None:
+        self.loop, self.sock, self.what, self.woken = loop, sock, what, woken
+        self.inbox, self.outbox = bytearray(), bytearray()
+        self.connected = True
+        self.eof = self.reset = self.closed = self.resting = False
+        self.refused = False
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.mask = IN
+
+    @classmethod
+    def dial(cls, loop: Loop, address: tuple[str, int], what: str, woken: Callable[[], None]) -> "Stream":
+        stream = cls(loop, socket.socket(), what, woken)
+        stream.connected = False
+        code = stream.sock.connect_ex(address)
+        if code not in (0, errno.EINPROGRESS):
+            stream.eof = stream.refused = True
+        else:
+            stream.mask = IN | OUT
+            loop.watch(stream.sock, stream.mask, stream._ready)
+        return stream
+
+    def start(self) -> None:
+        self.loop.watch(self.sock, self.mask, self._ready)
+
+    @property
+    def over(self) -> bool:
+        return self.closed or self.eof
+
+    def _ready(self) -> None:
+        if self.closed:
+            return
+        if not self.connected and not self._check_connected():
+            return
+        if self.outbox:
+            self._flush()
+        if not self.eof and not self.resting:
+            self._read()
+        self._want()
+        self.woken()
+
+    def _check_connected(self) -> bool:
+        if self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            self.eof = self.refused = True
+            self._want()
+            self.woken()
+            return False
+        try:
+            self.sock.getpeername()
+        except OSError:
+            return False
+        self.connected = True
+        return True
+
+    def _read(self) -> None:
+        try:
+            data = self.sock.recv(CHUNK)
+        except BlockingIOError:
+            return
+        except OSError:
+            self.eof = self.reset = True
+            return
+        if not data:
+            self.eof = True
+        self.inbox += data
+        self.resting = len(self.inbox) >= INBOX
+
+    def _want(self) -> None:
+        """Ask epoll for what can still happen, so that a level held does not spin the loop."""
+        if self.closed:
+            return
+        mask = (0 if self.eof or self.resting else IN) | (OUT if self.outbox or not self.connected else 0)
+        if self.eof and self.reset:
+            mask = 0
+        if mask != self.mask:
+            self.mask = mask
+            self.loop.watch(self.sock, mask, self._ready)
+
+    def take(self) -> bytes:
+        data = bytes(self.inbox)
+        self.inbox.clear()
+        if self.resting:
+            self.resting = False
+            self._want()
+        return data
+
+    def write(self, data: bytes) -> None:
+        if self.closed or self.reset:
+            return
+        if self.outbox or not self.connected:
+            self.outbox += data
+        else:
+            try:
+                sent = self.sock.send(data)
+            except BlockingIOError:
+                sent = 0
+            except OSError:
+                self.eof = self.reset = True
+                self._want()
+                self.woken()
+                return
+            if sent < len(data):
+                self.outbox += data[sent:]
+        self._want()
+
+    def _flush(self) -> None:
+        try:
+            sent = self.sock.send(self.outbox)
+        except BlockingIOError:
+            return
+        except OSError:
+            self.eof = self.reset = True
+            self.outbox.clear()
+            return
+        del self.outbox[:sent]
+
+    def half_close(self) -> None:
+        """Nothing more is sent; what the peer still sends is read, lest it destroys our last bytes."""
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.eof = self.reset = True
+
+    def close(self, reason: Reason, more: str = "") -> None:
+        if self.closed:
+            return
+        self.closed = True
+        self.loop.dispose(self.sock)
+        log("end", f"{self.what} {reason.value}{' ' + more if more else ''}")
+
+
+class Listener:
+    """Accepts all that has come, in order, and hands each connection on."""
+
+    def __init__(
+        self, loop: Loop, address: tuple[str, int], taken: Callable[[socket.socket, str], None]
+    ) -> None:
+        self.loop, self.taken = loop, taken
+        self.sock = socket.socket()
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.bind(address)
+        self.sock.listen(1024)
+        self.sock.setblocking(False)
+        self.address: tuple[str, int] = self.sock.getsockname()
+        loop.watch(self.sock, IN, self._ready)
+
+    def _ready(self) -> None:
+        while True:
+            try:
+                sock, (host, port) = self.sock.accept()
+            except BlockingIOError:
+                return
+            except OSError as fault:
+                if fault.errno not in (errno.ECONNABORTED, errno.EINTR, errno.EPROTO):
+                    # out of descriptors: what waits is taken when some are free again
+                    log("accept", f"cannot accept: {fault.strerror}")
+                    return
+                continue
+            self.taken(sock, f"{host}:{port}")
+
+    def close(self) -> None:
+        self._ready()
+        self.loop.dispose(self.sock)
--- /dev/null
+++ b/mothknot/targets.py
@@ -0,0 +1,66 @@
+"""The list of engines, as the journal's events and the configuration write it, decoded into targets."""
+
+from typing import Any
+
+from mothknot.core.messages import Target
+from mothknot.interface import Entry, State
+from mothknot.net.stream import address_of
+
+MS = 1_000_000
+STATES = {"up": State.UP, "draining": State.DRAINING, "removed": State.GONE}
+WIRES = (("web", "dial"), ("flight", "flight"))  # each wire and the word for its address
+NAME = 200  # characters of an engine's name
+MOST = 4_096  # engines in one event
+
+
+class BadList(Exception):
+    """A list event that cannot be read."""
+
+
+class Names:
+    """Zones and kinds by number, as the settings order them."""
+
+    def __init__(self, zones: list[str], kinds: list[str]) -> None:
+        self.zones = {name: i for i, name in enumerate(zones)}
+        self.kinds = {name: i for i, name in enumerate(kinds)}
+
+
+def target_of(raw: Any, names: Names) -> Target:
+    try:
+        engine, state = str(raw["host"]), STATES[raw["health"]]
+        dials = {wire: str(raw[word]) for wire, word in WIRES if raw.get(word)}
+        if state is not State.GONE:
+            for dial in dials.values():
+                address_of(dial)
+        if not 0 < len(engine) <= NAME or any(c.isspace() for c in engine):
+            raise BadList("a host's name is unusable")
+        entry = Entry(
+            engine=engine,
+            state=state,
+            zone=names.zones.get(raw.get("site", ""), len(names.zones)),
+            kind=names.kinds.get(raw.get("class", ""), len(names.kinds)),
+            group=int(raw.get("block") or 0),
+            launched=int(raw.get("born_ms") or 0) * MS,
+            size=float(raw.get("share", 1.0)),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as bad:
+        raise BadList(f"an entry of the list is unusable ({bad})") from None
+    return Target(entry, dials)
+
+
+def changes_of(raw: Any, names: Names) -> list[tuple[int, bool, list[Target]]]:
+    """Each event's number, whether it holds the whole list, and its targets."""
+    try:
+        found: list[tuple[int, bool, list[Target]]] = []
+        for event in raw["entries"]:
+            hosts = event.get("hosts")
+            if hosts is None:
+                found.append((int(event["pos"]), False, []))  # a kind of news not known here
+                continue
+            if len(hosts["hosts"]) > MOST:
+                raise BadList("the list is too long")
+            targets = [target_of(h, names) for h in hosts["hosts"]]
+            found.append((int(event["pos"]), bool(hosts.get("whole")), targets))
+        return found
+    except (KeyError, TypeError, ValueError, AttributeError) as bad:
+        raise BadList(f"a list event is unusable ({bad})") from None
--- /dev/null
+++ b/mothknot/web/engines.py
@@ -0,0 +1,265 @@
+"""The platform's engines: few connections to each, many requests on every one."""
+
+from collections.abc import Callable, Generator
+
+from mothknot.core.messages import Attempt, Target
+from mothknot.interface import Code, NoteKind, State
+from mothknot.net.loop import Loop, Task
+from mothknot.net.stream import Reason, Stream, address_of
+from mothknot.web import frames
+
+MS = 1_000_000
+NOTES = {"share": NoteKind.PROGRESS, "short": NoteKind.SPILLS, "held": NoteKind.WAITS}
+ENDS = {"refused": Code.FULL, "error": Code.ERROR, "stale": Code.MOOT}
+STOPPED = 4_096  # names kept of attempts that a connection's late answers may still name
+PAGES = 4_096
+OUTBOX = 4_194_304  # bytes that an engine may leave unread
+SILENT = 3.5  # seconds without a byte, though something is out, after which a connection gets nothing new
+IDLE_SHARE = 0.8  # of the engines' idle time after which we close first, so that no request crosses theirs
+
+
+class Open:
+    """An attempt on a connection."""
+
+    __slots__ = ("attempt", "at", "pages", "got", "ready")
+
+    def __init__(self, attempt: Attempt, at: float) -> None:
+        self.attempt, self.at = attempt, at
+        self.pages = 0
+        self.got: dict[int, bytes] = {}
+        self.ready = False
+
+
+class Connection:
+    def __init__(self, pool: "Pool", engine: str, target: Target) -> None:
+        self.pool, self.loop, self.engine, self.target = pool, pool.loop, engine, target
+        self.open: dict[str, Open] = {}
+        self.stopped: dict[str, None] = {}
+        self.retired = False
+        self.heard = self.used = self.loop.now()
+        self.decoder = frames.Decoder()
+        dial = target.dials["web"]
+        self.stream = Stream.dial(self.loop, address_of(dial), f"engine {engine} {dial}", lambda: None)
+        self.dial_until = self.loop.now() + pool.dial_timeout
+        self.task: Task = self.loop.spawn(self._run())
+        self.stream.woken = self.task.wake
+
+    def fits(self, name: str) -> bool:
+        """Room for one more, on a connection that an answer to an earlier attempt of it cannot reach."""
+        now = self.loop.now()
+        stale = not self.open and now - self.used > self.pool.idle
+        first = next(iter(self.open.values()), None)
+        mute = first is not None and now - max(self.heard, first.at) > SILENT
+        if self.retired or self.stream.over or stale or mute or len(self.stream.outbox) > OUTBOX:
+            return False
+        return len(self.open) < self.pool.streams and name not in self.open and name not in self.stopped
+
+    def send(self, attempt: Attempt) -> None:
+        query = attempt.query
+        self.used = self.loop.now()
+        self.open[query.name] = Open(attempt, self.used)
+        if self.stream.connected:
+            self._write(attempt)
+
+    def _write(self, attempt: Attempt) -> None:
+        q = attempt.query
+        left = max(1, (q.give_up_at - self.pool.clock()) // MS)
+        fields = {"queue": q.class_name, "budget": str(left)}
+        if q.idempotency:
+            fields["uniq"] = q.idempotency
+        if attempt.memory_mb > 0:
+            fields["allot"] = f"{attempt.memory_mb:g}"
+        fields["urgency"] = str(attempt.priority)
+        self.stream.write(frames.request(q.name, fields, q.statement))
+
+    def stop(self, name: str) -> None:
+        """Give an attempt up; its late answers find nothing here."""
+        if self.open.pop(name, None) is None:
+            return
+        if self.stream.connected:
+            self.stopped[name] = None
+            if len(self.stopped) > STOPPED:
+                self.retired = True
+            self.stream.write(frames.stop(name))
+        self.task.wake()
+
+    def rank(self, name: str, priority: int) -> None:
+        if name in self.open and self.stream.connected:
+            self.stream.write(frames.nice(name, priority))
+
+    def _run(self) -> Generator[float | None, None, None]:
+        reason, code = Reason.FAULT, Code.RESET
+        try:
+            reason, code = yield from self._connect()
+            if reason is Reason.DONE:
+                code = Code.RESET
+                reason = yield from self._talk()
+        finally:
+            self.stream.close(reason)
+            self.pool.forget(self)
+            for entry in list(self.open.values()):
+                entry.attempt.ended(code)
+            self.open.clear()
+
+    def _connect(self) -> Generator[float | None, None, tuple[Reason, Code]]:
+        while not self.stream.connected:
+            if self.stream.refused or self.stream.eof:
+                return Reason.DIAL_REFUSED, Code.CONNECT_FAILED
+            if self.loop.now() >= self.dial_until:
+                return Reason.DIAL_TIMEOUT, Code.CONNECT_FAILED
+            if not self.open:
+                return Reason.ABANDONED, Code.CONNECT_FAILED
+            yield self.dial_until
+        for entry in self.open.values():
+            self._write(entry.attempt)
+        self.heard = self.loop.now()
+        return Reason.DONE, Code.RESET
+
+    def _talk(self) -> Generator[float | None, None, Reason]:
+        while True:
+            if self.stream.inbox:
+                self.heard = self.loop.now()
+                try:
+                    for frame in self.decoder.feed(self.stream.take()):
+                        self._answer(frame)
+                except frames.BadFrame:
+                    return Reason.BAD_ANSWER
+            if self.stream.eof:
+                return Reason.RESET if self.stream.reset else Reason.PEER_CLOSED
+            until = None
+            if not self.open:
+                if self.retired:
+                    return Reason.REPLACED
+                until = self.used + self.pool.idle
+                if self.loop.now() >= until:
+                    return Reason.IDLE
+            yield until
+
+    def _answer(self, frame: frames.Frame) -> None:
+        entry = self.open.get(frame.name)
+        if entry is None:
+            return  # late word on an attempt that was stopped
+        attempt = entry.attempt
+        if frame.word == "progress":
+            kind = NOTES.get(frame.fields.get("detail", ""))
+            if kind and (level := _real(frame.fields.get("val", ""))) is not None:
+                attempt.noted(kind, level)
+        elif frame.word == "ok" and not entry.ready:
+            entry.pages = _whole(frame.fields.get("sheets", "1"), 1, PAGES)
+            entry.ready = True
+            entry.got[0] = frame.data
+            attempt.ran()
+            if entry.pages > 1:
+                wanted = (frames.fetch(frame.name, n) for n in range(1, entry.pages))
+                self.stream.write(b"".join(wanted))
+            self._deliver(frame.name, entry)
+        elif frame.word == "batch" and entry.ready:
+            entry.got[_whole(frame.fields.get("sheet", ""), 1, entry.pages - 1)] = frame.data
+            self._deliver(frame.name, entry)
+        elif frame.word in ENDS:
+            self._ended(frame.name, ENDS[frame.word] if not entry.ready else Code.ERROR)
+        else:
+            raise frames.BadFrame(f"{frame.word} is out of place")
+
+    def _deliver(self, name: str, entry: Open) -> None:
+        if len(entry.got) < entry.pages:
+            return
+        for number in range(entry.pages):
+            entry.attempt.page(entry.got[number])
+        if entry.pages > 1:
+            self.stream.write(frames.end(name))
+        self._ended(name, Code.OK)
+
+    def _ended(self, name: str, code: Code) -> None:
+        entry = self.open.pop(name)
+        self.pool.where.pop(name, None)
+        self.used = self.loop.now()
+        entry.attempt.ended(code)
+
+
+def _whole(text: str, least: int, most: int) -> int:
+    if not text.isdigit() or len(text) > 9 or not least <= int(text) <= most:
+        raise frames.BadFrame("a page's number is unusable")
+    return int(text)
+
+
+def _real(text: str) -> float | None:
+    try:
+        value = float(text)
+    except ValueError:
+        return None
+    return value if abs(value) < 1e12 else None
+
+
+class Pool:
+    """Every engine's connections."""
+
+    passing = False
+
+    def __init__(
+        self, loop: Loop, clock: Callable[[], int], streams: int, dial_timeout: float, idle: float
+    ) -> None:
+        self.loop, self.clock, self.streams, self.dial_timeout = loop, clock, streams, dial_timeout
+        self.idle = idle * IDLE_SHARE
+        self.targets: dict[str, Target] = {}
+        self.connections: dict[str, list[Connection]] = {}
+        self.where: dict[str, Connection] = {}
+
+    def start(self, attempt: Attempt) -> None:
+        engine, name = attempt.engine, attempt.query.name
+        target = self.targets.get(engine)
+        if target is None or "web" not in target.dials or name in self.where:
+            attempt.ended(Code.CONNECT_FAILED)
+            return
+        known = self.connections.setdefault(engine, [])
+        connection = next((c for c in known if c.fits(name)), None)
+        if connection is None:
+            connection = Connection(self, engine, target)
+            known.append(connection)
+        self.where[name] = connection
+        connection.send(attempt)
+
+    def stop(self, attempt: Attempt) -> None:
+        if connection := self.where.pop(attempt.query.name, None):
+            connection.stop(attempt.query.name)
+
+    def rank(self, attempt: Attempt) -> None:
+        if connection := self.where.get(attempt.query.name):
+            connection.rank(attempt.query.name, attempt.priority)
+
+    def forget(self, connection: Connection) -> None:
+        known = self.connections.get(connection.engine, [])
+        if connection in known:
+            known.remove(connection)
+        for name in [n for n, c in self.where.items() if c is connection]:
+            del self.where[name]
+
+    def listed(self, targets: list[Target], full: bool) -> None:
+        if full:
+            named = {t.entry.engine for t in targets}
+            for engine in [e for e in self.targets if e not in named]:
+                self._retire(engine)
+        for target in targets:
+            engine, old = target.entry.engine, self.targets.get(target.entry.engine)
+            fresh = old is None or old.entry.launched != target.entry.launched or old.dials != target.dials
+            if target.entry.state is not State.UP or fresh:
+                # Guards against a connection to a process that is no more, and against a send in a drain
+                # that waits for its connection
+                self._retire(engine)
+            if target.entry.state is State.GONE:
+                self.targets.pop(engine, None)
+            else:
+                self.targets[engine] = target
+
+    def _retire(self, engine: str) -> None:
+        self.targets.pop(engine, None)
+        for connection in list(self.connections.get(engine, [])):
+            connection.retired = True
+            if not connection.stream.connected:
+                for name, entry in list(connection.open.items()):
+                    del connection.open[name]
+                    self.where.pop(name, None)
+                    entry.attempt.ended(Code.CONNECT_FAILED)
+            connection.task.wake()
+        if not self.connections.get(engine):
+            self.connections.pop(engine, None)
--- /dev/null
+++ b/mothknot/web/journal.py
@@ -0,0 +1,99 @@
+"""The journal's client: asks for what comes after the last event held, again and again."""
+
+import json
+from collections.abc import Callable, Generator
+from typing import Any
+
+import h11
+
+from mothknot.net.log import log
+from mothknot.net.loop import Loop
+from mothknot.net.stream import Reason, Stream, address_of
+
+WAIT_MS = 2_000  # how long a call may be held: short, so that a journal that went silent is soon noticed
+LATE = 0.8  # seconds past that after which the connection counts as dead
+DIAL = 0.5
+AGAIN = 0.1  # seconds before a new connection
+ANSWER = 4_194_304  # bytes of one answer
+
+
+class Journal:
+    """`take` gets each answer's JSON and returns the last position held."""
+
+    def __init__(self, loop: Loop, address: str, position: int, take: Callable[[Any], int]) -> None:
+        self.loop, self.address, self.position, self.take = loop, address, position, take
+        self.stream: Stream | None = None
+        self.stopped = False
+        self.task = loop.spawn(self._run())
+
+    def stop(self) -> None:
+        self.stopped = True
+        self.task.wake()
+
+    def _run(self) -> Generator[float | None, None, None]:
+        while not self.stopped:
+            stream = Stream.dial(
+                self.loop, address_of(self.address), f"journal {self.address}", lambda: self.task.wake()
+            )
+            reason = yield from self._talk(stream)
+            stream.close(reason)
+            until = self.loop.now() + AGAIN
+            while not self.stopped and self.loop.now() < until:
+                yield until
+
+    def _talk(self, stream: Stream) -> Generator[float | None, None, Reason]:
+        until = self.loop.now() + DIAL
+        while not stream.connected:
+            if stream.eof:
+                return Reason.DIAL_REFUSED
+            if self.stopped:
+                return Reason.STOPPING
+            if self.loop.now() >= until:
+                return Reason.DIAL_TIMEOUT
+            yield until
+        http = h11.Connection(h11.CLIENT)
+        while True:
+            path = f"/journal?tail={self.position}&max_wait={WAIT_MS}"
+            ask = h11.Request(method="GET", target=path, headers=[("Host", self.address)])
+            stream.write((http.send(ask) or b"") + (http.send(h11.EndOfMessage()) or b""))
+            try:
+                body = yield from self._answer(stream, http)
+                if isinstance(body, Reason):
+                    return body
+                self.position = self.take(json.loads(body))
+            except (h11.RemoteProtocolError, ValueError) as bad:
+                log("journal", f"unusable answer: {bad}")
+                return Reason.BAD_ANSWER
+            if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
+                return Reason.DONE
+            http.start_next_cycle()
+
+    def _answer(self, stream: Stream, http: h11.Connection) -> Generator[float | None, None, Reason | bytes]:
+        until = self.loop.now() + WAIT_MS / 1000 + LATE
+        body = bytearray()
+        status = 0
+        while True:
+            event = http.next_event()
+            if event is h11.NEED_DATA:
+                if stream.inbox:
+                    http.receive_data(stream.take())
+                elif stream.eof:
+                    return Reason.RESET if stream.reset else Reason.PEER_CLOSED
+                elif self.stopped:
+                    return Reason.STOPPING
+                elif self.loop.now() >= until:
+                    return Reason.SILENT
+                else:
+                    yield until
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > ANSWER:
+                    return Reason.BAD_ANSWER
+            elif isinstance(event, h11.EndOfMessage):
+                if status != 200:
+                    return Reason.BAD_ANSWER
+                return bytes(body)
+            else:
+                return Reason.PEER_CLOSED
--- /dev/null
+++ b/mothknot/web/server.py
@@ -0,0 +1,307 @@
+"""The platform's front: HTTP/1.1 on h11, one call at a time on a connection, whole results in one answer."""
+
+import json
+import socket
+from collections.abc import Callable, Generator
+
+import h11
+
+from mothknot.core.exchange import Desk, Exchange
+from mothknot.core.messages import Answer, Query, Verdict
+from mothknot.core.sql import table_group
+from mothknot.net.loop import Loop, Task
+from mothknot.net.stream import Listener, Reason, Stream
+
+MS = 1_000_000
+WAY_BACK = 25 * MS  # of the client's time, kept for the way here and for the answer's way back
+BODY = 262_144  # bytes of a statement
+HEADERS = 16_384
+REQUEST_TIME = 10.0  # seconds in which a request that began must be whole
+READER_TIME = 30.0  # and an answer must have been read
+IDLE_TIME = 60.0
+LINGER = 1.0
+TTL_MOST = 3_600_000
+HEX = frozenset("0123456789abcdefABCDEF")
+JSON = ("Content-Type", "application/json")
+
+Classes = dict[str, tuple[int, bool, bool]]  # by name: number, whether keyed, whether in turn
+Steps = Generator[float | None, None, Reason]
+
+
+class BadCall(Exception):
+    """A call that cannot be taken: the status and what is wrong."""
+
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(text)
+        self.status = status
+
+
+def _hex(headers: dict[str, str], name: str, digits: int, need: bool) -> str | None:
+    value = headers.get(name)
+    if value is None and not need:
+        return None
+    if value is None:
+        raise BadCall(400, f"header {name} is missing")
+    if len(value) != digits or not HEX.issuperset(value):
+        raise BadCall(400, f"header {name} is not {digits} hex digits")
+    return value
+
+
+def _real(headers: dict[str, str], name: str, most: float) -> float | None:
+    if (value := headers.get(name)) is None:
+        return None
+    try:
+        number = float(value)
+    except ValueError:
+        raise BadCall(400, f"header {name} is not a number") from None
+    if not 0 <= number <= most:  # NaN and infinity too
+        raise BadCall(400, f"header {name} is out of range")
+    return number
+
+
+def query_of(
+    class_name: str, classes: Classes, headers: dict[str, str], body: bytes, now: int
+) -> Query:
+    """Decode one POST. `classes`: by name its number, whether it is keyed, and whether it keeps order."""
+    if class_name not in classes:
+        raise BadCall(404, f"class {class_name!r} is unknown")
+    cls, keyed, in_turn = classes[class_name]
+    name = _hex(headers, "x-txn", 16, True) or ""
+    ttl = headers.get("x-ttl-ms", "")
+    if not ttl.isascii() or not ttl.isdigit() or len(ttl) > 9 or int(ttl) > TTL_MOST:
+        raise BadCall(400, "header x-ttl-ms is missing or not a number of milliseconds")
+    idempotency = _hex(headers, "x-txn-key", 32, keyed)
+    key = _hex(headers, "x-row", 16, in_turn)
+    cost = _real(headers, "x-cpu-hint", 1e9)
+    need = _real(headers, "x-memory", 1e9)
+    if not body:
+        raise BadCall(400, "the statement is missing")
+    try:
+        group = table_group(body.decode())
+    except UnicodeDecodeError:
+        raise BadCall(400, "the statement is not UTF-8") from None
+    left = int(ttl) * MS
+    return Query(
+        name=name,
+        cls=cls,
+        class_name=class_name,
+        statement=body,
+        give_up_at=now + max(left // 2, left - WAY_BACK),
+        retry=headers.get("x-second-try") == "1",
+        key=key if in_turn else None,
+        idempotency=idempotency,
+        cost=int(cost * MS) if cost else None,
+        need_mb=need or 0.0,
+        tables=None if group is None else float(group),
+    )
+
+
+def rows_of(pages: tuple[bytes, ...]) -> list[list[str]]:
+    """Rows of an engine's pages: columns parted by tabs, each row ended by a line feed."""
+    rows: list[list[str]] = []
+    for page in pages:
+        text = page.decode()
+        if text and not text.endswith("\n"):
+            raise ValueError("a page breaks off within a row")
+        rows.extend(line.split("\t") for line in text.split("\n")[:-1])
+    return rows
+
+
+class Held:
+    """A client that waits for its answer."""
+
+    def __init__(self, wake: Callable[[], None]) -> None:
+        self.wake = wake
+        self.answer: Answer | None = None
+
+    def rows(self, page: bytes) -> None:
+        raise NotImplementedError("this front takes whole results")
+
+    def final(self, answer: Answer) -> None:
+        self.answer = answer
+        self.wake()
+
+
+class Connection:
+    def __init__(self, server: "Server", sock: socket.socket, peer: str) -> None:
+        self.server, self.loop = server, server.loop
+        self.stream = Stream(server.loop, sock, f"client {peer}")
+        self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=HEADERS)
+        self.task: Task = server.loop.spawn(self._run())
+        self.stream.woken = self.task.wake
+        self.stream.start()
+        self.busy = False  # a request has begun and is not answered
+
+    def _run(self) -> Generator[float | None, None, None]:
+        reason = Reason.FAULT
+        try:
+            reason = yield from self._calls()
+        finally:
+            self.stream.close(reason)
+            self.server.connections.discard(self)
+
+    def _calls(self) -> Steps:
+        while True:
+            try:
+                got = yield from self._call()
+            except h11.RemoteProtocolError as bad:
+                return (yield from self._reject(getattr(bad, "error_status_hint", 400) or 400, str(bad)))
+            except BadCall as bad:
+                return (yield from self._reject(bad.status, str(bad)))
+            if isinstance(got, Reason):
+                return got
+            request, body = got
+            gone = yield from self._serve(request, body)
+            self.busy = False
+            if gone:
+                return gone
+            if self.http.our_state is not h11.DONE or self.http.their_state is not h11.DONE:
+                return (yield from self._linger(Reason.DONE))
+            self.http.start_next_cycle()
+
+    def _call(self) -> Generator[float | None, None, Reason | tuple[h11.Request, bytes]]:
+        """One whole request, or why there is none."""
+        request: h11.Request | None = None
+        body = bytearray()
+        until = self.loop.now() + IDLE_TIME
+        while True:
+            event = self.http.next_event()
+            if event is h11.NEED_DATA:
+                if self.stream.inbox:
+                    if not self.busy:
+                        self.busy, until = True, self.loop.now() + REQUEST_TIME
+                    self.http.receive_data(self.stream.take())
+                elif self.stream.eof:
+                    if self.busy:
+                        return Reason.ABANDONED
+                    return Reason.RESET if self.stream.reset else Reason.PEER_CLOSED
+                elif self.server.closing and not self.busy:
+                    return Reason.STOPPING
+                elif self.loop.now() >= until:
+                    if not self.busy:
+                        return Reason.IDLE
+                    raise BadCall(408, "the request did not come whole in time")
+                else:
+                    if self.http.they_are_waiting_for_100_continue:
+                        self._send(h11.InformationalResponse(status_code=100, headers=[]))
+                    yield until
+            elif isinstance(event, h11.Request):
+                request = event
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > BODY:
+                    raise BadCall(413, "the statement is too long")
+            elif isinstance(event, h11.EndOfMessage) and request:
+                return request, bytes(body)
+            else:
+                return Reason.PEER_CLOSED
+
+    def _serve(self, request: h11.Request, body: bytes) -> Generator[float | None, None, Reason | None]:
+        path = request.target.decode("latin-1").partition("?")[0]
+        method = request.method.decode("latin-1")
+        server = self.server
+        if path == "/status/live":
+            if method not in ("GET", "HEAD"):
+                raise BadCall(405, "only GET is known here")
+            return (yield from self._reply(503 if server.stopping else 200, {"live": not server.stopping}))
+        prefix, _, class_name = path.rpartition("/")
+        if prefix != "/svc":
+            raise BadCall(404, "the path is unknown")
+        if method != "POST":
+            raise BadCall(405, "only POST is known here")
+        headers = {name.decode("latin-1"): value.decode("latin-1") for name, value in request.headers}
+        query = query_of(class_name, server.classes, headers, body, server.desk.clock())
+        held = Held(self.task.wake)
+        exchange = server.desk.take(query, held, "web")
+        return (yield from self._wait(exchange, held))
+
+    def _wait(self, exchange: Exchange, held: Held) -> Generator[float | None, None, Reason | None]:
+        while held.answer is None:
+            if self.stream.eof:
+                exchange.gone()
+                return Reason.ABANDONED
+            yield None
+        answer = held.answer
+        if answer.verdict is Verdict.REFUSED:
+            wait = ("X-Throttle-Ms", str(-(-answer.wait_ns // MS)))
+            return (yield from self._reply(429, {"failure": "Overloaded"}, wait))
+        if answer.verdict is Verdict.FAILED:
+            return (yield from self._reply(500, {"failure": "Internal"}))
+        try:
+            rows = rows_of(answer.pages)
+        except ValueError:
+            return (yield from self._reply(500, {"failure": "Internal"}))
+        return (yield from self._reply(200, {"rows": rows}))
+
+    def _reply(
+        self, status: int, value: object, *more: tuple[str, str]
+    ) -> Generator[float | None, None, Reason | None]:
+        data = json.dumps(value, ensure_ascii=False, separators=(",", ":")).encode()
+        headers = [JSON, ("Content-Length", str(len(data))), *more]
+        out = self.http.send(h11.Response(status_code=status, headers=headers)) or b""
+        if self.http.their_state is h11.DONE or self.http.their_state is h11.MUST_CLOSE:
+            out += self.http.send(h11.Data(data=data)) or b""
+        else:  # the request was cut short: close after this answer
+            out += self.http.send(h11.Data(data=data)) or b""
+        out += self.http.send(h11.EndOfMessage()) or b""
+        self.stream.write(out)
+        until = self.loop.now() + READER_TIME
+        while self.stream.outbox:
+            if self.stream.reset:
+                return Reason.RESET
+            if self.loop.now() >= until:
+                return Reason.SLOW_READER
+            yield until
+        return None
+
+    def _send(self, event: h11.InformationalResponse) -> None:
+        self.stream.write(self.http.send(event) or b"")
+
+    def _reject(self, status: int, text: str) -> Steps:
+        """Answer what cannot be taken, where the connection still allows it, and close."""
+        if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            gone = yield from self._reply(status, {"failure": text}, ("Connection", "close"))
+            if gone:
+                return gone
+        reason = Reason.SLOW_REQUEST if status == 408 else Reason.BAD_REQUEST
+        return (yield from self._linger(reason))
+
+    def _linger(self, reason: Reason) -> Steps:
+        """Guards our last bytes: a close with unread input would reset the connection under them."""
+        self.stream.half_close()
+        until = self.loop.now() + LINGER
+        while not self.stream.eof and self.loop.now() < until:
+            self.stream.take()
+            yield until
+        return reason
+
+
+class Server:
+    def __init__(
+        self, loop: Loop, desk: Desk, address: tuple[str, int], classes: Classes, most: int
+    ) -> None:
+        self.loop, self.desk, self.classes, self.most = loop, desk, classes, most
+        self.connections: set[Connection] = set()
+        self.stopping = self.closing = False
+        self.listener = Listener(loop, address, self._taken)
+
+    def _taken(self, sock: socket.socket, peer: str) -> None:
+        if len(self.connections) >= self.most:  # guards the descriptors that the engines need
+            Stream(self.loop, sock, f"client {peer}").close(Reason.TOO_MANY)
+            return
+        self.connections.add(Connection(self, sock, peer))
+
+    def stop(self) -> None:
+        """Go on taking, but say that we are not ready for more."""
+        self.stopping = True
+
+    def close(self) -> None:
+        """Take what has come, accept no more, and let connections without an open request go."""
+        self.closing = True
+        self.listener.close()
+        for connection in self.connections:
+            connection.task.wake()
+
+    @property
+    def quiet(self) -> bool:
+        return not self.connections
