Keep the module's cost per event nearly flat in the number of requests out

A profile of the recorded batches put 27% in _locked and its scan of all attempts out, and the rest in _ends, _release and in rating each engine twice.

--- a/mothknot/policy.py
+++ b/mothknot/policy.py
@@ -7,9 +7,10 @@
 """
 
 import math
-from bisect import insort
+from bisect import bisect_left, insort
 from collections import deque
 from collections.abc import Callable
+from itertools import accumulate
 from random import Random
 from typing import Any
 from zlib import crc32
@@ -19,7 +20,7 @@
     Outcome, Post, Refuse, Repeat, Request, Scope, Send, SetTimer, Settings, Short, State,
     Terms, Timer, Watch,
 )
-from mothknot.records import Attempt, Class, Engine, Fading, Query
+from mothknot.records import Attempt, Class, Ends, Engine, Fading, Query
 
 MS, SEC = 1_000_000, 1_000_000_000
 
@@ -54,9 +55,11 @@
 # Routing, in shares of the run time
 LOAD_COST = 1.0  # for one thread of ours a core of ours
 WARM_GAIN = 0.3  # saved by tables that we read there lately
+ENDS_AGE = MS // 20  # for each attempt out: how long their order of ends is kept, as sorting costs so much
 TRIED = 12  # engines drawn for a closer look; bounds the cost of a decision and parts gateways that are alike
 LOAD_PARTS = 3  # one part in so many of the engines takes the loads of a table
 LOAD_APART = 1.0  # for a load off those engines, or a reader on them
+TABLES = 4096  # table groups remembered of an engine; bounds the memory
 WARM_GROUPS = 4  # table groups taken to be warm on an engine
 ZONE_COST = 2.0  # for each point of the site's fee on crossing zones
 
@@ -74,6 +77,8 @@
 TICK = 100 * MS  # how often what is out is looked over
 LOOKS = 2  # looks that must be left before a client gives up on what is held, as one may come late
 SURVEY = 200 * MS  # and how often all engines are
+FIRST = 32  # and so many of the first in between
+HELD_AGE = MS // 10  # for each query held: how often all are looked at, not only the first of the line
 STALL = 5 * TICK  # a clock so much late was our own stall: silence meanwhile says nothing
 RESTART = 2.0  # times a fresh run that what remains must exceed before an attempt is begun anew
 OVERDUE = 1.8  # spreads of the class's log run times past which a silent attempt is begun anew, once
@@ -118,6 +123,8 @@
         self.width, self.tight, self.part_lot = 1.0, 1.0, (-1, 0.0)
         self.cores, self.gap = 1.0, 0.0  # of what is up and fit; time between answers of one engine
         self.acts: list[Action] = []
+        self.ends: list[Ends | None] = [None, None]
+        self.released = 0
         self.steps: dict[type, Callable[[Any], None]] = {
             Request: self._arrive, Outcome: self._outcome, Note: self._note, ListChange: self._list,
             Gone: self._gone, Message: self._message, Timer: self._tick,
@@ -178,14 +185,19 @@
         self.pace = self.paces.mean(self.now, PACE_MEMORY, 0.0, PACE_PRIOR)
         # Guards against a jam that all of us keep up, each with "one query at least"
         self.tight = max(1.0, told if self.told.n else 0.0)
+        others = n - 1
         for e in self.up:
             e.rate = e.pace.mean(self.now, PACE_MEMORY + PACE_SAMPLES * self.gap, self.pace, PACE_PRIOR)
             fresh = math.exp(-(self.now - e.told_at) / LOAD_MEMORY) if e.told_at else 0.0
             e.load = told + fresh * (e.told - told)
             e.tense = e.rate > math.log(PRESSED_SLOW) or (self.told.n > 0 and e.load > PRESSED_BUSY)
             e.others = (1 - 1 / n) * (e.load - fresh * sum(e.used) / e.cores)
+            slack = CHANCE * math.sqrt(others * e.cores)
+            e.room = PRESSED_LOAD * e.cores + slack - others * self.usual * e.cores / self.cores
         rates = sorted(e.rate for e in self.up)
         self.common = rates[(len(rates) - 1) // 2] if rates else 0.0
+        for e in self.up:
+            self._rate_illness(e)
 
     def _list(self, change: ListChange) -> None:
         if change.scope is ListScope.FAILED:
@@ -314,62 +326,83 @@
 
     def _candidates(self, q: Query) -> list[Engine]:
         """A few engines by lot, so that many alike do not run to the same one."""
-        drawn = self.random.sample(self.up, min(TRIED, len(self.up)))
+        drawn = self.up if len(self.up) <= TRIED else self.random.sample(self.up, TRIED)
         return [e for e in drawn if self._usable(e, q)] or [e for e in self.up if self._usable(e, q)]
 
     def _run_at(self, engine: Engine, q: Query) -> float:
         """Run time to expect there, with the prices of crossing zones and of keeping off what just failed."""
         # What of ours is still out there tells of the engine beyond its own weight: others fare alike
-        load = (sum(engine.used) * self.s.instances + q.c.s.threads) / engine.cores + engine.others
-        cost = self._illness(engine) * (1 + LOAD_COST * load) + 0.01 * engine.tie
+        used = engine.used[0] + engine.used[1]
+        load = (used * self.s.instances + q.c.s.threads) / engine.cores + engine.others
+        cost = engine.illness * (1 + LOAD_COST * load) + 0.01 * engine.tie
         if q.r.tables in engine.warm and not q.c.s.loads:
             cost -= WARM_GAIN
         # Guards readers against other controllers' loads, which nobody tells: a table's loads have the same
         # engines at all controllers, and its readers prefer the others
         if q.r.tables is not None and (q.c.s.loads or q.c.s.waits) and self.locking:
-            kept = crc32(f"{engine.e.engine} {q.r.tables}".encode()) % LOAD_PARTS == 0
+            kept = engine.kept.get(q.r.tables)
+            if kept is None:
+                kept = crc32(f"{engine.e.engine} {q.r.tables}".encode()) % LOAD_PARTS == 0
+                if len(engine.kept) < TABLES:
+                    engine.kept[q.r.tables] = kept
             cost += LOAD_APART * (kept != q.c.s.loads)
         if engine.e.zone != self.s.my_zone:
             cost += ZONE_COST * self.s.cross_zone_fee
-        cost += 1.0 if any(engine is e for _, e in q.ran) else 0.0
+        if q.ran:
+            cost += 1.0 if any(engine is e for _, e in q.ran) else 0.0
         return q.run * cost + self._locked(engine, q)
 
     def _locked(self, engine: Engine, q: Query) -> float:
         """Time until our loads on the query's tables there should end, for those that wait for loads."""
         if q.r.tables is None or not (q.c.s.loads or q.c.s.waits):
             return 0.0
-        loads = [(o, a) for o, a in engine.out.values() if o.c.s.loads and o.r.tables == q.r.tables]
-        return sum(self._remaining(o, a) for o, a in loads if o is not q)
+        loads = engine.loads.get(q.r.tables)
+        return sum(self._remaining(o, a) for o, a in loads if o is not q) if loads else 0.0
 
     def _start(self, engine: Engine, q: Query) -> float:
         """Earliest start: now if the class bound has room, else when enough of ours before it should end."""
         if not self._cold_room(engine, q.c):
             return self.s.tip_after / 2
-        if not self._ahead(engine.line, q) and self._room(engine, q):
+        if not (engine.line and self._ahead(engine.line, q)) and self._room(engine, q):
             return 0.0
-        return self._ends(list(engine.out.values()), self._bound(engine.cores, q.c), engine.line, q)
+        return self._ends(engine.ends, engine, self._bound(engine.cores, q.c), engine.line, q)
 
     def _fleet_start(self, q: Query) -> float:
         """The same over all engines: our part of one may be under a query, so that only that bound binds."""
         if self._in_part(q) or self._in_turn(q):
             return 0.0
-        out = [(o, a) for o in self.queries.values() for a in o.out]
-        return self._ends(out, self._share(self.cores, q.c) / self.tight, self.held, q)
+        return self._ends(self.ends, None, self._share(self.cores, q.c) / self.tight, self.held, q)
 
     def _ahead(self, line: Line, q: Query) -> int:
-        return sum(h.c.s.threads for order, h in line if order < q.order and h.c.long == q.c.long)
-
-    def _ends(self, out: list[tuple[Query, Attempt]], free: float, line: Line, q: Query) -> float:
-        """When enough of ours end that `q` has room behind those ahead of it."""
-        need = self._ahead(line, q) + q.c.s.threads - free
-        alike = [(self._remaining(o, a), o.c.s.threads) for o, a in out if o.c.long == q.c.long]
-        need += sum(threads for _, threads in alike)
-        t = 0.0
-        for t, threads in sorted(alike):
-            need -= threads
-            if need <= 0:
-                return t
-        return t + max(0.0, need) / max(1.0, free) * q.run
+        threads = 0
+        for order, h in line:
+            if order >= q.order:
+                break
+            threads += h.c.s.threads * (h.c.long == q.c.long)
+        return threads
+
+    def _ends(
+        self, kept: list[Ends | None], engine: Engine | None, free: float, line: Line, q: Query
+    ) -> float:
+        """When enough of ours, there or everywhere, end that `q` has room behind those ahead of it."""
+        ends = kept[q.c.long]
+        if ends is None or self.now >= ends.until:
+            out = engine.out.values() if engine else [(o, a) for o in self.queries.values() for a in o.out]
+            alike = [(self._remaining(o, a), o.c.s.threads) for o, a in out if o.c.long == q.c.long]
+            alike.sort()
+            # Guards the CPU: the order is kept for a while that grows with what it costs to find
+            until = self.now + 1 + ENDS_AGE * len(alike)
+            freed = list(accumulate(threads for _, threads in alike))
+            ends = kept[q.c.long] = Ends(until, [self.now + int(t) for t, _ in alike], freed)
+        used = (engine or self).used[q.c.long]
+        need = self._ahead(line, q) + q.c.s.threads - free + used
+        if not ends.at:
+            return max(0.0, need) / max(1.0, free) * q.run
+        # What has been sent or has ended since moves the place in that order by its threads
+        place = bisect_left(ends.freed, need + ends.freed[-1] - max(used, 0))
+        if place < len(ends.at):
+            return max(0.0, float(ends.at[place] - self.now))
+        return max(0.0, ends.at[-1] - self.now) + max(0.0, need - used) / max(1.0, free) * q.run
 
     def _remaining(self, q: Query, a: Attempt) -> float:
         age = self.now - a.sent
@@ -408,10 +441,7 @@
         return self.used[q.c.long] + threads <= max(queries, self.tight <= 1) * threads
 
     def _pressed(self, engine: Engine) -> bool:
-        others = self.s.instances - 1
-        guess = sum(engine.used) + others * self.usual * engine.cores / self.cores
-        slack = CHANCE * math.sqrt(others * engine.cores)
-        return engine.tense or guess >= PRESSED_LOAD * engine.cores + slack
+        return engine.tense or engine.used[0] + engine.used[1] >= engine.room
 
     def _pace_add(self, engine: Engine, x: float) -> None:
         """Log of run time over the uncontended one; few answers from an engine leave it like its peers."""
@@ -419,10 +449,10 @@
         engine.pace.add(x, self.now, PACE_MEMORY + PACE_SAMPLES * self.gap)
         self.paces.add(x, self.now, PACE_MEMORY)
 
-    def _illness(self, engine: Engine) -> float:
+    def _rate_illness(self, engine: Engine) -> None:
         """1 when well: slower than the peers at this time, or failing, makes it more."""
         slow = math.exp(max(0.0, engine.rate - self.common - SLACK_PACE))
-        return slow / max(0.1, 1 - engine.faults)
+        engine.illness = slow / max(0.1, 1 - engine.faults)
 
     def _shun(self, engine: Engine) -> None:
         """Rest an engine that failed; each trial that fails doubles the rest."""
@@ -518,16 +548,25 @@
         return sum(w for at, w in engine.sends if at >= self.now - s.tip_after) + work <= allowed * 1.000001
 
     def _release(self) -> None:
+        if not self.held:
+            return
         stuck: list[bool] = []
         held, self.held = self.held, []
-        for order, q in held:
+        # Guards the CPU where many are held: between full looks, only until nothing more has room
+        full = self.now >= self.released + HELD_AGE * len(held)
+        if full:
+            self.released = self.now
+        for at, (order, q) in enumerate(held):
+            if not full and (len(stuck) == 2 or at == FIRST):
+                self.held.extend(held[at:])
+                break
             engine = None
             # Guards against a client's time that runs out between two looks at what is held
             if not q.ended and (self.now + q.run * LAST_CALL >= q.deadline or self._leaving(q)):
                 self._end(q)  # given up on: answered at once
             elif not q.ended and (q.c.long not in stuck or self._in_turn(q)) and self._turn(q):
                 engine = self._open_place(q)
-                if engine is None and q.sends == 0:
+                if engine is None and q.sends == 0 and q.c.long not in stuck:
                     stuck.append(q.c.long)
             if q.held_at and (q.ended or engine or not self._usable(q.held_at, q)):
                 q.held_at.line.remove((order, q))
@@ -542,6 +581,9 @@
 
     def _open_place(self, q: Query) -> Engine | None:
         """An engine with room, the query's own line or another: no place stays free while queries wait."""
+        own = q.held_at
+        if own and q.start_at <= q.at == self.now and self._room(own, q) and self._may_send(q, own):
+            return own  # chosen just now, among all, as the one of least start
         open_ = [e for e in self._candidates(q) if self._room(e, q) and self._may_send(q, e)]
         return min(open_, key=lambda e: self._run_at(e, q)) if open_ else None
 
@@ -553,6 +595,8 @@
         q.sends += 1
         q.out.append(a)
         engine.out[q.r.xid, a.number] = q, a
+        if q.c.s.loads and q.r.tables is not None:
+            engine.loads.setdefault(q.r.tables, []).append((q, a))
         self._count(q, a, q.c.s.threads)
         engine.sends.append((self.now, q.c.mean_work()))
         while engine.sends and engine.sends[0][0] < self.now - self.s.tip_after:
@@ -588,6 +632,10 @@
         q.out.remove(a)
         if engine.out.pop((o.xid, o.copy), None):
             self._count(q, a, -q.c.s.threads)
+        if q.r.tables in engine.loads:
+            engine.loads[q.r.tables] = [(h, b) for h, b in engine.loads[q.r.tables] if b is not a]
+            if not engine.loads[q.r.tables]:
+                del engine.loads[q.r.tables]
         told = dict(zip(self.s.report_fields, o.report, strict=False))
         if load := self._load(engine, told):
             engine.told, engine.told_at = load, self.now
@@ -615,6 +663,8 @@
             self._sign(engine)
             weight = max(FAULT_WEIGHT, 1 / (2 + engine.pace.n))  # where answers are few, each says more
             engine.faults += weight * ((o.code is Code.ERROR) - engine.faults)
+            if o.code is Code.ERROR:
+                self._rate_illness(engine)
             if engine.faults > FAULTY:
                 self._shun(engine)
         elif o.code in (Code.FULL, Code.CONNECT_FAILED, Code.RESET):
@@ -727,6 +777,7 @@
             self._count(q, a, -q.c.s.threads)
             a.lost = True
             a.engine.faults += FAULT_WEIGHT * (1 - a.engine.faults)
+            self._rate_illness(a.engine)
         known = q.c.scatter.n / (q.c.scatter.n + LEARNED)
         # Guards against a class that never ends a run, so never shows its scatter, and fills all engines
         scatter = SCATTER + known * (math.sqrt(q.c.scatter.var) - SCATTER)
--- a/mothknot/records.py
+++ b/mothknot/records.py
@@ -123,3 +123,17 @@
     lot: tuple[int, float] = (-1, 0.0)  # drawn for a slot of time while it is cold
     launch: int = 0
     sends: deque[tuple[int, float]] = field(default_factory=deque)
+    loads: dict[float, list[tuple["Query", Attempt]]] = field(default_factory=dict)  # ours, by tables
+    kept: dict[float, bool] = field(default_factory=dict)  # tables whose loads it takes
+    room: float = 0.0  # threads of ours from which it is pressed, and its illness, by the last survey
+    illness: float = 1.0
+    ends: list["Ends | None"] = field(default_factory=lambda: [None, None])  # of short and of long classes
+
+
+@dataclass(slots=True)
+class Ends:
+    """When the attempts out are thought to end, in order, with the threads that are free by then."""
+
+    until: int  # the clock up to which this is good
+    at: list[int]
+    freed: list[int]
