--- a/mothknot/config.py
+++ b/mothknot/config.py
@@ -1,6 +1,7 @@
 """The configuration, read once: the platform's JSON, and an operator's file where there is one."""
 
 import json
+import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -33,6 +34,15 @@
     most_held: int
 
 
+@dataclass(slots=True, frozen=True)
+class Operator:
+    """What an operator's file turns on; nothing on the platform."""
+
+    flight: tuple[str, int] | None = None
+    query_class: str = "lookup"
+    update_class: str = "load"
+
+
 def flatten(value: Any, path: str = "") -> list[str]:
     """Nested JSON as the path=value words of the simulator's first message."""
     if isinstance(value, dict):
@@ -105,3 +115,35 @@
     except ValueError as bad:
         raise BadConfig(f"{path} is not JSON ({bad})") from None
     return config_of(raw, environ)
+
+
+def operator_of(raw: Any, config: Config) -> Operator:
+    try:
+        flight = raw.get("flight", {})
+        operator = Operator(
+            flight=address_of(flight["listen"]) if flight else None,
+            query_class=str(flight.get("query_class", "lookup")),
+            update_class=str(flight.get("update_class", "load")),
+        )
+    except KeyError as bad:
+        raise BadConfig(f"the operator's file lacks {bad.args[0]}") from None
+    except (TypeError, ValueError, AttributeError) as bad:
+        raise BadConfig(f"a value in the operator's file is unusable ({bad})") from None
+    for name in (operator.query_class, operator.update_class) if operator.flight else ():
+        if name not in config.classes:
+            raise BadConfig(f"the operator's file names class {name!r}, which the settings lack")
+    return operator
+
+
+def read_operator(environ: Mapping[str, str], config: Config) -> Operator:
+    """The file that MOTHKNOT_OPERATOR names, if it names one."""
+    path = environ.get("MOTHKNOT_OPERATOR")
+    if not path:
+        return Operator()
+    try:
+        raw = tomllib.loads(Path(path).read_text())
+    except OSError as bad:
+        raise BadConfig(f"{path}: {bad.strerror}") from None
+    except ValueError as bad:
+        raise BadConfig(f"{path} is not TOML ({bad})") from None
+    return operator_of(raw, config)
--- a/mothknot/core/exchange.py
+++ b/mothknot/core/exchange.py
@@ -68,11 +68,11 @@
         """The engine has done the work; what follows is the result's way here."""
         self.took = self.took or self.exchange.desk.clock() - self.sent_at
 
-    def page(self, data: bytes) -> None:
+    def page(self, data: bytes, left: Callable[[], None] = lambda: None) -> None:
         if not self.out:
             return
         if self.exchange.passing:
-            self.exchange.pass_on(data)
+            self.exchange.pass_on(data, left)
         else:
             self.pages.append(data)
 
@@ -107,10 +107,10 @@
 
     # ---- what the engine side reports
 
-    def pass_on(self, data: bytes) -> None:
+    def pass_on(self, data: bytes, left: Callable[[], None]) -> None:
         if not self.answered:
             self.begun = True
-            self.client.rows(data)
+            self.client.rows(data, left)
 
     def attempt_ended(self, attempt: Try, code: Code) -> None:
         self.may_have_run |= code not in NEVER_RAN
--- a/mothknot/core/messages.py
+++ b/mothknot/core/messages.py
@@ -1,5 +1,6 @@
 """What the fronts and the engine clients exchange with the core: small typed values, free of any wire."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
@@ -48,7 +49,8 @@
 class Client(Protocol):
     """The client's side of an exchange: gets rows, if it asked for them as they come, and one answer."""
 
-    def rows(self, page: bytes) -> None: ...
+    def rows(self, page: bytes, left: Callable[[], None]) -> None:
+        """One page; `left` is called when it has left, so that the engine may send more."""
 
     def final(self, answer: Answer) -> None: ...
 
@@ -69,7 +71,7 @@
 
     def noted(self, kind: NoteKind, level: float) -> None: ...
 
-    def page(self, data: bytes) -> None: ...
+    def page(self, data: bytes, left: Callable[[], None] = ...) -> None: ...
 
     def ran(self) -> None: ...
 
--- /dev/null
+++ b/mothknot/flight/engines.py
@@ -0,0 +1,229 @@
+"""Flight SQL engines: one HTTP/2 connection to each, a call or two for every attempt."""
+
+from collections.abc import Callable
+from enum import Enum
+
+from mothknot.core.messages import Attempt, Target
+from mothknot.flight import grpc, messages
+from mothknot.flight.server import SERVICE
+from mothknot.interface import Code, State
+from mothknot.net.loop import Loop
+from mothknot.net.stream import Reason, Stream, address_of
+
+MS = 1_000_000
+
+
+class Step(Enum):
+    INFO = "GetFlightInfo"
+    GET = "DoGet"
+    PUT = "DoPut"
+
+
+class Run(grpc.Handler):
+    """One attempt: for a query its plan and then its result, for an update one exchange of messages."""
+
+    def __init__(self, pool: "Pool", attempt: Attempt) -> None:
+        self.pool, self.attempt = pool, attempt
+        self.link: Link | None = None
+        self.call: grpc.Call | None = None
+        self.step = Step.PUT if attempt.query.class_name in pool.updates else Step.INFO
+        self.tickets: list[bytes] = []
+        self.first: tuple[bytes, int] | None = None  # kept back until more comes: a schema is no row
+        self.status: str | None = None
+        self.over = False
+
+    def begin(self, link: "Link") -> None:
+        self.link = link
+        statement = self.attempt.query.statement.decode()
+        if self.step is Step.PUT:
+            self._open(messages.update(statement))
+        else:
+            self._open(messages.query_descriptor(statement))
+
+    def _open(self, message: bytes) -> None:
+        q, a, link = self.attempt.query, self.attempt, self.link
+        left = max(1, (q.give_up_at - self.pool.clock()) // MS)
+        headers = [
+            (":method", "POST"), (":scheme", "http"), (":path", SERVICE + self.step.value),
+            (":authority", link.dial if link else ""), ("te", "trailers"),
+            ("content-type", "application/grpc"),
+            ("grpc-timeout", f"{left}m"), ("x-class", q.class_name), ("x-txn", q.name),
+            ("x-priority", str(a.priority)),
+        ]  # fmt: skip
+        if q.idempotency:
+            headers.append(("x-txn-key", q.idempotency))
+        if a.memory_mb > 0:
+            headers.append(("x-grant-mb", f"{a.memory_mb:g}"))
+        self.status = None
+        self.call = link.wire.open(headers, self) if link else None
+        if self.call is None:
+            self._end(Code.CONNECT_FAILED if self.step is not Step.GET else Code.RESET)
+            return
+        self.call.send(message)
+        self.call.finish()
+
+    # ---- what the engine says
+
+    def headers(self, headers: dict[str, str]) -> None:
+        self.status = headers.get("grpc-status", self.status)
+
+    def message(self, data: bytes, size: int) -> None:
+        call = self.call
+        if self.over or call is None:
+            return
+        if self.step is Step.INFO:
+            call.taken(size)
+            try:
+                self.tickets = messages.tickets_of_info(data)
+            except messages.BadMessage:
+                call.reset()
+                self._end(Code.ERROR)
+        elif self.first is None and self.step is Step.GET:
+            self.first = data, size
+        else:
+            self._release_first()
+            self._pass(data, size)
+
+    def _release_first(self) -> None:
+        if self.first and self.first[0]:
+            data, size = self.first
+            self.first = b"", 0
+            self._pass(data, size)
+
+    def _pass(self, data: bytes, size: int) -> None:
+        if call := self.call:
+            self.attempt.page(data, lambda: call.taken(size))
+
+    def ended(self) -> None:
+        if self.over:
+            return
+        if self.status != str(grpc.OK):
+            self._end(Code.FULL if self.status == str(grpc.EXHAUSTED) else Code.ERROR)
+        elif self.step is Step.INFO and self.tickets:
+            self.step = Step.GET
+            self._open(self.tickets.pop(0))
+        elif self.step is Step.INFO:
+            self._end(Code.ERROR)
+        elif self.tickets:  # a result in several parts: each brings its schema, of which one is passed on
+            self._release_first()
+            self.first = None
+            self._end(Code.ERROR)
+        else:
+            self.attempt.ran()
+            self._release_first()
+            self._end(Code.OK)
+
+    def broken(self, never_ran: bool) -> None:
+        self._end(Code.CONNECT_FAILED if never_ran and self.step is not Step.GET else Code.RESET)
+
+    def _end(self, code: Code) -> None:
+        if not self.over:
+            self.over = True
+            self.pool.runs.pop(id(self.attempt), None)
+            self.attempt.ended(code)
+
+    def stop(self) -> None:
+        self.over = True
+        if self.call:
+            self.call.reset()
+        if self.link:
+            self.link.waiting = [r for r in self.link.waiting if r is not self]
+
+
+class Link:
+    """The connection to one engine, with what waits for it to come up."""
+
+    def __init__(self, pool: "Pool", engine: str, dial: str) -> None:
+        self.pool, self.dial = pool, dial
+        self.waiting: list[Run] = []
+        loop = pool.loop
+        stream = Stream.dial(loop, address_of(dial), f"flight-engine {engine} {dial}", lambda: None)
+        self.wire = grpc.Wire(loop, stream, client=True)
+        wake = self.wire.task.wake
+
+        def woken() -> None:
+            wake()
+            self._look()
+
+        stream.woken = woken
+        loop.at(loop.now() + pool.dial_timeout, self._late)
+
+    @property
+    def usable(self) -> bool:
+        return not self.wire.going and not self.wire.stream.over
+
+    def _look(self) -> None:
+        """Begin what waited, or end it if the connection never came up."""
+        stream = self.wire.stream
+        if not stream.connected and not stream.over:
+            return
+        waiting, self.waiting = self.waiting, []
+        for run in waiting:
+            if stream.over:
+                run._end(Code.CONNECT_FAILED)
+            else:
+                run.begin(self)
+
+    def _late(self) -> None:
+        if not self.wire.stream.connected and not self.wire.stream.closed:
+            self.wire.going = True
+            self.wire.stream.close(Reason.DIAL_TIMEOUT)
+            self._look()
+
+    def take(self, run: Run) -> None:
+        run.link = self
+        if self.wire.stream.connected:
+            run.begin(self)
+        else:
+            self.waiting.append(run)
+
+
+class Pool:
+    """Every Flight SQL engine's connection."""
+
+    passing = True
+
+    def __init__(
+        self, loop: Loop, clock: Callable[[], int], updates: frozenset[str], dial_timeout: float
+    ) -> None:
+        self.loop, self.clock, self.updates, self.dial_timeout = loop, clock, updates, dial_timeout
+        self.dials: dict[str, str] = {}
+        self.links: dict[str, Link] = {}
+        self.runs: dict[int, Run] = {}
+
+    def start(self, attempt: Attempt) -> None:
+        dial = self.dials.get(attempt.engine)
+        if dial is None:
+            attempt.ended(Code.CONNECT_FAILED)
+            return
+        link = self.links.get(attempt.engine)
+        if link is None or not link.usable or link.dial != dial:
+            if link:
+                link.wire.leave()
+            link = self.links[attempt.engine] = Link(self, attempt.engine, dial)
+        run = self.runs[id(attempt)] = Run(self, attempt)
+        link.take(run)
+
+    def stop(self, attempt: Attempt) -> None:
+        if run := self.runs.pop(id(attempt), None):
+            run.stop()
+
+    def rank(self, attempt: Attempt) -> None:
+        """A priority cannot be changed on this wire once the call is out."""
+
+    def listed(self, targets: list[Target], full: bool) -> None:
+        if full:
+            self.dials = {}
+        for target in targets:
+            engine = target.entry.engine
+            if target.entry.state is State.UP and "flight" in target.dials:
+                self.dials[engine] = target.dials["flight"]
+            else:
+                # Guards the drain: nothing new goes there, while results under way go on
+                self.dials.pop(engine, None)
+        for engine in [e for e in self.links if e not in self.dials]:
+            link = self.links.pop(engine)
+            link.wire.leave()
+            waiting, link.waiting = link.waiting, []
+            for run in waiting:
+                run._end(Code.CONNECT_FAILED)
--- /dev/null
+++ b/mothknot/flight/grpc.py
@@ -0,0 +1,277 @@
+"""gRPC over HTTP/2, sans-IO h2 on our streams: calls with bounded buffers and flow control end to end."""
+
+from collections import deque
+from collections.abc import Callable, Generator
+
+import h2.config
+import h2.connection
+import h2.errors
+import h2.events
+import h2.exceptions
+import h2.settings
+
+from mothknot.net.loop import Loop, Task
+from mothknot.net.stream import Reason, Stream
+
+WINDOW = 262_144  # bytes of a call that may be under way to us and not yet passed on
+MESSAGE = 16_777_216  # bytes of one message
+CALLS = 1_000  # calls at once on a connection
+OUT = 1_048_576  # bytes a connection may keep for a peer that does not read, before calls wait
+
+OK, CANCELLED, INVALID, DEADLINE, EXHAUSTED, UNIMPLEMENTED, INTERNAL = 0, 1, 3, 4, 8, 12, 13
+Headers = list[tuple[str, str]]
+
+
+class BadCall(Exception):
+    """What the peer sent in a call cannot be used."""
+
+
+class Messages:
+    """Length-prefixed messages out of the bytes of one call."""
+
+    def __init__(self) -> None:
+        self.buffer = bytearray()
+
+    def feed(self, data: bytes) -> list[bytes]:
+        self.buffer += data
+        out = []
+        while len(self.buffer) >= 5:
+            length = int.from_bytes(self.buffer[1:5], "big")
+            if self.buffer[0]:
+                raise BadCall("compressed messages were not agreed on")
+            if length > MESSAGE:
+                raise BadCall("a message is too long")
+            if len(self.buffer) < 5 + length:
+                break
+            out.append(bytes(self.buffer[5 : 5 + length]))
+            del self.buffer[: 5 + length]
+        return out
+
+
+def framed(message: bytes) -> bytes:
+    return b"\0" + len(message).to_bytes(4, "big") + message
+
+
+class Handler:
+    """What a call's owner is told; each owner overrides what it needs."""
+
+    def headers(self, headers: dict[str, str]) -> None: ...
+
+    def message(self, data: bytes, size: int) -> None: ...
+
+    def ended(self) -> None:
+        """The peer has sent all that it will."""
+
+    def broken(self, never_ran: bool) -> None:
+        """The call was reset or its connection ended."""
+
+
+class Call:
+    def __init__(self, wire: "Wire", number: int, handler: Handler) -> None:
+        self.wire, self.number, self.handler = wire, number, handler
+        self.incoming = Messages()
+        self.headers: dict[str, str] = {}
+        self.out: deque[tuple[bytes, Callable[[], None] | None]] = deque()
+        self.closing: Headers | bool | None = None  # trailers to end with, or True for a bare end
+        self.over = False
+
+    def send(self, message: bytes, left: Callable[[], None] | None = None) -> None:
+        """Queue a message; `left` is called when flow control has let all of it go."""
+        if not self.over:
+            self.out.append((framed(message), left))
+            self.wire.pump(self)
+
+    def finish(self, trailers: Headers | None = None) -> None:
+        if not self.over and self.closing is None:
+            self.closing = trailers or True
+            self.wire.pump(self)
+
+    def reset(self) -> None:
+        if not self.over:
+            self.over = True
+            self.wire.reset(self)
+
+    def taken(self, size: int) -> None:
+        """So many of the peer's bytes have gone on: it may send as many more."""
+        self.wire.acknowledge(self, size)
+
+
+class Wire:
+    """One HTTP/2 connection, on either side."""
+
+    def __init__(self, loop: Loop, stream: Stream, client: bool) -> None:
+        self.loop, self.stream = loop, stream
+        config = h2.config.H2Configuration(client_side=client, header_encoding="utf-8")
+        self.h2 = h2.connection.H2Connection(config)
+        self.h2.local_settings = h2.settings.Settings(
+            client=client,
+            initial_values={
+                h2.settings.SettingCodes.INITIAL_WINDOW_SIZE: WINDOW,
+                h2.settings.SettingCodes.MAX_CONCURRENT_STREAMS: CALLS,
+                h2.settings.SettingCodes.MAX_HEADER_LIST_SIZE: 65_536,
+                **({h2.settings.SettingCodes.ENABLE_PUSH: 0} if client else {}),
+            },
+        )
+        self.calls: dict[int, Call] = {}
+        self.taken: Callable[[dict[str, str], Call], Handler] | None = None  # server side: a new call
+        self.going = False  # the peer takes no more calls
+        self.refused_from = 2**31
+        self.h2.initiate_connection()  # first of all: calls may be opened before the task has its turn
+        self.h2.increment_flow_control_window(WINDOW * 16)
+        self._flush()
+        self.task: Task = loop.spawn(self._run())
+        stream.woken = self.task.wake
+
+    def _run(self) -> Generator[float | None, None, None]:
+        reason = Reason.FAULT
+        try:
+            while not self.stream.connected and not self.stream.eof:
+                yield None
+            reason = yield from self._talk()
+        finally:
+            self.going = True
+            calls, self.calls = list(self.calls.values()), {}
+            for call in calls:
+                call.over = True
+                call.handler.broken(call.number > self.refused_from or not self.stream.connected)
+            self.stream.close(reason)
+
+    def _talk(self) -> Generator[float | None, None, Reason]:
+        while True:
+            if self.stream.inbox:
+                try:
+                    for event in self.h2.receive_data(self.stream.take()):
+                        if isinstance(event, h2.events.ConnectionTerminated):
+                            self.going = True
+                            self.refused_from = event.last_stream_id or 0
+                            for call in [c for n, c in self.calls.items() if n > self.refused_from]:
+                                self._forget(call)
+                                call.handler.broken(True)
+                        else:
+                            self._event(event)
+                except h2.exceptions.ProtocolError:
+                    self._flush()
+                    return Reason.BAD_ANSWER if self.h2.config.client_side else Reason.BAD_REQUEST
+            for call in list(self.calls.values()):
+                self.pump(call)
+            self._flush()
+            if self.stream.eof:
+                return Reason.RESET if self.stream.reset else Reason.PEER_CLOSED
+            if self.going and not self.calls:
+                return Reason.STOPPING
+            yield None
+
+    def _event(self, event: h2.events.Event) -> None:
+        if isinstance(event, h2.events.RequestReceived) and self.taken and event.stream_id:
+            headers = {str(k): str(v) for k, v in event.headers or []}
+            call = Call(self, event.stream_id, Handler())
+            self.calls[call.number] = call
+            call.headers = headers
+            call.handler = self.taken(headers, call)
+            return
+        number = getattr(event, "stream_id", None)
+        call_or_none = self.calls.get(number) if isinstance(number, int) else None
+        if isinstance(event, h2.events.DataReceived) and event.stream_id is not None:
+            size = event.flow_controlled_length or 0
+            if call_or_none is None or call_or_none.over:
+                self.h2.acknowledge_received_data(size, event.stream_id)
+            else:
+                self._data(call_or_none, event.data or b"", size)
+        elif call_or_none is None:
+            return
+        elif isinstance(event, h2.events.ResponseReceived | h2.events.TrailersReceived):
+            headers = {str(k): str(v) for k, v in event.headers or []}
+            call_or_none.headers |= headers
+            call_or_none.handler.headers(headers)
+        elif isinstance(event, h2.events.StreamEnded):
+            call_or_none.handler.ended()
+            if self.h2.config.client_side:
+                self._forget(call_or_none)
+        elif isinstance(event, h2.events.StreamReset):
+            self._forget(call_or_none)
+            refused = event.error_code == h2.errors.ErrorCodes.REFUSED_STREAM
+            call_or_none.handler.broken(refused)
+
+    def _data(self, call: Call, data: bytes, size: int) -> None:
+        try:
+            messages = call.incoming.feed(data)
+        except BadCall:
+            call.reset()
+            call.handler.broken(False)
+            return
+        # What completes no message is acknowledged at once, or a long one would never come whole
+        if not messages:
+            call.taken(size)
+        for at, message in enumerate(messages):
+            call.handler.message(message, size if at == 0 else 0)
+
+    def _forget(self, call: Call) -> None:
+        call.over = True
+        call.out.clear()
+        self.calls.pop(call.number, None)
+
+    def open(self, headers: Headers, handler: Handler) -> Call | None:
+        """Client side: begin a call, if the peer takes one more."""
+        if self.going or self.stream.over or not self.stream.connected:
+            return None
+        try:
+            number = self.h2.get_next_available_stream_id()
+            self.h2.send_headers(number, headers)
+        except (h2.exceptions.ProtocolError, h2.exceptions.NoAvailableStreamIDError):
+            return None
+        call = Call(self, number, handler)
+        self.calls[number] = call
+        self.task.wake()
+        return call
+
+    def headers(self, call: Call, headers: Headers, end: bool = False) -> None:
+        if call.over:
+            return
+        self.h2.send_headers(call.number, headers, end_stream=end)
+        if end:
+            self._forget(call)
+        self.task.wake()
+
+    def pump(self, call: Call) -> None:
+        """Send as much of a call as its window and the connection let go."""
+        while call.out and not call.over and len(self.stream.outbox) < OUT:
+            data, left = call.out[0]
+            room = min(self.h2.local_flow_control_window(call.number), self.h2.max_outbound_frame_size)
+            if room <= 0:
+                break
+            self.h2.send_data(call.number, data[:room])
+            if len(data) > room:
+                call.out[0] = data[room:], left
+            else:
+                call.out.popleft()
+                if left:
+                    left()
+            self._flush()
+        if not call.out and call.closing is not None and not call.over:
+            if call.closing is True:
+                self.h2.end_stream(call.number)
+                call.closing = None
+            else:
+                self.h2.send_headers(call.number, call.closing, end_stream=True)  # type: ignore[arg-type]
+                self._forget(call)
+        self.task.wake()
+
+    def reset(self, call: Call) -> None:
+        self._forget(call)
+        if not self.stream.over:
+            self.h2.reset_stream(call.number, h2.errors.ErrorCodes.CANCEL)
+            self.task.wake()
+
+    def acknowledge(self, call: Call, size: int) -> None:
+        if size and not self.stream.over:
+            self.h2.acknowledge_received_data(size, call.number)
+            self.task.wake()
+
+    def _flush(self) -> None:
+        if data := self.h2.data_to_send():
+            self.stream.write(data)
+
+    def leave(self) -> None:
+        """Take no more calls here; what is open goes on."""
+        self.going = True
+        self.task.wake()
--- /dev/null
+++ b/mothknot/flight/server.py
@@ -0,0 +1,179 @@
+"""The Flight SQL front: statements in as GetFlightInfo and DoGet or as DoPut, results on as they come."""
+
+import re
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+from uuid import uuid4
+
+from mothknot.core.exchange import Desk, Exchange
+from mothknot.core.messages import Answer, Query, Verdict
+from mothknot.core.sql import table_group
+from mothknot.flight import grpc, messages
+from mothknot.net.loop import Loop
+from mothknot.net.stream import Listener, Reason, Stream
+from mothknot.web.server import BadCall, hex_header, real_header
+
+MS = 1_000_000
+WAY_BACK = 25 * MS  # of the client's time, kept for the way here and the last bytes' way back
+TIMEOUT = re.compile(r"(\d{1,8})([HMSmun])")
+UNITS = {"H": 3600 * 10**9, "M": 60 * 10**9, "S": 10**9, "m": 10**6, "u": 10**3, "n": 1}
+SERVICE = "/arrow.flight.protocol.FlightService/"
+REFUSED, FAILED = grpc.EXHAUSTED, grpc.INTERNAL  # the one status of each; the on-call page names them
+MOST_DEADLINE = 3600 * 10**9
+
+
+@dataclass(slots=True, frozen=True)
+class FlightClass:
+    number: int
+    keyed: bool
+    in_turn: bool
+    give_up: int  # nanoseconds, for a call without a deadline
+
+
+def timeout_of(text: str | None, absent: int) -> int:
+    if text is None:
+        return absent
+    found = TIMEOUT.fullmatch(text)
+    if not found:
+        raise BadCall(400, "grpc-timeout is unusable")
+    return min(int(found[1]) * UNITS[found[2]], MOST_DEADLINE)
+
+
+def query_of(
+    statement: str, class_name: str, c: FlightClass, headers: dict[str, str], now: int
+) -> Query:
+    left = timeout_of(headers.get("grpc-timeout"), c.give_up)
+    if not statement:
+        raise BadCall(400, "the statement is missing")
+    group = table_group(statement)
+    cost = real_header(headers, "x-cpu-hint", 1e9)
+    key = hex_header(headers, "x-row", 16, c.in_turn)
+    return Query(
+        name=hex_header(headers, "x-txn", 16, False) or uuid4().hex[:16],
+        cls=c.number,
+        class_name=class_name,
+        statement=statement.encode(),
+        give_up_at=now + max(left // 2, left - WAY_BACK),
+        retry=headers.get("x-second-try") == "1",
+        key=key if c.in_turn else None,
+        idempotency=hex_header(headers, "x-txn-key", 32, c.keyed),
+        cost=int(cost * MS) if cost else None,
+        need_mb=real_header(headers, "x-memory", 1e9) or 0.0,
+        tables=None if group is None else float(group),
+    )
+
+
+class FlightCall(grpc.Handler):
+    """One call of a client; of an exchange it is the client's side."""
+
+    def __init__(self, server: "Server", headers: dict[str, str], call: grpc.Call) -> None:
+        self.server, self.meta, self.call = server, headers, call
+        self.method = headers.get(":path", "").removeprefix(SERVICE)
+        self.exchange: Exchange | None = None
+        self.begun = self.done = False
+
+    def message(self, data: bytes, size: int) -> None:
+        self.call.taken(size)
+        if self.done or self.exchange:
+            return
+        try:
+            if self.method == "GetFlightInfo":
+                info = messages.info(data, messages.statement_of_descriptor(data))
+                self._headers()
+                self.call.send(info)
+                self._finish(grpc.OK)
+            elif self.method == "DoGet":
+                self._take(messages.statement_of_ticket(data), self.server.query_class)
+            elif self.method == "DoPut":
+                self._take(messages.statement_of_update(data), self.server.update_class)
+            else:
+                self._finish(grpc.UNIMPLEMENTED, f"{self.method[:80]} is not supported here")
+        except (messages.BadMessage, BadCall) as bad:
+            self._finish(grpc.INVALID, str(bad))
+
+    def ended(self) -> None:
+        if not self.done and not self.exchange:
+            known = self.method in ("GetFlightInfo", "DoGet", "DoPut")
+            self._finish(grpc.INVALID if known else grpc.UNIMPLEMENTED, "the call holds no message")
+
+    def broken(self, never_ran: bool) -> None:
+        self.done = True
+        if self.exchange:
+            self.exchange.gone()
+
+    def _take(self, statement: str, usual: str) -> None:
+        name = self.meta.get("x-class", usual)
+        c = self.server.classes.get(name)
+        if c is None:
+            raise BadCall(404, f"class {name[:80]!r} is unknown")
+        query = query_of(statement, name, c, self.meta, self.server.desk.clock())
+        self.exchange = self.server.desk.take(query, self, "flight")
+
+    def _headers(self) -> None:
+        if not self.begun:
+            self.begun = True
+            self.call.wire.headers(self.call, [(":status", "200"), ("content-type", "application/grpc")])
+
+    def _finish(self, status: int, text: str = "", more: grpc.Headers | None = None) -> None:
+        if self.done:
+            return
+        self.done = True
+        trailers = [("grpc-status", str(status)), *(more or [])]
+        if text:
+            plain = "".join(c if " " <= c <= "~" and c != "%" else "?" for c in text)
+            trailers.append(("grpc-message", plain))
+        if self.begun:
+            self.call.finish(trailers)
+        else:
+            start = [(":status", "200"), ("content-type", "application/grpc")]
+            self.call.wire.headers(self.call, start + trailers, end=True)
+
+    # ---- the client's side of an exchange
+
+    def rows(self, page: bytes, left: Callable[[], None]) -> None:
+        if not self.done:
+            self._headers()
+            self.call.send(page, left)
+
+    def final(self, answer: Answer) -> None:
+        if answer.verdict is Verdict.SERVED:
+            self._headers()
+            self._finish(grpc.OK)
+        elif answer.verdict is Verdict.REFUSED:
+            wait = str(-(-answer.wait_ns // MS))
+            self._finish(REFUSED, "Overloaded", [("x-throttle-ms", wait)])
+        else:
+            self._finish(FAILED, "Internal")
+
+
+class Server:
+    def __init__(
+        self, loop: Loop, desk: Desk, address: tuple[str, int], classes: dict[str, FlightClass],
+        query_class: str, update_class: str, most: int,
+    ) -> None:  # fmt: skip
+        self.loop, self.desk, self.classes, self.most = loop, desk, classes, most
+        self.query_class, self.update_class = query_class, update_class
+        self.wires: list[grpc.Wire] = []
+        self.listener = Listener(loop, address, self._taken)
+
+    def _taken(self, sock: socket.socket, peer: str) -> None:
+        self.wires = [w for w in self.wires if not w.stream.closed]
+        stream = Stream(self.loop, sock, f"flight-client {peer}")
+        if len(self.wires) >= self.most:  # guards the descriptors that the engines need
+            stream.close(Reason.TOO_MANY)
+            return
+        wire = grpc.Wire(self.loop, stream, client=False)
+        wire.taken = lambda headers, call: FlightCall(self, headers, call)
+        stream.start()
+        self.wires.append(wire)
+
+    def close(self) -> None:
+        """Accept no more; what is open goes on to its end."""
+        self.listener.close()
+        for wire in self.wires:
+            wire.leave()
+
+    @property
+    def quiet(self) -> bool:
+        return all(w.stream.closed for w in self.wires)
--- /dev/null
+++ b/mothknot/gateway.py
@@ -0,0 +1,130 @@
+"""One gateway on one loop: the forwarder's desk, its fronts and engine clients, and a planner beside it."""
+
+import signal
+import time
+from typing import TYPE_CHECKING, Any
+
+from mothknot.config import Config, Operator
+from mothknot.core.exchange import Desk
+from mothknot.core.messages import Verdict
+from mothknot.core.planner import Planner
+from mothknot.net.log import log
+from mothknot.net.loop import Loop, Timer
+from mothknot.targets import BadList, changes_of
+from mothknot.web.engines import Pool
+from mothknot.web.journal import Journal
+from mothknot.web.server import Server
+
+if TYPE_CHECKING:
+    from mothknot.flight.server import Server as FlightServer
+
+ACCEPTING = 0.8  # seconds after SIGTERM in which requests still come: 0.4 s, 0.2 s more, and slack
+MOST_OPEN = 4_000  # requests held at once, whatever the settings allow: what the memory bears
+
+
+class Gateway:
+    position = 0  # the journal's last event that we hold
+
+    def __init__(self, config: Config, operator: Operator, signals: bool = True) -> None:
+        self.config, self.loop = config, Loop()
+        loop = self.loop
+        self.desk = Desk(config.settings, time.time_ns, self.alarm, min(config.most_held, MOST_OPEN))
+        self.pool = Pool(loop, time.time_ns, config.streams, config.dial_timeout, config.conn_idle)
+        self.desk.engines["web"] = self.pool
+        self.planner = Planner(config.settings, config.seed, time.time_ns, self.alarm)
+        self.desk.tell.append(self.planner.tell)
+        self.take_list(config.known)
+        self.turn()
+        self.server = Server(loop, self.desk, config.listen, config.classes, config.sockets // 2)
+        self.journal = Journal(loop, config.journal, self.position, self.take_list)
+        loop.after.append(self.turn)
+        self.stopping = False
+        self.flight = self._flight(operator) if operator.flight else None
+        if signals:
+            self._signals()
+
+    def alarm(self, when: int, call: Any) -> Timer:
+        return self.loop.at(self.loop.now() + (when - time.time_ns()) / 1e9, call)
+
+    def take_list(self, raw: Any) -> int:
+        try:
+            changes = changes_of(raw, self.config.names)
+        except BadList as bad:
+            raise ValueError(str(bad)) from None
+        for position, whole, targets in changes:
+            if position > self.position:  # guards against an event told twice
+                self.position = position
+                if whole or targets:
+                    self.desk.listed(targets, whole)
+        self.position = max(self.position, int(raw.get("pos", 0)))
+        return self.position
+
+    def turn(self) -> bool:
+        """Let the planner decide on what has come; True if there is more at once."""
+        try:
+            actions = self.planner.turn()
+        except Exception as fault:
+            log("planner", f"a planner broke and is begun anew: {fault!r}")
+            self.planner.restart()
+            self.desk.planner_died(0)
+            self.planner.events.clear()
+            self.desk.planner_born(0)
+            return True
+        for action in actions:
+            self.desk.act(action)
+        return bool(self.planner.events)
+
+    def _flight(self, operator: Operator) -> "FlightServer":
+        """The second front; what it needs is not even loaded where it is off."""
+        from mothknot.flight.engines import Pool as FlightPool
+        from mothknot.flight.server import FlightClass
+        from mothknot.flight.server import Server as FlightServer
+
+        config, settings = self.config, self.config.settings
+        classes = {
+            name: FlightClass(number, keyed, in_turn, settings.classes[number].give_up)
+            for name, (number, keyed, in_turn) in config.classes.items()
+        }
+        updates = frozenset([operator.update_class])
+        pool = FlightPool(self.loop, time.time_ns, updates, config.dial_timeout)
+        self.desk.engines["flight"] = pool
+        pool.listed(list(self.desk.targets.values()), True)
+        assert operator.flight
+        most = config.sockets // 4
+        return FlightServer(
+            self.loop, self.desk, operator.flight, classes, operator.query_class, operator.update_class, most
+        )
+
+    # ---- the planned stop
+
+    def _signals(self) -> None:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: self.loop.call_soon(self.drain))
+
+    def drain(self) -> None:
+        if self.stopping:
+            return
+        self.stopping = True
+        log("stop", f"told to stop with {len(self.desk.exchanges)} requests open")
+        self.server.stop()
+        self.loop.at(self.loop.now() + ACCEPTING, self._close)
+
+    def _close(self) -> None:
+        self.server.close()
+        if self.flight:
+            self.flight.close()
+        self.loop.after.append(self._leave)
+
+    def _leave(self) -> bool:
+        """Leave once all that was taken is answered and the answers are read."""
+        if not self.desk.exchanges and self.server.quiet and (not self.flight or self.flight.quiet):
+            self.loop.stop()
+        return False
+
+    def run(self) -> None:
+        host, port = self.server.listener.address
+        log("start", f"{self.config.name} listens on {host}:{port}")
+        self.loop.run()
+        self.journal.stop()
+        told = ", ".join(f"{self.desk.counts[v]} {v.value}" for v in Verdict)
+        log("stop", f"all answered: {told}")
--- a/mothknot/net/loop.py
+++ b/mothknot/net/loop.py
@@ -73,6 +73,11 @@
         self.ended: list[socket.socket] = []
         self.running = True
         self.faults = 0
+        self.soon: deque[Callable[[], None]] = deque()
+        self.poked, self.poker = socket.socketpair()
+        self.poked.setblocking(False)
+        self.poker.setblocking(False)
+        self.watch(self.poked, IN, self._soon)
 
     @staticmethod
     def now() -> float:
@@ -103,8 +108,20 @@
                 self.epoll.unregister(sock)
         self.ended.append(sock)
 
+    def call_soon(self, call: Callable[[], None]) -> None:
+        """Call on the loop what another thread wants done."""
+        self.soon.append(call)
+        with contextlib.suppress(BlockingIOError):  # then it is poked already
+            self.poker.send(b".")
+
+    def _soon(self) -> None:
+        self.poked.recv(4096)
+        while self.soon:
+            self.soon.popleft()()
+
     def stop(self) -> None:
         self.running = False
+        self.call_soon(lambda: None)
 
     def run(self) -> None:
         while self.running:
--- a/mothknot/policy.py
+++ b/mothknot/policy.py
@@ -20,7 +20,7 @@
     Outcome, Post, Refuse, Repeat, Request, Scope, Send, SetTimer, Settings, Short, State,
     Terms, Timer, Watch,
 )
-from mothknot.records import Attempt, Class, Ends, Engine, Fading, Query
+from mothknot.records import Ahead, Attempt, Class, Ends, Engine, Fading, Query
 
 MS, SEC = 1_000_000, 1_000_000_000
 
@@ -55,7 +55,7 @@
 # Routing, in shares of the run time
 LOAD_COST = 1.0  # for one thread of ours a core of ours
 WARM_GAIN = 0.3  # saved by tables that we read there lately
-ENDS_AGE = MS // 20  # for each attempt out: how long their order of ends is kept, as sorting costs so much
+ENDS_AGE = MS // 10  # for each attempt out: how long their order of ends is kept, as sorting costs so much
 TRIED = 12  # engines drawn for a closer look; bounds the cost of a decision and parts gateways that are alike
 LOAD_PARTS = 3  # one part in so many of the engines takes the loads of a table
 LOAD_APART = 1.0  # for a load off those engines, or a reader on them
@@ -124,6 +124,7 @@
         self.cores, self.gap = 1.0, 0.0  # of what is up and fit; time between answers of one engine
         self.acts: list[Action] = []
         self.ends: list[Ends | None] = [None, None]
+        self.ahead: Ahead | None = None
         self.released = 0
         self.steps: dict[type, Callable[[Any], None]] = {
             Request: self._arrive, Outcome: self._outcome, Note: self._note, ListChange: self._list,
@@ -177,7 +178,8 @@
         for k in self.classes:  # long ones take more than the classes' geometric middle of mean work
             k.long = k.mean_work() > math.sqrt(min(works) * max(works)) * 1.001
         weights = [(k.work.n + 1) * k.mean_work() for k in self.classes]  # threads of one query in hand
-        self.width = sum(weights) / sum(w / k.s.threads for w, k in zip(weights, self.classes, strict=True))
+        shares = [w / k.s.threads for w, k in zip(weights, self.classes, strict=True)]
+        self.width = math.fsum(weights) / math.fsum(shares)
         # Others like us have each about what we have; what engines tell of their load says it better
         self.usual = sum(self.used) + math.exp(-past / LOAD_MEMORY) * (self.usual - sum(self.used))
         told = self.told.mean(self.now, LOAD_MEMORY, n * self.usual / self.cores, PACE_PRIOR)
@@ -310,9 +312,11 @@
 
     def _endangered(self, q: Query, engine: Engine, start: float) -> float:
         """Worth held behind `q` in its line that would come late because of it, and would not have."""
+        if start <= 0:
+            return 0.0
         push = q.run * q.c.s.threads / max(1.0, self._bound(engine.cores, q.c))
-        behind = [h for order, h in engine.line if order > q.order and h.c.long == q.c.long and start > 0]
-        return sum(h.worth for h in behind if 0 < h.deadline - h.start_at - h.run <= push)
+        behind = [h for order, h in engine.line if order > q.order and h.c.long == q.c.long]
+        return math.fsum(h.worth for h in behind if 0 < h.deadline - h.start_at - h.run <= push)
 
     def _route(self, q: Query) -> tuple[float, Engine] | None:
         """The engine of least start; what ties there goes by the run time to expect."""
@@ -357,13 +361,13 @@
         if q.r.tables is None or not (q.c.s.loads or q.c.s.waits):
             return 0.0
         loads = engine.loads.get(q.r.tables)
-        return sum(self._remaining(o, a) for o, a in loads if o is not q) if loads else 0.0
+        return math.fsum(self._remaining(o, a) for o, a in loads if o is not q) if loads else 0.0
 
     def _start(self, engine: Engine, q: Query) -> float:
         """Earliest start: now if the class bound has room, else when enough of ours before it should end."""
         if not self._cold_room(engine, q.c):
             return self.s.tip_after / 2
-        if not (engine.line and self._ahead(engine.line, q)) and self._room(engine, q):
+        if not (engine.line and self._ahead(engine.line, q, engine)) and self._room(engine, q):
             return 0.0
         return self._ends(engine.ends, engine, self._bound(engine.cores, q.c), engine.line, q)
 
@@ -373,7 +377,9 @@
             return 0.0
         return self._ends(self.ends, None, self._share(self.cores, q.c) / self.tight, self.held, q)
 
-    def _ahead(self, line: Line, q: Query) -> int:
+    def _ahead(self, line: Line, q: Query, engine: Engine | None) -> int:
+        if len(line) > FIRST:
+            return self._ahead_of_many(line, q, engine)
         threads = 0
         for order, h in line:
             if order >= q.order:
@@ -381,6 +387,21 @@
             threads += h.c.s.threads * (h.c.long == q.c.long)
         return threads
 
+    def _ahead_of_many(self, line: Line, q: Query, engine: Engine | None) -> int:
+        """Guards the CPU: a long line is summed up once in a while that grows with its length."""
+        kept = engine.ahead if engine else self.ahead
+        if kept is None or self.now >= kept.until:
+            sums: tuple[list[int], list[int]] = ([0], [0])
+            for _, h in line:
+                for long in (0, 1):
+                    sums[long].append(sums[long][-1] + h.c.s.threads * (h.c.long == long))
+            kept = Ahead(self.now + HELD_AGE * len(line), [order for order, _ in line], sums)
+            if engine:
+                engine.ahead = kept
+            else:
+                self.ahead = kept
+        return kept.threads[q.c.long][bisect_left(kept.orders, q.order)]
+
     def _ends(
         self, kept: list[Ends | None], engine: Engine | None, free: float, line: Line, q: Query
     ) -> float:
@@ -395,7 +416,7 @@
             freed = list(accumulate(threads for _, threads in alike))
             ends = kept[q.c.long] = Ends(until, [self.now + int(t) for t, _ in alike], freed)
         used = (engine or self).used[q.c.long]
-        need = self._ahead(line, q) + q.c.s.threads - free + used
+        need = self._ahead(line, q, engine) + q.c.s.threads - free + used
         if not ends.at:
             return max(0.0, need) / max(1.0, free) * q.run
         # What has been sent or has ended since moves the place in that order by its threads
@@ -545,7 +566,8 @@
         if slot != engine.lot[0]:
             engine.lot = slot, self.random.random() if slot >= 0 else 0.0
         allowed = math.floor(max(0.0, budget - chance) / work / n + engine.lot[1]) * work
-        return sum(w for at, w in engine.sends if at >= self.now - s.tip_after) + work <= allowed * 1.000001
+        sent = math.fsum(w for at, w in engine.sends if at >= self.now - s.tip_after)
+        return sent + work <= allowed * 1.000001
 
     def _release(self) -> None:
         if not self.held:
--- a/mothknot/records.py
+++ b/mothknot/records.py
@@ -127,6 +127,7 @@
     kept: dict[float, bool] = field(default_factory=dict)  # tables whose loads it takes
     room: float = 0.0  # threads of ours from which it is pressed, and its illness, by the last survey
     illness: float = 1.0
+    ahead: "Ahead | None" = None
     ends: list["Ends | None"] = field(default_factory=lambda: [None, None])  # of short and of long classes
 
 
@@ -137,3 +138,12 @@
     until: int  # the clock up to which this is good
     at: list[int]
     freed: list[int]
+
+
+@dataclass(slots=True)
+class Ahead:
+    """Threads held up to each place of a long line, of short and of long classes."""
+
+    until: int  # the clock up to which this is good
+    orders: list[tuple[int, int]]
+    threads: tuple[list[int], list[int]]
--- a/mothknot/web/server.py
+++ b/mothknot/web/server.py
@@ -36,7 +36,7 @@
         self.status = status
 
 
-def _hex(headers: dict[str, str], name: str, digits: int, need: bool) -> str | None:
+def hex_header(headers: dict[str, str], name: str, digits: int, need: bool) -> str | None:
     value = headers.get(name)
     if value is None and not need:
         return None
@@ -47,7 +47,7 @@
     return value
 
 
-def _real(headers: dict[str, str], name: str, most: float) -> float | None:
+def real_header(headers: dict[str, str], name: str, most: float) -> float | None:
     if (value := headers.get(name)) is None:
         return None
     try:
@@ -66,14 +66,14 @@
     if class_name not in classes:
         raise BadCall(404, f"class {class_name!r} is unknown")
     cls, keyed, in_turn = classes[class_name]
-    name = _hex(headers, "x-txn", 16, True) or ""
+    name = hex_header(headers, "x-txn", 16, True) or ""
     ttl = headers.get("x-ttl-ms", "")
     if not ttl.isascii() or not ttl.isdigit() or len(ttl) > 9 or int(ttl) > TTL_MOST:
         raise BadCall(400, "header x-ttl-ms is missing or not a number of milliseconds")
-    idempotency = _hex(headers, "x-txn-key", 32, keyed)
-    key = _hex(headers, "x-row", 16, in_turn)
-    cost = _real(headers, "x-cpu-hint", 1e9)
-    need = _real(headers, "x-memory", 1e9)
+    idempotency = hex_header(headers, "x-txn-key", 32, keyed)
+    key = hex_header(headers, "x-row", 16, in_turn)
+    cost = real_header(headers, "x-cpu-hint", 1e9)
+    need = real_header(headers, "x-memory", 1e9)
     if not body:
         raise BadCall(400, "the statement is missing")
     try:
@@ -114,7 +114,7 @@
         self.wake = wake
         self.answer: Answer | None = None
 
-    def rows(self, page: bytes) -> None:
+    def rows(self, page: bytes, left: Callable[[], None]) -> None:
         raise NotImplementedError("this front takes whole results")
 
     def final(self, answer: Answer) -> None:
--- /dev/null
+++ b/tests/stand_ins.py
@@ -0,0 +1,123 @@
+"""Stand-ins on loopback for the platform's parties: an engine that answers at once, and a client's call."""
+
+import contextlib
+import http.client
+import json
+import socket
+import threading
+from typing import Any
+from uuid import uuid4
+
+from mothknot.config import Config, config_of
+
+SEC = 1_000_000_000
+SETTINGS = {
+    "instances": 1,
+    "me": 0,
+    "zones": ["hall-a", "hall-b"],
+    "flavors": ["std-16"],
+    "registry-mode": "push",
+    "family-info": {
+        "cpu-of-kind": [16], "memory-by-kind-mb": [32768.0], "parallelism": [1, 2, 2], "takes-grants": True,
+        "loads": [False, False, True], "waits-for-loads": [True, False, False], "priorities": True,
+        "progress": 1_000_000_000, "out-of-memory": "shrink", "max-grant-share": 0.4,
+    },
+    "limits": {
+        "max-attempts": 3, "cancelling": True, "retry-after": True, "max-retry-after": 500_000_000,
+        "streams-per-conn": 32, "dial-timeout": 250_000_000, "conn-idle": 15 * SEC, "most-held": 1000,
+    },
+    "rules": {"cold": 15 * SEC, "start-capacity": 0.31, "settle-after-doubt": 300_000_000},
+    "services": [
+        {"name": "lookup", "aim": 5 * SEC, "give-up": 7 * SEC, "repeat": "idempotent", "worth": 1.0},
+        {"name": "report", "aim": 20 * SEC, "give-up": 25 * SEC, "repeat": "idempotent", "worth": 3.0},
+        {"name": "load", "aim": 20 * SEC, "give-up": 25 * SEC, "repeat": "deduplicated", "worth": 2.5,
+         "in-turn": True, "memory-span": 25 * SEC},
+    ],
+}  # fmt: skip
+
+
+def config(hosts: list[dict[str, Any]], journal: str = "127.0.0.1:1", **more: Any) -> Config:
+    known = {"pos": 1, "entries": [{"pos": 1, "hosts": {"seq": 1, "whole": True, "hosts": hosts}}]}
+    raw = {"name": "n1", "listen": "127.0.0.1:0", "seed": "7", "journal": journal, "known": known}
+    return config_of(raw | {"settings": SETTINGS} | more, {})
+
+
+def host(engine: "Engine", name: str = "e0", health: str = "up", born_ms: int = 0) -> dict[str, Any]:
+    return {"host": name, "dial": engine.address, "site": "hall-a", "class": "std-16", "health": health,
+            "share": 1, "born_ms": born_ms}  # fmt: skip
+
+
+class Engine:
+    """Speaks the engines' lines. `script` says how each REQ of a statement goes: ok, error, reset or mute."""
+
+    def __init__(self, pages: int = 3, script: dict[str, list[str]] | None = None) -> None:
+        self.pages, self.script = pages, script or {}
+        self.statements: list[str] = []
+        self.fields: list[str] = []
+        self.words: list[str] = []
+        self.connections = 0
+        self.heard = threading.Condition()
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.address = "127.0.0.1:%d" % self.sock.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                sock, _ = self.sock.accept()
+                self.connections += 1
+                threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+
+    def _serve(self, sock: socket.socket) -> None:
+        lines = sock.makefile("rb")
+        with contextlib.suppress(OSError, ValueError):
+            while line := lines.readline():
+                words = line.decode().split()
+                if words[0] == "REQ":
+                    statement = lines.read(int(words[3]) + 2)[:-2].decode()
+                    self._request(sock, words, statement)
+                elif words[0] == "FETCH":
+                    self._say(sock, f"{words[1]} batch sheet={words[2]}", f"{words[2]}\tx\ty\n")
+                self._note(words[0])
+        sock.close()
+
+    def _note(self, word: str) -> None:
+        with self.heard:
+            self.words.append(word)
+            self.heard.notify_all()
+
+    def _request(self, sock: socket.socket, words: list[str], statement: str) -> None:
+        self.statements.append(statement)
+        self.fields.append(words[2])
+        how = self.script.get(statement, [])
+        step = how.pop(0) if how else "ok"
+        if step == "ok":
+            self._say(sock, f"{words[1]} ok sheets={self.pages}", "0\tx\ty\n")
+        elif step == "reset":
+            sock.shutdown(socket.SHUT_RDWR)
+        elif step != "mute":
+            self._say(sock, f"{words[1]} {step} -", "")
+
+    def _say(self, sock: socket.socket, head: str, body: str) -> None:
+        sock.sendall(f"{head} {len(body)}\r\n{body}\r\n".encode())
+
+    def wait(self, word: str, times: int = 1) -> bool:
+        with self.heard:
+            return self.heard.wait_for(lambda: self.words.count(word) >= times, 10)
+
+    def close(self) -> None:
+        self.sock.close()
+
+
+def post(
+    gate: Any, cls: str, statement: str, row: str = "7f3a9c21e0b4d655", ttl: int = 5_000, **headers: str
+) -> tuple[int, Any, dict[str, str]]:
+    """One call as a client makes it: the status, the answer and its headers."""
+    host, port = gate.server.listener.address
+    connection = http.client.HTTPConnection(host, port, timeout=20)
+    told = {"X-Txn": uuid4().hex[:16], "X-Ttl-Ms": str(ttl), "X-Txn-Key": uuid4().hex, "X-Row": row} | headers
+    connection.request("POST", f"/svc/{cls}", statement, {k.replace("_", "-"): v for k, v in told.items()})
+    answer = connection.getresponse()
+    body = answer.read()
+    connection.close()
+    return answer.status, json.loads(body), {k.lower(): v for k, v in answer.getheaders()}
--- /dev/null
+++ b/tests/test_flight.py
@@ -0,0 +1,294 @@
+"""The Flight SQL front and client against independent peers: pyarrow servers, pyarrow and ADBC clients."""
+
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any
+
+import pyarrow as pa
+import pyarrow.flight as fl
+import pytest
+from google.protobuf import any_pb2
+
+from mothknot.config import Operator
+from mothknot.core.messages import Verdict
+from mothknot.gateway import Gateway
+from tests.stand_ins import Engine, config, post
+
+SCHEMA = pa.schema([("a", pa.string())])
+SQL = "SELECT a FROM lending_7.loans"
+TXN_KEY = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
+
+
+class Node(fl.FlightServerBase):  # type: ignore[misc]
+    """A stand-in for a Flight SQL engine: it counts what runs and what is called off."""
+
+    def __init__(self) -> None:
+        super().__init__("grpc://127.0.0.1:0")
+        self.ran: Counter[str] = Counter()
+        self.loads: Counter[str] = Counter()
+        self.cancelled = threading.Event()
+        self.sent = 0
+        self.refusals = 0
+        self.go_on = threading.Event()
+        self.go_on.set()
+
+    def get_flight_info(self, context: Any, descriptor: Any) -> Any:
+        statement = _statement(descriptor.command)
+        self.ran[statement] += 1
+        if self.refusals:
+            self.refusals -= 1
+            raise fl.FlightUnavailableError("not now")
+        if "broken" in statement:
+            raise fl.FlightServerError("cannot plan this")
+        endpoint = fl.FlightEndpoint(statement.encode(), [])
+        return fl.FlightInfo(SCHEMA, descriptor, [endpoint], -1, -1)
+
+    def do_get(self, context: Any, ticket: Any) -> Any:
+        statement = ticket.ticket.decode()
+        batches = 2_000 if "long" in statement else 3
+
+        def rows() -> Iterator[Any]:
+            for n in range(batches):
+                if n == 2:
+                    self.go_on.wait(20)
+                if context.is_cancelled():
+                    self.cancelled.set()
+                    return
+                self.sent += 1
+                yield pa.record_batch([[f"{n}" * (10_000 if batches > 3 else 1)]], schema=SCHEMA)
+
+        return fl.GeneratorStream(SCHEMA, rows())
+
+    def do_put(self, context: Any, descriptor: Any, reader: Any, writer: Any) -> None:
+        self.loads[_statement(descriptor.command)] += 1
+        writer.write(pa.py_buffer(b"\x08\x05"))  # DoPutUpdateResult with record_count 5
+
+
+def _statement(command: bytes) -> str:
+    outer = any_pb2.Any.FromString(command)
+    assert outer.type_url.rpartition(".")[2] in ("CommandStatementQuery", "CommandStatementUpdate")
+    return outer.value[2:].decode()  # field 1, a length under 128, the text
+
+
+@contextmanager
+def gateway(*nodes: Node, web: tuple[Engine, ...] = ()) -> Iterator[Gateway]:
+    """A whole gateway with both fronts on a thread of its own."""
+    hosts = []
+    for at in range(max(len(nodes), len(web))):
+        host: dict[str, Any] = {"host": f"e{at}", "site": "hall-a", "class": "std-16", "health": "up"}
+        if at < len(nodes):
+            host["flight"] = f"127.0.0.1:{nodes[at].port}"
+        host["dial"] = web[at].address if at < len(web) else "127.0.0.1:1"
+        hosts.append(host)
+    gate = Gateway(config(hosts), Operator(flight=("127.0.0.1", 0)), signals=False)
+    thread = threading.Thread(target=gate.loop.run, daemon=True)
+    thread.start()
+    try:
+        yield gate
+    finally:
+        gate.loop.stop()
+        thread.join(10)
+        assert not thread.is_alive() and gate.loop.faults == 0
+
+
+def client(gate: Gateway) -> Any:
+    assert gate.flight
+    return fl.connect("grpc://127.0.0.1:%d" % gate.flight.listener.address[1])
+
+
+def options(seconds: float = 10.0, **meta: Any) -> Any:
+    headers = [(k.replace("_", "-").encode(), v.encode()) for k, v in meta.items()]
+    return fl.FlightCallOptions(timeout=seconds, headers=headers)
+
+
+def command(name: str, statement: str) -> Any:
+    value = bytes([0x0A, len(statement)]) + statement.encode()
+    url = f"type.googleapis.com/arrow.flight.protocol.sql.{name}"
+    return fl.FlightDescriptor.for_command(any_pb2.Any(type_url=url, value=value).SerializeToString())
+
+
+def ask(gate: Gateway, statement: str = SQL, **meta: str) -> Any:
+    peer = client(gate)
+    info = peer.get_flight_info(command("CommandStatementQuery", statement), options())
+    return peer.do_get(info.endpoints[0].ticket, options(10.0, **meta))
+
+
+def load(gate: Gateway, statement: str, row: str) -> bytes:
+    peer = client(gate)
+    meta = options(x_row=row, x_txn_key=TXN_KEY)
+    writer, reader = peer.do_put(command("CommandStatementUpdate", statement), pa.schema([]), meta)
+    writer.done_writing()
+    result = reader.read()
+    writer.close()
+    return bytes(result.to_pybytes()) if result is not None else b""
+
+
+@pytest.fixture
+def node() -> Iterator[Node]:
+    server = Node()
+    yield server
+    server.go_on.set()
+    server.shutdown()
+
+
+def test_a_query_passes_through_whole(node: Node) -> None:
+    with gateway(node) as gate:
+        assert ask(gate).read_all().column("a").to_pylist() == ["0", "1", "2"]
+    assert node.ran == {SQL: 1}
+
+
+def test_an_adbc_client_reads_a_result(node: Node) -> None:
+    adbc = pytest.importorskip("adbc_driver_flightsql.dbapi")
+    with gateway(node) as gate:
+        assert gate.flight
+        uri = "grpc://127.0.0.1:%d" % gate.flight.listener.address[1]
+        with adbc.connect(uri) as connection, connection.cursor() as cursor:
+            cursor.execute(SQL)
+            assert cursor.fetchall() == [("0",), ("1",), ("2",)]
+
+
+def test_an_update_runs_once_and_tells_its_count(node: Node) -> None:
+    with gateway(node) as gate:
+        assert load(gate, "INSERT INTO lending_7.loans VALUES (1)", "7f3a9c21e0b4d655") == b"\x08\x05"
+    assert list(node.loads.values()) == [1]
+
+
+def test_a_client_that_cancels_midway_stops_the_engine(node: Node) -> None:
+    with gateway(node) as gate:
+        reader = ask(gate, "SELECT long FROM lending_7.loans", x_class="report")
+        reader.read_chunk()
+        reader.cancel()
+        assert node.cancelled.wait(10)
+        assert wait_until(lambda: not gate.desk.exchanges)
+    assert node.sent < 2_000
+
+
+def test_a_reader_that_stands_still_holds_the_engine_back(node: Node) -> None:
+    """Guards against a result that piles up in the gateway: flow control reaches from end to end."""
+    with gateway(node) as gate:
+        reader = ask(gate, "SELECT long FROM lending_7.loans", x_class="report")
+        reader.read_chunk()
+        steady = wait_until_steady(lambda: node.sent)
+        assert steady < 1_500
+        assert len(reader.read_all()) == 1_999
+
+
+def test_a_node_that_drains_ends_its_stream_and_gets_nothing_new(node: Node) -> None:
+    node.go_on.clear()
+    other = Node()
+    with gateway(node) as gate:
+        reader = ask(gate, SQL, x_class="report")
+        reader.read_chunk()
+        host = {"site": "hall-a", "class": "std-16", "share": 1, "dial": "127.0.0.1:1"}
+        news = [
+            {**host, "host": "e0", "flight": f"127.0.0.1:{node.port}", "health": "draining"},
+            {**host, "host": "e9", "flight": f"127.0.0.1:{other.port}", "health": "up"},
+        ]
+        told = threading.Event()
+        entries = {"pos": 2, "entries": [{"pos": 2, "hosts": {"seq": 2, "whole": False, "hosts": news}}]}
+
+        def tell() -> None:
+            gate.take_list(entries)
+            told.set()
+
+        gate.loop.call_soon(tell)
+        assert told.wait(10)
+        assert ask(gate, "SELECT b FROM lending_8.loans").read_all().num_rows == 3
+        node.go_on.set()
+        assert reader.read_all().num_rows == 2
+    assert node.ran == {SQL: 1} and sum(other.ran.values()) == 1
+    other.shutdown()
+
+
+def test_refusals_and_failures_have_a_status_each(node: Node) -> None:
+    with gateway() as gate, pytest.raises(pa.ArrowInvalid) as refused:
+        # No engine is known: the module gives the request up, and nothing has run
+        ask(gate, SQL, x_class="lookup").read_all()
+    assert "Overloaded" in str(refused.value) and gate.desk.counts[Verdict.REFUSED] == 1
+    with gateway(node) as gate, pytest.raises(fl.FlightError):
+        ask(gate, "SELECT broken FROM lending_7.loans").read_all()
+    assert gate.desk.counts[Verdict.SERVED] == 0
+
+
+def test_a_deadline_ends_a_stream_that_stands_still(node: Node) -> None:
+    node.go_on.clear()
+    with gateway(node) as gate:
+        peer = client(gate)
+        info = peer.get_flight_info(command("CommandStatementQuery", SQL), options())
+        reader = peer.do_get(info.endpoints[0].ticket, options(seconds=0.5))
+        with pytest.raises(fl.FlightError):
+            reader.read_all()
+        assert wait_until(lambda: not gate.desk.exchanges)
+
+
+def test_bad_calls_get_a_prompt_status(node: Node) -> None:
+    with gateway(node) as gate:
+        calls: tuple[Callable[[], Any], ...] = (
+            lambda: ask(gate, SQL, x_class="nothing").read_all(),
+            lambda: ask(gate, SQL, x_txn="short").read_all(),
+            lambda: client(gate).do_get(fl.Ticket(b"\xff\xff"), options()).read_all(),
+            lambda: client(gate).get_flight_info(fl.FlightDescriptor.for_path("x"), options()),
+        )
+        for call in calls:
+            with pytest.raises(pa.ArrowInvalid):
+                call()
+        with pytest.raises(fl.FlightError):
+            list(client(gate).list_flights(options=options()))
+        assert ask(gate).read_all().num_rows == 3
+    assert node.ran == {SQL: 1}
+
+
+def test_both_fronts_mixed_give_the_same_counts_and_double_no_load() -> None:
+    nodes, engines = (Node(), Node()), (Engine(), Engine())
+    with gateway(*nodes, web=engines) as gate:
+        counts: dict[str, Counter[str]] = {"web": Counter(), "flight": Counter()}
+
+        def one(front: str, at: int) -> None:
+            row = f"{at % 3:016x}"
+            if at % 4 == 0:
+                statement = f"INSERT INTO lending_{at}.loans VALUES ({at})"
+                if front == "flight":
+                    good = load(gate, statement, row) != b""
+                else:
+                    good = "rows" in post(gate, "load", statement, row=row)[1]
+            else:
+                statement = f"SELECT a FROM lending_{at}.loans"
+                if front == "flight":
+                    good = ask(gate, statement).read_all().num_rows == 3
+                else:
+                    good = len(post(gate, "lookup", statement)[1]["rows"]) == 3
+            counts[front]["served" if good else "other"] += 1
+
+        threads = [threading.Thread(target=one, args=(front, at)) for at in range(24) for front in counts]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join(30)
+        assert counts["web"] == counts["flight"] == {"served": 24}
+        assert gate.desk.counts[Verdict.SERVED] == 48
+    loads = sum((n.loads for n in nodes), Counter())
+    web_loads = Counter(s for e in engines for s in e.statements if s.startswith("INSERT"))
+    assert loads == web_loads and set(loads.values()) == {1} and len(loads) == 6
+    for node in nodes:
+        node.shutdown()
+    for engine in engines:
+        engine.close()
+
+
+def wait_until(true: Any, seconds: float = 10.0) -> bool:
+    until = time.monotonic() + seconds
+    while not true() and time.monotonic() < until:
+        time.sleep(0.01)
+    return bool(true())
+
+
+def wait_until_steady(figure: Any) -> int:
+    last, since = -1, time.monotonic()
+    while time.monotonic() - since < 0.5:
+        if figure() != last:
+            last, since = figure(), time.monotonic()
+        time.sleep(0.01)
+    return int(last)
