Flight SQL: a result under way is ended by its client, engine or deadline alone

Seen in the tests against pyarrow peers: a reader that stood still for two seconds got a failure, as the module took an attempt without notes for lost and cancelled it after rows had left. Now a cancel or refusal counts only before the first row or once the client has gone, and with the Flight wire on the module is told that no notes come.

--- a/mothknot/core/exchange.py
+++ b/mothknot/core/exchange.py
@@ -276,11 +276,16 @@
 
     def _cancel(self, xid: int, copy: int) -> None:
         exchange = self.exchanges.get(xid)
-        if exchange and exchange.attempt and exchange.attempt.number == copy:
+        # Guards a result under way: once rows have left no other attempt can stand in for this one, so only
+        # its client, its engine or its deadline end it
+        if exchange is None or (exchange.begun and not exchange.answered):
+            return
+        if exchange.attempt and exchange.attempt.number == copy:
             exchange.call_off(Code.CANCELLED)
 
     def _answer(self, xid: int, answer: Answer) -> None:
-        if exchange := self.exchanges.get(xid):
+        exchange = self.exchanges.get(xid)
+        if exchange and not exchange.begun:
             exchange.answer(answer)
             self.settle(exchange)
 
--- a/mothknot/gateway.py
+++ b/mothknot/gateway.py
@@ -2,6 +2,7 @@
 
 import signal
 import time
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 from mothknot.config import Config, Operator
@@ -31,7 +32,9 @@
         self.desk = Desk(config.settings, time.time_ns, self.alarm, min(config.most_held, MOST_OPEN))
         self.pool = Pool(loop, time.time_ns, config.streams, config.dial_timeout, config.conn_idle)
         self.desk.engines["web"] = self.pool
-        self.planner = Planner(config.settings, config.seed, time.time_ns, self.alarm)
+        # The Flight wire brings no notes, so with it the module must not take their absence for a loss
+        settings = replace(config.settings, progress=0) if operator.flight else config.settings
+        self.planner = Planner(settings, config.seed, time.time_ns, self.alarm)
         self.desk.tell.append(self.planner.tell)
         self.take_list(config.known)
         self.turn()
--- a/mothknot/net/loop.py
+++ b/mothknot/net/loop.py
@@ -66,6 +66,7 @@
     def __init__(self) -> None:
         self.epoll = select.epoll()
         self.handlers: dict[int, Callable[[], None]] = {}
+        self.socks: dict[int, socket.socket] = {}
         self.ready: deque[Task] = deque()
         self.timers: list[tuple[float, int, Timer]] = []
         self.serial = count()
@@ -100,9 +101,11 @@
         else:
             self.epoll.register(sock, mask)
         self.handlers[sock.fileno()] = handler
+        self.socks[sock.fileno()] = sock
 
     def dispose(self, sock: socket.socket) -> None:
         """Close a socket once this turn's events are through, lest another gets its number among them."""
+        self.socks.pop(sock.fileno(), None)
         if self.handlers.pop(sock.fileno(), None):
             with contextlib.suppress(OSError):
                 self.epoll.unregister(sock)
@@ -127,6 +130,12 @@
         while self.running:
             self.turn()
 
+    def close(self) -> None:
+        """Close what is still open, once the loop has ended."""
+        for sock in (*self.socks.values(), *self.ended, self.poker):
+            sock.close()
+        self.epoll.close()
+
     def turn(self) -> None:
         wait = -1.0
         if self.ready:
