--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# Build, test, lint and run mothknot. `build` is what deploy/balancer.toml runs before every start.
+PY = .venv/bin/python
+MODULE = mothknot/policy.py mothknot/records.py mothknot/interface.py
+
+build: .venv/.installed mothknot/.compiled
+
+.venv/.installed: requirements.txt
+	python3 -m venv .venv
+	.venv/bin/pip -q install -r requirements.txt
+	touch $@
+
+# The decision module is compiled from its typed Python as it stands: the same source, about half the time.
+# Without a C compiler, or if it fails, the module runs as it is.
+mothknot/.compiled: $(MODULE) .venv/.installed
+	rm -f mothknot/*.so *__mypyc*.so
+	(MYPYC_OPT_LEVEL=2 .venv/bin/mypyc $(MODULE) >.venv/mypyc.log 2>&1 \
+		&& $(PY) -c 'import mothknot.policy') || rm -f mothknot/*.so *__mypyc*.so
+	rm -rf build
+	touch $@
+
+test:
+	.ci/run
+
+lint:
+	.venv/bin/ruff check mothknot tests example
+	.venv/bin/mypy
+
+run: build
+	$(PY) -m mothknot
+
+clean:
+	rm -rf .venv build mothknot/.compiled mothknot/*.so *__mypyc*.so
+
+.PHONY: build test lint run clean
--- a/mothknot/policy.py
+++ b/mothknot/policy.py
@@ -55,7 +55,7 @@
 # Routing, in shares of the run time
 LOAD_COST = 1.0  # for one thread of ours a core of ours
 WARM_GAIN = 0.3  # saved by tables that we read there lately
-ENDS_AGE = MS // 10  # for each attempt out: how long their order of ends is kept, as sorting costs so much
+ENDS_AGE = MS // 5  # for each attempt out: how long their order of ends is kept, as sorting costs so much
 TRIED = 12  # engines drawn for a closer look; bounds the cost of a decision and parts gateways that are alike
 LOAD_PARTS = 3  # one part in so many of the engines takes the loads of a table
 LOAD_APART = 1.0  # for a load off those engines, or a reader on them
@@ -78,7 +78,7 @@
 LOOKS = 2  # looks that must be left before a client gives up on what is held, as one may come late
 SURVEY = 200 * MS  # and how often all engines are
 FIRST = 32  # and so many of the first in between
-HELD_AGE = MS // 10  # for each query held: how often all are looked at, not only the first of the line
+HELD_AGE = MS // 5  # for each query held: how often all are looked at, not only the first of the line
 STALL = 5 * TICK  # a clock so much late was our own stall: silence meanwhile says nothing
 RESTART = 2.0  # times a fresh run that what remains must exceed before an attempt is begun anew
 OVERDUE = 1.8  # spreads of the class's log run times past which a silent attempt is begun anew, once
@@ -125,6 +125,7 @@
         self.acts: list[Action] = []
         self.ends: list[Ends | None] = [None, None]
         self.ahead: Ahead | None = None
+        self.shares: dict[tuple[float, int, bool], float] = {}
         self.released = 0
         self.steps: dict[type, Callable[[Any], None]] = {
             Request: self._arrive, Outcome: self._outcome, Note: self._note, ListChange: self._list,
@@ -170,6 +171,7 @@
         if past < SURVEY and not force:
             return
         self.surveyed, n = self.now, self.s.instances
+        self.shares.clear()
         self.up = [e for e in self.engines.values() if e.known and e.e.state is State.UP]
         fit = [e for e in self.up if self.now >= e.shun_until]
         self.all_shunned = not fit  # then no engine is to blame
@@ -315,7 +317,8 @@
         if start <= 0:
             return 0.0
         push = q.run * q.c.s.threads / max(1.0, self._bound(engine.cores, q.c))
-        behind = [h for order, h in engine.line if order > q.order and h.c.long == q.c.long]
+        place = bisect_left(engine.line, q.order, key=lambda held: held[0])
+        behind = [h for _, h in engine.line[place:] if h.c.long == q.c.long]
         return math.fsum(h.worth for h in behind if 0 < h.deadline - h.start_at - h.run <= push)
 
     def _route(self, q: Query) -> tuple[float, Engine] | None:
@@ -408,8 +411,9 @@
         """When enough of ours, there or everywhere, end that `q` has room behind those ahead of it."""
         ends = kept[q.c.long]
         if ends is None or self.now >= ends.until:
-            out = engine.out.values() if engine else [(o, a) for o in self.queries.values() for a in o.out]
-            alike = [(self._remaining(o, a), o.c.s.threads) for o, a in out if o.c.long == q.c.long]
+            where = [engine] if engine else list(self.engines.values())
+            out = [oa for e in where for oa in e.out.values() if oa[0].c.long == q.c.long]
+            alike = [(self._remaining(o, a), o.c.s.threads) for o, a in out]
             alike.sort()
             # Guards the CPU: the order is kept for a while that grows with what it costs to find
             until = self.now + 1 + ENDS_AGE * len(alike)
@@ -435,9 +439,13 @@
         return max(float(c.s.threads), self._share(cores, c))
 
     def _share(self, cores: float, c: Class) -> float:
+        known = self.shares.get((cores, c.s.threads, c.long))
+        if known is not None:
+            return known
         share = cores / self.s.instances
         chance = CHANCE * math.sqrt(share * (1 - 1 / self.s.instances) * c.s.threads)  # others draw unevenly
-        return share * (SMALL if c.long else WIDE) + chance
+        known = self.shares[cores, c.s.threads, c.long] = share * (SMALL if c.long else WIDE) + chance
+        return known
 
     def _fits(self, used: list[int], cores: float, q: Query) -> bool:
         mine = used[q.c.long]
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -58,7 +58,7 @@
         self.connections = 0
         self.heard = threading.Condition()
         self.sock = socket.create_server(("127.0.0.1", 0))
-        self.address = "127.0.0.1:%d" % self.sock.getsockname()[1]
+        self.address = f"127.0.0.1:{self.sock.getsockname()[1]}"
         threading.Thread(target=self._accept, daemon=True).start()
 
     def _accept(self) -> None:
--- a/tests/test_flight.py
+++ b/tests/test_flight.py
@@ -102,7 +102,7 @@
 
 def client(gate: Gateway) -> Any:
     assert gate.flight
-    return fl.connect("grpc://127.0.0.1:%d" % gate.flight.listener.address[1])
+    return fl.connect(f"grpc://127.0.0.1:{gate.flight.listener.address[1]}")
 
 
 def options(seconds: float = 10.0, **meta: Any) -> Any:
@@ -150,7 +150,7 @@
     adbc = pytest.importorskip("adbc_driver_flightsql.dbapi")
     with gateway(node) as gate:
         assert gate.flight
-        uri = "grpc://127.0.0.1:%d" % gate.flight.listener.address[1]
+        uri = f"grpc://127.0.0.1:{gate.flight.listener.address[1]}"
         with adbc.connect(uri) as connection, connection.cursor() as cursor:
             cursor.execute(SQL)
             assert cursor.fetchall() == [("0",), ("1",), ("2",)]
