Count a stopped attempt as over only when its stop has had time to arrive

Checked: copies follow cancels (1.02 cancels a copy), no engine connection had ended, and stops are written before the next send. Ruled out by reading: one name on one connection twice. The outcome of a cancel is now told 60 ms after its STOP; answers wait for nothing.

--- a/mothknot/core/exchange.py
+++ b/mothknot/core/exchange.py
@@ -32,6 +32,8 @@
 )
 
 MS = 1_000_000
+STOP_WAY = 60 * MS  # until a stopped attempt counts as over: guards against the next one overtaking
+# the stop on another connection and being out beside it; no answer waits for this
 GRACE = 5 * MS  # past its deadline an exchange that no planner ended is ended here
 NEVER_RAN = (Code.FULL, Code.CONNECT_FAILED, Code.MOOT)
 
@@ -280,8 +282,12 @@
         # its client, its engine or its deadline end it
         if exchange is None or (exchange.begun and not exchange.answered):
             return
-        if exchange.attempt and exchange.attempt.number == copy:
-            exchange.call_off(Code.CANCELLED)
+        if (attempt := exchange.attempt) and attempt.number == copy:
+            self.engines[exchange.wire].stop(attempt)
+            if exchange.answered:
+                attempt.ended(Code.CANCELLED)
+            else:
+                self.alarms(self.clock() + STOP_WAY, lambda: attempt.ended(Code.CANCELLED))
 
     def _answer(self, xid: int, answer: Answer) -> None:
         exchange = self.exchanges.get(xid)
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -8,7 +8,9 @@
 from typing import Any
 from uuid import uuid4
 
-from mothknot.config import Config, config_of
+from mothknot.config import Config, config_of, flatten
+
+__all__ = ["SETTINGS", "Engine", "config", "flatten", "host", "post"]
 
 SEC = 1_000_000_000
 SETTINGS = {
