Sum up a long line anew when it has grown by an eighth, and keep short orders exact

With 200 requests at one clock time the kept sum of the line never grew, so nothing was refused. Lines at fault: _ahead_of_many and _ends in policy.py kept by the clock alone.

--- a/mothknot/policy.py
+++ b/mothknot/policy.py
@@ -393,7 +393,8 @@
     def _ahead_of_many(self, line: Line, q: Query, engine: Engine | None) -> int:
         """Guards the CPU: a long line is summed up once in a while that grows with its length."""
         kept = engine.ahead if engine else self.ahead
-        if kept is None or self.now >= kept.until:
+        grown = kept is not None and abs(len(line) - len(kept.orders)) * 8 > len(line)
+        if kept is None or grown or self.now >= kept.until:
             sums: tuple[list[int], list[int]] = ([0], [0])
             for _, h in line:
                 for long in (0, 1):
@@ -410,7 +411,7 @@
     ) -> float:
         """When enough of ours, there or everywhere, end that `q` has room behind those ahead of it."""
         ends = kept[q.c.long]
-        if ends is None or self.now >= ends.until:
+        if ends is None or self.now >= ends.until or len(ends.at) <= FIRST:  # short ones are always exact
             where = [engine] if engine else list(self.engines.values())
             out = [oa for e in where for oa in e.out.values() if oa[0].c.long == q.c.long]
             alike = [(self._remaining(o, a), o.c.s.threads) for o, a in out]
