Answer the operators' calls on a second address, with figures counted in the core

Readiness (starting, ready, draining, stopping) is one object now that READY, /status/live and BGP ask; counters are written where answers and attempts are, and an attempt counts when its last byte is with the machine (a mark in the stream's outbox).

--- a/mothknot/config.py
+++ b/mothknot/config.py
@@ -23,6 +23,7 @@
 class Config:
     name: str
     listen: tuple[str, int]
+    ops: tuple[str, int] | None  # the second address
     seed: int
     sockets: int
     journal: str
@@ -71,6 +72,7 @@
 def config_of(raw: Any, environ: Mapping[str, str]) -> Config:
     try:
         settings_raw, limits = raw["settings"], raw.get("limits", {})
+        ops = environ.get("ROUTER_OPS") or raw.get("ops")
         settings = settings_of(flatten(settings_raw))
         services = settings_raw["services"]
         site_limits = settings_raw.get("limits", {})
@@ -81,6 +83,7 @@
         config = Config(
             name=str(raw.get("name") or environ.get("ROUTER_NAME", "gateway")),
             listen=address_of(str(environ.get("ROUTER_LISTEN") or raw["listen"])),
+            ops=address_of(str(ops)) if ops else None,
             seed=int(str(raw.get("seed", "0")), 16) % 2**63,
             sockets=int(limits.get("sockets", 1024)),
             journal=str(raw["journal"]),
@@ -106,6 +109,8 @@
         raise BadConfig(f"a value is unusable ({bad})") from None
     if config.sockets < 32 or config.streams < 1 or config.most_held < 1 or config.dial_timeout <= 0:
         raise BadConfig("limits leave no room to work in")
+    if config.ops == config.listen and config.listen[1]:
+        raise BadConfig("ops is the clients' address")
     return config
 
 
@@ -159,6 +164,8 @@
     most = max(operator.forwarders, len(operator.planners))
     if not 1 <= operator.forwarders <= most <= 16 or (processes and not operator.planners):
         raise BadConfig("the operator's file needs 1 to 16 planners and as many forwarders")
+    if config.ops and operator.forwarders > 1:
+        raise BadConfig("the second address needs one forwarder: the figures of several are not added up")
     for name in (operator.query_class, operator.update_class) if operator.flight else ():
         if name not in config.classes:
             raise BadConfig(f"the operator's file names class {name!r}, which the settings lack")
--- a/mothknot/core/exchange.py
+++ b/mothknot/core/exchange.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 from zlib import crc32
 
+from mothknot.core.counters import Counters
 from mothknot.core.messages import Answer, Client, Engines, Query, Target, Verdict
 from mothknot.interface import (
     Action,
@@ -63,6 +64,9 @@
     def query(self) -> Query:
         return self.exchange.query
 
+    def written(self) -> None:
+        self.exchange.desk.counters.forwards += 1
+
     def noted(self, kind: NoteKind, level: float) -> None:
         if self.out:
             self.exchange.tell(Note(self.exchange.xid, self.number, self.engine, kind, level))
@@ -136,7 +140,7 @@
         if answer.verdict is Verdict.REFUSED and self.begun:
             answer = Answer(Verdict.FAILED)
         self.answered = True
-        self.desk.counts[answer.verdict] += 1
+        self.desk.counters.answered(self.query.class_name, answer.verdict)
         self.client.final(answer)
 
     def gone(self) -> None:
@@ -196,9 +200,14 @@
         self.live: list[bool] = []  # by planner, as `tell`: whether it can be told anything
         self.rests: dict[int, int] = {}  # by planner: until when its keys rest, as one has died
         self.next_xid, self.turn = first_xid, 0
-        self.counts = dict.fromkeys(Verdict, 0)
+        self.counters = Counters()
         self.idle: Callable[[], None] = lambda: None  # called when the last exchange has ended
 
+    @property
+    def outstanding(self) -> int:
+        """What is taken and has no answer yet; an answered exchange may linger for its attempt."""
+        return sum(not exchange.answered for exchange in self.exchanges.values())
+
     def take(self, query: Query, client: Client, wire: str) -> Exchange:
         """From here on one final answer is owed."""
         xid = self.next_xid
--- a/mothknot/core/messages.py
+++ b/mothknot/core/messages.py
@@ -46,6 +46,13 @@
     dials: dict[str, str]
 
 
+@dataclass(slots=True, frozen=True)
+class Avoids:
+    """The listed engines that a planner gives nothing for now; told over a local link when they change."""
+
+    engines: tuple[str, ...]
+
+
 class Client(Protocol):
     """The client's side of an exchange: gets rows, if it asked for them as they come, and one answer."""
 
@@ -69,6 +76,9 @@
     @property
     def out(self) -> bool: ...
 
+    def written(self) -> None:
+        """Its request is with the machine to the last byte."""
+
     def noted(self, kind: NoteKind, level: float) -> None: ...
 
     def page(self, data: bytes, left: Callable[[], None] = ...) -> None: ...
--- a/mothknot/core/planner.py
+++ b/mothknot/core/planner.py
@@ -33,6 +33,9 @@
                 actions.append(action)
         return actions
 
+    def avoided(self) -> tuple[str, ...]:
+        return self.module.avoided(self.clock())
+
     def _arm(self, action: SetTimer) -> None:
         life = self.lives
 
--- a/mothknot/flight/engines.py
+++ b/mothknot/flight/engines.py
@@ -59,7 +59,9 @@
         if self.call is None:
             self._end(Code.CONNECT_FAILED if self.step is not Step.GET else Code.RESET)
             return
-        self.call.send(message)
+        first, stream = self.step is not Step.GET, link.wire.stream if link else None
+        written = self.attempt.written
+        self.call.send(message, (lambda: stream.when_sent(written)) if first and stream else None)
         self.call.finish()
 
     # ---- what the engine says
--- a/mothknot/flight/grpc.py
+++ b/mothknot/flight/grpc.py
@@ -255,9 +255,9 @@
                 call.out[0] = data[room:], left
             else:
                 call.out.popleft()
-                if left:
-                    left()
             self._flush()
+            if left and len(data) <= room:
+                left()
         if not call.out and call.closing is not None and not call.over:
             if call.closing is True:
                 self.h2.end_stream(call.number)
--- a/mothknot/gateway.py
+++ b/mothknot/gateway.py
@@ -10,12 +10,16 @@
 from mothknot.bgp.session import Session as BgpSession
 from mothknot.config import BadConfig, Config, Operator, read
 from mothknot.core.exchange import Desk
-from mothknot.core.messages import Verdict
+from mothknot.core.messages import Avoids, Verdict
 from mothknot.core.planner import Planner
+from mothknot.core.readiness import Readiness
 from mothknot.interface import Settings
 from mothknot.local.link import Remote
 from mothknot.net.log import log
 from mothknot.net.loop import Loop, Timer
+from mothknot.ops.figures import rendered
+from mothknot.ops.server import ROOM
+from mothknot.ops.server import Server as OpsServer
 from mothknot.targets import BadList, changes_of
 from mothknot.web.engines import Pool
 from mothknot.web.journal import Journal
@@ -52,14 +56,18 @@
         number: int = 0,
     ) -> None:
         self.config, self.loop, self.read_again = config, Loop(), read_again
+        self.readiness = Readiness()
         loop = self.loop
         most = min(config.most_held, MOST_OPEN)
         # Numbers of requests go on from the clock, so that no planner meets one twice after our restart
         self.desk = Desk(config.settings, time.time_ns, self.alarm, most, first_xid=time.time_ns())
+        for name in config.classes:
+            self.desk.counters.know(name)
         period = config.settings.progress / 1e9
         limits = config.streams, config.dial_timeout, config.conn_idle
         self.pool = Pool(loop, time.time_ns, *limits, period)
         self.desk.engines["web"] = self.pool
+        self.avoided: dict[int, tuple[str, ...]] = {}  # by planner, where they are processes of their own
         self.remotes = [self._remote(link, at) for link, at in enumerate(operator.planners)]
         if not self.remotes:
             settings = settings_for(config, operator)
@@ -69,35 +77,54 @@
         self.take_list(config.known)
         # Engines, the journal and the loop keep a part of the descriptors; a second front halves the rest
         sockets = config.sockets // max(1, operator.forwarders)
-        clients = sockets - min(sockets // 2, max(64, sockets // 4))
+        clients = sockets - min(sockets // 2, max(64, sockets // 4)) - (ROOM if config.ops else 0)
         fronts = 2 if operator.flight else 1
         shared = operator.forwarders > 1
-        self.server = Server(loop, self.desk, config.listen, config.classes, clients // fronts, shared)
+        most = max(1, clients // fronts)
+        self.server = Server(loop, self.desk, config.listen, config.classes, most, self.readiness, shared)
         self.journal = Journal(loop, config.journal, self.position, self.take_list)
-        self.stopping = False
-        self.flight = self._flight(operator, clients // fronts, shared) if operator.flight else None
+        self.flight = self._flight(operator, most, shared) if operator.flight else None
         self.bgp = BgpSession(loop, operator.bgp) if operator.bgp and number == 0 else None
-        self._announce()
+        if self.bgp:
+            self.readiness.watchers.append(self._announce)
+        self.ops = OpsServer(loop, config.ops, self.readiness, self.figures) if config.ops else None
+        self.readiness.planners(any(self.desk.live))
+        self.readiness.begin()
         if signals:
             self._signals()
 
     def _remote(self, link: int, address: tuple[str, int]) -> Remote:
         def born() -> None:
             self.desk.planner_born(link)
-            self._announce()
+            self.readiness.planners(True)
 
         def died() -> None:
+            self.avoided.pop(link, None)
             self.desk.planner_died(link)
-            self._announce()
+            self.readiness.planners(any(self.desk.live))
+
+        def act(action: Any) -> None:
+            if isinstance(action, Avoids):
+                self.avoided[link] = action.engines
+            else:
+                self.desk.act(action, link)
 
-        remote = Remote(self.loop, address, lambda action: self.desk.act(action, link), born, died)
+        remote = Remote(self.loop, address, act, born, died)
         self.desk.add_planner(remote.tell, False)
         return remote
 
     def _announce(self) -> None:
-        """Our addresses are announced while a planner lives and we are not told to stop."""
+        """Our addresses are announced while we are ready."""
         if self.bgp:
-            self.bgp.announce(any(self.desk.live) and not self.stopping)
+            self.bgp.announce(self.readiness.ready)
+
+    def figures(self) -> list[str]:
+        avoided = {name for names in self.avoided.values() for name in names}
+        if not self.remotes:
+            avoided |= set(self.planner.avoided())
+        listed = self.desk.targets
+        ejected = sum(name in listed for name in avoided)
+        return rendered(self.desk.counters, self.desk.outstanding, len(listed), ejected)
 
     def alarm(self, when: int, call: Any) -> Timer:
         return self.loop.at(self.loop.now() + (when - time.time_ns()) / 1e9, call)
@@ -169,12 +196,10 @@
         self.journal.move(config.journal)
 
     def drain(self) -> None:
-        if self.stopping:
+        if self.readiness.ending:
             return
-        self.stopping = True
-        log("stop", f"told to stop with {len(self.desk.exchanges)} requests open")
-        self.server.stop()
-        self._announce()  # withdrawn: clients go elsewhere first; what still comes is served
+        log("stop", f"told to stop with {self.desk.outstanding} requests open")
+        self.readiness.stop()  # addresses withdrawn: clients go elsewhere first; what still comes is served
         self.loop.at(self.loop.now() + ACCEPTING, self._close)
 
     def _close(self) -> None:
@@ -199,5 +224,5 @@
         self.journal.stop()
         for remote in self.remotes:
             remote.stop()
-        told = ", ".join(f"{self.desk.counts[v]} {v.value}" for v in Verdict)
+        told = ", ".join(f"{self.desk.counters.total(v)} {v.value}" for v in Verdict)
         log("stop", f"all answered: {told}")
--- a/mothknot/local/codec.py
+++ b/mothknot/local/codec.py
@@ -6,6 +6,7 @@
 from types import UnionType
 from typing import Any, get_args, get_origin, get_type_hints
 
+from mothknot.core.messages import Avoids
 from mothknot.interface import (
     Action,
     Cancel,
@@ -23,14 +24,16 @@
 
 LINE = 4_194_304  # bytes of one message; a list of all engines is the longest
 EVENTS: dict[str, type[Event]] = {t.__name__: t for t in (Request, Outcome, Note, Gone, ListChange)}
-ACTIONS: dict[str, type[Action]] = {t.__name__: t for t in (Send, Refuse, Fail, Cancel, Terms)}
+ACTIONS: dict[str, type[Action | Avoids]] = {
+    t.__name__: t for t in (Send, Refuse, Fail, Cancel, Terms, Avoids)
+}
 
 
 class BadMessage(Exception):
     """Bytes that are no message of the other end."""
 
 
-def encode(message: Event | Action) -> bytes:
+def encode(message: Event | Action | Avoids) -> bytes:
     return json.dumps([type(message).__name__, *_plain(message)], separators=(",", ":")).encode() + b"\n"
 
 
--- a/mothknot/local/link.py
+++ b/mothknot/local/link.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Generator
 from typing import Any
 
+from mothknot.core.messages import Avoids
 from mothknot.interface import Action, Event
 from mothknot.local.codec import ACTIONS, BadMessage, Decoder, encode
 from mothknot.net.log import log
@@ -22,7 +23,7 @@
         self.decoder = Decoder(kinds)
         self.leaving = False
 
-    def tell(self, message: Event | Action) -> None:
+    def tell(self, message: Event | Action | Avoids) -> None:
         self.stream.write(encode(message))
 
     def talk(self) -> Generator[float | None, None, Reason]:
@@ -54,7 +55,7 @@
         self,
         loop: Loop,
         address: tuple[str, int],
-        act: Callable[[Action], None],
+        act: Callable[[Any], None],
         born: Callable[[], None],
         died: Callable[[], None],
     ) -> None:
--- a/mothknot/local/planner.py
+++ b/mothknot/local/planner.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from mothknot.core.exchange import LAST
+from mothknot.core.messages import Avoids
 from mothknot.core.planner import Planner
 from mothknot.interface import (
     Action,
@@ -30,6 +31,7 @@
 from mothknot.net.stream import Listener, Reason, Stream
 
 FORWARDERS = 64  # connections at most
+LOOK = 0.2  # seconds between two looks at which engines are avoided
 Told = Send | Refuse | Fail | Cancel | Terms  # what concerns one request, so one forwarder
 
 
@@ -91,6 +93,8 @@
         self.seats: set[Seat] = set()
         self.listener = Listener(self.loop, address, self._taken)
         self.loop.after.append(self.turn)
+        self.avoided = Avoids(())
+        self._look()
 
     def _later(self, when: int, call: Any) -> object:
         return self.loop.at(self.loop.now() + (when - time.time_ns()) / 1e9, call)
@@ -99,7 +103,16 @@
         if len(self.seats) >= FORWARDERS:  # guards the table against whoever else dials
             Stream(self.loop, sock, f"forwarder {peer}").close(Reason.TOO_MANY)
             return
-        self.seats.add(Seat(self, sock, peer))
+        self.seats.add(seat := Seat(self, sock, peer))
+        seat.link.tell(self.avoided)
+
+    def _look(self) -> None:
+        avoided = Avoids(self.planner.avoided())
+        if avoided != self.avoided:
+            self.avoided = avoided
+            for seat in self.seats:
+                seat.link.tell(avoided)
+        self.loop.at(self.loop.now() + LOOK, self._look)
 
     def left(self, seat: Seat) -> None:
         """Guards the module's view of the engines: what a forwarder had out ended with it."""
--- a/mothknot/net/stream.py
+++ b/mothknot/net/stream.py
@@ -2,6 +2,7 @@
 
 import errno
 import socket
+from collections import deque
 from collections.abc import Callable
 from enum import Enum
 
@@ -52,6 +53,8 @@
     ) -> None:
         self.loop, self.sock, self.what, self.woken = loop, sock, what, woken
         self.inbox, self.outbox = bytearray(), bytearray()
+        self.queued = 0  # bytes ever put in the outbox
+        self.marks: deque[tuple[int, Callable[[], None]]] = deque()
         self.connected = True
         self.eof = self.reset = self.closed = self.resting = False
         self.refused = False
@@ -139,7 +142,7 @@
         if self.closed or self.reset:
             return
         if self.outbox or not self.connected:
-            self.outbox += data
+            self._queue(data)
         else:
             try:
                 sent = self.sock.send(data)
@@ -151,9 +154,20 @@
                 self.woken()
                 return
             if sent < len(data):
-                self.outbox += data[sent:]
+                self._queue(data[sent:])
         self._want()
 
+    def _queue(self, data: bytes) -> None:
+        self.outbox += data
+        self.queued += len(data)
+
+    def when_sent(self, call: Callable[[], None]) -> None:
+        """Call once all that was written so far is with the machine; never, if the connection ends first."""
+        if self.outbox or not self.connected:
+            self.marks.append((self.queued, call))
+        elif not self.reset and not self.closed:
+            call()
+
     def _flush(self) -> None:
         try:
             sent = self.sock.send(self.outbox)
@@ -164,6 +178,8 @@
             self.outbox.clear()
             return
         del self.outbox[:sent]
+        while self.marks and self.marks[0][0] <= self.queued - len(self.outbox):
+            self.marks.popleft()[1]()
 
     def half_close(self) -> None:
         """Nothing more is sent; what the peer still sends is read, lest it destroys our last bytes."""
--- a/mothknot/policy.py
+++ b/mothknot/policy.py
@@ -191,6 +191,9 @@
         for e in self.up:
             self._rate_illness(e)
 
+    def avoided(self, now: int) -> tuple[str, ...]:
+        return tuple(e.e.engine for e in self.up if now < e.shun_until)
+
     def _list(self, change: ListChange) -> None:
         if change.scope is ListScope.FAILED:
             self.watching, self.watch_again = False, self.now + GRACE
--- a/mothknot/web/engines.py
+++ b/mothknot/web/engines.py
@@ -81,6 +81,7 @@
             fields["allot"] = f"{attempt.memory_mb:g}"
         fields["urgency"] = str(attempt.priority)
         self.stream.write(frames.request(q.name, fields, q.statement))
+        self.stream.when_sent(attempt.written)
 
     def stop(self, name: str) -> None:
         """Give an attempt up; its late answers find nothing here."""
--- a/mothknot/web/server.py
+++ b/mothknot/web/server.py
@@ -10,6 +10,7 @@
 
 from mothknot.core.exchange import Desk, Exchange
 from mothknot.core.messages import Answer, Query, Verdict
+from mothknot.core.readiness import Readiness
 from mothknot.core.sql import table_group
 from mothknot.net.loop import Loop, Task
 from mothknot.net.stream import Listener, Reason, Stream
@@ -280,7 +281,7 @@
         if path == "/status/live":
             if method not in ("GET", "HEAD"):
                 raise BadCall(405, "only GET is known here")
-            live = any(server.desk.live) and not server.stopping
+            live = server.readiness.ready
             return (yield from self._reply(200 if live else 503, {"live": live}))
         prefix, _, class_name = path.rpartition("/")
         if prefix != "/svc":
@@ -299,7 +300,7 @@
             # Guards against a backlog that makes all answers late: what the core has no time for goes at once
             wait = self.server.desk.settings.max_retry_after
             held.final(Answer(Verdict.REFUSED, wait_ns=wait))
-            self.server.shed += 1
+            self.server.desk.counters.answered(query.class_name, Verdict.REFUSED)
         exchange = self.server.desk.take(query, held, "web") if held.answer is None else None
         return (yield from self._wait(exchange, held))
 
@@ -374,14 +375,15 @@
         address: tuple[str, int],
         classes: Classes,
         most: int,
+        readiness: Readiness,
         shared: bool = False,
     ) -> None:
         self.loop, self.desk, self.classes, self.most = loop, desk, classes, most
+        self.readiness = readiness
         self.connections: dict[Connection, None] = {}
         self.silent: dict[Connection, None] = {}  # who has not brought a whole request yet, oldest first
         self.idle: dict[Connection, None] = {}  # who waits between two requests, longest first
-        self.stopping = self.closing = False
-        self.shed = 0
+        self.closing = False
         self.listener = Listener(loop, address, self._taken, shared)
 
     def _taken(self, sock: socket.socket, peer: str) -> None:
@@ -397,10 +399,6 @@
                 return
         self.connections[Connection(self, sock, peer)] = None
 
-    def stop(self) -> None:
-        """Go on taking, but say that we are not ready for more."""
-        self.stopping = True
-
     def close(self) -> None:
         """Take what has come, accept no more, and let connections without an open request go."""
         self.closing = True
--- a/tests/test_flight.py
+++ b/tests/test_flight.py
@@ -216,7 +216,7 @@
     with gateway() as gate, pytest.raises(pa.ArrowInvalid) as refused:
         # No engine is known: the module gives the request up, and nothing has run
         ask(gate, SQL, x_class="lookup").read_all()
-    assert "Overloaded" in str(refused.value) and gate.desk.counts[Verdict.REFUSED] == 1
+    assert "Overloaded" in str(refused.value) and gate.desk.counters.total(Verdict.REFUSED) == 1
     with gateway(node) as gate, pytest.raises(pa.ArrowInvalid, match="Overloaded"):
         # Three tries in vain of a safe class: asking again later does no harm
         ask(gate, "SELECT broken FROM lending_7.loans").read_all()
@@ -224,7 +224,7 @@
     with gateway(node) as gate, pytest.raises(fl.FlightInternalError, match="Internal"):
         # Rows have left: no other attempt can stand in, and the client must see that the result is not whole
         ask(gate, "SELECT torn FROM lending_7.loans").read_all()
-    assert gate.desk.counts == {Verdict.SERVED: 0, Verdict.REFUSED: 0, Verdict.FAILED: 1}
+    assert [gate.desk.counters.total(v) for v in Verdict] == [0, 0, 1]
 
 
 def test_a_deadline_ends_a_stream_that_stands_still(node: Node) -> None:
@@ -314,7 +314,7 @@
         for thread in threads:
             thread.join(30)
         assert counts["web"] == counts["flight"] == {"served": 24}
-        assert gate.desk.counts[Verdict.SERVED] == 48
+        assert gate.desk.counters.total(Verdict.SERVED) == 48
     loads = sum((n.loads for n in nodes), Counter())
     web_loads = Counter(s for e in engines for s in e.statements if s.startswith("INSERT"))
     assert loads == web_loads and set(loads.values()) == {1} and len(loads) == 6
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -38,8 +38,9 @@
 
 
 @contextmanager
-def running(*engines: Engine) -> Iterator[Gateway]:
-    gate = Gateway(config([host(e, f"e{n}") for n, e in enumerate(engines)]), Operator(), signals=False)
+def running(*engines: Engine, **more: Any) -> Iterator[Gateway]:
+    hosts = [host(e, f"e{n}") for n, e in enumerate(engines)]
+    gate = Gateway(config(hosts, **more), Operator(), signals=False)
     thread = threading.Thread(target=gate.loop.run, daemon=True)
     thread.start()
     try:
@@ -114,7 +115,7 @@
     with running(engine) as gate:
         status, _, _ = post(gate, "lookup", SQL, ttl=1_000)
         assert status in (429, 500) and engine.wait("STOP")
-        assert gate.desk.counts[Verdict.SERVED] == 0
+        assert gate.desk.counters.total(Verdict.SERVED) == 0
 
 
 def test_a_client_that_leaves_stops_its_query() -> None:
