Send clients away on DRAIN without cutting what they still send, and take them again

UNDRAIN revives, but never a process that stops. Flight wires say GOAWAY (written as a frame of its own, since h2's own close would end open streams) and refuse calls that cross it as never run.

Tests: idle, silent, used and fresh connections around a drain and after it; a Flight stream through a drain.

--- a/mothknot/core/readiness.py
+++ b/mothknot/core/readiness.py
@@ -11,6 +11,10 @@
     STOPPING = "stopping"
 
 
+STILL_COME = 0.5  # seconds after a drain's call in which the front sends: it asks each 0.1 s, then 0.2 s
+LAST_TAKEN = 1.5  # and after which what comes all the same is refused: it crossed, and was sent again
+
+
 class Readiness:
     """Watchers are called at every change, with the object as it then stands."""
 
--- a/mothknot/flight/grpc.py
+++ b/mothknot/flight/grpc.py
@@ -9,6 +9,7 @@
 import h2.events
 import h2.exceptions
 import h2.settings
+from hyperframe.frame import GoAwayFrame
 
 from mothknot.net.loop import Loop, Task
 from mothknot.net.stream import Reason, Stream
@@ -120,6 +121,7 @@
         self.heard = False
         self.used = loop.now()
         self.refused_from = 2**31
+        self.newest = 0  # the last call that the peer began
         self.h2.initiate_connection()  # first of all: calls may be opened before the task has its turn
         self.h2.increment_flow_control_window(WINDOW * 16)
         self._flush()
@@ -175,6 +177,10 @@
     def _event(self, event: h2.events.Event) -> None:
         if isinstance(event, h2.events.RequestReceived) and self.taken and event.stream_id:
             headers = {str(k): str(v) for k, v in event.headers or []}
+            if self.going:  # it crossed our word that we take no more, so the peer knows that it never ran
+                self.h2.reset_stream(event.stream_id, h2.errors.ErrorCodes.REFUSED_STREAM)
+                return
+            self.newest = event.stream_id
             call = Call(self, event.stream_id, Handler())
             self.calls[call.number] = call
             call.headers = headers
@@ -282,6 +288,13 @@
         if data := self.h2.data_to_send():
             self.stream.write(data)
 
+    def go_away(self) -> None:
+        """Server side: tell the peer that we take no more calls. (h2 itself would end what is open, too.)"""
+        if not self.going and not self.stream.over:
+            self._flush()
+            self.stream.write(GoAwayFrame(0, last_stream_id=self.newest).serialize())
+        self.leave()
+
     def leave(self) -> None:
         """Take no more calls here; what is open goes on."""
         self.going = True
--- a/mothknot/flight/server.py
+++ b/mothknot/flight/server.py
@@ -8,6 +8,7 @@
 
 from mothknot.core.exchange import Desk, Exchange
 from mothknot.core.messages import Answer, Query, Verdict
+from mothknot.core.readiness import STILL_COME, Phase, Readiness
 from mothknot.core.sql import table_group
 from mothknot.flight import grpc, messages
 from mothknot.net.loop import Loop
@@ -160,13 +161,25 @@
 class Server:
     def __init__(
         self, loop: Loop, desk: Desk, address: tuple[str, int], classes: dict[str, FlightClass],
-        query_class: str, update_class: str, most: int, shared: bool = False,
+        query_class: str, update_class: str, most: int, readiness: Readiness, shared: bool = False,
     ) -> None:  # fmt: skip
         self.loop, self.desk, self.classes, self.most = loop, desk, classes, most
         self.query_class, self.update_class = query_class, update_class
         self.wires: list[grpc.Wire] = []
+        self.readiness, self.sent_away = readiness, 0.0
+        readiness.watchers.append(self._changed)
         self.listener = Listener(loop, address, self._taken, shared)
 
+    def _changed(self) -> None:
+        if self.readiness.phase is Phase.DRAINING:
+            self.sent_away = self.loop.now()
+            self.loop.at(self.sent_away + STILL_COME, self._send_away)
+
+    def _send_away(self) -> None:
+        if self.readiness.phase is Phase.DRAINING and self.loop.now() >= self.sent_away + STILL_COME:
+            for wire in self.wires:
+                wire.go_away()
+
     def _taken(self, sock: socket.socket, peer: str) -> None:
         self.wires = [w for w in self.wires if not w.stream.closed]
         stream = Stream(self.loop, sock, f"flight-client {peer}")
@@ -183,12 +196,13 @@
         wire.taken = lambda headers, call: FlightCall(self, headers, call)
         stream.start()
         self.wires.append(wire)
+        self._send_away()
 
     def close(self) -> None:
         """Accept no more; what is open goes on to its end."""
         self.listener.close()
         for wire in self.wires:
-            wire.leave()
+            wire.go_away()
 
     @property
     def quiet(self) -> bool:
--- a/mothknot/gateway.py
+++ b/mothknot/gateway.py
@@ -174,7 +174,9 @@
         pool.listed(list(self.desk.targets.values()), True)
         assert operator.flight
         names = operator.query_class, operator.update_class
-        return FlightServer(self.loop, self.desk, operator.flight, classes, *names, most, shared)
+        return FlightServer(
+            self.loop, self.desk, operator.flight, classes, *names, most, self.readiness, shared
+        )
 
     # ---- a new configuration, and the planned stop
 
--- a/mothknot/net/loop.py
+++ b/mothknot/net/loop.py
@@ -83,7 +83,7 @@
         self.running = True
         self.faults = 0
         self.turned, self.last = self.now(), 0.0  # when this turn began, and how long the one before took
-        self.soon: deque[Callable[[], None]] = deque()
+        self.soon: deque[Callable[[], object]] = deque()
         self.poked, self.poker = socket.socketpair()
         self.poked.setblocking(False)
         self.poker.setblocking(False)
@@ -130,7 +130,7 @@
                 self.epoll.unregister(sock)
         self.ended.append(sock)
 
-    def call_soon(self, call: Callable[[], None]) -> None:
+    def call_soon(self, call: Callable[[], object]) -> None:
         """Call on the loop what another thread wants done."""
         self.soon.append(call)
         with contextlib.suppress(BlockingIOError):  # then it is poked already
--- a/mothknot/net/stream.py
+++ b/mothknot/net/stream.py
@@ -28,6 +28,7 @@
     ABANDONED = "abandoned"
     TOO_MANY = "too-many"
     STOPPING = "stopping"
+    DRAINED = "drained"
     DIAL_REFUSED = "dial-refused"
     DIAL_TIMEOUT = "dial-timeout"
     BAD_ANSWER = "bad-answer"
--- a/mothknot/web/server.py
+++ b/mothknot/web/server.py
@@ -10,7 +10,7 @@
 
 from mothknot.core.exchange import Desk, Exchange
 from mothknot.core.messages import Answer, Query, Verdict
-from mothknot.core.readiness import Readiness
+from mothknot.core.readiness import LAST_TAKEN, STILL_COME, Phase, Readiness
 from mothknot.core.sql import table_group
 from mothknot.net.loop import Loop, Task
 from mothknot.net.stream import Listener, Reason, Stream
@@ -24,6 +24,7 @@
 READER_TIME = 30.0  # and an answer must have been read
 IDLE_TIME = 6.0  # clients close what was idle for 4 s; who never does is closed soon after
 LINGER = 1.0
+HELLO_AWAY = 0.5  # seconds that a connection has for its call once clients are sent away
 BEHIND = 0.25  # seconds that one turn of the loop may take before new calls are refused unseen
 TTL_MOST = 3_600_000
 HEX = frozenset("0123456789abcdef")
@@ -162,7 +163,9 @@
         self.stream.start()
         self.plain = False  # the call under way was not h11's
         self.asked = False  # a whole request has come
-        self.hello = self.loop.now() + HELLO_TIME
+        self.told_close = False  # our last answer said that the connection ends with it
+        self.began = self.loop.now()
+        self.hello = self.began + HELLO_TIME
         server.silent[self] = None
 
     def _run(self) -> Generator[float | None, None, None]:
@@ -181,7 +184,7 @@
 
     def _await_call(self) -> Generator[float | None, None, Reason | None]:
         """Until a call begins; a reason if none will."""
-        until = self.loop.now() + IDLE_TIME if self.asked else self.hello
+        patience = self.loop.now() + IDLE_TIME if self.asked else self.hello
         if self.asked:
             self.server.idle[self] = None
         while not self.stream.inbox and not self.http.trailing_data[0]:
@@ -189,6 +192,12 @@
                 return Reason.RESET if self.stream.reset else Reason.PEER_CLOSED
             if self.server.closing:
                 return Reason.STOPPING
+            until = patience
+            if self.server.away(STILL_COME):
+                if self.asked:
+                    # Guards a request that crosses: it is read to its end, or it would reset the connection
+                    return (yield from self._linger(Reason.DRAINED))
+                until = min(until, self.began + HELLO_AWAY)
             if self.loop.now() >= until:
                 return Reason.IDLE if self.asked else Reason.SILENT
             yield until
@@ -217,6 +226,8 @@
                 self.plain = False
                 if gone:
                     return gone
+                if self.told_close:
+                    return (yield from self._linger(Reason.DRAINED))
                 continue
             try:
                 got = yield from self._call()
@@ -231,7 +242,7 @@
             if gone:
                 return gone
             if self.http.our_state is not h11.DONE or self.http.their_state is not h11.DONE:
-                return (yield from self._linger(Reason.DONE))
+                return (yield from self._linger(Reason.DRAINED if self.server.away() else Reason.DONE))
             self.http.start_next_cycle()
 
     def _call(self) -> Generator[float | None, None, Reason | tuple[h11.Request, bytes]]:
@@ -296,8 +307,9 @@
         if query.name in self.server.desk.names:
             raise BadCall(409, "a request with this id is open")
         held = Held(self.task.wake)
-        if self.loop.behind() > BEHIND:
-            # Guards against a backlog that makes all answers late: what the core has no time for goes at once
+        if self.loop.behind() > BEHIND or self.server.away(LAST_TAKEN):
+            # Guards against a backlog that makes all answers late: what the core has no time for goes at
+            # once; and a drain against connections that would never come to rest
             wait = self.server.desk.settings.max_retry_after
             held.final(Answer(Verdict.REFUSED, wait_ns=wait))
             self.server.desk.counters.answered(query.class_name, Verdict.REFUSED)
@@ -328,6 +340,9 @@
     ) -> Generator[float | None, None, Reason | None]:
         data = json.dumps(value, ensure_ascii=False, separators=(",", ":")).encode()
         headers = [JSON, ("Content-Length", str(len(data))), *more]
+        if self.server.away() and ("Connection", "close") not in more:
+            headers.append(("Connection", "close"))
+            self.told_close = True
         if self.plain:
             told = "".join(f"{name}: {value}\r\n" for name, value in headers)
             out = f"HTTP/1.1 {status} {http.HTTPStatus(status).phrase}\r\n{told}\r\n".encode() + data
@@ -384,8 +399,25 @@
         self.silent: dict[Connection, None] = {}  # who has not brought a whole request yet, oldest first
         self.idle: dict[Connection, None] = {}  # who waits between two requests, longest first
         self.closing = False
+        self.sent_away: float | None = None
+        readiness.watchers.append(self._changed)
         self.listener = Listener(loop, address, self._taken, shared)
 
+    def away(self, after: float = 0.0) -> bool:
+        """Whether clients are sent away, and have been for so many seconds."""
+        return self.sent_away is not None and self.loop.now() >= self.sent_away + after
+
+    def _changed(self) -> None:
+        if self.readiness.phase is not Phase.DRAINING:
+            self.sent_away = None
+        elif self.sent_away is None:
+            self.sent_away = self.loop.now()
+            self.loop.at(self.sent_away + STILL_COME, self._wake)
+
+    def _wake(self) -> None:
+        for connection in list(self.connections):
+            connection.task.wake()
+
     def _taken(self, sock: socket.socket, peer: str) -> None:
         # Guards the descriptors that the engines need, and usual clients against crowds that say nothing:
         # who brings a request at once gets the place of who has been silent or idle for longest
@@ -403,8 +435,7 @@
         """Take what has come, accept no more, and let connections without an open request go."""
         self.closing = True
         self.listener.close()
-        for connection in list(self.connections):
-            connection.task.wake()
+        self._wake()
 
     @property
     def quiet(self) -> bool:
--- a/tests/test_flight.py
+++ b/tests/test_flight.py
@@ -19,6 +19,7 @@
 from mothknot.core.messages import Verdict
 from mothknot.gateway import Gateway
 from tests.stand_ins import Engine, config, post
+from tests.test_local import until
 
 SCHEMA = pa.schema([("a", pa.string())])
 SQL = "SELECT a FROM lending_7.loans"
@@ -212,6 +213,24 @@
     other.shutdown()
 
 
+def test_a_gateway_that_drains_ends_its_stream_and_takes_no_new_call(node: Node) -> None:
+    node.go_on.clear()
+    with gateway(node) as gate:
+        with client(gate) as mine:
+            endpoint = mine.get_flight_info(command("CommandStatementQuery", SQL), options()).endpoints[0]
+            reader = mine.do_get(endpoint.ticket, options(x_class="report"))
+            reader.read_chunk()
+            gate.loop.call_soon(gate.readiness.drain)
+            until(lambda: gate.flight and all(w.going for w in gate.flight.wires))
+            with pytest.raises(fl.FlightUnavailableError):
+                ask(gate, "SELECT b FROM lending_8.loans")
+            node.go_on.set()
+            assert reader.read_all().num_rows == 2
+        gate.loop.call_soon(gate.readiness.undrain)
+        until(lambda: gate.readiness.ready)
+        assert ask(gate, "SELECT b FROM lending_8.loans").read_all().num_rows == 3
+
+
 def test_refusals_and_failures_have_a_status_each(node: Node) -> None:
     with gateway() as gate, pytest.raises(pa.ArrowInvalid) as refused:
         # No engine is known: the module gives the request up, and nothing has run
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -130,3 +130,41 @@
     gate = Gateway(config([host(Engine())]), Operator(), signals=False)
     assert gate.ops is None
     gate.loop.close()
+
+
+def live(sock: socket.socket) -> bytes:
+    sock.settimeout(10)
+    sock.sendall(b"GET /status/live HTTP/1.1\r\nHost: x\r\n\r\n")
+    return sock.recv(65_536)
+
+
+def test_a_drain_sends_clients_away_and_its_end_takes_them_again() -> None:
+    """Guards requests that cross: idle connections end in a half-close only once the front sends no more."""
+    engine = Engine(script={SQL: ["mute"]})
+    with running(engine, **OPS) as gate, ThreadPoolExecutor() as beside:
+        address = gate.server.listener.address
+        idle, silent, used = (socket.create_connection(address) for _ in range(3))
+        assert live(idle).startswith(b"HTTP/1.1 200") and live(used).startswith(b"HTTP/1.1 200")
+        waiting = beside.submit(post, gate, "lookup", SQL, ttl=3_000)
+        assert engine.wait("REQ")
+        ask(gate, b"DRAIN\n")
+        began = time.monotonic()
+        told = live(used)
+        assert told.startswith(b"HTTP/1.1 503") and b"Connection: close" in told and used.recv(1) == b""
+        with socket.create_connection(address) as fresh:  # what the front still sends is served
+            assert live(fresh).startswith(b"HTTP/1.1 503")
+        assert post(gate, "lookup", "SELECT 2")[0] == 200
+        assert not waiting.done()
+        for sock in (idle, silent):
+            sock.settimeout(10)
+            assert sock.recv(1) == b""
+            sock.close()
+        assert 0.4 < time.monotonic() - began < 2.0
+        until(lambda: gate.server.away(1.5))
+        status, _, headers = post(gate, "lookup", "SELECT 3")
+        assert status == 429 and headers["connection"] == "close"
+        assert waiting.result()[2]["connection"] == "close"
+        ask(gate, b"UNDRAIN\n")
+        with socket.create_connection(address) as fresh:
+            assert live(fresh).startswith(b"HTTP/1.1 200") and live(fresh).startswith(b"HTTP/1.1 200")
+        assert post(gate, "lookup", "SELECT 4")[0] == 200
