Take classes and attempts at SIGHUP in one step, from files checked whole

Now a file must state every key of the one in force, deadlines, aims and attempts must be positive numbers, NaN is no JSON. Classes go by name; a dropped one is still taken for 1.5 s. The module gets one event; open queries keep class and attempts, means are shared.

--- a/mothknot/config.py
+++ b/mothknot/config.py
@@ -1,6 +1,7 @@
 """The configuration, read once: the platform's JSON, and an operator's file where there is one."""
 
 import json
+import math
 import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -14,6 +15,10 @@
 from mothknot.settings import WireError, settings_of
 from mothknot.targets import BadList, Names, changes_of
 
+MOST_CLASSES = 64
+MAY_LACK = frozenset(("aim-stretch", "in-turn", "bound-to", "stays-in"))  # of a class: the wire's page
+PER_CLASS = ("parallelism", "loads", "waits-for-loads")  # lists with a value for each class
+
 
 class BadConfig(Exception):
     """What is wrong with the configuration, in one line."""
@@ -35,6 +40,7 @@
     dial_timeout: float  # seconds
     conn_idle: float
     most_held: int
+    keys: frozenset[str]  # all that the file states; a new one must state as much
 
 
 @dataclass(slots=True, frozen=True)
@@ -49,6 +55,53 @@
     forwarders: int = 1
 
 
+def keys_of(value: Any, path: str = "") -> frozenset[str]:
+    """The paths of all keys; of a list of objects, those that stand in each. Events are no settings."""
+    if isinstance(value, dict):
+        parts = {f"{path}.{key}" if path else str(key): told for key, told in value.items()}
+        inner = (keys_of(told, at) for at, told in parts.items() if not at.startswith("known."))
+        return frozenset(parts).union(*inner)
+    if isinstance(value, list) and value and all(isinstance(v, dict) for v in value):
+        each = [keys_of(v, f"{path}[]") for v in value]
+        return each[0].intersection(*each[1:])
+    return frozenset()
+
+
+def check_kept(old: Config, new: Config) -> None:
+    """A file at SIGHUP must state all that the one in force does: no default stands in for what it lacks."""
+    lacking = sorted(
+        key for key in old.keys - new.keys
+        if not (key.startswith("settings.services[].") and key.rpartition(".")[2] in MAY_LACK)
+    )  # fmt: skip
+    if lacking:
+        raise BadConfig(f"{lacking[0]} is missing")
+
+
+def _positive(value: Any, what: str, whole: bool = False) -> None:
+    if type(value) not in (int, float) or not 0 < value < math.inf or (whole and value != int(value)):
+        raise BadConfig(f"{what} is no positive number")
+
+
+def _check_figures(settings: Any) -> None:
+    """What a lenient reader would let pass: true, 0, a string or no number where a figure must stand."""
+    services = settings["services"]
+    names = [s["name"] for s in services]
+    if len(set(names)) < len(names) or len(names) > MOST_CLASSES or not all(type(n) is str for n in names):
+        raise BadConfig(f"the classes need names of their own, and there may be {MOST_CLASSES}")
+    for service in services:
+        for key in ("aim", "give-up"):
+            _positive(service[key], f"{key} of class {service['name']}")
+    _positive(settings["limits"]["max-attempts"], "max-attempts", True)
+    for key in PER_CLASS:
+        told = settings.get("family-info", {}).get(key)
+        if told is not None and len(told) != len(names):
+            raise BadConfig(f"{key} has no value for each class")
+
+
+def _no_number(text: str) -> Any:
+    raise ValueError(f"{text} is no number")
+
+
 def flatten(value: Any, path: str = "") -> list[str]:
     """Nested JSON as the path=value words of the simulator's first message."""
     if isinstance(value, dict):
@@ -73,7 +126,9 @@
     try:
         settings_raw, limits = raw["settings"], raw.get("limits", {})
         ops = environ.get("ROUTER_OPS") or raw.get("ops")
+        _check_figures(settings_raw)
         settings = settings_of(flatten(settings_raw))
+        settings.check()
         services = settings_raw["services"]
         site_limits = settings_raw.get("limits", {})
         zones, kinds = settings_raw.get("zones", []), settings_raw.get("flavors", [])
@@ -98,6 +153,7 @@
             dial_timeout=int(site_limits.get("dial-timeout", 250_000_000)) / 1e9,
             conn_idle=int(site_limits.get("conn-idle", 15_000_000_000)) / 1e9,
             most_held=int(site_limits.get("most-held", 30_000)),
+            keys=keys_of(raw),
         )
     except WireError as bad:
         raise BadConfig(str(bad)) from None
@@ -119,10 +175,10 @@
     if not path:
         raise BadConfig("ROUTER_CONFIG names no file")
     try:
-        raw = json.loads(Path(path).read_text())
+        raw = json.loads(Path(path).read_text(), parse_constant=_no_number)
     except OSError as bad:
         raise BadConfig(f"{path}: {bad.strerror}") from None
-    except ValueError as bad:
+    except (ValueError, RecursionError) as bad:
         raise BadConfig(f"{path} is not JSON ({bad})") from None
     return config_of(raw, environ)
 
--- a/mothknot/core/exchange.py
+++ b/mothknot/core/exchange.py
@@ -25,6 +25,7 @@
     Refuse,
     Repeat,
     Request,
+    Retune,
     Scope,
     Send,
     Settings,
@@ -92,13 +93,14 @@
 class Exchange:
     __slots__ = (
         "desk", "xid", "query", "client", "wire", "link", "passing", "tries", "terms", "answered", "begun",
-        "alarm", "told", "may_have_run",
+        "alarm", "told", "may_have_run", "rules",
     )  # fmt: skip
 
     def __init__(self, desk: "Desk", xid: int, query: Query, client: Client, wire: str, link: int) -> None:
         self.desk, self.xid, self.query = desk, xid, query
         self.client, self.wire, self.link = client, wire, link
         self.passing = desk.engines[wire].passing
+        self.rules = desk.settings.classes[query.cls]  # kept, whatever the settings say later
         self.tries: list[Try] = []
         self.terms: tuple[float, int] = 0.0, 1
         self.answered = self.begun = self.told = self.may_have_run = False
@@ -197,6 +199,7 @@
         self.exchanges: dict[int, Exchange] = {}
         self.names: set[str] = set()  # the clients' ids of what is open
         self.targets: dict[str, Target] = {}
+        self.tuned: list[Settings | None] = []  # by planner: its settings, if it has them from us alone
         self.live: list[bool] = []  # by planner, as `tell`: whether it can be told anything
         self.rests: dict[int, int] = {}  # by planner: until when its keys rest, as one has died
         self.next_xid, self.turn = first_xid, 0
@@ -265,7 +268,7 @@
 
     def harmless(self, exchange: Exchange) -> bool:
         """Whether a refusal is true: nothing may have run, or the class may be asked again all the same."""
-        c = self.settings.classes[exchange.query.cls]
+        c = exchange.rules
         again = c.repeat is Repeat.SAFE or (c.repeat is Repeat.KEYED and c.scope is Scope.ALL)
         return again or not (exchange.may_have_run or exchange.attempt)
 
@@ -329,6 +332,13 @@
             attempt.priority = priority
             self.engines[exchange.wire].rank(attempt)
 
+    def retune(self, settings: Settings, tuned: list[Settings], fresh: tuple[int, ...]) -> None:
+        """New rules for what is taken from here on; `tuned` has the settings of each planner."""
+        self.settings = settings
+        for link, told in enumerate(tuned):
+            self.tuned[link] = told
+            self.tell[link](Retune(told, fresh))
+
     # ---- the list, and planners that die
 
     def listed(self, targets: list[Target], full: bool) -> None:
@@ -344,8 +354,9 @@
         for name in [n for n, t in self.targets.items() if t.entry.state is State.GONE]:
             del self.targets[name]  # guards the table against every engine that ever was
 
-    def add_planner(self, tell: Tell, lives: bool) -> None:
+    def add_planner(self, tell: Tell, lives: bool, settings: Settings | None = None) -> None:
         self.tell.append(tell)
+        self.tuned.append(settings)
         self.live.append(lives)
 
     def planner_died(self, link: int) -> None:
@@ -357,4 +368,6 @@
 
     def planner_born(self, link: int) -> None:
         self.live[link] = True
+        if settings := self.tuned[link]:  # what it read at its start may number the classes otherwise
+            self.tell[link](Retune(settings, tuple(range(len(settings.classes)))))
         self.tell[link](ListChange(ListScope.FULL, tuple(t.entry for t in self.targets.values())))
--- a/mothknot/core/planner.py
+++ b/mothknot/core/planner.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from mothknot.interface import Action, Event, SetTimer, Settings, Timer
+from mothknot.interface import Action, Event, Retune, SetTimer, Settings, Timer
 from mothknot.policy import Gateway
 
 Later = Callable[[int, Callable[[], None]], object]  # at a clock time
@@ -17,6 +17,8 @@
         self.lives = 0
 
     def tell(self, event: Event) -> None:
+        if isinstance(event, Retune):
+            self.settings = event.settings
         self.events.append(event)
 
     def turn(self) -> list[Action]:
--- a/mothknot/flight/server.py
+++ b/mothknot/flight/server.py
@@ -11,9 +11,10 @@
 from mothknot.core.readiness import STILL_COME, Phase, Readiness
 from mothknot.core.sql import table_group
 from mothknot.flight import grpc, messages
+from mothknot.interface import Settings
 from mothknot.net.loop import Loop
 from mothknot.net.stream import Listener, Reason, Stream
-from mothknot.web.server import BadCall, hex_header, real_header
+from mothknot.web.server import BadCall, Classes, hex_header, real_header
 
 MS = 1_000_000
 WAY_BACK = 25 * MS  # of the client's time, kept for the way here and the last bytes' way back
@@ -67,6 +68,13 @@
     )
 
 
+def classes_of(classes: Classes, settings: Settings) -> dict[str, FlightClass]:
+    return {
+        name: FlightClass(number, keyed, in_turn, settings.classes[number].give_up)
+        for name, (number, keyed, in_turn) in classes.items()
+    }
+
+
 class FlightCall(grpc.Handler):
     """One call of a client; of an exchange it is the client's side."""
 
--- a/mothknot/gateway.py
+++ b/mothknot/gateway.py
@@ -8,7 +8,8 @@
 from typing import TYPE_CHECKING, Any
 
 from mothknot.bgp.session import Session as BgpSession
-from mothknot.config import BadConfig, Config, Operator, read
+from mothknot.config import BadConfig, Config, Operator, check_kept, read
+from mothknot.core.classes import laid_out, numbered
 from mothknot.core.exchange import Desk
 from mothknot.core.messages import Avoids, Verdict
 from mothknot.core.planner import Planner
@@ -29,6 +30,8 @@
     from mothknot.flight.server import Server as FlightServer
 
 ACCEPTING = 0.8  # seconds after SIGTERM in which requests still come: 0.4 s, 0.2 s more, and slack
+CROSSING = 1.5  # seconds in which a class that was dropped is still taken: clients hear of it late
+MOST_LINES = 256  # classes that the figures have lines for
 MOST_OPEN = 4_000  # requests held at once, whatever the settings allow: what the memory bears
 
 
@@ -56,6 +59,7 @@
         number: int = 0,
     ) -> None:
         self.config, self.loop, self.read_again = config, Loop(), read_again
+        self.operator, self.classes = operator, config.classes
         self.readiness = Readiness()
         loop = self.loop
         most = min(config.most_held, MOST_OPEN)
@@ -110,7 +114,9 @@
                 self.desk.act(action, link)
 
         remote = Remote(self.loop, address, act, born, died)
-        self.desk.add_planner(remote.tell, False)
+        alone = self.operator.forwarders == 1
+        tuned = settings_for(self.config, self.operator, link) if alone else None
+        self.desk.add_planner(remote.tell, False, tuned)
         return remote
 
     def _announce(self) -> None:
@@ -160,14 +166,11 @@
     def _flight(self, operator: Operator, most: int, shared: bool) -> "FlightServer":
         """The second front; what it needs is not even loaded where it is off."""
         from mothknot.flight.engines import Pool as FlightPool
-        from mothknot.flight.server import FlightClass
         from mothknot.flight.server import Server as FlightServer
+        from mothknot.flight.server import classes_of
 
-        config, settings = self.config, self.config.settings
-        classes = {
-            name: FlightClass(number, keyed, in_turn, settings.classes[number].give_up)
-            for name, (number, keyed, in_turn) in config.classes.items()
-        }
+        config = self.config
+        classes = classes_of(config.classes, config.settings)
         updates = frozenset([operator.update_class])
         pool = FlightPool(self.loop, time.time_ns, updates, config.dial_timeout)
         self.desk.engines["flight"] = pool
@@ -186,17 +189,62 @@
         signal.signal(signal.SIGHUP, lambda *_: self.loop.call_soon(self.reload))
 
     def reload(self) -> None:
-        """Check the new file whole; a bad one leaves the old in force. Only `journal` is taken over."""
+        """Check the new file whole; a bad one leaves the old in force."""
         try:
             config = self.read_again()
+            check_kept(self.config, config)
+            self._check_usable(config)
         except BadConfig as bad:
+            self.desk.counters.rejected += 1
             log("reload", f"the old configuration stays in force: {bad}")
             return
+        self.desk.counters.applied += 1
         old = self.config
-        same = replace(config, journal=old.journal, seed=old.seed, known=old.known, names=old.names) == old
-        log("reload", f"journal {config.journal}{'' if same else '; other changes need a restart'}")
+        fixed = (old.name, old.listen, old.ops, old.sockets, old.names.zones, old.names.kinds)
+        now = (config.name, config.listen, config.ops, config.sockets, config.names.zones, config.names.kinds)
+        more = "" if now == fixed else "; what it says of name, addresses, sockets and zones needs a restart"
+        log("reload", f"journal {config.journal}, classes {' '.join(config.classes)}{more}")
+        self.config = replace(config, name=old.name, listen=old.listen, ops=old.ops, names=old.names)
+        if config.settings != old.settings or list(config.classes) != list(old.classes):
+            self._retune()
         self.journal.move(config.journal)
 
+    def _check_usable(self, config: Config) -> None:
+        operator, lines = self.operator, self.desk.counters.answers
+        if operator.forwarders > 1 and config.settings != self.config.settings:
+            raise BadConfig("new settings need one forwarder: several would number the classes apart")
+        for name in (operator.query_class, operator.update_class) if operator.flight else ():
+            if name not in config.classes:
+                raise BadConfig(f"the operator's file names class {name!r}, which the settings lack")
+        if len({*lines, *config.classes}) > MOST_LINES:
+            raise BadConfig(f"the figures have lines for {MOST_LINES} classes; more need a restart")
+
+    def _retune(self) -> None:
+        """Switch fronts, core and module in one step; what is open keeps the rules that it came under."""
+        config, old = self.config, self.classes
+        held = {e.query.cls for e in self.desk.exchanges.values()}
+        held |= {c[0] for c in self.server.classes.values()}
+        numbers = numbered(config.classes, {name: c[0] for name, c in old.items()}, held)
+        self.classes = {name: (numbers[name], *told[1:]) for name, told in config.classes.items()}
+        rules = {numbers[name]: config.settings.classes[told[0]] for name, told in config.classes.items()}
+        settings = replace(config.settings, classes=laid_out(self.desk.settings.classes, rules))
+        for name in self.classes:
+            self.desk.counters.know(name)
+        told = replace(config, settings=settings)
+        tuned = [settings_for(told, self.operator, link) for link in range(len(self.desk.tell))]
+        self.desk.retune(settings, tuned, tuple(n for name, n in numbers.items() if name not in old))
+        self.pool.retune(config.streams, config.dial_timeout, config.conn_idle, settings.progress / 1e9)
+        # Guards requests that cross: a class that was dropped is taken for a while, under its old rules
+        self._fronts({**old, **self.classes})
+        self.loop.at(self.loop.now() + CROSSING, lambda: self._fronts(self.classes))
+
+    def _fronts(self, classes: dict[str, tuple[int, bool, bool]]) -> None:
+        self.server.classes = classes
+        if self.flight:
+            from mothknot.flight.server import classes_of
+
+            self.flight.classes = classes_of(classes, self.desk.settings)
+
     def drain(self) -> None:
         if self.readiness.ending:
             return
--- a/mothknot/interface.py
+++ b/mothknot/interface.py
@@ -113,6 +113,7 @@
     spare_attempts: float | None
     extra_per_request: float
     counted_over: int
+    cold_share: float = 1.0  # our part of what one instance may send to a cold engine
 
     def check(self) -> None:
         """Raise ValueError, naming the setting, where they contradict themselves or one another."""
@@ -162,6 +163,14 @@
     retry: bool
 
 
+@dataclass(slots=True, frozen=True)
+class Retune:
+    """New settings from here on; what is open keeps the rules that it came under."""
+
+    settings: Settings
+    fresh: tuple[int, ...]  # numbers that stand for a class not known before
+
+
 @dataclass(slots=True, frozen=True)
 class Started:
     """A streamed answer has begun; the request is the client's from here on."""
@@ -217,7 +226,7 @@
     data: str
 
 
-Event = ListChange | Request | Started | Outcome | Note | Gone | Timer | Probed | Message
+Event = ListChange | Request | Retune | Started | Outcome | Note | Gone | Timer | Probed | Message
 
 
 @dataclass(slots=True, frozen=True)
--- a/mothknot/local/codec.py
+++ b/mothknot/local/codec.py
@@ -18,12 +18,13 @@
     Outcome,
     Refuse,
     Request,
+    Retune,
     Send,
     Terms,
 )
 
 LINE = 4_194_304  # bytes of one message; a list of all engines is the longest
-EVENTS: dict[str, type[Event]] = {t.__name__: t for t in (Request, Outcome, Note, Gone, ListChange)}
+EVENTS: dict[str, type[Event]] = {t.__name__: t for t in (Request, Outcome, Note, Gone, ListChange, Retune)}
 ACTIONS: dict[str, type[Action | Avoids]] = {
     t.__name__: t for t in (Send, Refuse, Fail, Cancel, Terms, Avoids)
 }
--- a/mothknot/policy.py
+++ b/mothknot/policy.py
@@ -17,7 +17,7 @@
 
 from mothknot.interface import (  # isort: skip
     Action, Cancel, Code, Entry, Event, Fail, Gone, ListChange, ListScope, Message, Note, NoteKind,
-    Outcome, Post, Refuse, Repeat, Request, Scope, Send, SetTimer, Settings, Short, State,
+    Outcome, Post, Refuse, Repeat, Request, Retune, Scope, Send, SetTimer, Settings, Short, State,
     Terms, Timer, Watch,
 )
 from mothknot.records import Ahead, Attempt, Class, Ends, Engine, Fading, Query
@@ -90,7 +90,8 @@
 CAPACITY = 0.85  # busy share of the cores that a rating as capacity means
 CLOSE_GRANT = 1.15  # memory over the corrected estimate, where surplus is lost to others
 
-ORDER = {ListChange: 0, Request: 2, Gone: 2, Timer: 3}  # what came at once is taken in first, answers (1) too
+# What came at once is taken in first, answers (1) too
+ORDER = {ListChange: 0, Request: 2, Gone: 2, Retune: 2, Timer: 3}
 Line = list[tuple[tuple[int, int], Query]]  # by earliest deadline
 NEVER_RAN = (Code.FULL, Code.CONNECT_FAILED, Code.MOOT)
 
@@ -101,8 +102,7 @@
         self.s = settings
         self.random = Random(seed)
         self.jitter = self.random.random()
-        self.classes = [Class(c, c.give_up * PRIOR_WORK * c.threads) for c in settings.classes]
-        self.locking = any(c.loads for c in settings.classes) and any(c.waits for c in settings.classes)
+        self.classes: list[Class] = []
         self.engines: dict[str, Engine] = {}
         self.queries: dict[int, Query] = {}
         self.held: Line = []
@@ -110,9 +110,7 @@
         self.turns: dict[str, list[Query]] = {}  # by key, in the order taken
         self.rest: dict[str, int] = {}
         self.taken, self.extra = deque[int](), deque[int]()
-        self.counts = [Fading() for _ in settings.quotas]
         self.heard: dict[int, tuple[int, list[int]]] = {}  # by peer: when, and its requests by tenant
-        self.tenants = [(q / settings.instances, 0) for q in settings.quotas]
         self.lag = self.metric = 1.0
         self.costs = Fading(), Fading(), Fading()  # worth asked, refused and late
         self.now = self.born = self.checked_at = self.watch_again = self.told_at = self.surveyed = 0
@@ -129,8 +127,20 @@
         self.released = 0
         self.steps: dict[type, Callable[[Any], None]] = {
             Request: self._arrive, Outcome: self._outcome, Note: self._note, ListChange: self._list,
-            Gone: self._gone, Message: self._message, Timer: self._tick,
+            Gone: self._gone, Message: self._message, Timer: self._tick, Retune: self._retune,
         }
+        self._retune(Retune(settings, ()))
+
+    def _retune(self, r: Retune) -> None:
+        s, old = r.settings, self.classes
+        made = [Class(c, c.give_up * PRIOR_WORK * c.threads) for c in s.classes]
+        kept = [i for i in range(len(old)) if i not in r.fresh]
+        self.classes = [old[i].renewed(c.s) if i in kept else c for i, c in enumerate(made)]
+        self.locking = any(c.loads for c in s.classes) and any(c.waits for c in s.classes)
+        if not old or s.quotas != self.s.quotas:
+            self.counts = [Fading() for _ in s.quotas]
+            self.tenants = [(q / s.instances, 0) for q in s.quotas]
+        self.s = s
 
     def handle(self, now: int, events: list[Event]) -> list[Action]:
         self.acts = []
@@ -240,7 +250,8 @@
         elif left < c.first_span - MS:  # its first try began so long ago: what is past of its aim is past
             aim -= max(0, c.s.give_up - left)
         deadline = min(self.now + aim, r.give_up_at)
-        q = Query(r, c, self.now, self._worth(c, r), work, run, deadline, (deadline, r.xid))
+        order = deadline, r.xid
+        q = Query(r, c, self.now, self._worth(c, r), work, run, deadline, order, self.s.max_attempts)
         self.queries[r.xid] = q
         if r.key and c.s.in_turn:
             self.turns.setdefault(r.key, []).append(q)
@@ -523,7 +534,7 @@
 
     def _may_send(self, q: Query, engine: Engine) -> bool:
         s = self.s
-        if q.ended or self.now >= q.r.give_up_at or q.sends >= s.max_attempts:
+        if q.ended or self.now >= q.r.give_up_at or q.sends >= q.most:
             return False
         if not self._usable(engine, q) or (q.c.s.repeat is Repeat.UNSAFE and q.ran):
             return False
@@ -558,7 +569,7 @@
 
         All controllers together stay under the budget, chance included; a restart of ours forgot its sends.
         """
-        s, n = self.s, self.s.instances
+        s, n = self.s, self.s.instances / self.s.cold_share
         if not engine.launch or self.now - engine.launch >= s.cold or s.overload_factor <= 0:
             return True
         if self.now - self.born < s.tip_after and engine.launch < self.born:
@@ -731,7 +742,7 @@
         s = q.c.s
         keyed = s.repeat is Repeat.KEYED and (not q.ran or self.now - q.ran[0][0] < s.memory_span)
         safe = not q.ran or s.repeat is Repeat.SAFE or keyed
-        if safe and q.sends < self.s.max_attempts and self.now + q.run < q.deadline:
+        if safe and q.sends < q.most and self.now + q.run < q.deadline:
             self._admit(q)
         else:
             self._end(q)
@@ -821,7 +832,7 @@
         overdue = not a.share and age > q.run * spread and (blind or q.c.scatter.n >= LEARNED)
         wrong = q.restarts == 0 and (overdue or (a.share > 0 and left > RESTART * fresh))
         safe = s.repeat is Repeat.SAFE
-        in_time = q.sends < self.s.max_attempts and self.now + fresh < q.deadline
+        in_time = q.sends < q.most and self.now + fresh < q.deadline
         if safe and in_time and (ill or lost or wrong):
             q.restarts += not ill
             return self._cancel(q, a)
--- a/mothknot/records.py
+++ b/mothknot/records.py
@@ -5,7 +5,7 @@
 
 import math
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from mothknot.interface import ClassSettings, Entry, Request
 
@@ -59,6 +59,10 @@
     long: bool = False
     first_span: int = 0  # longest client time seen on a first try
 
+    def renewed(self, s: ClassSettings) -> "Class":
+        """The same class under new rules; its means are shared with the record that open queries keep."""
+        return replace(self, s=s, first_span=0)
+
     def mean_work(self) -> float:
         return self.work.value if self.work.n else self.prior
 
@@ -86,6 +90,7 @@
     run: float
     deadline: int  # clock time: the lesser of the class deadline and the client's
     order: tuple[int, int]
+    most: int  # attempts allowed when it came
     sends: int = 0
     out: list[Attempt] = field(default_factory=list)
     ran: list[tuple[int, "Engine"]] = field(default_factory=list)  # attempts that may have run
--- a/mothknot/web/engines.py
+++ b/mothknot/web/engines.py
@@ -270,6 +270,10 @@
         self.connections: dict[str, list[Connection]] = {}
         self.where: dict[str, Connection] = {}
 
+    def retune(self, streams: int, dial_timeout: float, idle: float, note_period: float) -> None:
+        self.streams, self.dial_timeout = streams, dial_timeout
+        self.idle, self.note_period = idle * IDLE_SHARE, note_period
+
     def start(self, attempt: Attempt) -> None:
         engine, name = attempt.engine, attempt.query.name
         target = self.targets.get(engine)
--- /dev/null
+++ b/tests/test_retune.py
@@ -0,0 +1,161 @@
+"""A new configuration under load: checked whole, then taken in one step; what is open keeps its rules."""
+
+import copy
+import json
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mothknot.config import BadConfig, Config, Operator, check_kept, config_of, read
+from mothknot.core.classes import numbered
+from mothknot.gateway import Gateway
+from mothknot.interface import Code as C
+from mothknot.interface import Event, Outcome, Request, Retune, Send
+from mothknot.local import codec
+from mothknot.policy import Gateway as Module
+from tests.stand_ins import SETTINGS, Engine, config, host, post
+from tests.test_local import until
+from tests.test_ops import figures
+from tests.test_web import LOAD, SQL, running, steady
+
+RAW: dict[str, Any] = {"name": "n1", "listen": "127.0.0.1:0", "journal": "127.0.0.1:1", "seed": "7",
+                       "known": {"pos": 1, "entries": []}, "settings": SETTINGS}  # fmt: skip
+
+
+def changed(change: Callable[[dict[str, Any]], object]) -> dict[str, Any]:
+    raw = copy.deepcopy(RAW)
+    change(raw)
+    return raw
+
+
+def drop(*path: Any) -> Callable[[dict[str, Any]], object]:
+    def change(raw: dict[str, Any]) -> None:
+        at: Any = raw
+        for step in path[:-1]:
+            at = at[step]
+        del at[path[-1]]
+
+    return change
+
+
+def put(value: Any, *path: Any) -> Callable[[dict[str, Any]], object]:
+    def change(raw: dict[str, Any]) -> None:
+        at: Any = raw
+        for step in path[:-1]:
+            at = at[step]
+        at[path[-1]] = value
+
+    return change
+
+
+GIVE_UP = ("settings", "services", 1, "give-up")
+ATTEMPTS = ("settings", "limits", "max-attempts")
+
+
+@pytest.mark.parametrize(
+    "change",
+    [drop("known"), drop("seed"), drop("settings", "rules"), drop("settings", "rules", "cold"),
+     drop(*GIVE_UP), drop("settings", "services", 2, "worth"), drop(*ATTEMPTS),
+     drop("settings", "family-info", "parallelism"), drop("settings", "services", 0),
+     *(put(bad, *path) for path in (GIVE_UP, ATTEMPTS)
+       for bad in (0, -5, True, "7", None, float("nan"), float("inf"), [1])),
+     put(2.5, *ATTEMPTS), put("report", "settings", "services", 0, "name"), put([], "settings", "services")],
+)  # fmt: skip
+def test_a_file_with_a_fault_is_turned_down(change: Any) -> None:
+    """Guards against defaults that stand in for a missing key, and against what only looks like a number."""
+    with pytest.raises(BadConfig):
+        check_kept(config_of(RAW, {}), config_of(changed(change), {}))
+
+
+@pytest.mark.parametrize("text", ["", "[]", "{", "[" * 100_000, '{"settings": NaN}', json.dumps(RAW)[:-20]])
+def test_a_file_that_is_cut_off_is_turned_down(text: str, tmp_path: Any) -> None:
+    (tmp_path / "c.json").write_text(text)
+    with pytest.raises(BadConfig):
+        read({"ROUTER_CONFIG": str(tmp_path / "c.json")})
+
+
+NAMES = st.lists(st.sampled_from("abcdef"), unique=True, max_size=6)
+
+
+@steady
+@given(NAMES, NAMES, st.sets(st.integers(0, 8)))
+def test_a_number_stands_for_one_class_and_is_not_reused_while_held(
+    old: list[str], new: list[str], held: set[int]
+) -> None:
+    before = numbered(old, {}, ())
+    after = numbered(new, before, held)
+    assert len(set(after.values())) == len(new)
+    assert all(after[name] == before[name] for name in new if name in before)
+    assert not {after[name] for name in new if name not in before} & held
+
+
+def audited(attempts: int = 1) -> dict[str, Any]:
+    """No `report` any longer, a class `audit` that may not be repeated, and fewer attempts."""
+    raw = copy.deepcopy(SETTINGS)
+    services: Any = raw["services"]
+    services[1] = services[1] | {"name": "audit", "repeat": "at_most_once"}
+    limits: Any = raw["limits"]
+    limits["max-attempts"] = attempts
+    return raw
+
+
+def reload(gate: Gateway, new: Config) -> None:
+    gate.read_again = lambda: new
+    done = gate.desk.counters.applied + gate.desk.counters.rejected
+    gate.loop.call_soon(gate.reload)
+    until(lambda: gate.desk.counters.applied + gate.desk.counters.rejected > done)
+
+
+def test_classes_change_under_load_and_open_requests_keep_their_rules(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("mothknot.gateway.CROSSING", 0.2)
+    old, once = "SELECT old FROM lending_7.loans", "SELECT once FROM lending_7.loans"
+    engine = Engine(script={old: ["mute", "ok"], once: ["error", "ok"]})
+    with running(engine, ops="127.0.0.1:0") as gate, ThreadPoolExecutor() as beside:
+        waiting = beside.submit(post, gate, "report", old, ttl=20_000)
+        assert engine.wait("REQ")
+        new = config([host(engine, "e0")], ops="127.0.0.1:0", settings=audited())
+        reload(gate, new)
+        assert post(gate, "audit", once)[0] == 500  # it may have run, and is not sent again
+        assert post(gate, "lookup", SQL)[0] == 200
+        until(lambda: "report" not in gate.server.classes)
+        assert post(gate, "report", SQL)[0] == 404
+        assert waiting.result()[0] == 200  # taken when a second attempt was allowed, and a class of its own
+        assert engine.statements.count(old) == 2 and engine.statements.count(once) == 1
+        now = figures(gate)
+        assert now['svc_succeeded_total{service="report"}'] == 1
+        assert now['svc_aborted_total{service="audit"}'] == 1 and now["svc_sighup_applied_total"] == 1
+        reload(gate, replace(new, keys=frozenset()))
+        assert figures(gate)["svc_sighup_rejected_total"] == 1
+        reload(gate, config([host(engine, "e0")], ops="127.0.0.1:0"))
+        assert post(gate, "report", SQL)[0] == 200 and post(gate, "load", LOAD)[0] == 200
+
+
+def test_the_module_keeps_what_it_learned_and_what_is_open_its_rules() -> None:
+    site = config([host(Engine())])
+    module = Module(site.settings, 1)
+    gate = Gateway(site, Operator(), signals=False)
+    module.handle(1, [e for e in gate.planner.events])
+    gate.loop.close()
+    sec = 10**9
+    ask: list[Event] = [Request(n, 1, 60 * sec, 0, None, None, 10**9, 0.0, False) for n in (1, 2)]
+    sent = [a for a in module.handle(sec, ask) if isinstance(a, Send)]
+    assert len(sent) == 2
+    module.handle(2 * sec, [Outcome(1, True, C.OK, sec, 0, "e0", None, None, ())])
+    learned = module.classes[1].work
+    rules = tuple(replace(c, give_up=c.give_up // 2) for c in site.settings.classes)
+    module.handle(2 * sec, [Retune(replace(site.settings, classes=rules, max_attempts=1), (0,))])
+    assert module.classes[1].work is learned and learned.n == 1
+    assert module.queries[2].c.s.give_up == 25 * sec and module.queries[2].most == 3
+    assert module.classes[0].work.n == 0 and module.classes[1].s.give_up == rules[1].give_up
+
+
+def test_new_settings_cross_the_local_link_whole() -> None:
+    told = Retune(config([]).settings, (1,))
+    assert codec.Decoder({**codec.EVENTS}).feed(codec.encode(told)) == [told]
