Hand listeners, resting connections and what was learned to a successor at an upgrade

Ruled out: SO_REUSEPORT alone, which makes two accept queues, so that what waits in the elder's is reset when it closes, and each close of a resting connection costs what crosses it.

Found while testing: a successor whose elder dies before the yes must begin all the same, and an elder told to stop before the yes hands over at the yes. BGP: the elder stays announced to its end, the successor's session begins after it, as two under one identifier would collide. Several processes refuse a second start.

--- a/mothknot/__main__.py
+++ b/mothknot/__main__.py
@@ -6,6 +6,7 @@
 
 from mothknot.config import BadConfig, read, read_operator
 from mothknot.gateway import Gateway, settings_for
+from mothknot.handover import meet, occupied, occupy, path_of
 
 
 def start(part: str) -> int:
@@ -16,7 +17,14 @@
     if operator.planners and not part:
         from mothknot.local.parent import Parent
 
-        return Parent(len(operator.planners), operator.forwarders).run()
+        place = path_of(os.environ, config.listen)
+        if place and occupied(place):
+            raise BadConfig("a gateway serves here, and several processes cannot follow it; stop it first")
+        kept = occupy(place) if place else None  # held to our end
+        code = Parent(len(operator.planners), operator.forwarders).run()
+        if kept:
+            kept.close()
+        return code
     if kind == "planner":
         from mothknot.local.parent import with_parent
         from mothknot.local.planner import Process
@@ -26,7 +34,9 @@
         with_parent(process.loop, process.loop.stop)
         process.run()
         return 0
-    gateway = Gateway(config, operator, number=int(number or 0))
+    meeting = None if part else path_of(os.environ, config.listen)
+    legacy = meet(meeting) if meeting else None
+    gateway = Gateway(config, operator, number=int(number or 0), meeting=meeting, legacy=legacy)
     if part:
         from mothknot.local.parent import with_parent
 
--- a/mothknot/flight/server.py
+++ b/mothknot/flight/server.py
@@ -170,13 +170,14 @@
     def __init__(
         self, loop: Loop, desk: Desk, address: tuple[str, int], classes: dict[str, FlightClass],
         query_class: str, update_class: str, most: int, readiness: Readiness, shared: bool = False,
+        given: socket.socket | None = None,
     ) -> None:  # fmt: skip
         self.loop, self.desk, self.classes, self.most = loop, desk, classes, most
         self.query_class, self.update_class = query_class, update_class
         self.wires: list[grpc.Wire] = []
         self.readiness, self.sent_away = readiness, 0.0
         readiness.watchers.append(self._changed)
-        self.listener = Listener(loop, address, self._taken, shared)
+        self.listener = Listener(loop, address, self._taken, shared, given)
 
     def _changed(self) -> None:
         if self.readiness.phase is Phase.DRAINING:
--- a/mothknot/gateway.py
+++ b/mothknot/gateway.py
@@ -2,6 +2,7 @@
 
 import os
 import signal
+import socket
 import time
 from collections.abc import Callable
 from dataclasses import replace
@@ -11,9 +12,11 @@
 from mothknot.config import BadConfig, Config, Operator, check_kept, read
 from mothknot.core.classes import laid_out, numbered
 from mothknot.core.exchange import Desk
+from mothknot.core.learned import adopt, learned
 from mothknot.core.messages import Avoids, Verdict
 from mothknot.core.planner import Planner
 from mothknot.core.readiness import Readiness
+from mothknot.handover import Handover, Legacy
 from mothknot.interface import Settings
 from mothknot.local.link import Remote
 from mothknot.net.log import log
@@ -30,6 +33,9 @@
     from mothknot.flight.server import Server as FlightServer
 
 ACCEPTING = 0.8  # seconds after SIGTERM in which requests still come: 0.4 s, 0.2 s more, and slack
+CATCH_UP = 2.5  # seconds in which a successor says yes, though the journal has not answered
+PAIR_SHARE = 0.5  # of the budgets, while two processes are one gateway
+KILLED_AT = 5.0  # seconds after SIGTERM at most that an elder has for what is open
 CROSSING = 1.5  # seconds in which a class that was dropped is still taken: clients hear of it late
 MOST_LINES = 256  # classes that the figures have lines for
 MOST_OPEN = 4_000  # requests held at once, whatever the settings allow: what the memory bears
@@ -57,9 +63,14 @@
         signals: bool = True,
         read_again: Callable[[], Config] = lambda: read(os.environ),
         number: int = 0,
+        meeting: str | None = None,
+        legacy: Legacy | None = None,
     ) -> None:
+        """`meeting`: where elder and successor find each other; `legacy`: what our elder leaves."""
         self.config, self.loop, self.read_again = config, Loop(), read_again
-        self.operator, self.classes = operator, config.classes
+        self.operator, self.classes, self.number = operator, config.classes, number
+        self.share = PAIR_SHARE if legacy else 1.0
+        given = legacy.fronts if legacy else {}
         self.readiness = Readiness()
         loop = self.loop
         most = min(config.most_held, MOST_OPEN)
@@ -74,7 +85,7 @@
         self.avoided: dict[int, tuple[str, ...]] = {}  # by planner, where they are processes of their own
         self.remotes = [self._remote(link, at) for link, at in enumerate(operator.planners)]
         if not self.remotes:
-            settings = settings_for(config, operator)
+            settings = replace(settings_for(config, operator), cold_share=self.share)
             self.planner = Planner(settings, config.seed, time.time_ns, self.alarm)
             self.desk.add_planner(self.planner.tell, True)
             loop.after.append(self.turn)
@@ -83,20 +94,46 @@
         sockets = config.sockets // max(1, operator.forwarders)
         clients = sockets - min(sockets // 2, max(64, sockets // 4)) - (ROOM if config.ops else 0)
         fronts = 2 if operator.flight else 1
-        shared = operator.forwarders > 1
-        most = max(1, clients // fronts)
-        self.server = Server(loop, self.desk, config.listen, config.classes, most, self.readiness, shared)
-        self.journal = Journal(loop, config.journal, self.position, self.take_list)
-        self.flight = self._flight(operator, most, shared) if operator.flight else None
-        self.bgp = BgpSession(loop, operator.bgp) if operator.bgp and number == 0 else None
-        if self.bgp:
-            self.readiness.watchers.append(self._announce)
+        most = self.most = max(1, clients // fronts)
+        # Where a successor cannot be given our listener, it must be able to listen beside it
+        shared = operator.forwarders > 1 or (signals and meeting is None)
+        web = config.listen, config.classes, most, self.readiness, shared, given.get("web")
+        self.server = Server(loop, self.desk, *web)
+        caught_up = self._begin if legacy else None
+        self.journal = Journal(loop, config.journal, self.position, self.take_list, caught_up)
+        self.flight = self._flight(operator, most, shared, given.get("flight")) if operator.flight else None
+        listeners = [self.server.listener, *([self.flight.listener] if self.flight else [])]
+        self.given = listeners if legacy else []
+        # Two sessions under one identifier would collide: a successor's begins when its elder has ended
+        self.bgp = None if legacy else self._bgp()
+        self.readiness.watchers.append(self._announce)
         self.ops = OpsServer(loop, config.ops, self.readiness, self.figures) if config.ops else None
         self.readiness.planners(any(self.desk.live))
-        self.readiness.begin()
+        self.handover = Handover(loop, meeting, self, legacy) if meeting else None
+        if legacy:
+            self.paired(True)
+            self.turn()  # the list, so that the engines are known
+            if legacy.learned is not None and not self._adopt(legacy.learned):
+                log("handover", "what the elder's module learned cannot be used here")
+            self.loop.at(self.loop.now() + CATCH_UP, self._begin)
+        else:
+            self._begin()
         if signals:
             self._signals()
 
+    def _begin(self) -> None:
+        """From here on we take requests."""
+        if self.readiness.begun:
+            return
+        for listener in self.given:
+            listener.begin()
+        self.readiness.begin()
+        if self.handover:
+            self.handover.open()
+
+    def _bgp(self) -> BgpSession | None:
+        return BgpSession(self.loop, self.operator.bgp) if self.operator.bgp and self.number == 0 else None
+
     def _remote(self, link: int, address: tuple[str, int]) -> Remote:
         def born() -> None:
             self.desk.planner_born(link)
@@ -122,7 +159,9 @@
     def _announce(self) -> None:
         """Our addresses are announced while we are ready."""
         if self.bgp:
-            self.bgp.announce(self.readiness.ready)
+            # While a successor serves behind the same addresses, they stay announced to our end
+            follows = self.readiness.ending and self.handover and self.handover.follows
+            self.bgp.announce(self.readiness.ready or bool(follows))
 
     def figures(self) -> list[str]:
         avoided = {name for names in self.avoided.values() for name in names}
@@ -163,7 +202,9 @@
             self.desk.act(action)
         return bool(self.planner.events)
 
-    def _flight(self, operator: Operator, most: int, shared: bool) -> "FlightServer":
+    def _flight(
+        self, operator: Operator, most: int, shared: bool, given: socket.socket | None
+    ) -> "FlightServer":
         """The second front; what it needs is not even loaded where it is off."""
         from mothknot.flight.engines import Pool as FlightPool
         from mothknot.flight.server import Server as FlightServer
@@ -178,7 +219,7 @@
         assert operator.flight
         names = operator.query_class, operator.update_class
         return FlightServer(
-            self.loop, self.desk, operator.flight, classes, *names, most, self.readiness, shared
+            self.loop, self.desk, operator.flight, classes, *names, most, self.readiness, shared, given
         )
 
     # ---- a new configuration, and the planned stop
@@ -230,14 +271,17 @@
         settings = replace(config.settings, classes=laid_out(self.desk.settings.classes, rules))
         for name in self.classes:
             self.desk.counters.know(name)
-        told = replace(config, settings=settings)
-        tuned = [settings_for(told, self.operator, link) for link in range(len(self.desk.tell))]
-        self.desk.retune(settings, tuned, tuple(n for name, n in numbers.items() if name not in old))
+        self._tell_rules(settings, tuple(n for name, n in numbers.items() if name not in old))
         self.pool.retune(config.streams, config.dial_timeout, config.conn_idle, settings.progress / 1e9)
         # Guards requests that cross: a class that was dropped is taken for a while, under its old rules
         self._fronts({**old, **self.classes})
         self.loop.at(self.loop.now() + CROSSING, lambda: self._fronts(self.classes))
 
+    def _tell_rules(self, settings: Settings, fresh: tuple[int, ...] = ()) -> None:
+        told = replace(self.config, settings=settings)
+        tuned = [settings_for(told, self.operator, link) for link in range(len(self.desk.tell))]
+        self.desk.retune(settings, [replace(t, cold_share=self.share) for t in tuned], fresh)
+
     def _fronts(self, classes: dict[str, tuple[int, bool, bool]]) -> None:
         self.server.classes = classes
         if self.flight:
@@ -250,27 +294,100 @@
             return
         log("stop", f"told to stop with {self.desk.outstanding} requests open")
         self.readiness.stop()  # addresses withdrawn: clients go elsewhere first; what still comes is served
-        self.loop.at(self.loop.now() + ACCEPTING, self._close)
+        if self.handover and self.handover.successor:
+            self._hand_on()
+        else:
+            self.loop.at(self.loop.now() + ACCEPTING, self._close)
+
+    # ---- the handover, from either side
+
+    def offer(self) -> tuple[dict[str, Any], list[socket.socket]]:
+        fronts = {"web": self.server.listener.sock}
+        if self.flight:
+            fronts["flight"] = self.flight.listener.sock
+        numbers = {name: told[0] for name, told in self.classes.items()}
+        known = learned(self.planner.module, numbers)
+        return {"fronts": list(fronts), "learned": known}, list(fronts.values())
+
+    def _adopt(self, raw: Any) -> bool:
+        return adopt(self.planner.module, {name: told[0] for name, told in self.classes.items()}, raw)
+
+    def paired(self, on: bool) -> None:
+        """Two processes of one gateway share descriptors and what a cold engine may be sent."""
+        self.share = PAIR_SHARE if on else 1.0
+        self.server.most = max(1, int(self.most * self.share))
+        if self.flight:
+            self.flight.most = self.server.most
+        settle = 0.0 if on else self.desk.settings.tip_after / 1e9  # what the other sent still counts
+        self.loop.at(self.loop.now() + settle, lambda: self._tell_rules(self.desk.settings))
+        if on:
+            return
+        if not self.readiness.begun:
+            self._begin()
+        if self.readiness.ending:
+            self.server.hand_on(None)
+            self._close()
+        elif self.bgp is None:
+            self.bgp = self._bgp()
+            self._announce()
+
+    def handed(self, sock: socket.socket, peer: str, asked: bool) -> None:
+        self.server.take(sock, peer, asked)
+
+    def succeeded(self) -> None:
+        if self.readiness.ending:
+            self._hand_on()
+
+    def _hand_on(self) -> None:
+        """Accept nothing more; what is open is answered here, what rests goes on with the successor."""
+        assert self.handover
+        self.server.listener.release()
+        if self.flight:
+            self.flight.listener.release()
+        if not self.handover.follows:
+            return
+        self.server.hand_on(self.handover.give)
+        if self.flight:
+            self.flight.close()
+        longest = max(c.give_up for c in self.desk.settings.classes) / 1e9
+        self.loop.at(self.loop.now() + min(longest, KILLED_AT) + 0.4, self._give_up)
+        self._leave_when_done()
+
+    def _give_up(self) -> None:
+        """Guards clients of what is still open: they hear of it before we are killed, and may ask again."""
+        for exchange in list(self.desk.exchanges.values()):
+            exchange.end_without_planner()
 
     def _close(self) -> None:
+        if self.handover and self.handover.successor:  # it came meanwhile
+            return self._hand_on()
         self.server.close()
         if self.flight:
             self.flight.close()
         if self.bgp:
             self.bgp.stop()
-        self.loop.after.append(self._leave)
+        self._leave_when_done()
+
+    def _leave_when_done(self) -> None:
+        if self._leave not in self.loop.after:
+            self.loop.after.append(self._leave)
 
     def _leave(self) -> bool:
         """Leave once all that was taken is answered and the answers are read."""
         fronts = self.server.quiet and (not self.flight or self.flight.quiet)
-        if not self.desk.exchanges and fronts and (not self.bgp or self.bgp.quiet):
-            self.loop.stop()
+        if not self.desk.exchanges and fronts:
+            if self.bgp:
+                self.bgp.stop()
+            if not self.bgp or self.bgp.quiet:
+                self.loop.stop()
         return False
 
     def run(self) -> None:
         host, port = self.server.listener.address
         log("start", f"{self.config.name} listens on {host}:{port}")
         self.loop.run()
+        if self.handover:
+            self.handover.leave()
         self.journal.stop()
         for remote in self.remotes:
             remote.stop()
--- a/mothknot/net/stream.py
+++ b/mothknot/net/stream.py
@@ -29,6 +29,7 @@
     TOO_MANY = "too-many"
     STOPPING = "stopping"
     DRAINED = "drained"
+    HANDED_ON = "handed-on"
     DIAL_REFUSED = "dial-refused"
     DIAL_TIMEOUT = "dial-timeout"
     BAD_ANSWER = "bad-answer"
@@ -206,17 +207,24 @@
         address: tuple[str, int],
         taken: Callable[[socket.socket, str], None],
         shared: bool = False,
+        given: socket.socket | None = None,
     ) -> None:
+        """`given`: a listener that another process of ours has; nothing is accepted there before `begin`."""
         self.loop, self.taken, self.closed = loop, taken, False
-        self.sock = socket.socket()
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        if shared:  # with other processes of ours
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-        self.sock.bind(address)
-        self.sock.listen(1024)
-        self.sock.setblocking(False)
+        self.sock = given or socket.socket()
+        if not given:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            if shared:  # with other processes of ours
+                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+            self.sock.bind(address)
+            self.sock.listen(1024)
+            self.sock.setblocking(False)
         self.address: tuple[str, int] = self.sock.getsockname()
-        loop.watch(self.sock, IN, self._ready)
+        if not given:
+            self.begin()
+
+    def begin(self) -> None:
+        self.loop.watch(self.sock, IN, self._ready)
 
     def _ready(self) -> None:
         for _ in range(ACCEPTS):
@@ -244,8 +252,16 @@
         if not self.closed:
             self.loop.watch(self.sock, IN, self._ready)
 
+    def release(self) -> None:
+        """Accept nothing more: what waits is for the other process that has this listener."""
+        if not self.closed:
+            self.closed = True
+            self.loop.dispose(self.sock)
+
     def close(self) -> None:
-        while self._accept():
+        while not self.closed and self._accept():
             pass
+        if self.closed:
+            return
         self.closed = True
         self.loop.dispose(self.sock)
--- a/mothknot/web/journal.py
+++ b/mothknot/web/journal.py
@@ -14,14 +14,24 @@
 LATE = 0.8  # seconds past that after which the connection counts as dead
 DIAL = 0.5
 AGAIN = 0.1  # seconds before a new connection
+HURRY = 0.8  # seconds for the answer to a call that is not to be held
 ANSWER = 4_194_304  # bytes of one answer
 
 
 class Journal:
     """`take` gets each answer's JSON and returns the last position held."""
 
-    def __init__(self, loop: Loop, address: str, position: int, take: Callable[[Any], int]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        address: str,
+        position: int,
+        take: Callable[[Any], int],
+        caught_up: Callable[[], None] | None = None,
+    ) -> None:
+        """With `caught_up` the first calls are not held, until one is answered."""
         self.loop, self.address, self.position, self.take = loop, address, position, take
+        self.caught_up = caught_up
         self.stopped = self.moved = False
         self.task = loop.spawn(self._run())
 
@@ -63,7 +73,8 @@
             yield until
         http = h11.Connection(h11.CLIENT)
         while True:
-            path = f"/journal?tail={self.position}&max_wait={WAIT_MS}"
+            wait = 1 if self.caught_up else WAIT_MS
+            path = f"/journal?tail={self.position}&max_wait={wait}"
             ask = h11.Request(method="GET", target=path, headers=[("Host", self.address)])
             stream.write((http.send(ask) or b"") + (http.send(h11.EndOfMessage()) or b""))
             try:
@@ -71,6 +82,9 @@
                 if isinstance(body, Reason):
                     return body
                 self.position = self.take(json.loads(body))
+                if caught_up := self.caught_up:
+                    self.caught_up = None
+                    caught_up()
             except Exception as bad:  # guards the feed: no answer, however odd, may end it for good
                 log("journal", f"unusable answer: {bad!r}")
                 return Reason.BAD_ANSWER
@@ -79,7 +93,7 @@
             http.start_next_cycle()
 
     def _answer(self, stream: Stream, http: h11.Connection) -> Generator[float | None, None, Reason | bytes]:
-        until = self.loop.now() + WAIT_MS / 1000 + LATE
+        until = self.loop.now() + (HURRY if self.caught_up else WAIT_MS / 1000 + LATE)
         body = bytearray()
         status = 0
         while True:
--- a/mothknot/web/server.py
+++ b/mothknot/web/server.py
@@ -24,6 +24,7 @@
 READER_TIME = 30.0  # and an answer must have been read
 IDLE_TIME = 6.0  # clients close what was idle for 4 s; who never does is closed soon after
 LINGER = 1.0
+GIVE_AGAIN = 0.02  # seconds until a connection that could not be passed on is tried again
 HELLO_AWAY = 0.5  # seconds that a connection has for its call once clients are sent away
 BEHIND = 0.25  # seconds that one turn of the loop may take before new calls are refused unseen
 TTL_MOST = 3_600_000
@@ -154,19 +155,20 @@
 
 
 class Connection:
-    def __init__(self, server: "Server", sock: socket.socket, peer: str) -> None:
-        self.server, self.loop = server, server.loop
+    def __init__(self, server: "Server", sock: socket.socket, peer: str, asked: bool) -> None:
+        self.server, self.loop, self.peer = server, server.loop, peer
         self.stream = Stream(server.loop, sock, f"client {peer}")
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=HEADERS)
         self.task: Task = server.loop.spawn(self._run())
         self.stream.woken = self.task.wake
         self.stream.start()
         self.plain = False  # the call under way was not h11's
-        self.asked = False  # a whole request has come
+        self.asked = asked  # a whole request has come, here or at the elder
         self.told_close = False  # our last answer said that the connection ends with it
         self.began = self.loop.now()
         self.hello = self.began + HELLO_TIME
-        server.silent[self] = None
+        if not asked:
+            server.silent[self] = None
 
     def _run(self) -> Generator[float | None, None, None]:
         reason = Reason.FAULT
@@ -193,6 +195,11 @@
             if self.server.closing:
                 return Reason.STOPPING
             until = patience
+            if give := self.server.give:
+                # Guards requests on a connection that rests: it stays open, and our successor goes on with it
+                if give(self.stream.sock, self.peer, self.asked):
+                    return Reason.HANDED_ON
+                until = min(until, self.loop.now() + GIVE_AGAIN)
             if self.server.away(STILL_COME):
                 if self.asked:
                     # Guards a request that crosses: it is read to its end, or it would reset the connection
@@ -392,16 +399,18 @@
         most: int,
         readiness: Readiness,
         shared: bool = False,
+        given: socket.socket | None = None,
     ) -> None:
         self.loop, self.desk, self.classes, self.most = loop, desk, classes, most
         self.readiness = readiness
+        self.give: Callable[[socket.socket, str, bool], bool] | None = None  # passes a connection on
         self.connections: dict[Connection, None] = {}
         self.silent: dict[Connection, None] = {}  # who has not brought a whole request yet, oldest first
         self.idle: dict[Connection, None] = {}  # who waits between two requests, longest first
         self.closing = False
         self.sent_away: float | None = None
         readiness.watchers.append(self._changed)
-        self.listener = Listener(loop, address, self._taken, shared)
+        self.listener = Listener(loop, address, self.take, shared, given)
 
     def away(self, after: float = 0.0) -> bool:
         """Whether clients are sent away, and have been for so many seconds."""
@@ -418,7 +427,7 @@
         for connection in list(self.connections):
             connection.task.wake()
 
-    def _taken(self, sock: socket.socket, peer: str) -> None:
+    def take(self, sock: socket.socket, peer: str, asked: bool = False) -> None:
         # Guards the descriptors that the engines need, and usual clients against crowds that say nothing:
         # who brings a request at once gets the place of who has been silent or idle for longest
         if len(self.connections) >= self.most:
@@ -429,7 +438,14 @@
             else:
                 Stream(self.loop, sock, f"client {peer}").close(Reason.TOO_MANY)
                 return
-        self.connections[Connection(self, sock, peer)] = None
+        self.connections[Connection(self, sock, peer, asked)] = None
+
+    def hand_on(self, give: Callable[[socket.socket, str, bool], bool] | None) -> None:
+        """Pass on what rests, and what comes to rest; with None what rests is closed, as at any stop."""
+        self.give = give
+        if give is None:
+            self.closing = True
+        self._wake()
 
     def close(self) -> None:
         """Take what has come, accept no more, and let connections without an open request go."""
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,254 @@
+"""Upgrades with real processes: one accept queue, resting connections that go on, deaths on either side."""
+
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import contextmanager
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mothknot import handover
+from mothknot.core.learned import adopt, learned
+from mothknot.interface import Code as C
+from mothknot.interface import Event, Outcome, Request, Send
+from mothknot.net.loop import Loop
+from mothknot.policy import Gateway as Module
+from tests.stand_ins import SETTINGS, Engine, config, host, post
+from tests.test_local import free_port, until
+from tests.test_ops import ask, figures
+from tests.test_web import SQL, steady
+
+
+class Journal:
+    """Answers at once what is not to be held, and anything else never."""
+
+    def __init__(self) -> None:
+        self.silent = False
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.sock.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        while True:
+            threading.Thread(target=self._serve, args=(self.sock.accept()[0],), daemon=True).start()
+
+    def _serve(self, sock: socket.socket) -> None:
+        body = b'{"pos":1,"entries":[]}'
+        while (call := sock.recv(4096)) and b"max_wait=1 " in call and not self.silent:
+            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+        sock.recv(1)
+
+
+class Site:
+    """A gateway's files and addresses; `start` runs one more process of it."""
+
+    def __init__(self, folder: Path) -> None:
+        self.engine, self.journal = Engine(), Journal()
+        known = {"pos": 1, "entries": [
+            {"pos": 1, "hosts": {"seq": 1, "whole": True, "hosts": [host(self.engine)]}}]}  # fmt: skip
+        self.listen = "127.0.0.1", free_port()
+        raw = {"listen": f"127.0.0.1:{self.listen[1]}", "journal": self.journal.address, "known": known,
+               "settings": SETTINGS}  # fmt: skip
+        (folder / "config.json").write_text(json.dumps(raw))
+        self.environ = os.environ | {"ROUTER_CONFIG": str(folder / "config.json"), "TMPDIR": str(folder)}
+        self.gate = SimpleNamespace(server=SimpleNamespace(listener=SimpleNamespace(address=self.listen)))
+        self.processes: list[subprocess.Popen[bytes]] = []
+
+    def start(self, ready: bool = True, **more: str) -> Any:
+        ops = "127.0.0.1", free_port()
+        environ = self.environ | {"ROUTER_OPS": f"{ops[0]}:{ops[1]}"} | more
+        run = [sys.executable, "-m", "mothknot"]
+        process = subprocess.Popen(run, env=environ, stderr=subprocess.PIPE)
+        self.processes.append(process)
+        one = SimpleNamespace(process=process, ops=SimpleNamespace(listener=SimpleNamespace(address=ops)))
+
+        def says_yes() -> bool:
+            try:
+                return ask(one, b"READY\n") == "200 ready\n"
+            except OSError:
+                return False
+
+        if ready:
+            until(says_yes)
+        return one
+
+    def served(self, statement: str = SQL, **more: Any) -> int:
+        return post(self.gate, "lookup", statement, **more)[0]
+
+
+@contextmanager
+def site(folder: Path) -> Iterator[Site]:
+    made = Site(folder)
+    try:
+        yield made
+    finally:
+        for process in made.processes:
+            process.kill()
+            process.wait()
+            assert process.stderr
+            process.stderr.close()
+        made.engine.close()
+
+
+def call(connection: http.client.HTTPConnection, name: str) -> int:
+    headers = {"X-Txn": name * 16, "X-Ttl-Ms": "5000"}
+    connection.request("POST", "/svc/lookup", SQL, headers)
+    answer = connection.getresponse()
+    answer.read()
+    assert answer.getheader("Connection") != "close"
+    return answer.status
+
+
+def total(one: Any) -> int:
+    return figures(one)['svc_succeeded_total{service="lookup"}']
+
+
+def test_an_upgrade_closes_no_connection_and_loses_no_request(tmp_path: Path) -> None:
+    slow = "SELECT slow FROM lending_7.loans"
+    with site(tmp_path) as s, ThreadPoolExecutor() as beside:
+        s.engine.script[slow] = ["mute"] * 3
+        elder = s.start()
+        kept = http.client.HTTPConnection(*s.listen, timeout=10)
+        silent = socket.create_connection(s.listen)
+        assert call(kept, "1") == 200
+        waiting = beside.submit(s.served, slow, ttl=1_500)
+        assert s.engine.wait("REQ", 2)
+        successor = s.start()
+        assert total(successor) == 0
+        elder.process.send_signal(signal.SIGTERM)
+        assert s.served() == 200  # one queue: whoever accepts it
+        assert call(kept, "2") == 200 and call(kept, "3") == 200
+        assert waiting.result() in (429, 500)  # its elder answers it
+        assert elder.process.wait(10) == 0
+        before = total(successor)
+        assert before >= 1 and call(kept, "4") == 200 and total(successor) == before + 1
+        silent.settimeout(10)
+        silent.sendall(b"GET /status/live HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert silent.recv(4096).startswith(b"HTTP/1.1 200")
+        kept.close()
+        silent.close()
+        third = s.start()  # it finds the second, not the first
+        successor.process.send_signal(signal.SIGTERM)
+        assert successor.process.wait(10) == 0 and s.served() == 200 and total(third) == 1
+
+
+def test_a_successor_that_dies_leaves_its_elder_serving_and_found(tmp_path: Path) -> None:
+    with site(tmp_path) as s:
+        elder = s.start()
+        first = s.start()
+        first.process.kill()
+        first.process.wait()
+        until(lambda: total(elder) or s.served() == 200)
+        assert [s.served() for _ in range(4)] == [200] * 4
+        second = s.start()
+        elder.process.send_signal(signal.SIGTERM)
+        assert elder.process.wait(10) == 0 and s.served() == 200 and total(second) == 1
+
+
+def test_an_elder_that_dies_leaves_all_to_its_successor_and_its_file_is_no_fault(tmp_path: Path) -> None:
+    with site(tmp_path) as s:
+        elder, successor = s.start(), s.start()
+        elder.process.kill()
+        elder.process.wait()
+        assert [s.served() for _ in range(4)] == [200] * 4 and total(successor) == 4
+        successor.process.kill()
+        successor.process.wait()
+        assert any(name.startswith("mothknot-") for name in os.listdir(tmp_path))
+        assert s.start() and s.served() == 200
+
+
+def test_an_elder_told_to_stop_before_the_yes_hands_over_at_the_yes(tmp_path: Path) -> None:
+    """The journal is silent, so the successor says yes late; what comes meanwhile waits in the one queue."""
+    with site(tmp_path) as s, ThreadPoolExecutor() as beside:
+        elder = s.start()
+        kept = http.client.HTTPConnection(*s.listen, timeout=10)
+        assert call(kept, "1") == 200
+        s.journal.silent = True
+        starting = beside.submit(s.start)
+        until(lambda: b"a successor starts" in os.read(elder.process.stderr.fileno(), 4096))
+        elder.process.send_signal(signal.SIGTERM)
+        crossing = beside.submit(s.served)
+        successor = starting.result()
+        assert crossing.result() == 200
+        assert call(kept, "2") == 200 and elder.process.wait(10) == 0 and total(successor) >= 1
+        kept.close()
+
+
+def test_several_processes_cannot_be_followed(tmp_path: Path) -> None:
+    (tmp_path / "operator.toml").write_text(f'[processes]\nplanners = ["127.0.0.1:{free_port()}"]\n')
+    with site(tmp_path) as s:
+        s.start()
+        late = s.start(False, MOTHKNOT_OPERATOR=str(tmp_path / "operator.toml"))
+        assert late.process.wait(10) == 2 and b"cannot follow" in late.process.stderr.read()
+        assert s.served() == 200
+
+
+def test_where_no_socket_can_be_made_there_is_no_meeting(tmp_path: Path) -> None:
+    listen = "127.0.0.1", 9
+    assert handover.path_of({}, listen) is None
+    assert handover.path_of({"TMPDIR": str(tmp_path / "none")}, listen) is None
+    path = handover.path_of({"TMPDIR": str(tmp_path)}, listen)
+    assert path and not os.listdir(tmp_path) and handover.meet(path) is None
+
+
+@steady
+@given(st.binary(min_size=1, max_size=60))
+def test_garbage_on_the_link_ends_it_or_changes_nothing(noise: bytes) -> None:
+    loop, ends, said = Loop(), list[int](), list[Any]()
+    near, far = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    near.setblocking(False)
+    link = handover.Link(loop, near, lambda message, fds: said.append(message), lambda: ends.append(1))
+    far.send(noise)
+    loop.turn()
+    assert bool(ends) is link.over and all(isinstance(message, dict) for message in said)
+    far.close()
+    loop.close()
+
+
+def taught() -> Module:
+    module = Module(config([]).settings, 1)
+    sec, events = 10**9, list[Event]()
+    from mothknot.interface import Entry, ListChange, ListScope, State
+
+    events = [ListChange(ListScope.FULL, (Entry("e0", State.UP, 0, 0, 0, 0, 1.0),))]
+    module.handle(sec, events)
+    sent = module.handle(2 * sec, [Request(1, 1, 60 * sec, 0, 7.0, None, 10**9, 0.0, False)])
+    assert any(isinstance(action, Send) for action in sent)
+    module.handle(3 * sec, [Outcome(1, True, C.OK, sec, 0, "e0", None, None, ())])
+    return module
+
+
+NUMBERS = {"lookup": 0, "report": 1, "load": 2}
+
+
+def test_what_was_learned_goes_on_under_the_names_of_classes() -> None:
+    old, new = taught(), Module(config([]).settings, 2)
+    new.engines = {name: e for name, e in taught().engines.items()}
+    new.engines["e0"].warm = []
+    told = json.loads(json.dumps(learned(old, NUMBERS)))
+    assert adopt(new, {"lookup": 1, "report": 2, "load": 0}, told)
+    assert new.classes[2].work == old.classes[1].work and new.classes[2].work.n == 1
+    assert new.engines["e0"].warm == [7.0] and new.engines["e0"].pace == old.engines["e0"].pace
+
+
+@pytest.mark.parametrize(
+    "bad", [None, [], {"version": 0}, {"lag": "1"}, {"costs": []}, {"usual": float("nan")},
+            {"engines": {"e0": [1]}}, {"classes": {"lookup": {}}}]
+)  # fmt: skip
+def test_what_cannot_be_used_is_not_taken_in_part(bad: Any) -> None:
+    new = Module(config([]).settings, 2)
+    told = learned(taught(), NUMBERS)
+    told["lag"] = 2.0
+    assert not adopt(new, NUMBERS, told | bad if isinstance(bad, dict) else bad) and new.lag == 1.0
