--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 
 # The decision module is compiled from its typed Python as it stands: the same source, about half the time.
 # Without a C compiler, or if it fails, the module runs as it is.
-mothknot/.compiled: $(MODULE) .venv/.installed
+mothknot/.compiled: $(MODULE) Makefile .venv/.installed
 	rm -f mothknot/*.so *__mypyc*.so
 	(MYPYC_OPT_LEVEL=2 .venv/bin/mypyc $(MODULE) >.venv/mypyc.log 2>&1 \
 		&& $(PY) -c 'import mothknot.policy') || rm -f mothknot/*.so *__mypyc*.so
