Let the cold budget go over to the successor in steps as the elder stops sending

Checked with a log line for every connection, request and answer: each connection was accepted and each request answered, none closed by us; but node n1 had all of its clients' 128 connections busy (a third of 384) through log seconds 20 to 28, so further clients found none. Ruled out: the listener, the passing of connections, the drain, lost wake-ups.

Cause: from the second upgrade (16.5 s) to its elder's end (21.9 s) the successor had half the cold budget, while its elder, told to stop, sent next to nothing; two of five engines had just started. Now all is the elder's to the yes, then half, and from SIGTERM on a tenth.

--- a/mothknot/gateway.py
+++ b/mothknot/gateway.py
@@ -35,6 +35,7 @@
 ACCEPTING = 0.8  # seconds after SIGTERM in which requests still come: 0.4 s, 0.2 s more, and slack
 CATCH_UP = 2.5  # seconds in which a successor says yes, though the journal has not answered
 PAIR_SHARE = 0.5  # of the budgets, while two processes are one gateway
+REST_SHARE = 0.1  # of the cold budget, for an elder told to stop: it sends only what it still holds
 KILLED_AT = 5.0  # seconds after SIGTERM at most that an elder has for what is open
 CROSSING = 1.5  # seconds in which a class that was dropped is still taken: clients hear of it late
 MOST_LINES = 256  # classes that the figures have lines for
@@ -70,6 +71,7 @@
         self.config, self.loop, self.read_again = config, Loop(), read_again
         self.operator, self.classes, self.number = operator, config.classes, number
         self.share = PAIR_SHARE if legacy else 1.0
+        self.shares = 0  # changes of it asked for
         given = legacy.fronts if legacy else {}
         self.readiness = Readiness()
         loop = self.loop
@@ -314,14 +316,12 @@
 
     def paired(self, on: bool) -> None:
         """Two processes of one gateway share descriptors and what a cold engine may be sent."""
-        self.share = PAIR_SHARE if on else 1.0
-        self.server.most = max(1, int(self.most * self.share))
+        self.server.most = max(1, int(self.most * (PAIR_SHARE if on else 1.0)))
         if self.flight:
             self.flight.most = self.server.most
-        settle = 0.0 if on else self.desk.settings.tip_after / 1e9  # what the other sent still counts
-        self.loop.at(self.loop.now() + settle, lambda: self._tell_rules(self.desk.settings))
         if on:
             return
+        self._take_share(1.0, True)
         if not self.readiness.begun:
             self._begin()
         if self.readiness.ending:
@@ -331,10 +331,27 @@
             self.bgp = self._bgp()
             self._announce()
 
+    def _take_share(self, share: float, settled: bool = False) -> None:
+        """Our part of the cold budget; `settled`: once what the other has sent no longer counts."""
+        self.shares += 1
+        number = self.shares
+
+        def take() -> None:
+            if number == self.shares:
+                self.share = share
+                self._tell_rules(self.desk.settings)
+
+        wait = self.desk.settings.tip_after / 1e9 if settled else 0.0
+        self.loop.at(self.loop.now() + wait, take)
+
+    def elder_leaves(self) -> None:
+        self._take_share(1.0 - REST_SHARE, True)
+
     def handed(self, sock: socket.socket, peer: str, asked: bool) -> None:
         self.server.take(sock, peer, asked)
 
     def succeeded(self) -> None:
+        self._take_share(PAIR_SHARE)
         if self.readiness.ending:
             self._hand_on()
 
@@ -346,6 +363,8 @@
             self.flight.listener.release()
         if not self.handover.follows:
             return
+        self._take_share(REST_SHARE)
+        self.handover.tell_leaving()
         self.server.hand_on(self.handover.give)
         if self.flight:
             self.flight.close()
--- a/mothknot/handover.py
+++ b/mothknot/handover.py
@@ -3,7 +3,8 @@
 They meet at a Unix socket in $TMPDIR, a JSON object a packet, some with descriptors:
 
     successor: {"hello": VERSION}   {"ready": true}
-    elder:     {"fronts": [...], "learned": {...}} with its listeners   {"client": PEER, "asked": BOOL}
+    elder:     {"fronts": [...], "learned": {...}} with its listeners   {"leaving": true}
+               {"client": PEER, "asked": BOOL} with its connection
 """
 
 import contextlib
@@ -46,6 +47,9 @@
     def succeeded(self) -> None:
         """The successor says yes."""
 
+    def elder_leaves(self) -> None:
+        """The elder takes nothing more."""
+
 
 def path_of(environ: Mapping[str, str], listen: tuple[str, int]) -> str | None:
     """Where the two meet, or None where no socket can be made there."""
@@ -220,6 +224,10 @@
         link = self.successor if self.follows else None
         return link is not None and link.tell({"client": peer, "asked": asked}, [sock.fileno()])
 
+    def tell_leaving(self) -> None:
+        if self.successor:
+            self.successor.tell({"leaving": True})
+
     # ---- as the elder
 
     def _knock(self) -> None:
@@ -269,6 +277,8 @@
             return
         for fd in fds:
             os.close(fd)
+        if message.get("leaving") is True:
+            self.host.elder_leaves()
 
     def _elder_ended(self) -> None:
         log("handover", "the elder has ended")
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -20,7 +20,9 @@
 from hypothesis import strategies as st
 
 from mothknot import handover
+from mothknot.config import Operator
 from mothknot.core.learned import adopt, learned
+from mothknot.gateway import Gateway
 from mothknot.interface import Code as C
 from mothknot.interface import Event, Outcome, Request, Send
 from mothknot.net.loop import Loop
@@ -203,6 +205,19 @@
     assert path and not os.listdir(tmp_path) and handover.meet(path) is None
 
 
+def test_the_cold_budget_goes_over_in_steps() -> None:
+    """Guards cold engines, and traffic: a successor kept to half of it while its elder sent no more."""
+    gate = Gateway(config([host(Engine())]), Operator(), signals=False)
+    shares = [gate.planner.settings.cold_share]
+    for step in (lambda: gate.paired(True), gate.succeeded, gate.elder_leaves, lambda: gate.paired(False)):
+        step()
+        gate.loop.at(gate.loop.now(), lambda: None)
+        gate.loop.turn()
+        shares.append(gate.planner.settings.cold_share)
+    assert shares == [1.0, 1.0, 0.5, 0.9, 1.0] and gate.server.most == gate.most
+    gate.loop.close()
+
+
 @steady
 @given(st.binary(min_size=1, max_size=60))
 def test_garbage_on_the_link_ends_it_or_changes_nothing(noise: bytes) -> None:
--- a/tests/test_local.py
+++ b/tests/test_local.py
@@ -75,7 +75,7 @@
 
 
 def test_the_build_leaves_the_messages_their_types() -> None:
-    """Guards the link where the module is compiled: every message with an optional field was refused there."""
+    """Guards the link where the module is compiled: a message with an optional field was refused there."""
     told = subprocess.run(["make", "-nB", "mothknot/.compiled"], capture_output=True, text=True, check=True)
     assert "mothknot/policy.py" in told.stdout and "mothknot/interface.py" not in told.stdout
 
