--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -8,7 +8,7 @@
 import subprocess
 import sys
 import threading
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import contextmanager
 from pathlib import Path
@@ -209,7 +209,8 @@
     """Guards cold engines, and traffic: a successor kept to half of it while its elder sent no more."""
     gate = Gateway(config([host(Engine())]), Operator(), signals=False)
     shares = [gate.planner.settings.cold_share]
-    for step in (lambda: gate.paired(True), gate.succeeded, gate.elder_leaves, lambda: gate.paired(False)):
+    steps: list[Callable[[], None]] = [gate.succeeded, gate.elder_leaves, lambda: gate.paired(False)]
+    for step in (lambda: gate.paired(True), *steps):
         step()
         gate.loop.at(gate.loop.now(), lambda: None)
         gate.loop.turn()
