--- a/mothknot/gateway.py
+++ b/mothknot/gateway.py
@@ -39,6 +39,7 @@
 KILLED_AT = 5.0  # seconds after SIGTERM at most that an elder has for what is open
 CROSSING = 1.5  # seconds in which a class that was dropped is still taken: clients hear of it late
 MOST_LINES = 256  # classes that the figures have lines for
+CLIENTS = 3  # clients hold one in so many of the descriptors at most
 MOST_OPEN = 4_000  # requests held at once, whatever the settings allow: what the memory bears
 
 
@@ -48,7 +49,8 @@
     # The Flight wire brings no notes, so with it the module must not take their absence for a loss
     progress = 0 if operator.flight else settings.progress
     me, instances = settings.me * many + planner, settings.instances * many
-    return replace(settings, progress=progress, me=me, instances=instances)
+    places = max(1, config.sockets // CLIENTS // many)
+    return replace(settings, progress=progress, me=me, instances=instances, places=places)
 
 
 class Gateway:
--- a/mothknot/interface.py
+++ b/mothknot/interface.py
@@ -114,6 +114,7 @@
     extra_per_request: float
     counted_over: int
     cold_share: float = 1.0  # our part of what one instance may send to a cold engine
+    places: int = 0  # connections that clients may hold; 0: no such limit is known
 
     def check(self) -> None:
         """Raise ValueError, naming the setting, where they contradict themselves or one another."""
--- a/mothknot/policy.py
+++ b/mothknot/policy.py
@@ -83,6 +83,7 @@
 RESTART = 2.0  # times a fresh run that what remains must exceed before an attempt is begun anew
 OVERDUE = 1.8  # spreads of the class's log run times past which a silent attempt is begun anew, once
 LOST = 1.6  # note periods without a note after which an attempt is taken for lost
+CROWDED = 0.75  # share of the clients' places taken from which nothing more is held
 LAST_CALL = 0.5  # of the run time that must be left to a held query; drawn runs scatter below the mean too
 HOPELESS = 1.3  # predicted end over the limit, from rough notes, that ends an attempt
 COLD_MARGIN = 0.6  # share of the cold budget that is spent: class weights and speeds are guesses
@@ -305,6 +306,8 @@
         best = self._route(q)
         start, engine = best or (0.0, None)
         late = self.now + self.lag * start + q.run >= q.deadline
+        # Guards clients who find no place: whoever is held keeps one, and only who gets in can be refused
+        late |= start > 0 and 0 < self.s.places * CROWDED <= len(self.queries)
         # Guards the others against a tenant's surplus: worth little, and at a pressed engine it delays all
         late |= engine is not None and q.worth < q.c.s.worth and self._pressed(engine)
         if late or (engine and self._endangered(q, engine, start) > q.worth):
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -87,6 +87,19 @@
     assert Refuse in {type(a) for a in w.last if getattr(a, "xid", 0) == small.xid}
 
 
+def test_nothing_more_is_held_once_clients_find_no_place() -> None:
+    """Guards clients at the door: at peak all their connections were held, and more were not let in."""
+    told = {}
+    for places in (0, 40):
+        w = World(replace(SITE, places=places), ONE)
+        while len(w.sent) == w.next:
+            w.ask()
+        for _ in range(60):
+            w.ask()
+        told[places] = len(w.gate.queries), len(w.gate.held)
+    assert told[0][0] > 40 >= told[40][0] and told[40][1] > 0
+
+
 def test_controller_tightens_on_lateness_and_loosens_on_refusals() -> None:
     gate = Gateway(SITE, 1)
     gate.now = 10 * SEC
