--- a/mothknot/gateway.py
+++ b/mothknot/gateway.py
@@ -100,7 +100,8 @@
         fronts = 2 if operator.flight else 1
         most = self.most = max(1, clients // fronts)
         # Where a successor cannot be given our listener, it must be able to listen beside it
-        shared = operator.forwarders > 1 or (signals and meeting is None)
+        alone = signals and meeting is None and not operator.planners
+        shared = operator.forwarders > 1 or alone
         web = config.listen, config.classes, most, self.readiness, shared, given.get("web")
         self.server = Server(loop, self.desk, *web)
         caught_up = self._begin if legacy else None
