Read bare SQL: class, writes, key and cost by shape, parsed away from the loop

Need: an unlabelled DELETE through DoGet ran as a repeatable lookup, and nothing read a statement beyond its table group.

Change: `mothknot/statements/` (lexer that is strict where dialects differ, shapes, proof of reads, keys of loads, W-TinyLFU cache, costs, limits on shapes that did harm), `mothknot/reading/` (parser processes, the service on the loop), hung into the Flight SQL front and, if asked for, into the platform's front as a check; the operator's file is checked whole by a schema; `mothknot run`, `check`, `statements classify`. An engine of the second protocol is now called by the client's own method, and an update under a class that may run twice is turned down.

--- a/mothknot/__main__.py
+++ b/mothknot/__main__.py
@@ -46,7 +46,8 @@
     return 0
 
 
-def main() -> None:
+def serve() -> None:
+    """Start and end the process; whatever keeps it from starting is one plain line and code 2."""
     try:
         sys.exit(start(os.environ.get("MOTHKNOT_PART", "")))
     except BadConfig as bad:
@@ -57,5 +58,14 @@
         sys.exit(2)
 
 
+def main() -> None:
+    """With words the command line; without any a gateway, as the deploy file starts it."""
+    if len(sys.argv) > 1:
+        from mothknot.cli import main as command
+
+        command(prog_name="mothknot")
+    serve()
+
+
 if __name__ == "__main__":
     main()
--- /dev/null
+++ b/mothknot/cli.py
@@ -0,0 +1,167 @@
+"""The command line: `mothknot run`, `check` and `statements classify`. `python -m mothknot` alone is
+`run`.
+"""
+
+import json
+import os
+import sys
+from collections.abc import Iterator
+from importlib.metadata import PackageNotFoundError, version
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, TextIO
+
+import click
+
+from mothknot.config import BadConfig, config_of, faults_of_operator, raw_of, raw_of_operator
+
+if TYPE_CHECKING:
+    from mothknot.reading.service import Judged, Statements
+
+PATIENCE = 30.0  # seconds that one statement may wait for a parser process
+
+
+def _version() -> str:
+    try:
+        return version("mothknot")
+    except PackageNotFoundError:  # started from its folder
+        return "0.2.0"
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(_version(), prog_name="mothknot")
+def main() -> None:
+    """A gateway for query engines."""
+
+
+@main.command()
+@click.option("--config", type=click.Path(dir_okay=False), help="In place of ROUTER_CONFIG.")
+@click.option("--operator", type=click.Path(dir_okay=False), help="In place of MOTHKNOT_OPERATOR.")
+def run(config: str | None, operator: str | None) -> None:
+    """Start a gateway."""
+    from mothknot.__main__ import serve
+
+    if config:
+        os.environ["ROUTER_CONFIG"] = config
+    if operator:
+        os.environ["MOTHKNOT_OPERATOR"] = operator
+    serve()
+
+
+@main.command()
+@click.argument("files", nargs=-1, required=True, type=click.Path(dir_okay=False))
+@click.option("--operator", type=click.Path(dir_okay=False), help="An operator's file to check beside it.")
+def check(files: tuple[str, ...], operator: str | None) -> None:
+    """Check FILES: the configuration (.json) and operators' files (.toml), each fault with its place.
+
+    Exit code 2 if there is a fault. Where both are given, also whether they go together.
+    """
+    toml = [file for file in files if file.endswith(".toml")] + ([operator] if operator else [])
+    config, faults = None, []
+    for file in (file for file in files if not file.endswith(".toml")):
+        config, told = _check_config(file)
+        faults += [f"{file}: {fault}" for fault in told]
+    for file in toml:
+        try:
+            faults += [f"{file}: {fault}" for fault in faults_of_operator(raw_of_operator(file), config)]
+        except BadConfig as bad:
+            faults.append(str(bad))
+    for fault in faults:
+        click.echo(fault, err=True)
+    if faults:
+        sys.exit(2)
+    click.echo("no faults")
+
+
+def _check_config(file: str) -> tuple[Any, list[str]]:
+    from mothknot.schema import faults_of_configuration
+
+    try:
+        raw = raw_of(file)
+        faults = faults_of_configuration(raw)
+        if faults:
+            return None, faults
+        return config_of(raw, {}), []
+    except BadConfig as bad:
+        return None, [str(bad).removeprefix(f"{file}: ")]
+
+
+@main.group()
+def statements() -> None:
+    """What the gateway makes of bare SQL."""
+
+
+@statements.command()
+@click.option("--rules", required=True, type=click.Path(dir_okay=False), help="An operator's file.")
+@click.argument("file", default="-", type=click.File("r", encoding="utf-8", errors="replace"))
+def classify(rules: str, file: TextIO) -> None:
+    """Read lines {"sql": "..."} from FILE or standard input and print what becomes of each.
+
+    A line may also hold "class" and "key" as a client names them, and "params" with the values bound.
+    """
+    from mothknot.config import reading_of
+    from mothknot.net.loop import Loop
+    from mothknot.reading.service import Statements
+
+    try:
+        raw = raw_of_operator(rules)
+        faults = faults_of_operator(raw, None)
+        if faults:
+            raise BadConfig(f"{rules}: {faults[0]}")
+        reading = reading_of(raw)
+        if reading is None:
+            raise BadConfig(f"{rules}: has no table [statements]")
+    except BadConfig as bad:
+        click.echo(f"mothknot: configuration: {bad}", err=True)
+        sys.exit(2)
+    safe = (reading.rules.lookup, reading.rules.report)
+    service = Statements(Loop(), reading.rules, safe, reading.parsers, reading.shapes)
+    if reading.snapshot and Path(reading.snapshot).exists():
+        service.remember(reading.snapshot)
+        service.keeper = None  # read, never written from here
+    try:
+        for line in file:
+            if line.strip():
+                click.echo(json.dumps(_classified(service, line)))
+    finally:
+        service.stop()
+
+
+def _classified(service: "Statements", line: str) -> dict[str, Any]:
+    from mothknot.statements.classifier import as_line, turned_down
+    from mothknot.statements.lexer import Unclear
+
+    classifier = service.classifier
+    try:
+        raw = json.loads(line)
+        sql, named, key, params = (raw.get(name) for name in ("sql", "class", "key", "params"))
+        plain = isinstance(sql, str) and all(told is None or isinstance(told, str) for told in (named, key))
+        if not plain or not isinstance(params or [], list):
+            raise ValueError
+    except (ValueError, AttributeError, RecursionError):
+        bad = turned_down(Unclear('not a line {"sql": "..."}'))
+        return as_line(bad, None, None, classifier.costs, False)
+    try:
+        shape = classifier.shape(sql)
+    except Unclear as why:
+        return as_line(turned_down(why), None, None, classifier.costs, False)
+    hit = classifier.shapes.peek(shape.digest) is not None
+    judged = next(one for one in _asked(service, sql, named, key, params or ()) if one.judgement is not None)
+    known = classifier.shapes.peek(shape.digest)
+    assert judged.judgement
+    return as_line(judged.judgement, shape, known, classifier.costs, hit)
+
+
+def _asked(
+    service: "Statements", sql: str, named: str | None, key: str | None, params: Any
+) -> Iterator["Judged"]:
+    """Answers until one is no `come back`."""
+    loop = service.loop
+    until = loop.now() + PATIENCE
+    while loop.now() < until:
+        told: list[Judged] = []
+        service.ask(sql, named, key, told.append, params)
+        while not told:
+            loop.turn()
+        yield told[0]
+    click.echo("mothknot: no parser process answers", err=True)
+    sys.exit(1)
--- a/mothknot/config.py
+++ b/mothknot/config.py
@@ -7,14 +7,18 @@
 from dataclasses import dataclass
 from ipaddress import IPv4Address, IPv4Network
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from mothknot.bgp.session import Settings as BgpSettings
-from mothknot.interface import Settings
+from mothknot.interface import Repeat, Settings
 from mothknot.net.stream import address_of
 from mothknot.settings import WireError, settings_of
 from mothknot.targets import BadList, Names, changes_of
 
+if TYPE_CHECKING:
+    from mothknot import schema
+    from mothknot.statements.messages import Rules
+
 MOST_CLASSES = 64
 MAY_LACK = frozenset(("aim-stretch", "in-turn", "bound-to", "stays-in"))  # of a class: the wire's page
 PER_CLASS = ("parallelism", "loads", "waits-for-loads")  # lists with a value for each class
@@ -43,6 +47,17 @@
     keys: frozenset[str]  # all that the file states; a new one must state as much
 
 
+@dataclass(slots=True, frozen=True)
+class Reading:
+    """How statements are read: the rules, and what the reading takes."""
+
+    rules: "Rules"
+    web: bool = False
+    shapes: int = 10_000
+    parsers: int = 2
+    snapshot: str = ""
+
+
 @dataclass(slots=True, frozen=True)
 class Operator:
     """What an operator's file turns on; nothing on the platform."""
@@ -53,6 +68,7 @@
     bgp: BgpSettings | None = None
     planners: tuple[tuple[str, int], ...] = ()  # where each listens, if they are processes of their own
     forwarders: int = 1
+    statements: Reading | None = None
 
 
 def keys_of(value: Any, path: str = "") -> frozenset[str]:
@@ -170,73 +186,127 @@
     return config
 
 
-def read(environ: Mapping[str, str]) -> Config:
-    path = environ.get("ROUTER_CONFIG")
-    if not path:
-        raise BadConfig("ROUTER_CONFIG names no file")
+def raw_of(path: str) -> Any:
+    """What a configuration file holds, not yet checked."""
     try:
-        raw = json.loads(Path(path).read_text(), parse_constant=_no_number)
+        return json.loads(Path(path).read_text(), parse_constant=_no_number)
     except OSError as bad:
         raise BadConfig(f"{path}: {bad.strerror}") from None
     except (ValueError, RecursionError) as bad:
         raise BadConfig(f"{path} is not JSON ({bad})") from None
-    return config_of(raw, environ)
-
-
-def _bgp_of(raw: Any) -> BgpSettings:
-    settings = BgpSettings(
-        peer=address_of(raw["peer"]),
-        asn=int(raw["asn"]),
-        peer_asn=int(raw["peer_asn"]),
-        identifier=IPv4Address(raw["identifier"]),
-        next_hop=IPv4Address(raw["next_hop"]),
-        networks=tuple(IPv4Network(n) for n in raw["networks"]),
-        hold=int(raw.get("hold", 90)),
-        again=float(raw.get("again", 5.0)),
+
+
+def read(environ: Mapping[str, str]) -> Config:
+    path = environ.get("ROUTER_CONFIG")
+    if not path:
+        raise BadConfig("ROUTER_CONFIG names no file")
+    return config_of(raw_of(path), environ)
+
+
+def _bgp_of(told: "schema.Bgp") -> BgpSettings:
+    return BgpSettings(
+        peer=address_of(told.peer),
+        asn=told.asn,
+        peer_asn=told.peer_asn,
+        identifier=IPv4Address(told.identifier),
+        next_hop=IPv4Address(told.next_hop),
+        networks=tuple(IPv4Network(n) for n in told.networks),
+        hold=told.hold,
+        again=told.again,
     )
-    numbers = (settings.asn, settings.peer_asn)
-    if settings.hold in (1, 2) or not 0 <= settings.hold < 65_536 or not all(0 < n < 2**32 for n in numbers):
-        raise BadConfig("the operator's file has a BGP figure out of range")
-    if not 0 < len(settings.networks) <= 200 or settings.again <= 0:
-        raise BadConfig("the operator's file needs 1 to 200 BGP networks and a wait above 0")
-    return settings
 
 
-def operator_of(raw: Any, config: Config) -> Operator:
-    try:
-        flight, processes = raw.get("flight", {}), raw.get("processes", {})
-        operator = Operator(
-            flight=address_of(flight["listen"]) if flight else None,
-            query_class=str(flight.get("query_class", "lookup")),
-            update_class=str(flight.get("update_class", "load")),
-            bgp=_bgp_of(raw["bgp"]) if "bgp" in raw else None,
-            planners=tuple(address_of(a) for a in processes["planners"]) if processes else (),
-            forwarders=int(processes.get("forwarders", 1)),
-        )
-    except KeyError as bad:
-        raise BadConfig(f"the operator's file lacks {bad.args[0]}") from None
-    except (TypeError, ValueError, AttributeError) as bad:
-        raise BadConfig(f"a value in the operator's file is unusable ({bad})") from None
-    most = max(operator.forwarders, len(operator.planners))
-    if not 1 <= operator.forwarders <= most <= 16 or (processes and not operator.planners):
-        raise BadConfig("the operator's file needs 1 to 16 planners and as many forwarders")
-    if config.ops and operator.forwarders > 1:
-        raise BadConfig("the second address needs one forwarder: the figures of several are not added up")
-    for name in (operator.query_class, operator.update_class) if operator.flight else ():
+def _statements_of(told: "schema.Statements") -> "Reading":
+    from mothknot.statements.messages import KeyRule, Rules
+
+    rules = Rules(
+        dialect=told.dialect, lookup=told.lookup, report=told.report, load=told.load or None,
+        aggregates=told.reports.aggregates, windows=told.reports.windows, joins=told.reports.joins,
+        unselective=told.reports.unselective, sort_rows=told.reports.sort_rows,
+        pure=tuple(told.pure_functions), mismatch=told.mismatch, most_length=told.most_length,
+        keys=tuple(KeyRule(key.table, key.column, key.type) for key in told.keys),
+    )  # fmt: skip
+    return Reading(rules, told.web, told.shapes, told.parsers, told.snapshot)
+
+
+def reading_of(raw: Any) -> Reading | None:
+    """The table `statements` of an operator's file that has no faults."""
+    from mothknot import schema
+
+    told = schema.File.model_validate(raw).statements
+    return _statements_of(told) if told else None
+
+
+def faults_of_operator(raw: Any, config: Config | None) -> list[str]:
+    """Every fault of an operator's file: its form, and what does not go with the configuration."""
+    from mothknot import schema
+
+    told = schema.faults_of(raw)
+    if told:
+        return told
+    file = schema.File.model_validate(raw)
+    if config is None:
+        return []
+    named: dict[str, str] = {}
+    if file.flight:
+        named["flight.query_class"] = file.flight.query_class
+        named["flight.update_class"] = file.flight.update_class
+    if file.statements:
+        s = file.statements
+        named |= {"statements.lookup": s.lookup, "statements.report": s.report}
+        named |= {"statements.load": s.load} if s.load else {}
+        if not file.flight and not s.web:
+            told.append("statements: no front reads statements: it needs [flight], or web = true")
+    for place, name in named.items():
         if name not in config.classes:
-            raise BadConfig(f"the operator's file names class {name!r}, which the settings lack")
-    return operator
+            told.append(f"{place}: names class {name!r}, which the settings lack")
+        elif place in ("statements.lookup", "statements.report", "statements.load"):
+            safe = name in safe_classes(config)
+            if safe is (place == "statements.load"):
+                may = "may" if safe else "may not"
+                told.append(f"{place}: names class {name!r}, whose requests {may} run twice")
+    if config.ops and file.processes and file.processes.forwarders > 1:
+        told.append("processes.forwarders: the second address needs one forwarder: figures are not added up")
+    return told
+
+
+def safe_classes(config: Config) -> frozenset[str]:
+    """The classes whose requests may run twice."""
+    classes = config.settings.classes
+    return frozenset(n for n, told in config.classes.items() if classes[told[0]].repeat is Repeat.SAFE)
+
+
+def operator_of(raw: Any, config: Config) -> Operator:
+    from mothknot import schema
+
+    faults = faults_of_operator(raw, config)
+    if faults:
+        more = f" (and {len(faults) - 1} more: see `mothknot check`)" if len(faults) > 1 else ""
+        raise BadConfig(f"the operator's file: {faults[0]}{more}")
+    file = schema.File.model_validate(raw)
+    flight, processes = file.flight, file.processes
+    return Operator(
+        flight=address_of(flight.listen) if flight else None,
+        query_class=flight.query_class if flight else "lookup",
+        update_class=flight.update_class if flight else "load",
+        bgp=_bgp_of(file.bgp) if file.bgp else None,
+        planners=tuple(address_of(a) for a in processes.planners) if processes else (),
+        forwarders=processes.forwarders if processes else 1,
+        statements=_statements_of(file.statements) if file.statements else None,
+    )
 
 
 def read_operator(environ: Mapping[str, str], config: Config) -> Operator:
     """The file that MOTHKNOT_OPERATOR names, if it names one."""
     path = environ.get("MOTHKNOT_OPERATOR")
-    if not path:
-        return Operator()
+    return operator_of(raw_of_operator(path), config) if path else Operator()
+
+
+def raw_of_operator(path: str) -> Any:
+    """What an operator's file holds, not yet checked."""
     try:
-        raw = tomllib.loads(Path(path).read_text())
+        return tomllib.loads(Path(path).read_text())
     except OSError as bad:
         raise BadConfig(f"{path}: {bad.strerror}") from None
     except ValueError as bad:
         raise BadConfig(f"{path} is not TOML ({bad})") from None
-    return operator_of(raw, config)
--- a/mothknot/core/exchange.py
+++ b/mothknot/core/exchange.py
@@ -9,7 +9,7 @@
 from zlib import crc32
 
 from mothknot.core.counters import Counters
-from mothknot.core.messages import Answer, Client, Engines, Query, Target, Verdict
+from mothknot.core.messages import Answer, Client, Engines, Observer, Query, Target, Verdict
 from mothknot.interface import (
     Action,
     Cancel,
@@ -70,6 +70,8 @@
 
     def noted(self, kind: NoteKind, level: float) -> None:
         if self.out:
+            if kind is NoteKind.SPILLS and self.query.shape and (observer := self.exchange.desk.observer):
+                observer.spilled(self.query, self.exchange.desk.clock())
             self.exchange.tell(Note(self.exchange.xid, self.number, self.engine, kind, level))
 
     def ran(self) -> None:
@@ -130,6 +132,9 @@
             # Guards the rule on refusals: rows have left, so no other attempt can stand in for this one
             self.answer(Answer(Verdict.FAILED))
         attempt.pages.clear()
+        if self.query.shape and (observer := self.desk.observer):
+            work = took * self.rules.threads
+            observer.ended(self.query, attempt.engine, code, took, work, self.desk.clock())
         self.tell(outcome(self, attempt, code, took))
         self.desk.settle(self)
 
@@ -204,6 +209,7 @@
         self.rests: dict[int, int] = {}  # by planner: until when its keys rest, as one has died
         self.next_xid, self.turn = first_xid, 0
         self.counters = Counters()
+        self.observer: Observer | None = None
         self.idle: Callable[[], None] = lambda: None  # called when the last exchange has ended
 
     @property
@@ -228,6 +234,8 @@
             return exchange
         self.exchanges[xid] = exchange
         self.names.add(query.name)
+        if query.shape and self.observer:
+            self.observer.taken(query)
         exchange.alarm = self.alarms(query.give_up_at, exchange.deadline)
         rested = self.rests.get(exchange.link, 0) if query.key else 0
         if rested > self.clock():
@@ -261,6 +269,8 @@
             return
         del self.exchanges[exchange.xid]
         self.names.discard(exchange.query.name)
+        if exchange.query.shape and self.observer:
+            self.observer.settled(exchange.query)
         if exchange.alarm:
             exchange.alarm.cancel()
         if not self.exchanges:
--- a/mothknot/core/messages.py
+++ b/mothknot/core/messages.py
@@ -29,6 +29,8 @@
     cost: int | None  # estimated work in nanoseconds on one core
     need_mb: float
     tables: float | None
+    update: bool = False  # a statement without a result, on a wire that tells these apart
+    shape: bytes = b""  # of the statement, where statements are read; empty: nobody learns from it
 
 
 @dataclass(slots=True, frozen=True)
@@ -88,6 +90,20 @@
     def ended(self, code: Code) -> None: ...
 
 
+class Observer(Protocol):
+    """Told what becomes of queries with a shape; it decides nothing here."""
+
+    def taken(self, query: Query) -> None: ...
+
+    def settled(self, query: Query) -> None: ...
+
+    def spilled(self, query: Query, now: int) -> None: ...
+
+    def ended(
+        self, query: Query, engine: str, code: Code, took_ns: int, work_ns: int, now: int
+    ) -> None: ...
+
+
 class Engines(Protocol):
     """The engine side: starts, stops and re-ranks attempts on one wire."""
 
--- a/mothknot/flight/engines.py
+++ b/mothknot/flight/engines.py
@@ -26,7 +26,7 @@
         self.pool, self.attempt = pool, attempt
         self.link: Link | None = None
         self.call: grpc.Call | None = None
-        self.step = Step.PUT if attempt.query.class_name in pool.updates else Step.INFO
+        self.step = Step.PUT if attempt.query.update else Step.INFO
         self.tickets: list[bytes] = []
         self.first: tuple[bytes, int] | None = None  # kept back until more comes: a schema is no row
         self.status: str | None = None
@@ -185,10 +185,8 @@
 
     passing = True
 
-    def __init__(
-        self, loop: Loop, clock: Callable[[], int], updates: frozenset[str], dial_timeout: float
-    ) -> None:
-        self.loop, self.clock, self.updates, self.dial_timeout = loop, clock, updates, dial_timeout
+    def __init__(self, loop: Loop, clock: Callable[[], int], dial_timeout: float) -> None:
+        self.loop, self.clock, self.dial_timeout = loop, clock, dial_timeout
         self.dials: dict[str, str] = {}
         self.links: dict[str, Link] = {}
         self.runs: dict[int, Run] = {}
--- a/mothknot/flight/server.py
+++ b/mothknot/flight/server.py
@@ -4,6 +4,7 @@
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 from uuid import uuid4
 
 from mothknot.core.exchange import Desk, Exchange
@@ -11,11 +12,14 @@
 from mothknot.core.readiness import STILL_COME, Phase, Readiness
 from mothknot.core.sql import table_group
 from mothknot.flight import grpc, messages
-from mothknot.interface import Settings
+from mothknot.interface import Repeat, Settings
 from mothknot.net.loop import Loop
 from mothknot.net.stream import Listener, Reason, Stream
 from mothknot.web.server import BadCall, Classes, hex_header, real_header
 
+if TYPE_CHECKING:
+    from mothknot.reading.service import Judged, Statements
+
 MS = 1_000_000
 WAY_BACK = 25 * MS  # of the client's time, kept for the way here and the last bytes' way back
 TIMEOUT = re.compile(r"(\d{1,8})([HMSmun])")
@@ -33,6 +37,7 @@
     keyed: bool
     in_turn: bool
     give_up: int  # nanoseconds, for a call without a deadline
+    safe: bool  # may run twice
 
 
 def timeout_of(text: str | None, absent: int) -> int:
@@ -45,14 +50,23 @@
 
 
 def query_of(
-    statement: str, class_name: str, c: FlightClass, headers: dict[str, str], now: int
-) -> Query:
+    statement: str, class_name: str, c: FlightClass, headers: dict[str, str], now: int, update: bool = False,
+    judged: "Judged | None" = None,
+) -> Query:  # fmt: skip
+    """`judged`: what reading the statement said of it, where statements are read."""
     left = timeout_of(headers.get("grpc-timeout"), c.give_up)
     if not statement:
         raise BadCall(400, "the statement is missing")
-    group = table_group(statement)
+    if update and c.safe:
+        # Guards the rule on effects: what says itself that it changes something is never run twice
+        raise BadCall(400, f"an update cannot run as {class_name[:80]}, whose queries may run twice")
+    group = judged.group if judged else table_group(statement)
     cost = real_header(headers, "x-cpu-hint", 1e8)
-    key = hex_header(headers, "x-row", 16, c.in_turn)
+    told = judged.judgement if judged else None
+    key = told.key if told and told.key else hex_header(headers, "x-row", 16, c.in_turn)
+    idempotency = hex_header(headers, "x-txn-key", 32, c.keyed and not told)
+    if idempotency is None and c.keyed:
+        idempotency = uuid4().hex  # of this request alone: two equal inserts are two loads
     return Query(
         name=hex_header(headers, "x-txn", 16, False) or uuid4().hex[:16],
         cls=c.number,
@@ -61,16 +75,21 @@
         give_up_at=now + max(left // 2, left - WAY_BACK),
         retry=headers.get("x-second-try") == "1",
         key=key if c.in_turn else None,
-        idempotency=hex_header(headers, "x-txn-key", 32, c.keyed),
-        cost=int(cost * MS) if cost else None,
-        need_mb=real_header(headers, "x-memory", 1e7) or 0.0,
+        idempotency=idempotency,
+        cost=int(cost * MS) if cost else judged.cost_ns if judged else None,
+        need_mb=real_header(headers, "x-memory", 1e7) or (judged.need_mb if judged else 0.0),
         tables=None if group is None else float(group),
+        update=update,
+        shape=judged.digest if judged else b"",
     )
 
 
 def classes_of(classes: Classes, settings: Settings) -> dict[str, FlightClass]:
     return {
-        name: FlightClass(number, keyed, in_turn, settings.classes[number].give_up)
+        name: FlightClass(
+            number, keyed, in_turn, settings.classes[number].give_up,
+            settings.classes[number].repeat is Repeat.SAFE,
+        )
         for name, (number, keyed, in_turn) in classes.items()
     }
 
@@ -82,7 +101,7 @@
         self.server, self.meta, self.call = server, headers, call
         self.method = headers.get(":path", "").removeprefix(SERVICE)
         self.exchange: Exchange | None = None
-        self.begun = self.done = False
+        self.begun = self.done = self.asked = False
         # Guards the table of calls against those that never say what they want
         server.loop.at(server.loop.now() + CALL_TIME, self._late)
 
@@ -92,7 +111,7 @@
 
     def message(self, data: bytes, size: int) -> None:
         self.call.taken(size)
-        if self.done or self.exchange:
+        if self.done or self.exchange or self.asked:
             return
         try:
             if self.method == "GetFlightInfo":
@@ -101,16 +120,16 @@
                 self.call.send(info)
                 self._finish(grpc.OK)
             elif self.method == "DoGet":
-                self._take(messages.statement_of_ticket(data), self.server.query_class)
+                self._ask(messages.statement_of_ticket(data), False)
             elif self.method == "DoPut":
-                self._take(messages.statement_of_update(data), self.server.update_class)
+                self._ask(messages.statement_of_update(data), True)
             else:
                 self._finish(grpc.UNIMPLEMENTED, f"{self.method[:80]} is not supported here")
         except (messages.BadMessage, BadCall) as bad:
             self._finish(grpc.INVALID, str(bad))
 
     def ended(self) -> None:
-        if not self.done and not self.exchange:
+        if not self.done and not self.exchange and not self.asked:
             known = self.method in ("GetFlightInfo", "DoGet", "DoPut")
             self._finish(grpc.INVALID if known else grpc.UNIMPLEMENTED, "the call holds no message")
 
@@ -119,12 +138,54 @@
         if self.exchange:
             self.exchange.gone()
 
-    def _take(self, statement: str, usual: str) -> None:
-        name = self.meta.get("x-class", usual)
+    def _ask(self, statement: str, update: bool) -> None:
+        """Take it at once, or once it is read where statements are."""
+        server, now = self.server, self.server.desk.clock()
+        named = self.meta.get("x-class")
+        if server.statements is None:
+            usual = server.update_class if update else server.query_class
+            self._take(statement, named or usual, update, now, None)
+            return
+        if named is not None and named not in server.classes:
+            raise BadCall(404, f"class {named[:80]!r} is unknown")
+        if named is None and update:
+            named = server.update_class  # an update says itself what it is
+        self.asked = True
+        key = hex_header(self.meta, "x-row", 16, False)
+
+        def then(judged: "Judged") -> None:
+            self._judged(statement, update, now, judged)
+
+        server.statements.ask(statement, named, key, then)
+
+    def _judged(self, statement: str, update: bool, now: int, judged: "Judged") -> None:
+        if self.done:
+            return
+        server, told = self.server, judged.judgement
+        if told is None:
+            self._refuse()
+            return
+        if not told.taken or told.cls is None:
+            self._finish(grpc.INVALID, told.reason)
+            return
+        if server.statements and (why := server.statements.may_run(judged.digest, now)):
+            self._refuse(why)
+            return
+        try:
+            self._take(statement, told.cls, update, now, judged)
+        except BadCall as bad:
+            self._finish(grpc.INVALID, str(bad))
+
+    def _refuse(self, why: str = "Overloaded") -> None:
+        """Before anything was taken on: the client may come back when the settings say."""
+        wait = str(-(-self.server.desk.settings.max_retry_after // MS))
+        self._finish(REFUSED, why, [("x-throttle-ms", wait)])
+
+    def _take(self, statement: str, name: str, update: bool, now: int, judged: "Judged | None") -> None:
         c = self.server.classes.get(name)
         if c is None:
             raise BadCall(404, f"class {name[:80]!r} is unknown")
-        query = query_of(statement, name, c, self.meta, self.server.desk.clock())
+        query = query_of(statement, name, c, self.meta, now, update, judged)
         self.exchange = self.server.desk.take(query, self, "flight")
 
     def _headers(self) -> None:
@@ -170,8 +231,9 @@
     def __init__(
         self, loop: Loop, desk: Desk, address: tuple[str, int], classes: dict[str, FlightClass],
         query_class: str, update_class: str, most: int, readiness: Readiness, shared: bool = False,
-        given: socket.socket | None = None,
+        given: socket.socket | None = None, statements: "Statements | None" = None,
     ) -> None:  # fmt: skip
+        self.statements = statements
         self.loop, self.desk, self.classes, self.most = loop, desk, classes, most
         self.query_class, self.update_class = query_class, update_class
         self.wires: list[grpc.Wire] = []
--- a/mothknot/gateway.py
+++ b/mothknot/gateway.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING, Any
 
 from mothknot.bgp.session import Session as BgpSession
-from mothknot.config import BadConfig, Config, Operator, check_kept, read
+from mothknot.config import BadConfig, Config, Operator, check_kept, read, safe_classes
 from mothknot.core.classes import laid_out, numbered
 from mothknot.core.exchange import Desk
 from mothknot.core.learned import adopt, learned
@@ -17,7 +17,7 @@
 from mothknot.core.planner import Planner
 from mothknot.core.readiness import Readiness
 from mothknot.handover import Handover, Legacy
-from mothknot.interface import Settings
+from mothknot.interface import Repeat, Settings
 from mothknot.local.link import Remote
 from mothknot.net.log import log
 from mothknot.net.loop import Loop, Timer
@@ -31,6 +31,7 @@
 
 if TYPE_CHECKING:
     from mothknot.flight.server import Server as FlightServer
+    from mothknot.reading.service import Statements
 
 ACCEPTING = 0.8  # seconds after SIGTERM in which requests still come: 0.4 s, 0.2 s more, and slack
 CATCH_UP = 2.5  # seconds in which a successor says yes, though the journal has not answered
@@ -102,7 +103,9 @@
         # Where a successor cannot be given our listener, it must be able to listen beside it
         alone = signals and meeting is None and not operator.planners
         shared = operator.forwarders > 1 or alone
-        web = config.listen, config.classes, most, self.readiness, shared, given.get("web")
+        self.statements = self._statements(legacy.statements if legacy else None)
+        reads = self.statements if operator.statements and operator.statements.web else None
+        web = config.listen, config.classes, most, self.readiness, shared, given.get("web"), reads
         self.server = Server(loop, self.desk, *web)
         caught_up = self._begin if legacy else None
         self.journal = Journal(loop, config.journal, self.position, self.take_list, caught_up)
@@ -174,7 +177,8 @@
             avoided |= set(self.planner.avoided())
         listed = self.desk.targets
         ejected = sum(name in listed for name in avoided)
-        return rendered(self.desk.counters, self.desk.outstanding, len(listed), ejected)
+        told = rendered(self.desk.counters, self.desk.outstanding, len(listed), ejected)
+        return told + (self.statements.figures() if self.statements else [])
 
     def alarm(self, when: int, call: Any) -> Timer:
         return self.loop.at(self.loop.now() + (when - time.time_ns()) / 1e9, call)
@@ -217,15 +221,31 @@
 
         config = self.config
         classes = classes_of(config.classes, config.settings)
-        updates = frozenset([operator.update_class])
-        pool = FlightPool(self.loop, time.time_ns, updates, config.dial_timeout)
+        pool = FlightPool(self.loop, time.time_ns, config.dial_timeout)
         self.desk.engines["flight"] = pool
         pool.listed(list(self.desk.targets.values()), True)
         assert operator.flight
         names = operator.query_class, operator.update_class
         return FlightServer(
-            self.loop, self.desk, operator.flight, classes, *names, most, self.readiness, shared, given
-        )
+            self.loop, self.desk, operator.flight, classes, *names, most, self.readiness, shared, given,
+            self.statements,
+        )  # fmt: skip
+
+    def _statements(self, legacy: Any) -> "Statements | None":
+        """What reads bare SQL; not even loaded where it is off."""
+        reading = self.operator.statements
+        if reading is None:
+            return None
+        from mothknot.reading.service import Statements
+
+        safe = safe_classes(self.config)
+        statements = Statements(self.loop, reading.rules, safe, reading.parsers, reading.shapes)
+        path = reading.snapshot
+        if path and self.operator.forwarders > 1:
+            path = f"{path}.{self.number}"
+        statements.remember(path, legacy)
+        self.desk.observer = statements
+        return statements
 
     # ---- a new configuration, and the planned stop
 
@@ -259,9 +279,17 @@
         operator, lines = self.operator, self.desk.counters.answers
         if operator.forwarders > 1 and config.settings != self.config.settings:
             raise BadConfig("new settings need one forwarder: several would number the classes apart")
-        for name in (operator.query_class, operator.update_class) if operator.flight else ():
+        rules = operator.statements.rules if operator.statements else None
+        named = [operator.query_class, operator.update_class] if operator.flight else []
+        named += [name for name in (rules.lookup, rules.report, rules.load) if name] if rules else []
+        for name in named:
             if name not in config.classes:
                 raise BadConfig(f"the operator's file names class {name!r}, which the settings lack")
+        for name in (rules.lookup, rules.report) if rules else ():
+            if name not in safe_classes(config):
+                raise BadConfig(f"statements are read as {name!r}, whose requests could not run twice then")
+        if rules and rules.load in safe_classes(config):
+            raise BadConfig(f"writes run as {rules.load!r}, whose requests could run twice then")
         if len({*lines, *config.classes}) > MOST_LINES:
             raise BadConfig(f"the figures have lines for {MOST_LINES} classes; more need a restart")
 
@@ -289,6 +317,10 @@
 
     def _fronts(self, classes: dict[str, tuple[int, bool, bool]]) -> None:
         self.server.classes = classes
+        if self.statements:
+            rules = self.desk.settings.classes
+            safe = {name for name, told in classes.items() if rules[told[0]].repeat is Repeat.SAFE}
+            self.statements.retune(self.statements.classifier.rules, safe)
         if self.flight:
             from mothknot.flight.server import classes_of
 
@@ -312,7 +344,10 @@
             fronts["flight"] = self.flight.listener.sock
         numbers = {name: told[0] for name, told in self.classes.items()}
         known = learned(self.planner.module, numbers)
-        return {"fronts": list(fronts), "learned": known}, list(fronts.values())
+        told = {"fronts": list(fronts), "learned": known}
+        if self.statements:
+            told["statements"] = self.statements.classifier.costs.snapshot(most=256)
+        return told, list(fronts.values())
 
     def _adopt(self, raw: Any) -> bool:
         return adopt(self.planner.module, {name: told[0] for name, told in self.classes.items()}, raw)
@@ -411,6 +446,8 @@
         if self.handover:
             self.handover.leave()
         self.journal.stop()
+        if self.statements:
+            self.statements.stop()
         for remote in self.remotes:
             remote.stop()
         told = ", ".join(f"{self.desk.counters.total(v)} {v.value}" for v in Verdict)
--- a/mothknot/handover.py
+++ b/mothknot/handover.py
@@ -3,7 +3,7 @@
 They meet at a Unix socket in $TMPDIR, a JSON object a packet, some with descriptors:
 
     successor: {"hello": VERSION}   {"ready": true}
-    elder:     {"fronts": [...], "learned": {...}} with its listeners   {"leaving": true}
+    elder:     {"fronts": [...], "learned": {...}, "statements": {...}} with its listeners   {"leaving": true}
                {"client": PEER, "asked": BOOL} with its connection
 """
 
@@ -31,6 +31,7 @@
     link: socket.socket
     fronts: dict[str, socket.socket] = field(default_factory=dict)
     learned: Any = None
+    statements: Any = None  # and what it learned of statements' costs
 
 
 class Host(Protocol):
@@ -118,7 +119,7 @@
     for listener in listeners:
         listener.setblocking(False)
     sock.setblocking(False)
-    return Legacy(sock, fronts, told.get("learned"))
+    return Legacy(sock, fronts, told.get("learned"), told.get("statements"))
 
 
 class Link:
@@ -248,8 +249,9 @@
             return
         if message.get("hello") == VERSION:
             told, listeners = self.host.offer()
-            if len(json.dumps(told)) > PACKET:
-                told.pop("learned", None)
+            for part in ("statements", "learned"):
+                if len(json.dumps(told)) > PACKET:
+                    told.pop(part, None)
             if link.tell(told, [listener.fileno() for listener in listeners]):
                 log("handover", "a successor starts")
                 self.host.paired(True)
--- /dev/null
+++ b/mothknot/reading/child.py
@@ -0,0 +1,48 @@
+"""A parser process: rules once, then shapes in and plans out on its standard input, a socket."""
+
+import resource
+import signal
+import socket
+import sys
+
+from mothknot.reading.frames import LENGTH, Told, decode_ask, decode_rules, framed
+from mothknot.statements.messages import Plan
+from mothknot.statements.reader import Reader
+
+MEMORY = 1 << 30  # bytes of address space: guards the machine against a parse that never stops growing
+
+
+def _read(sock: socket.socket, size: int) -> bytes:
+    data = b""
+    while len(data) < size:
+        more = sock.recv(size - len(data))
+        if not more:
+            sys.exit(0)  # the gateway has ended
+        data += more
+    return data
+
+
+def _frame(sock: socket.socket) -> bytes:
+    return _read(sock, LENGTH.unpack(_read(sock, LENGTH.size))[0])
+
+
+def main() -> None:
+    signal.signal(signal.SIGINT, signal.SIG_IGN)  # the gateway's own end ends this process
+    resource.setrlimit(resource.RLIMIT_AS, (MEMORY, MEMORY))
+    sock = socket.socket(fileno=0)
+    sock.setblocking(True)
+    reader = Reader(decode_rules(_frame(sock)))
+    sock.sendall(framed(Told(0)))
+    while True:
+        ask = decode_ask(_frame(sock))
+        try:
+            plan = reader.read(ask.shape())
+        except (RecursionError, MemoryError):
+            plan = Plan(True, reason="it nests too deep", parsed=False)
+        except Exception as fault:  # guards the others: a parser's own fault turns down one statement
+            plan = Plan(True, reason=f"the parser broke on it: {type(fault).__name__}", parsed=False)
+        sock.sendall(framed(Told(ask.number, plan)))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/mothknot/reading/service.py
@@ -0,0 +1,289 @@
+"""Statements on the loop: a judgement at once where the shape is known, else after a parse in another
+process.
+"""
+
+import os
+import socket
+import subprocess
+import sys
+from collections.abc import Callable, Collection, Sequence
+
+from mothknot.core.messages import Query
+from mothknot.interface import Code
+from mothknot.net.log import log
+from mothknot.net.loop import IN, Loop, Timer
+from mothknot.reading.frames import Ask, cut, decode_told, framed
+from mothknot.reading.keeper import Keeper
+from mothknot.reading.parsers import Parsers, Seat
+from mothknot.statements.classifier import SHAPES, Classifier, Known, turned_down
+from mothknot.statements.lexer import Unclear
+from mothknot.statements.messages import Judgement, Plan, Rules
+from mothknot.statements.shape import Shape
+
+CHUNK = 65_536
+KEEP_EVERY = 30.0  # seconds between two snapshots of what was learned
+RETUNED = "the rules have changed"
+CODES = {Code.ERROR, Code.RESET, Code.TIMEOUT}  # that may be a statement's own doing
+
+
+class Judged:
+    """What the fronts need to know of a statement. `busy`: not read now, come back; `held`: its shape is."""
+
+    __slots__ = ("judgement", "digest", "group", "cost_ns", "need_mb", "busy", "held")
+
+    def __init__(self, judgement: Judgement | None, digest: bytes = b"", group: int | None = None) -> None:
+        self.judgement, self.digest, self.group = judgement, digest, group
+        self.cost_ns: int | None = None
+        self.need_mb = 0.0
+        self.busy = judgement is None
+        self.held = ""
+
+
+Then = Callable[[Judged], None]
+
+
+class Process:
+    """A parser process and our end of its socket."""
+
+    def __init__(self, rules: Rules) -> None:
+        self.sock, theirs = socket.socketpair()
+        try:
+            self.child = subprocess.Popen(
+                [sys.executable, "-m", "mothknot.reading.child"],
+                stdin=theirs.fileno(), stdout=subprocess.DEVNULL,
+                env={**os.environ, "PYTHONPATH": os.pathsep.join(p for p in sys.path if p)},
+            )  # fmt: skip
+        finally:
+            theirs.close()
+        self.inbox = bytearray()
+        self.sock.sendall(framed(rules))
+
+    def end(self) -> None:
+        self.child.kill()
+        self.child.wait()
+
+
+class Statements:
+    """The service that the fronts ask. Also watches what becomes of statements, and learns from it."""
+
+    def __init__(
+        self, loop: Loop, rules: Rules, safe: Collection[str], parsers: int = 2, room: int = SHAPES
+    ) -> None:
+        self.loop = loop
+        self.classifier = Classifier(rules, safe, room)
+        self.parsers = Parsers(parsers)
+        self.processes: dict[int, Process] = {}
+        self.timer: Timer | None = None
+        self.timer_at = 0.0
+        self.stopped = False
+        self.down = 0  # statements turned down
+        self.keeper: Keeper | None = None
+        for seat in self.parsers.seats:
+            self._start(seat)
+
+    # ---- what the fronts ask
+
+    def ask(
+        self, text: str, named: str | None, key: str | None, then: Then, bound: Sequence[object] = ()
+    ) -> None:
+        """`then` is called once: at once for a shape that is known, else when it is read."""
+        try:
+            shape = self.classifier.shape(text)
+        except Unclear as why:
+            self.down += 1
+            then(Judged(turned_down(why)))
+            return
+        known = self.classifier.known(shape)
+        if known is not None:
+            then(self._judged(known, shape, named, key, bound))
+            return
+
+        now = self.loop.now()
+        if poison := self.parsers.poisoned(shape, now):
+            then(self._judged(Known(poison, None), shape, named, key, bound))
+            return
+
+        def read(plan: Plan | None) -> None:
+            if plan is None:
+                then(Judged(None))
+            else:
+                found = self.classifier.shapes.peek(shape.digest)
+                if found is None:
+                    lost = self.parsers.poisoned(shape, self.loop.now()) is not None
+                    found = Known(plan, None) if lost else self.classifier.learn(shape, plan)
+                then(self._judged(found, shape, named, key, bound))
+
+        if self.stopped or not self.parsers.add(shape, now, read):
+            then(Judged(None))
+            return
+        self._go_on()
+
+    def _judged(
+        self, known: Known, shape: Shape, named: str | None, key: str | None, bound: Sequence[object]
+    ) -> Judged:
+        judgement = self.classifier.judge(known, shape, named, key, bound)
+        judged = Judged(judgement, shape.digest, known.group)
+        if not judgement.taken or judgement.cls is None:
+            self.down += 1
+            return judged
+        costs = self.classifier.costs
+        judged.cost_ns = costs.cost_ns(shape.digest, judgement.cls, known.group)
+        judged.need_mb = costs.need_mb(shape.digest)
+        return judged
+
+    # ---- what becomes of statements: the desk's observer
+
+    def may_run(self, digest: bytes, now: int) -> str:
+        return self.classifier.limits.may_run(digest, now)
+
+    def taken(self, query: Query) -> None:
+        self.classifier.limits.begun(query.shape)
+
+    def settled(self, query: Query) -> None:
+        self.classifier.limits.ended(query.shape)
+
+    def spilled(self, query: Query, now: int) -> None:
+        self.classifier.limits.spilled(query.shape, now)
+
+    def ended(self, query: Query, engine: str, code: Code, took_ns: int, work_ns: int, now: int) -> None:
+        """`took_ns`: from its start to its end; `work_ns`: the same as work of all its threads."""
+        digest, limits, costs = query.shape, self.classifier.limits, self.classifier.costs
+        if code is Code.OK:
+            group = None if query.tables is None else int(query.tables)
+            usual = costs.cost_ns(digest, query.class_name, group)
+            limits.ran_well(digest, work_ns, usual, now)
+            costs.ran(digest, query.class_name, group, work_ns)
+        elif code in CODES:
+            limits.failed(digest, engine, now)
+
+    # ---- what was learned, kept over restarts and upgrades
+
+    def remember(self, path: str, legacy: object = None) -> None:
+        """Take over what an elder tells, else what the file at `path` holds, and keep that file from now
+        on.
+        """
+        costs = self.classifier.costs
+        told = legacy is not None and costs.adopt(legacy)
+        if not path:
+            return
+        self.keeper = Keeper(path)
+        found = None if told else self.keeper.load()
+        if found is not None and not costs.adopt(found):
+            log("statements", f"{path} holds nothing that can be used; costs are learned afresh")
+        self.loop.at(self.loop.now() + KEEP_EVERY, self._keep)
+
+    def _keep(self) -> None:
+        if self.keeper and not self.stopped:
+            self.keeper.save(self.classifier.costs.snapshot())
+            self.loop.at(self.loop.now() + KEEP_EVERY, self._keep)
+
+    def figures(self) -> list[str]:
+        told = {
+            **self.classifier.figures(),
+            "statement_turned_down_total": self.down,
+            "statement_parses_too_slow_total": self.parsers.too_slow,
+            "statement_parsers_died_total": self.parsers.died,
+        }
+        return [f"svc_{name} {value:g}" for name, value in told.items()]
+
+    # ---- the parser processes
+
+    def _start(self, seat: Seat) -> None:
+        if self.stopped:
+            return
+        self.parsers.started(seat, self.loop.now())
+        try:
+            process = Process(self.classifier.rules)
+        except OSError as bad:
+            log("parser", f"cannot be started: {bad.strerror}")
+            self.parsers.failed_starts += 1
+            self.loop.at(self.loop.now() + max(1.0, self.parsers.rest), lambda: self._start(seat))
+            return
+        process.sock.setblocking(False)
+        self.processes[seat.number] = process
+        self.loop.watch(process.sock, IN, lambda: self._heard(seat, process))
+        self._go_on()
+
+    def _heard(self, seat: Seat, process: Process) -> None:
+        if self.processes.get(seat.number) is not process:
+            return
+        try:
+            data = process.sock.recv(CHUNK)
+        except BlockingIOError:
+            return
+        except OSError:
+            data = b""
+        if not data:
+            self._gone(seat, "the parser died on it")
+            return
+        process.inbox += data
+        while frame := cut(process.inbox):
+            told = decode_told(frame)
+            if told.plan is None:
+                self.parsers.is_ready(seat)
+            elif job := self.parsers.told(seat):
+                for then in job.thens:
+                    then(told.plan)
+        self._go_on()
+
+    def _gone(self, seat: Seat, why: str, plan: Plan | None = None) -> None:
+        process = self.processes.pop(seat.number)
+        self.loop.dispose(process.sock)
+        process.end()
+        log("parser", f"parser {seat.number} is started anew: {why}")
+        if why == RETUNED:
+            job = self.parsers.dropped(seat)
+        else:
+            job, plan = self.parsers.ended(seat, why, self.loop.now()), Plan(True, reason=why, parsed=False)
+        wait = self.parsers.rest
+        if wait:
+            self.parsers.started(seat, self.loop.now() + wait)
+            self.loop.at(self.loop.now() + wait, lambda: self._start(seat))
+        else:
+            self._start(seat)
+        for then in job.thens if job else ():
+            then(plan)
+
+    def _go_on(self) -> None:
+        now = self.loop.now()
+        for seat, job in self.parsers.next(now):
+            ask = Ask(1, job.shape.folded, len(job.shape.literals))
+            try:
+                self.processes[seat.number].sock.sendall(framed(ask))
+            except OSError:  # its end is heard as such; until then the job is overdue at worst
+                continue
+        due = self.parsers.due()
+        if due is not None and (self.timer is None or due < self.timer_at):
+            if self.timer:
+                self.timer.cancel()
+            self.timer_at = due + 0.001
+            self.timer = self.loop.at(self.timer_at, self._look)
+
+    def _look(self) -> None:
+        self.timer = None
+        now = self.loop.now()
+        for seat in self.parsers.overdue(now):
+            if seat.number in self.processes:
+                self._gone(seat, "it takes too long to parse")
+        for job in self.parsers.stale(now):
+            for then in job.thens:
+                then(None)
+        self._go_on()
+
+    def retune(self, rules: Rules, safe: Collection[str]) -> None:
+        changed = rules != self.classifier.rules
+        self.classifier.retune(rules, safe)
+        if changed:
+            for seat in self.parsers.seats:
+                if seat.number in self.processes:
+                    self._gone(seat, RETUNED)
+
+    def stop(self) -> None:
+        """End the parser processes; nothing is read any more."""
+        if self.keeper and not self.stopped:
+            self.keeper.save(self.classifier.costs.snapshot())
+        self.stopped = True
+        for process in self.processes.values():
+            self.loop.dispose(process.sock)
+            process.end()
+        self.processes.clear()
--- a/mothknot/web/server.py
+++ b/mothknot/web/server.py
@@ -5,6 +5,7 @@
 import re
 import socket
 from collections.abc import Callable, Generator
+from typing import TYPE_CHECKING
 
 import h11
 
@@ -15,6 +16,9 @@
 from mothknot.net.loop import Loop, Task
 from mothknot.net.stream import Listener, Reason, Stream
 
+if TYPE_CHECKING:
+    from mothknot.reading.service import Judged, Statements
+
 MS = 1_000_000
 WAY_BACK = 15 * MS  # of the client's time, kept for the way here and the way back
 BODY = 262_144  # bytes of a statement
@@ -317,12 +321,43 @@
         if self.loop.behind() > BEHIND or self.server.away(LAST_TAKEN):
             # Guards against a backlog that makes all answers late: what the core has no time for goes at
             # once; and a drain against connections that would never come to rest
-            wait = self.server.desk.settings.max_retry_after
-            held.final(Answer(Verdict.REFUSED, wait_ns=wait))
-            self.server.desk.counters.answered(query.class_name, Verdict.REFUSED)
+            self._refuse(query, held)
+        if self.server.statements and held.answer is None:
+            yield from self._read(query, held, self.server.statements)
+            if query.name in self.server.desk.names:  # another came with its id meanwhile
+                raise BadCall(409, "a request with this id is open")
         exchange = self.server.desk.take(query, held, "web") if held.answer is None else None
         return (yield from self._wait(exchange, held))
 
+    def _refuse(self, query: Query, held: Held) -> None:
+        """Before it is taken: the core never hears of it."""
+        held.final(Answer(Verdict.REFUSED, wait_ns=self.server.desk.settings.max_retry_after))
+        self.server.desk.counters.answered(query.class_name, Verdict.REFUSED)
+
+    def _read(
+        self, query: Query, held: Held, statements: "Statements"
+    ) -> Generator[float | None, None, None]:
+        """Guards against a write under a class that may run twice; class and key stay as the call names
+        them.
+        """
+        told: list[Judged] = []
+
+        def judged(one: "Judged") -> None:
+            told.append(one)
+            self.task.wake()
+
+        safe = query.class_name in statements.classifier.safe
+        if not safe:
+            return
+        statements.ask(query.statement.decode(), query.class_name, query.key, judged)
+        while not told and not self.stream.over:
+            yield None
+        judgement = told[0].judgement if told else None
+        if judgement is None:
+            self._refuse(query, held)
+        elif judgement.writes:
+            raise BadCall(400, judgement.reason or f"it writes, so it cannot run as {query.class_name}")
+
     def _wait(self, exchange: Exchange | None, held: Held) -> Generator[float | None, None, Reason | None]:
         while held.answer is None:
             if self.stream.over:
@@ -400,7 +435,9 @@
         readiness: Readiness,
         shared: bool = False,
         given: socket.socket | None = None,
+        statements: "Statements | None" = None,
     ) -> None:
+        self.statements = statements  # where writes under a class that may run twice are turned down
         self.loop, self.desk, self.classes, self.most = loop, desk, classes, most
         self.readiness = readiness
         self.give: Callable[[socket.socket, str, bool], bool] | None = None  # passes a connection on
