--- a/mothknot/statements/keys.py
+++ b/mothknot/statements/keys.py
@@ -7,7 +7,7 @@
 import re
 from collections.abc import Iterable, Sequence
 from fnmatch import fnmatchcase
-from typing import Any
+from typing import Any, NamedTuple
 
 from sqlglot import expressions as exp
 
@@ -96,7 +96,7 @@
     return isinstance(node, (exp.Column, exp.Identifier)) and node.name.casefold() == column.casefold()
 
 
-def _surely(node: Any, column: str, owners: frozenset[str], bare: bool) -> bool:
+def _surely(node: Any, column: str, owner: "Owner") -> bool:
     """Whether it is certainly that column of the target."""
     if not isinstance(node, exp.Column):
         return False
@@ -104,8 +104,12 @@
     if not isinstance(name, exp.Identifier):
         return False
     same = name.name == column if name.quoted else name.name.casefold() == column.casefold()
-    owner = node.table.casefold()
-    return same and (owner in owners if owner else bare)
+    if not node.table:
+        return same and not owner.others
+    schema = node.args.get("db")
+    if schema is not None and schema.name.casefold() != owner.schema:
+        return False
+    return same and node.table.casefold() == owner.name and owner.name not in owner.others
 
 
 def conjuncts(node: Any) -> Iterable[Any]:
@@ -120,19 +124,34 @@
             yield one
 
 
-def _owners(table: Any) -> frozenset[str]:
+class Owner(NamedTuple):
     """What may stand before the target's columns: its alias, which hides its name, or its name."""
-    return frozenset([(table.alias or table.name).casefold()])
+
+    name: str
+    schema: str  # empty behind an alias
+    others: frozenset[str]  # names of what else its predicates may speak of
+
+
+def _owner(tree: Any, target: Any) -> Owner:
+    beside = [tree.args.get(part) for part in ("from_", "from", "using")]
+    others: set[str] = set()
+    for part in beside:
+        for one in part if isinstance(part, list) else [part]:
+            if isinstance(one, exp.Expression):
+                others |= {table.alias_or_name.casefold() for table in one.find_all(exp.Table, exp.Subquery)}
+                others.add(one.alias_or_name.casefold())  # VALUES and the like, named or not
+    schema = "" if target.alias else target.db.casefold()
+    return Owner((target.alias or target.name).casefold(), schema, frozenset(others))
 
 
-def _picked(where: Any, column: str, owners: frozenset[str], bare: bool, source: dict[str, Any]) -> list[Ref]:
+def _picked(where: Any, column: str, owner: Owner, source: dict[str, Any]) -> list[Ref]:
     """The refs of one conjunct that pins the column; conjuncts beside it only narrow the rows."""
     for part in conjuncts(where):
         if isinstance(part, exp.EQ):
             for one, other in ((part.this, part.expression), (part.expression, part.this)):
-                if _surely(one, column, owners, bare) and (refs := _values(other, source)):
+                if _surely(one, column, owner) and (refs := _values(other, source)):
                     return refs
-        elif isinstance(part, exp.In) and _surely(part.this, column, owners, bare):
+        elif isinstance(part, exp.In) and _surely(part.this, column, owner):
             told = [ref_of(node) for node in part.expressions]
             if told and all(told) and not part.args.get("query") and not part.args.get("unnest"):
                 return [ref for ref in told if ref]
@@ -238,8 +257,7 @@
 
 def _merged(tree: Any, column: str) -> list[Ref]:
     source = _source_columns(tree.args["using"])
-    owners = _owners(tree.this)
-    refs = _picked(tree.args.get("on"), column, owners, False, source)
+    refs = _picked(tree.args.get("on"), column, _owner(tree, target_of(tree)), source)
     whens = tree.args.get("whens")
     for when in whens.expressions if whens else ():
         then = when.args.get("then")
@@ -286,8 +304,7 @@
         where = tree.args.get("where")
         if where is None:
             raise NoKey("all rows of the table are touched")
-        others = any(tree.args.get(part) for part in ("from_", "using", "from"))
-        refs = _picked(where.this, column, _owners(target), not others, {})
+        refs = _picked(where.this, column, _owner(tree, target), {})
         if isinstance(tree, exp.Update):
             refs += _assigned(tree.expressions, column, {})
     return tuple(dict.fromkeys(refs))
--- a/mothknot/statements/purity.py
+++ b/mothknot/statements/purity.py
@@ -22,7 +22,7 @@
     JSONPathRoot JSONPathKey JSONPathSubscript AtTimeZone Collate Qualify CurrentDate CurrentTime
     CurrentTimestamp CurrentUser Localtime Localtimestamp SessionUser CurrentSchema CurrentDatetime
     UtcDate UtcTime UtcTimestamp Coalesce Concat ConcatWs TableSample Overlaps Adjacent HavingMax Kwarg
-    JSONKeyValue JSON
+    JSONKeyValue JSON JSONArrayAgg TsOrDsToTimestamp TsOrDsToDate TsOrDsToTime TsOrDsDiff TsOrDsAdd
 """)
 
 WRITE_NODES = words("""
@@ -89,9 +89,17 @@
     txid_current
 """)
 HARMFUL_WORDS = words("""
-    insert update delete merge into call copy truncate drop alter create grant revoke execute exec
-    outfile dumpfile vacuum reindex refresh unload sql_calc_found_rows high_priority prepare deallocate
-    listen notify unlisten lock attach detach install pragma export import procedure handler
+    insert update delete merge into truncate drop alter create grant revoke outfile dumpfile lock
+    sql_calc_found_rows high_priority
+""")
+
+# Words that begin statements of other kinds. As names they are harmless, so they count only where a query
+# could begin and another word follows
+STARTERS = words("""
+    call execute exec do set reset use begin commit rollback savepoint start copy show describe desc handler
+    import export load unload kill prepare deallocate listen notify unlisten vacuum reindex cluster refresh
+    analyze checkpoint discard declare fetch move close comment attach detach install pragma summarize pivot
+    flush optimize rename table explain replace security reassign abort end release upsert put get
 """)
 
 # Words before an opening parenthesis that call nothing
--- a/mothknot/statements/reader.py
+++ b/mothknot/statements/reader.py
@@ -42,13 +42,13 @@
         self.pure = purity.FUNCTIONS | {name.casefold() for name in rules.pure if "." not in name}
         self.qualified = {name.casefold() for name in rules.pure if "." in name}
 
-    def read(self, shape: Shape) -> Plan:
+    def read(self, shape: Shape, text: str | None = None) -> Plan:
+        """`text`: what is parsed in place of the shape's canonical text, to compare the two."""
         folded = shape.folded
         if folded[0] == "explain":
             return self._explained(shape)
-        text = shape.canonical()
         try:
-            trees = sqlglot.parse(text, read=self.dialect)
+            trees = sqlglot.parse(shape.canonical() if text is None else text, read=self.dialect)
         except SqlglotError:
             return Plan(True, reason="it does not parse", parsed=False)
         except RecursionError:
@@ -91,6 +91,11 @@
 
     def _prove(self, tree: Any, folded: list[str], load: bool) -> None:
         self._check_words(tree, folded, load)
+        written = {token.strip(QUOTES).casefold() for token in folded}
+        for table in tree.find_all(exp.Table):
+            # Guards against a text that the parser takes for a name: some engines read the file of that name
+            if isinstance(table.this, exp.Identifier) and table.name.casefold() not in written:
+                raise Unproven("a table that is no name")
         for node in tree.walk():
             name = type(node).__name__
             if isinstance(node, exp.Anonymous):
@@ -108,6 +113,13 @@
     def _check_node(self, node: Any) -> None:
         if isinstance(node, exp.Select) and (node.args.get("into") or node.args.get("locks")):
             raise Unproven("SELECT INTO or a locking clause")
+        if isinstance(node, exp.Select) and not node.expressions:
+            raise Unproven("a SELECT of nothing")
+        inner = isinstance(node, (exp.CTE, exp.Exists, exp.Subquery))
+        joined = inner and isinstance(node.this, exp.Table) and node.this.args.get("joins")
+        if inner and not joined and not isinstance(node.this, ROOTS):
+            # Guards against words that the parser takes for an expression there: (SAVEPOINT a) is one to it
+            raise Unproven("something in parentheses that is no query")
         if isinstance(node, exp.Table) and not isinstance(node.this, (exp.Identifier, exp.Func)):
             raise Unproven("a table that is no name")
         if isinstance(node, exp.DataType) and node.this == exp.DataType.Type.USERDEFINED:
@@ -158,6 +170,9 @@
             before = folded[at - 1] if at else ""
             if not quoted and name in harmful and before != "." and folded[at + 1 : at + 2] != ["."]:
                 raise Unproven(f"{name.upper()} writes")
+            behind = folded[at + 1] if at + 1 < len(folded) else ""
+            if not quoted and before == "(" and name in purity.STARTERS and behind[:1].isalpha():
+                raise Unproven(f"{name.upper()} begins no known read")
             if folded[at + 1 : at + 2] != ["("] or name in listed or (not quoted and name in purity.NO_CALLS):
                 continue
             if before == "." and at >= 2:
@@ -218,7 +233,7 @@
             return False
         if any(_selects(where.this) for where in tree.find_all(exp.Where)):
             return False
-        sorts, bounded = self._sorts(tree), _bounded(tree)
+        sorts, bounded = self._sorts(tree), _bounded(tree, rules.sort_rows)
         return (sorts and not bounded) or (rules.unselective and (sorts or not bounded))
 
     def _sorts(self, tree: Any) -> bool:
@@ -229,11 +244,11 @@
     return node.find_ancestor(kind) is not None
 
 
-def _bounded(tree: Any) -> bool:
+def _bounded(tree: Any, rows: int) -> bool:
     """Whether its result is held down by a LIMIT within the rules' bound, which a shape shows as 1."""
     limit = tree.args.get("limit")
     told = (limit.args.get("count") or limit.args.get("expression")) if limit is not None else None
-    return isinstance(told, exp.Literal) and told.this == "1"
+    return isinstance(told, exp.Literal) and told.is_number and float(told.this) <= rows
 
 
 def _selects(where: Any) -> bool:
