--- a/Makefile
+++ b/Makefile
@@ -19,17 +19,23 @@
 	rm -rf build
 	touch $@
 
+# Statements are read a third faster with their inner parts compiled as well; off on the platform, so not in build
+STATEMENTS = $(addprefix mothknot/statements/,shape.py lexer.py sketch.py cache.py)
+fast: build
+	MYPYC_OPT_LEVEL=2 .venv/bin/mypyc $(STATEMENTS) >.venv/mypyc.log 2>&1
+	rm -rf build
+
 test:
 	.ci/run
 
 lint:
-	.venv/bin/ruff check mothknot tests example
+	.venv/bin/ruff check mothknot tests bench example
 	.venv/bin/mypy
 
 run: build
 	$(PY) -m mothknot
 
 clean:
-	rm -rf .venv build mothknot/.compiled mothknot/*.so *__mypyc*.so
+	rm -rf .venv build mothknot/.compiled mothknot/*.so mothknot/statements/*.so *__mypyc*.so
 
-.PHONY: build test lint run clean
+.PHONY: build fast test lint run clean
--- /dev/null
+++ b/bench/statements.py
@@ -0,0 +1,288 @@
+"""What reading statements costs.
+
+`python -m bench.statements [--seed N] [--seconds S] [micro|cache|costs|front]` prints a line of JSON a part:
+  micro   microseconds for a hit and a miss (p50, p99), the slowest parse seen, memory at 10,000 shapes
+  cache   hit rates of this cache and of a plain LRU on skewed, scanning and hostile traces
+  costs   share of estimates within a factor of 2, and how soon a shape that turns 5 times slower is followed
+  front   requests per second of the Flight SQL front: off, on at 100% hits, on under a flood of one-offs
+"""
+
+import json
+import subprocess
+import sys
+import threading
+import time
+import tracemalloc
+from collections import OrderedDict
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import click
+
+from mothknot.statements.cache import Cache
+from mothknot.statements.classifier import Classifier
+from mothknot.statements.costs import Costs
+from mothknot.statements.messages import KeyRule, Rules
+from mothknot.statements.reader import Reader
+from mothknot.statements.shape import shape_of
+
+KEYS = (KeyRule("lending_*.loans", "member"),)
+COLUMNS = ["id", "member", "title", "due", "returned", "branch", "renewed", "copy"]
+TABLES = ["loans", "titles", "members", "holds", "copies", "fines"]
+
+
+def statement(random: Random, shape: int) -> str:
+    """One statement of a shape; its literals are drawn."""
+    plan = Random(shape)
+    columns = ", ".join(plan.sample(COLUMNS, plan.randint(1, 5)))
+    table, schema = plan.choice(TABLES), f"lending_{plan.randint(1, 40)}"
+    where = " AND ".join(
+        f"{c} = {random.randint(1, 10**6)}" if plan.random() < 0.7 else f"{c} IN ('{random.random()}', 'x')"
+        for c in plan.sample(COLUMNS, plan.randint(1, 3))
+    )
+    more = plan.choice(["", " ORDER BY due", " ORDER BY due DESC LIMIT 10", " LIMIT 20"])
+    if plan.random() < 0.15:
+        counted = f"SELECT branch, count(*) FROM {schema}.{table} WHERE {where}"
+        return f"{counted} GROUP BY branch ORDER BY 2 DESC"
+    if plan.random() < 0.1:
+        member = random.randint(1, 10**6)
+        return f"UPDATE {schema}.loans SET due = '{random.random()}' WHERE member = {member}"
+    return f"SELECT {columns} FROM {schema}.{table} WHERE {where}{more}"
+
+
+def skewed(random: Random, shapes: int) -> int:
+    return min(shapes - 1, int(random.paretovariate(0.8)) - 1)
+
+
+def quantiles(values: list[float]) -> dict[str, float]:
+    ordered = sorted(values)
+    return {f"p{p}": round(ordered[min(len(ordered) - 1, len(ordered) * p // 100)], 1) for p in (50, 99)}
+
+
+def micro(seed: int) -> dict[str, Any]:
+    random = Random(seed)
+    whole, reader = Classifier(Rules(keys=KEYS)), Reader(Rules(keys=KEYS))
+    misses, hits, parses = [], [], []
+    for n in range(500):
+        sql = statement(random, n)
+        begun = time.perf_counter()
+        shape = whole.shape(sql)
+        if whole.known(shape) is None:
+            middle = time.perf_counter()
+            plan = reader.read(shape)
+            parses.append((time.perf_counter() - middle) * 1e6)
+            whole.judge(whole.learn(shape, plan), shape)
+            misses.append((time.perf_counter() - begun) * 1e6)
+    lengths = 0
+    for _ in range(20_000):
+        sql = statement(random, skewed(random, 500))
+        lengths += len(sql)
+        begun = time.perf_counter()
+        shape = whole.shape(sql)
+        known = whole.known(shape)
+        if known is not None:
+            whole.judge(known, shape)
+            hits.append((time.perf_counter() - begun) * 1e6)
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    full: Classifier = Classifier(Rules(keys=KEYS))
+    for n in range(14_000):  # more than it holds, each used twice
+        shape = full.shape(f"SELECT c{n} FROM lending_{n % 40}.loans WHERE member = 1")
+        known = full.known(shape) or full.learn(shape, reader.read(shape) if n < 50 else plan)
+        full.known(shape)
+        full.costs.ran(shape.digest, "lookup", n % 40, 10_000_000)
+    memory = (tracemalloc.get_traced_memory()[0] - before) / 2**20
+    tracemalloc.stop()
+    return {
+        "hit_us": quantiles(hits), "miss_us": quantiles(misses), "parse_us": quantiles(parses),
+        "mean_length": lengths // 20_000, "shapes": len(full.shapes),
+        "memory_mb": round(memory, 2), "slowest_parse_ms": slowest(reader),
+    }  # fmt: skip
+
+
+def slowest(reader: Reader) -> dict[str, float]:
+    """Statements built to be slow, within the lexer's bounds."""
+    built = {
+        "nested parentheses": "SELECT " + "(" * 31 + "1" + ")" * 31,
+        "nested cases": "SELECT " + "CASE WHEN 1 = 1 THEN " * 30 + "1" + " END" * 30,
+        "nested calls": "SELECT " + "coalesce(a, " * 30 + "1" + ")" * 30,
+        "long sum": "SELECT " + " + ".join(["a"] * 900),
+        "long conjunction": "SELECT a FROM b WHERE " + " AND ".join(f"a = {n}" for n in range(450)),
+        "many tables": "SELECT * FROM " + ", ".join(f"t{n}" for n in range(900)),
+        "many branches": "SELECT 1 " + "UNION ALL SELECT 1 " * 480,
+        "many casts": "SELECT a" + "::int" * 900,
+        "many nots": "SELECT " + "NOT " * 1_900 + "a",
+    }
+    told: dict[str, float] = {}
+    lexed = {"by": "by " * 1_900, "lists": "in (1, " * 30 + ")" * 30, "strings": "'a' " * 1_900}
+    for name, sql in lexed.items():  # what the loop itself does
+        begun = time.perf_counter()
+        shape_of(sql)
+        told[f"lexing {name}"] = round((time.perf_counter() - begun) * 1e3, 1)
+    for name, sql in built.items():
+        shape = shape_of(sql)
+        begun = time.perf_counter()
+        reader.read(shape)
+        told[name] = round((time.perf_counter() - begun) * 1e3, 1)
+    return told
+
+
+class Lru:
+    def __init__(self, room: int) -> None:
+        self.room, self.entries = room, OrderedDict[bytes, int]()
+
+    def get(self, key: bytes) -> int | None:
+        if key in self.entries:
+            self.entries.move_to_end(key)
+        return self.entries.get(key)
+
+    def put(self, key: bytes, value: int) -> None:
+        self.entries[key] = value
+        if len(self.entries) > self.room:
+            self.entries.popitem(last=False)
+
+
+def rate(cache: Cache[int] | Lru, trace: list[int], regular: int) -> float:
+    hits = asked = 0
+    for n in trace:
+        key = n.to_bytes(8, "little") * 2 if isinstance(cache, Lru) else spread(n)
+        found = cache.get(key)
+        if found is None:
+            cache.put(key, n)
+        asked += n < regular
+        hits += n < regular and found is not None
+    return round(hits / asked, 4)
+
+
+def spread(n: int) -> bytes:
+    return Random(n).randbytes(16)
+
+
+def cache(seed: int) -> dict[str, Any]:
+    random = Random(seed)
+    calm = [skewed(random, 500) for _ in range(60_000)]
+    traces = {
+        "skewed": calm,
+        "replay": [10**7 + i if random.random() < 0.01 else n for i, n in enumerate(calm)],
+        "scan": [n for i, one in enumerate(calm) for n in (one, 10**6 + i % 2_000)],
+        "flood": [
+            n for i, one in enumerate(calm[:30_000]) for n in (one, *range(10**6 + 9 * i, 10**6 + 9 * i + 9))
+        ],
+    }  # fmt: skip
+    return {
+        name: {"tiny_lfu": rate(Cache(600), trace, 500), "lru": rate(Lru(600), trace, 500)}
+        for name, trace in traces.items()
+    }
+
+
+def costs(seed: int) -> dict[str, Any]:
+    """Run times spread log-normally by 0.25, one in 25 with a bad plan of 14 to 25 times; shapes by 1.5."""
+    random = Random(seed)
+    usual = {n: random.lognormvariate(5.5, 1.5) for n in range(100)}
+
+    def run(n: int) -> float:
+        bad = random.uniform(14, 25) if random.random() < 0.04 else 1.0
+        return usual[n] * random.lognormvariate(0, 0.25) * bad
+
+    learned = Costs()
+    for _ in range(200):
+        for n in usual:
+            learned.ran(spread(n), "lookup", n % 5, int(run(n) * 1e6))
+    told = {n: (learned.cost_ns(spread(n), "lookup", n % 5) or 0) / 1e6 for n in usual}
+    asked = [(told[n], run(n)) for n in usual for _ in range(50)]
+    near = sum(0.5 <= cost / real <= 2 for cost, real in asked) / len(asked)
+    followed = []
+    for n in range(20):
+        runs = 0
+        while (learned.cost_ns(spread(n), "lookup", n % 5) or 0) < 2.5e6 * usual[n] and runs < 500:
+            learned.ran(spread(n), "lookup", n % 5, int(5e6 * usual[n] * random.lognormvariate(0, 0.25)))
+            runs += 1
+        followed.append(runs)
+    mean = sum(followed) / len(followed)
+    return {"within_twice": round(near, 4), "runs_until_followed": {"mean": mean, "most": max(followed)}}
+
+
+# ---- the front, each way with a gateway and an engine of its own in other processes
+
+
+def front(seed: int, seconds: float) -> dict[str, Any]:
+    """Off and on take turns, three rounds, so that what else the machine does falls on both."""
+    told: dict[str, list[float]] = {"off": [], "hits": [], "flood": []}
+    for _ in range(3):
+        for way in told:
+            words = [f"--seed={seed}", f"--seconds={seconds}", f"_{way}"]
+            done = subprocess.run(
+                [sys.executable, "-m", "bench.statements", *words],
+                capture_output=True, text=True, cwd=Path(__file__).parent.parent,
+            )  # fmt: skip
+            told[way].append(float(done.stdout.split()[-1]))
+    middle = {way: sorted(rates)[1] for way, rates in told.items()}
+    return {
+        "requests_per_second": told,
+        "cost_of_hits": round(1 - middle["hits"] / middle["off"], 4),
+        "cost_of_flood": round(1 - middle["flood"] / middle["off"], 4),
+    }
+
+
+def one_way(way: str, seed: int, seconds: float) -> float:
+    """Requests a second that one gateway serves to 8 clients; its engine answers at once."""
+    import pyarrow.flight as fl
+
+    from mothknot.config import Reading
+    from tests.test_flight import Node, command, gateway, options
+
+    reading = Reading(Rules(keys=KEYS)) if way != "off" else None
+    node = Node()
+    done = [0] * 8
+    with gateway(node, statements=reading) as gate:
+        assert gate.flight
+        address = f"grpc://127.0.0.1:{gate.flight.listener.address[1]}"
+
+        def calls(at: int) -> None:
+            random, peer = Random(seed + at), fl.connect(address)
+            until = time.monotonic() + seconds
+            while time.monotonic() < until:
+                column = f"c{random.randint(0, 10**9)}" if way == "flood" and random.random() < 0.5 else "a"
+                sql = f"SELECT {column} FROM lending_7.loans WHERE member = {random.randint(1, 999)}"
+                told = options(x_class="lookup")
+                try:
+                    info = peer.get_flight_info(command("CommandStatementQuery", sql), told)
+                    peer.do_get(info.endpoints[0].ticket, told).read_all()
+                    done[at] += 1
+                except fl.FlightError:
+                    continue
+                except Exception:  # refused under load: it does not count
+                    continue
+
+        calls(0)  # warm
+        done[0] = 0
+        threads = [threading.Thread(target=calls, args=(at,)) for at in range(8)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+    node.shutdown()
+    return sum(done) / seconds
+
+
+@click.command()
+@click.option("--seed", default=1)
+@click.option("--seconds", default=4.0)
+@click.argument("part", default="all")
+def main(seed: int, seconds: float, part: str) -> None:
+    if part.startswith("_"):
+        print(one_way(part[1:], seed, seconds))
+        return
+    parts: dict[str, Callable[[], dict[str, Any]]] = {
+        "micro": lambda: micro(seed), "cache": lambda: cache(seed), "costs": lambda: costs(seed),
+        "front": lambda: front(seed, seconds),
+    }  # fmt: skip
+    for name, measure in parts.items():
+        if part in ("all", name):
+            print(json.dumps({"bench": "statements", "part": name, "seed": seed} | measure()), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/mothknot/core/exchange.py
+++ b/mothknot/core/exchange.py
@@ -52,13 +52,17 @@
 class Try:
     """One attempt, out from its start until its one end."""
 
-    __slots__ = ("exchange", "number", "engine", "sent_at", "memory_mb", "priority", "out", "took", "pages")
+    __slots__ = (
+        "exchange", "number", "engine", "sent_at", "memory_mb", "priority", "out", "took", "pages", "work",
+        "used_mb",
+    )  # fmt: skip
 
     def __init__(self, exchange: "Exchange", number: int, engine: str, now: int) -> None:
         self.exchange, self.number, self.engine, self.sent_at = exchange, number, engine, now
         self.memory_mb, self.priority = exchange.terms
         self.out = True
-        self.took = 0
+        self.took = self.work = 0
+        self.used_mb = 0.0
         self.pages: list[bytes] = []
 
     @property
@@ -78,6 +82,9 @@
         """The engine has done the work; what follows is the result's way here."""
         self.took = self.took or self.exchange.desk.clock() - self.sent_at
 
+    def measured(self, work_ns: int, used_mb: float) -> None:
+        self.work, self.used_mb = work_ns, used_mb
+
     def page(self, data: bytes, left: Callable[[], None] = lambda: None) -> None:
         if not self.out:
             return
@@ -133,8 +140,8 @@
             self.answer(Answer(Verdict.FAILED))
         attempt.pages.clear()
         if self.query.shape and (observer := self.desk.observer):
-            work = took * self.rules.threads
-            observer.ended(self.query, attempt.engine, code, took, work, self.desk.clock())
+            work = attempt.work or took * self.rules.threads
+            observer.ended(self.query, attempt.engine, code, work, attempt.used_mb, self.desk.clock())
         self.tell(outcome(self, attempt, code, took))
         self.desk.settle(self)
 
--- a/mothknot/core/messages.py
+++ b/mothknot/core/messages.py
@@ -87,6 +87,9 @@
 
     def ran(self) -> None: ...
 
+    def measured(self, work_ns: int, used_mb: float) -> None:
+        """What the engine itself says that the work took, and the memory; 0: not told."""
+
     def ended(self, code: Code) -> None: ...
 
 
@@ -100,7 +103,7 @@
     def spilled(self, query: Query, now: int) -> None: ...
 
     def ended(
-        self, query: Query, engine: str, code: Code, took_ns: int, work_ns: int, now: int
+        self, query: Query, engine: str, code: Code, work_ns: int, used_mb: float, now: int
     ) -> None: ...
 
 
--- a/mothknot/flight/engines.py
+++ b/mothknot/flight/engines.py
@@ -1,5 +1,6 @@
 """Flight SQL engines: one HTTP/2 connection to each, a call or two for every attempt."""
 
+import re
 from collections.abc import Callable
 from enum import Enum
 
@@ -11,6 +12,7 @@
 from mothknot.net.stream import Reason, Stream, address_of
 
 MS = 1_000_000
+FIGURE = re.compile(r"\d{1,9}(\.\d{1,6})?", re.ASCII)  # of a query's work or memory, as an engine tells it
 
 
 class Step(Enum):
@@ -68,6 +70,9 @@
 
     def headers(self, headers: dict[str, str]) -> None:
         self.status = headers.get("grpc-status", self.status)
+        if "x-work-ms" in headers or "x-used-mb" in headers:
+            work, used = (_figure(headers.get(name, "0")) for name in ("x-work-ms", "x-used-mb"))
+            self.attempt.measured(int(work * MS), used)
 
     def message(self, data: bytes, size: int) -> None:
         call = self.call
@@ -132,6 +137,11 @@
             self.link.waiting = [r for r in self.link.waiting if r is not self]
 
 
+def _figure(text: str) -> float:
+    """A figure that an engine tells of a query; one that cannot be read counts as not told."""
+    return float(text) if FIGURE.fullmatch(text) else 0.0
+
+
 class Link:
     """The connection to one engine, with what waits for it to come up."""
 
--- a/mothknot/reading/child.py
+++ b/mothknot/reading/child.py
@@ -8,7 +8,9 @@
 from mothknot.reading.frames import LENGTH, Told, decode_ask, decode_rules, framed
 from mothknot.statements.messages import Plan
 from mothknot.statements.reader import Reader
+from mothknot.statements.shape import shape_of
 
+WARM = ("SELECT a, count(*) FROM b WHERE c = 1 GROUP BY a ORDER BY 1", "DELETE FROM a WHERE b = 1")
 MEMORY = 1 << 30  # bytes of address space: guards the machine against a parse that never stops growing
 
 
@@ -32,6 +34,8 @@
     sock = socket.socket(fileno=0)
     sock.setblocking(True)
     reader = Reader(decode_rules(_frame(sock)))
+    for text in WARM:  # guards the first statements' time against what the parser builds at its first use
+        reader.read(shape_of(text))
     sock.sendall(framed(Told(0)))
     while True:
         ask = decode_ask(_frame(sock))
--- a/mothknot/reading/service.py
+++ b/mothknot/reading/service.py
@@ -145,14 +145,16 @@
     def spilled(self, query: Query, now: int) -> None:
         self.classifier.limits.spilled(query.shape, now)
 
-    def ended(self, query: Query, engine: str, code: Code, took_ns: int, work_ns: int, now: int) -> None:
-        """`took_ns`: from its start to its end; `work_ns`: the same as work of all its threads."""
+    def ended(
+        self, query: Query, engine: str, code: Code, work_ns: int, used_mb: float, now: int
+    ) -> None:
+        """`work_ns`: of all its threads, as the engine tells it, else its time on all of them."""
         digest, limits, costs = query.shape, self.classifier.limits, self.classifier.costs
         if code is Code.OK:
             group = None if query.tables is None else int(query.tables)
             usual = costs.cost_ns(digest, query.class_name, group)
             limits.ran_well(digest, work_ns, usual, now)
-            costs.ran(digest, query.class_name, group, work_ns)
+            costs.ran(digest, query.class_name, group, work_ns, used_mb)
         elif code in CODES:
             limits.failed(digest, engine, now)
 
--- a/mothknot/statements/lexer.py
+++ b/mothknot/statements/lexer.py
@@ -32,6 +32,10 @@
 # The last alternative takes all that follows, so what is unclear is always the last token
 TOKEN = re.compile(f"{SKIP}({ATOM} | .++ | \\Z)", FLAGS)
 GOOD = re.compile(ATOM, FLAGS)
+# The same for a text that has neither "--" nor "/*", which is nearly every one: it takes half the time
+NO_COMMENT = r"(?!--|/\*)"
+assert NO_COMMENT in ATOM
+PLAIN = re.compile(f"{SPACE}({ATOM.replace(NO_COMMENT, '')} | .++ | \\Z)", FLAGS)
 
 # Runs of operator characters and what they mean everywhere; a run that is not here may be an operator of
 # somebody's own, or be cut apart otherwise by another lexer
@@ -54,7 +58,8 @@
     """The tokens as written, comments and white space left out. Raises Unclear."""
     if len(text) > most:
         raise Unclear(f"longer than {most} characters")
-    found: list[str] = TOKEN.findall(text)
+    commented = "--" in text or "/*" in text
+    found: list[str] = (TOKEN if commented else PLAIN).findall(text)
     while found and not found[-1]:
         found.pop()
     if not found:
--- a/mothknot/statements/reader.py
+++ b/mothknot/statements/reader.py
@@ -122,6 +122,8 @@
             raise Unproven("something in parentheses that is no query")
         if isinstance(node, exp.Table) and not isinstance(node.this, (exp.Identifier, exp.Func)):
             raise Unproven("a table that is no name")
+        if isinstance(node, exp.Tuple) and not node.expressions and not node.find_ancestor(exp.Group):
+            raise Unproven("empty parentheses")
         if isinstance(node, exp.DataType) and node.this == exp.DataType.Type.USERDEFINED:
             raise Unproven("a cast to a type of somebody's own")
         dotted = (exp.Identifier, exp.Func, exp.Star)
--- a/mothknot/statements/shape.py
+++ b/mothknot/statements/shape.py
@@ -22,15 +22,16 @@
     why_unclear,
 )
 
+DIGITS = frozenset("0123456789")
 NUMBER, STRING, PARAMETER = "#", "$", "?"  # what stands for a literal; no token of a text looks so
 SLOTS = frozenset((NUMBER, STRING, PARAMETER))
 FIRST_NUMBER = 7_000_000  # the literal of slot n is written as the number n above this, for the parser
 TOP = frozenset(("limit", "first", "next", "top"))  # before a number of rows
 BY_ENDS = frozenset((
-    "having", "limit", "offset", "fetch", "order", "group", "window", "union", "except", "intersect",
+    "by", "having", "limit", "offset", "fetch", "order", "group", "window", "union", "except", "intersect",
     "select", "qualify", "rows", "range", "for", "from", "where",
 ))  # fmt: skip
-# Tokens that stand for themselves; words are added as they come, as many as this
+# Tokens that stand for themselves; words are added as they come, as many as this before all go
 MOST_KNOWN = 8_192
 _PLAIN = {mark: mark for mark in MARKS} | {op: one[0] for op, one in OPERATORS.items() if one == (op,)}
 for _special in ("?", ":", ";"):
@@ -72,20 +73,21 @@
     """
     out: list[str | None] = list(map(_known.get, found))
     literals: list[Literal] = []
-    at, parameters, parted = -1, 0, False
+    at, parameters, cut = -1, 0, False  # `cut`: something is left out, or holds several pieces
+    index, append = out.index, literals.append
     while True:
         try:
-            at = out.index(None, at + 1)
+            at = index(None, at + 1)
         except ValueError:
             break
         token = found[at]
         first = token[0]
-        if first == "'":
-            literals.append(token)
-            out[at] = STRING
-        elif first.isdigit():
-            literals.append(token)
+        if first in DIGITS:
+            append(token)
             out[at] = NUMBER
+        elif first == "'":
+            append(token)
+            out[at] = STRING
         elif first.isalpha() or first == "_":
             if token[-1] == "'":  # e'...' and n'...': without a backslash the same as '...'
                 literals.append(token[1:])
@@ -93,14 +95,17 @@
                 continue
             word = out[at] = token.lower()
             if word == "values":
-                _rows(found, at + 1, out, literals)
+                cut = _rows(found, at + 1, out, literals) or cut
             elif word == "in":
-                _members(found, at + 1, out, literals)
+                cut = _members(found, at + 1, out, literals) or cut
             elif word == "by":
                 _ordinals(found, at + 1, out)
             elif word in TOP:
                 _kept(found, at + 1, out, sort_rows)
-            elif len(_known) < MOST_KNOWN and len(token) < 40:
+            elif len(token) < 40:
+                if len(_known) >= MOST_KNOWN:  # guards the memory
+                    _known.clear()
+                    _known.update(_PLAIN)
                 _known[token] = word
         elif first in "\"`":
             out[at] = token
@@ -113,7 +118,7 @@
             pieces = OPERATORS.get(token)
             if not pieces:
                 raise Unclear(why_unclear(token))
-            out[at], parted = PART.join(pieces), True
+            out[at], cut = PART.join(pieces), True
             if pieces[-1] == "?":
                 literals.append(f"?{parameters}")
                 parameters += 1
@@ -126,10 +131,9 @@
                 literals.append(f"?{parameters}")
                 parameters += 1
                 out[at] = PART.join((PARAMETER, *pieces[1:]))
-    whole = [token for token in out if token]
-    if parted:
-        whole = [piece for token in whole for piece in token.split(PART)]
-    return whole, literals
+    if cut:
+        out = [piece for token in out if token for piece in token.split(PART)]
+    return out, literals  # type: ignore[return-value]  # no place is left without a token
 
 
 def _ordinals(found: list[str], at: int, out: list[str | None]) -> None:
@@ -162,29 +166,30 @@
         at += 2
 
 
-def _members(found: list[str], at: int, out: list[str | None], literals: list[Literal]) -> None:
+def _members(found: list[str], at: int, out: list[str | None], literals: list[Literal]) -> bool:
     """Fold a list of literals of one kind in parentheses: IN (1, 2, 3) is IN (1)."""
     if at >= len(found) or found[at] != "(":
-        return
+        return False
     kind, values = "", []
     for here in range(at + 1, len(found) - 1, 2):
         one = _literal(found[here])
         if not one or (kind and one != kind) or found[here + 1] not in (",", ")"):
-            return
+            return False
         kind = one
         values.append(found[here])
         if found[here + 1] == ")":
             literals.append(values)
             out[at + 1] = kind
             out[at + 2 : here + 1] = [""] * (here - at - 1)
-            return
+            return here > at + 1
+    return False
 
 
-def _rows(found: list[str], at: int, out: list[str | None], literals: list[Literal]) -> None:
+def _rows(found: list[str], at: int, out: list[str | None], literals: list[Literal]) -> bool:
     """Fold rows of VALUES that have one form: (1, 'a'), (2, 'b') is one row with two literals each."""
     first, form, after = _row(found, at)
     if first is None:
-        return
+        return False
     slots: list[list[str]] = [[value] for value in first]
     while after < len(found) and found[after] == ",":
         more, other, behind = _row(found, after + 1)
@@ -195,6 +200,7 @@
         after = behind
     out[at:after] = [*form, *[""] * (after - at - len(form))]
     literals.extend(slots)
+    return True
 
 
 def _row(found: list[str], at: int) -> tuple[list[str] | None, list[str], int]:
--- a/mothknot/web/server.py
+++ b/mothknot/web/server.py
@@ -5,6 +5,7 @@
 import re
 import socket
 from collections.abc import Callable, Generator
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import h11
@@ -323,7 +324,7 @@
             # once; and a drain against connections that would never come to rest
             self._refuse(query, held)
         if self.server.statements and held.answer is None:
-            yield from self._read(query, held, self.server.statements)
+            query = yield from self._read(query, held, self.server.statements)
             if query.name in self.server.desk.names:  # another came with its id meanwhile
                 raise BadCall(409, "a request with this id is open")
         exchange = self.server.desk.take(query, held, "web") if held.answer is None else None
@@ -336,7 +337,7 @@
 
     def _read(
         self, query: Query, held: Held, statements: "Statements"
-    ) -> Generator[float | None, None, None]:
+    ) -> Generator[float | None, None, Query]:
         """Guards against a write under a class that may run twice; class and key stay as the call names
         them.
         """
@@ -348,15 +349,19 @@
 
         safe = query.class_name in statements.classifier.safe
         if not safe:
-            return
+            return query
         statements.ask(query.statement.decode(), query.class_name, query.key, judged)
         while not told and not self.stream.over:
             yield None
-        judgement = told[0].judgement if told else None
-        if judgement is None:
+        if not told or told[0].judgement is None:
             self._refuse(query, held)
-        elif judgement.writes:
+            return query
+        judgement, digest = told[0].judgement, told[0].digest
+        if judgement.writes:
             raise BadCall(400, judgement.reason or f"it writes, so it cannot run as {query.class_name}")
+        if statements.may_run(digest, self.server.desk.clock()):
+            self._refuse(query, held)
+        return replace(query, shape=digest)
 
     def _wait(self, exchange: Exchange | None, held: Held) -> Generator[float | None, None, Reason | None]:
         while held.answer is None:
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,147 @@
+"""The command line and the package: every fault with its place, what classify prints, pins that agree."""
+
+import json
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import pytest
+from click.testing import CliRunner
+
+from mothknot.cli import main
+from tests.stand_ins import SETTINGS
+
+ROOT = Path(__file__).parent.parent
+RULES = """
+[flight]
+listen = "127.0.0.1:0"
+[statements]
+pure_functions = ["lending_7.isbn13", "isbn10"]
+[statements.reports]
+sort_rows = 50
+[[statements.keys]]
+table = "lending_*.loans"
+column = "member"
+[[statements.keys]]
+table = "lending_*.titles"
+whole = true
+"""
+
+
+@pytest.fixture
+def rules(tmp_path: Path) -> str:
+    path = tmp_path / "rules.toml"
+    path.write_text(RULES)
+    return str(path)
+
+
+def config(tmp_path: Path, **changes: Any) -> str:
+    raw = {"listen": "127.0.0.1:9700", "journal": "127.0.0.1:9701", "known": {"pos": 0, "entries": []},
+           "settings": SETTINGS} | changes  # fmt: skip
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(raw))
+    return str(path)
+
+
+def classified(rules: str, *lines: object) -> list[dict[str, Any]]:
+    told = "\n".join(line if isinstance(line, str) else json.dumps(line) for line in lines)
+    done = CliRunner().invoke(main, ["statements", "classify", "--rules", rules, "-"], input=told + "\n")
+    assert done.exit_code == 0, done.output
+    return [json.loads(line) for line in done.output.splitlines()]
+
+
+def test_classify_prints_an_object_a_line_in_order(rules: str) -> None:
+    told = classified(
+        rules,
+        {"sql": "SELECT due FROM lending_7.loans WHERE member = 1"},
+        {"sql": "select due from lending_7.loans where member = 2 -- again"},
+        {"sql": "SELECT count(*) FROM lending_7.loans"},
+        {"sql": "DELETE FROM lending_7.loans WHERE member = 1"},
+        {"sql": "DELETE FROM lending_7.loans WHERE member = ?", "params": [1]},
+        {"sql": "DELETE FROM lending_7.titles"},
+        {"sql": "DELETE FROM lending_7.loans WHERE member = 1", "class": "lookup"},
+        {"sql": "DELETE FROM lending_7.loans"},
+        {"sql": "SELECT 1; SELECT 2"},
+        {"sql": "SELECT lending_7.isbn13(1), isbn10(2)"},
+        {"sql": "SELECT lending_8.isbn13(1)"},
+        {"sql": "SELECT * FROM lending_7.titles LIMIT 50"},
+        {"sql": "SELECT * FROM lending_7.titles LIMIT 51"},
+        "nonsense", "[]", '{"sql": 5}', '{"sql": "SELECT 1", "class": 5}',
+    )  # fmt: skip
+    names = "class writes repeatable key group cost_ms shape cached reason"
+    assert all(" ".join(line) == names for line in told)
+    assert [line["class"] for line in told] == [
+        "lookup", "lookup", "report", "load", "load", "load", None, None, None, "lookup", None, "lookup",
+        "report", None, None, None, None,
+    ]  # fmt: skip
+    assert [line["cached"] for line in told[:5]] == [False, True, False, False, False]
+    assert told[0]["shape"] == told[1]["shape"] and told[0]["group"] == 7
+    assert told[3]["key"] == told[4]["key"] and len(told[3]["key"]) == 16 and told[5]["key"]
+    assert [line["repeatable"] for line in told[:3]] == [True] * 3
+    assert all(not line["repeatable"] for line in told if line["writes"])
+    assert all(line["reason"] for line in told if line["class"] is None)
+
+
+def test_classify_needs_no_configuration_and_says_what_is_wrong_with_its_rules(tmp_path: Path) -> None:
+    no_table = "[flight]\nlisten = '127.0.0.1:1'"
+    dialect = "[statements]\ndialect = 'oracle'"
+    for text, place in ((dialect, "dialect"), (no_table, "no table"), ("[[[", "TOML")):
+        path = tmp_path / "bad.toml"
+        path.write_text(text)
+        done = CliRunner().invoke(main, ["statements", "classify", "--rules", str(path)], input="")
+        assert done.exit_code == 2 and place in done.output and len(done.output.splitlines()) == 1
+
+
+def test_check_tells_every_fault_with_its_place(tmp_path: Path, rules: str) -> None:
+    bad = tmp_path / "bad.toml"
+    bad.write_text('[flight]\nlisten = "nowhere"\ncolour = 3\n[bgp]\nasn = 0\n[statements]\nparsers = 99\n')
+    first, second = SETTINGS["services"][:2]  # type: ignore[index]
+    services = [first | {"aim": 0}, second | {"repeat": "sometimes"}]
+    file = config(tmp_path, journal="x", settings=SETTINGS | {"services": services})
+    done = CliRunner().invoke(main, ["check", file, str(bad)])
+    assert done.exit_code == 2
+    for place in ("flight.listen", "flight.colour", "bgp.asn", "bgp.peer", "statements.parsers", "journal",
+                  "settings.services.0.aim", "settings.services.1.repeat"):  # fmt: skip
+        assert place in done.output, done.output
+    for words in ([config(tmp_path), rules], [config(tmp_path), "--operator", rules], [rules]):
+        good = CliRunner().invoke(main, ["check", *words])
+        assert good.exit_code == 0 and good.output == "no faults\n"
+
+
+def test_check_tells_what_does_not_go_together(tmp_path: Path, rules: str) -> None:
+    settings = SETTINGS | {"services": SETTINGS["services"][:2], "family-info": {}}  # type: ignore[index]
+    done = CliRunner().invoke(main, ["check", config(tmp_path, settings=settings), rules])
+    assert done.exit_code == 2 and "statements.load" in done.output and "flight.update_class" in done.output
+
+
+def test_check_tells_of_files_that_cannot_be_read(tmp_path: Path) -> None:
+    (tmp_path / "a.json").write_text("{")
+    for file in ("a.json", "missing.json", "missing.toml"):
+        done = CliRunner().invoke(main, ["check", str(tmp_path / file)])
+        assert done.exit_code == 2 and file in done.output
+
+
+def test_the_version_is_the_package_s() -> None:
+    told = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]["version"]
+    assert told in CliRunner().invoke(main, ["--version"]).output
+
+
+def test_a_bad_start_is_one_line_and_code_2(tmp_path: Path) -> None:
+    words = [sys.executable, "-m", "mothknot", "run", "--config", str(tmp_path / "missing.json")]
+    done = subprocess.run(words, capture_output=True, text=True, cwd=ROOT)
+    assert done.returncode == 2 and len(done.stderr.splitlines()) == 1 and "missing.json" in done.stderr
+
+
+def test_the_package_pins_what_the_platform_s_build_installs() -> None:
+    project = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]
+    extras = [pin for name, pins in project["optional-dependencies"].items() if name != "all" for pin in pins]
+    built = set((ROOT / "requirements.txt").read_text().split())
+    assert {*project["dependencies"], *extras} <= built
+    assert all("==" in pin for pin in built)
+
+
+def test_the_deploy_file_s_example_has_no_faults() -> None:
+    done = CliRunner().invoke(main, ["check", "example/config.json", "deploy/branches.toml"])
+    assert done.exit_code == 0, done.output
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -22,7 +22,7 @@
     Timer,
 )
 from mothknot.policy import Gateway
-from tests.world import LOAD, MS, QUICK, REPORT, SEC, SITE, World, engine
+from tests.world import LOAD, MS, QUICK, REPORT, SEC, SITE, World, cancels, engine
 
 TWO = (engine("a"), engine("b"))
 TEN = tuple(engine(name) for name in "abcdefghij")
@@ -252,3 +252,15 @@
     while not called and w.now < r.give_up_at:
         called = [a.xid for a in w.tell(Timer(0), after=100 * MS) if isinstance(a, Cancel)]
     assert called == [r.xid] and w.now < r.give_up_at - 20 * SEC
+
+
+def test_blind_a_short_pause_is_no_sign_of_a_bad_run() -> None:
+    """After a run of 1 ms one of 60 ms was cancelled twice and refused: a connect alone takes as long."""
+    w = World(replace(SITE, classes=(QUICK, REPORT), progress=0), TWO)
+    w.end(w.ask().xid, Code.OK, took=1 * MS)
+    r = w.ask()
+    for _ in range(5):
+        w.tell(Timer(0), after=60 * MS)
+        assert not w.of(Cancel) and not w.of(Refuse)
+    told = [cancels(w.tell(Timer(0), after=100 * MS)) for _ in range(20)]
+    assert [(r.xid, 0)] in told
--- a/tests/test_flight.py
+++ b/tests/test_flight.py
@@ -15,7 +15,7 @@
 import pytest
 from google.protobuf import any_pb2
 
-from mothknot.config import Operator
+from mothknot.config import Operator, Reading
 from mothknot.core.messages import Verdict
 from mothknot.gateway import Gateway
 from tests.stand_ins import Engine, config, post
@@ -83,7 +83,9 @@
 
 
 @contextmanager
-def gateway(*nodes: Node, web: tuple[Engine, ...] = ()) -> Iterator[Gateway]:
+def gateway(
+    *nodes: Node, web: tuple[Engine, ...] = (), statements: Reading | None = None
+) -> Iterator[Gateway]:
     """A whole gateway with both fronts on a thread of its own."""
     hosts = []
     for at in range(max(len(nodes), len(web))):
@@ -92,7 +94,8 @@
             host["flight"] = f"127.0.0.1:{nodes[at].port}"
         host["dial"] = web[at].address if at < len(web) else "127.0.0.1:1"
         hosts.append(host)
-    gate = Gateway(config(hosts), Operator(flight=("127.0.0.1", 0)), signals=False)
+    operator = Operator(flight=("127.0.0.1", 0), statements=statements)
+    gate = Gateway(config(hosts), operator, signals=False)
     thread = threading.Thread(target=gate.loop.run, daemon=True)
     thread.start()
     try:
@@ -100,6 +103,8 @@
     finally:
         gate.loop.stop()
         thread.join(10)
+        if gate.statements:
+            gate.statements.stop()
         gate.loop.close()
         assert not thread.is_alive() and gate.loop.faults == 0
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -1,4 +1,4 @@
-"""The core knows no socket, clock or wire."""
+"""The core and the statements know no socket, clock or wire; what is off is not loaded."""
 
 import subprocess
 import sys
@@ -9,13 +9,41 @@
 PARTS = ("classes", "counters", "exchange", "learned", "messages", "planner", "readiness", "sql")
 
 
-def test_the_core_imports_no_wire() -> None:
+STATEMENTS = (
+    "cache", "classifier", "costs", "lexer", "limits", "messages", "purity", "shape", "sketch", "values",
+)  # fmt: skip
+
+
+def loaded(*modules: str) -> set[str]:
+    """What importing them loads, in an interpreter of its own."""
     code = (
         "import sys; before = set(sys.modules)\n"
-        f"import {', '.join(f'mothknot.core.{part}' for part in PARTS)}\n"
+        f"import {', '.join(modules)}\n"
         "print(*(set(sys.modules) - before))"
     )
-    done = subprocess.run([sys.executable, "-S", "-c", code], capture_output=True, text=True, check=True)
-    loaded = set(done.stdout.split())
-    assert "mothknot.core.exchange" in loaded
-    assert not {name for name in loaded if any(name == f or name.startswith(f + ".") for f in FORBIDDEN)}
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    return set(done.stdout.split())
+
+
+def among(names: set[str], forbidden: tuple[str, ...]) -> set[str]:
+    return {name for name in names if any(name == f or name.startswith(f + ".") for f in forbidden)}
+
+
+def test_the_core_imports_no_wire() -> None:
+    found = loaded(*(f"mothknot.core.{part}" for part in PARTS))
+    assert "mothknot.core.exchange" in found and not among(found, FORBIDDEN)
+
+
+def test_the_statements_import_no_wire_and_the_gateway_s_part_no_parser() -> None:
+    found = loaded(*(f"mothknot.statements.{part}" for part in STATEMENTS))
+    wires = ("mothknot.net", "mothknot.web", "mothknot.flight", "mothknot.reading", "h11", "h2", "google")
+    assert "mothknot.statements.classifier" in found and not among(found, (*wires, "sqlglot"))
+    assert not among(loaded("mothknot.statements.reader"), wires)
+    assert not among(loaded("mothknot.reading.service"), ("sqlglot",))
+
+
+def test_what_is_off_is_not_loaded() -> None:
+    off = ("mothknot.statements", "mothknot.reading", "mothknot.schema", "mothknot.cli")
+    found = loaded("mothknot.__main__")
+    assert "mothknot.gateway" in found
+    assert not among(found, (*off, "sqlglot", "pydantic", "msgspec", "click", "mothknot.flight"))
--- /dev/null
+++ b/tests/test_reading.py
@@ -0,0 +1,238 @@
+"""Parser processes: slow, dead and killed ones, floods, and the file that keeps what was learned."""
+
+import os
+import signal
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from mothknot.net.loop import Loop
+from mothknot.reading.frames import Ask, Told, cut, decode_ask, decode_told, framed
+from mothknot.reading.keeper import Keeper
+from mothknot.reading.parsers import BUDGET, PATIENCE, POISON, TRIES, WAITING, Parsers
+from mothknot.reading.service import Judged, Statements
+from mothknot.statements.messages import Plan, Rules
+from mothknot.statements.shape import Shape, shape_of
+from tests.statements import KEYS
+
+RULES = Rules(keys=KEYS)
+
+
+def shape(n: int = 0) -> Shape:
+    return shape_of(f"SELECT a{n} FROM lending_7.loans WHERE member = 1")
+
+
+def ready(seats: int = 1) -> Parsers:
+    parsers = Parsers(seats)
+    for seat in parsers.seats:
+        parsers.started(seat, 0.0)
+        parsers.is_ready(seat)
+    return parsers
+
+
+# ---- the state, without processes
+
+
+def test_who_asks_for_a_shape_that_is_being_read_joins() -> None:
+    parsers, told = ready(), list[Plan | None]()
+    assert all(parsers.add(shape(), 0.0, told.append) for _ in range(3))
+    [(seat, job)] = parsers.next(0.0)
+    assert parsers.add(shape(), 0.1, told.append) and parsers.next(0.1) == []
+    assert parsers.told(seat) is job and len(job.thens) == 4 and not parsers.jobs
+
+
+def test_a_parse_beyond_its_budget_is_killed_and_rests_for_longer_each_time() -> None:
+    parsers = ready()
+    now, spans = 0.0, []
+    for _ in range(3):
+        parsers.add(shape(), now, lambda plan: None)
+        [(seat, job)] = parsers.next(now)
+        assert parsers.overdue(now + BUDGET - 0.01) == [] and parsers.overdue(now + BUDGET + 0.01) == [seat]
+        assert parsers.ended(seat, "it takes too long to parse", now) is job
+        told = parsers.poisoned(shape(), now)
+        assert told and not told.parsed and told.writes
+        span = parsers.poison[shape().digest][1]
+        assert parsers.poisoned(shape(), now + span + 0.01) is None
+        spans.append(span)
+        now += span + 1
+        parsers.started(seat, now)
+        parsers.is_ready(seat)
+    assert spans == [POISON, 2 * POISON, 4 * POISON]
+
+
+def test_what_waits_is_bounded_and_told_to_come_back_in_time() -> None:
+    parsers = Parsers(1)  # not ready yet
+    parsers.started(parsers.seats[0], 0.0)
+    taken = [parsers.add(shape(n), 0.0, lambda plan: None) for n in range(WAITING + 10)]
+    assert sum(taken) == WAITING
+    due = parsers.due()
+    assert due is not None and due <= PATIENCE
+    assert len(parsers.stale(PATIENCE + 0.01)) == WAITING and not parsers.jobs
+
+
+def test_a_parser_that_never_comes_up_is_started_now_and_then_only() -> None:
+    parsers = Parsers(1)
+    for _ in range(TRIES):
+        assert parsers.rest == 0.0
+        parsers.started(parsers.seats[0], 0.0)
+        parsers.ended(parsers.seats[0], "a parser ended", 0.0)
+    assert parsers.rest > 0
+    parsers.is_ready(parsers.seats[0])
+    assert parsers.rest == 0.0
+
+
+def test_frames_survive_any_cut() -> None:
+    sent = framed(Ask(1, ["select", "#"], 1)) + framed(Told(2, Plan(True, reason="é")))
+    for at in range(len(sent) + 1):
+        buffer, frames = bytearray(), []
+        for part in (sent[:at], sent[at:]):
+            buffer += part
+            while frame := cut(buffer):
+                frames.append(frame)
+        assert decode_ask(frames[0]).folded == ["select", "#"] and decode_told(frames[1]).number == 2
+    with pytest.raises(ValueError):
+        cut(bytearray(b"\xff\xff\xff\xff"))
+
+
+# ---- with processes
+
+
+@pytest.fixture
+def service() -> Iterator[Statements]:
+    loop = Loop()
+    told = Statements(loop, RULES, ("lookup", "report"), parsers=1)
+    yield told
+    told.stop()
+    loop.close()
+    assert loop.faults == 0
+
+
+def ask(service: Statements, sql: str, named: str | None = None) -> Judged:
+    """One answer; a `come back` is followed, as a client would."""
+    for _ in range(100):
+        told: list[Judged] = []
+        service.ask(sql, named, None, told.append)
+        while not told:
+            service.loop.turn()
+        if not told[0].busy:
+            return told[0]
+    raise AssertionError("no answer")
+
+
+def cls(judged: Judged) -> str | None:
+    assert judged.judgement
+    return judged.judgement.cls
+
+
+READ = "SELECT due FROM lending_7.loans WHERE member = 42"
+
+
+def test_a_miss_is_read_elsewhere_and_a_hit_at_once(service: Statements) -> None:
+    assert cls(ask(service, READ)) == "lookup"
+    told: list[Judged] = []
+    service.ask(READ.replace("42", "43"), None, None, told.append)
+    assert told and cls(told[0]) == "lookup"
+    assert service.classifier.shapes.hits >= 1
+
+
+def test_a_parser_that_is_killed_costs_its_own_shape_a_while_and_no_other(service: Statements) -> None:
+    assert cls(ask(service, READ)) == "lookup"
+    process = service.processes[0]
+    os.kill(process.child.pid, signal.SIGSTOP)  # as a parse without end would
+    slow = ask(service, "SELECT title FROM lending_7.loans WHERE member = 42")
+    assert slow.judgement and not slow.judgement.taken and "too long" in slow.judgement.reason
+    assert service.parsers.too_slow == 1
+    assert cls(ask(service, "SELECT copy FROM lending_7.loans WHERE member = 42")) == "lookup"
+    assert cls(ask(service, READ)) == "lookup"
+    again = ask(service, "SELECT title FROM lending_7.loans WHERE member = 42")
+    assert again.judgement and not again.judgement.taken
+    service.parsers.poison.clear()  # as its time does
+    assert cls(ask(service, "SELECT title FROM lending_7.loans WHERE member = 42")) == "lookup"
+
+
+def test_a_parser_that_dies_is_replaced(service: Statements) -> None:
+    assert cls(ask(service, READ)) == "lookup"
+    service.processes[0].child.kill()
+    assert cls(ask(service, "SELECT copy FROM lending_7.loans WHERE member = 42")) in ("lookup", None)
+    assert cls(ask(service, "SELECT title FROM lending_7.loans WHERE member = 42")) == "lookup"
+
+
+def test_a_crowd_that_asks_for_one_shape_is_told_together(service: Statements) -> None:
+    ask(service, READ)
+    told: list[Judged] = []
+    for n in range(50):
+        service.ask(f"SELECT copy FROM lending_7.loans WHERE member = {n}", None, None, told.append)
+    while len(told) < 50:
+        service.loop.turn()
+    assert {cls(one) for one in told} == {"lookup"} and len({one.digest for one in told}) == 1
+
+
+def test_new_rules_are_read_by_from_then_on(service: Statements) -> None:
+    assert cls(ask(service, READ)) == "lookup"
+    service.retune(Rules(keys=KEYS, lookup="quick"), ("quick", "report"))
+    assert cls(ask(service, READ)) == "quick"
+    service.retune(service.classifier.rules, ("report",))
+    told = ask(service, READ)
+    assert told.judgement and not told.judgement.repeatable
+
+
+HOSTILE = [
+    "SELECT " + "(" * 31 + "1" + ")" * 31,
+    "SELECT " + "CASE WHEN 1 = 1 THEN " * 30 + "1" + " END" * 30,
+    "SELECT " + " + ".join("a" for _ in range(900)),
+    "SELECT " + " AND ".join(f"a = {n}" for n in range(450)) + " FROM lending_7.loans",
+    "SELECT " + "NOT " * 1_900 + "a",
+    "SELECT " + "- " * 1_900 + "1",
+    "SELECT * FROM " + ", ".join(f"t{n}" for n in range(900)),
+    "SELECT 1 " + "UNION ALL SELECT 1 " * 600,
+    "SELECT a FROM t WHERE x IN (" + ", ".join(f"{n}, b" for n in range(480)) + ")",
+    "WITH " + ", ".join(f"c{n} AS (SELECT 1)" for n in range(250)) + " SELECT 1",
+    "SELECT " + "f(a, " * 30 + "1" + ")" * 30,
+    "SELECT a" + "::int" * 900,
+    "SELECT a" + " -> 'b'" * 900,
+    "SELECT a" + "[1]" * 480,
+    "SELECT '" + "x" * 16_000 + "'",
+    "SELECT " + "a." * 900 + "a",
+]
+
+
+@pytest.mark.parametrize("at", range(len(HOSTILE)))
+def test_a_statement_built_to_be_slow_is_answered_and_the_next_one_too(service: Statements, at: int) -> None:
+    assert ask(service, HOSTILE[at]).judgement is not None
+    assert cls(ask(service, READ)) == "lookup"
+
+
+# ---- the file
+
+
+def test_a_file_is_whole_or_counts_as_none(tmp_path: Path) -> None:
+    keeper = Keeper(str(tmp_path / "costs"))
+    assert keeper.load() is None
+    assert keeper.save({"a": 1}) and keeper.load() == {"a": 1}
+    whole = keeper.path.read_bytes()
+    for at in range(len(whole)):
+        keeper.path.write_bytes(whole[:at])
+        assert keeper.load() is None
+        keeper.path.write_bytes(whole[:at] + bytes([whole[at] ^ 1]) + whole[at + 1 :])
+        assert keeper.load() in (None, {"a": 1})
+    assert keeper.save({"a": 2}) and keeper.load() == {"a": 2}
+    assert list(tmp_path.iterdir()) == [keeper.path]
+
+
+def test_a_disk_that_fails_costs_the_snapshot_alone(tmp_path: Path) -> None:
+    assert not Keeper(str(tmp_path / "missing" / "costs")).save({"a": 1})
+
+
+def test_what_was_learned_outlives_a_restart(tmp_path: Path) -> None:
+    path, costs = str(tmp_path / "costs"), []
+    for _ in range(2):
+        loop = Loop()
+        service = Statements(loop, RULES, ("lookup", "report"), parsers=1)
+        service.remember(path)
+        costs.append(service.classifier.costs.cost_ns(shape().digest, "lookup", 7))
+        for _ in range(10):
+            service.classifier.costs.ran(shape().digest, "lookup", 7, 50_000_000)
+        service.stop()
+        loop.close()
+    assert costs[0] is None and costs[1] and 30_000_000 < costs[1] < 80_000_000
--- /dev/null
+++ b/tests/test_statements_cache.py
@@ -0,0 +1,121 @@
+"""The cache of shapes against a plain LRU on the same traces; the sketch under it."""
+
+from collections import OrderedDict
+from hashlib import blake2b
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from mothknot.statements.cache import Cache
+from mothknot.statements.sketch import CountMin
+
+
+def digest(n: int | str) -> bytes:
+    return blake2b(str(n).encode(), digest_size=16).digest()
+
+
+class Lru:
+    """The plain one it is measured against."""
+
+    def __init__(self, room: int) -> None:
+        self.room = room
+        self.entries: OrderedDict[bytes, int] = OrderedDict()
+
+    def get(self, key: bytes) -> int | None:
+        if key in self.entries:
+            self.entries.move_to_end(key)
+        return self.entries.get(key)
+
+    def put(self, key: bytes, value: int) -> None:
+        self.entries[key] = value
+        if len(self.entries) > self.room:
+            self.entries.popitem(last=False)
+
+
+def replay(cache: Cache[int] | Lru, trace: list[int], regular: int) -> float:
+    """The share of hits among the regular shapes, those below `regular`."""
+    hits = asked = 0
+    for n in trace:
+        key = digest(n)
+        found = cache.get(key)
+        if found is None:
+            cache.put(key, n)
+        if n < regular:
+            asked += 1
+            hits += found is not None
+    return hits / asked
+
+
+def skewed(random: Random, shapes: int) -> int:
+    return min(shapes - 1, int(random.paretovariate(0.8)) - 1)
+
+
+def test_a_trace_of_500_shapes_hits_95_percent_and_more() -> None:
+    random = Random(5)
+    trace = [10**6 + i if random.random() < 0.01 else skewed(random, 500) for i in range(100_000)]
+    cache: Cache[int] = Cache(10_000)
+    assert replay(cache, trace, 10**9) >= 0.95
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_flood_of_one_offs_costs_the_regular_shapes_little(seed: int) -> None:
+    """Nine of ten statements are of shapes never seen again; the cache is small for what comes."""
+    random = Random(seed)
+    regular = [skewed(random, 500) for _ in range(40_000)]
+    warm = [skewed(random, 500) for _ in range(20_000)]
+    flood = [n for i, one in enumerate(regular) for n in (one, *(10**6 + 9 * i + k for k in range(9)))]
+    rates = {}
+    for name, make in (("tiny", lambda: Cache[int](600)), ("lru", lambda: Lru(600))):
+        calm, stormy = make(), make()
+        replay(calm, warm, 500)
+        replay(stormy, warm, 500)
+        rates[name] = replay(calm, regular, 500), replay(stormy, flood, 500)
+    assert rates["tiny"][0] - rates["tiny"][1] < 0.05, rates
+    assert rates["lru"][0] - rates["lru"][1] > 0.05, rates
+
+
+def test_a_scan_over_more_shapes_than_fit_leaves_the_used_ones_in() -> None:
+    random = Random(7)
+    rates = []
+    for cache in (Cache[int](400), Lru(400)):
+        replay(cache, [skewed(random, 300) for _ in range(20_000)], 300)
+        scan = [n for i in range(20_000) for n in (skewed(random, 300), 10**6 + i % 2_000)]
+        rates.append(replay(cache, scan, 300))
+    assert rates[0] >= rates[1]
+
+
+def test_what_becomes_regular_later_comes_in() -> None:
+    cache: Cache[int] = Cache(100)
+    for n in [*range(100)] * 20:
+        if cache.get(digest(n)) is None:
+            cache.put(digest(n), n)
+    fresh = [*range(1_000, 1_050)] * 200
+    assert replay(cache, fresh, 10**9) > 0.8
+
+
+@given(st.lists(st.integers(0, 60), max_size=400), st.integers(4, 40))
+@settings(derandomize=True, deadline=None)
+def test_it_never_holds_more_than_its_room_or_a_wrong_value(trace: list[int], room: int) -> None:
+    cache: Cache[int] = Cache(room)
+    for n in trace:
+        found = cache.get(digest(n))
+        assert found in (None, n)
+        if found is None:
+            left = cache.put(digest(n), n)
+            assert left is None or cache.peek(left) is None
+        assert len(cache) <= room
+    assert cache.hits + cache.misses == len(trace)
+
+
+def test_the_sketch_counts_what_was_seen_and_halves_with_time() -> None:
+    sketch = CountMin(1_000)
+    for n in range(200):
+        for _ in range(n % 10):
+            sketch.add(digest(n))
+    assert all(sketch.count(digest(n)) >= n % 10 for n in range(200))
+    assert sum(sketch.count(digest(n)) > n % 10 for n in range(200)) < 10
+    for n in range(sketch.sample):
+        sketch.add(digest(f"x{n}"))
+    assert sketch.count(digest(9)) <= 5
--- a/tests/test_statements_corpus.py
+++ b/tests/test_statements_corpus.py
@@ -79,6 +79,8 @@
         "SELECT 1 WHERE EXISTS ({})", "{} UNION ALL SELECT 1", "/* SELECT */ {}", "-- SELECT 1\n{}",
         "SELECT ({})", "SELECT * FROM lending_7.loans WHERE member IN ({})",
     ]))  # fmt: skip
+    if found and len(found) < 3:
+        around = "{}"  # a lone word in parentheses is the name of a column, which writes nothing
     return dialect, around.format(plain)
 
 
