Measure what reading statements costs the Flight SQL front, three gateways in turn

Need: runs one after another differed by a factor of two on this machine, more than what was to be measured.

Change: gateways with it off, on at full hits and on under a flood run at once and are asked a quarter of a second each in turn; requests per second of the gateway's own CPU are compared.

--- a/bench/statements.py
+++ b/bench/statements.py
@@ -8,13 +8,17 @@
 """
 
 import json
+import os
+import socket
 import subprocess
 import sys
+import tempfile
 import threading
 import time
 import tracemalloc
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -28,6 +32,7 @@
 from mothknot.statements.reader import Reader
 from mothknot.statements.shape import shape_of
 
+ROOT = Path(__file__).parent.parent
 KEYS = (KeyRule("lending_*.loans", "member"),)
 COLUMNS = ["id", "member", "title", "due", "returned", "branch", "renewed", "copy"]
 TABLES = ["loans", "titles", "members", "holds", "copies", "fines"]
@@ -204,77 +209,104 @@
     return {"within_twice": round(near, 4), "runs_until_followed": {"mean": mean, "most": max(followed)}}
 
 
-# ---- the front, each way with a gateway and an engine of its own in other processes
+# ---- the front: a gateway in a process of its own, engine and clients in another
 
 
 def front(seed: int, seconds: float) -> dict[str, Any]:
-    """Off and on take turns, three rounds, so that what else the machine does falls on both."""
-    told: dict[str, list[float]] = {"off": [], "hits": [], "flood": []}
-    for _ in range(3):
-        for way in told:
-            words = [f"--seed={seed}", f"--seconds={seconds}", f"_{way}"]
-            done = subprocess.run(
-                [sys.executable, "-m", "bench.statements", *words],
-                capture_output=True, text=True, cwd=Path(__file__).parent.parent,
-            )  # fmt: skip
-            told[way].append(float(done.stdout.split()[-1]))
-    middle = {way: sorted(rates)[1] for way, rates in told.items()}
+    """Three gateways at once, asked in turn for a quarter of a second each, so that what else the machine
+    does falls on all of them alike.
+    """
+    from tests.test_flight import Node
+
+    node, ways = Node(), ("off", "hits", "flood")
+    served, used = dict.fromkeys(ways, 0), dict.fromkeys(ways, 0.0)
+    with ExitStack() as stack:
+        gates = {}
+        for way in ways:
+            folder = stack.enter_context(tempfile.TemporaryDirectory())
+            gates[way] = stack.enter_context(started(Path(folder), node.port, way != "off"))
+            calls(way, gates[way][1], seed, 1.5)  # the start, and the first parse
+        for turn in range(max(1, int(seconds * 4))):
+            for way in ways if turn % 2 else ways[::-1]:
+                before = cpu_of(gates[way][0])
+                served[way] += calls(way, gates[way][1], seed + 8 * turn, 0.25)
+                used[way] += cpu_of(gates[way][0]) - before
+    node.shutdown()
+    rates = {way: round(served[way] / used[way], 1) for way in ways}
     return {
-        "requests_per_second": told,
-        "cost_of_hits": round(1 - middle["hits"] / middle["off"], 4),
-        "cost_of_flood": round(1 - middle["flood"] / middle["off"], 4),
+        "served": served,
+        "per_cpu_second": rates,
+        "cost_of_hits": round(1 - rates["hits"] / rates["off"], 4),
+        "cost_of_flood": round(1 - rates["flood"] / rates["off"], 4),
     }
 
 
-def one_way(way: str, seed: int, seconds: float) -> float:
-    """Requests a second that one gateway serves to 8 clients; its engine answers at once."""
+@contextmanager
+def started(folder: Path, engine: int, on: bool) -> Iterator[tuple[int, str]]:
+    """A gateway with one engine; its process id and the address of its Flight SQL front."""
+    from tests.stand_ins import SETTINGS
+
+    with socket.create_server(("127.0.0.1", 0)) as one, socket.create_server(("127.0.0.1", 0)) as two:
+        web, flight = (sock.getsockname()[1] for sock in (one, two))
+    host = {"host": "e0", "site": "hall-a", "class": "std-16", "health": "up", "share": 1, "born_ms": 0,
+            "dial": "127.0.0.1:1", "flight": f"127.0.0.1:{engine}"}  # fmt: skip
+    known = {"pos": 1, "entries": [{"pos": 1, "hosts": {"seq": 1, "whole": True, "hosts": [host]}}]}
+    raw = {"name": "bench", "listen": f"127.0.0.1:{web}", "journal": "127.0.0.1:1", "known": known,
+           "settings": SETTINGS}  # fmt: skip
+    (folder / "config.json").write_text(json.dumps(raw))
+    table = '[statements]\n[[statements.keys]]\ntable = "lending_*.loans"\ncolumn = "member"\n' if on else ""
+    (folder / "operator.toml").write_text(f'[flight]\nlisten = "127.0.0.1:{flight}"\n{table}')
+    files = {"ROUTER_CONFIG": str(folder / "config.json"), "MOTHKNOT_OPERATOR": str(folder / "operator.toml")}
+    gate = subprocess.Popen(
+        [sys.executable, "-m", "mothknot"], env={**os.environ, **files}, cwd=ROOT, stderr=subprocess.DEVNULL
+    )
+    try:
+        yield gate.pid, f"grpc://127.0.0.1:{flight}"
+    finally:
+        gate.kill()
+        gate.wait()
+
+
+def cpu_of(pid: int) -> float:
+    """Seconds of CPU that a process has used; its parser processes have their own."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def calls(way: str, address: str, seed: int, seconds: float) -> int:
+    """How many requests of 8 clients are served in that time."""
     import pyarrow.flight as fl
 
-    from mothknot.config import Reading
-    from tests.test_flight import Node, command, gateway, options
+    from tests.test_flight import command, options
 
-    reading = Reading(Rules(keys=KEYS)) if way != "off" else None
-    node = Node()
     done = [0] * 8
-    with gateway(node, statements=reading) as gate:
-        assert gate.flight
-        address = f"grpc://127.0.0.1:{gate.flight.listener.address[1]}"
-
-        def calls(at: int) -> None:
-            random, peer = Random(seed + at), fl.connect(address)
-            until = time.monotonic() + seconds
-            while time.monotonic() < until:
-                column = f"c{random.randint(0, 10**9)}" if way == "flood" and random.random() < 0.5 else "a"
-                sql = f"SELECT {column} FROM lending_7.loans WHERE member = {random.randint(1, 999)}"
-                told = options(x_class="lookup")
-                try:
-                    info = peer.get_flight_info(command("CommandStatementQuery", sql), told)
-                    peer.do_get(info.endpoints[0].ticket, told).read_all()
-                    done[at] += 1
-                except fl.FlightError:
-                    continue
-                except Exception:  # refused under load: it does not count
-                    continue
-
-        calls(0)  # warm
-        done[0] = 0
-        threads = [threading.Thread(target=calls, args=(at,)) for at in range(8)]
-        for thread in threads:
-            thread.start()
-        for thread in threads:
-            thread.join()
-    node.shutdown()
-    return sum(done) / seconds
+    until = time.monotonic() + seconds
+
+    def ask(n: int) -> None:
+        random, peer = Random(seed + n), fl.connect(address)
+        while time.monotonic() < until:
+            column = f"c{random.randint(0, 10**9)}" if way == "flood" and random.random() < 0.5 else "a"
+            sql = f"SELECT {column} FROM lending_7.loans WHERE member = {random.randint(1, 999)}"
+            try:
+                info = peer.get_flight_info(command("CommandStatementQuery", sql), options())
+                peer.do_get(info.endpoints[0].ticket, options(x_class="lookup")).read_all()
+                done[n] += 1
+            except Exception:  # not up yet, or refused: it does not count
+                time.sleep(0.01)
+
+    threads = [threading.Thread(target=ask, args=(n,)) for n in range(8)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return sum(done)
 
 
 @click.command()
 @click.option("--seed", default=1)
-@click.option("--seconds", default=4.0)
+@click.option("--seconds", default=8.0)
 @click.argument("part", default="all")
 def main(seed: int, seconds: float, part: str) -> None:
-    if part.startswith("_"):
-        print(one_way(part[1:], seed, seconds))
-        return
     parts: dict[str, Callable[[], dict[str, Any]]] = {
         "micro": lambda: micro(seed), "cache": lambda: cache(seed), "costs": lambda: costs(seed),
         "front": lambda: front(seed, seconds),
