--- a/mothknot/flight/grpc.py
+++ b/mothknot/flight/grpc.py
@@ -79,7 +79,7 @@
         self.over = False
 
     def send(self, message: bytes, left: Callable[[], None] | None = None, last: bool = False) -> None:
-        """Queue a message; `left` is called when flow control has let all of it go. `last`: nothing follows."""
+        """Queue a message; `left` is called when flow control has let it go. `last`: nothing follows."""
         if not self.over:
             self.out.append((framed(message), left))
             if last and self.closing is None:
--- a/mothknot/gateway.py
+++ b/mothknot/gateway.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING, Any
 
 from mothknot.bgp.session import Session as BgpSession
-from mothknot.config import BadConfig, Config, Operator, check_kept, read, safe_classes
+from mothknot.config import BadConfig, Config, Operator, check_kept, read, read_operator, safe_classes
 from mothknot.core.classes import laid_out, numbered
 from mothknot.core.exchange import Desk
 from mothknot.core.learned import adopt, learned
@@ -32,6 +32,7 @@
 if TYPE_CHECKING:
     from mothknot.flight.server import Server as FlightServer
     from mothknot.reading.service import Statements
+    from mothknot.statements.messages import Rules
 
 ACCEPTING = 0.8  # seconds after SIGTERM in which requests still come: 0.4 s, 0.2 s more, and slack
 CATCH_UP = 2.5  # seconds in which a successor says yes, though the journal has not answered
@@ -66,12 +67,14 @@
         operator: Operator,
         signals: bool = True,
         read_again: Callable[[], Config] = lambda: read(os.environ),
+        operator_again: Callable[[Config], Operator] = lambda config: read_operator(os.environ, config),
         number: int = 0,
         meeting: str | None = None,
         legacy: Legacy | None = None,
     ) -> None:
         """`meeting`: where elder and successor find each other; `legacy`: what our elder leaves."""
         self.config, self.loop, self.read_again = config, Loop(), read_again
+        self.operator_again = operator_again
         self.operator, self.classes, self.number = operator, config.classes, number
         self.share = PAIR_SHARE if legacy else 1.0
         self.shares = 0  # changes of it asked for
@@ -259,7 +262,8 @@
         try:
             config = self.read_again()
             check_kept(self.config, config)
-            self._check_usable(config)
+            rules = self._rules_again(config)
+            self._check_usable(config, rules)
         except BadConfig as bad:
             self.desk.counters.rejected += 1
             log("reload", f"the old configuration stays in force: {bad}")
@@ -272,14 +276,22 @@
         log("reload", f"journal {config.journal}, classes {' '.join(config.classes)}{more}")
         self.config = replace(config, name=old.name, listen=old.listen, ops=old.ops, names=old.names)
         if config.settings != old.settings or list(config.classes) != list(old.classes):
-            self._retune()
+            self._retune(rules)
+        elif self.statements and rules:
+            self.statements.retune(rules, safe_classes(config))
         self.journal.move(config.journal)
 
-    def _check_usable(self, config: Config) -> None:
+    def _rules_again(self, config: Config) -> "Rules | None":
+        """How statements are to be read from now on; for the rest of the operator's file it takes a restart."""
+        if self.statements is None:
+            return None
+        told = self.operator_again(config).statements
+        return told.rules if told else self.statements.classifier.rules
+
+    def _check_usable(self, config: Config, rules: "Rules | None") -> None:
         operator, lines = self.operator, self.desk.counters.answers
         if operator.forwarders > 1 and config.settings != self.config.settings:
             raise BadConfig("new settings need one forwarder: several would number the classes apart")
-        rules = operator.statements.rules if operator.statements else None
         named = [operator.query_class, operator.update_class] if operator.flight else []
         named += [name for name in (rules.lookup, rules.report, rules.load) if name] if rules else []
         for name in named:
@@ -293,7 +305,7 @@
         if len({*lines, *config.classes}) > MOST_LINES:
             raise BadConfig(f"the figures have lines for {MOST_LINES} classes; more need a restart")
 
-    def _retune(self) -> None:
+    def _retune(self, rules: "Rules | None" = None) -> None:
         """Switch fronts, core and module in one step; what is open keeps the rules that it came under."""
         config, old = self.config, self.classes
         held = {e.query.cls for e in self.desk.exchanges.values()}
@@ -307,6 +319,8 @@
         self._tell_rules(settings, tuple(n for name, n in numbers.items() if name not in old))
         self.pool.retune(config.streams, config.dial_timeout, config.conn_idle, settings.progress / 1e9)
         # Guards requests that cross: a class that was dropped is taken for a while, under its old rules
+        if self.statements and rules:
+            self.statements.retune(rules, self.statements.classifier.safe)
         self._fronts({**old, **self.classes})
         self.loop.at(self.loop.now() + CROSSING, lambda: self._fronts(self.classes))
 
--- a/tests/test_flight_statements.py
+++ b/tests/test_flight_statements.py
@@ -5,6 +5,7 @@
 import time
 from collections import Counter
 from collections.abc import Iterator
+from pathlib import Path
 from typing import Any
 
 import pyarrow as pa
@@ -297,6 +298,42 @@
     assert named.idempotency == "f" * 32
 
 
+def test_new_rules_come_with_sighup_and_bad_ones_change_nothing(
+    nodes: tuple[Node, Node], tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The way of a real reload: the operator's file is read again, checked, and taken whole or not at all."""
+    path = tmp_path / "operator.toml"
+    table = '[flight]\nlisten = "127.0.0.1:0"\n[statements]\n{}\n'
+    monkeypatch.setenv("MOTHKNOT_OPERATOR", str(path))
+    with gateway(*nodes, statements=ON) as gate:
+        gate.read_again = lambda: gate.config
+        count = "SELECT count(*) FROM lending_7.loans"
+
+        def reload(text: str) -> None:
+            path.write_text(table.format(text))
+            done = threading.Event()
+            gate.loop.call_soon(gate.reload)
+            gate.loop.call_soon(done.set)
+            assert done.wait(10)
+
+        def served() -> dict[str, int]:
+            for _ in range(50):  # while the parsers start anew it is told to come back
+                try:
+                    ask(gate, count).read_all()
+                    break
+                except pa.ArrowInvalid:
+                    time.sleep(0.1)
+            return {name: told[Verdict.SERVED] for name, told in gate.desk.counters.answers.items()}
+
+        assert served() == {"lookup": 0, "report": 1, "load": 0}
+        reload('dialect = "oracle"')
+        assert gate.desk.counters.rejected == 1 and served() == {"lookup": 0, "report": 2, "load": 0}
+        reload('load = "lookup"')
+        assert gate.desk.counters.rejected == 2
+        reload("[statements.reports]\naggregates = false\nunselective = false")
+        assert gate.desk.counters.applied == 1 and served() == {"lookup": 1, "report": 2, "load": 0}
+
+
 def test_the_figures_tell_of_statements(nodes: tuple[Node, Node]) -> None:
     with gateway(*nodes, statements=ON) as gate:
         for sql in (READ, READ, "SELECT 1; SELECT 2"):
--- /dev/null
+++ b/tests/test_statements_postgres.py
@@ -0,0 +1,107 @@
+"""What counts as a read, against the grammar of PostgreSQL itself (pglast carries it)."""
+
+import re
+from typing import Any
+
+import pglast
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from pglast import ast
+from pglast.visitors import Visitor
+
+from mothknot.statements import purity
+from tests.test_statements_corpus import READS, WHOLE, WRITES
+
+POSTGRES = WHOLE["postgres"]
+WORDS = """
+select from where and or not in exists union all ( ) , , * = < > 1 2 'x' lending_7.loans
+lending_7.titles l member title due id delete insert into update set values with a as limit order by
+group returning for share of nowait table ; -- /* */ explain analyze case when then end count( max(
+close_day( nextval( "setval"( is null having distinct join on lateral over partition window w fetch
+first rows only tablesample materialized recursive call do copy to program execute prepare lock begin
+commit truncate merge using matched cast :: int text [ ] -> ->> || ::regclass ? $1 :a $$ ' " --x
+current_date user session_user for update nothing conflict offset using ilike similar escape between
+collate
+"""
+
+# What the grammar itself makes of AT TIME ZONE, LIKE ... ESCAPE and the like
+SYNTAX = {"timezone", "like_escape", "similar_to_escape", "overlaps", "extract", "normalize"}
+
+
+class Effects(Visitor):
+    """What in a parsed statement may write, and the functions that it calls."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.writes: list[str] = []
+        self.calls: list[str] = []
+
+    def visit_IntoClause(self, _: Any, node: Any) -> None:
+        self.writes.append("INTO")
+
+    def visit_LockingClause(self, _: Any, node: Any) -> None:
+        self.writes.append("lock")
+
+    def visit_InsertStmt(self, _: Any, node: Any) -> None:
+        self.writes.append("DML")
+
+    visit_UpdateStmt = visit_DeleteStmt = visit_MergeStmt = visit_InsertStmt
+
+    def visit_FuncCall(self, _: Any, node: Any) -> None:
+        self.calls.append(".".join(part.sval for part in node.funcname).lower())
+
+
+def effects(sql: str) -> list[str] | None:
+    """Why PostgreSQL may write something for it; None if its grammar does not know the text."""
+    try:
+        statements = pglast.parse_sql(sql)
+    except pglast.parser.ParseError:
+        return None
+    found: list[str] = [] if len(statements) == 1 else ["not one statement"]
+    for raw in statements:
+        inner = raw.stmt.query if isinstance(raw.stmt, ast.ExplainStmt) else raw.stmt
+        if not isinstance(inner, ast.SelectStmt):
+            found.append(type(inner).__name__)
+        visitor = Effects()
+        visitor(raw)
+        found += visitor.writes
+        known = purity.FUNCTIONS | SYNTAX
+        found += [call for call in visitor.calls if call.removeprefix("pg_catalog.") not in known]
+    return found
+
+
+def check(sql: str) -> bool:
+    told = POSTGRES.judge(sql)
+    if told.writes:
+        return False
+    assert not effects(sql), (sql, effects(sql))
+    return True
+
+
+def test_the_corpus_agrees_with_the_grammar() -> None:
+    reads = [sql for d, sql, _ in READS if d == "postgres"]
+    assert sum(effects(sql) == [] for sql in reads) >= 0.9 * len(reads)
+    assert sum(bool(effects(sql)) for d, sql in WRITES if d == "postgres") > 100
+    assert all(check(sql) for sql in reads)
+
+
+@st.composite
+def soups(draw: st.DrawFn) -> str:
+    known = [sql for d, sql, _ in READS if d == "postgres"] + [sql for d, sql in WRITES if d == "postgres"]
+    sql = draw(st.sampled_from(known))
+    parts = re.split(r"( |,|\(|\))", sql)
+    for _ in range(draw(st.integers(1, 4))):
+        at = draw(st.integers(0, len(parts)))
+        other = draw(st.sampled_from(known)).split(" ")
+        start = draw(st.integers(0, len(other)))
+        new = " ".join(other[start : start + draw(st.integers(0, 8))])
+        if draw(st.booleans()):
+            new = " ".join(draw(st.lists(st.sampled_from(WORDS.split()), max_size=4)))
+        parts[at : at + draw(st.integers(0, 3))] = [" ", new, " "]
+    return "".join(parts)
+
+
+@given(soups())
+@settings(derandomize=True, deadline=None, max_examples=2_000)
+def test_postgres_knows_no_write_in_what_counts_as_a_read(sql: str) -> None:
+    check(sql)
