--- a/mothknot/gateway.py
+++ b/mothknot/gateway.py
@@ -282,7 +282,7 @@
         self.journal.move(config.journal)
 
     def _rules_again(self, config: Config) -> "Rules | None":
-        """How statements are to be read from now on; for the rest of the operator's file it takes a restart."""
+        """How statements are to be read from now on; the rest of that file needs a restart."""
         if self.statements is None:
             return None
         told = self.operator_again(config).statements
@@ -305,7 +305,7 @@
         if len({*lines, *config.classes}) > MOST_LINES:
             raise BadConfig(f"the figures have lines for {MOST_LINES} classes; more need a restart")
 
-    def _retune(self, rules: "Rules | None" = None) -> None:
+    def _retune(self, reading: "Rules | None" = None) -> None:
         """Switch fronts, core and module in one step; what is open keeps the rules that it came under."""
         config, old = self.config, self.classes
         held = {e.query.cls for e in self.desk.exchanges.values()}
@@ -319,8 +319,8 @@
         self._tell_rules(settings, tuple(n for name, n in numbers.items() if name not in old))
         self.pool.retune(config.streams, config.dial_timeout, config.conn_idle, settings.progress / 1e9)
         # Guards requests that cross: a class that was dropped is taken for a while, under its old rules
-        if self.statements and rules:
-            self.statements.retune(rules, self.statements.classifier.safe)
+        if self.statements and reading:
+            self.statements.retune(reading, self.statements.classifier.safe)
         self._fronts({**old, **self.classes})
         self.loop.at(self.loop.now() + CROSSING, lambda: self._fronts(self.classes))
 
--- a/tests/test_flight_statements.py
+++ b/tests/test_flight_statements.py
@@ -5,6 +5,7 @@
 import time
 from collections import Counter
 from collections.abc import Iterator
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -332,6 +333,10 @@
         assert gate.desk.counters.rejected == 2
         reload("[statements.reports]\naggregates = false\nunselective = false")
         assert gate.desk.counters.applied == 1 and served() == {"lookup": 1, "report": 2, "load": 0}
+        slower = replace(gate.config.settings, max_retry_after=400_000_000)
+        gate.read_again = lambda: replace(gate.config, settings=slower)
+        reload("")  # new settings and the first rules again, in one
+        assert gate.desk.counters.applied == 2 and served() == {"lookup": 1, "report": 3, "load": 0}
 
 
 def test_the_figures_tell_of_statements(nodes: tuple[Node, Node]) -> None:
