--- a/mothknot/flight/engines.py
+++ b/mothknot/flight/engines.py
@@ -5,11 +5,12 @@
 from enum import Enum
 
 from mothknot.core.messages import Attempt, Target
-from mothknot.flight import grpc, messages
+from mothknot.flight import messages
 from mothknot.flight.server import SERVICE
 from mothknot.interface import Code, State
 from mothknot.net.loop import Loop
 from mothknot.net.stream import Reason, Stream, address_of
+from mothknot.rpc import grpc
 
 MS = 1_000_000
 FIGURE = re.compile(r"\d{1,9}(\.\d{1,6})?", re.ASCII)  # of a query's work or memory, as an engine tells it
--- a/mothknot/flight/server.py
+++ b/mothknot/flight/server.py
@@ -11,10 +11,11 @@
 from mothknot.core.messages import Answer, Query, Verdict
 from mothknot.core.readiness import STILL_COME, Phase, Readiness
 from mothknot.core.sql import table_group
-from mothknot.flight import grpc, messages
+from mothknot.flight import messages
 from mothknot.interface import Repeat, Settings
 from mothknot.net.loop import Loop
 from mothknot.net.stream import Listener, Reason, Stream
+from mothknot.rpc import grpc
 from mothknot.web.server import BadCall, Classes, hex_header, real_header
 
 if TYPE_CHECKING:
--- a/mothknot/statements/lexer.py
+++ b/mothknot/statements/lexer.py
@@ -74,6 +74,8 @@
 
 def check_depth(text: str, found: list[str]) -> None:
     """Guards the parser's stack. Raises Unclear."""
+    if len(found) <= MOST_DEPTH:
+        return
     if text.count("(") + text.count("[") + text.count("case") + text.count("CASE") <= MOST_DEPTH // 2:
         return  # by far most: nothing to count; what is within quotes counts here, too, which is no harm
     depth = 0
