--- a/bench/statements.py
+++ b/bench/statements.py
@@ -227,14 +227,53 @@
 # ---- estimates over real sockets
 
 
-def loopback(seed: int, shapes: int = 12, each: int = 200, clients: int = 8) -> dict[str, Any]:
-    """A mix through the Flight SQL front to an engine that takes each statement's drawn time, `each` runs of
-    a shape; what the gateway has learned by its end is compared with 50 further draws of each.
+def played(folder: Path, engine: int, jobs: list[str], clients: int, seed: int) -> tuple[Costs, int]:
+    """What a gateway has learned by its end once these have run, with what the one before it left; how many
+    were lost.
     """
     import pyarrow.flight as fl
 
     from mothknot.reading.keeper import Keeper
-    from tests.test_flight import Node, command, options
+    from tests.test_flight import command, options
+
+    snapshot, lost = folder / "costs", [0] * clients
+    before = snapshot.stat().st_mtime_ns if snapshot.exists() else 0
+    with started(folder, engine, True, f'snapshot = "{snapshot}"\n') as (pid, address):
+        calls("hits", address, seed, 1.5)  # until it is up
+
+        def run(n: int) -> None:
+            peer = fl.connect(address)
+            while jobs:
+                sql = jobs.pop()
+                try:
+                    info = peer.get_flight_info(command("CommandStatementQuery", sql), options())
+                    peer.do_get(info.endpoints[0].ticket, options(x_class="lookup")).read_all()
+                except Exception:
+                    lost[n] += 1
+
+        threads = [threading.Thread(target=run, args=(n,)) for n in range(clients)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        os.kill(pid, signal.SIGTERM)
+        until = time.monotonic() + 10
+        while time.monotonic() < until and not (snapshot.exists() and snapshot.stat().st_mtime_ns > before):
+            time.sleep(0.05)
+    learned = Costs()
+    if not learned.adopt(Keeper(str(snapshot)).load()):
+        raise click.ClickException("the gateway left no snapshot")
+    return learned, sum(lost)
+
+
+def loopback(
+    seed: int, shapes: int = 12, each: int = 200, clients: int = 8, slow: int = 10
+) -> dict[str, Any]:
+    """A mix through the Flight SQL front to an engine that takes each statement's drawn time, `each` runs of
+    a shape; what the gateway has learned by its end is compared with 50 further draws of each. Then another
+    gateway takes that over, and one shape runs `slow` times, 5 times slower.
+    """
+    from tests.test_flight import Node
 
     random = Random(seed)
     usual = {n: 0.03 * random.lognormvariate(0, 0.8) for n in range(shapes)}
@@ -247,41 +286,21 @@
     text = "SELECT c{} FROM lending_7.t WHERE id = {}"
     jobs = [text.format(n, int(run_time(random, usual[n]) * 1e6)) for n in usual for _ in range(each)]
     random.shuffle(jobs)
-    node, lost = Slow(), 0
+    later = [text.format(0, int(5e6 * usual[0] * random.lognormvariate(0, 0.25))) for _ in range(slow)]
+    node = Slow()
     with tempfile.TemporaryDirectory() as folder:
-        snapshot = Path(folder) / "costs"
-        with started(Path(folder), node.port, True, f'snapshot = "{snapshot}"\n') as (pid, address):
-            calls("hits", address, seed, 1.5)
-
-            def run() -> None:
-                nonlocal lost
-                peer = fl.connect(address)
-                while jobs:
-                    sql = jobs.pop()
-                    try:
-                        info = peer.get_flight_info(command("CommandStatementQuery", sql), options())
-                        peer.do_get(info.endpoints[0].ticket, options(x_class="lookup")).read_all()
-                    except Exception:
-                        lost += 1
-
-            threads = [threading.Thread(target=run) for _ in range(clients)]
-            for thread in threads:
-                thread.start()
-            for thread in threads:
-                thread.join()
-            os.kill(pid, signal.SIGTERM)
-            until = time.monotonic() + 10
-            while not snapshot.exists() and time.monotonic() < until:
-                time.sleep(0.05)
-        node.shutdown()
-        learned = Costs()
-        if not learned.adopt(Keeper(str(snapshot)).load()):
-            raise click.ClickException("the gateway left no snapshot")
+        learned, lost = played(Path(folder), node.port, jobs, clients, seed)
+        after, _ = played(Path(folder), node.port, later, 1, seed)
+    node.shutdown()
     shape = {n: shape_of(text.format(n, 1)).digest for n in usual}
     expected = {n: (learned.cost_ns(shape[n], "lookup", 7) or 0) / 1e9 for n in usual}
     asked = [(expected[n], run_time(random, usual[n])) for n in usual for _ in range(50)]
     near = sum(0.5 <= told / real <= 2 for told, real in asked) / len(asked)
-    return {"runs": shapes * each, "lost": lost, "compared": len(asked), "within_twice": round(near, 4)}
+    followed = (after.cost_ns(shape[0], "lookup", 7) or 0) / 1e9 / expected[0]
+    return {
+        "runs": shapes * each, "lost": lost, "compared": len(asked), "within_twice": round(near, 4),
+        "times_as_long_after_slow_runs": round(followed, 2), "slow_runs": slow,
+    }  # fmt: skip
 
 
 # ---- the front: a gateway in a process of its own, engine and clients in another
