Give cold engines what they can do by then, in turns over all gateways

Ruled out: connects (conn failures 0 to 3 in 5 s), full engines (0 after the list came), the list (all gateways held 80 engines within 0.3 s of the events), CPU (0.7 s a gateway), broken peers (2 unreadable answers). At fault: `_cold_room` took the capacity of the first instant for the whole 15 s, and left three spreads of each gateway's own lot free; with 200 gateways nothing was left for reports and a third of the rest for lookups.

Change: what a cold engine can do by then (settings: start capacity, warm after `cold`) becomes rights to one query of a class; they come at that rate to each gateway in turn, by its number among them, so chance needs no room. They lapse after one span, none is saved up before we heard of the start, and a class waits until the budget holds five of its queries. Whoever has a right prefers that engine.

--- a/mothknot/policy.py
+++ b/mothknot/policy.py
@@ -86,8 +86,9 @@
 CROWDED = 0.75  # share of the clients' places taken from which nothing more is held
 LAST_CALL = 0.5  # of the run time that must be left to a held query; drawn runs scatter below the mean too
 HOPELESS = 1.3  # predicted end over the limit, from rough notes, that ends an attempt
-COLD_MARGIN = 0.6  # share of the cold budget that is spent: class weights and speeds are guesses
-COLD_SPREADS = 3.0  # and so many spreads below it, as each controller draws its sends by lot
+COLD_SHARE = 0.4  # of the cold budget at most comes as rights: late ones meet others in one span
+COLD_PARTS = 5  # queries of a class that the budget must hold before one is sent
+COLD_FIRST = 0.5  # for an engine that does not start cold, while one that does has room for us
 CAPACITY = 0.85  # busy share of the cores that a rating as capacity means
 CLOSE_GRANT = 1.15  # memory over the corrected estimate, where surplus is lost to others
 
@@ -107,7 +108,7 @@
         self.engines: dict[str, Engine] = {}
         self.queries: dict[int, Query] = {}
         self.held: Line = []
-        self.up: list[Engine] = []
+        self.up, self.cold = list[Engine](), list[Engine]()
         self.turns: dict[str, list[Query]] = {}  # by key, in the order taken
         self.rest: dict[str, int] = {}
         self.taken, self.extra = deque[int](), deque[int]()
@@ -176,11 +177,13 @@
         self.all_shunned = not fit  # then no engine is to blame
         self.cores = float(sum(e.cores for e in fit or self.up)) or 1.0
         works = [k.mean_work() for k in self.classes]
-        for k in self.classes:  # long ones take more than the classes' geometric middle of mean work
-            k.long = k.mean_work() > math.sqrt(min(works) * max(works)) * 1.001
         weights = [(k.work.n + 1) * k.mean_work() for k in self.classes]  # threads of one query in hand
+        for k, w in zip(self.classes, weights, strict=True):
+            k.share = w / math.fsum(weights)
+            k.long = k.mean_work() > math.sqrt(min(works) * max(works)) * 1.001  # the geometric middle
         shares = [w / k.s.threads for w, k in zip(weights, self.classes, strict=True)]
         self.width = math.fsum(weights) / math.fsum(shares)
+        self.cold = [e for e in self.up if e.launch and self.now - e.launch < self.s.cold]
         # Others like us have each about what we have; what engines tell of their load says it better
         self.usual = sum(self.used) + math.exp(-past / LOAD_MEMORY) * (self.usual - sum(self.used))
         told = self.told.mean(self.now, LOAD_MEMORY, n * self.usual / self.cores, PACE_PRIOR)
@@ -188,15 +191,14 @@
         self.pace = self.paces.mean(self.now, PACE_MEMORY, 0.0, PACE_PRIOR)
         # Guards against a jam that all of us keep up, each with "one query at least"
         self.tight = max(1.0, told if self.told.n else 0.0)
-        others = n - 1
         for e in self.up:
             e.rate = e.pace.mean(self.now, PACE_MEMORY + PACE_SAMPLES * self.gap, self.pace, PACE_PRIOR)
             fresh = math.exp(-(self.now - e.told_at) / LOAD_MEMORY) if e.told_at else 0.0
             e.load = told + fresh * (e.told - told)
             e.tense = e.rate > math.log(PRESSED_SLOW) or (self.told.n > 0 and e.load > PRESSED_BUSY)
             e.others = (1 - 1 / n) * (e.load - fresh * sum(e.used) / e.cores)
-            slack = CHANCE * math.sqrt(others * e.cores)
-            e.room = PRESSED_LOAD * e.cores + slack - others * self.usual * e.cores / self.cores
+            slack = CHANCE * math.sqrt((n - 1) * e.cores)
+            e.room = PRESSED_LOAD * e.cores + slack - (n - 1) * self.usual * e.cores / self.cores
         rates = sorted(e.rate for e in self.up)
         self.common = rates[(len(rates) - 1) // 2] if rates else 0.0
         for e in self.up:
@@ -226,7 +228,7 @@
             old = Engine(entry, cores, memory, sign=self.now, tie=self.random.random())
             self.engines[entry.engine] = old
         if entry.launched > old.launch:  # a restart: cold, nothing warm, and its past says nothing
-            old.launch = entry.launched
+            old.launch, old.cold_at = entry.launched, self.now
             old.warm.clear()
             old.pace, old.faults = Fading(), 0.0
             old.shun_until = old.shun = 0
@@ -339,6 +341,8 @@
     def _candidates(self, q: Query) -> list[Engine]:
         """A few engines by lot, so that many alike do not run to the same one."""
         drawn = self.up if len(self.up) <= TRIED else self.random.sample(self.up, TRIED)
+        # Guards a cold engine's few rights against not being drawn in the moment that they last
+        drawn = drawn + [e for e in self.cold if e not in drawn and self._cold_room(e, q.c)]
         return [e for e in drawn if self._usable(e, q)] or [e for e in self.up if self._usable(e, q)]
 
     def _run_at(self, engine: Engine, q: Query) -> float:
@@ -360,6 +364,8 @@
             cost += LOAD_APART * (kept != q.c.s.loads)
         if engine.e.zone != self.s.my_zone:
             cost += ZONE_COST * self.s.cross_zone_fee
+        if not (engine in self.cold and self._cold_room(engine, q.c)):
+            cost += COLD_FIRST
         if q.ran:
             cost += 1.0 if any(engine is e for _, e in q.ran) else 0.0
         return q.run * cost + self._locked(engine, q)
@@ -453,16 +459,13 @@
         known = self.shares[cores, c.s.threads, c.long] = share * (SMALL if c.long else WIDE) + chance
         return known
 
-    def _fits(self, used: list[int], cores: float, q: Query) -> bool:
-        mine = used[q.c.long]
-        return mine == 0 or mine + q.c.s.threads <= self._bound(cores, q.c)
-
     def _room(self, engine: Engine, q: Query) -> bool:
         if engine.trial and engine.out and not self.all_shunned:
             return False
         if not self._pressed(engine) or self._in_turn(q):
             return True  # what has its turn keeps a whole line of its key waiting: no bound on top of that
-        return self._fits(engine.used, engine.cores, q) and self._in_part(q)
+        mine = engine.used[q.c.long]
+        return (not mine or mine + q.c.s.threads <= self._bound(engine.cores, q.c)) and self._in_part(q)
 
     def _in_part(self, q: Query) -> bool:
         """Guards against "one query at least" of each of many, unless engines let wait what lacks memory."""
@@ -515,7 +518,7 @@
         engine.sign = self.now
         if engine.trial and self.now >= engine.shun_until:
             if engine.down:  # back from the dead before the list tells: take it for cold
-                engine.launch = max(engine.launch, self.now)
+                engine.launch = engine.cold_at = max(engine.launch, self.now)
             engine.trial, engine.down, engine.shun = False, False, 0
 
     # ---- the guard that every send passes
@@ -568,24 +571,24 @@
                 del self.turns[q.r.key]
 
     def _cold_room(self, engine: Engine, c: Class) -> bool:
-        """Room for one more at an engine that started lately: our part of the budget, fractions drawn by lot.
-
-        All controllers together stay under the budget, chance included; a restart of ours forgot its sends.
-        """
-        s, n = self.s, self.s.instances / self.s.cold_share
-        if not engine.launch or self.now - engine.launch >= s.cold or s.overload_factor <= 0:
+        """Room at an engine that started lately: all of us in turn have rights to what it can do by then."""
+        s, age = self.s, self.now - engine.launch
+        if not engine.launch or age >= s.cold or s.overload_factor <= 0:
             return True
-        if self.now - self.born < s.tip_after and engine.launch < self.born:
-            return False
-        work = c.mean_work()
-        budget = engine.cores * CAPACITY * s.start_capacity * s.overload_factor * s.tip_after * COLD_MARGIN
-        chance = COLD_SPREADS * math.sqrt(work * min(budget, (n - 1) * work / 4))
-        slot = math.floor((self.now - engine.launch) / s.tip_after - engine.tie)
-        if slot != engine.lot[0]:
-            engine.lot = slot, self.random.random() if slot >= 0 else 0.0
-        allowed = math.floor(max(0.0, budget - chance) / work / n + engine.lot[1]) * work
-        sent = math.fsum(w for at, w in engine.sends if at >= self.now - s.tip_after)
-        return sent + work <= allowed * 1.000001
+        rate = engine.cores * CAPACITY * min(1.0, s.overload_factor * COLD_SHARE)
+        work, grows = c.mean_work(), (1 - s.start_capacity) / s.cold
+        # Guards the budget against rights that all saved up until they knew, or until it bore a few so heavy
+        bears = work * COLD_PARTS / (engine.cores * CAPACITY * s.overload_factor * s.tip_after)
+        known = max(engine.cold_at, self.born + s.tip_after if engine.launch < self.born else 0)
+        opens = max(known - engine.launch, (bears - s.start_capacity) / max(grows, 1e-15), age - s.tip_after)
+
+        def rights(age: float) -> int:
+            done = rate * age * (s.start_capacity + grows * age / 2) * c.share / work
+            place = (s.me + 0.5) / s.instances + crc32(engine.e.engine.encode()) / 2**32
+            return math.floor(done * s.cold_share / s.instances + place)
+
+        sent = sum(k is c for at, k in engine.sends if at > self.now - s.tip_after)
+        return opens < age and sent < rights(age) - rights(opens)
 
     def _release(self) -> None:
         if not self.held:
@@ -602,7 +605,8 @@
                 break
             engine = None
             # Guards against a client's time that runs out between two looks at what is held
-            if not q.ended and (self.now + q.run * LAST_CALL >= q.deadline or self._leaving(q)):
+            leaving = self.now + LOOKS * TICK >= q.r.give_up_at
+            if not q.ended and (leaving or self.now + q.run * LAST_CALL >= q.deadline):
                 self._end(q)  # given up on: answered at once
             elif not q.ended and (q.c.long not in stuck or self._in_turn(q)) and self._turn(q):
                 engine = self._open_place(q)
@@ -616,9 +620,6 @@
             elif not q.ended:
                 self.held.append((order, q))
 
-    def _leaving(self, q: Query) -> bool:
-        return self.now + LOOKS * TICK >= q.r.give_up_at
-
     def _open_place(self, q: Query) -> Engine | None:
         """An engine with room, the query's own line or another: no place stays free while queries wait."""
         own = q.held_at
@@ -632,13 +633,12 @@
         self.acts.append(Send(q.r.xid, engine.e.engine, 0))
         a = Attempt(q.sends, engine, self.now, self.now, q.c.long)
         self.extra.extend([self.now] * (q.sends > 0))
-        q.sends += 1
-        q.out.append(a)
+        q.sends, q.out = q.sends + 1, [*q.out, a]
         engine.out[q.r.xid, a.number] = q, a
         if q.c.s.loads and q.r.tables is not None:
             engine.loads.setdefault(q.r.tables, []).append((q, a))
         self._count(q, a, q.c.s.threads)
-        engine.sends.append((self.now, q.c.mean_work()))
+        engine.sends.append((self.now, q.c))
         while engine.sends and engine.sends[0][0] < self.now - self.s.tip_after:
             engine.sends.popleft()
         if q.r.tables is not None:
@@ -842,8 +842,8 @@
             return self._cancel(q, a)
         hopeless = a.share > 0 and left > HOPELESS * (limit - self.now)
         if safe and (lost or (overdue and blind) or hopeless or self.now >= limit):
-            return self._end(q)
-        if self.s.priorities and (priority := self._priority(q)) != q.priority:
+            self._end(q)
+        elif self.s.priorities and (priority := self._priority(q)) != q.priority:
             q.priority = priority
             self.acts.append(Terms(q.r.xid, 0.0, priority))
 
--- a/mothknot/records.py
+++ b/mothknot/records.py
@@ -57,6 +57,7 @@
     rate: Fading = field(default_factory=Fading)  # run time over uncontended run time
     scatter: Mean = field(default_factory=Mean)  # log of run time over the one expected at arrival
     long: bool = False
+    share: float = 1.0  # of the work in hand
     first_span: int = 0  # longest client time seen on a first try
 
     def renewed(self, s: ClassSettings) -> "Class":
@@ -127,9 +128,9 @@
     tense: bool = False
     told: float = 0.0  # busy share of its cores by its last report
     told_at: int = 0
-    lot: tuple[int, float] = (-1, 0.0)  # drawn for a slot of time while it is cold
     launch: int = 0
-    sends: deque[tuple[int, float]] = field(default_factory=deque)
+    cold_at: int = 0  # when we heard of that start
+    sends: deque[tuple[int, Class]] = field(default_factory=deque)
     loads: dict[float, list[tuple["Query", Attempt]]] = field(default_factory=dict)  # ours, by tables
     kept: dict[float, bool] = field(default_factory=dict)  # tables whose loads it takes
     room: float = 0.0  # threads of ours from which it is pressed, and its illness, by the last survey
