Learn of slow engines from notes of progress where our part of an engine is small

Ruled out: lost notes (no attempt was taken for lost), resting engines (0.02 of 30), errors (12 in 2 s). At fault: `_judge` alone feeds pace and class rate, so only what has ended counts. One of 200 gateways hears 4 answers a second from 80 engines, and in a jam the quick ones first, so nobody sees the pressure that all keep up.

Change: the first note of progress of an attempt counts as a sample of its engine's pace and its class's rate, where an engine has fewer cores than there are gateways: there notes come before enough answers do.

--- a/mothknot/policy.py
+++ b/mothknot/policy.py
@@ -498,13 +498,9 @@
             return
         engine.shun = int(min(max(SHUN[0], engine.shun * 2), SHUN[1] + self.gap))
         engine.shun_until = self.now + int(engine.shun * (0.75 + self.random.random() / 2))  # not all at once
-        self._try_out(engine)
+        engine.trial, engine.tried_at = True, self.now  # one query at a time until it is heard again
         self._survey(True)
 
-    def _try_out(self, engine: Engine) -> None:
-        """One query at a time until the engine is heard again."""
-        engine.trial, engine.tried_at = True, self.now
-
     def _silent(self, engine: Engine) -> bool:
         """Nothing heard for so long that what is out there should have told by now."""
         gap = hazard = 0.0
@@ -676,8 +672,7 @@
             engine.loads[q.r.tables] = [(h, b) for h, b in engine.loads[q.r.tables] if b is not a]
             if not engine.loads[q.r.tables]:
                 del engine.loads[q.r.tables]
-        told = dict(zip(self.s.report_fields, o.report, strict=False))
-        if load := self._load(engine, told):
+        if load := self._load(engine, dict(zip(self.s.report_fields, o.report, strict=False))):
             engine.told, engine.told_at = load, self.now
             self.told.add(load, self.now, LOAD_MEMORY)
         if o.code not in NEVER_RAN:
@@ -694,8 +689,8 @@
 
     def _load(self, engine: Engine, told: dict[str, float]) -> float:
         """What is in use of an engine, 1 when that is all of it, from whatever it tells of itself."""
-        threads = told.get("active", 0.0) * self.width / engine.cores
-        return max(threads / FULL_THREADS, *(told.get(name, 0.0) for name in ("cpu", "x0", "x1")))
+        threads = told.get("active", 0.0) * self.width / engine.cores / FULL_THREADS
+        return max(threads, *(told.get(name, 0.0) for name in ("cpu", "x0", "x1")))
 
     def _judge(self, engine: Engine, q: Query, a: Attempt, o: Outcome) -> None:
         """What an outcome says of its engine and, if served, of its class."""
@@ -714,22 +709,21 @@
                 self._shun(engine)
         elif o.code is Code.RESET and not engine.trial:
             # Guards a sound engine against resting for one connection that broke: what died refuses the next
-            self._try_out(engine)
+            engine.trial, engine.tried_at = True, self.now  # one query at a time until it is heard again
         elif o.code in NEVER_RAN[:2] or (o.code is Code.RESET and a.sent >= engine.tried_at):
             # Guards a sound engine against being taken for cold: a process that has died says nothing
             engine.down |= o.code is Code.CONNECT_FAILED and self.now - engine.sign > SILENT_LEAST
             self._shun(engine)
         if o.code is not Code.OK:
             return
-        c = q.c
-        run = max(1.0, float(o.took))
+        c, run = q.c, max(1.0, float(o.took))
         told = bool(o.work or q.r.cost)
         # Guards against wrong estimates of a class being taken for pressure: where no answer tells the true
         # work, run times on engines that are not full stand in for it
         if q.r.cost and (o.work or engine.load <= PRESSED_BUSY):
             c.hint.add(math.log((o.work or run * c.s.threads) / q.r.cost), MEAN_WEIGHT)
-        mended = float(q.r.cost) * math.exp(c.hint.value) if q.r.cost else run * c.s.threads
-        work = float(o.work) if o.work else mended
+        mended = q.r.cost * math.exp(c.hint.value) if q.r.cost else run * c.s.threads
+        work = float(o.work or mended)
         if told or not self._pressed(engine) or c.work.n < LEARNED:
             c.work.add(work, MEAN_WEIGHT)
             c.log_work.add(math.log(max(1.0, work)), MEAN_WEIGHT)
@@ -757,6 +751,11 @@
                 self._sign(a.engine)
                 a.sign = self.now
                 if n.kind is NoteKind.PROGRESS:
+                    # Guards against hearing of slow runs only when they end, where our part of it is small
+                    if a.engine.cores < self.s.instances and a.share <= 0 < n.level:
+                        ratio = (self.now - a.sent) * q.c.s.threads / max(1.0, n.level * q.work)
+                        q.c.rate.add(min(ratio, 20.0), self.now, PACE_MEMORY)
+                        self._pace_add(a.engine, math.log(max(ratio, 0.01)))
                     a.share, a.share_at = n.level, self.now
                 elif n.kind is NoteKind.SPILLS and q.r.need_mb:  # the estimate was too low
                     q.c.memory.add(math.log((self._grant(q) + n.level) / q.r.need_mb), MEAN_WEIGHT)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -65,6 +65,20 @@
         assert sum(first) >= 0.3 * bears(3 * SEC) * 6 * SEC
 
 
+@pytest.mark.parametrize("instances", [2, 200])
+def test_one_among_many_learns_of_a_slow_engine_from_notes_before_anything_ends_there(instances: int) -> None:
+    """Guards engines that jam: what ends first is what was quick, and one of 200 sees little else."""
+    w = World(replace(SITE, instances=instances, classes=(QUICK, REPORT)), TWO)
+    slow = w.gate.engines["a"]
+    for _ in range(6):
+        r = w.ask(1)
+        sent = w.sent[-1]
+        share = 0.02 if sent.engine == "a" else 0.9
+        w.tell(Note(r.xid, 0, sent.engine, NoteKind.PROGRESS, share), after=2 * SEC)
+    w.tell(Timer(0), after=SEC)
+    assert (w.gate.engines["b"].rate < slow.rate) == (instances == 200)
+
+
 def test_one_send_of_one_among_many_presses_no_engine() -> None:
     w = World(replace(SITE, instances=200, classes=(QUICK, REPORT)), TEN)
     w.ask(1)
