Let rights to long queries at cold engines last three spans, not one

At fault: `_cold_room` let each right lapse after one span (1 s), while one of many gateways has a report every 1.7 s, so most rights were never used.

--- a/mothknot/policy.py
+++ b/mothknot/policy.py
@@ -88,6 +88,7 @@
 HOPELESS = 1.3  # predicted end over the limit, from rough notes, that ends an attempt
 COLD_SHARE = 0.4  # of the cold budget at most comes as rights: late ones meet others in one span
 COLD_PARTS = 5  # queries of a class that the budget must hold before one is sent
+COLD_LAPSE = 3  # spans that rights to long ones last, as each of many gateways has one to send seldom
 COLD_FIRST = 0.5  # for an engine that does not start cold, while one that does has room for us
 CAPACITY = 0.85  # busy share of the cores that a rating as capacity means
 CLOSE_GRANT = 1.15  # memory over the corrected estimate, where surplus is lost to others
@@ -374,8 +375,7 @@
         """Time until our loads on the query's tables there should end, for those that wait for loads."""
         if q.r.tables is None or not (q.c.s.loads or q.c.s.waits):
             return 0.0
-        loads = engine.loads.get(q.r.tables)
-        return math.fsum(self._remaining(o, a) for o, a in loads if o is not q) if loads else 0.0
+        return math.fsum(self._remaining(o, a) for o, a in engine.loads.get(q.r.tables, ()) if o is not q)
 
     def _start(self, engine: Engine, q: Query) -> float:
         """Earliest start: now if the class bound has room, else when enough of ours before it should end."""
@@ -575,15 +575,16 @@
         work, grows = c.mean_work(), (1 - s.start_capacity) / s.cold
         # Guards the budget against rights that all saved up until they knew, or until it bore a few so heavy
         bears = work * COLD_PARTS / (engine.cores * CAPACITY * s.overload_factor * s.tip_after)
+        lapse = s.tip_after * (COLD_LAPSE if c.long else 1)
         known = max(engine.cold_at, self.born + s.tip_after if engine.launch < self.born else 0)
-        opens = max(known - engine.launch, (bears - s.start_capacity) / max(grows, 1e-15), age - s.tip_after)
+        opens = max(known - engine.launch, (bears - s.start_capacity) / max(grows, 1e-15), age - lapse)
 
         def rights(age: float) -> int:
             done = rate * age * (s.start_capacity + grows * age / 2) * c.share / work
             place = (s.me + 0.5) / s.instances + crc32(engine.e.engine.encode()) / 2**32
             return math.floor(done * s.cold_share / s.instances + place)
 
-        sent = sum(k is c for at, k in engine.sends if at > self.now - s.tip_after)
+        sent = sum(k is c for at, k in engine.sends if at > self.now - lapse)
         return opens < age and sent < rights(age) - rights(opens)
 
     def _release(self) -> None:
@@ -635,7 +636,7 @@
             engine.loads.setdefault(q.r.tables, []).append((q, a))
         self._count(q, a, q.c.s.threads)
         engine.sends.append((self.now, q.c))
-        while engine.sends and engine.sends[0][0] < self.now - self.s.tip_after:
+        while engine.sends and engine.sends[0][0] < self.now - self.s.tip_after * COLD_LAPSE:
             engine.sends.popleft()
         if q.r.tables is not None:
             engine.warm = [*(w for w in engine.warm if w != q.r.tables), q.r.tables][-WARM_GROUPS:]
@@ -835,8 +836,7 @@
         overdue = not a.share and odd and (blind or q.c.scatter.n >= LEARNED)
         wrong = q.restarts == 0 and (overdue or (a.share > 0 and left > RESTART * fresh))
         safe = s.repeat is Repeat.SAFE
-        in_time = q.sends < q.most and self.now + fresh < q.deadline
-        if safe and in_time and (ill or lost or wrong):
+        if safe and q.sends < q.most and self.now + fresh < q.deadline and (ill or lost or wrong):
             q.restarts += not ill
             return self._cancel(q, a)
         hopeless = a.share > 0 and left > HOPELESS * (limit - self.now)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -65,6 +65,22 @@
         assert sum(first) >= 0.3 * bears(3 * SEC) * 6 * SEC
 
 
+def test_a_right_to_a_long_one_lasts_until_one_of_many_may_have_such_a_query() -> None:
+    longest = [0, 0]
+    for me in range(0, 200, 5):
+        w = World(replace(SITE, instances=200, me=me, classes=(QUICK, REPORT)), TWO)
+        for c, work in zip(w.gate.classes, (200 * MS, 1000 * MS), strict=True):
+            c.work.add(float(work), 1.0)
+        w.tell(ListChange(ListScope.CHANGES, (engine("a", launched=101 * SEC),)), after=2 * SEC)
+        span = [0, 0]
+        for _ in range(40):
+            w.tell(Timer(0), after=200 * MS)
+            for i, c in enumerate(w.gate.classes):
+                span[i] = span[i] + 200 * MS if w.gate._cold_room(w.gate.engines["a"], c) else 0
+                longest[i] = max(longest[i], span[i])
+    assert 0 < longest[0] <= SITE.tip_after < longest[1]
+
+
 @pytest.mark.parametrize("instances", [2, 200])
 def test_one_among_many_learns_of_a_slow_engine_from_notes_before_anything_ends_there(instances: int) -> None:
     """Guards engines that jam: what ends first is what was quick, and one of 200 sees little else."""
