Look engines up by identity; one place begins a trial; a place in the round is found once

Need: a second reading of the change.

Change: `Engine` compares by identity (two records never stand for one engine, so the answers are the same), `begin_trial` is the record's, `place` stands outside `rights`. No decision changes.

--- a/mothknot/policy.py
+++ b/mothknot/policy.py
@@ -498,7 +498,7 @@
             return
         engine.shun = int(min(max(SHUN[0], engine.shun * 2), SHUN[1] + self.gap))
         engine.shun_until = self.now + int(engine.shun * (0.75 + self.random.random() / 2))  # not all at once
-        engine.trial, engine.tried_at = True, self.now  # one query at a time until it is heard again
+        engine.begin_trial(self.now)
         self._survey(True)
 
     def _silent(self, engine: Engine) -> bool:
@@ -578,10 +578,10 @@
         lapse = s.tip_after * (COLD_LAPSE if c.long else 1)
         known = max(engine.cold_at, self.born + s.tip_after if engine.launch < self.born else 0)
         opens = max(known - engine.launch, (bears - s.start_capacity) / max(grows, 1e-15), age - lapse)
+        place = (s.me + 0.5) / s.instances + crc32(engine.e.engine.encode()) / 2**32
 
         def rights(age: float) -> int:
             done = rate * age * (s.start_capacity + grows * age / 2) * c.share / work
-            place = (s.me + 0.5) / s.instances + crc32(engine.e.engine.encode()) / 2**32
             return math.floor(done * s.cold_share / s.instances + place)
 
         sent = sum(k is c for at, k in engine.sends if at > self.now - lapse)
@@ -710,7 +710,7 @@
                 self._shun(engine)
         elif o.code is Code.RESET and not engine.trial:
             # Guards a sound engine against resting for one connection that broke: what died refuses the next
-            engine.trial, engine.tried_at = True, self.now  # one query at a time until it is heard again
+            engine.begin_trial(self.now)
         elif o.code in NEVER_RAN[:2] or (o.code is Code.RESET and a.sent >= engine.tried_at):
             # Guards a sound engine against being taken for cold: a process that has died says nothing
             engine.down |= o.code is Code.CONNECT_FAILED and self.now - engine.sign > SILENT_LEAST
--- a/mothknot/records.py
+++ b/mothknot/records.py
@@ -103,7 +103,7 @@
     priority: int = -1
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)  # looked up by what it is, not field by field
 class Engine:
     e: Entry
     cores: int
@@ -138,6 +138,10 @@
     ahead: "Ahead | None" = None
     ends: list["Ends | None"] = field(default_factory=lambda: [None, None])  # of short and of long classes
 
+    def begin_trial(self, now: int) -> None:
+        """One query at a time until the engine is heard again."""
+        self.trial, self.tried_at = True, now
+
 
 @dataclass(slots=True)
 class Ends:
