--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -7,6 +7,7 @@
 from mothknot.interface import (
     Cancel,
     Code,
+    Entry,
     ListChange,
     ListScope,
     Message,
@@ -101,12 +102,22 @@
     assert not any(w.gate._pressed(e) for e in w.gate.engines.values())
 
 
+def _paced(w: World, x: float, engines: tuple[Entry, ...] = TEN) -> None:
+    """These engines run at the log pace `x`."""
+    for e in engines:
+        for _ in range(60):
+            w.gate._pace_add(w.gate.engines[e.engine], x)
+
+
+def _restart(w: World) -> None:
+    """All but four engines start anew and are cold."""
+    w.tell(ListChange(ListScope.CHANGES, tuple(replace(e, launched=w.now) for e in TEN[4:])))
+
+
 def test_under_pressure_one_among_many_holds_to_its_part_of_the_fleet_not_to_one_query_an_engine() -> None:
     patient = replace(REPORT, aim=80 * SEC, give_up=90 * SEC)
     w = World(replace(SITE, instances=200, classes=(QUICK, patient), when_short=Short.PAGE), TEN)
-    for e in w.gate.engines.values():
-        for _ in range(30):
-            w.gate._pace_add(e, 1.5)
+    _paced(w, 1.5)
     w.tell(Timer(0), after=200 * MS)
     for _ in range(20):
         w.ask(1)
@@ -116,13 +127,6 @@
     assert 1 <= len(w.sent) <= 2
 
 
-def _paced(w: World, x: float) -> None:
-    """Every warm engine of `w` runs at the log pace `x`."""
-    for e in w.gate.engines.values():
-        for _ in range(60):
-            w.gate._pace_add(e, x)
-
-
 def test_under_pressure_what_cold_engines_cannot_take_does_not_crowd_onto_the_warm_ones() -> None:
     """Guards against a jam of the few warm engines while the bound counts the cores of all."""
     patient = replace(REPORT, aim=80 * SEC, give_up=90 * SEC)
@@ -131,7 +135,7 @@
         w = World(replace(SITE, instances=10, classes=(QUICK, patient), when_short=Short.PAGE), TEN)
         w.gate = Gateway(w.settings, seed)
         w.tell(ListChange(ListScope.CACHED, TEN))
-        w.tell(ListChange(ListScope.CHANGES, tuple(replace(e, launched=w.now) for e in TEN[4:])))
+        _restart(w)
         _paced(w, 0.6)  # just over what counts as pressed
         w.tell(Timer(0), after=200 * MS)
         asked = len(w.sent)
@@ -145,25 +149,21 @@
 
 def test_what_runs_at_cold_engines_is_no_sign_of_pressure_on_the_others() -> None:
     w = World(replace(SITE, instances=20), TEN)
-    w.tell(ListChange(ListScope.CHANGES, tuple(replace(e, launched=w.now) for e in TEN[4:])))
-    for e in TEN[4:]:
-        for _ in range(60):
-            w.gate._pace_add(w.gate.engines[e.engine], 1.2)
+    _restart(w)
+    _paced(w, 1.2, TEN[4:])
     w.tell(Timer(0), after=200 * MS)
     assert w.gate.pace < 0.1 and not w.gate._pressed(w.gate.engines["a"])
 
 
 def _part(w: World) -> int:
     """So many queries of ours may be out at pressed engines."""
-    r = w.ask()
-    q, used = w.gate.queries[r.xid], w.gate.used
-    least = w.gate.part_lot = w.gate.part_lot[0], 0.0  # as the lot that gives least
+    q = w.gate.queries[w.ask().xid]
+    w.gate.part_lot = w.gate.part_lot[0], 0.0  # as the lot that gives least
     for n in range(200):
         w.gate.used = [n, 0]
         if not w.gate._in_part(q):
-            w.gate.used = used
             return n
-    raise AssertionError(f"no bound at {least}")
+    raise AssertionError("no bound")
 
 
 @pytest.mark.parametrize(("instances", "grows"), [(2, False), (20, True), (80, True)])
