Let a load that its key held up go late where no engine is pressed

At fault: `_release` ended whatever could not meet its wanted time, though a late load earns half and its refusal speeds up nothing but its key.

Now such a load waits on; when its turn comes it goes, unless those behind it would lose more by that or a warm engine is pressed.

--- a/mothknot/policy.py
+++ b/mothknot/policy.py
@@ -1,9 +1,8 @@
 """Every decision of mothknot: which query goes to which engine, when, on what terms, or is refused.
 
-Types, events and actions: `mothknot/interface.py`; all times are nanoseconds. The mechanism is the admission
-control of UNIT (sections 2.3, 3.2, 3.3): held queries leave each engine's line by earliest deadline; a query
-passes if `lag ratio * earliest start + mean run time` lies before its deadline and the held worth that it
-would newly push late does not exceed its own; a controller moves the lag ratio. See `docs/design.md`.
+Types: `mothknot/interface.py`; times are nanoseconds. UNIT (2.3, 3.2, 3.3): what is held leaves each
+engine's line by earliest deadline; a query passes if `lag ratio * earliest start + mean run time` is
+before it and pushes no more worth late than its own; a controller moves the lag ratio. See `docs/design.md`.
 """
 
 import math
@@ -126,7 +125,6 @@
         self.acts: list[Action] = []
         self.ends: list[Ends | None] = [None, None]
         self.ahead: Ahead | None = None
-        self.shares: dict[tuple[float, int, bool], float] = {}
         self.released = 0
         self.steps: dict[type, Callable[[Any], None]] = {
             Request: self._arrive, Outcome: self._outcome, Note: self._note, ListChange: self._list,
@@ -169,7 +167,6 @@
         if past < SURVEY and not force:
             return
         self.surveyed, n = self.now, self.s.instances
-        self.shares.clear()
         # Guards the memory against every engine that ever was
         self.engines = {n: e for n, e in self.engines.items() if e.known or e.out or e.line}
         self.up = [e for e in self.engines.values() if e.known and e.e.state is State.UP]
@@ -452,13 +449,9 @@
         return max(float(c.s.threads), self._share(cores, c))
 
     def _share(self, cores: float, c: Class) -> float:
-        known = self.shares.get((cores, c.s.threads, c.long))
-        if known is not None:
-            return known
         share = cores / self.s.instances
         chance = CHANCE * math.sqrt(share * (1 - 1 / self.s.instances) * c.s.threads)  # others draw unevenly
-        known = self.shares[cores, c.s.threads, c.long] = share * (SMALL if c.long else WIDE) + chance
-        return known
+        return share * (SMALL if c.long else WIDE) + chance
 
     def _room(self, engine: Engine, q: Query) -> bool:
         if engine.trial and engine.out and not self.all_shunned:
@@ -483,9 +476,10 @@
     def _pressed(self, engine: Engine) -> bool:
         return engine.tense or engine.used[0] + engine.used[1] >= engine.room
 
-    def _pace_add(self, engine: Engine, x: float) -> None:
-        """Log of run time over the uncontended one; few answers from an engine leave it like its peers."""
-        x = min(max(x, PACE_SPAN[0]), PACE_SPAN[1])
+    def _pace_add(self, engine: Engine, c: Class, ratio: float) -> None:
+        """Of run time to the uncontended one; few answers from an engine leave it like its peers."""
+        c.rate.add(min(ratio, 20.0), self.now, PACE_MEMORY)
+        x = min(max(math.log(max(ratio, 0.01)), PACE_SPAN[0]), PACE_SPAN[1])
         engine.pace.add(x, self.now, PACE_MEMORY + PACE_SAMPLES * self.gap)
         if not engine.cold:  # slow by its start, which says nothing of its peers
             self.paces.add(x, self.now, PACE_MEMORY)
@@ -554,6 +548,16 @@
     def _in_turn(self, q: Query) -> bool:
         return q.c.s.in_turn and q.r.key is not None
 
+    def _good_late(self, q: Query) -> bool:
+        """Late as its key had to wait, which no refusal mends: it goes if those behind lose less by it."""
+        line, ahead, lost = self.turns[q.r.key or ""] if self._in_turn(q) else [], 0.0, 0.0
+        for h in line[1:] if line and line[0] is q else ():
+            left = h.deadline - self.now - h.run - ahead
+            lost += h.worth * (1 - h.c.s.late_value) * (0 < left <= q.run)
+            ahead += h.run * (left > 0)
+        calm = bool(line) and not any(self._pressed(e) for e in self.up if not e.cold)  # its place is free
+        return calm and lost < q.worth * q.c.s.late_value
+
     def _turn(self, q: Query) -> bool:
         key = q.r.key or ""
         rested = q.sends > 0 or self.now >= self.rest.get(key, 0)
@@ -590,8 +594,7 @@
     def _release(self) -> None:
         if not self.held:
             return
-        stuck: list[bool] = []
-        held, self.held = self.held, []
+        stuck, held, self.held = list[bool](), self.held, []
         # Guards the CPU where many are held: between full looks, only until nothing more has room
         full = self.now >= self.released + HELD_AGE * len(held)
         if full:
@@ -603,7 +606,8 @@
             engine = None
             # Guards against a client's time that runs out between two looks at what is held
             leaving = self.now + LOOKS * TICK >= q.r.give_up_at
-            if not q.ended and (leaving or self.now + q.run * LAST_CALL >= q.deadline):
+            late = self.now + q.run * LAST_CALL >= q.deadline
+            if not q.ended and (leaving or (late and not self._good_late(q))):
                 self._end(q)  # given up on: answered at once
             elif not q.ended and (q.c.long not in stuck or self._in_turn(q)) and self._turn(q):
                 engine = self._open_place(q)
@@ -731,9 +735,8 @@
         if o.memory_mb and q.r.need_mb:
             c.memory.add(math.log(o.memory_mb / q.r.need_mb), MEAN_WEIGHT)
         base = (work if told else c.mean_work()) / c.s.threads
-        c.rate.add(min(run / max(1.0, base), 20.0), self.now, PACE_MEMORY)
         c.scatter.add(math.log(run / q.run), MEAN_WEIGHT)
-        self._pace_add(engine, math.log(run / max(1.0, base)))
+        self._pace_add(engine, c, run / max(1.0, base))
 
     def _again(self, q: Query) -> None:
         """No attempt is out and no answer given: another try where allowed and in time, else the end."""
@@ -754,9 +757,8 @@
                 if n.kind is NoteKind.PROGRESS:
                     # Guards against hearing of slow runs only when they end, where our part of it is small
                     if a.engine.cores < self.s.instances and a.share <= 0 < n.level:
-                        ratio = (self.now - a.sent) * q.c.s.threads / max(1.0, n.level * q.work)
-                        q.c.rate.add(min(ratio, 20.0), self.now, PACE_MEMORY)
-                        self._pace_add(a.engine, math.log(max(ratio, 0.01)))
+                        base = n.level * q.work / q.c.s.threads
+                        self._pace_add(a.engine, q.c, (self.now - a.sent) / max(1.0, base))
                     a.share, a.share_at = n.level, self.now
                 elif n.kind is NoteKind.SPILLS and q.r.need_mb:  # the estimate was too low
                     q.c.memory.add(math.log((self._grant(q) + n.level) / q.r.need_mb), MEAN_WEIGHT)
@@ -807,9 +809,8 @@
         for engine in self.engines.values():
             if engine.out and self._silent(engine):
                 self._shun(engine)
-        for q in list(self.queries.values()):
-            if q.out and not q.ended:
-                self._look(q, q.out[-1])
+        for q in [q for q in self.queries.values() if q.out and not q.ended]:
+            self._look(q, q.out[-1])
 
     def _look(self, q: Query, a: Attempt) -> None:
         """Let an attempt run, begin it anew, or end it: by progress, chance of finishing and work wasted."""
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -18,6 +18,7 @@
     Outcome,
     Post,
     Refuse,
+    Repeat,
     Send,
     Short,
     State,
@@ -290,11 +291,11 @@
     gate = w.gate
     for name, x in (("a", 0.0), ("b", 1.5)):
         for _ in range(20):
-            gate._pace_add(gate.engines[name], x)
+            gate._pace_add(gate.engines[name], gate.classes[0], math.exp(x))
     w.tell(Timer(0), after=200 * MS)
     assert gate.engines["b"].illness > 1.5 * gate.engines["a"].illness
     for _ in range(60):
-        gate._pace_add(gate.engines["a"], 1.5)
+        gate._pace_add(gate.engines["a"], gate.classes[0], math.exp(1.5))
     w.tell(Timer(0), after=200 * MS)
     assert gate.engines["b"].illness == pytest.approx(1.0, abs=0.1)
 
@@ -397,6 +398,62 @@
     assert w.sent[-1].xid == load.xid
 
 
+KEYED = replace(LOAD, repeat=Repeat.KEYED, in_turn=True, late_value=0.5, memory_span=25 * SEC)
+
+
+def _key_held_up(late_value: float = 0.5) -> World:
+    """Three loads of a key: the first runs for 10 s, the second is late by then, the third came after 6 s."""
+    w = World(replace(SITE, classes=(QUICK, REPORT, replace(KEYED, late_value=late_value))), TWO)
+    w.ask(2, key="k")
+    w.ask(2, key="k")
+    for _ in range(100):
+        w.tell(Timer(0), after=100 * MS)
+        if w.now == 106 * SEC:
+            w.ask(2, key="k")
+    return w
+
+
+def _refused(w: World) -> list[int]:
+    return [a.xid for a in w.last if isinstance(a, Refuse)]
+
+
+def test_a_load_that_its_key_held_up_goes_late_where_nobody_behind_loses_by_it() -> None:
+    """Guards keys with one long load: all that waited behind it were refused, and each client's retry too."""
+    w = _key_held_up()
+    assert [s.xid for s in w.sent] == [1] and w.now > w.gate.queries[2].deadline
+    w.tell(Gone(3))
+    w.end(1, Code.OK, took=10 * SEC)
+    assert [s.xid for s in w.sent] == [1, 2]
+
+
+def test_a_late_load_is_refused_as_its_turn_comes_where_one_behind_would_be_late_by_it() -> None:
+    w = _key_held_up()
+    w.end(1, Code.OK, took=10 * SEC)
+    assert _refused(w) == [2] and [s.xid for s in w.sent] == [1, 3]
+
+
+def test_a_load_that_its_key_held_up_is_refused_at_once_where_late_is_worth_nothing() -> None:
+    w = _key_held_up(late_value=0.0)
+    assert 2 not in w.gate.queries
+
+
+def test_a_load_that_its_key_holds_up_is_refused_before_its_client_gives_up() -> None:
+    w = _key_held_up()
+    r = w.gate.queries[2].r
+    while 2 in w.gate.queries:
+        w.tell(Timer(0), after=100 * MS)
+    assert _refused(w) == [2] and w.now < r.give_up_at
+
+
+def test_a_load_that_its_key_held_up_is_refused_where_an_engine_is_pressed() -> None:
+    """Guards the others: late, it is worth less than what they would do in its place."""
+    w = _key_held_up()
+    for _ in range(40):
+        w.gate._pace_add(w.gate.engines["a"], w.gate.classes[0], 3.0)
+    w.tell(Timer(0), after=200 * MS)
+    assert _refused(w) == [2]
+
+
 def test_a_tenants_surplus_is_refused_where_the_engine_is_pressed_and_let_in_where_not() -> None:
     w = World(replace(SITE, quotas=(1.0,)), MANY)
     calm = [w.ask(tables=float(i)) for i in range(8)]
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,5 +1,6 @@
 """Many controllers that each see little: what they do together, on scripted events and without a bench."""
 
+import math
 from dataclasses import replace
 
 import pytest
@@ -23,6 +24,7 @@
     Timer,
 )
 from mothknot.policy import Gateway
+from mothknot.records import Class
 from tests.world import LOAD, MS, QUICK, REPORT, SEC, SITE, World, cancels, engine
 
 TWO = (engine("a"), engine("b"))
@@ -106,7 +108,7 @@
     """These engines run at the log pace `x`."""
     for e in engines:
         for _ in range(60):
-            w.gate._pace_add(w.gate.engines[e.engine], x)
+            w.gate._pace_add(w.gate.engines[e.engine], Class(QUICK, 0.0), math.exp(x))
 
 
 def _restart(w: World) -> None:
