--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -34,6 +34,10 @@
 MANY = tuple(engine(name) for name in "abcdef")
 
 
+def _refused(w: World) -> list[int]:
+    return [a.xid for a in w.last if isinstance(a, Refuse)]
+
+
 def fill(w: World, n: int = 200) -> None:
     for _ in range(n):
         w.ask()
@@ -413,10 +417,6 @@
     return w
 
 
-def _refused(w: World) -> list[int]:
-    return [a.xid for a in w.last if isinstance(a, Refuse)]
-
-
 def test_a_load_that_its_key_held_up_goes_late_where_nobody_behind_loses_by_it() -> None:
     """Guards keys with one long load: all that waited behind it were refused, and each client's retry too."""
     w = _key_held_up()
@@ -464,7 +464,7 @@
     w.gate.told.add(1.0, w.now, SEC)
     w.tell(Timer(0), after=200 * MS)
     over = w.ask()
-    assert [a.xid for a in w.last if isinstance(a, Refuse)] == [over.xid]
+    assert _refused(w) == [over.xid]
 
 
 def test_peers_tell_their_part_of_a_tenants_traffic_and_fall_silent_when_down() -> None:
