Take back what has not left when its client leaves, its engine drains or time is up

At fault: Exchange.gone told the planner alone; policy._cancel does nothing with cancelling off; Connection.stop wrote STOP behind an unwritten REQ; Pool._retire took back only what waited for a dial; Connection._run ended all with RESET; Connection.fits knew only what the loop had already read. Change: engine clients can take back an attempt of which nothing has left (dialling, or whole in the outbox: Stream marks know where it stands); it ends as never sent. gone, deadlines, cancels and drains all go through it. A connection is looked at once more before a request is written to it.

--- a/mothknot/core/exchange.py
+++ b/mothknot/core/exchange.py
@@ -162,10 +162,20 @@
         if not self.answered:
             self.answered = True
             self.tell(Gone(self.xid))
+            # Guards engines against work for nobody: the planner may be elsewhere, or may not call off
+            self.take_back()
             self.desk.settle(self)
 
+    def take_back(self) -> bool:
+        """End the attempt that is out as never sent, where nothing of it has left."""
+        attempt = self.attempt
+        if attempt is None or not self.desk.engines[self.wire].take_back(attempt):
+            return False
+        attempt.ended(Code.MOOT)
+        return True
+
     def call_off(self, code: Code) -> None:
-        if attempt := self.attempt:
+        if not self.take_back() and (attempt := self.attempt):
             self.desk.engines[self.wire].stop(attempt)
             attempt.ended(code)
 
@@ -327,7 +337,8 @@
         # its client, its engine or its deadline end it
         if exchange is None or (exchange.begun and not exchange.answered):
             return
-        if (attempt := exchange.attempt) and attempt.number == copy:
+        attempt = exchange.attempt
+        if attempt and attempt.number == copy and not exchange.take_back():
             self.engines[exchange.wire].stop(attempt)
             if exchange.answered:
                 attempt.ended(Code.CANCELLED)
--- a/mothknot/core/messages.py
+++ b/mothknot/core/messages.py
@@ -112,6 +112,9 @@
 
     def start(self, attempt: Attempt) -> None: ...
 
+    def take_back(self, attempt: Attempt) -> bool:
+        """Whether nothing of it had left, so that it surely never ran; then nothing will."""
+
     def stop(self, attempt: Attempt) -> None: ...
 
     def rank(self, attempt: Attempt) -> None: ...
--- a/mothknot/flight/engines.py
+++ b/mothknot/flight/engines.py
@@ -62,9 +62,13 @@
         if self.call is None:
             self._end(Code.CONNECT_FAILED if self.step is not Step.GET else Code.RESET)
             return
-        first, stream = self.step is not Step.GET, link.wire.stream if link else None
-        written = self.attempt.written
-        self.call.send(message, (lambda: stream.when_sent(written)) if first and stream else None, last=True)
+        stream = link.wire.stream if link and self.step is not Step.GET else None
+
+        def sent() -> None:
+            if stream:
+                stream.when_sent(self.attempt.written)
+
+        self.call.send(message, sent if stream else None, last=True)
 
     # ---- what the engine says
 
@@ -218,6 +222,13 @@
         run = self.runs[id(attempt)] = Run(self, attempt)
         link.take(run)
 
+    def take_back(self, attempt: Attempt) -> bool:
+        run = self.runs.get(id(attempt))
+        if run is None or run.call or run.link is None or run not in run.link.waiting:
+            return False
+        self.stop(attempt)
+        return True
+
     def stop(self, attempt: Attempt) -> None:
         if run := self.runs.pop(id(attempt), None):
             run.stop()
--- a/mothknot/net/stream.py
+++ b/mothknot/net/stream.py
@@ -35,6 +35,7 @@
     BAD_ANSWER = "bad-answer"
     SILENT = "silent"
     REPLACED = "replaced"
+    ANEW = "anew"
     HOLD_EXPIRED = "hold-expired"
     NOTIFIED = "notified"
     FAULT = "fault"
@@ -47,6 +48,15 @@
     return host, int(port)
 
 
+class Mark:
+    """Bytes put behind others in an outbox: where they end, and who is called once they have left."""
+
+    __slots__ = ("end", "size", "call")
+
+    def __init__(self, end: int, size: int, call: Callable[[], None]) -> None:
+        self.end, self.size, self.call = end, size, call
+
+
 class Stream:
     """One connection. `woken` is called whenever something came, went out, or ended."""
 
@@ -56,7 +66,7 @@
         self.loop, self.sock, self.what, self.woken = loop, sock, what, woken
         self.inbox, self.outbox = bytearray(), bytearray()
         self.queued = 0  # bytes ever put in the outbox
-        self.marks: deque[tuple[int, Callable[[], None]]] = deque()
+        self.marks: deque[Mark] = deque()
         self.connected = True
         self.eof = self.reset = self.closed = self.resting = False
         self.refused = False
@@ -121,6 +131,15 @@
         self.inbox += data
         self.resting = len(self.inbox) >= INBOX
 
+    def look(self) -> None:
+        """Take in what has come since the loop last asked, before a decision that it would change."""
+        if self.connected and not self.eof and not self.closed and not self.resting:
+            had = len(self.inbox)
+            self._read()
+            if self.eof or len(self.inbox) > had:
+                self._want()
+                self.woken()
+
     def _want(self) -> None:
         """Ask epoll for what can still happen, so that a level held does not spin the loop."""
         if self.closed:
@@ -163,12 +182,31 @@
         self.outbox += data
         self.queued += len(data)
 
-    def when_sent(self, call: Callable[[], None]) -> None:
-        """Call once all that was written so far is with the machine; never, if the connection ends first."""
+    def when_sent(self, call: Callable[[], None], size: int = 0) -> Mark | None:
+        """Call once all that was written so far is with the machine; never, if the connection ends first.
+
+        What is returned takes the last `size` bytes back, as long as none of them has left.
+        """
         if self.outbox or not self.connected:
-            self.marks.append((self.queued, call))
-        elif not self.reset and not self.closed:
+            self.marks.append(mark := Mark(self.queued, size, call))
+            return mark
+        if not self.reset and not self.closed:
             call()
+        return None
+
+    def take_back(self, mark: Mark) -> bool:
+        """Whether the bytes under a mark were all still here; then they never leave."""
+        at = mark.end - mark.size - (self.queued - len(self.outbox))
+        if at < 0 or mark not in self.marks:
+            return False
+        del self.outbox[at : at + mark.size]
+        self.queued -= mark.size
+        self.marks.remove(mark)
+        for other in self.marks:
+            if other.end > mark.end:
+                other.end -= mark.size
+        self._want()
+        return True
 
     def _flush(self) -> None:
         try:
@@ -177,11 +215,13 @@
             return
         except OSError:
             self.eof = self.reset = True
+            self.queued -= len(self.outbox)
             self.outbox.clear()
+            self.marks.clear()
             return
         del self.outbox[:sent]
-        while self.marks and self.marks[0][0] <= self.queued - len(self.outbox):
-            self.marks.popleft()[1]()
+        while self.marks and self.marks[0].end <= self.queued - len(self.outbox):
+            self.marks.popleft().call()
 
     def half_close(self) -> None:
         """Nothing more is sent; what the peer still sends is read, lest it destroys our last bytes."""
@@ -210,7 +250,7 @@
         given: socket.socket | None = None,
     ) -> None:
         """`given`: a listener that another process of ours has; nothing is accepted there before `begin`."""
-        self.loop, self.taken, self.closed = loop, taken, False
+        self.loop, self.taken, self.closed, self.paused = loop, taken, False, False
         self.sock = given or socket.socket()
         if not given:
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -224,8 +264,15 @@
             self.begin()
 
     def begin(self) -> None:
+        self.paused = False
         self.loop.watch(self.sock, IN, self._ready)
 
+    def pause(self) -> None:
+        """Accept nothing for now, yet keep what waits there alive."""
+        self.paused = True
+        if not self.closed:
+            self.loop.watch(self.sock, 0, self._ready)
+
     def _ready(self) -> None:
         for _ in range(ACCEPTS):
             if not self._accept():
@@ -249,7 +296,7 @@
         return True
 
     def _listen(self) -> None:
-        if not self.closed:
+        if not self.closed and not self.paused:
             self.loop.watch(self.sock, IN, self._ready)
 
     def release(self) -> None:
--- a/mothknot/web/engines.py
+++ b/mothknot/web/engines.py
@@ -6,7 +6,7 @@
 from mothknot.core.messages import Attempt, Target
 from mothknot.interface import Code, NoteKind, State
 from mothknot.net.loop import Loop, Task
-from mothknot.net.stream import Reason, Stream, address_of
+from mothknot.net.stream import Mark, Reason, Stream, address_of
 from mothknot.web import frames
 
 MS = 1_000_000
@@ -27,10 +27,12 @@
 class Open:
     """An attempt on a connection."""
 
-    __slots__ = ("attempt", "at", "pages", "got", "paged")
+    __slots__ = ("attempt", "at", "mark", "left", "pages", "got", "paged")
 
     def __init__(self, attempt: Attempt, at: float) -> None:
         self.attempt, self.at = attempt, at
+        self.mark: Mark | None = None  # its request, where it waits for the engine to read
+        self.left = False  # the request has, to the last byte
         self.pages = 0
         self.got: dict[int, bytes] = {}
         self.paged: float | None = None  # when the last page came, the first with the answer itself
@@ -56,6 +58,8 @@
     def fits(self, name: str) -> bool:
         """Room for one more, on a connection that an answer to an earlier attempt of it cannot reach."""
         now = self.loop.now()
+        if self.live:
+            self.stream.look()  # guards the request: written behind the engine's close, it may count as run
         stale = not self.open and now - self.used > self.pool.idle
         if self.retired or self.stream.over or stale or len(self.stream.outbox) > OUTBOX:
             return False
@@ -66,22 +70,37 @@
     def send(self, attempt: Attempt) -> None:
         query = attempt.query
         self.used = self.loop.now()
-        self.open[query.name] = Open(attempt, self.used)
+        entry = self.open[query.name] = Open(attempt, self.used)
         if self.live:
-            self._write(attempt)
+            self._write(entry)
         self.task.wake()  # its patience runs from now
 
-    def _write(self, attempt: Attempt) -> None:
-        q = attempt.query
-        left = max(1, (q.give_up_at - self.pool.clock()) // MS)
-        fields = {"queue": q.class_name, "budget": str(left)}
+    def _write(self, entry: Open) -> None:
+        attempt, q = entry.attempt, entry.attempt.query
+        budget = max(1, (q.give_up_at - self.pool.clock()) // MS)
+        fields = {"queue": q.class_name, "budget": str(budget)}
         if q.idempotency:
             fields["uniq"] = q.idempotency
         if attempt.memory_mb > 0:
             fields["allot"] = f"{attempt.memory_mb:g}"
         fields["urgency"] = str(attempt.priority)
-        self.stream.write(frames.request(q.name, fields, q.statement))
-        self.stream.when_sent(attempt.written)
+        data = frames.request(q.name, fields, q.statement)
+
+        def left() -> None:
+            entry.left, entry.mark = True, None
+            attempt.written()
+
+        self.stream.write(data)
+        entry.mark = self.stream.when_sent(left, len(data))
+
+    def take_back(self, name: str) -> bool:
+        """Drop an attempt of which the engine has heard nothing, nor will."""
+        entry = self.open.get(name)
+        if entry is None or (self.live and not (entry.mark and self.stream.take_back(entry.mark))):
+            return False
+        del self.open[name]
+        self.task.wake()
+        return True
 
     def stop(self, name: str) -> None:
         """Give an attempt up; its late answers find nothing here."""
@@ -111,7 +130,8 @@
             self.stream.close(reason)
             self.pool.forget(self)
             for entry in list(self.open.values()):
-                entry.attempt.ended(code)
+                # What had not left whole never ran, and where the dial was up no engine is to blame for it
+                entry.attempt.ended(code if entry.left or not self.live else Code.MOOT)
             self.open.clear()
 
     def _connect(self) -> Generator[float | None, None, tuple[Reason, Code]]:
@@ -125,7 +145,7 @@
             yield self.dial_until
         self.live = True
         for entry in self.open.values():
-            self._write(entry.attempt)
+            self._write(entry)
         self.heard = self.loop.now()
         return Reason.DONE, Code.RESET
 
@@ -292,6 +312,13 @@
         self.where[name] = connection
         connection.send(attempt)
 
+    def take_back(self, attempt: Attempt) -> bool:
+        connection = self.where.get(attempt.query.name)
+        if connection is None or not connection.take_back(attempt.query.name):
+            return False
+        del self.where[attempt.query.name]
+        return True
+
     def stop(self, attempt: Attempt) -> None:
         if connection := self.where.pop(attempt.query.name, None):
             connection.stop(attempt.query.name)
@@ -330,10 +357,8 @@
         self.targets.pop(engine, None)
         for connection in list(self.connections.get(engine, [])):
             connection.retired = True
-            if not connection.live:
-                for name, entry in list(connection.open.items()):
-                    del connection.open[name]
-                    self.where.pop(name, None)
+            for entry in list(connection.open.values()):  # guards the drain against what waits to be written
+                if self.take_back(entry.attempt):
                     entry.attempt.ended(Code.CONNECT_FAILED)
             connection.task.wake()
         if not self.connections.get(engine):
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -22,6 +22,9 @@
     def start(self, attempt: Attempt) -> None:
         self.did.append(("start", attempt.engine))
 
+    def take_back(self, attempt: Attempt) -> bool:
+        return False
+
     def stop(self, attempt: Attempt) -> None:
         self.did.append(("stop", attempt.engine))
 
