Follow the list by its numbers: what counts anew or leaves out is asked for whole

Seen (test_a_watch_that_counts_anew_or_leaves_out_is_asked_for_all): after an answer {"pos":6,"entries":[]} the program asked tail=6 and went on so; after one with lower numbers it kept the highest, so it heard nothing more until the service had passed that number, and said nothing. By reading: gateways whose dials are refused in one moment all come back 0.1 s later, in step, again and again. A property test spoils answers at random (empty, gaps, twice, anew): the next good answers bring the whole list.

--- a/mothknot/gateway.py
+++ b/mothknot/gateway.py
@@ -24,7 +24,7 @@
 from mothknot.ops.figures import rendered
 from mothknot.ops.server import ROOM
 from mothknot.ops.server import Server as OpsServer
-from mothknot.targets import BadList, changes_of
+from mothknot.targets import BadList, changes_of, follow
 from mothknot.web.engines import Pool
 from mothknot.web.journal import Journal
 from mothknot.web.server import Server
@@ -102,7 +102,10 @@
             self.planner = Planner(settings, config.seed, time.time_ns, self.alarm)
             self.desk.add_planner(self.planner.tell, True)
             loop.after.append(self.turn)
-        self.take_list(config.known)
+        last, changes = changes_of(config.known, config.names)
+        news = follow(0, last, changes)
+        self.desk.listed(news.targets, news.whole)
+        self.position = last  # as the configuration says: the service is asked for what comes after
         # Engines, the journal and the loop keep a part of the descriptors; a second front halves the rest
         sockets = config.sockets // max(1, operator.forwarders)
         clients = sockets - min(sockets // 2, max(64, sockets // 4)) - (ROOM if config.ops else 0)
@@ -116,7 +119,7 @@
         web = config.listen, config.classes, most, self.readiness, shared, given.get("web"), reads
         self.server = Server(loop, self.desk, *web)
         caught_up = self._begin if legacy else None
-        self.journal = Journal(loop, config.journal, self.position, self.take_list, caught_up)
+        self.journal = Journal(loop, config.journal, self.position, self.take_list, caught_up, config.seed)
         self.flight = self._flight(operator, most, shared, given.get("flight")) if operator.flight else None
         listeners = [self.server.listener, *([self.flight.listener] if self.flight else [])]
         self.given = listeners if legacy else []
@@ -193,15 +196,15 @@
 
     def take_list(self, raw: Any) -> int:
         try:
-            changes = changes_of(raw, self.config.names)
+            last, changes = changes_of(raw, self.config.names)
         except BadList as bad:
             raise ValueError(str(bad)) from None
-        for position, whole, targets in changes:
-            if position > self.position:  # guards against an event told twice
-                self.position = position
-                if whole or targets:
-                    self.desk.listed(targets, whole)
-        self.position = max(self.position, int(raw.get("pos", 0)))
+        news = follow(self.position, last, changes)
+        if news.whole or news.targets:
+            self.desk.listed(news.targets, news.whole)
+        if news.fault:
+            log("journal", f"{news.fault}: held {self.position}, told to {last}; held now {news.position}")
+        self.position = news.position
         return self.position
 
     def turn(self) -> bool:
--- a/mothknot/targets.py
+++ b/mothknot/targets.py
@@ -1,5 +1,6 @@
 """The list of engines, as the journal's events and the configuration write it, decoded into targets."""
 
+from dataclasses import dataclass
 from typing import Any
 
 from mothknot.core.messages import Target
@@ -48,10 +49,13 @@
     return Target(entry, dials)
 
 
-def changes_of(raw: Any, names: Names) -> list[tuple[int, bool, list[Target]]]:
-    """Each event's number, whether it holds the whole list, and its targets."""
+Change = tuple[int, bool, list[Target]]  # an event's number, whether it holds the whole list, its targets
+
+
+def changes_of(raw: Any, names: Names) -> tuple[int, list[Change]]:
+    """The number of the journal's last event, and each event told."""
     try:
-        found: list[tuple[int, bool, list[Target]]] = []
+        found: list[Change] = []
         for event in raw["entries"]:
             hosts = event.get("hosts")
             if hosts is None:
@@ -61,6 +65,40 @@
                 raise BadList("the list is too long")
             targets = [target_of(h, names) for h in hosts["hosts"]]
             found.append((int(event["pos"]), bool(hosts.get("whole")), targets))
-        return found
-    except (KeyError, TypeError, ValueError, AttributeError) as bad:
+        return int(raw["pos"]), found
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as bad:
         raise BadList(f"a list event is unusable ({bad})") from None
+
+
+@dataclass(slots=True, frozen=True)
+class News:
+    """What an answer changes: the last event now held (0: ask for all of them), and the targets told anew."""
+
+    position: int
+    whole: bool
+    targets: list[Target]
+    fault: str = ""
+
+
+def follow(held: int, last: int, changes: list[Change]) -> News:
+    """Hold an answer to a call behind event `held` against the numbers, which go up by one.
+
+    Whatever it tells is heeded, in one step. Where events must be missing, all are to be asked for: guards
+    against a list that stays as it is for good, as the service counts anew, or tells its end too soon.
+    """
+    at, whole, told = (0 if last < held else held), False, dict[str, Target]()
+    missing, repeated = False, bool(changes) and changes[-1][0] <= at
+    for number, full, targets in changes:
+        if number <= at:  # told twice
+            continue
+        if full:
+            whole, told = True, {}
+        missing |= number != at + 1 and not full
+        at = number
+        told |= {target.entry.engine: target for target in targets}
+    missing |= at < last
+    if whole:
+        told = {name: target for name, target in told.items() if target.entry.state is not State.GONE}
+    faults = (last < held, "began-anew"), (missing, "skipped"), (repeated, "repeated")
+    fault = next((name for found, name in faults if found), "")
+    return News(0 if missing else at, whole, list(told.values()), fault)
--- a/mothknot/web/journal.py
+++ b/mothknot/web/journal.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Callable, Generator
+from random import Random
 from typing import Any
 
 import h11
@@ -13,7 +14,8 @@
 WAIT_MS = 2_000  # how long a call may be held: short, so that a journal that went silent is soon noticed
 LATE = 0.8  # seconds past that after which the connection counts as dead
 DIAL = 0.5
-AGAIN = 0.1  # seconds before a new connection
+AGAIN = (0.1, 0.2)  # seconds before a new connection, at first and at most, by half less or more: many
+# gateways whose watches break in one moment shall not come back in one
 HURRY = 0.8  # seconds for the answer to a call that is not to be held
 ANSWER = 4_194_304  # bytes of one answer
 
@@ -28,11 +30,13 @@
         position: int,
         take: Callable[[Any], int],
         caught_up: Callable[[], None] | None = None,
+        seed: int = 0,
     ) -> None:
         """With `caught_up` the first calls are not held, until one is answered."""
         self.loop, self.address, self.position, self.take = loop, address, position, take
         self.caught_up = caught_up
         self.stopped = self.moved = False
+        self.random, self.again = Random(seed), AGAIN[0]
         self.task = loop.spawn(self._run())
 
     def stop(self) -> None:
@@ -57,7 +61,8 @@
             else:
                 reason = yield from self._talk(stream)
                 stream.close(reason)
-            until = self.loop.now() + AGAIN
+            until = self.loop.now() + self.again * (0.5 + self.random.random())
+            self.again = min(2 * self.again, AGAIN[1])
             while not self.stopped and not self.moved and self.loop.now() < until:
                 yield until
 
@@ -74,6 +79,7 @@
         http = h11.Connection(h11.CLIENT)
         while True:
             wait = 1 if self.caught_up else WAIT_MS
+            held, asked_at = self.position, self.loop.now()
             path = f"/journal?tail={self.position}&max_wait={wait}"
             ask = h11.Request(method="GET", target=path, headers=[("Host", self.address)])
             stream.write((http.send(ask) or b"") + (http.send(h11.EndOfMessage()) or b""))
@@ -82,12 +88,16 @@
                 if isinstance(body, Reason):
                     return body
                 self.position = self.take(json.loads(body))
-                if caught_up := self.caught_up:
-                    self.caught_up = None
+                caught_up, self.caught_up = self.caught_up, None
+                if caught_up:
                     caught_up()
             except Exception as bad:  # guards the feed: no answer, however odd, may end it for good
                 log("journal", f"unusable answer: {bad!r}")
                 return Reason.BAD_ANSWER
+            idle = self.position == held and not caught_up
+            if self.position < held or (idle and self.loop.now() < asked_at + AGAIN[0]):
+                return Reason.ANEW  # guards the service, and us, against asking without a rest
+            self.again = AGAIN[0]
             if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
                 return Reason.DONE
             http.start_next_cycle()
