Give up what is open before the kill at every stop, and keep the accept queue alive

Seen: test_a_plain_stop_answers_a_long_request_and_ends on the program as it was: TimeoutError, the load was open 10 s after SIGTERM; no timer of _give_up stood after drain(). A successor killed between SIGTERM to its elder and its yes: who waited to be accepted got ConnectionResetError; one that stood still (SIGSTOP): TimeoutError. Checked and ruled out: lookups and reports behind a mute engine end by the module, so the fault shows with classes that it lets run (keyed, unsafe) and with what makes progress. At fault: Gateway._hand_on alone armed _give_up, from the handover, not from SIGTERM; it released the shared listener before the successor had said yes, so nobody held the queue if that one died. Change: drain() arms _give_up once, from SIGTERM: the longest deadline (3 s at most; 5 s as an elder that is followed) and 0.4 s. Until the yes the elder rests its listener instead of closing it; at the successor's death, or when giving up, it takes who waits. What comes after that is refused at once.

--- a/mothknot/gateway.py
+++ b/mothknot/gateway.py
@@ -38,7 +38,9 @@
 CATCH_UP = 2.5  # seconds in which a successor says yes, though the journal has not answered
 PAIR_SHARE = 0.5  # of the budgets, while two processes are one gateway
 REST_SHARE = 0.1  # of the cold budget, for an elder told to stop: it sends only what it still holds
-KILLED_AT = 5.0  # seconds after SIGTERM at most that an elder has for what is open
+KILLED_AT = 3.0  # seconds after SIGTERM, and 0.7 more, that a gateway has at most for what is open
+ELDER_AT = 5.0  # and an elder that a successor follows
+GIVEN_UP = 0.4  # seconds past these, or past the longest deadline if that is less, until the rest is given up
 CROSSING = 1.5  # seconds in which a class that was dropped is still taken: clients hear of it late
 MOST_LINES = 256  # classes that the figures have lines for
 PATIENCE = 500_000_000  # nanoseconds that an attempt of the Flight wire may take beyond its run
@@ -64,6 +66,7 @@
     """A forwarder with a planner beside it, or one of several whose planners are other processes."""
 
     position = 0  # the journal's last event that we hold
+    given_up = False  # told to stop, and so late that nothing is begun any more
     planner: Planner  # only where it shares our process
 
     def __init__(
@@ -454,6 +457,8 @@
     def _leave(self) -> bool:
         """Leave once all that was taken is answered and the answers are read."""
         fronts = self.server.quiet and (not self.flight or self.flight.quiet)
+        if not (self.handover and self.handover.follows):
+            self._close()  # a successor that never said yes: who waits to be accepted hears it from us
         if not self.desk.exchanges and fronts:
             if self.bgp:
                 self.bgp.stop()
