Give each dropped class its own time at reloads; no SIGHUP ends a start

Seen: two reloads 1 s apart: at 1.2 s the class dropped by the first was gone (0.3 s early), at 1.6 s the class dropped by the second (0.9 s early): 404 for requests that crossed. SIGHUP while the configuration is read (a FIFO holds the start): the process was gone, as by an unhandled SIGHUP. A call that breaks in Loop._soon: the SIGTERM behind it waited for the next poke. Checked and ruled out: numbers of classes are not reused while a front still takes them; what is open keeps its rules (Exchange.rules, the module's Class objects), so no settings are mixed beyond the times. At fault: the lambda of Gateway._retune, which set the classes of the newest reload at the time of an older one, and the base {**old}, which lacked what an older one still took; the default action of SIGHUP until Gateway._signals; the loop in Loop._soon. Change: Gateway.leaving holds each dropped class with its time; SIGHUP is set aside from the first line of the start and answered with a reload; each call has its own guard.

--- a/mothknot/__main__.py
+++ b/mothknot/__main__.py
@@ -2,8 +2,12 @@
 
 import gc
 import os
+import signal
 import sys
 
+if __name__ == "__main__":  # guards the start against a SIGHUP, which would end it; nothing is read yet
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 from mothknot.config import BadConfig, read, read_operator
 from mothknot.gateway import Gateway, settings_for
 from mothknot.handover import meet, occupied, occupy, path_of
@@ -11,6 +15,8 @@
 
 def start(part: str) -> int:
     """Run this process's part: all of it, or what the parent of several processes named."""
+    hangups: list[int] = []  # come while we start: what is read by then may be old already
+    signal.signal(signal.SIGHUP, lambda *_: hangups.append(1))
     config = read(os.environ)
     operator = read_operator(os.environ, config)
     kind, _, number = part.partition(" ")
@@ -41,6 +47,8 @@
         from mothknot.local.parent import with_parent
 
         with_parent(gateway.loop, gateway.drain)
+    if hangups:
+        gateway.loop.call_soon(gateway.reload)
     gc.freeze()  # what the start made stays; later collections pass it over
     gateway.run()
     return 0
--- a/mothknot/gateway.py
+++ b/mothknot/gateway.py
@@ -84,6 +84,8 @@
         self.config, self.loop, self.read_again = config, Loop(), read_again
         self.operator_again = operator_again
         self.operator, self.classes, self.number = operator, config.classes, number
+        # Classes that were dropped, and until when each is still taken
+        self.leaving: dict[str, tuple[tuple[int, bool, bool], float]] = {}
         self.share = PAIR_SHARE if legacy else 1.0
         self.shares = 0  # changes of it asked for
         given = legacy.fronts if legacy else {}
@@ -332,8 +334,17 @@
         # Guards requests that cross: a class that was dropped is taken for a while, under its old rules
         if self.statements and reading:
             self.statements.retune(reading, self.statements.classifier.safe)
-        self._fronts({**old, **self.classes})
-        self.loop.at(self.loop.now() + CROSSING, lambda: self._fronts(self.classes))
+        until = self.loop.now() + CROSSING
+        self.leaving |= {name: (told, until) for name, told in old.items()}
+        self._cross()
+        self.loop.at(until, self._cross)
+
+    def _cross(self) -> None:
+        """Each class that was dropped has its own time: another reload neither ends nor lengthens it."""
+        now = self.loop.now()
+        for name in [n for n, (_, until) in self.leaving.items() if until <= now or n in self.classes]:
+            del self.leaving[name]
+        self._fronts({name: told for name, (told, _) in self.leaving.items()} | self.classes)
 
     def _tell_rules(self, settings: Settings, fresh: tuple[int, ...] = ()) -> None:
         told = replace(self.config, settings=settings)
@@ -356,7 +367,11 @@
             return
         log("stop", f"told to stop with {self.desk.outstanding} requests open")
         self.readiness.stop()  # addresses withdrawn: clients go elsewhere first; what still comes is served
-        if self.handover and self.handover.successor:
+        followed = bool(self.handover and self.handover.successor)
+        longest = max(c.give_up for c in self.desk.settings.classes) / 1e9
+        most = min(longest, ELDER_AT if followed else KILLED_AT) + GIVEN_UP
+        self.loop.at(self.loop.now() + most, self._give_up)
+        if followed:
             self._hand_on()
         else:
             self.loop.at(self.loop.now() + ACCEPTING, self._close)
@@ -421,9 +436,13 @@
     def _hand_on(self) -> None:
         """Accept nothing more; what is open is answered here, what rests goes on with the successor."""
         assert self.handover
-        self.server.listener.release()
-        if self.flight:
-            self.flight.listener.release()
+        listeners = [self.server.listener, *([self.flight.listener] if self.flight else [])]
+        for listener in listeners:
+            # Guards who waits to be accepted: while the successor may yet die, nobody else could take them
+            if self.handover.follows:
+                listener.release()
+            else:
+                listener.pause()
         if not self.handover.follows:
             return
         self._take_share(REST_SHARE)
@@ -431,17 +450,18 @@
         self.server.hand_on(self.handover.give)
         if self.flight:
             self.flight.close()
-        longest = max(c.give_up for c in self.desk.settings.classes) / 1e9
-        self.loop.at(self.loop.now() + min(longest, KILLED_AT) + 0.4, self._give_up)
         self._leave_when_done()
 
     def _give_up(self) -> None:
         """Guards clients of what is still open: they hear of it before we are killed, and may ask again."""
+        self.given_up = self.server.refuses = True
         for exchange in list(self.desk.exchanges.values()):
             exchange.end_without_planner()
+        if not (self.handover and self.handover.follows):
+            self._close()  # a successor that never said yes: who waits to be accepted hears it from us
 
     def _close(self) -> None:
-        if self.handover and self.handover.successor:  # it came meanwhile
+        if self.handover and self.handover.successor and not self.given_up:  # it came meanwhile
             return self._hand_on()
         self.server.close()
         if self.flight:
@@ -457,8 +477,6 @@
     def _leave(self) -> bool:
         """Leave once all that was taken is answered and the answers are read."""
         fronts = self.server.quiet and (not self.flight or self.flight.quiet)
-        if not (self.handover and self.handover.follows):
-            self._close()  # a successor that never said yes: who waits to be accepted hears it from us
         if not self.desk.exchanges and fronts:
             if self.bgp:
                 self.bgp.stop()
--- a/mothknot/net/loop.py
+++ b/mothknot/net/loop.py
@@ -140,7 +140,7 @@
     def _soon(self) -> None:
         self.poked.recv(4096)
         while self.soon:
-            self.soon.popleft()()
+            self._call(self.soon.popleft())  # one that breaks keeps no other from its turn
 
     def stop(self) -> None:
         self.running = False
