Look once more before a client's connection is closed; see who leaves behind a flood

Seen: a request written to an idle connection between the loop's look and its close, for idleness, at a stop or to make room: ConnectionResetError, the request lost without an answer. A client that sends 300 or 900 kB behind its request and closes: no STOP at the engine within 10 s, its attempt ran on; endless sending was never ended. Checked and ruled out: bytes in the kernel that the loop has already been told of are read first, in the same turn; a reset is seen, as it is told whatever is asked for. The window is the loop's turn, tens of ms on a busy core. At fault: Connection._await_call and Server.take close without a last read; Stream rests at INBOX, so the end behind it is not read. Change: the stream is looked at before such a close; what comes beyond a full inbox while a request is open is thrown away, up to 1 MB, and the connection ends with its answer (`bad-request`), past that at once.

--- a/mothknot/web/server.py
+++ b/mothknot/web/server.py
@@ -6,6 +6,7 @@
 import socket
 from collections.abc import Callable, Generator
 from dataclasses import replace
+from itertools import islice
 from typing import TYPE_CHECKING
 
 import h11
@@ -32,6 +33,8 @@
 GIVE_AGAIN = 0.02  # seconds until a connection that could not be passed on is tried again
 HELLO_AWAY = 0.5  # seconds that a connection has for its call once clients are sent away
 BEHIND = 0.25  # seconds that one turn of the loop may take before new calls are refused unseen
+FLOOD = 1_048_576  # bytes beyond a full inbox that a client may send ahead of its answer
+LOOKS = 8  # connections looked at for one whose place another gets
 TTL_MOST = 3_600_000
 HEX = frozenset("0123456789abcdef")
 REAL = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?")
@@ -169,6 +172,7 @@
         self.stream.start()
         self.plain = False  # the call under way was not h11's
         self.asked = asked  # a whole request has come, here or at the elder
+        self.ahead = 0  # bytes thrown away that came ahead of their time
         self.told_close = False  # our last answer said that the connection ends with it
         self.began = self.loop.now()
         self.hello = self.began + HELLO_TIME
@@ -197,8 +201,11 @@
         while not self.stream.inbox and not self.http.trailing_data[0]:
             if self.stream.over:
                 return Reason.RESET if self.stream.reset else Reason.PEER_CLOSED
-            if self.server.closing:
-                return Reason.STOPPING
+            if self.server.closing or self.loop.now() >= patience:
+                self.stream.look()  # guards a request that crosses: a close over it would be a reset
+                if self.stream.inbox or self.stream.eof:
+                    continue
+                return Reason.STOPPING if self.server.closing else self._unused()
             until = patience
             if give := self.server.give:
                 # Guards requests on a connection that rests: it stays open, and our successor goes on with it
@@ -210,12 +217,23 @@
                     # Guards a request that crosses: it is read to its end, or it would reset the connection
                     return (yield from self._linger(Reason.DRAINED))
                 until = min(until, self.began + HELLO_AWAY)
-            if self.loop.now() >= until:
-                return Reason.IDLE if self.asked else Reason.SILENT
+                if self.loop.now() >= until:
+                    return self._unused()
             yield until
         self.server.idle.pop(self, None)
         return Reason.TOO_MANY if self.stream.closed else None
 
+    def _unused(self) -> Reason:
+        return Reason.IDLE if self.asked else Reason.SILENT
+
+    def _last(self) -> Reason:
+        """Why a connection ends with its answer."""
+        if self.ahead:
+            return Reason.BAD_REQUEST
+        if self.server.closing:
+            return Reason.STOPPING
+        return Reason.DRAINED if self.server.away() else Reason.DONE
+
     def _whole(self) -> None:
         self.asked = True
         self.server.silent.pop(self, None)
@@ -239,7 +257,7 @@
                 if gone:
                     return gone
                 if self.told_close:
-                    return (yield from self._linger(Reason.DRAINED))
+                    return (yield from self._linger(self._last()))
                 continue
             try:
                 got = yield from self._call()
@@ -254,7 +272,7 @@
             if gone:
                 return gone
             if self.http.our_state is not h11.DONE or self.http.their_state is not h11.DONE:
-                return (yield from self._linger(Reason.DRAINED if self.server.away() else Reason.DONE))
+                return (yield from self._linger(self._last()))
             self.http.start_next_cycle()
 
     def _call(self) -> Generator[float | None, None, Reason | tuple[h11.Request, bytes]]:
@@ -319,7 +337,7 @@
         if query.name in self.server.desk.names:
             raise BadCall(409, "a request with this id is open")
         held = Held(self.task.wake)
-        if self.loop.behind() > BEHIND or self.server.away(LAST_TAKEN):
+        if self.loop.behind() > BEHIND or self.server.away(LAST_TAKEN) or self.server.refuses:
             # Guards against a backlog that makes all answers late: what the core has no time for goes at
             # once; and a drain against connections that would never come to rest
             self._refuse(query, held)
@@ -365,10 +383,11 @@
 
     def _wait(self, exchange: Exchange | None, held: Held) -> Generator[float | None, None, Reason | None]:
         while held.answer is None:
-            if self.stream.over:
+            flooded = self._flooded()
+            if self.stream.over or flooded:
                 if exchange:
                     exchange.gone()
-                return Reason.ABANDONED
+                return Reason.BAD_REQUEST if flooded else Reason.ABANDONED
             yield None
         answer = held.answer
         if answer.verdict is Verdict.REFUSED:
@@ -382,12 +401,21 @@
             return (yield from self._reply(500, {"failure": "Internal"}))
         return (yield from self._reply(200, {"rows": rows}))
 
+    def _flooded(self) -> bool:
+        """Guards against a client that leaves behind a full inbox, where its end would not be found: what it
+        sends beyond that is thrown away, within bounds, and the connection ends with its answer.
+        """
+        if self.stream.resting:
+            self.ahead += len(self.stream.take())
+        return self.ahead > FLOOD
+
     def _reply(
         self, status: int, value: object, *more: tuple[str, str]
     ) -> Generator[float | None, None, Reason | None]:
         data = json.dumps(value, ensure_ascii=False, separators=(",", ":")).encode()
         headers = [JSON, ("Content-Length", str(len(data))), *more]
-        if self.server.away() and ("Connection", "close") not in more:
+        last = self.server.away() or self.server.closing or self.ahead
+        if last and ("Connection", "close") not in more:
             headers.append(("Connection", "close"))
             self.told_close = True
         if self.plain:
@@ -449,7 +477,7 @@
         self.connections: dict[Connection, None] = {}
         self.silent: dict[Connection, None] = {}  # who has not brought a whole request yet, oldest first
         self.idle: dict[Connection, None] = {}  # who waits between two requests, longest first
-        self.closing = False
+        self.closing = self.refuses = False  # `refuses`: too late before our end to begin anything
         self.sent_away: float | None = None
         readiness.watchers.append(self._changed)
         self.listener = Listener(loop, address, self.take, shared, given)
@@ -473,15 +501,22 @@
         # Guards the descriptors that the engines need, and usual clients against crowds that say nothing:
         # who brings a request at once gets the place of who has been silent or idle for longest
         if len(self.connections) >= self.most:
-            for table in (self.silent, self.idle):
-                if oldest := next(iter(table), None):
-                    oldest.drop(Reason.TOO_MANY)
-                    break
+            if oldest := self._unused():
+                oldest.drop(Reason.TOO_MANY)
             else:
                 Stream(self.loop, sock, f"client {peer}").close(Reason.TOO_MANY)
                 return
         self.connections[Connection(self, sock, peer, asked)] = None
 
+    def _unused(self) -> "Connection | None":
+        """Who has been silent, else idle, for longest, and of whom nothing has come even now."""
+        for table in (self.silent, self.idle):
+            for oldest in islice(table, LOOKS):
+                oldest.stream.look()
+                if not oldest.stream.inbox:
+                    return oldest
+        return None
+
     def hand_on(self, give: Callable[[socket.socket, str, bool], bool] | None) -> None:
         """Pass on what rests, and what comes to rest; with None what rests is closed, as at any stop."""
         self.give = give
