--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -61,6 +61,7 @@
         self.words: list[str] = []
         self.pageless: set[str] = set()
         self.connections = 0
+        self.socks: list[socket.socket] = []
         self.heard = threading.Condition()
         self.sock = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self.sock.getsockname()[1]}"
@@ -71,6 +72,7 @@
             while True:
                 sock, _ = self.sock.accept()
                 self.connections += 1
+                self.socks.append(sock)
                 threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
 
     def _serve(self, sock: socket.socket) -> None:
@@ -119,6 +121,12 @@
         with self.heard:
             return self.heard.wait_for(lambda: self.words.count(word) >= times, 10)
 
+    def hang_up(self) -> None:
+        """Close every connection at once, as the machine does: what is unread there makes it a reset."""
+        for sock in self.socks:
+            sock.shutdown(socket.SHUT_RDWR)
+        self.socks.clear()
+
     def close(self) -> None:
         self.sock.close()
 
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,622 @@
+"""Two events that cross, each crossing forced on real sockets: docs/crossings.md has the whole table."""
+
+import contextlib
+import copy
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import Any
+from uuid import uuid4
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mothknot.config import Operator
+from mothknot.core.messages import Target
+from mothknot.gateway import CROSSING, KILLED_AT, Gateway
+from mothknot.interface import Entry, State
+from mothknot.net.log import log
+from mothknot.net.loop import Loop
+from mothknot.net.stream import Reason, Stream
+from mothknot.targets import Change, follow
+from mothknot.web.journal import AGAIN
+from tests.stand_ins import SETTINGS, Engine, config, host, post
+from tests.test_handover import Site, site
+from tests.test_local import planner, until
+from tests.test_web import LOAD, ROWS, SQL, JournalStandIn, news_of, running, steady
+
+GONE = "SELECT gone FROM lending_7.loans"
+SEC = 1_000_000_000
+
+
+@pytest.fixture(autouse=True)
+def all_lines(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The log's rate is counted anew for each test, so that the lines it looks for are printed."""
+    monkeypatch.setattr(log, "_kinds", {})
+
+
+def tuned(**limits: Any) -> dict[str, Any]:
+    raw = copy.deepcopy(SETTINGS)
+    raw["limits"] |= {name.replace("_", "-"): value for name, value in limits.items()}  # type: ignore[operator]
+    return raw
+
+
+def hurried(seconds: float) -> dict[str, Any]:
+    """No class has longer than this."""
+    raw = copy.deepcopy(SETTINGS)
+    for c in raw["services"]:  # type: ignore[attr-defined]
+        c |= {"give-up": int(seconds * SEC), "aim": int(seconds * SEC / 2)}
+    return raw
+
+
+class Late(Engine):
+    """Its connections come up only when `up` is set: until then the queue of those that dial is full."""
+
+    def __init__(self) -> None:
+        self.up = threading.Event()
+        super().__init__()
+        self.sock.listen(0)
+        self.fillers = [socket.socket() for _ in range(4)]
+        for sock in self.fillers:
+            sock.setblocking(False)
+            sock.connect_ex(self.sock.getsockname())
+
+    def _accept(self) -> None:
+        assert self.up.wait(30)
+        super()._accept()
+
+    def let_up(self) -> None:
+        self.up.set()
+        for sock in self.fillers:
+            sock.close()
+
+
+class Deaf(Engine):
+    """Reads no further behind each request until `reads` is set."""
+
+    def __init__(self, **more: Any) -> None:
+        self.reads = threading.Event()
+        super().__init__(**more)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+
+    def _request(self, sock: socket.socket, words: list[str], statement: str) -> None:
+        super()._request(sock, words, statement)
+        assert self.reads.wait(30)
+
+
+def ask(gate: Gateway, statement: str, cls: str = "lookup", row: str = "7f3a9c21e0b4d655") -> socket.socket:
+    """A client's whole request on a connection that the test can close when it likes."""
+    sock = socket.create_connection(gate.server.listener.address)
+    sock.settimeout(20)
+    head = f"POST /svc/{cls} HTTP/1.1\r\nHost: x\r\nX-Txn: {uuid4().hex[:16]}\r\nX-Ttl-Ms: 20000\r\n"
+    more = f"X-Row: {row}\r\nX-Txn-Key: {uuid4().hex}\r\n"
+    sock.sendall(f"{head}{more}Content-Length: {len(statement)}\r\n\r\n{statement}".encode())
+    return sock
+
+
+def leave(gate: Gateway, sock: socket.socket) -> None:
+    """The client leaves, and the gateway knows it."""
+    owed = gate.desk.outstanding
+    sock.close()
+    until(lambda: gate.desk.outstanding < owed)
+
+
+# ---- a client that leaves while its request waits
+
+
+@pytest.mark.parametrize("cancelling", [True, False])
+def test_who_leaves_while_the_dial_comes_up_is_not_sent_on(cancelling: bool) -> None:
+    """Guards against a request written for nobody: where no cancelling is allowed nothing took it back."""
+    engine = Late()
+    raw = tuned(cancelling=cancelling, dial_timeout=20 * SEC)
+    with running(engine, settings=raw) as gate:
+        client = ask(gate, GONE)
+        until(lambda: gate.pool.connections)
+        leave(gate, client)
+        with ThreadPoolExecutor() as beside:
+            marker = beside.submit(post, gate, "lookup", SQL, ttl=20_000)
+            until(lambda: gate.desk.outstanding)
+            engine.let_up()
+            assert marker.result()[1] == {"rows": ROWS}
+    assert engine.statements == [SQL]
+
+
+def test_who_leaves_while_the_planner_elsewhere_stands_still_is_not_sent_on() -> None:
+    """Guards against waiting for a planner's word: its cancel never came, and the dial came up."""
+    engine = Late()
+    with planner() as process:
+        raw = tuned(dial_timeout=20 * SEC)
+        told = config([host(engine)], settings=raw)
+        gate = Gateway(told, Operator(planners=(process.listener.address,)), signals=False)
+        thread = threading.Thread(target=gate.loop.run, daemon=True)
+        thread.start()
+        until(lambda: gate.desk.live == [True])
+        client = ask(gate, GONE)
+        until(lambda: gate.pool.connections)
+        still, go = threading.Event(), threading.Event()
+
+        def stand_still() -> None:
+            still.set()
+            assert go.wait(30)
+
+        process.loop.call_soon(stand_still)
+        assert still.wait(10)
+        leave(gate, client)
+        engine.let_up()
+        until(lambda: not gate.pool.connections or all(c.live for c in gate.pool.connections["e0"]))
+        go.set()
+        assert post(gate, "lookup", SQL, ttl=20_000)[1] == {"rows": ROWS}
+        gate.loop.stop()
+        thread.join(10)
+        gate.loop.close()
+    assert engine.statements == [SQL]
+    engine.close()
+
+
+@pytest.mark.parametrize("cancelling", [True, False])
+def test_who_leaves_while_its_request_is_unwritten_is_not_sent_on(cancelling: bool) -> None:
+    """Guards against a request that went out of the buffer with its own STOP behind it, or with none."""
+    first, big = "SELECT 1 FROM lending_7.loans", "SELECT '" + "x" * 200_000 + "' FROM lending_7.loans"
+    engine = Deaf(script={first: ["mute"]})
+    with running(engine, settings=tuned(cancelling=cancelling)) as gate:
+        open_ = [ask(gate, first)]
+        until(lambda: engine.statements)
+        stream = gate.pool.connections["e0"][0].stream
+        stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+        while not stream.outbox:
+            open_.append(ask(gate, big))
+            until(lambda: len(gate.pool.where) == len(open_))
+        victim = ask(gate, GONE)
+        until(lambda: len(gate.pool.where) == len(open_) + 1)
+        leave(gate, victim)
+        engine.reads.set()
+        assert open_[-1].recv(65_536).startswith(b"HTTP/1.1 200")
+        assert post(gate, "lookup", SQL, ttl=20_000)[1] == {"rows": ROWS}
+        for sock in open_:
+            sock.close()
+    assert GONE not in engine.statements and engine.statements[-1] == SQL
+
+
+def test_who_leaves_behind_its_key_is_not_sent_on() -> None:
+    engine = Deaf(script={LOAD: ["mute"]})
+    engine.reads.set()
+    second, third = (f"INSERT INTO lending_7.loans VALUES ({n})" for n in (2, 3))
+    with running(engine) as gate, ThreadPoolExecutor() as beside:
+        holder = ask(gate, LOAD, "load")
+        until(lambda: engine.statements)
+        victim = ask(gate, second, "load")
+        until(lambda: gate.desk.outstanding == 2)
+        waiting = beside.submit(post, gate, "load", third, ttl=20_000)
+        until(lambda: gate.desk.outstanding == 3)
+        leave(gate, victim)
+        holder.close()
+        assert waiting.result()[1] == {"rows": ROWS}
+    assert engine.statements == [LOAD, third]
+
+
+def test_who_leaves_between_two_attempts_is_not_sent_on() -> None:
+    """Where no cancelling is allowed the attempt stays out; its reset must begin no other."""
+    engine = Engine(script={GONE: ["mute"]})
+    with running(engine, settings=tuned(cancelling=False)) as gate:
+        client = ask(gate, GONE)
+        until(lambda: engine.statements)
+        leave(gate, client)
+        gate.loop.call_soon(lambda: gate.pool.connections["e0"][0].stream.sock.shutdown(socket.SHUT_RD))
+        until(lambda: not gate.desk.exchanges)
+        assert post(gate, "lookup", SQL)[1] == {"rows": ROWS}
+    assert engine.statements == [GONE, SQL]
+
+
+@pytest.mark.parametrize("more", [300_000, 900_000])
+def test_who_leaves_behind_a_full_inbox_is_seen(more: int) -> None:
+    """Guards the engine: with the inbox full nothing was read, so the end behind it was not found."""
+    engine = Engine(script={GONE: ["mute"]})
+    with running(engine) as gate:
+        client = ask(gate, GONE)
+        until(lambda: engine.statements)
+        client.sendall(b"x" * more)
+        client.close()
+        assert engine.wait("STOP")
+        until(lambda: not gate.server.connections)
+
+
+def test_who_sends_far_too_much_ahead_is_ended_and_its_neighbour_served(capfd: Any) -> None:
+    engine = Engine(script={GONE: ["mute"]})
+    with running(engine) as gate:
+        with ask(gate, GONE) as client:
+            until(lambda: engine.statements)
+            with pytest.raises(OSError):
+                for _ in range(100):
+                    client.sendall(b"x" * 65_536)
+        assert engine.wait("STOP") and post(gate, "lookup", SQL)[0] == 200
+    assert "bad-request" in capfd.readouterr().err
+
+
+def test_what_came_ahead_beyond_the_inbox_ends_the_connection_with_the_answer() -> None:
+    engine = Deaf(script={GONE: ["mute"]})
+    engine.reads.set()
+    with running(engine) as gate:
+        with ask(gate, GONE) as client:
+            until(lambda: engine.statements)
+            client.sendall(b"x" * 300_000)
+            until(lambda: any(c.ahead for c in gate.server.connections))
+            gate.loop.call_soon(lambda: next(iter(gate.desk.exchanges.values())).end_without_planner())
+            answer = b""
+            while data := client.recv(65_536):
+                answer += data
+        assert answer.startswith(b"HTTP/1.1 429") and b"Connection: close" in answer
+
+
+CLOSE_WAIT = 8  # the state of a socket whose other side has closed
+
+
+def _state(sock: socket.socket) -> int:
+    return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+
+
+# ---- an engine's connection that ends as a request goes out
+
+
+def test_a_close_that_crosses_a_request_is_found_before_it_is_written() -> None:
+    """Guards a class that may not be repeated: written behind the engine's close it counts as run."""
+    raw = copy.deepcopy(SETTINGS)
+    raw["services"][1] |= {"repeat": "at_most_once"}  # type: ignore[index]
+    engine = Engine()
+    with running(engine, settings=raw) as gate:
+        assert post(gate, "lookup", SQL)[0] == 200
+        old = gate.pool.connections["e0"][0]
+        held = list[bool]()
+
+        def hold() -> bool:
+            """Behind the loop's look at its sockets, ahead of the planner that sends the request on."""
+            if gate.desk.outstanding and not held:
+                engine.hang_up()
+                held.append(True)
+                until(lambda: _state(old.stream.sock) == CLOSE_WAIT)
+            return False
+
+        gate.loop.call_soon(lambda: gate.loop.after.insert(0, hold))
+        assert post(gate, "report", SQL)[1] == {"rows": ROWS}
+        assert held and old.stream.closed and engine.statements == [SQL, SQL]
+
+
+def test_what_had_not_left_whole_never_ran() -> None:
+    """Guards a class that may not be repeated: its connection broke with the request still in the buffer."""
+    raw = copy.deepcopy(SETTINGS)
+    raw["services"][1] |= {"repeat": "at_most_once"}  # type: ignore[index]
+    first, big = "SELECT 1 FROM lending_7.loans", "SELECT '" + "x" * 200_000 + "' FROM lending_7.loans"
+    engine = Deaf(script={first: ["mute"]})
+    with running(engine, settings=raw) as gate, ThreadPoolExecutor() as beside:
+        open_ = [ask(gate, first)]
+        until(lambda: engine.statements)
+        stream = gate.pool.connections["e0"][0].stream
+        stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+        while not stream.outbox:
+            open_.append(ask(gate, big))
+            until(lambda: len(gate.pool.where) == len(open_))
+        report = beside.submit(post, gate, "report", SQL, ttl=20_000)
+        until(lambda: len(gate.pool.where) == len(open_) + 1)
+        engine.hang_up()
+        engine.reads.set()
+        assert report.result()[1] == {"rows": ROWS}
+        for sock in open_:
+            sock.close()
+    assert engine.statements.count(SQL) == 1
+
+
+def test_what_waits_to_be_written_does_not_go_to_an_engine_that_drains() -> None:
+    """Guards the drain: what an engine had not yet read went to it whenever it read on."""
+    first, big = "SELECT 1 FROM lending_7.loans", "SELECT '" + "x" * 200_000 + "' FROM lending_7.loans"
+    engine, other = Deaf(script={first: ["mute"]}), Engine()
+    with running(engine) as gate, ThreadPoolExecutor() as beside:
+        open_ = [ask(gate, first)]
+        until(lambda: engine.statements)
+        stream = gate.pool.connections["e0"][0].stream
+        stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+        while not stream.outbox:
+            open_.append(ask(gate, big))
+            until(lambda: len(gate.pool.where) == len(open_))
+        waiting = beside.submit(post, gate, "lookup", SQL, ttl=20_000)
+        until(lambda: len(gate.pool.where) == len(open_) + 1)
+        news = [host(engine, "e0", "draining"), host(other, "e1")]
+        raw = {"pos": 2, "entries": [{"pos": 2, "hosts": {"seq": 2, "whole": False, "hosts": news}}]}
+        gate.loop.call_soon(lambda: gate.take_list(raw))
+        assert waiting.result()[1] == {"rows": ROWS}
+        engine.reads.set()
+        for sock in open_:
+            sock.close()
+    assert other.statements == [SQL] and SQL not in engine.statements
+    other.close()
+
+
+def test_bytes_are_taken_back_only_whole() -> None:
+    loop, server = Loop(), socket.create_server(("127.0.0.1", 0))
+    near = socket.create_connection(server.getsockname())
+    far, stream = server.accept()[0], Stream(loop, near, "here")
+    server.close()
+    near.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+    sent: list[str] = []
+    stream.write(b"a" * 1_000_000)
+    partly = stream.when_sent(lambda: sent.append("a"), 1_000_000)
+    stream.write(b"b" * 10)
+    middle = stream.when_sent(lambda: sent.append("b"), 10)
+    stream.write(b"c" * 5)
+    stream.when_sent(lambda: sent.append("c"), 5)
+    assert partly and middle and not stream.take_back(partly)
+    assert stream.take_back(middle) and not stream.take_back(middle)
+    got = b""
+    far.settimeout(0.01)
+    while stream.outbox or len(got) < 1_000_005:
+        stream._flush()
+        with contextlib.suppress(TimeoutError):
+            got += far.recv(65_536)
+    assert got == b"a" * 1_000_000 + b"c" * 5 and sent == ["a", "c"]
+    stream.close(Reason.DONE)
+    far.close()
+    loop.close()
+
+
+# ---- a client's idle connection that is closed as its next request comes
+
+
+@pytest.mark.parametrize("why", ["idle", "stopping", "too-many"])
+def test_a_request_that_crosses_the_close_of_its_connection_is_answered(
+    why: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards the request: closed over it in the machine's buffer, its connection was reset."""
+    engine = Engine()
+    monkeypatch.setattr("mothknot.web.server.IDLE_TIME", 0.3 if why == "idle" else 6.0)
+    with running(engine) as gate:
+        gate.loop.behind = lambda: 0.0  # type: ignore[method-assign]
+        kept = http.client.HTTPConnection(*gate.server.listener.address, timeout=10)
+        told = {"X-Txn": "1" * 16, "X-Ttl-Ms": "5000"}
+        kept.request("POST", "/svc/lookup", SQL, told)
+        assert kept.getresponse().read()
+        until(lambda: gate.server.idle)
+        there, go = threading.Event(), threading.Event()
+        due = next(iter(gate.server.idle)).task.timer
+
+        def hold() -> None:
+            there.set()
+            assert go.wait(30)
+            if why == "idle":
+                while due and gate.loop.now() < due.when:
+                    pass
+            elif why == "stopping":
+                gate.server.close()
+            else:
+                gate.server.most = 1
+                other = socket.create_connection(gate.server.listener.address)
+                gate.server.listener._accept()
+                other.close()
+
+        gate.loop.call_soon(hold)
+        assert there.wait(10)
+        kept.request("POST", "/svc/lookup", SQL, told | {"X-Txn": "2" * 16})
+        go.set()
+        answer = kept.getresponse()
+        assert answer.status == 200 and json.loads(answer.read()) == {"rows": ROWS}
+        kept.close()
+    assert len(engine.statements) == 2
+
+
+# ---- the planned stop
+
+
+def test_a_plain_stop_gives_up_what_is_open_before_the_kill() -> None:
+    """Guards clients of long requests: the kill comes 0.7 s after the longest deadline, or after 3 s."""
+    for raw, longest in ((SETTINGS, KILLED_AT), (hurried(1.0), 1.0)):
+        gate = Gateway(config([], settings=raw), Operator(), signals=False)
+        gate.drain()
+        due = [when - gate.loop.now() for when, _, timer in gate.loop.timers if timer.call == gate._give_up]
+        assert len(due) == 1 and longest < due[0] < longest + 0.7
+        gate.loop.close()
+
+
+def test_a_plain_stop_answers_a_long_request_and_ends(tmp_path: Path) -> None:
+    with site(tmp_path) as s, ThreadPoolExecutor() as beside:
+        raw = hurried(1.0)
+        raw["family-info"]["progress"] = 0  # so that nobody waits for notes of what runs long
+        _rules(s, raw)
+        s.engine.script[LOAD] = ["mute"] * 3
+        one = s.start()
+        waiting = beside.submit(post, s.gate, "load", LOAD, ttl=20_000)
+        assert s.engine.wait("REQ")
+        one.process.send_signal(signal.SIGTERM)
+        assert waiting.result(10)[0] in (429, 500) and one.process.wait(10) == 0
+
+
+def _rules(s: Site, settings: dict[str, Any]) -> None:
+    file = Path(s.environ["ROUTER_CONFIG"])
+    file.write_text(json.dumps(json.loads(file.read_text()) | {"settings": settings}))
+
+
+def _stopped_before_the_yes(s: Site, successor_says: Callable[[Any], None]) -> int:
+    """SIGTERM with a successor that has not said yes; a client comes; then the successor does its worst."""
+    elder = s.start()
+    s.journal.silent = True
+    successor = s.start(ready=False)
+    said = b""
+    while b"a successor starts" not in said:
+        said += os.read(elder.process.stderr.fileno(), 4096)
+    successor.process.send_signal(signal.SIGSTOP)
+    elder.process.send_signal(signal.SIGTERM)
+    while b"told to stop" not in said:
+        said += os.read(elder.process.stderr.fileno(), 4096)
+    with ThreadPoolExecutor() as beside:
+        crossing = beside.submit(s.served)
+        until(lambda: _waits(s.listen[1]))
+        successor_says(successor.process)
+        status = crossing.result(20)
+    assert elder.process.wait(20) == 0
+    return status
+
+
+def _waits(port: int) -> bool:
+    """Whether a connection to the port is up."""
+    rows = [row.split() for row in Path("/proc/net/tcp").read_text().splitlines()[1:]]
+    return any(row[1].endswith(f":{port:04X}") and row[3] == "01" for row in rows)
+
+
+def test_a_successor_that_dies_after_the_stop_leaves_who_waits_to_its_elder(tmp_path: Path) -> None:
+    """Guards who waits to be accepted: both had closed the one listener, so it was reset."""
+    with site(tmp_path) as s:
+        assert _stopped_before_the_yes(s, lambda process: process.kill()) == 200
+
+
+def test_a_successor_that_never_says_yes_keeps_nobody_waiting_for_good(tmp_path: Path) -> None:
+    with site(tmp_path) as s:
+        _rules(s, hurried(1.0))
+        assert _stopped_before_the_yes(s, lambda process: None) == 429
+
+
+# ---- the list and its watch
+
+
+def test_a_watch_that_counts_anew_or_leaves_out_is_asked_for_all(capfd: Any) -> None:
+    """Guards the list: it kept the highest number, and stood still for good without a line."""
+    journal, one, two = JournalStandIn(), Engine(), Engine()
+    gate = Gateway(config([], journal=journal.address), Operator(), signals=False)
+    thread = threading.Thread(target=gate.loop.run, daemon=True)
+    thread.start()
+    whole = {"seq": 1, "whole": True, "hosts": [host(two, "e2")]}
+    anew = json.dumps({"pos": 1, "entries": [{"pos": 1, "hosts": whole}]}).encode()
+    later = json.dumps({"pos": 9, "entries": [{"pos": 9, "hosts": whole | {"whole": False}}]}).encode()
+    answers = (
+        (news_of(one), 1), (b'{"pos":1,"entries":[]}', 2), (anew, 0),  # lower numbers
+        (b'{"pos":6,"entries":[]}', 1), (anew, 0),  # its end beyond what it told
+        (later, 1), (anew, 0),  # left out
+        (anew, 1), (b'{"pos":1,"entries":[]}', 1), (b'{"pos":1,"entries":[]}', 1),  # again and again
+    )  # fmt: skip
+    assert [journal.answer(body) for body, _ in answers] == [f"/journal?tail={tail}" for _, tail in answers]
+    assert list(gate.desk.targets) == ["e2"] and post(gate, "lookup", SQL)[0] == 200
+    gate.loop.stop()
+    thread.join(10)
+    gate.loop.close()
+    assert (len(one.statements), len(two.statements), gate.loop.faults) == (0, 1, 0)
+    said = capfd.readouterr().err
+    assert all(f"journal {reason}: " in said for reason in ("began-anew", "skipped", "repeated"))
+    assert said.count(" anew\n") >= 3
+    journal.server.close()
+    for engine in (one, two):
+        engine.close()
+
+
+def test_watches_that_break_together_come_back_apart() -> None:
+    """Guards the service: all gateways came back in the same moment, each 0.1 s."""
+    back: list[float] = []
+    for seed in range(20):
+        gate = Gateway(config([], seed=f"{seed:x}"), Operator(), signals=False)
+        while not (timer := gate.journal.task.timer) or not gate.journal.again > AGAIN[0]:
+            gate.loop.turn()
+        back.append(timer.when - gate.loop.now())
+        gate.loop.close()
+    assert max(back) - min(back) > AGAIN[0] / 2 and max(back) <= 1.5 * AGAIN[0]
+
+
+EVENTS = 12
+HOW = st.sampled_from(["good", "empty", "gap", "twice", "anew"])
+
+
+def _event(number: int) -> Change:
+    """Each event starts one engine and drains an earlier one; the first holds the whole list."""
+    names = [(number, State.UP)] + [(number // 2, State.DRAINING)] * (number > 1)
+    return number, number == 1, [Target(Entry(str(n), s, 0, 0, 0, 0, 1.0), {}) for n, s in names]
+
+
+def _list_at(last: int) -> dict[str, State]:
+    return {t.entry.engine: t.entry.state for n in range(1, last + 1) for t in _event(n)[2]}
+
+
+@steady
+@given(st.lists(st.tuples(st.integers(1, EVENTS), HOW)))
+def test_whatever_a_watch_does_its_next_good_answers_tell_the_whole_list(
+    steps: list[tuple[int, str]]
+) -> None:
+    held, known = 0, dict[str, State]()
+
+    def take(last: int, events: list[Change]) -> None:
+        nonlocal held, known
+        news = follow(held, last, events)
+        known = {} if news.whole else known
+        known |= {t.entry.engine: t.entry.state for t in news.targets}
+        held = news.position
+
+    for last, how in steps:
+        events = [_event(n) for n in range(held + 1, last + 1)]
+        spoilt = {"empty": [], "gap": events[1:], "twice": [*events, *events], "anew": []}
+        take(1 if how == "anew" else last, spoilt.get(how, events))
+    for _ in range(2):  # the second where the first shows that all must be asked for
+        take(EVENTS, [_event(n) for n in range(held + 1, EVENTS + 1)])
+    assert held == EVENTS and known == _list_at(EVENTS)
+
+
+# ---- new settings again and again
+
+
+def test_a_second_reload_leaves_each_dropped_class_its_own_time() -> None:
+    """Guards requests that cross: the first reload's timer ended the time of what the second dropped."""
+    names = iter(("audit", "third"))
+
+    def again() -> Any:
+        raw = copy.deepcopy(SETTINGS)
+        raw["services"][1] |= {"name": next(names)}  # type: ignore[index]
+        return config([], settings=raw)
+
+    gate = Gateway(config([]), Operator(), signals=False, read_again=again)
+    start = gate.loop.now()
+    seen = []
+    for at, reloads in ((0.0, True), (1.0, True), (1.2, False), (1.6, False), (2.6, False)):
+        gate.loop.now = lambda at=at: start + at  # type: ignore
+        if reloads:
+            gate.reload()
+        while gate.loop.timers and gate.loop.timers[0][0] <= start + at:
+            gate.loop.turn()
+        seen.append(set(gate.server.classes) - {"lookup", "load"})
+    assert CROSSING == 1.5
+    assert seen == [{"report", "audit"}, {"report", "audit", "third"}, {"report", "audit", "third"},
+                    {"audit", "third"}, {"third"}]  # fmt: skip
+    gate.loop.close()
+
+
+def test_a_call_that_breaks_keeps_no_signal_behind_it_from_its_turn() -> None:
+    """Guards the stop: a SIGTERM behind a reload that broke waited for the next signal."""
+    loop, did = Loop(), list[str]()
+    loop.call_soon(lambda: 1 / 0)
+    loop.call_soon(lambda: did.append("stop"))
+    loop.turn()
+    assert did == ["stop"] and loop.faults == 1
+    loop.close()
+
+
+def test_a_sighup_while_it_starts_ends_no_gateway_and_is_heeded(tmp_path: Path) -> None:
+    """Guards the start: until its end SIGHUP had its usual effect, the process's death."""
+    known = {"pos": 7, "entries": []}
+    raw = {"listen": "127.0.0.1:0", "journal": "127.0.0.1:1", "known": known, "settings": SETTINGS}
+    file = tmp_path / "config.json"
+    os.mkfifo(file)  # the start stands still where it reads its configuration
+    run = [sys.executable, "-m", "mothknot"]
+    environ = os.environ | {"ROUTER_CONFIG": str(file)}
+    with subprocess.Popen(run, env=environ, stderr=subprocess.PIPE, text=True) as process:
+        with file.open("w") as first:  # it reads
+            process.send_signal(signal.SIGHUP)
+            (tmp_path / "next.json").write_text(json.dumps(raw | {"journal": "127.0.0.1:2"}))
+            os.replace(tmp_path / "next.json", file)
+            first.write(json.dumps(raw))
+        assert process.stderr
+        said = ""
+        while "reload journal 127.0.0.1:2" not in said:
+            line = process.stderr.readline()
+            assert line, said
+            said += line
+        process.terminate()
+        assert process.wait(10) == 0
