--- a/mothknot/gateway.py
+++ b/mothknot/gateway.py
@@ -24,7 +24,7 @@
 from mothknot.ops.figures import rendered
 from mothknot.ops.server import ROOM
 from mothknot.ops.server import Server as OpsServer
-from mothknot.targets import BadList, changes_of
+from mothknot.targets import BadList, changes_of, follow
 from mothknot.web.engines import Pool
 from mothknot.web.journal import Journal
 from mothknot.web.server import Server
@@ -38,7 +38,9 @@
 CATCH_UP = 2.5  # seconds in which a successor says yes, though the journal has not answered
 PAIR_SHARE = 0.5  # of the budgets, while two processes are one gateway
 REST_SHARE = 0.1  # of the cold budget, for an elder told to stop: it sends only what it still holds
-KILLED_AT = 5.0  # seconds after SIGTERM at most that an elder has for what is open
+KILLED_AT = 3.0  # seconds after SIGTERM, and 0.7 more, that a gateway has at most for what is open
+ELDER_AT = 5.0  # and an elder that a successor follows
+GIVEN_UP = 0.4  # seconds past these, or past the longest deadline if that is less, until the rest is given up
 CROSSING = 1.5  # seconds in which a class that was dropped is still taken: clients hear of it late
 MOST_LINES = 256  # classes that the figures have lines for
 PATIENCE = 500_000_000  # nanoseconds that an attempt of the Flight wire may take beyond its run
@@ -64,6 +66,7 @@
     """A forwarder with a planner beside it, or one of several whose planners are other processes."""
 
     position = 0  # the journal's last event that we hold
+    given_up = False  # told to stop, and so late that nothing is begun any more
     planner: Planner  # only where it shares our process
 
     def __init__(
@@ -81,6 +84,8 @@
         self.config, self.loop, self.read_again = config, Loop(), read_again
         self.operator_again = operator_again
         self.operator, self.classes, self.number = operator, config.classes, number
+        # Classes that were dropped, and until when each is still taken
+        self.leaving: dict[str, tuple[tuple[int, bool, bool], float]] = {}
         self.share = PAIR_SHARE if legacy else 1.0
         self.shares = 0  # changes of it asked for
         given = legacy.fronts if legacy else {}
@@ -102,7 +107,10 @@
             self.planner = Planner(settings, config.seed, time.time_ns, self.alarm)
             self.desk.add_planner(self.planner.tell, True)
             loop.after.append(self.turn)
-        self.take_list(config.known)
+        last, changes = changes_of(config.known, config.names)
+        news = follow(0, last, changes)
+        self.desk.listed(news.targets, news.whole)
+        self.position = last  # as the configuration says: the service is asked for what comes after
         # Engines, the journal and the loop keep a part of the descriptors; a second front halves the rest
         sockets = config.sockets // max(1, operator.forwarders)
         clients = sockets - min(sockets // 2, max(64, sockets // 4)) - (ROOM if config.ops else 0)
@@ -116,7 +124,7 @@
         web = config.listen, config.classes, most, self.readiness, shared, given.get("web"), reads
         self.server = Server(loop, self.desk, *web)
         caught_up = self._begin if legacy else None
-        self.journal = Journal(loop, config.journal, self.position, self.take_list, caught_up)
+        self.journal = Journal(loop, config.journal, self.position, self.take_list, caught_up, config.seed)
         self.flight = self._flight(operator, most, shared, given.get("flight")) if operator.flight else None
         listeners = [self.server.listener, *([self.flight.listener] if self.flight else [])]
         self.given = listeners if legacy else []
@@ -193,15 +201,15 @@
 
     def take_list(self, raw: Any) -> int:
         try:
-            changes = changes_of(raw, self.config.names)
+            last, changes = changes_of(raw, self.config.names)
         except BadList as bad:
             raise ValueError(str(bad)) from None
-        for position, whole, targets in changes:
-            if position > self.position:  # guards against an event told twice
-                self.position = position
-                if whole or targets:
-                    self.desk.listed(targets, whole)
-        self.position = max(self.position, int(raw.get("pos", 0)))
+        news = follow(self.position, last, changes)
+        if news.whole or news.targets:
+            self.desk.listed(news.targets, news.whole)
+        if news.fault:
+            log("journal", f"{news.fault}: held {self.position}, told to {last}; held now {news.position}")
+        self.position = news.position
         return self.position
 
     def turn(self) -> bool:
@@ -326,8 +334,17 @@
         # Guards requests that cross: a class that was dropped is taken for a while, under its old rules
         if self.statements and reading:
             self.statements.retune(reading, self.statements.classifier.safe)
-        self._fronts({**old, **self.classes})
-        self.loop.at(self.loop.now() + CROSSING, lambda: self._fronts(self.classes))
+        until = self.loop.now() + CROSSING
+        self.leaving |= {name: (told, until) for name, told in old.items()}
+        self._cross()
+        self.loop.at(until, self._cross)
+
+    def _cross(self) -> None:
+        """Each class that was dropped has its own time: another reload neither ends nor lengthens it."""
+        now = self.loop.now()
+        for name in [n for n, (_, until) in self.leaving.items() if until <= now or n in self.classes]:
+            del self.leaving[name]
+        self._fronts({name: told for name, (told, _) in self.leaving.items()} | self.classes)
 
     def _tell_rules(self, settings: Settings, fresh: tuple[int, ...] = ()) -> None:
         told = replace(self.config, settings=settings)
@@ -350,7 +367,11 @@
             return
         log("stop", f"told to stop with {self.desk.outstanding} requests open")
         self.readiness.stop()  # addresses withdrawn: clients go elsewhere first; what still comes is served
-        if self.handover and self.handover.successor:
+        followed = bool(self.handover and self.handover.successor)
+        longest = max(c.give_up for c in self.desk.settings.classes) / 1e9
+        most = min(longest, ELDER_AT if followed else KILLED_AT) + GIVEN_UP
+        self.loop.at(self.loop.now() + most, self._give_up)
+        if followed:
             self._hand_on()
         else:
             self.loop.at(self.loop.now() + ACCEPTING, self._close)
@@ -415,9 +436,13 @@
     def _hand_on(self) -> None:
         """Accept nothing more; what is open is answered here, what rests goes on with the successor."""
         assert self.handover
-        self.server.listener.release()
-        if self.flight:
-            self.flight.listener.release()
+        listeners = [self.server.listener, *([self.flight.listener] if self.flight else [])]
+        for listener in listeners:
+            # Guards who waits to be accepted: while the successor may yet die, nobody else could take them
+            if self.handover.follows:
+                listener.release()
+            else:
+                listener.pause()
         if not self.handover.follows:
             return
         self._take_share(REST_SHARE)
@@ -425,17 +450,18 @@
         self.server.hand_on(self.handover.give)
         if self.flight:
             self.flight.close()
-        longest = max(c.give_up for c in self.desk.settings.classes) / 1e9
-        self.loop.at(self.loop.now() + min(longest, KILLED_AT) + 0.4, self._give_up)
         self._leave_when_done()
 
     def _give_up(self) -> None:
         """Guards clients of what is still open: they hear of it before we are killed, and may ask again."""
+        self.given_up = self.server.refuses = True
         for exchange in list(self.desk.exchanges.values()):
             exchange.end_without_planner()
+        if not (self.handover and self.handover.follows):
+            self._close()  # a successor that never said yes: who waits to be accepted hears it from us
 
     def _close(self) -> None:
-        if self.handover and self.handover.successor:  # it came meanwhile
+        if self.handover and self.handover.successor and not self.given_up:  # it came meanwhile
             return self._hand_on()
         self.server.close()
         if self.flight:
