Take back Flight calls whose message waits, too

Seen: with a call's message held back by its engine's window, the client's leaving (cancelling off) left the attempt out, and the message went when the window opened; the same for an engine that began to drain (tests: both fail without this). At fault: flight Pool.take_back knew only what waits for a dial; Wire.pump put up to 1 MB behind a peer that does not read, where nothing can be taken back. Change: on the engine's side a message stays in its call until the buffer is empty; while it is there a reset takes the call back, as an incomplete message runs nothing. The drain uses the same.

--- a/mothknot/flight/engines.py
+++ b/mothknot/flight/engines.py
@@ -224,10 +224,11 @@
 
     def take_back(self, attempt: Attempt) -> bool:
         run = self.runs.get(id(attempt))
-        if run is None or run.call or run.link is None or run not in run.link.waiting:
-            return False
-        self.stop(attempt)
-        return True
+        # A call whose message has not left whole runs nothing, but behind its plan it may have begun
+        here = run and run.step is not Step.GET and (run.call is None or bool(run.call.out))
+        if here:
+            self.stop(attempt)
+        return bool(here)
 
     def stop(self, attempt: Attempt) -> None:
         if run := self.runs.pop(id(attempt), None):
@@ -249,6 +250,6 @@
         for engine in [e for e in self.links if e not in self.dials]:
             link = self.links.pop(engine)
             link.wire.leave()
-            waiting, link.waiting = link.waiting, []
-            for run in waiting:
-                run._end(Code.CONNECT_FAILED)
+            for run in [r for r in self.runs.values() if r.link is link]:
+                if self.take_back(run.attempt):
+                    run.attempt.ended(Code.CONNECT_FAILED)
--- a/mothknot/rpc/grpc.py
+++ b/mothknot/rpc/grpc.py
@@ -118,6 +118,8 @@
             },
         )
         self.calls: dict[int, Call] = {}
+        # What a client asks waits in its call, not behind others in the buffer: so it can be taken back whole
+        self.most = 1 if client else OUT
         self.taken: Callable[[dict[str, str], Call], Handler] | None = None  # server side: a new call
         self.going = False  # the peer takes no more calls
         self.heard = False
@@ -253,7 +255,7 @@
 
     def pump(self, call: Call) -> None:
         """Send as much of a call as its window and the connection let go."""
-        while call.out and not call.over and len(self.stream.outbox) < OUT:
+        while call.out and not call.over and len(self.stream.outbox) < self.most:
             data, left = call.out[0]
             room = min(self.h2.local_flow_control_window(call.number), self.h2.max_outbound_frame_size)
             if room <= 0:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -17,10 +17,11 @@
 from uuid import uuid4
 
 import pytest
+from hyperframe.frame import SettingsFrame, WindowUpdateFrame
 from hypothesis import given
 from hypothesis import strategies as st
 
-from mothknot.config import Operator
+from mothknot.config import Operator, operator_of
 from mothknot.core.messages import Target
 from mothknot.gateway import CROSSING, KILLED_AT, Gateway
 from mothknot.interface import Entry, State
@@ -29,6 +30,7 @@
 from mothknot.net.stream import Reason, Stream
 from mothknot.targets import Change, follow
 from mothknot.web.journal import AGAIN
+from mothknot.web.server import Held, query_of
 from tests.stand_ins import SETTINGS, Engine, config, host, post
 from tests.test_handover import Site, site
 from tests.test_local import planner, until
@@ -338,6 +340,47 @@
     other.close()
 
 
+@pytest.mark.parametrize("leaves", [True, False])
+def test_a_flight_call_whose_message_waits_is_taken_back(leaves: bool) -> None:
+    """The client leaves, or the engine drains, while an engine's window keeps the call's message here."""
+    engine = socket.create_server(("127.0.0.1", 0))
+    address = f"127.0.0.1:{engine.getsockname()[1]}"
+    told = {"host": "e0", "flight": address, "dial": "127.0.0.1:1", "site": "hall-a", "class": "std-16",
+            "share": 1, "health": "up"}  # fmt: skip
+    flight = operator_of({"flight": {"listen": "127.0.0.1:0"}}, config([]))
+    gate = Gateway(config([told], settings=tuned(cancelling=False)), flight, signals=False)
+    exchanges = []
+    for statement in ("SELECT '" + "x" * 200_000 + "' FROM lending_7.loans", GONE):
+        headers = {"x-txn": uuid4().hex[:16], "x-ttl-ms": "20000"}
+        query = query_of("lookup", gate.config.classes, headers, statement.encode(), gate.desk.clock())
+        exchanges.append(gate.desk.take(query, Held(lambda: None), "flight"))
+        gate.turn()
+    peer = engine.accept()[0]
+    peer.settimeout(0.01)
+    wire = gate.desk.engines["flight"].links["e0"].wire  # type: ignore[attr-defined]
+    while len(wire.calls) < 2 or wire.h2.outbound_flow_control_window:
+        gate.loop.turn()
+    if leaves:
+        exchanges[1].gone()
+    else:
+        news = told | {"health": "draining"}
+        gate.take_list({"pos": 2, "entries": [{"pos": 2, "hosts": {"whole": False, "hosts": [news]}}]})
+    # What has gone in part is not whole either, so it never ran; its client still waits for it
+    assert exchanges[1].attempt is None and bool(exchanges[0].attempt) is leaves
+    window = WindowUpdateFrame(0, window_increment=1_000_000).serialize()
+    own = WindowUpdateFrame(1, window_increment=1_000_000).serialize()
+    peer.sendall(SettingsFrame(0).serialize() + window + own)
+    got = b""
+    while got.count(b"x") < 200_000 and not wire.stream.closed:
+        gate.loop.turn()
+        with contextlib.suppress(TimeoutError):
+            got += peer.recv(65_536)
+    assert GONE.encode() not in got
+    gate.loop.close()
+    for sock in (peer, engine):
+        sock.close()
+
+
 def test_bytes_are_taken_back_only_whole() -> None:
     loop, server = Loop(), socket.create_server(("127.0.0.1", 0))
     near = socket.create_connection(server.getsockname())
