Refuse what is given up before anything of it left, in a class unsafe to repeat too

Seen: a report unsafe to repeat, given up (stop, or its planner dies) while its dial comes up: 500, though it never ran; its client may not ask again (test: 500 == 429 on the program before). At fault: Exchange.end_without_planner asked whether a refusal is harmless while the attempt still counted as out. Change: it is taken back first, as everywhere else.

--- a/mothknot/core/exchange.py
+++ b/mothknot/core/exchange.py
@@ -194,6 +194,7 @@
     def end_without_planner(self) -> None:
         """Guards what a dead planner held: refuse where that is harmless, else fail."""
         self.told = False
+        self.take_back()  # what has not left never ran: then a refusal is true in every class
         harmless = self.desk.harmless(self)
         self.call_off(Code.CANCELLED)
         self.answer(Answer(Verdict.REFUSED if harmless else Verdict.FAILED))
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -523,6 +523,19 @@
         gate.loop.close()
 
 
+def test_what_is_given_up_while_its_dial_comes_up_is_refused_in_every_class() -> None:
+    """Guards clients of a class unsafe to repeat: told that it failed, they may not ask again."""
+    engine = Late()
+    with running(engine, settings=unsafe() | {"limits": tuned(dial_timeout=600 * SEC)["limits"]}) as gate:
+        with ThreadPoolExecutor() as beside:
+            waiting = beside.submit(post, gate, "report", SQL, ttl=600_000)
+            until(lambda: gate.pool.connections)
+            gate.loop.call_soon(gate._give_up)
+            assert waiting.result()[0] == 429
+        engine.let_up()
+    assert engine.statements == []
+
+
 def test_a_plain_stop_answers_a_long_request_and_ends(tmp_path: Path) -> None:
     with site(tmp_path) as s, ThreadPoolExecutor() as beside:
         raw = hurried(1.0)
