Number attempts as the planner counts them, also what is not begun here

Seen, forced (test_a_send_that_a_drain_overtook_counts_at_the_planner_elsewhere): a planner in another process sends to an engine whose drain the forwarder hears first. The attempt ended as never sent, the next was served, and the planner kept the request and its attempt for good: 10 s later module.queries still held it and e1 still counted as in use. Checked: the planner's own list comes in order; in one process list and sends cannot cross so, but an engine without an address on the front's wire gave the same. At fault: Desk._send numbered by len(exchange.tries), which leaves out what it did not begin; the module counts every Send, so outcomes and cancels behind such a one named an attempt that it did not have (policy._outcome drops them). Change: the exchange counts sends.

--- a/mothknot/core/exchange.py
+++ b/mothknot/core/exchange.py
@@ -101,8 +101,8 @@
 
 class Exchange:
     __slots__ = (
-        "desk", "xid", "query", "client", "wire", "link", "passing", "tries", "terms", "answered", "begun",
-        "alarm", "told", "may_have_run", "rules",
+        "desk", "xid", "query", "client", "wire", "link", "passing", "tries", "sends", "terms", "answered",
+        "begun", "alarm", "told", "may_have_run", "rules",
     )  # fmt: skip
 
     def __init__(self, desk: "Desk", xid: int, query: Query, client: Client, wire: str, link: int) -> None:
@@ -111,6 +111,7 @@
         self.passing = desk.engines[wire].passing
         self.rules = desk.settings.classes[query.cls]  # kept, whatever the settings say later
         self.tries: list[Try] = []
+        self.sends = 0  # as the planner counts them: what was not begun here has its number, too
         self.terms: tuple[float, int] = 0.0, 1
         self.answered = self.begun = self.told = self.may_have_run = False
         self.alarm: Alarm | None = None
@@ -321,7 +322,8 @@
 
     def _send(self, xid: int, engine: str) -> None:
         exchange = self.exchanges[xid]
-        attempt = Try(exchange, len(exchange.tries), engine, self.clock())
+        attempt = Try(exchange, exchange.sends, engine, self.clock())
+        exchange.sends += 1
         # Guards the rules on single attempts, answers and drains against a planner that is behind the events
         late = exchange.answered or exchange.begun or exchange.attempt is not None
         target = self.targets.get(engine)
