Look to the end behind the bytes: engines' closes, and who left while it waited to be accepted

Seen, each crossing forced on real sockets: - an engine's late word, or half a line, and its close behind it, both in the machine's buffer as an unsafe request is sent: {'failure': 'Internal'}; the request was written behind the close. On the Flight wire it was opened on a connection whose close had come (the link was the old one). - a client's call and its end, both waiting to be accepted while the loop is held: 'SELECT gone' went to the engine, as the end was read one turn later. Checked and ruled out: the same on the Flight front is found, as our own first bytes meet a closed client before its call is taken; a loop that is behind for over 0.25 s refuses new calls unseen. At fault: Stream.look read once, so an end behind any bytes stayed unseen; Link.usable looked at nothing; Connection._take handed a call over before it had looked. Change: look reads on to the end or a full inbox; the two places ask it.

--- a/mothknot/flight/engines.py
+++ b/mothknot/flight/engines.py
@@ -166,6 +166,7 @@
 
     @property
     def usable(self) -> bool:
+        self.wire.stream.look()  # guards a call: written behind the engine's close, it may count as run
         return not self.wire.going and not self.wire.stream.over
 
     def _look(self) -> None:
--- a/mothknot/net/stream.py
+++ b/mothknot/net/stream.py
@@ -118,27 +118,29 @@
         self.connected = True
         return True
 
-    def _read(self) -> None:
+    def _read(self) -> bool:
+        """Whether anything was there, be it the end."""
         try:
             data = self.sock.recv(CHUNK)
         except BlockingIOError:
-            return
+            return False
         except OSError:
             self.eof = self.reset = True
-            return
+            return True
         if not data:
             self.eof = True
         self.inbox += data
         self.resting = len(self.inbox) >= INBOX
+        return True
 
     def look(self) -> None:
         """Take in what has come since the loop last asked, before a decision that it would change."""
-        if self.connected and not self.eof and not self.closed and not self.resting:
-            had = len(self.inbox)
-            self._read()
-            if self.eof or len(self.inbox) > had:
-                self._want()
-                self.woken()
+        had, was = len(self.inbox), self.eof
+        while self.connected and not (self.eof or self.closed or self.resting) and self._read():
+            pass  # on to the end behind the bytes, if that has come, too
+        if self.eof is not was or len(self.inbox) > had:
+            self._want()
+            self.woken()
 
     def _want(self) -> None:
         """Ask epoll for what can still happen, so that a level held does not spin the loop."""
@@ -265,7 +267,7 @@
 
     def begin(self) -> None:
         self.paused = False
-        self.loop.watch(self.sock, IN, self._ready)
+        self._listen()
 
     def pause(self) -> None:
         """Accept nothing for now, yet keep what waits there alive."""
--- a/mothknot/web/server.py
+++ b/mothknot/web/server.py
@@ -337,6 +337,7 @@
         if query.name in self.server.desk.names:
             raise BadCall(409, "a request with this id is open")
         held = Held(self.task.wake)
+        self.stream.look()  # guards engines: who waited long to be accepted may have left behind its call
         if self.loop.behind() > BEHIND or self.server.away(LAST_TAKEN) or self.server.refuses:
             # Guards against a backlog that makes all answers late: what the core has no time for goes at
             # once; and a drain against connections that would never come to rest
