Count a Flight call as never run while its message has not left whole

Seen (test_a_flight_call_whose_message_waits_is_taken_back[breaks]): the engine's window kept a message here, the connection broke, and both attempts counted as ones that may have run, so an unsafe update failed for nothing. At fault: Wire._run and the reset in Wire._event asked the call's number and the connection alone. Change: what waits in Call.out makes it a call that never ran, as in a take-back. What is in the stream's buffer still counts as gone.

--- a/mothknot/rpc/grpc.py
+++ b/mothknot/rpc/grpc.py
@@ -143,7 +143,9 @@
             calls, self.calls = list(self.calls.values()), {}
             for call in calls:
                 call.over = True
-                call.handler.broken(call.number > self.refused_from or not self.stream.connected)
+                # A message that has not left whole runs nothing
+                never_ran = call.number > self.refused_from or not self.stream.connected or bool(call.out)
+                call.handler.broken(never_ran)
             self.stream.close(reason)
 
     def _talk(self) -> Generator[float | None, None, Reason]:
@@ -209,9 +211,10 @@
             if self.h2.config.client_side:
                 self._forget(call_or_none)
         elif isinstance(event, h2.events.StreamReset):
-            self._forget(call_or_none)
             refused = event.error_code == h2.errors.ErrorCodes.REFUSED_STREAM
-            call_or_none.handler.broken(refused)
+            never_ran = refused or bool(call_or_none.out)
+            self._forget(call_or_none)
+            call_or_none.handler.broken(never_ran)
 
     def _data(self, call: Call, data: bytes, size: int) -> None:
         try:
