End an answer that never ends while bytes come; pass over connections with half a line

Half a line on a resting connection: the next request's answer was glued to it and never read. Checked: an engine that falls silent in the midst is found after 0.3 s, as before. At fault: Connection._patience counts from the last byte (heard); Connection.fits asked nothing of the decoder. Change: an answer must be whole 2 s after its first page, else that attempt ends as an error; a connection on which bytes come for 2 s and no answer ends is closed as bad-answer; fits passes over a resting connection with a part of a line.

--- a/mothknot/web/engines.py
+++ b/mothknot/web/engines.py
@@ -18,6 +18,7 @@
 QUIET = 1.2  # periods of the engines' notes without a byte, though something is out: nothing new is sent
 MUTE = 1.6  # and so many: nothing more will come
 STALLED = 0.3  # seconds without a byte in the midst of an answer, or while a page is due: nor here
+ENDLESS = 2.0  # seconds until an answer that has begun must be whole, whatever else comes meanwhile
 PAGE = 6_000  # bytes of a page
 RESULT = 48_000  # and of all of them
 COLUMNS = 3
@@ -27,7 +28,7 @@
 class Open:
     """An attempt on a connection."""
 
-    __slots__ = ("attempt", "at", "mark", "left", "pages", "got", "paged")
+    __slots__ = ("attempt", "at", "mark", "left", "pages", "got", "began", "paged")
 
     def __init__(self, attempt: Attempt, at: float) -> None:
         self.attempt, self.at = attempt, at
@@ -35,6 +36,7 @@
         self.left = False  # the request has, to the last byte
         self.pages = 0
         self.got: dict[int, bytes] = {}
+        self.began = 0.0  # when its answer came
         self.paged: float | None = None  # when the last page came, the first with the answer itself
 
 
@@ -48,6 +50,7 @@
         # with all that had waited for it
         self.live = False
         self.heard = self.used = self.loop.now()
+        self.whole = self.heard  # when no answer was under way, or one came to its end
         self.decoder = frames.Decoder()
         self.dial_until = self.loop.now() + pool.dial_timeout
         dial = target.dials["web"]
@@ -65,6 +68,8 @@
             return False
         if self.live and now >= (self._patience(QUIET) or math.inf):
             return False
+        if self.decoder.partial and not self.open:
+            return False  # guards its answer: it would be glued to half a line that belongs to nothing
         return len(self.open) < self.pool.streams and name not in self.open and name not in self.stopped
 
     def send(self, attempt: Attempt) -> None:
@@ -168,11 +173,18 @@
         while True:
             if self.stream.inbox:
                 self.heard = self.loop.now()
+                if not self.decoder.partial:
+                    self.whole = self.heard
                 try:
-                    for frame in self.decoder.feed(self.stream.take()):
-                        self._answer(frame)
+                    got = self.decoder.feed(self.stream.take())
                 except frames.BadFrame:
                     return Reason.BAD_ANSWER
+                for frame in got:
+                    self._answer(frame)
+                if got:
+                    self.whole = self.heard
+                if self._endless():
+                    return Reason.BAD_ANSWER
             if self.stream.eof:
                 return Reason.RESET if self.stream.reset else Reason.PEER_CLOSED
             until = self._patience(MUTE)
@@ -186,6 +198,13 @@
                     return Reason.IDLE
             yield until
 
+    def _endless(self) -> bool:
+        """Guards against answers that never end while bytes keep coming, so that nothing is found silent."""
+        since = self.heard - ENDLESS
+        for name in [n for n, e in self.open.items() if e.paged is not None and e.began <= since]:
+            self._spoilt(name)
+        return self.decoder.partial and self.whole <= since
+
     def _answer(self, frame: frames.Frame) -> None:
         entry = self.open.get(frame.name)
         if entry is None:
@@ -196,7 +215,7 @@
             if kind and (level := _real(frame.fields.get("val", ""))) is not None:
                 attempt.noted(kind, level)
         elif frame.word == "ok" and entry.paged is None:
-            entry.paged = self.heard
+            entry.began = entry.paged = self.heard
             attempt.ran()
             pages = _whole(frame.fields.get("sheets", "1"), 1, PAGES)
             if pages is None:
