Ask for the event held once more where a watch broke: a service that passed our number shows

Change: a new connection behind one that broke asks for that event once more and compares; the price is that one event a break. A service that ends connections in order (Connection: close) and a start cost nothing more.

--- a/mothknot/gateway.py
+++ b/mothknot/gateway.py
@@ -24,7 +24,7 @@
 from mothknot.ops.figures import rendered
 from mothknot.ops.server import ROOM
 from mothknot.ops.server import Server as OpsServer
-from mothknot.targets import BadList, changes_of, follow
+from mothknot.targets import BadList, Change, changes_of, follow
 from mothknot.web.engines import Pool
 from mothknot.web.journal import Journal
 from mothknot.web.server import Server
@@ -66,6 +66,7 @@
     """A forwarder with a planner beside it, or one of several whose planners are other processes."""
 
     position = 0  # the journal's last event that we hold
+    newest: Change | None = None  # and that event
     given_up = False  # told to stop, and so late that nothing is begun any more
     planner: Planner  # only where it shares our process
 
@@ -110,7 +111,7 @@
         last, changes = changes_of(config.known, config.names)
         news = follow(0, last, changes)
         self.desk.listed(news.targets, news.whole)
-        self.position = last  # as the configuration says: the service is asked for what comes after
+        self._hold(last, changes)  # as the configuration says: the service is asked for what comes after
         # Engines, the journal and the loop keep a part of the descriptors; a second front halves the rest
         sockets = config.sockets // max(1, operator.forwarders)
         clients = sockets - min(sockets // 2, max(64, sockets // 4)) - (ROOM if config.ops else 0)
@@ -199,19 +200,24 @@
     def alarm(self, when: int, call: Any) -> Timer:
         return self.loop.at(self.loop.now() + (when - time.time_ns()) / 1e9, call)
 
-    def take_list(self, raw: Any) -> int:
+    def take_list(self, raw: Any, again: bool = False) -> int:
+        """An answer of the journal; `again`: to a call for the event that we hold last, and what follows."""
         try:
             last, changes = changes_of(raw, self.config.names)
         except BadList as bad:
             raise ValueError(str(bad)) from None
-        news = follow(self.position, last, changes)
+        news = follow(self.position, last, changes, self.newest if again else None)
         if news.whole or news.targets:
             self.desk.listed(news.targets, news.whole)
         if news.fault:
             log("journal", f"{news.fault}: held {self.position}, told to {last}; held now {news.position}")
-        self.position = news.position
+        self._hold(news.position, changes)
         return self.position
 
+    def _hold(self, position: int, changes: list[Change]) -> None:
+        self.position = position
+        self.newest = next((c for c in reversed(changes) if c[0] == position), self.newest)
+
     def turn(self) -> bool:
         """Let the planner decide on what has come; True if there is more at once."""
         try:
--- a/mothknot/targets.py
+++ b/mothknot/targets.py
@@ -80,14 +80,18 @@
     fault: str = ""
 
 
-def follow(held: int, last: int, changes: list[Change]) -> News:
+def follow(held: int, last: int, changes: list[Change], again: Change | None = None) -> News:
     """Hold an answer to a call behind event `held` against the numbers, which go up by one.
 
+    `again`: that event as it was told, where it was asked for once more. If it is another one now, the
+    service counts anew and has passed our number.
+
     Whatever it tells is heeded, in one step. Where events must be missing, all are to be asked for: guards
     against a list that stays as it is for good, as the service counts anew, or tells its end too soon.
     """
-    at, whole, told = (0 if last < held else held), False, dict[str, Target]()
-    missing, repeated = False, bool(changes) and changes[-1][0] <= at
+    anew = last < held or (again is not None and again not in changes)
+    at, whole, told = (0 if anew else held), False, dict[str, Target]()
+    missing, repeated = False, bool(changes) and changes[-1][0] <= at and not again
     for number, full, targets in changes:
         if number <= at:  # told twice
             continue
@@ -99,6 +103,6 @@
     missing |= at < last
     if whole:
         told = {name: target for name, target in told.items() if target.entry.state is not State.GONE}
-    faults = (last < held, "began-anew"), (missing, "skipped"), (repeated, "repeated")
+    faults = (anew, "began-anew"), (missing, "skipped"), (repeated, "repeated")
     fault = next((name for found, name in faults if found), "")
     return News(0 if missing else at, whole, list(told.values()), fault)
--- a/mothknot/web/journal.py
+++ b/mothknot/web/journal.py
@@ -21,14 +21,16 @@
 
 
 class Journal:
-    """`take` gets each answer's JSON and returns the last position held."""
+    """`take` gets each answer's JSON, and whether it tells the event that we hold last once more; it returns
+    the last position held.
+    """
 
     def __init__(
         self,
         loop: Loop,
         address: str,
         position: int,
-        take: Callable[[Any], int],
+        take: Callable[[Any, bool], int],
         caught_up: Callable[[], None] | None = None,
         seed: int = 0,
     ) -> None:
@@ -36,6 +38,7 @@
         self.loop, self.address, self.position, self.take = loop, address, position, take
         self.caught_up = caught_up
         self.stopped = self.moved = False
+        self.heard = self.lost = False  # an answer came; and its connection broke since
         self.random, self.again = Random(seed), AGAIN[0]
         self.task = loop.spawn(self._run())
 
@@ -61,6 +64,7 @@
             else:
                 reason = yield from self._talk(stream)
                 stream.close(reason)
+                self.lost = self.heard and reason is not Reason.DONE
             until = self.loop.now() + self.again * (0.5 + self.random.random())
             self.again = min(2 * self.again, AGAIN[1])
             while not self.stopped and not self.moved and self.loop.now() < until:
@@ -80,21 +84,24 @@
         while True:
             wait = 1 if self.caught_up else WAIT_MS
             held, asked_at = self.position, self.loop.now()
-            path = f"/journal?tail={self.position}&max_wait={wait}"
+            # Guards against a service that began anew and has passed our number: it shows by that event
+            again = self.lost and held > 0
+            path = f"/journal?tail={held - again}&max_wait={wait}"
             ask = h11.Request(method="GET", target=path, headers=[("Host", self.address)])
             stream.write((http.send(ask) or b"") + (http.send(h11.EndOfMessage()) or b""))
             try:
                 body = yield from self._answer(stream, http)
                 if isinstance(body, Reason):
                     return body
-                self.position = self.take(json.loads(body))
+                self.position = self.take(json.loads(body), again)
+                self.heard, self.lost = True, False
                 caught_up, self.caught_up = self.caught_up, None
                 if caught_up:
                     caught_up()
             except Exception as bad:  # guards the feed: no answer, however odd, may end it for good
                 log("journal", f"unusable answer: {bad!r}")
                 return Reason.BAD_ANSWER
-            idle = self.position == held and not caught_up
+            idle = self.position == held and not caught_up and not again
             if self.position < held or (idle and self.loop.now() < asked_at + AGAIN[0]):
                 return Reason.ANEW  # guards the service, and us, against asking without a rest
             self.again = AGAIN[0]
