Keep taking who still comes after SIGTERM when a successor dies; stop by present deadlines

Seen, forced: SIGTERM to an elder, its successor dies before its yes: the elder closed its listener and what rested at that death, 0.8 s too early for who still comes (TimeoutError on the next connection). A reload drops the class of 25 s and 1 s is the longest: _give_up stood at 3.4 s, while the kill may come at 1.7 s. Checked: a successor that dies after its yes takes the listener with it, as it alone holds it by then. At fault: Gateway.paired called _close at once; Gateway.drain took the longest deadline of the desk's settings, in which a dropped class keeps its place. Change: paired lets the listeners go on and closes at the time that a plain stop has; drain asks the configuration in force. One list of listeners serves the three places that made it.

--- a/mothknot/gateway.py
+++ b/mothknot/gateway.py
@@ -21,6 +21,7 @@
 from mothknot.local.link import Remote
 from mothknot.net.log import log
 from mothknot.net.loop import Loop, Timer
+from mothknot.net.stream import Listener
 from mothknot.ops.figures import rendered
 from mothknot.ops.server import ROOM
 from mothknot.ops.server import Server as OpsServer
@@ -67,6 +68,7 @@
 
     position = 0  # the journal's last event that we hold
     newest: Change | None = None  # and that event
+    last_call = 0.0  # told to stop, until when requests still come
     given_up = False  # told to stop, and so late that nothing is begun any more
     planner: Planner  # only where it shares our process
 
@@ -127,8 +129,7 @@
         caught_up = self._begin if legacy else None
         self.journal = Journal(loop, config.journal, self.position, self.take_list, caught_up, config.seed)
         self.flight = self._flight(operator, most, shared, given.get("flight")) if operator.flight else None
-        listeners = [self.server.listener, *([self.flight.listener] if self.flight else [])]
-        self.given = listeners if legacy else []
+        self.given = self._listeners() if legacy else []
         # Two sessions under one identifier would collide: a successor's begins when its elder has ended
         self.bgp = None if legacy else self._bgp()
         self.readiness.watchers.append(self._announce)
@@ -146,6 +147,9 @@
         if signals:
             self._signals()
 
+    def _listeners(self) -> list[Listener]:
+        return [self.server.listener, *([self.flight.listener] if self.flight else [])]
+
     def _begin(self) -> None:
         """From here on we take requests."""
         if self.readiness.begun:
@@ -374,13 +378,14 @@
         log("stop", f"told to stop with {self.desk.outstanding} requests open")
         self.readiness.stop()  # addresses withdrawn: clients go elsewhere first; what still comes is served
         followed = bool(self.handover and self.handover.successor)
-        longest = max(c.give_up for c in self.desk.settings.classes) / 1e9
+        longest = max(c.give_up for c in self.config.settings.classes) / 1e9  # a dropped class counts no more
         most = min(longest, ELDER_AT if followed else KILLED_AT) + GIVEN_UP
         self.loop.at(self.loop.now() + most, self._give_up)
+        self.last_call = self.loop.now() + ACCEPTING
         if followed:
             self._hand_on()
         else:
-            self.loop.at(self.loop.now() + ACCEPTING, self._close)
+            self.loop.at(self.last_call, self._close)
 
     # ---- the handover, from either side
 
@@ -409,8 +414,11 @@
         if not self.readiness.begun:
             self._begin()
         if self.readiness.ending:
-            self.server.hand_on(None)
-            self._close()
+            # Guards who still comes: with nobody to follow it is a plain stop again, to the same time
+            self.server.give = None
+            for listener in self._listeners():
+                listener.begin()
+            self.loop.at(self.last_call, self._close)
         elif self.bgp is None:
             self.bgp = self._bgp()
             self._announce()
@@ -442,8 +450,7 @@
     def _hand_on(self) -> None:
         """Accept nothing more; what is open is answered here, what rests goes on with the successor."""
         assert self.handover
-        listeners = [self.server.listener, *([self.flight.listener] if self.flight else [])]
-        for listener in listeners:
+        for listener in self._listeners():
             # Guards who waits to be accepted: while the successor may yet die, nobody else could take them
             if self.handover.follows:
                 listener.release()
