Send no repeat once engines have forgotten the first; keep the order of loads as keys' rest ends

Seen, each crossing forced: - a load's first attempt is reset, the next waits for its dial, and the dial comes up 4 s after the first was sent, with a memory-span of 3 s: the second engine got the load and ran it again (a probe: 200, and the statement there). The module asks memory_span when it decides; the dial, an engine that reads no further, or a planner elsewhere that stands still comes after that. Checked and ruled out: an attempt at its client's deadline is taken back already, a drain as well. At fault: Desk._send and the engine clients knew no time until which a repeat may leave; Desk.take handed over at once whatever came when the clock had passed the rest, while those before it waited for their alarms. Change: Exchange.last_send is that time; a send later than it is not begun, and what has not left by then is taken back. Who waits for the rest is handed over in one go, and who comes joins them until that is done.

--- a/mothknot/core/exchange.py
+++ b/mothknot/core/exchange.py
@@ -69,6 +69,13 @@
     def query(self) -> Query:
         return self.exchange.query
 
+    def lapse(self) -> None:
+        """Guards against doubled effects: a late dial, or an engine that reads no further, may outlast the
+        time in which it may leave.
+        """
+        if self.out:
+            self.exchange.take_back()
+
     def written(self) -> None:
         self.exchange.desk.counters.forwards += 1
 
@@ -102,7 +109,7 @@
 class Exchange:
     __slots__ = (
         "desk", "xid", "query", "client", "wire", "link", "passing", "tries", "sends", "terms", "answered",
-        "begun", "alarm", "told", "may_have_run", "rules",
+        "begun", "alarm", "told", "ran_at", "rules",
     )  # fmt: skip
 
     def __init__(self, desk: "Desk", xid: int, query: Query, client: Client, wire: str, link: int) -> None:
@@ -113,13 +120,25 @@
         self.tries: list[Try] = []
         self.sends = 0  # as the planner counts them: what was not begun here has its number, too
         self.terms: tuple[float, int] = 0.0, 1
-        self.answered = self.begun = self.told = self.may_have_run = False
+        self.answered = self.begun = self.told = False
+        self.ran_at: int | None = None  # when the first attempt that may have run was sent
         self.alarm: Alarm | None = None
 
     @property
     def attempt(self) -> Try | None:
         return self.tries[-1] if self.tries and self.tries[-1].out else None
 
+    @property
+    def may_have_run(self) -> bool:
+        return self.ran_at is not None
+
+    @property
+    def last_send(self) -> int:
+        """Until when an attempt may leave: engines drop a repeat only as long as they remember the first."""
+        if self.ran_at is None or self.rules.repeat is not Repeat.KEYED:
+            return self.query.give_up_at
+        return min(self.query.give_up_at, self.ran_at + self.rules.memory_span)
+
     def tell(self, event: Event) -> None:
         if self.told:
             self.desk.tell[self.link](event)
@@ -132,7 +151,8 @@
             self.client.rows(data, left)
 
     def attempt_ended(self, attempt: Try, code: Code) -> None:
-        self.may_have_run |= code not in NEVER_RAN
+        if self.ran_at is None and code not in NEVER_RAN:
+            self.ran_at = attempt.sent_at
         took = attempt.took if code is Code.OK and attempt.took else self.desk.clock() - attempt.sent_at
         if not self.answered and code is Code.OK:
             self.answer(Answer(Verdict.SERVED, tuple(attempt.pages)))
@@ -226,6 +246,7 @@
         self.tuned: list[Settings | None] = []  # by planner: its settings, if it has them from us alone
         self.live: list[bool] = []  # by planner, as `tell`: whether it can be told anything
         self.rests: dict[int, int] = {}  # by planner: until when its keys rest, as one has died
+        self.rested: dict[int, list[Exchange]] = {}  # and what waits for that, in the order taken
         self.next_xid, self.turn = first_xid, 0
         self.counters = Counters()
         self.observer: Observer | None = None
@@ -256,13 +277,26 @@
         if query.shape and self.observer:
             self.observer.taken(query)
         exchange.alarm = self.alarms(query.give_up_at, exchange.deadline)
-        rested = self.rests.get(exchange.link, 0) if query.key else 0
-        if rested > self.clock():
-            self.alarms(rested, lambda: self._hand_over(exchange))
+        link = exchange.link
+        if query.key and (link in self.rested or self.rests.get(link, 0) > self.clock()):
+            waiting = self.rested.setdefault(link, [])
+            waiting.append(exchange)
+            if len(waiting) == 1:
+                self._rest(link)
         else:
             self._hand_over(exchange)
         return exchange
 
+    def _rest(self, link: int) -> None:
+        """Hand over what waited for the keys' rest, all at once: guards their order against who comes as it
+        ends.
+        """
+        if self.rests[link] > self.clock():
+            self.alarms(self.rests[link], lambda: self._rest(link))
+            return
+        for exchange in self.rested.pop(link, []):
+            self._hand_over(exchange)
+
     def _link(self, query: Query) -> int:
         """A key always goes to the same planner; the rest take turns among those that live."""
         if query.key:
@@ -326,6 +360,7 @@
         exchange.sends += 1
         # Guards the rules on single attempts, answers and drains against a planner that is behind the events
         late = exchange.answered or exchange.begun or exchange.attempt is not None
+        late |= self.clock() >= exchange.last_send
         target = self.targets.get(engine)
         if late or target is None or target.entry.state is not State.UP or exchange.wire not in target.dials:
             attempt.out = False
@@ -333,6 +368,8 @@
             return
         exchange.tries.append(attempt)
         self.engines[exchange.wire].start(attempt)
+        if attempt.out and exchange.last_send < exchange.query.give_up_at:
+            self.alarms(exchange.last_send, attempt.lapse)
 
     def _cancel(self, xid: int, copy: int) -> None:
         exchange = self.exchanges.get(xid)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -455,6 +455,27 @@
         one.close()
 
 
+def test_a_repeat_whose_dial_outlasts_what_engines_remember_does_not_leave() -> None:
+    """Guards against doubled effects: engines drop a repeat only so long, and the dial came up later."""
+    engine, other = Engine(script={LOAD: ["mute"]}), Late()
+    raw = tuned(dial_timeout=600 * SEC)
+    raw["services"][2] |= {"memory-span": 3 * SEC}
+    with running(engine, settings=raw) as gate, ThreadPoolExecutor() as beside:
+        waiting = beside.submit(post, gate, "load", LOAD, ttl=600_000)
+        assert engine.wait("REQ")
+        news = [host(engine, "e0", "draining"), host(other, "e1")]
+        hosts = {"seq": 2, "whole": False, "hosts": news}
+        gate.loop.call_soon(lambda: gate.take_list({"pos": 2, "entries": [{"pos": 2, "hosts": hosts}]}))
+        until(lambda: "e1" in gate.desk.targets)
+        engine.hang_up()
+        until(lambda: "e1" in gate.pool.connections)  # it waits for its dial
+        assert waiting.result(20)[0] == 429
+        other.let_up()
+        assert post(gate, "lookup", SQL, ttl=600_000)[0] == 200
+    assert other.statements == [SQL]
+    other.close()
+
+
 # ---- an engine's connection that ends as a request goes out
 
 
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -4,7 +4,7 @@
 
 from mothknot.core.exchange import STOP_WAY, Desk
 from mothknot.core.messages import Answer, Attempt, Query, Target, Verdict
-from mothknot.interface import Cancel, Code, Entry, Event, Outcome, Refuse, Send, State
+from mothknot.interface import Cancel, Code, Entry, Event, Outcome, Refuse, Request, Send, State
 from mothknot.settings import settings_of
 from tests.stand_ins import SETTINGS, flatten
 
@@ -103,3 +103,48 @@
     assert w.outcomes() == [Code.TIMEOUT] and w.client.got == []
     w.pass_time(5_010_000_000)
     assert [a.verdict for a in w.client.got] == [Verdict.FAILED] and not w.desk.exchanges
+
+
+def test_loads_that_come_as_their_keys_rest_ends_keep_their_order() -> None:
+    """Guards the order of a key: one that came in the moment between that end and its alarm went ahead."""
+    w = World()
+    w.desk.planner_died(0)
+    w.desk.planner_born(0)
+
+    def load(name: str) -> int:
+        query = Query(name * 16, 2, "load", b"x", 9_000_000_000, False, "k", "u", None, 0.0, None)
+        return w.desk.take(query, Client(), "web").xid
+
+    first, second = load("2"), load("3")
+    w.now = w.desk.rests[0]  # it has ended, and the alarms have not been called yet
+    third = load("4")
+    w.pass_time(w.now)
+    told = [e.xid for e in w.told if isinstance(e, Request) and e.key]
+    assert told == [first, second, third]
+    w.desk.planner_died(0)  # once more, while others wait
+    w.desk.planner_born(0)
+    load("5")
+    w.now += 1
+    w.desk.planner_died(0)
+    w.desk.planner_born(0)
+    last = load("6")
+    w.pass_time(w.desk.rests[0] - 1)
+    assert [e.xid for e in w.told if isinstance(e, Request) and e.key] == told
+    w.pass_time(w.desk.rests[0])
+    assert [e.xid for e in w.told if isinstance(e, Request) and e.key] == [*told, last]
+
+
+def test_a_send_that_comes_when_engines_have_forgotten_the_first_does_not_leave() -> None:
+    """Guards against doubled effects: a planner elsewhere may have been still since it decided."""
+    w = World()
+    query = Query("2" * 16, 2, "load", b"x", 60_000_000_000, False, None, "u", None, 0.0, None)
+    xid = w.desk.take(query, w.client, "web").xid
+    w.desk.act(Send(xid, "a", 0))
+    w.desk.exchanges[xid].tries[-1].ended(Code.RESET)
+    w.now = 24_999_999_999
+    w.desk.act(Send(xid, "b", 0))
+    w.desk.exchanges[xid].tries[-1].ended(Code.FULL)
+    w.now = 25_000_000_000
+    w.desk.act(Send(xid, "a", 0))
+    assert w.outcomes() == [Code.RESET, Code.FULL, Code.MOOT]
+    assert w.wire.did == [("start", "a"), ("start", "b")]
