Let the last answer of a Flight connection be read before it ends; look before one is closed

Seen, forced (test_a_flight_answer_that_is_still_read_outlasts_the_end_of_its_connection, at a stop and for idleness): 600 kB answered to a client that reads slowly, then the end: 'the end came before the answer's', the rest lay in our buffer. Checked and ruled out: the platform's front waits in _reply until its buffer is empty, then closes half and reads on. At fault: Wire._talk closed as soon as no call was open, whatever the buffer held, and over unread input, which is a reset; for idleness it said nothing, so a call that crossed could not know that it never ran; Server._taken counted such a connection as idle and gave its place away. Change: a client's connection ends with its last bytes read (30 s at most), a half close and a second for what crosses; an idle one is told so first (GOAWAY names the last call taken). One constant for the reader's time.

--- a/mothknot/flight/server.py
+++ b/mothknot/flight/server.py
@@ -28,7 +28,6 @@
 SERVICE = "/arrow.flight.protocol.FlightService/"
 REFUSED, FAILED = grpc.EXHAUSTED, grpc.INTERNAL  # the one status of each; the on-call page names them
 CALL_TIME = 5.0  # seconds in which a call must have brought its message
-READER_TIME = 30.0  # and in which the rest of an answer must have been read
 MOST_DEADLINE = 3600 * 10**9
 
 
@@ -205,7 +204,7 @@
         if self.begun:
             self.call.finish(trailers)
             if not self.call.over:  # guards it against those that never read their answer, too
-                self.server.loop.at(self.server.loop.now() + READER_TIME, self.call.reset)
+                self.server.loop.at(self.server.loop.now() + grpc.READER_TIME, self.call.reset)
         else:
             start = [(":status", "200"), ("content-type", "application/grpc")]
             self.call.wire.headers(self.call, start + trailers, end=True)
@@ -256,7 +255,7 @@
         self.wires = [w for w in self.wires if not w.stream.closed]
         stream = Stream(self.loop, sock, f"flight-client {peer}")
         if len(self.wires) >= self.most:  # guards the descriptors that the engines need
-            idle = [w for w in self.wires if not w.calls]
+            idle = [w for w in self.wires if w.resting]
             if not idle:
                 stream.close(Reason.TOO_MANY)
                 return
--- a/mothknot/rpc/grpc.py
+++ b/mothknot/rpc/grpc.py
@@ -19,6 +19,8 @@
 CALLS = 1_000  # calls at once on a connection
 HELLO_TIME = 2.0  # seconds in which a client's connection must have said something
 IDLE_TIME = 300.0  # and after which one without a call is closed
+READER_TIME = 30.0  # and in which the rest of its last answer must have been read
+LINGER = 1.0
 OUT = 1_048_576  # bytes a connection may keep for a peer that does not read, before calls wait
 
 OK, CANCELLED, INVALID, DEADLINE, EXHAUSTED, UNIMPLEMENTED, INTERNAL = 0, 1, 3, 4, 8, 12, 13
@@ -149,6 +151,7 @@
             self.stream.close(reason)
 
     def _talk(self) -> Generator[float | None, None, Reason]:
+        ended = Reason.STOPPING
         while True:
             if self.stream.inbox:
                 self.heard, self.used = True, self.loop.now()
@@ -171,15 +174,41 @@
             if self.stream.over:
                 return Reason.RESET if self.stream.reset else Reason.PEER_CLOSED
             if self.going and not self.calls:
-                return Reason.STOPPING
+                if not self.h2.config.client_side:
+                    yield from self._last_words()
+                return ended
             until = None
             if not self.calls and not self.h2.config.client_side:
                 # Guards the descriptors against clients that say nothing, or nothing more
                 until = self.used + (IDLE_TIME if self.heard else HELLO_TIME)
                 if self.loop.now() >= until:
-                    return Reason.IDLE if self.heard else Reason.SILENT
+                    if not self.heard:
+                        return Reason.SILENT
+                    self.stream.look()
+                    if not self.stream.inbox:  # guards a call that crosses: it hears that it never ran
+                        ended = Reason.IDLE
+                        self.go_away()
+                    continue
             yield until
 
+    def _last_words(self) -> Generator[float | None, None, None]:
+        """Guards the last answer: a close over what has not left, or with unread input, would cut it off."""
+        until = self.loop.now() + READER_TIME
+        while self.stream.outbox and not self.stream.reset and self.loop.now() < until:
+            self.stream.take()
+            yield until
+        self.stream.half_close()
+        until = self.loop.now() + LINGER
+        while not self.stream.eof and self.loop.now() < until:
+            self.stream.take()
+            yield until
+
+    @property
+    def resting(self) -> bool:
+        """Whether nothing is under way here, either way, even now."""
+        self.stream.look()
+        return not (self.calls or self.stream.inbox or self.stream.outbox)
+
     def _event(self, event: h2.events.Event) -> None:
         if isinstance(event, h2.events.RequestReceived) and self.taken and event.stream_id:
             headers = {str(k): str(v) for k, v in event.headers or []}
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -19,6 +19,8 @@
 import pytest
 from h2.config import H2Configuration
 from h2.connection import H2Connection
+from h2.events import ConnectionTerminated, DataReceived, StreamEnded
+from h2.settings import SettingCodes, Settings
 from hyperframe.frame import SettingsFrame, WindowUpdateFrame
 from hypothesis import given
 from hypothesis import strategies as st
@@ -35,7 +37,7 @@
 from mothknot.net.log import log
 from mothknot.net.loop import Loop
 from mothknot.net.stream import Reason, Stream
-from mothknot.rpc.grpc import framed
+from mothknot.rpc.grpc import Call, Handler, Wire, framed
 from mothknot.targets import Change, follow
 from mothknot.web.journal import AGAIN
 from mothknot.web.server import Held, query_of
@@ -651,6 +653,74 @@
         sock.close()
 
 
+class Answers(Handler):
+    """Answers its call at once, with much."""
+
+    def __init__(self, call: Call) -> None:
+        self.call = call
+
+    def message(self, data: bytes, size: int) -> None:
+        self.call.wire.headers(self.call, [(":status", "200")])
+        self.call.send(b"x" * 600_000)
+        self.call.finish([("grpc-status", "0")])
+
+
+@pytest.mark.parametrize("why", ["stopping", "idle"])
+def test_a_flight_answer_that_is_still_read_outlasts_the_end_of_its_connection(
+    why: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards the last answer: the connection was closed over what its client had not read yet. A call that
+    crosses the end hears that it never ran.
+    """
+    loop, server = Loop(), socket.create_server(("127.0.0.1", 0))
+    server.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+    client = socket.socket()
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+    client.connect(server.getsockname())
+    peer = H2Connection(H2Configuration(client_side=True))
+    windows = {SettingCodes.INITIAL_WINDOW_SIZE: 1_000_000}
+    peer.local_settings = Settings(client=True, initial_values=windows)
+    peer.initiate_connection()
+    peer.increment_flow_control_window(1_000_000)
+    told = [(":method", "POST"), (":scheme", "http"), (":path", "/x"), (":authority", "x")]
+    peer.send_headers(1, told)
+    peer.send_data(1, framed(b"?"), end_stream=True)
+    client.sendall(peer.data_to_send())
+    stream = Stream(loop, server.accept()[0], "client")
+    wire = Wire(loop, stream, client=False)
+    wire.taken = lambda _, call: Answers(call)
+    stream.start()
+    until(lambda: _turned(loop) and stream.outbox and not wire.calls)
+    if why == "stopping":
+        wire.go_away()
+    else:
+        monkeypatch.setattr("mothknot.rpc.grpc.IDLE_TIME", 0.0)
+        wire.task.wake()
+    got, ended = 0, set[Any]()
+    client.settimeout(0.01)
+    while ConnectionTerminated not in ended or StreamEnded not in ended:
+        assert _turned(loop)
+        with contextlib.suppress(TimeoutError):
+            data = client.recv(65_536)
+            assert data, "the end came before the answer's"
+            for event in peer.receive_data(data):
+                ended.add(type(event))
+                if isinstance(event, DataReceived) and event.data and event.flow_controlled_length:
+                    got += len(event.data)
+    assert got == 600_005
+    client.close()
+    until(lambda: _turned(loop) and stream.closed)
+    server.close()
+    loop.close()
+
+
+def _turned(loop: Loop) -> bool:
+    """One turn, which waits for nothing long."""
+    loop.at(loop.now() + 0.01, lambda: None)
+    loop.turn()
+    return True
+
+
 def test_bytes_are_taken_back_only_whole() -> None:
     loop, server = Loop(), socket.create_server(("127.0.0.1", 0))
     near = socket.create_connection(server.getsockname())
