Heed limits that change alone at a reload

Seen (test_limits_that_change_alone_are_heeded): a SIGHUP with another dial-timeout, streams-per-conn and most-held and nothing else counted as applied, with its line, and changed nothing: [0.25, 0.25] instead of [0.6, 0.6]. most-held and the Flight wire's dial-timeout stayed as at the start whatever else changed, one file's limits under another's classes. At fault: Gateway.reload compared the module's settings, in which these limits do not stand, and only then retuned. Change: Gateway._limits takes over what is ours to keep, at each reload.

--- a/mothknot/gateway.py
+++ b/mothknot/gateway.py
@@ -31,6 +31,7 @@
 from mothknot.web.server import Server
 
 if TYPE_CHECKING:
+    from mothknot.flight.engines import Pool as FlightPool
     from mothknot.flight.server import Server as FlightServer
     from mothknot.reading.service import Statements
     from mothknot.statements.messages import Rules
@@ -70,6 +71,7 @@
     newest: Change | None = None  # and that event
     last_call = 0.0  # told to stop, until when requests still come
     given_up = False  # told to stop, and so late that nothing is begun any more
+    flight_pool: "FlightPool | None" = None
     planner: Planner  # only where it shares our process
 
     def __init__(
@@ -247,7 +249,7 @@
 
         config = self.config
         classes = classes_of(config.classes, config.settings)
-        pool = FlightPool(self.loop, time.time_ns, config.dial_timeout)
+        pool = self.flight_pool = FlightPool(self.loop, time.time_ns, config.dial_timeout)
         self.desk.engines["flight"] = pool
         pool.listed(list(self.desk.targets.values()), True)
         assert operator.flight
@@ -298,12 +300,22 @@
         more = "" if now == fixed else "; what it says of name, addresses, sockets and zones needs a restart"
         log("reload", f"journal {config.journal}, classes {' '.join(config.classes)}{more}")
         self.config = replace(config, name=old.name, listen=old.listen, ops=old.ops, names=old.names)
+        self._limits()
         if config.settings != old.settings or list(config.classes) != list(old.classes):
             self._retune(rules)
         elif self.statements and rules:
             self.statements.retune(rules, safe_classes(config))
         self.journal.move(config.journal)
 
+    def _limits(self) -> None:
+        """What of the limits is ours to keep, not the module's."""
+        config = self.config
+        self.desk.most = min(config.most_held, MOST_OPEN)
+        progress = config.settings.progress / 1e9
+        self.pool.retune(config.streams, config.dial_timeout, config.conn_idle, progress)
+        if self.flight_pool:
+            self.flight_pool.dial_timeout = config.dial_timeout
+
     def _rules_again(self, config: Config) -> "Rules | None":
         """How statements are to be read from now on; the rest of that file needs a restart."""
         if self.statements is None:
@@ -340,7 +352,6 @@
         for name in self.classes:
             self.desk.counters.know(name)
         self._tell_rules(settings, tuple(n for name, n in numbers.items() if name not in old))
-        self.pool.retune(config.streams, config.dial_timeout, config.conn_idle, settings.progress / 1e9)
         # Guards requests that cross: a class that was dropped is taken for a while, under its old rules
         if self.statements and reading:
             self.statements.retune(reading, self.statements.classifier.safe)
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -159,3 +159,16 @@
 def test_new_settings_cross_the_local_link_whole() -> None:
     told = Retune(config([]).settings, (1,))
     assert codec.Decoder({**codec.EVENTS}).feed(codec.encode(told)) == [told]
+
+
+def test_limits_that_change_alone_are_heeded() -> None:
+    """Guards a reload that says it is applied: limits outside the module's settings stayed as they were."""
+    raw = copy.deepcopy(SETTINGS)
+    raw["limits"] |= {"most-held": 1, "dial-timeout": 600_000_000, "streams-per-conn": 5}  # type: ignore[operator]
+    operator = Operator(flight=("127.0.0.1", 0))
+    gate = Gateway(config([]), operator, signals=False, read_again=lambda: config([], settings=raw))
+    gate.reload()
+    pools: list[Any] = list(gate.desk.engines.values())
+    assert [pool.dial_timeout for pool in pools] == [0.6, 0.6]
+    assert (gate.pool.streams, gate.desk.most, gate.desk.counters.applied) == (5, 1, 1)
+    gate.loop.close()
