Refuse what no reader of lists and configurations caught: odd numbers, names, addresses

At fault: config_of left out OverflowError, Settings.check the cores, target_of the name's text; address_of took any host, which the loop then would look up by name. Change: these four.

--- a/mothknot/config.py
+++ b/mothknot/config.py
@@ -177,7 +177,7 @@
         raise BadConfig(f"known: {bad}") from None
     except KeyError as bad:
         raise BadConfig(f"{bad.args[0]} is missing") from None
-    except (TypeError, ValueError, AttributeError) as bad:
+    except (TypeError, ValueError, AttributeError, OverflowError) as bad:
         raise BadConfig(f"a value is unusable ({bad})") from None
     if config.sockets < 32 or config.streams < 1 or config.most_held < 1 or config.dial_timeout <= 0:
         raise BadConfig("limits leave no room to work in")
--- a/mothknot/interface.py
+++ b/mothknot/interface.py
@@ -126,6 +126,7 @@
             "limits.max-attempts": self.max_attempts < 1,
             "rules.start-capacity": not 0 < self.start_capacity <= 1,
             "rules.counted-over": self.spare_attempts is not None and self.counted_over <= 0,
+            "family-info.cpu-of-kind": any(c <= 0 for c in self.cores),
             "family-info.memory-by-kind-mb": len(self.cores) != len(self.memory_mb),
             "family-info.parallelism": any(c.threads < 1 for c in self.classes),
             "services[].give-up": any(c.give_up <= 0 for c in self.classes),
--- a/mothknot/net/stream.py
+++ b/mothknot/net/stream.py
@@ -5,6 +5,7 @@
 from collections import deque
 from collections.abc import Callable
 from enum import Enum
+from ipaddress import IPv4Address
 
 from mothknot.net.log import log
 from mothknot.net.loop import IN, OUT, Loop
@@ -42,10 +43,11 @@
 
 
 def address_of(text: str) -> tuple[str, int]:
+    """An IPv4 address and a port: guards the loop, as a name would have to be looked up."""
     host, mark, port = text.rpartition(":")
-    if not mark or not port.isdigit() or not 0 <= int(port) < 65_536 or not host:
-        raise ValueError(f"{text!r} is not HOST:PORT")
-    return host, int(port)
+    if not mark or not port.isdigit() or len(port) > 5 or int(port) > 65_535:
+        raise ValueError(f"{text!r} is not ADDRESS:PORT")
+    return str(IPv4Address(host)), int(port)
 
 
 class Mark:
--- a/mothknot/targets.py
+++ b/mothknot/targets.py
@@ -35,6 +35,7 @@
                 address_of(dial)
         if not 0 < len(engine) <= NAME or any(c.isspace() for c in engine):
             raise BadList("a host's name is unusable")
+        engine.encode()  # guards the planner and its link against what is no text
         entry = Entry(
             engine=engine,
             state=state,
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -163,8 +163,8 @@
 
 def test_limits_that_change_alone_are_heeded() -> None:
     """Guards a reload that says it is applied: limits outside the module's settings stayed as they were."""
-    raw = copy.deepcopy(SETTINGS)
-    raw["limits"] |= {"most-held": 1, "dial-timeout": 600_000_000, "streams-per-conn": 5}  # type: ignore[operator]
+    raw: dict[str, Any] = copy.deepcopy(SETTINGS)
+    raw["limits"] |= {"most-held": 1, "dial-timeout": 600_000_000, "streams-per-conn": 5}
     operator = Operator(flight=("127.0.0.1", 0))
     gate = Gateway(config([]), operator, signals=False, read_again=lambda: config([], settings=raw))
     gate.reload()
