End resting connections with a half close, so that nothing that crosses is a reset

Seen (test_a_request_between_the_last_look_and_the_end_of_its_connection_resets_nothing): bytes that came between the look at a resting connection and the end of that turn of the loop, where sockets are closed: ConnectionResetError. Checked: the look before it finds what had come by then; the window is the rest of the turn, some ms on a busy core. At fault: Connection._await_call left its end to drop, and Loop.dispose closes at the turn's end. Change: idle, silent and stopped connections end as drained ones did, by Connection._linger: half close at once, read for a second at most. What comes behind our end is no request any more.

--- a/mothknot/web/server.py
+++ b/mothknot/web/server.py
@@ -205,7 +205,7 @@
                 self.stream.look()  # guards a request that crosses: a close over it would be a reset
                 if self.stream.inbox or self.stream.eof:
                     continue
-                return Reason.STOPPING if self.server.closing else self._unused()
+                return (yield from self._linger(Reason.STOPPING if self.server.closing else self._unused()))
             until = patience
             if give := self.server.give:
                 # Guards requests on a connection that rests: it stays open, and our successor goes on with it
@@ -214,11 +214,10 @@
                 until = min(until, self.loop.now() + GIVE_AGAIN)
             if self.server.away(STILL_COME):
                 if self.asked:
-                    # Guards a request that crosses: it is read to its end, or it would reset the connection
                     return (yield from self._linger(Reason.DRAINED))
                 until = min(until, self.began + HELLO_AWAY)
                 if self.loop.now() >= until:
-                    return self._unused()
+                    return (yield from self._linger(self._unused()))
             yield until
         self.server.idle.pop(self, None)
         return Reason.TOO_MANY if self.stream.closed else None
@@ -449,7 +448,9 @@
         return (yield from self._linger(reason))
 
     def _linger(self, reason: Reason) -> Steps:
-        """Guards our last bytes: a close with unread input would reset the connection under them."""
+        """Guards our last bytes, and who sends as we end it: a close with unread input would be a reset. What
+        comes behind our end is no request any more: its answer could not leave, so its client sends it again.
+        """
         self.stream.half_close()
         until = self.loop.now() + LINGER
         while not self.stream.eof and self.loop.now() < until:
