Let no service that counts anew call an engine back whose drain or end was told

Seen (test_a_service_that_counts_anew_calls_no_engine_back): drains of e0 and the end of e2 were told, the service began anew with a list from before, and both were up again: sends past drain-grace. At fault: Gateway.take_list laid the whole list over all that had been told.

--- a/mothknot/gateway.py
+++ b/mothknot/gateway.py
@@ -25,7 +25,7 @@
 from mothknot.ops.figures import rendered
 from mothknot.ops.server import ROOM
 from mothknot.ops.server import Server as OpsServer
-from mothknot.targets import BadList, Change, changes_of, follow
+from mothknot.targets import BadList, Change, Ends, changes_of, follow
 from mothknot.web.engines import Pool
 from mothknot.web.journal import Journal
 from mothknot.web.server import Server
@@ -69,6 +69,7 @@
 
     position = 0  # the journal's last event that we hold
     newest: Change | None = None  # and that event
+    anew = False  # its service counts anew, and has not told the whole list yet
     last_call = 0.0  # told to stop, until when requests still come
     given_up = False  # told to stop, and so late that nothing is begun any more
     flight_pool: "FlightPool | None" = None
@@ -114,6 +115,8 @@
             loop.after.append(self.turn)
         last, changes = changes_of(config.known, config.names)
         news = follow(0, last, changes)
+        self.ends = Ends()
+        self.ends.note(news.targets, news.whole, {})
         self.desk.listed(news.targets, news.whole)
         self._hold(last, changes)  # as the configuration says: the service is asked for what comes after
         # Engines, the journal and the loop keep a part of the descriptors; a second front halves the rest
@@ -213,8 +216,12 @@
         except BadList as bad:
             raise ValueError(str(bad)) from None
         news = follow(self.position, last, changes, self.newest if again else None)
-        if news.whole or news.targets:
-            self.desk.listed(news.targets, news.whole)
+        self.anew |= news.fault == "began-anew"
+        targets = self.ends.kept(news.targets) if self.anew else news.targets
+        if news.whole or targets:
+            self.ends.note(targets, news.whole, self.desk.targets)
+            self.desk.listed(targets, news.whole)
+        self.anew &= not news.whole
         if news.fault:
             log("journal", f"{news.fault}: held {self.position}, told to {last}; held now {news.position}")
         self._hold(news.position, changes)
--- a/mothknot/targets.py
+++ b/mothknot/targets.py
@@ -1,6 +1,6 @@
 """The list of engines, as the journal's events and the configuration write it, decoded into targets."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from mothknot.core.messages import Target
@@ -71,6 +71,40 @@
         raise BadList(f"a list event is unusable ({bad})") from None
 
 
+class Ends:
+    """Engines of which a drain or an end was told.
+
+    Guards the drain against a service that counts anew and knows less than we have heard: what it calls up is
+    not, unless it has started since.
+    """
+
+    def __init__(self) -> None:
+        self.told: dict[str, tuple[State, int]] = {}  # by name; and when the engine had started
+
+    def note(self, targets: list[Target], whole: bool, known: dict[str, Target]) -> None:
+        """`known`: the list that this news changes; with a whole one, what it leaves out is gone."""
+        named = {target.entry.engine for target in targets}
+        gone = [replace(t.entry, state=State.GONE) for n, t in known.items() if whole and n not in named]
+        for entry in (*gone, *(target.entry for target in targets)):
+            self.told.pop(entry.engine, None)
+            if entry.state is not State.UP:
+                old = known.get(entry.engine)
+                self.told[entry.engine] = entry.state, old.entry.launched if old else entry.launched
+        while len(self.told) > MOST:
+            del self.told[next(iter(self.told))]
+
+    def kept(self, targets: list[Target]) -> list[Target]:
+        """The same, but what has been told of an engine's end stands."""
+        out = []
+        for target in targets:
+            state, launched = self.told.get(target.entry.engine, (State.UP, 0))
+            if state is State.UP or target.entry.state is not State.UP or launched != target.entry.launched:
+                out.append(target)
+            elif state is State.DRAINING:
+                out.append(replace(target, entry=replace(target.entry, state=state)))
+        return out
+
+
 @dataclass(slots=True, frozen=True)
 class News:
     """What an answer changes: the last event now held (0: ask for all of them), and the targets told anew."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -38,7 +38,7 @@
 from mothknot.net.loop import Loop
 from mothknot.net.stream import Reason, Stream
 from mothknot.rpc.grpc import Call, Handler, Wire, framed
-from mothknot.targets import Change, follow
+from mothknot.targets import Change, Ends, follow
 from mothknot.web.journal import AGAIN
 from mothknot.web.server import Held, query_of
 from tests.stand_ins import SETTINGS, Engine, config, host, post
@@ -792,6 +792,32 @@
     assert len(engine.statements) == 2
 
 
+def test_a_request_between_the_last_look_and_the_end_of_its_connection_resets_nothing() -> None:
+    """Guards who sends as we end it: the close came at the end of the loop's turn, over what had come."""
+    engine = Engine()
+    with running(engine, settings=tuned()) as gate:
+        client = ask(gate, SQL)
+        assert client.recv(65_536).startswith(b"HTTP/1.1 200")
+        until(lambda: gate.server.idle)
+        sent = list[bool]()
+
+        def between() -> bool:
+            """Behind the connection's turn, ahead of the end of the loop's."""
+            if gate.server.closing and not sent:
+                client.sendall(b"POST /svc/lookup HTTP/1.1\r\n")
+                sent.append(True)
+            return False
+
+        gate.loop.call_soon(lambda: gate.loop.after.insert(0, between))
+        gate.loop.call_soon(gate.server.close)
+        assert client.recv(65_536) == b""
+        until(lambda: sent)
+        assert client.recv(65_536) == b""
+        client.close()
+        until(lambda: not gate.server.connections)
+    assert engine.statements == [SQL]
+
+
 # ---- the planned stop
 
 
@@ -1015,6 +1041,59 @@
         engine.close()
 
 
+def test_a_service_that_counts_anew_calls_no_engine_back() -> None:
+    """Guards the drain: a service that knows less than we have heard called up what drains or is gone."""
+    journal, engines = JournalStandIn(), [Engine() for _ in range(3)]
+
+    def told(pos: int, **states: str) -> bytes:
+        """Every engine named; `up` a second time is one that has started since."""
+        hosts = [host(engines[int(n[1])], n, s.split()[0], 5 if " " in s else 0) for n, s in states.items()]
+        event = {"pos": pos, "hosts": {"seq": pos, "whole": pos == 1, "hosts": hosts}}
+        return json.dumps({"pos": pos, "entries": [event]}).encode()
+
+    known = json.loads(told(1, e0="up", e1="up", e2="up"))
+    gate = Gateway(config([], journal=journal.address, known=known), Operator(), signals=False)
+    thread = threading.Thread(target=gate.loop.run, daemon=True)
+    thread.start()
+    answers = (
+        (told(2, e0="draining", e2="removed"), 1), (b'{"pos":1,"entries":[]}', 2),
+        (told(1, e0="up", e1="up", e2="up"), 0),
+    )  # fmt: skip
+    assert [journal.answer(body) for body, _ in answers] == [f"/journal?tail={tail}" for _, tail in answers]
+    until(lambda: gate.position == 1)
+    states = {name: target.entry.state for name, target in gate.desk.targets.items()}
+    assert states == {"e0": State.DRAINING, "e1": State.UP}
+    assert [post(gate, "lookup", SQL, ttl=600_000)[0] for _ in range(8)] == [200] * 8
+    assert [len(engine.statements) for engine in engines] == [0, 8, 0]
+    assert journal.answer(told(2, e0="up again")) == "/journal?tail=1"
+    until(lambda: gate.position == 2)
+    assert gate.desk.targets["e0"].entry.state is State.UP
+    gate.loop.stop()
+    thread.join(10)
+    gate.loop.close()
+    journal.close()
+    for engine in engines:
+        engine.close()
+
+
+def test_a_drain_stands_whatever_a_service_that_counts_anew_says() -> None:
+    """Any order of news, free of sockets: only a later start or the service's own next word ends a drain."""
+    def target(name: str, state: State, launched: int = 0) -> Target:
+        return Target(Entry(name, state, 0, 0, 0, launched, 1.0), {})
+
+    up = [target(name, State.UP, 7) for name in "abcd"]
+    ends = Ends()
+    ends.note(up, True, {})
+    known = {t.entry.engine: t for t in up}
+    ends.note([target("a", State.DRAINING, 7), target("b", State.GONE)], False, known)
+    ends.note([t for t in up if t.entry.engine != "c"], True, known)  # a and b up again, c left out
+    ends.note([target("a", State.DRAINING, 7), target("b", State.GONE)], False, known)
+    kept = {t.entry.engine: t.entry.state for t in ends.kept([*up, target("e", State.UP, 7)])}
+    assert kept == {"a": State.DRAINING, "d": State.UP, "e": State.UP}
+    again = ends.kept([target("a", State.UP, 8), target("b", State.UP, 8), target("d", State.DRAINING)])
+    assert [t.entry.state for t in again] == [State.UP, State.UP, State.DRAINING]
+
+
 @pytest.mark.parametrize("how", ["silent", "breaks"])
 def test_a_drain_told_while_the_watch_is_dead_is_heeded_with_the_next(
     how: str, monkeypatch: pytest.MonkeyPatch, capfd: Any
