--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -32,7 +32,7 @@
 from mothknot.flight.engines import Link
 from mothknot.flight.server import SERVICE
 from mothknot.gateway import CROSSING, KILLED_AT, Gateway
-from mothknot.handover import FDS, PACKET, VERSION
+from mothknot.handover import FDS, PACKET, VERSION, meet
 from mothknot.interface import Entry, State
 from mothknot.net.log import log
 from mothknot.net.loop import Loop
@@ -959,6 +959,67 @@
         kept.close()
 
 
+@pytest.mark.parametrize("step", ["met", "hello", "ready"])
+def test_a_successor_that_dies_at_any_step_leaves_its_elder_serving(step: str, tmp_path: Path) -> None:
+    with _followed(tmp_path, Engine(), *(["ready"] if step == "ready" else [])) as (gate, first):
+        assert gate.handover
+        link = first
+        if step == "met":  # another, that comes when the first has gone and says nothing
+            first.close()
+            until(lambda: gate.handover and not gate.handover.successor)
+            link = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+            link.connect(str(tmp_path / "door"))
+            until(lambda: gate.handover and gate.handover.successor)
+        elif step != "hello":
+            until(lambda: gate.handover and gate.handover.follows)
+        link.close()
+        until(lambda: gate.handover and not gate.handover.successor)
+        assert post(gate, "lookup", SQL, ttl=600_000)[0] == 200
+        with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as second:
+            second.connect(str(tmp_path / "door"))
+            second.send(json.dumps({"hello": VERSION}).encode())
+            second.settimeout(10)
+            data, fds, _, _ = socket.recv_fds(second, PACKET, FDS)
+            assert json.loads(data)["fronts"] == ["web"] and len(fds) == 1
+            os.close(fds[0])
+
+
+@pytest.mark.parametrize("step", ["met", "offered", "heard the yes", "leaving"])
+def test_an_elder_that_dies_at_any_step_leaves_its_successor_serving(step: str, tmp_path: Path) -> None:
+    """The successor is a gateway, the elder a link of the test's."""
+    path, engine = str(tmp_path / "door"), Engine()
+    front = socket.create_server(("127.0.0.1", 0))
+    with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as door, ThreadPoolExecutor() as beside:
+        door.bind(path)
+        door.listen()
+        met = beside.submit(meet, path)
+        link = door.accept()[0]
+        assert json.loads(link.recv(PACKET)) == {"hello": VERSION}
+        if step != "met":
+            told = {"fronts": ["web"], "learned": None}
+            socket.send_fds(link, [json.dumps(told).encode()], [front.fileno()])
+        else:
+            link.close()
+        legacy = met.result(10)
+        assert (legacy is None) is (step == "met")
+    gate = Gateway(config([host(engine)]), Operator(), signals=False, meeting=path, legacy=legacy)
+    thread = threading.Thread(target=gate.loop.run, daemon=True)
+    thread.start()
+    if step in ("heard the yes", "leaving"):
+        assert json.loads(link.recv(PACKET)) == {"ready": True}
+    if step == "leaving":
+        link.send(json.dumps({"leaving": True}).encode())
+    link.close()
+    until(lambda: gate.handover and not gate.handover.elder and gate.readiness.ready)
+    assert post(gate, "lookup", SQL, ttl=5_000)[0] == 200
+    gate.loop.stop()
+    thread.join(10)
+    assert gate.loop.faults == 0
+    gate.loop.close()
+    front.close()
+    engine.close()
+
+
 def test_a_connection_on_its_way_to_a_successor_that_dies_ends_with_nothing_open(tmp_path: Path) -> None:
     """Its client asks anew; what is open stays with the elder and is answered there."""
     engine = Deaf(script={LOAD: ["mute"]})
