--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -34,6 +34,7 @@
 from mothknot.gateway import CROSSING, KILLED_AT, Gateway
 from mothknot.handover import FDS, PACKET, VERSION, meet
 from mothknot.interface import Entry, State
+from mothknot.local.planner import Process
 from mothknot.net.log import log
 from mothknot.net.loop import Loop
 from mothknot.net.stream import Reason, Stream
@@ -155,6 +156,22 @@
     until(lambda: gate.desk.outstanding < owed)
 
 
+@contextlib.contextmanager
+def elsewhere(engine: Engine, **limits: Any) -> Iterator[tuple[Gateway, Process]]:
+    """A gateway, and its planner with a loop of its own."""
+    with planner() as process:
+        told = config([host(engine)], settings=tuned(**limits))
+        gate = Gateway(told, Operator(planners=(process.listener.address,)), signals=False)
+        thread = threading.Thread(target=gate.loop.run, daemon=True)
+        thread.start()
+        until(lambda: gate.desk.live == [True])
+        yield gate, process
+        gate.loop.stop()
+        thread.join(10)
+        assert gate.loop.faults == 0 and not thread.is_alive()
+        gate.loop.close()
+
+
 # ---- a client that leaves while its request waits
 
 
@@ -178,13 +195,7 @@
 def test_who_leaves_while_the_planner_elsewhere_stands_still_is_not_sent_on() -> None:
     """Guards against waiting for a planner's word: its cancel never came, and the dial came up."""
     engine = Late()
-    with planner() as process:
-        raw = tuned(dial_timeout=20 * SEC)
-        told = config([host(engine)], settings=raw)
-        gate = Gateway(told, Operator(planners=(process.listener.address,)), signals=False)
-        thread = threading.Thread(target=gate.loop.run, daemon=True)
-        thread.start()
-        until(lambda: gate.desk.live == [True])
+    with elsewhere(engine, dial_timeout=20 * SEC) as (gate, process):
         client = ask(gate, GONE)
         until(lambda: gate.pool.connections)
         still, go = threading.Event(), threading.Event()
@@ -200,21 +211,13 @@
         until(lambda: not gate.pool.connections or all(c.live for c in gate.pool.connections["e0"]))
         go.set()
         assert post(gate, "lookup", SQL, ttl=600_000)[1] == {"rows": ROWS}
-        gate.loop.stop()
-        thread.join(10)
-        gate.loop.close()
     assert engine.statements == [SQL]
     engine.close()
 
 
 def test_who_leaves_before_the_planner_elsewhere_decides_is_not_sent_on() -> None:
     engine = Engine()
-    with planner() as process:
-        told = config([host(engine)], settings=tuned())
-        gate = Gateway(told, Operator(planners=(process.listener.address,)), signals=False)
-        thread = threading.Thread(target=gate.loop.run, daemon=True)
-        thread.start()
-        until(lambda: gate.desk.live == [True])
+    with elsewhere(engine) as (gate, process):
         still, go = threading.Event(), threading.Event()
 
         def stand_still() -> None:
@@ -229,9 +232,6 @@
         go.set()
         assert post(gate, "lookup", SQL, ttl=600_000)[1] == {"rows": ROWS}
         until(lambda: not process.owners)
-        gate.loop.stop()
-        thread.join(10)
-        gate.loop.close()
     assert engine.statements == [SQL]
     engine.close()
 
@@ -426,12 +426,7 @@
     the engine counted as in use for good.
     """
     engine, other = Engine(), Engine()
-    with planner() as process:
-        told = config([host(engine)], settings=tuned())
-        gate = Gateway(told, Operator(planners=(process.listener.address,)), signals=False)
-        thread = threading.Thread(target=gate.loop.run, daemon=True)
-        thread.start()
-        until(lambda: gate.desk.live == [True])
+    with elsewhere(engine) as (gate, process):
         held = list[bool]()
 
         def hold() -> bool:
@@ -449,9 +444,6 @@
         module = process.planner.module
         until(lambda: not process.owners and not module.queries)
         assert held and not any(e.out for e in module.engines.values())
-        gate.loop.stop()
-        thread.join(10)
-        gate.loop.close()
     assert (engine.statements, other.statements) == ([], [SQL])
     for one in (engine, other):
         one.close()
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -148,3 +148,14 @@
     w.desk.act(Send(xid, "a", 0))
     assert w.outcomes() == [Code.RESET, Code.FULL, Code.MOOT]
     assert w.wire.did == [("start", "a"), ("start", "b")]
+
+
+def test_attempts_behind_one_that_was_not_begun_keep_the_planners_numbers() -> None:
+    """An engine without an address on the front's wire: the end of the next attempt was not heeded."""
+    w = World()
+    w.desk.listed([Target(Entry("a", State.UP, 0, 0, 0, 0, 1.0), {"flight": "127.0.0.1:1"})], False)
+    w.desk.act(Send(w.xid, "a", 0))
+    w.desk.act(Send(w.xid, "b", 0))
+    w.desk.exchanges[w.xid].tries[-1].ended(Code.ERROR)
+    told = [(e.engine, e.copy, e.code) for e in w.told if isinstance(e, Outcome)]
+    assert told == [("a", 0, Code.MOOT), ("b", 1, Code.ERROR)]
