--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,12 @@
 # Build, test, lint and run mothknot. `build` is what deploy/balancer.toml runs before every start.
 PY = .venv/bin/python
-# Not interface.py: compiled, its fields lose the types that the local link's codec decodes by
-MODULE = mothknot/policy.py mothknot/records.py
+SOURCES = query_gateway tests bench example
+# Not the model's events, actions and settings: compiled, their fields lose the types that the IPC codec decodes by
+MODULE = $(filter-out %/__init__.py,$(wildcard query_gateway/policy/*.py)) \
+	$(addprefix query_gateway/model/,averages.py forecasts.py records.py)
+COMPILED = query_gateway/*.so query_gateway/*/*.so *__mypyc*.so
 
-build: .venv/.installed mothknot/.compiled
+build: .venv/.installed query_gateway/.compiled
 
 .venv/.installed: requirements.txt
 	python3 -m venv .venv
@@ -12,15 +15,15 @@
 
 # The decision module is compiled from its typed Python as it stands: the same source, about half the time.
 # Without a C compiler, or if it fails, the module runs as it is.
-mothknot/.compiled: $(MODULE) Makefile .venv/.installed
-	rm -f mothknot/*.so *__mypyc*.so
+query_gateway/.compiled: $(MODULE) Makefile .venv/.installed
+	rm -f $(COMPILED)
 	(MYPYC_OPT_LEVEL=2 .venv/bin/mypyc $(MODULE) >.venv/mypyc.log 2>&1 \
-		&& $(PY) -c 'import mothknot.policy') || rm -f mothknot/*.so *__mypyc*.so
+		&& $(PY) -c 'import query_gateway.policy.scheduler') || rm -f $(COMPILED)
 	rm -rf build
 	touch $@
 
 # Statements are read a third faster with their inner parts compiled as well; off on the platform, so not in build
-STATEMENTS = $(addprefix mothknot/statements/,shape.py lexer.py sketch.py cache.py)
+STATEMENTS = $(addprefix query_gateway/statements/,shape.py lexer.py sketch.py cache.py)
 fast: build
 	MYPYC_OPT_LEVEL=2 .venv/bin/mypyc $(STATEMENTS) >.venv/mypyc.log 2>&1
 	rm -rf build
@@ -28,14 +31,19 @@
 test:
 	.ci/run
 
+format:
+	.venv/bin/ruff format $(SOURCES)
+	.venv/bin/ruff check --fix $(SOURCES)
+
 lint:
-	.venv/bin/ruff check mothknot tests bench example
+	.venv/bin/ruff format --check $(SOURCES)
+	.venv/bin/ruff check $(SOURCES)
 	.venv/bin/mypy
 
 run: build
-	$(PY) -m mothknot
+	$(PY) -m query_gateway
 
 clean:
-	rm -rf .venv build mothknot/.compiled mothknot/*.so mothknot/statements/*.so *__mypyc*.so
+	rm -rf .venv build query_gateway/.compiled $(COMPILED)
 
-.PHONY: build fast test lint run clean
+.PHONY: build fast test format lint run clean
--- a/bench/statements.py
+++ b/bench/statements.py
@@ -27,12 +27,12 @@
 
 import click
 
-from mothknot.statements.cache import Cache
-from mothknot.statements.classifier import Classifier
-from mothknot.statements.costs import Costs
-from mothknot.statements.messages import KeyRule, Rules
-from mothknot.statements.reader import Reader
-from mothknot.statements.shape import shape_of
+from query_gateway.statements.cache import Cache
+from query_gateway.statements.classifier import Classifier
+from query_gateway.statements.costs import Costs
+from query_gateway.statements.messages import KeyRule, Rules
+from query_gateway.statements.reader import Reader
+from query_gateway.statements.shape import shape_of
 
 ROOT = Path(__file__).parent.parent
 KEYS = (KeyRule("lending_*.loans", "member"),)
@@ -233,7 +233,7 @@
     """
     import pyarrow.flight as fl
 
-    from mothknot.reading.keeper import Keeper
+    from query_gateway.parsing.snapshot_store import SnapshotStore
     from tests.test_flight import command, options
 
     snapshot, lost = folder / "costs", [0] * clients
@@ -261,7 +261,7 @@
         while time.monotonic() < until and not (snapshot.exists() and snapshot.stat().st_mtime_ns > before):
             time.sleep(0.05)
     learned = Costs()
-    if not learned.adopt(Keeper(str(snapshot)).load()):
+    if not learned.adopt(SnapshotStore(str(snapshot)).load()):
         raise click.ClickException("the gateway left no snapshot")
     return learned, sum(lost)
 
@@ -353,7 +353,10 @@
     (folder / "operator.toml").write_text(f'[flight]\nlisten = "127.0.0.1:{flight}"\n{table}')
     files = {"ROUTER_CONFIG": str(folder / "config.json"), "MOTHKNOT_OPERATOR": str(folder / "operator.toml")}
     gate = subprocess.Popen(
-        [sys.executable, "-m", "mothknot"], env={**os.environ, **files}, cwd=ROOT, stderr=subprocess.DEVNULL
+        [sys.executable, "-m", "query_gateway"],
+        env={**os.environ, **files},
+        cwd=ROOT,
+        stderr=subprocess.DEVNULL,
     )
     try:
         yield gate.pid, f"grpc://127.0.0.1:{flight}"
--- a/mothknot/__main__.py
+++ b/query_gateway/__main__.py
@@ -8,9 +8,9 @@
 if __name__ == "__main__":  # guards the start against a SIGHUP, which would end it; nothing is read yet
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
-from mothknot.config import BadConfig, read, read_operator
-from mothknot.gateway import Gateway, settings_for
-from mothknot.handover import meet, occupied, occupy, path_of
+from query_gateway.configuration.platform import ConfigurationError, read, read_operator
+from query_gateway.gateway import Gateway, settings_for
+from query_gateway.lifecycle.hot_upgrade import meet, occupied, occupy, path_of
 
 
 def start(part: str) -> int:
@@ -20,31 +20,35 @@
     config = read(os.environ)
     operator = read_operator(os.environ, config)
     kind, _, number = part.partition(" ")
-    if operator.planners and not part:
-        from mothknot.local.parent import Parent
+    if operator.planner_addresses and not part:
+        from query_gateway.planner.supervisor import Supervisor
 
-        place = path_of(os.environ, config.listen)
+        place = path_of(os.environ, config.listen_address)
         if place and occupied(place):
-            raise BadConfig("a gateway serves here, and several processes cannot follow it; stop it first")
+            raise ConfigurationError(
+                "a gateway serves here, and several processes cannot follow it; stop it first"
+            )
         kept = occupy(place) if place else None  # held to our end
-        code = Parent(len(operator.planners), operator.forwarders).run()
+        code = Supervisor(len(operator.planner_addresses), operator.forwarder_count).run()
         if kept:
             kept.close()
         return code
     if kind == "planner":
-        from mothknot.local.parent import with_parent
-        from mothknot.local.planner import Process
+        from query_gateway.planner.process import PlannerProcess
+        from query_gateway.planner.supervisor import with_parent
 
         at = int(number)
-        process = Process(settings_for(config, operator, at), config.seed + at, operator.planners[at])
+        process = PlannerProcess(
+            settings_for(config, operator, at), config.seed + at, operator.planner_addresses[at]
+        )
         with_parent(process.loop, process.loop.stop)
         process.run()
         return 0
-    meeting = None if part else path_of(os.environ, config.listen)
+    meeting = None if part else path_of(os.environ, config.listen_address)
     legacy = meet(meeting) if meeting else None
     gateway = Gateway(config, operator, number=int(number or 0), meeting=meeting, legacy=legacy)
     if part:
-        from mothknot.local.parent import with_parent
+        from query_gateway.planner.supervisor import with_parent
 
         with_parent(gateway.loop, gateway.drain)
     if hangups:
@@ -58,20 +62,20 @@
     """Start and end the process; whatever keeps it from starting is one plain line and code 2."""
     try:
         sys.exit(start(os.environ.get("MOTHKNOT_PART", "")))
-    except BadConfig as bad:
-        print(f"mothknot: configuration: {bad}", file=sys.stderr)
+    except ConfigurationError as bad:
+        print(f"query-gateway: configuration: {bad}", file=sys.stderr)
         sys.exit(2)
     except OSError as bad:
-        print(f"mothknot: cannot listen: {bad.strerror}", file=sys.stderr)
+        print(f"query-gateway: cannot listen: {bad.strerror}", file=sys.stderr)
         sys.exit(2)
 
 
 def main() -> None:
     """With words the command line; without any a gateway, as the deploy file starts it."""
     if len(sys.argv) > 1:
-        from mothknot.cli import main as command
+        from query_gateway.cli import main as command
 
-        command(prog_name="mothknot")
+        command(prog_name="query-gateway")
     serve()
 
 
--- a/mothknot/ops/figures.py
+++ b/query_gateway/admin/figures.py
@@ -1,11 +1,11 @@
 """The figures as text: a line each, `svc_NAME{LABEL} VALUE`."""
 
-from mothknot.core.counters import Counters
-from mothknot.core.messages import Verdict
+from query_gateway.forwarder.counters import Counters
+from query_gateway.forwarder.messages import Verdict
 
 NAMES = {
     Verdict.SERVED: "svc_succeeded_total",
-    Verdict.REFUSED: "svc_declined_total",
+    Verdict.REJECTED: "svc_declined_total",
     Verdict.FAILED: "svc_aborted_total",
 }
 
@@ -26,6 +26,6 @@
         f"svc_outstanding {outstanding}",
         f"svc_discovered {discovered}",
         f"svc_ejected {ejected}",
-        f"svc_sighup_applied_total {counters.applied}",
-        f"svc_sighup_rejected_total {counters.rejected}",
+        f"svc_sighup_applied_total {counters.reloads_applied}",
+        f"svc_sighup_rejected_total {counters.reloads_rejected}",
     ]
--- a/mothknot/ops/server.py
+++ b/query_gateway/admin/server.py
@@ -3,10 +3,10 @@
 import socket
 from collections.abc import Callable, Generator
 
-from mothknot.core.readiness import Readiness
-from mothknot.net.log import log
-from mothknot.net.loop import Loop
-from mothknot.net.stream import Listener, Reason, Stream
+from query_gateway.forwarder.readiness import Readiness
+from query_gateway.net.log import log
+from query_gateway.net.loop import Loop
+from query_gateway.net.stream import Listener, Reason, Stream
 
 CALLERS = 16  # connections at most
 ROOM = CALLERS + 1  # descriptors kept for them and the listener
@@ -20,7 +20,7 @@
         self.server, self.loop = server, server.loop
         self.stream = Stream(server.loop, sock, f"caller {peer}")
         self.task = server.loop.spawn(self._run())
-        self.stream.woken = self.task.wake
+        self.stream.on_activity = self.task.wake
         self.stream.start()
 
     def _run(self) -> Generator[float | None, None, None]:
@@ -39,10 +39,10 @@
         until = self.loop.now() + CALL_TIME
         stream = self.stream
         while b"\n" not in stream.inbox and len(stream.inbox) <= LINE:
-            if stream.over:
+            if stream.is_over:
                 return Reason.RESET if stream.reset else Reason.PEER_CLOSED
             if self.loop.now() >= until:
-                return Reason.SILENT
+                return Reason.UNRESPONSIVE
             yield until
         line, _, _ = bytes(stream.inbox).partition(b"\n")
         stream.write(self.server.answer(line).encode())
@@ -51,7 +51,7 @@
         stream.half_close()  # guards the answer: a close with unread input would reset it
         until = self.loop.now() + LINGER
         while not stream.eof and self.loop.now() < until:
-            stream.take()
+            stream.take_inbox()
             yield until
         return Reason.DONE
 
--- a/mothknot/bgp/session.py
+++ b/query_gateway/bgp/session.py
@@ -4,10 +4,10 @@
 from dataclasses import dataclass
 from ipaddress import IPv4Address, IPv4Network
 
-from mothknot.bgp import messages as m
-from mothknot.net.log import log
-from mothknot.net.loop import Loop, Task
-from mothknot.net.stream import Reason, Stream
+from query_gateway.bgp import messages as m
+from query_gateway.net.log import log
+from query_gateway.net.loop import Loop, Task
+from query_gateway.net.stream import Reason, Stream
 
 DIAL = 5.0  # seconds for a connection to come up
 OPENING = 240.0  # the hold time until the peer has named its own (RFC 4271, 8.2.2)
@@ -89,7 +89,7 @@
         heard = spoke = self.loop.now()
         while True:
             if stream.inbox:
-                for message in decoder.feed(stream.take()):
+                for message in decoder.feed(stream.take_inbox()):
                     heard = self.loop.now()
                     if isinstance(message, m.Notification):
                         log("bgp", f"got NOTIFICATION {message.code}/{message.subcode}")
@@ -147,6 +147,6 @@
         stream.half_close()
         until = self.loop.now() + LINGER
         while not stream.eof and self.loop.now() < until:
-            stream.take()
+            stream.take_inbox()
             yield until
         return reason
--- a/mothknot/cli.py
+++ b/query_gateway/cli.py
@@ -1,5 +1,6 @@
-"""The command line: `mothknot run`, `check` and `statements classify`. `python -m mothknot` alone is
-`run`.
+"""The command line: `query-gateway run`, `check` and `statements classify`.
+
+`python -m query_gateway` alone is `run`.
 """
 
 import json
@@ -12,10 +13,16 @@
 
 import click
 
-from mothknot.config import BadConfig, config_of, faults_of_operator, raw_of, raw_of_operator
+from query_gateway.configuration.platform import (
+    ConfigurationError,
+    config_of,
+    faults_of_operator,
+    raw_of,
+    raw_of_operator,
+)
 
 if TYPE_CHECKING:
-    from mothknot.reading.service import Judged, Statements
+    from query_gateway.parsing.service import Classification, Statements
 
 PATIENCE = 30.0  # seconds that one statement may wait for a parser process
 
@@ -28,7 +35,7 @@
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
-@click.version_option(_version(), prog_name="mothknot")
+@click.version_option(_version(), prog_name="query-gateway")
 def main() -> None:
     """A gateway for query engines."""
 
@@ -38,7 +45,7 @@
 @click.option("--operator", type=click.Path(dir_okay=False), help="In place of MOTHKNOT_OPERATOR.")
 def run(config: str | None, operator: str | None) -> None:
     """Start a gateway."""
-    from mothknot.__main__ import serve
+    from query_gateway.__main__ import serve
 
     if config:
         os.environ["ROUTER_CONFIG"] = config
@@ -63,7 +70,7 @@
     for file in toml:
         try:
             faults += [f"{file}: {fault}" for fault in faults_of_operator(raw_of_operator(file), config)]
-        except BadConfig as bad:
+        except ConfigurationError as bad:
             faults.append(str(bad))
     for fault in faults:
         click.echo(fault, err=True)
@@ -73,7 +80,7 @@
 
 
 def _check_config(file: str) -> tuple[Any, list[str]]:
-    from mothknot.schema import faults_of_configuration
+    from query_gateway.configuration.schema import faults_of_configuration
 
     try:
         raw = raw_of(file)
@@ -81,7 +88,7 @@
         if faults:
             return None, faults
         return config_of(raw, {}), []
-    except BadConfig as bad:
+    except ConfigurationError as bad:
         return None, [str(bad).removeprefix(f"{file}: ")]
 
 
@@ -98,26 +105,26 @@
 
     A line may also hold "class" and "key" as a client names them, and "params" with the values bound.
     """
-    from mothknot.config import reading_of
-    from mothknot.net.loop import Loop
-    from mothknot.reading.service import Statements
+    from query_gateway.configuration.platform import reading_of
+    from query_gateway.net.loop import Loop
+    from query_gateway.parsing.service import Statements
 
     try:
         raw = raw_of_operator(rules)
         faults = faults_of_operator(raw, None)
         if faults:
-            raise BadConfig(f"{rules}: {faults[0]}")
+            raise ConfigurationError(f"{rules}: {faults[0]}")
         reading = reading_of(raw)
         if reading is None:
-            raise BadConfig(f"{rules}: has no table [statements]")
-    except BadConfig as bad:
-        click.echo(f"mothknot: configuration: {bad}", err=True)
+            raise ConfigurationError(f"{rules}: has no table [statements]")
+    except ConfigurationError as bad:
+        click.echo(f"query-gateway: configuration: {bad}", err=True)
         sys.exit(2)
     safe = (reading.rules.lookup, reading.rules.report)
-    service = Statements(Loop(), reading.rules, safe, reading.parsers, reading.shapes)
-    if reading.snapshot and Path(reading.snapshot).exists():
-        service.remember(reading.snapshot)
-        service.keeper = None  # read, never written from here
+    service = Statements(Loop(), reading.rules, safe, reading.parser_count, reading.max_shapes)
+    if reading.snapshot_path and Path(reading.snapshot_path).exists():
+        service.restore(reading.snapshot_path)
+        service.snapshot_store = None  # read, never written from here
     try:
         for line in file:
             if line.strip():
@@ -127,8 +134,8 @@
 
 
 def _classified(service: "Statements", line: str) -> dict[str, Any]:
-    from mothknot.statements.classifier import as_line, turned_down
-    from mothknot.statements.lexer import Unclear
+    from query_gateway.statements.classifier import as_line, turned_down
+    from query_gateway.statements.lexer import Unclear
 
     classifier = service.classifier
     try:
@@ -153,15 +160,15 @@
 
 def _asked(
     service: "Statements", sql: str, named: str | None, key: str | None, params: Any
-) -> Iterator["Judged"]:
+) -> Iterator["Classification"]:
     """Answers until one is no `come back`."""
     loop = service.loop
     until = loop.now() + PATIENCE
     while loop.now() < until:
-        told: list[Judged] = []
-        service.ask(sql, named, key, told.append, params)
+        told: list[Classification] = []
+        service.classify(sql, named, key, told.append, params)
         while not told:
             loop.turn()
         yield told[0]
-    click.echo("mothknot: no parser process answers", err=True)
+    click.echo("query-gateway: no parser process answers", err=True)
     sys.exit(1)
--- a/mothknot/config.py
+++ b/query_gateway/configuration/platform.py
@@ -9,66 +9,69 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
-from mothknot.bgp.session import Settings as BgpSettings
-from mothknot.interface import Repeat, Settings
-from mothknot.net.stream import address_of
-from mothknot.settings import WireError, settings_of
-from mothknot.targets import BadList, Names, changes_of
+from query_gateway.bgp.session import Settings as BgpSettings
+from query_gateway.configuration.settings_parser import SettingsError, settings_of
+from query_gateway.discovery.endpoint_list import EndpointListError, ZoneAndKindNames, changes_of
+from query_gateway.forwarder.messages import RequestClass, RequestClasses
+from query_gateway.model.settings import Idempotency, Settings
+from query_gateway.net.stream import address_of
 
 if TYPE_CHECKING:
-    from mothknot import schema
-    from mothknot.statements.messages import Rules
+    from query_gateway.configuration import schema
+    from query_gateway.statements.messages import Rules
 
 MOST_CLASSES = 64
 MAY_LACK = frozenset(("aim-stretch", "in-turn", "bound-to", "stays-in"))  # of a class: the wire's page
 PER_CLASS = ("parallelism", "loads", "waits-for-loads")  # lists with a value for each class
 
 
-class BadConfig(Exception):
+class ConfigurationError(Exception):
     """What is wrong with the configuration, in one line."""
 
 
 @dataclass(slots=True, frozen=True)
-class Config:
+class Configuration:
     name: str
-    listen: tuple[str, int]
-    ops: tuple[str, int] | None  # the second address
+    listen_address: tuple[str, int]
+    admin_address: tuple[str, int] | None  # the second address
     seed: int
-    sockets: int
-    journal: str
-    known: Any
+    max_descriptors: int
+    discovery_address: str
+    initial_endpoints: Any
     settings: Settings
-    names: Names
-    classes: dict[str, tuple[int, bool, bool]]  # by name: number, whether keyed, whether in turn
-    streams: int  # attempts on one connection
+    zones_and_kinds: ZoneAndKindNames
+    classes: RequestClasses
+    streams_per_connection: int  # attempts on one connection
     dial_timeout: float  # seconds
-    conn_idle: float
-    most_held: int
-    keys: frozenset[str]  # all that the file states; a new one must state as much
+    connection_idle_timeout: float
+    max_open_requests: int
+    setting_paths: frozenset[str]  # all that the file states; a new one must state as much
 
 
 @dataclass(slots=True, frozen=True)
-class Reading:
+class StatementSettings:
     """How statements are read: the rules, and what the reading takes."""
 
     rules: "Rules"
-    web: bool = False
-    shapes: int = 10_000
-    parsers: int = 2
-    snapshot: str = ""
+    covers_http: bool = False
+    max_shapes: int = 10_000
+    parser_count: int = 2
+    snapshot_path: str = ""
 
 
 @dataclass(slots=True, frozen=True)
-class Operator:
+class OperatorSettings:
     """What an operator's file turns on; nothing on the platform."""
 
-    flight: tuple[str, int] | None = None
+    flight_address: tuple[str, int] | None = None
     query_class: str = "lookup"
     update_class: str = "load"
     bgp: BgpSettings | None = None
-    planners: tuple[tuple[str, int], ...] = ()  # where each listens, if they are processes of their own
-    forwarders: int = 1
-    statements: Reading | None = None
+    planner_addresses: tuple[
+        tuple[str, int], ...
+    ] = ()  # where each listens, if they are processes of their own
+    forwarder_count: int = 1
+    statements: StatementSettings | None = None
 
 
 def keys_of(value: Any, path: str = "") -> frozenset[str]:
@@ -83,19 +86,19 @@
     return frozenset()
 
 
-def check_kept(old: Config, new: Config) -> None:
+def check_kept(old: Configuration, new: Configuration) -> None:
     """A file at SIGHUP must state all that the one in force does: no default stands in for what it lacks."""
     lacking = sorted(
-        key for key in old.keys - new.keys
+        key for key in old.setting_paths - new.setting_paths
         if not (key.startswith("settings.services[].") and key.rpartition(".")[2] in MAY_LACK)
     )  # fmt: skip
     if lacking:
-        raise BadConfig(f"{lacking[0]} is missing")
+        raise ConfigurationError(f"{lacking[0]} is missing")
 
 
 def _positive(value: Any, what: str, whole: bool = False) -> None:
     if type(value) not in (int, float) or not 0 < value < math.inf or (whole and value != int(value)):
-        raise BadConfig(f"{what} is no positive number")
+        raise ConfigurationError(f"{what} is no positive number")
 
 
 def _check_figures(settings: Any) -> None:
@@ -103,7 +106,7 @@
     services = settings["services"]
     names = [s["name"] for s in services]
     if len(set(names)) < len(names) or len(names) > MOST_CLASSES or not all(type(n) is str for n in names):
-        raise BadConfig(f"the classes need names of their own, and there may be {MOST_CLASSES}")
+        raise ConfigurationError(f"the classes need names of their own, and there may be {MOST_CLASSES}")
     for service in services:
         for key in ("aim", "give-up"):
             _positive(service[key], f"{key} of class {service['name']}")
@@ -111,7 +114,7 @@
     for key in PER_CLASS:
         told = settings.get("family-info", {}).get(key)
         if told is not None and len(told) != len(names):
-            raise BadConfig(f"{key} has no value for each class")
+            raise ConfigurationError(f"{key} has no value for each class")
 
 
 def _no_number(text: str) -> Any:
@@ -138,7 +141,7 @@
     return str(value).replace(" ", "_").replace(",", "_")
 
 
-def config_of(raw: Any, environ: Mapping[str, str]) -> Config:
+def config_of(raw: Any, environ: Mapping[str, str]) -> Configuration:
     try:
         settings_raw, limits = raw["settings"], raw.get("limits", {})
         ops = environ.get("ROUTER_OPS") or raw.get("ops")
@@ -148,41 +151,46 @@
         services = settings_raw["services"]
         site_limits = settings_raw.get("limits", {})
         zones, kinds = settings_raw.get("zones", []), settings_raw.get("flavors", [])
-        names = Names([str(z) for z in zones], [str(k) for k in kinds])
+        names = ZoneAndKindNames([str(z) for z in zones], [str(k) for k in kinds])
         changes_of(raw["known"], names)
         address_of(str(raw["journal"]))
-        config = Config(
+        config = Configuration(
             name=str(raw.get("name") or environ.get("ROUTER_NAME", "gateway")),
-            listen=address_of(str(environ.get("ROUTER_LISTEN") or raw["listen"])),
-            ops=address_of(str(ops)) if ops else None,
+            listen_address=address_of(str(environ.get("ROUTER_LISTEN") or raw["listen"])),
+            admin_address=address_of(str(ops)) if ops else None,
             seed=int(str(raw.get("seed", "0")), 16) % 2**63,
-            sockets=int(limits.get("sockets", 1024)),
-            journal=str(raw["journal"]),
-            known=raw["known"],
+            max_descriptors=int(limits.get("sockets", 1024)),
+            discovery_address=str(raw["journal"]),
+            initial_endpoints=raw["known"],
             settings=settings,
-            names=names,
+            zones_and_kinds=names,
             classes={
-                str(s["name"]): (i, s.get("repeat") == "deduplicated", bool(s.get("in-turn")))
+                str(s["name"]): RequestClass(i, s.get("repeat") == "deduplicated", bool(s.get("in-turn")))
                 for i, s in enumerate(services)
             },
-            streams=int(site_limits.get("streams-per-conn", 32)),
+            streams_per_connection=int(site_limits.get("streams-per-conn", 32)),
             dial_timeout=int(site_limits.get("dial-timeout", 250_000_000)) / 1e9,
-            conn_idle=int(site_limits.get("conn-idle", 15_000_000_000)) / 1e9,
-            most_held=int(site_limits.get("most-held", 30_000)),
-            keys=keys_of(raw),
+            connection_idle_timeout=int(site_limits.get("conn-idle", 15_000_000_000)) / 1e9,
+            max_open_requests=int(site_limits.get("most-held", 30_000)),
+            setting_paths=keys_of(raw),
         )
-    except WireError as bad:
-        raise BadConfig(str(bad)) from None
-    except BadList as bad:
-        raise BadConfig(f"known: {bad}") from None
+    except SettingsError as bad:
+        raise ConfigurationError(str(bad)) from None
+    except EndpointListError as bad:
+        raise ConfigurationError(f"known: {bad}") from None
     except KeyError as bad:
-        raise BadConfig(f"{bad.args[0]} is missing") from None
+        raise ConfigurationError(f"{bad.args[0]} is missing") from None
     except (TypeError, ValueError, AttributeError, OverflowError) as bad:
-        raise BadConfig(f"a value is unusable ({bad})") from None
-    if config.sockets < 32 or config.streams < 1 or config.most_held < 1 or config.dial_timeout <= 0:
-        raise BadConfig("limits leave no room to work in")
-    if config.ops == config.listen and config.listen[1]:
-        raise BadConfig("ops is the clients' address")
+        raise ConfigurationError(f"a value is unusable ({bad})") from None
+    if (
+        config.max_descriptors < 32
+        or config.streams_per_connection < 1
+        or config.max_open_requests < 1
+        or config.dial_timeout <= 0
+    ):
+        raise ConfigurationError("limits leave no room to work in")
+    if config.admin_address == config.listen_address and config.listen_address[1]:
+        raise ConfigurationError("ops is the clients' address")
     return config
 
 
@@ -191,15 +199,15 @@
     try:
         return json.loads(Path(path).read_text(), parse_constant=_no_number)
     except OSError as bad:
-        raise BadConfig(f"{path}: {bad.strerror}") from None
+        raise ConfigurationError(f"{path}: {bad.strerror}") from None
     except (ValueError, RecursionError) as bad:
-        raise BadConfig(f"{path} is not JSON ({bad})") from None
+        raise ConfigurationError(f"{path} is not JSON ({bad})") from None
 
 
-def read(environ: Mapping[str, str]) -> Config:
+def read(environ: Mapping[str, str]) -> Configuration:
     path = environ.get("ROUTER_CONFIG")
     if not path:
-        raise BadConfig("ROUTER_CONFIG names no file")
+        raise ConfigurationError("ROUTER_CONFIG names no file")
     return config_of(raw_of(path), environ)
 
 
@@ -216,8 +224,8 @@
     )
 
 
-def _statements_of(told: "schema.Statements") -> "Reading":
-    from mothknot.statements.messages import KeyRule, Rules
+def _statements_of(told: "schema.Statements") -> "StatementSettings":
+    from query_gateway.statements.messages import KeyRule, Rules
 
     rules = Rules(
         dialect=told.dialect, lookup=told.lookup, report=told.report, load=told.load or None,
@@ -226,20 +234,20 @@
         pure=tuple(told.pure_functions), mismatch=told.mismatch, most_length=told.most_length,
         keys=tuple(KeyRule(key.table, key.column, key.type) for key in told.keys),
     )  # fmt: skip
-    return Reading(rules, told.web, told.shapes, told.parsers, told.snapshot)
+    return StatementSettings(rules, told.web, told.shapes, told.parsers, told.snapshot)
 
 
-def reading_of(raw: Any) -> Reading | None:
+def reading_of(raw: Any) -> StatementSettings | None:
     """The table `statements` of an operator's file that has no faults."""
-    from mothknot import schema
+    from query_gateway.configuration import schema
 
     told = schema.File.model_validate(raw).statements
     return _statements_of(told) if told else None
 
 
-def faults_of_operator(raw: Any, config: Config | None) -> list[str]:
+def faults_of_operator(raw: Any, config: Configuration | None) -> list[str]:
     """Every fault of an operator's file: its form, and what does not go with the configuration."""
-    from mothknot import schema
+    from query_gateway.configuration import schema
 
     told = schema.faults_of(raw)
     if told:
@@ -265,41 +273,43 @@
             if safe is (place == "statements.load"):
                 may = "may" if safe else "may not"
                 told.append(f"{place}: names class {name!r}, whose requests {may} run twice")
-    if config.ops and file.processes and file.processes.forwarders > 1:
+    if config.admin_address and file.processes and file.processes.forwarders > 1:
         told.append("processes.forwarders: the second address needs one forwarder: figures are not added up")
     return told
 
 
-def safe_classes(config: Config) -> frozenset[str]:
+def safe_classes(config: Configuration) -> frozenset[str]:
     """The classes whose requests may run twice."""
     classes = config.settings.classes
-    return frozenset(n for n, told in config.classes.items() if classes[told[0]].repeat is Repeat.SAFE)
+    return frozenset(
+        n for n, told in config.classes.items() if classes[told.index].idempotency is Idempotency.IDEMPOTENT
+    )
 
 
-def operator_of(raw: Any, config: Config) -> Operator:
-    from mothknot import schema
+def operator_of(raw: Any, config: Configuration) -> OperatorSettings:
+    from query_gateway.configuration import schema
 
     faults = faults_of_operator(raw, config)
     if faults:
-        more = f" (and {len(faults) - 1} more: see `mothknot check`)" if len(faults) > 1 else ""
-        raise BadConfig(f"the operator's file: {faults[0]}{more}")
+        more = f" (and {len(faults) - 1} more: see `query-gateway check`)" if len(faults) > 1 else ""
+        raise ConfigurationError(f"the operator's file: {faults[0]}{more}")
     file = schema.File.model_validate(raw)
     flight, processes = file.flight, file.processes
-    return Operator(
-        flight=address_of(flight.listen) if flight else None,
+    return OperatorSettings(
+        flight_address=address_of(flight.listen) if flight else None,
         query_class=flight.query_class if flight else "lookup",
         update_class=flight.update_class if flight else "load",
         bgp=_bgp_of(file.bgp) if file.bgp else None,
-        planners=tuple(address_of(a) for a in processes.planners) if processes else (),
-        forwarders=processes.forwarders if processes else 1,
+        planner_addresses=tuple(address_of(a) for a in processes.planners) if processes else (),
+        forwarder_count=processes.forwarders if processes else 1,
         statements=_statements_of(file.statements) if file.statements else None,
     )
 
 
-def read_operator(environ: Mapping[str, str], config: Config) -> Operator:
+def read_operator(environ: Mapping[str, str], config: Configuration) -> OperatorSettings:
     """The file that MOTHKNOT_OPERATOR names, if it names one."""
     path = environ.get("MOTHKNOT_OPERATOR")
-    return operator_of(raw_of_operator(path), config) if path else Operator()
+    return operator_of(raw_of_operator(path), config) if path else OperatorSettings()
 
 
 def raw_of_operator(path: str) -> Any:
@@ -307,6 +317,6 @@
     try:
         return tomllib.loads(Path(path).read_text())
     except OSError as bad:
-        raise BadConfig(f"{path}: {bad.strerror}") from None
+        raise ConfigurationError(f"{path}: {bad.strerror}") from None
     except ValueError as bad:
-        raise BadConfig(f"{path} is not TOML ({bad})") from None
+        raise ConfigurationError(f"{path} is not TOML ({bad})") from None
--- a/mothknot/schema.py
+++ b/query_gateway/configuration/schema.py
@@ -1,6 +1,7 @@
 """The form of an operator's file, checked whole: every fault with its place, not only the first.
 
-Loaded only where such a file is named. `mothknot.config` turns what is checked here into its own values.
+Loaded only where such a file is named. `query_gateway.configuration.platform` turns what is checked here into
+its own values.
 """
 
 from collections.abc import Iterable
@@ -9,7 +10,7 @@
 
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
 
-from mothknot.net.stream import address_of
+from query_gateway.net.stream import address_of
 
 Address = Annotated[str, AfterValidator(lambda text: address_of(text) and text)]
 Name = Annotated[str, Field(min_length=1, max_length=200)]
--- a/mothknot/web/engines.py
+++ b/query_gateway/engine_protocol/client.py
@@ -3,15 +3,16 @@
 import math
 from collections.abc import Callable, Generator
 
-from mothknot.core.messages import Attempt, Target
-from mothknot.interface import Code, NoteKind, State
-from mothknot.net.loop import Loop, Task
-from mothknot.net.stream import Mark, Reason, Stream, address_of
-from mothknot.web import frames
+from query_gateway.engine_protocol import frames
+from query_gateway.forwarder.messages import AttemptHandle, Endpoint
+from query_gateway.model.endpoints import EndpointState
+from query_gateway.model.events import OutcomeCode, ProgressKind
+from query_gateway.net.loop import Loop, Task
+from query_gateway.net.stream import Mark, Reason, Stream, address_of
 
 MS = 1_000_000
-NOTES = {"share": NoteKind.PROGRESS, "short": NoteKind.SPILLS, "held": NoteKind.WAITS}
-ENDS = {"refused": Code.FULL, "error": Code.ERROR, "stale": Code.MOOT}
+NOTES = {"share": ProgressKind.PROGRESS, "short": ProgressKind.SPILLING, "held": ProgressKind.WAITING}
+ENDS = {"refused": OutcomeCode.FULL, "error": OutcomeCode.ERROR, "stale": OutcomeCode.NOT_SENT}
 STOPPED = 4_096  # names kept of attempts that a connection's late answers may still name
 PAGES = 64
 OUTBOX = 4_194_304  # bytes that an engine may leave unread
@@ -30,7 +31,7 @@
 
     __slots__ = ("attempt", "at", "mark", "left", "pages", "got", "began", "paged")
 
-    def __init__(self, attempt: Attempt, at: float) -> None:
+    def __init__(self, attempt: AttemptHandle, at: float) -> None:
         self.attempt, self.at = attempt, at
         self.mark: Mark | None = None  # its request, where it waits for the engine to read
         self.left = False  # the request has, to the last byte
@@ -41,7 +42,7 @@
 
 
 class Connection:
-    def __init__(self, pool: "Pool", engine: str, target: Target) -> None:
+    def __init__(self, pool: "ConnectionPool", engine: str, target: Endpoint) -> None:
         self.pool, self.loop, self.engine, self.target = pool, pool.loop, engine, target
         self.open: dict[str, Open] = {}
         self.stopped: dict[str, None] = {}
@@ -53,7 +54,7 @@
         self.whole = self.heard  # when no answer was under way, or one came to its end
         self.decoder = frames.Decoder()
         self.dial_until = self.loop.now() + pool.dial_timeout
-        dial = target.dials["web"]
+        dial = target.addresses["web"]
         what = f"engine {engine} {dial}"
         self.stream = Stream.dial(self.loop, address_of(dial), what, lambda: self.task.wake())
         self.task: Task = self.loop.spawn(self._run())
@@ -62,52 +63,57 @@
         """Room for one more, on a connection that an answer to an earlier attempt of it cannot reach."""
         now = self.loop.now()
         if self.live:
-            self.stream.look()  # guards the request: written behind the engine's close, it may count as run
-        stale = not self.open and now - self.used > self.pool.idle
-        if self.retired or self.stream.over or stale or len(self.stream.outbox) > OUTBOX:
+            # Guards the request: written behind the engine's close, it may count as run
+            self.stream.read_available()
+        stale = not self.open and now - self.used > self.pool.idle_timeout
+        if self.retired or self.stream.is_over or stale or len(self.stream.outbox) > OUTBOX:
             return False
         if self.live and now >= (self._patience(QUIET) or math.inf):
             return False
         if self.decoder.partial and not self.open:
             return False  # guards its answer: it would be glued to half a line that belongs to nothing
-        return len(self.open) < self.pool.streams and name not in self.open and name not in self.stopped
-
-    def send(self, attempt: Attempt) -> None:
-        query = attempt.query
+        return (
+            len(self.open) < self.pool.streams_per_connection
+            and name not in self.open
+            and name not in self.stopped
+        )
+
+    def send(self, attempt: AttemptHandle) -> None:
+        query = attempt.request
         self.used = self.loop.now()
-        entry = self.open[query.name] = Open(attempt, self.used)
+        entry = self.open[query.client_id] = Open(attempt, self.used)
         if self.live:
             self._write(entry)
         self.task.wake()  # its patience runs from now
 
     def _write(self, entry: Open) -> None:
-        attempt, q = entry.attempt, entry.attempt.query
-        budget = max(1, (q.give_up_at - self.pool.clock()) // MS)
+        attempt, q = entry.attempt, entry.attempt.request
+        budget = max(1, (q.deadline - self.pool.clock()) // MS)
         fields = {"queue": q.class_name, "budget": str(budget)}
-        if q.idempotency:
-            fields["uniq"] = q.idempotency
+        if q.idempotency_key:
+            fields["uniq"] = q.idempotency_key
         if attempt.memory_mb > 0:
             fields["allot"] = f"{attempt.memory_mb:g}"
         fields["urgency"] = str(attempt.priority)
-        data = frames.request(q.name, fields, q.statement)
+        data = frames.request(q.client_id, fields, q.statement)
 
         def left() -> None:
             entry.left, entry.mark = True, None
-            attempt.written()
+            attempt.on_written()
 
         self.stream.write(data)
-        entry.mark = self.stream.when_sent(left, len(data))
+        entry.mark = self.stream.call_when_sent(left, len(data))
 
-    def take_back(self, name: str) -> bool:
+    def withdraw(self, name: str) -> bool:
         """Drop an attempt of which the engine has heard nothing, nor will."""
         entry = self.open.get(name)
-        if entry is None or (self.live and not (entry.mark and self.stream.take_back(entry.mark))):
+        if entry is None or (self.live and not (entry.mark and self.stream.withdraw(entry.mark))):
             return False
         del self.open[name]
         self.task.wake()
         return True
 
-    def stop(self, name: str) -> None:
+    def cancel(self, name: str) -> None:
         """Give an attempt up; its late answers find nothing here."""
         if self.open.pop(name, None) is None:
             return
@@ -120,39 +126,39 @@
         self.stopped[name] = None
         self.retired |= len(self.stopped) > STOPPED
 
-    def rank(self, name: str, priority: int) -> None:
+    def set_priority(self, name: str, priority: int) -> None:
         if name in self.open and self.live:
             self.stream.write(frames.nice(name, priority))
 
     def _run(self) -> Generator[float | None, None, None]:
-        reason, code = Reason.FAULT, Code.RESET
+        reason, code = Reason.FAULT, OutcomeCode.RESET
         try:
             reason, code = yield from self._connect()
             if reason is Reason.DONE:
-                code = Code.RESET
+                code = OutcomeCode.RESET
                 reason = yield from self._talk()
         finally:
             self.stream.close(reason)
             self.pool.forget(self)
             for entry in list(self.open.values()):
                 # What had not left whole never ran, and where the dial was up no engine is to blame for it
-                entry.attempt.ended(code if entry.left or not self.live else Code.MOOT)
+                entry.attempt.on_ended(code if entry.left or not self.live else OutcomeCode.NOT_SENT)
             self.open.clear()
 
-    def _connect(self) -> Generator[float | None, None, tuple[Reason, Code]]:
+    def _connect(self) -> Generator[float | None, None, tuple[Reason, OutcomeCode]]:
         while not self.stream.connected:
-            if self.stream.refused or self.stream.eof:
-                return Reason.DIAL_REFUSED, Code.CONNECT_FAILED
+            if self.stream.dial_refused or self.stream.eof:
+                return Reason.DIAL_REFUSED, OutcomeCode.CONNECT_FAILED
             if self.loop.now() >= self.dial_until:
-                return Reason.DIAL_TIMEOUT, Code.CONNECT_FAILED
+                return Reason.DIAL_TIMEOUT, OutcomeCode.CONNECT_FAILED
             if not self.open:
-                return Reason.ABANDONED, Code.CONNECT_FAILED
+                return Reason.ABANDONED, OutcomeCode.CONNECT_FAILED
             yield self.dial_until
         self.live = True
         for entry in self.open.values():
             self._write(entry)
         self.heard = self.loop.now()
-        return Reason.DONE, Code.RESET
+        return Reason.DONE, OutcomeCode.RESET
 
     def _patience(self, periods: float) -> float | None:
         """Until when a byte must come, if one must.
@@ -164,9 +170,9 @@
             return self.heard + STALLED
         paged = [e.paged for e in self.open.values() if e.paged is not None]
         dues = [max(self.heard, min(paged)) + STALLED] if paged else []
-        if self.open and self.pool.note_period:
+        if self.open and self.pool.progress_interval:
             first = next(iter(self.open.values())).at
-            dues.append(max(self.heard, first) + self.pool.note_period * periods)
+            dues.append(max(self.heard, first) + self.pool.progress_interval * periods)
         return min(dues, default=None)
 
     def _talk(self) -> Generator[float | None, None, Reason]:
@@ -176,24 +182,24 @@
                 if not self.decoder.partial:
                     self.whole = self.heard
                 try:
-                    got = self.decoder.feed(self.stream.take())
+                    got = self.decoder.feed(self.stream.take_inbox())
                 except frames.BadFrame:
-                    return Reason.BAD_ANSWER
+                    return Reason.MALFORMED_RESPONSE
                 for frame in got:
                     self._answer(frame)
                 if got:
                     self.whole = self.heard
                 if self._endless():
-                    return Reason.BAD_ANSWER
+                    return Reason.MALFORMED_RESPONSE
             if self.stream.eof:
                 return Reason.RESET if self.stream.reset else Reason.PEER_CLOSED
             until = self._patience(MUTE)
             if until and self.loop.now() >= until:
-                return Reason.SILENT
+                return Reason.UNRESPONSIVE
             if not self.open:
                 if self.retired:
                     return Reason.REPLACED
-                until = self.used + self.pool.idle
+                until = self.used + self.pool.idle_timeout
                 if self.loop.now() >= until:
                     return Reason.IDLE
             yield until
@@ -213,10 +219,10 @@
         if frame.word == "progress":
             kind = NOTES.get(frame.fields.get("detail", ""))
             if kind and (level := _real(frame.fields.get("val", ""))) is not None:
-                attempt.noted(kind, level)
+                attempt.on_progress(kind, level)
         elif frame.word == "ok" and entry.paged is None:
             entry.began = entry.paged = self.heard
-            attempt.ran()
+            attempt.on_executed()
             pages = _whole(frame.fields.get("sheets", "1"), 1, PAGES)
             if pages is None:
                 return self._spoilt(frame.name)
@@ -231,7 +237,7 @@
                 return self._spoilt(frame.name)
             self._page(frame.name, entry, number, frame.data)
         elif frame.word in ENDS:
-            self._ended(frame.name, ENDS[frame.word] if entry.paged is None else Code.ERROR)
+            self._ended(frame.name, ENDS[frame.word] if entry.paged is None else OutcomeCode.ERROR)
         # whatever else comes is a second copy, or word that belongs to no attempt: it changes nothing
 
     def _page(self, name: str, entry: Open, number: int, data: bytes) -> None:
@@ -246,21 +252,21 @@
         if sum(len(page) for page in entry.got.values()) > RESULT:
             return self._spoilt(name)
         for n in range(entry.pages):
-            entry.attempt.page(entry.got[n])
-        self._ended(name, Code.OK)
+            entry.attempt.on_page(entry.got[n])
+        self._ended(name, OutcomeCode.OK)
 
     def _spoilt(self, name: str) -> None:
         """Guards the client and the planner: what cannot be read is no answer, and was never a good one."""
         self.retired = True
-        self._ended(name, Code.ERROR)
+        self._ended(name, OutcomeCode.ERROR)
 
-    def _ended(self, name: str, code: Code) -> None:
+    def _ended(self, name: str, code: OutcomeCode) -> None:
         entry = self.open.pop(name)
-        if code is not Code.OK:
+        if code is not OutcomeCode.OK:
             self._bar(name)  # a second copy of this end must not meet the next attempt
         self.pool.where.pop(name, None)
         self.used = self.loop.now()
-        entry.attempt.ended(code)
+        entry.attempt.on_ended(code)
 
 
 def sound(page: bytes) -> bool:
@@ -288,10 +294,10 @@
     return value if abs(value) < 1e12 else None
 
 
-class Pool:
+class ConnectionPool:
     """Every engine's connections."""
 
-    passing = False
+    streams_results = False
 
     def __init__(
         self,
@@ -302,22 +308,27 @@
         idle: float,
         note_period: float,
     ) -> None:
-        self.loop, self.clock, self.streams, self.dial_timeout = loop, clock, streams, dial_timeout
-        self.idle = idle * IDLE_SHARE
-        self.note_period = note_period  # seconds; 0: engines tell nothing of what is out
-        self.targets: dict[str, Target] = {}
+        self.loop, self.clock, self.streams_per_connection, self.dial_timeout = (
+            loop,
+            clock,
+            streams,
+            dial_timeout,
+        )
+        self.idle_timeout = idle * IDLE_SHARE
+        self.progress_interval = note_period  # seconds; 0: engines tell nothing of what is out
+        self.targets: dict[str, Endpoint] = {}
         self.connections: dict[str, list[Connection]] = {}
         self.where: dict[str, Connection] = {}
 
-    def retune(self, streams: int, dial_timeout: float, idle: float, note_period: float) -> None:
-        self.streams, self.dial_timeout = streams, dial_timeout
-        self.idle, self.note_period = idle * IDLE_SHARE, note_period
+    def update_limits(self, streams: int, dial_timeout: float, idle: float, note_period: float) -> None:
+        self.streams_per_connection, self.dial_timeout = streams, dial_timeout
+        self.idle_timeout, self.progress_interval = idle * IDLE_SHARE, note_period
 
-    def start(self, attempt: Attempt) -> None:
-        engine, name = attempt.engine, attempt.query.name
+    def start(self, attempt: AttemptHandle) -> None:
+        engine, name = attempt.endpoint, attempt.request.client_id
         target = self.targets.get(engine)
-        if target is None or "web" not in target.dials or name in self.where:
-            attempt.ended(Code.MOOT)  # never sent, and no fault of the engine's
+        if target is None or "web" not in target.addresses or name in self.where:
+            attempt.on_ended(OutcomeCode.NOT_SENT)  # never sent, and no fault of the engine's
             return
         known = self.connections.setdefault(engine, [])
         connection = next((c for c in known if c.fits(name)), None)
@@ -325,26 +336,26 @@
             try:
                 connection = Connection(self, engine, target)
             except OSError:  # out of descriptors: never sent either
-                attempt.ended(Code.MOOT)
+                attempt.on_ended(OutcomeCode.NOT_SENT)
                 return
             known.append(connection)
         self.where[name] = connection
         connection.send(attempt)
 
-    def take_back(self, attempt: Attempt) -> bool:
-        connection = self.where.get(attempt.query.name)
-        if connection is None or not connection.take_back(attempt.query.name):
+    def withdraw(self, attempt: AttemptHandle) -> bool:
+        connection = self.where.get(attempt.request.client_id)
+        if connection is None or not connection.withdraw(attempt.request.client_id):
             return False
-        del self.where[attempt.query.name]
+        del self.where[attempt.request.client_id]
         return True
 
-    def stop(self, attempt: Attempt) -> None:
-        if connection := self.where.pop(attempt.query.name, None):
-            connection.stop(attempt.query.name)
+    def cancel(self, attempt: AttemptHandle) -> None:
+        if connection := self.where.pop(attempt.request.client_id, None):
+            connection.cancel(attempt.request.client_id)
 
-    def rank(self, attempt: Attempt) -> None:
-        if connection := self.where.get(attempt.query.name):
-            connection.rank(attempt.query.name, attempt.priority)
+    def set_priority(self, attempt: AttemptHandle) -> None:
+        if connection := self.where.get(attempt.request.client_id):
+            connection.set_priority(attempt.request.client_id, attempt.priority)
 
     def forget(self, connection: Connection) -> None:
         known = self.connections.get(connection.engine, [])
@@ -355,19 +366,23 @@
         for name in [n for n, c in self.where.items() if c is connection]:
             del self.where[name]
 
-    def listed(self, targets: list[Target], full: bool) -> None:
+    def update_endpoints(self, targets: list[Endpoint], full: bool) -> None:
         if full:
-            named = {t.entry.engine for t in targets}
+            named = {t.info.name for t in targets}
             for engine in [e for e in self.targets if e not in named]:
                 self._retire(engine)
         for target in targets:
-            engine, old = target.entry.engine, self.targets.get(target.entry.engine)
-            fresh = old is None or old.entry.launched != target.entry.launched or old.dials != target.dials
-            if target.entry.state is not State.UP or fresh:
+            engine, old = target.info.name, self.targets.get(target.info.name)
+            fresh = (
+                old is None
+                or old.info.started_at != target.info.started_at
+                or old.addresses != target.addresses
+            )
+            if target.info.state is not EndpointState.UP or fresh:
                 # Guards against a connection to a process that is no more, and against a send in a drain
                 # that waits for its connection
                 self._retire(engine)
-            if target.entry.state is State.GONE:
+            if target.info.state is EndpointState.REMOVED:
                 self.targets.pop(engine, None)
             else:
                 self.targets[engine] = target
@@ -377,8 +392,8 @@
         for connection in list(self.connections.get(engine, [])):
             connection.retired = True
             for entry in list(connection.open.values()):  # guards the drain against what waits to be written
-                if self.take_back(entry.attempt):
-                    entry.attempt.ended(Code.CONNECT_FAILED)
+                if self.withdraw(entry.attempt):
+                    entry.attempt.on_ended(OutcomeCode.CONNECT_FAILED)
             connection.task.wake()
         if not self.connections.get(engine):
             self.connections.pop(engine, None)
--- a/mothknot/flight/engines.py
+++ b/query_gateway/flight/engines.py
@@ -4,13 +4,14 @@
 from collections.abc import Callable
 from enum import Enum
 
-from mothknot.core.messages import Attempt, Target
-from mothknot.flight import messages
-from mothknot.flight.server import SERVICE
-from mothknot.interface import Code, State
-from mothknot.net.loop import Loop
-from mothknot.net.stream import Reason, Stream, address_of
-from mothknot.rpc import grpc
+from query_gateway.flight import messages
+from query_gateway.flight.server import SERVICE
+from query_gateway.forwarder.messages import AttemptHandle, Endpoint
+from query_gateway.model.endpoints import EndpointState
+from query_gateway.model.events import OutcomeCode
+from query_gateway.net.loop import Loop
+from query_gateway.net.stream import Reason, Stream, address_of
+from query_gateway.rpc import grpc
 
 MS = 1_000_000
 FIGURE = re.compile(r"\d{1,9}(\.\d{1,6})?", re.ASCII)  # of a query's work or memory, as an engine tells it
@@ -25,11 +26,11 @@
 class Run(grpc.Handler):
     """One attempt: for a query its plan and then its result, for an update one exchange of messages."""
 
-    def __init__(self, pool: "Pool", attempt: Attempt) -> None:
+    def __init__(self, pool: "Pool", attempt: AttemptHandle) -> None:
         self.pool, self.attempt = pool, attempt
         self.link: Link | None = None
         self.call: grpc.Call | None = None
-        self.step = Step.PUT if attempt.query.update else Step.INFO
+        self.step = Step.PUT if attempt.request.is_update else Step.INFO
         self.tickets: list[bytes] = []
         self.first: tuple[bytes, int] | None = None  # kept back until more comes: a schema is no row
         self.status: str | None = None
@@ -37,36 +38,36 @@
 
     def begin(self, link: "Link") -> None:
         self.link = link
-        statement = self.attempt.query.statement.decode()
+        statement = self.attempt.request.statement.decode()
         if self.step is Step.PUT:
             self._open(messages.update(statement))
         else:
             self._open(messages.query_descriptor(statement))
 
     def _open(self, message: bytes) -> None:
-        q, a, link = self.attempt.query, self.attempt, self.link
-        left = max(1, (q.give_up_at - self.pool.clock()) // MS)
+        q, a, link = self.attempt.request, self.attempt, self.link
+        left = max(1, (q.deadline - self.pool.clock()) // MS)
         headers = [
             (":method", "POST"), (":scheme", "http"), (":path", SERVICE + self.step.value),
             (":authority", link.dial if link else ""), ("te", "trailers"),
             ("content-type", "application/grpc"),
-            ("grpc-timeout", f"{left}m"), ("x-class", q.class_name), ("x-txn", q.name),
+            ("grpc-timeout", f"{left}m"), ("x-class", q.class_name), ("x-txn", q.client_id),
             ("x-priority", str(a.priority)),
         ]  # fmt: skip
-        if q.idempotency:
-            headers.append(("x-txn-key", q.idempotency))
+        if q.idempotency_key:
+            headers.append(("x-txn-key", q.idempotency_key))
         if a.memory_mb > 0:
             headers.append(("x-grant-mb", f"{a.memory_mb:g}"))
         self.status = None
         self.call = link.wire.open(headers, self) if link else None
         if self.call is None:
-            self._end(Code.CONNECT_FAILED if self.step is not Step.GET else Code.RESET)
+            self._end(OutcomeCode.CONNECT_FAILED if self.step is not Step.GET else OutcomeCode.RESET)
             return
         stream = link.wire.stream if link and self.step is not Step.GET else None
 
         def sent() -> None:
             if stream:
-                stream.when_sent(self.attempt.written)
+                stream.call_when_sent(self.attempt.on_written)
 
         self.call.send(message, sent if stream else None, last=True)
 
@@ -76,7 +77,7 @@
         self.status = headers.get("grpc-status", self.status)
         if "x-work-ms" in headers or "x-used-mb" in headers:
             work, used = (_figure(headers.get(name, "0")) for name in ("x-work-ms", "x-used-mb"))
-            self.attempt.measured(int(work * MS), used)
+            self.attempt.on_measured(int(work * MS), used)
 
     def message(self, data: bytes, size: int) -> None:
         call = self.call
@@ -88,7 +89,7 @@
                 self.tickets = messages.tickets_of_info(data)
             except messages.BadMessage:
                 call.reset()
-                self._end(Code.ERROR)
+                self._end(OutcomeCode.ERROR)
         elif self.first is None and self.step is Step.GET:
             self.first = data, size
         else:
@@ -103,35 +104,37 @@
 
     def _pass(self, data: bytes, size: int) -> None:
         if call := self.call:
-            self.attempt.page(data, lambda: call.taken(size))
+            self.attempt.on_page(data, lambda: call.taken(size))
 
     def ended(self) -> None:
         if self.over:
             return
         if self.status != str(grpc.OK):
-            self._end(Code.FULL if self.status == str(grpc.EXHAUSTED) else Code.ERROR)
+            self._end(OutcomeCode.FULL if self.status == str(grpc.EXHAUSTED) else OutcomeCode.ERROR)
         elif self.step is Step.INFO and self.tickets:
             self.step = Step.GET
             self._open(self.tickets.pop(0))
         elif self.step is Step.INFO:
-            self._end(Code.ERROR)
+            self._end(OutcomeCode.ERROR)
         elif self.tickets:  # a result in several parts: each brings its schema, of which one is passed on
             self._release_first()
             self.first = None
-            self._end(Code.ERROR)
+            self._end(OutcomeCode.ERROR)
         else:
-            self.attempt.ran()
+            self.attempt.on_executed()
             self._release_first()
-            self._end(Code.OK)
+            self._end(OutcomeCode.OK)
 
     def broken(self, never_ran: bool) -> None:
-        self._end(Code.CONNECT_FAILED if never_ran and self.step is not Step.GET else Code.RESET)
+        self._end(
+            OutcomeCode.CONNECT_FAILED if never_ran and self.step is not Step.GET else OutcomeCode.RESET
+        )
 
-    def _end(self, code: Code) -> None:
+    def _end(self, code: OutcomeCode) -> None:
         if not self.over:
             self.over = True
             self.pool.runs.pop(id(self.attempt), None)
-            self.attempt.ended(code)
+            self.attempt.on_ended(code)
 
     def stop(self) -> None:
         self.over = True
@@ -161,23 +164,24 @@
             wake()
             self._look()
 
-        stream.woken = woken
-        loop.at(loop.now() + pool.dial_timeout, self._late)
+        stream.on_activity = woken
+        loop.call_at(loop.now() + pool.dial_timeout, self._late)
 
     @property
     def usable(self) -> bool:
-        self.wire.stream.look()  # guards a call: written behind the engine's close, it may count as run
-        return not self.wire.going and not self.wire.stream.over
+        # Guards a call: written behind the engine's close, it may count as run
+        self.wire.stream.read_available()
+        return not self.wire.going and not self.wire.stream.is_over
 
     def _look(self) -> None:
         """Begin what waited, or end it if the connection never came up."""
         stream = self.wire.stream
-        if not stream.connected and not stream.over:
+        if not stream.connected and not stream.is_over:
             return
         waiting, self.waiting = self.waiting, []
         for run in waiting:
-            if stream.over:
-                run._end(Code.CONNECT_FAILED)
+            if stream.is_over:
+                run._end(OutcomeCode.CONNECT_FAILED)
             else:
                 run.begin(self)
 
@@ -198,7 +202,7 @@
 class Pool:
     """Every Flight SQL engine's connection."""
 
-    passing = True
+    streams_results = True
 
     def __init__(self, loop: Loop, clock: Callable[[], int], dial_timeout: float) -> None:
         self.loop, self.clock, self.dial_timeout = loop, clock, dial_timeout
@@ -206,45 +210,45 @@
         self.links: dict[str, Link] = {}
         self.runs: dict[int, Run] = {}
 
-    def start(self, attempt: Attempt) -> None:
-        dial = self.dials.get(attempt.engine)
+    def start(self, attempt: AttemptHandle) -> None:
+        dial = self.dials.get(attempt.endpoint)
         if dial is None:
-            attempt.ended(Code.MOOT)  # never sent, and no fault of the engine's
+            attempt.on_ended(OutcomeCode.NOT_SENT)  # never sent, and no fault of the engine's
             return
-        link = self.links.get(attempt.engine)
+        link = self.links.get(attempt.endpoint)
         if link is None or not link.usable or link.dial != dial:
             if link:
                 link.wire.leave()
             try:
-                link = self.links[attempt.engine] = Link(self, attempt.engine, dial)
+                link = self.links[attempt.endpoint] = Link(self, attempt.endpoint, dial)
             except OSError:  # out of descriptors: never sent either
-                attempt.ended(Code.MOOT)
+                attempt.on_ended(OutcomeCode.NOT_SENT)
                 return
         run = self.runs[id(attempt)] = Run(self, attempt)
         link.take(run)
 
-    def take_back(self, attempt: Attempt) -> bool:
+    def withdraw(self, attempt: AttemptHandle) -> bool:
         run = self.runs.get(id(attempt))
         # A call whose message has not left whole runs nothing, but behind its plan it may have begun
         here = run and run.step is not Step.GET and (run.call is None or bool(run.call.out))
         if here:
-            self.stop(attempt)
+            self.cancel(attempt)
         return bool(here)
 
-    def stop(self, attempt: Attempt) -> None:
+    def cancel(self, attempt: AttemptHandle) -> None:
         if run := self.runs.pop(id(attempt), None):
             run.stop()
 
-    def rank(self, attempt: Attempt) -> None:
+    def set_priority(self, attempt: AttemptHandle) -> None:
         """A priority cannot be changed on this wire once the call is out."""
 
-    def listed(self, targets: list[Target], full: bool) -> None:
+    def update_endpoints(self, targets: list[Endpoint], full: bool) -> None:
         if full:
             self.dials = {}
         for target in targets:
-            engine = target.entry.engine
-            if target.entry.state is State.UP and "flight" in target.dials:
-                self.dials[engine] = target.dials["flight"]
+            engine = target.info.name
+            if target.info.state is EndpointState.UP and "flight" in target.addresses:
+                self.dials[engine] = target.addresses["flight"]
             else:
                 # Guards the drain: nothing new goes there, while results under way go on
                 self.dials.pop(engine, None)
@@ -252,5 +256,5 @@
             link = self.links.pop(engine)
             link.wire.leave()
             for run in [r for r in self.runs.values() if r.link is link]:
-                if self.take_back(run.attempt):
-                    run.attempt.ended(Code.CONNECT_FAILED)
+                if self.withdraw(run.attempt):
+                    run.attempt.on_ended(OutcomeCode.CONNECT_FAILED)
--- a/mothknot/flight/server.py
+++ b/query_gateway/flight/server.py
@@ -7,19 +7,19 @@
 from typing import TYPE_CHECKING
 from uuid import uuid4
 
-from mothknot.core.exchange import Desk, Exchange
-from mothknot.core.messages import Answer, Query, Verdict
-from mothknot.core.readiness import STILL_COME, Phase, Readiness
-from mothknot.core.sql import table_group
-from mothknot.flight import messages
-from mothknot.interface import Repeat, Settings
-from mothknot.net.loop import Loop
-from mothknot.net.stream import Listener, Reason, Stream
-from mothknot.rpc import grpc
-from mothknot.web.server import BadCall, Classes, hex_header, real_header
+from query_gateway.flight import messages
+from query_gateway.forwarder.exchange import Exchange, Forwarder
+from query_gateway.forwarder.messages import Answer, ClientRequest, RequestClasses, Verdict
+from query_gateway.forwarder.readiness import STILL_COME, Phase, Readiness
+from query_gateway.forwarder.table_group import table_group
+from query_gateway.http.server import BadCall, hex_header, real_header
+from query_gateway.model.settings import Idempotency, Settings
+from query_gateway.net.loop import Loop
+from query_gateway.net.stream import Listener, Reason, Stream
+from query_gateway.rpc import grpc
 
 if TYPE_CHECKING:
-    from mothknot.reading.service import Judged, Statements
+    from query_gateway.parsing.service import Classification, Statements
 
 MS = 1_000_000
 WAY_BACK = 25 * MS  # of the client's time, kept for the way here and the last bytes' way back
@@ -51,8 +51,8 @@
 
 def query_of(
     statement: str, class_name: str, c: FlightClass, headers: dict[str, str], now: int, update: bool = False,
-    judged: "Judged | None" = None,
-) -> Query:  # fmt: skip
+    judged: "Classification | None" = None,
+) -> ClientRequest:  # fmt: skip
     """`judged`: what reading the statement said of it, where statements are read."""
     left = timeout_of(headers.get("grpc-timeout"), c.give_up)
     if not statement:
@@ -60,37 +60,40 @@
     if update and c.safe:
         # Guards the rule on effects: what says itself that it changes something is never run twice
         raise BadCall(400, f"an update cannot run as {class_name[:80]}, whose queries may run twice")
-    group = judged.group if judged else table_group(statement)
+    group = judged.table_group if judged else table_group(statement)
     cost = real_header(headers, "x-cpu-hint", 1e8)
     told = judged.judgement if judged else None
     key = told.key if told and told.key else hex_header(headers, "x-row", 16, c.in_turn)
     idempotency = hex_header(headers, "x-txn-key", 32, c.keyed and not told)
     if idempotency is None and c.keyed:
         idempotency = uuid4().hex  # of this request alone: two equal inserts are two loads
-    return Query(
-        name=hex_header(headers, "x-txn", 16, False) or uuid4().hex[:16],
-        cls=c.number,
+    return ClientRequest(
+        client_id=hex_header(headers, "x-txn", 16, False) or uuid4().hex[:16],
+        class_index=c.number,
         class_name=class_name,
         statement=statement.encode(),
-        give_up_at=now + max(left // 2, left - WAY_BACK),
-        retry=headers.get("x-second-try") == "1",
+        deadline=now + max(left // 2, left - WAY_BACK),
+        is_retry=headers.get("x-second-try") == "1",
         key=key if c.in_turn else None,
-        idempotency=idempotency,
-        cost=int(cost * MS) if cost else judged.cost_ns if judged else None,
-        need_mb=real_header(headers, "x-memory", 1e7) or (judged.need_mb if judged else 0.0),
-        tables=None if group is None else float(group),
-        update=update,
+        idempotency_key=idempotency,
+        estimated_work=int(cost * MS) if cost else judged.estimated_work_ns if judged else None,
+        memory_mb=real_header(headers, "x-memory", 1e7) or (judged.memory_mb if judged else 0.0),
+        table_group=None if group is None else float(group),
+        is_update=update,
         shape=judged.digest if judged else b"",
     )
 
 
-def classes_of(classes: Classes, settings: Settings) -> dict[str, FlightClass]:
+def classes_of(classes: RequestClasses, settings: Settings) -> dict[str, FlightClass]:
     return {
         name: FlightClass(
-            number, keyed, in_turn, settings.classes[number].give_up,
-            settings.classes[number].repeat is Repeat.SAFE,
+            told.index,
+            told.needs_idempotency_key,
+            told.ordered_by_key,
+            settings.classes[told.index].timeout,
+            settings.classes[told.index].idempotency is Idempotency.IDEMPOTENT,
         )
-        for name, (number, keyed, in_turn) in classes.items()
+        for name, told in classes.items()
     }
 
 
@@ -103,7 +106,7 @@
         self.exchange: Exchange | None = None
         self.begun = self.done = self.asked = False
         # Guards the table of calls against those that never say what they want
-        server.loop.at(server.loop.now() + CALL_TIME, self._late)
+        server.loop.call_at(server.loop.now() + CALL_TIME, self._late)
 
     def _late(self) -> None:
         if not self.exchange:
@@ -136,11 +139,11 @@
     def broken(self, never_ran: bool) -> None:
         self.done = True
         if self.exchange:
-            self.exchange.gone()
+            self.exchange.abandon()
 
     def _ask(self, statement: str, update: bool) -> None:
         """Take it at once, or once it is read where statements are."""
-        server, now = self.server, self.server.desk.clock()
+        server, now = self.server, self.server.forwarder.clock()
         named = self.meta.get("x-class")
         if server.statements is None:
             usual = server.update_class if update else server.query_class
@@ -153,12 +156,12 @@
         self.asked = True
         key = hex_header(self.meta, "x-row", 16, False)
 
-        def then(judged: "Judged") -> None:
+        def then(judged: "Classification") -> None:
             self._judged(statement, update, now, judged)
 
-        server.statements.ask(statement, named, key, then)
+        server.statements.classify(statement, named, key, then)
 
-    def _judged(self, statement: str, update: bool, now: int, judged: "Judged") -> None:
+    def _judged(self, statement: str, update: bool, now: int, judged: "Classification") -> None:
         if self.done:
             return
         server, told = self.server, judged.judgement
@@ -178,15 +181,17 @@
 
     def _refuse(self, why: str = "Overloaded") -> None:
         """Before anything was taken on: the client may come back when the settings say."""
-        wait = str(-(-self.server.desk.settings.max_retry_after // MS))
+        wait = str(-(-self.server.forwarder.settings.max_retry_after // MS))
         self._finish(REFUSED, why, [("x-throttle-ms", wait)])
 
-    def _take(self, statement: str, name: str, update: bool, now: int, judged: "Judged | None") -> None:
+    def _take(
+        self, statement: str, name: str, update: bool, now: int, judged: "Classification | None"
+    ) -> None:
         c = self.server.classes.get(name)
         if c is None:
             raise BadCall(404, f"class {name[:80]!r} is unknown")
         query = query_of(statement, name, c, self.meta, now, update, judged)
-        self.exchange = self.server.desk.take(query, self, "flight")
+        self.exchange = self.server.forwarder.accept(query, self, "flight")
 
     def _headers(self) -> None:
         if not self.begun:
@@ -204,24 +209,24 @@
         if self.begun:
             self.call.finish(trailers)
             if not self.call.over:  # guards it against those that never read their answer, too
-                self.server.loop.at(self.server.loop.now() + grpc.READER_TIME, self.call.reset)
+                self.server.loop.call_at(self.server.loop.now() + grpc.READER_TIME, self.call.reset)
         else:
             start = [(":status", "200"), ("content-type", "application/grpc")]
             self.call.wire.headers(self.call, start + trailers, end=True)
 
     # ---- the client's side of an exchange
 
-    def rows(self, page: bytes, left: Callable[[], None]) -> None:
+    def send_page(self, page: bytes, left: Callable[[], None]) -> None:
         if not self.done:
             self._headers()
             self.call.send(page, left)
 
-    def final(self, answer: Answer) -> None:
+    def send_answer(self, answer: Answer) -> None:
         if answer.verdict is Verdict.SERVED:
             self._headers()
             self._finish(grpc.OK)
-        elif answer.verdict is Verdict.REFUSED:
-            wait = str(-(-answer.wait_ns // MS))
+        elif answer.verdict is Verdict.REJECTED:
+            wait = str(-(-answer.retry_after_ns // MS))
             self._finish(REFUSED, "Overloaded", [("x-throttle-ms", wait)])
         else:
             self._finish(FAILED, "Internal")
@@ -229,12 +234,12 @@
 
 class Server:
     def __init__(
-        self, loop: Loop, desk: Desk, address: tuple[str, int], classes: dict[str, FlightClass],
+        self, loop: Loop, desk: Forwarder, address: tuple[str, int], classes: dict[str, FlightClass],
         query_class: str, update_class: str, most: int, readiness: Readiness, shared: bool = False,
         given: socket.socket | None = None, statements: "Statements | None" = None,
     ) -> None:  # fmt: skip
         self.statements = statements
-        self.loop, self.desk, self.classes, self.most = loop, desk, classes, most
+        self.loop, self.forwarder, self.classes, self.max_connections = loop, desk, classes, most
         self.query_class, self.update_class = query_class, update_class
         self.wires: list[grpc.Wire] = []
         self.readiness, self.sent_away = readiness, 0.0
@@ -244,7 +249,7 @@
     def _changed(self) -> None:
         if self.readiness.phase is Phase.DRAINING:
             self.sent_away = self.loop.now()
-            self.loop.at(self.sent_away + STILL_COME, self._send_away)
+            self.loop.call_at(self.sent_away + STILL_COME, self._send_away)
 
     def _send_away(self) -> None:
         if self.readiness.phase is Phase.DRAINING and self.loop.now() >= self.sent_away + STILL_COME:
@@ -254,7 +259,7 @@
     def _taken(self, sock: socket.socket, peer: str) -> None:
         self.wires = [w for w in self.wires if not w.stream.closed]
         stream = Stream(self.loop, sock, f"flight-client {peer}")
-        if len(self.wires) >= self.most:  # guards the descriptors that the engines need
+        if len(self.wires) >= self.max_connections:  # guards the descriptors that the engines need
             idle = [w for w in self.wires if w.resting]
             if not idle:
                 stream.close(Reason.TOO_MANY)
@@ -276,5 +281,5 @@
             wire.go_away()
 
     @property
-    def quiet(self) -> bool:
+    def is_idle(self) -> bool:
         return all(w.stream.closed for w in self.wires)
--- a/mothknot/core/classes.py
+++ b/query_gateway/forwarder/class_numbers.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Collection, Iterable, Mapping
 
-from mothknot.interface import ClassSettings
+from query_gateway.model.settings import ClassSettings
 
 
 def numbered(names: Iterable[str], current: Mapping[str, int], held: Collection[int]) -> dict[str, int]:
@@ -21,9 +21,7 @@
     return numbers
 
 
-def laid_out(
-    old: tuple[ClassSettings, ...], rules: Mapping[int, ClassSettings]
-) -> tuple[ClassSettings, ...]:
+def laid_out(old: tuple[ClassSettings, ...], rules: Mapping[int, ClassSettings]) -> tuple[ClassSettings, ...]:
     """Rules by number; a number without a class keeps the rules it had, for what is open under them."""
     size = max(len(old), *(number + 1 for number in rules))
     return tuple(rules[n] if n in rules else old[n] for n in range(size))
--- a/mothknot/core/counters.py
+++ b/query_gateway/forwarder/counters.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from mothknot.core.messages import Verdict
+from query_gateway.forwarder.messages import Verdict
 
 
 @dataclass(slots=True)
@@ -11,14 +11,14 @@
 
     answers: dict[str, dict[Verdict, int]] = field(default_factory=dict)
     forwards: int = 0  # attempts written whole to engines
-    applied: int = 0  # configurations taken at SIGHUP
-    rejected: int = 0  # and turned down
+    reloads_applied: int = 0  # configurations taken at SIGHUP
+    reloads_rejected: int = 0  # and turned down
 
-    def know(self, class_name: str) -> None:
+    def add_class(self, class_name: str) -> None:
         self.answers.setdefault(class_name, dict.fromkeys(Verdict, 0))
 
-    def answered(self, class_name: str, verdict: Verdict) -> None:
-        self.know(class_name)
+    def count_answer(self, class_name: str, verdict: Verdict) -> None:
+        self.add_class(class_name)
         self.answers[class_name][verdict] += 1
 
     def total(self, verdict: Verdict) -> int:
--- a/mothknot/core/readiness.py
+++ b/query_gateway/forwarder/readiness.py
@@ -19,40 +19,40 @@
     """Watchers are called at every change, with the object as it then stands."""
 
     def __init__(self) -> None:
-        self.begun = self.away = self.ending = False
-        self.planned = True  # whether a planner lives
+        self.started = self.draining = self.stopping = False
+        self.planner_available = True  # whether a planner lives
         self.watchers: list[Callable[[], None]] = []
 
     @property
     def phase(self) -> Phase:
-        if self.ending:
+        if self.stopping:
             return Phase.STOPPING
-        if self.away:
+        if self.draining:
             return Phase.DRAINING
-        return Phase.READY if self.begun and self.planned else Phase.STARTING
+        return Phase.READY if self.started and self.planner_available else Phase.STARTING
 
     @property
     def ready(self) -> bool:
         return self.phase is Phase.READY
 
-    def begin(self) -> None:
-        self._set(begun=True)
+    def start(self) -> None:
+        self._set(started=True)
 
-    def planners(self, any_lives: bool) -> None:
-        self._set(planned=any_lives)
+    def set_planner_available(self, any_lives: bool) -> None:
+        self._set(planner_available=any_lives)
 
     def drain(self) -> bool:
         """Send clients away; False if the process stops anyway."""
-        self._set(away=True)
-        return not self.ending
+        self._set(draining=True)
+        return not self.stopping
 
     def undrain(self) -> bool:
         """Take clients again; a process that stops is not revived."""
-        self._set(away=False)
-        return not self.ending
+        self._set(draining=False)
+        return not self.stopping
 
     def stop(self) -> None:
-        self._set(ending=True)
+        self._set(stopping=True)
 
     def _set(self, **change: bool) -> None:
         before = self.phase
--- a/mothknot/web/server.py
+++ b/query_gateway/http/server.py
@@ -11,15 +11,15 @@
 
 import h11
 
-from mothknot.core.exchange import Desk, Exchange
-from mothknot.core.messages import Answer, Query, Verdict
-from mothknot.core.readiness import LAST_TAKEN, STILL_COME, Phase, Readiness
-from mothknot.core.sql import table_group
-from mothknot.net.loop import Loop, Task
-from mothknot.net.stream import Listener, Reason, Stream
+from query_gateway.forwarder.exchange import Exchange, Forwarder
+from query_gateway.forwarder.messages import Answer, ClientRequest, RequestClasses, Verdict
+from query_gateway.forwarder.readiness import LAST_TAKEN, STILL_COME, Phase, Readiness
+from query_gateway.forwarder.table_group import table_group
+from query_gateway.net.loop import Loop, Task
+from query_gateway.net.stream import Listener, Reason, Stream
 
 if TYPE_CHECKING:
-    from mothknot.reading.service import Judged, Statements
+    from query_gateway.parsing.service import Classification, Statements
 
 MS = 1_000_000
 WAY_BACK = 15 * MS  # of the client's time, kept for the way here and the way back
@@ -45,7 +45,6 @@
 PLAIN = re.compile(rb"POST (/svc/[\w.-]+) HTTP/1\.1\r\n((?:[\w-]+: ?[!-~][ -~]*\r\n){1,40})\r\n")
 NOT_PLAIN = frozenset(("transfer-encoding", "expect", "connection", "upgrade"))
 
-Classes = dict[str, tuple[int, bool, bool]]  # by name: number, whether keyed, whether in turn
 Steps = Generator[float | None, None, Reason]
 
 
@@ -80,18 +79,18 @@
 
 
 def query_of(
-    class_name: str, classes: Classes, headers: dict[str, str], body: bytes, now: int
-) -> Query:
-    """Decode one POST. `classes`: by name its number, whether it is keyed, and whether it keeps order."""
+    class_name: str, classes: RequestClasses, headers: dict[str, str], body: bytes, now: int
+) -> ClientRequest:
+    """Decode one POST. `classes`: those that requests may name."""
     if class_name not in classes:
         raise BadCall(404, f"class {class_name!r} is unknown")
-    cls, keyed, in_turn = classes[class_name]
+    request_class = classes[class_name]
     name = hex_header(headers, "x-txn", 16, True) or ""
     ttl = headers.get("x-ttl-ms", "")
     if not ttl.isascii() or not ttl.isdigit() or len(ttl) > 9 or int(ttl) > TTL_MOST:
         raise BadCall(400, "header x-ttl-ms is missing or not a number of milliseconds")
-    idempotency = hex_header(headers, "x-txn-key", 32, keyed)
-    key = hex_header(headers, "x-row", 16, in_turn)
+    idempotency = hex_header(headers, "x-txn-key", 32, request_class.needs_idempotency_key)
+    key = hex_header(headers, "x-row", 16, request_class.ordered_by_key)
     cost = real_header(headers, "x-cpu-hint", 1e8)
     need = real_header(headers, "x-memory", 1e7)
     if headers.get("x-second-try", "1") != "1":
@@ -103,18 +102,18 @@
     except UnicodeDecodeError:
         raise BadCall(400, "the statement is not UTF-8") from None
     left = int(ttl) * MS
-    return Query(
-        name=name,
-        cls=cls,
+    return ClientRequest(
+        client_id=name,
+        class_index=request_class.index,
         class_name=class_name,
         statement=body,
-        give_up_at=now + max(left // 2, left - WAY_BACK),
-        retry=headers.get("x-second-try") == "1",
-        key=key if in_turn else None,
-        idempotency=idempotency,
-        cost=int(cost * MS) if cost else None,
-        need_mb=need or 0.0,
-        tables=None if group is None else float(group),
+        deadline=now + max(left // 2, left - WAY_BACK),
+        is_retry=headers.get("x-second-try") == "1",
+        key=key if request_class.ordered_by_key else None,
+        idempotency_key=idempotency,
+        estimated_work=int(cost * MS) if cost else None,
+        memory_mb=need or 0.0,
+        table_group=None if group is None else float(group),
     )
 
 
@@ -154,10 +153,10 @@
         self.wake = wake
         self.answer: Answer | None = None
 
-    def rows(self, page: bytes, left: Callable[[], None]) -> None:
+    def send_page(self, page: bytes, left: Callable[[], None]) -> None:
         raise NotImplementedError("this front takes whole results")
 
-    def final(self, answer: Answer) -> None:
+    def send_answer(self, answer: Answer) -> None:
         self.answer = answer
         self.wake()
 
@@ -168,7 +167,7 @@
         self.stream = Stream(server.loop, sock, f"client {peer}")
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=HEADERS)
         self.task: Task = server.loop.spawn(self._run())
-        self.stream.woken = self.task.wake
+        self.stream.on_activity = self.task.wake
         self.stream.start()
         self.plain = False  # the call under way was not h11's
         self.asked = asked  # a whole request has come, here or at the elder
@@ -199,18 +198,19 @@
         if self.asked:
             self.server.idle[self] = None
         while not self.stream.inbox and not self.http.trailing_data[0]:
-            if self.stream.over:
+            if self.stream.is_over:
                 return Reason.RESET if self.stream.reset else Reason.PEER_CLOSED
             if self.server.closing or self.loop.now() >= patience:
-                self.stream.look()  # guards a request that crosses: a close over it would be a reset
+                # Guards a request that crosses: a close over it would be a reset
+                self.stream.read_available()
                 if self.stream.inbox or self.stream.eof:
                     continue
                 return (yield from self._linger(Reason.STOPPING if self.server.closing else self._unused()))
             until = patience
-            if give := self.server.give:
+            if give := self.server.transfer:
                 # Guards requests on a connection that rests: it stays open, and our successor goes on with it
                 if give(self.stream.sock, self.peer, self.asked):
-                    return Reason.HANDED_ON
+                    return Reason.TRANSFERRED
                 until = min(until, self.loop.now() + GIVE_AGAIN)
             if self.server.away(STILL_COME):
                 if self.asked:
@@ -223,7 +223,7 @@
         return Reason.TOO_MANY if self.stream.closed else None
 
     def _unused(self) -> Reason:
-        return Reason.IDLE if self.asked else Reason.SILENT
+        return Reason.IDLE if self.asked else Reason.UNRESPONSIVE
 
     def _last(self) -> Reason:
         """Why a connection ends with its answer."""
@@ -243,11 +243,11 @@
                 return over
             plain = None if self.http.trailing_data[0] else plain_call(self.stream.inbox)
             if plain:
-                self.stream.take()
+                self.stream.take_inbox()
                 self._whole()
                 self.plain = True
                 path, told, body = plain
-                now = self.server.desk.clock()
+                now = self.server.forwarder.clock()
                 try:
                     gone = yield from self._take(query_of(path[5:], self.server.classes, told, body, now))
                 except BadCall as bad:
@@ -283,8 +283,8 @@
             event = self.http.next_event()
             if event is h11.NEED_DATA:
                 if self.stream.inbox:
-                    self.http.receive_data(self.stream.take())
-                elif self.stream.over:
+                    self.http.receive_data(self.stream.take_inbox())
+                elif self.stream.is_over:
                     return Reason.ABANDONED
                 elif self.loop.now() >= until:
                     raise BadCall(408, "the request did not come whole in time")
@@ -329,47 +329,50 @@
         if method != "POST":
             raise BadCall(405, "only POST is known here")
         headers = {name.decode("latin-1"): value.decode("latin-1") for name, value in request.headers}
-        query = query_of(class_name, server.classes, headers, body, server.desk.clock())
+        query = query_of(class_name, server.classes, headers, body, server.forwarder.clock())
         return (yield from self._take(query))
 
-    def _take(self, query: Query) -> Generator[float | None, None, Reason | None]:
-        if query.name in self.server.desk.names:
+    def _take(self, query: ClientRequest) -> Generator[float | None, None, Reason | None]:
+        if query.client_id in self.server.forwarder.open_client_ids:
             raise BadCall(409, "a request with this id is open")
         held = Held(self.task.wake)
-        self.stream.look()  # guards engines: who waited long to be accepted may have left behind its call
-        if self.loop.behind() > BEHIND or self.server.away(LAST_TAKEN) or self.server.refuses:
+        # Guards engines: who waited long to be accepted may have left behind its call
+        self.stream.read_available()
+        if self.loop.lag() > BEHIND or self.server.away(LAST_TAKEN) or self.server.refuses:
             # Guards against a backlog that makes all answers late: what the core has no time for goes at
             # once; and a drain against connections that would never come to rest
             self._refuse(query, held)
         if self.server.statements and held.answer is None:
             query = yield from self._read(query, held, self.server.statements)
-            if query.name in self.server.desk.names:  # another came with its id meanwhile
+            if query.client_id in self.server.forwarder.open_client_ids:  # another came with its id meanwhile
                 raise BadCall(409, "a request with this id is open")
-        exchange = self.server.desk.take(query, held, "web") if held.answer is None else None
+        exchange = self.server.forwarder.accept(query, held, "web") if held.answer is None else None
         return (yield from self._wait(exchange, held))
 
-    def _refuse(self, query: Query, held: Held) -> None:
+    def _refuse(self, query: ClientRequest, held: Held) -> None:
         """Before it is taken: the core never hears of it."""
-        held.final(Answer(Verdict.REFUSED, wait_ns=self.server.desk.settings.max_retry_after))
-        self.server.desk.counters.answered(query.class_name, Verdict.REFUSED)
+        held.send_answer(
+            Answer(Verdict.REJECTED, retry_after_ns=self.server.forwarder.settings.max_retry_after)
+        )
+        self.server.forwarder.counters.count_answer(query.class_name, Verdict.REJECTED)
 
     def _read(
-        self, query: Query, held: Held, statements: "Statements"
-    ) -> Generator[float | None, None, Query]:
+        self, query: ClientRequest, held: Held, statements: "Statements"
+    ) -> Generator[float | None, None, ClientRequest]:
         """Guards against a write under a class that may run twice; class and key stay as the call names
         them.
         """
-        told: list[Judged] = []
+        told: list[Classification] = []
 
-        def judged(one: "Judged") -> None:
+        def judged(one: "Classification") -> None:
             told.append(one)
             self.task.wake()
 
         safe = query.class_name in statements.classifier.safe
         if not safe:
             return query
-        statements.ask(query.statement.decode(), query.class_name, query.key, judged)
-        while not told and not self.stream.over:
+        statements.classify(query.statement.decode(), query.class_name, query.key, judged)
+        while not told and not self.stream.is_over:
             yield None
         if not told or told[0].judgement is None:
             self._refuse(query, held)
@@ -377,21 +380,21 @@
         judgement, digest = told[0].judgement, told[0].digest
         if judgement.writes:
             raise BadCall(400, judgement.reason or f"it writes, so it cannot run as {query.class_name}")
-        if statements.may_run(digest, self.server.desk.clock()):
+        if statements.may_run(digest, self.server.forwarder.clock()):
             self._refuse(query, held)
         return replace(query, shape=digest)
 
     def _wait(self, exchange: Exchange | None, held: Held) -> Generator[float | None, None, Reason | None]:
         while held.answer is None:
             flooded = self._flooded()
-            if self.stream.over or flooded:
+            if self.stream.is_over or flooded:
                 if exchange:
-                    exchange.gone()
+                    exchange.abandon()
                 return Reason.BAD_REQUEST if flooded else Reason.ABANDONED
             yield None
         answer = held.answer
-        if answer.verdict is Verdict.REFUSED:
-            wait = ("X-Throttle-Ms", str(-(-answer.wait_ns // MS)))
+        if answer.verdict is Verdict.REJECTED:
+            wait = ("X-Throttle-Ms", str(-(-answer.retry_after_ns // MS)))
             return (yield from self._reply(429, {"failure": "Overloaded"}, wait))
         if answer.verdict is Verdict.FAILED:
             return (yield from self._reply(500, {"failure": "Internal"}))
@@ -405,8 +408,8 @@
         """Guards against a client that leaves behind a full inbox, where its end would not be found: what it
         sends beyond that is thrown away, within bounds, and the connection ends with its answer.
         """
-        if self.stream.resting:
-            self.ahead += len(self.stream.take())
+        if self.stream.read_paused:
+            self.ahead += len(self.stream.take_inbox())
         return self.ahead > FLOOD
 
     def _reply(
@@ -454,7 +457,7 @@
         self.stream.half_close()
         until = self.loop.now() + LINGER
         while not self.stream.eof and self.loop.now() < until:
-            self.stream.take()
+            self.stream.take_inbox()
             yield until
         return reason
 
@@ -463,9 +466,9 @@
     def __init__(
         self,
         loop: Loop,
-        desk: Desk,
+        desk: Forwarder,
         address: tuple[str, int],
-        classes: Classes,
+        classes: RequestClasses,
         most: int,
         readiness: Readiness,
         shared: bool = False,
@@ -473,9 +476,9 @@
         statements: "Statements | None" = None,
     ) -> None:
         self.statements = statements  # where writes under a class that may run twice are turned down
-        self.loop, self.desk, self.classes, self.most = loop, desk, classes, most
+        self.loop, self.forwarder, self.classes, self.max_connections = loop, desk, classes, most
         self.readiness = readiness
-        self.give: Callable[[socket.socket, str, bool], bool] | None = None  # passes a connection on
+        self.transfer: Callable[[socket.socket, str, bool], bool] | None = None  # passes a connection on
         self.connections: dict[Connection, None] = {}
         self.silent: dict[Connection, None] = {}  # who has not brought a whole request yet, oldest first
         self.idle: dict[Connection, None] = {}  # who waits between two requests, longest first
@@ -493,7 +496,7 @@
             self.sent_away = None
         elif self.sent_away is None:
             self.sent_away = self.loop.now()
-            self.loop.at(self.sent_away + STILL_COME, self._wake)
+            self.loop.call_at(self.sent_away + STILL_COME, self._wake)
 
     def _wake(self) -> None:
         for connection in list(self.connections):
@@ -502,7 +505,7 @@
     def take(self, sock: socket.socket, peer: str, asked: bool = False) -> None:
         # Guards the descriptors that the engines need, and usual clients against crowds that say nothing:
         # who brings a request at once gets the place of who has been silent or idle for longest
-        if len(self.connections) >= self.most:
+        if len(self.connections) >= self.max_connections:
             if oldest := self._unused():
                 oldest.drop(Reason.TOO_MANY)
             else:
@@ -514,14 +517,14 @@
         """Who has been silent, else idle, for longest, and of whom nothing has come even now."""
         for table in (self.silent, self.idle):
             for oldest in islice(table, LOOKS):
-                oldest.stream.look()
+                oldest.stream.read_available()
                 if not oldest.stream.inbox:
                     return oldest
         return None
 
-    def hand_on(self, give: Callable[[socket.socket, str, bool], bool] | None) -> None:
+    def start_transfer(self, give: Callable[[socket.socket, str, bool], bool] | None) -> None:
         """Pass on what rests, and what comes to rest; with None what rests is closed, as at any stop."""
-        self.give = give
+        self.transfer = give
         if give is None:
             self.closing = True
         self._wake()
@@ -533,5 +536,5 @@
         self._wake()
 
     @property
-    def quiet(self) -> bool:
+    def is_idle(self) -> bool:
         return not self.connections
--- a/mothknot/handover.py
+++ b/query_gateway/lifecycle/hot_upgrade.py
@@ -15,8 +15,8 @@
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
-from mothknot.net.log import log
-from mothknot.net.loop import IN, Loop
+from query_gateway.net.log import log
+from query_gateway.net.loop import IN, Loop
 
 VERSION = 1
 PACKET = 200_000  # bytes of a message
@@ -25,30 +25,30 @@
 
 
 @dataclass(slots=True)
-class Legacy:
+class InheritedState:
     """What an elder left or leaves: its listeners by front, what its module learned, and the link to it."""
 
-    link: socket.socket
-    fronts: dict[str, socket.socket] = field(default_factory=dict)
-    learned: Any = None
-    statements: Any = None  # and what it learned of statements' costs
+    connection: socket.socket
+    listeners: dict[str, socket.socket] = field(default_factory=dict)
+    scheduler_state: Any = None
+    statement_costs: Any = None  # and what it learned of statements' costs
 
 
-class Host(Protocol):
+class UpgradeHost(Protocol):
     """What the handover asks of the gateway."""
 
     def offer(self) -> tuple[dict[str, Any], list[socket.socket]]: ...
 
-    def paired(self, on: bool) -> None:
+    def set_overlapping(self, on: bool) -> None:
         """Another process of this gateway lives, or has ended."""
 
-    def handed(self, sock: socket.socket, peer: str, asked: bool) -> None:
+    def receive_connection(self, sock: socket.socket, peer: str, asked: bool) -> None:
         """A client's connection comes over."""
 
-    def succeeded(self) -> None:
+    def on_successor_ready(self) -> None:
         """The successor says yes."""
 
-    def elder_leaves(self) -> None:
+    def on_predecessor_leaving(self) -> None:
         """The elder takes nothing more."""
 
 
@@ -100,7 +100,7 @@
     return sock
 
 
-def meet(path: str) -> Legacy | None:
+def meet(path: str) -> InheritedState | None:
     """Ask an elder for what it leaves; None if there is none, or if it ends meanwhile."""
     sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
     sock.settimeout(MEET)
@@ -119,10 +119,10 @@
     for listener in listeners:
         listener.setblocking(False)
     sock.setblocking(False)
-    return Legacy(sock, fronts, told.get("learned"), told.get("statements"))
+    return InheritedState(sock, fronts, told.get("learned"), told.get("statements"))
 
 
-class Link:
+class UpgradeConnection:
     """One end of the link between the two processes."""
 
     def __init__(
@@ -132,33 +132,33 @@
         got: Callable[[Any, list[int]], None],
         ended: Callable[[], None],
     ) -> None:
-        self.loop, self.sock, self.got, self.ended = loop, sock, got, ended
-        self.over = False
+        self.loop, self.sock, self.on_message, self.on_closed = loop, sock, got, ended
+        self.closed = False
         loop.watch(sock, IN, self._ready)
 
-    def tell(self, message: dict[str, Any], fds: Sequence[int] = ()) -> bool:
+    def send(self, message: dict[str, Any], fds: Sequence[int] = ()) -> bool:
         """False if the other end takes nothing now."""
-        if self.over:
+        if self.closed:
             return False
         try:
             socket.send_fds(self.sock, [json.dumps(message).encode()], fds)
         except BlockingIOError:
             return False
         except OSError:
-            self.end()
+            self.close()
             return False
         return True
 
     def _ready(self) -> None:
-        while not self.over:
+        while not self.closed:
             try:
                 data, fds, _, _ = socket.recv_fds(self.sock, PACKET, FDS)
             except BlockingIOError:
                 return
             except OSError:
-                return self.end()
+                return self.close()
             if not data:
-                return self.end()
+                return self.close()
             try:
                 message = json.loads(data)
                 if not isinstance(message, dict):
@@ -166,44 +166,48 @@
             except (ValueError, RecursionError):
                 for fd in fds:
                     os.close(fd)
-                return self.end()
-            self.got(message, fds)
+                return self.close()
+            self.on_message(message, fds)
 
-    def end(self) -> None:
-        if not self.over:
-            self.over = True
+    def close(self) -> None:
+        if not self.closed:
+            self.closed = True
             self.loop.dispose(self.sock)
-            self.ended()
+            self.on_closed()
 
 
-class Handover:
+class HotUpgrade:
     """This process's part: successor of an elder at its start, later perhaps the elder of a successor."""
 
-    def __init__(self, loop: Loop, path: str, host: Host, legacy: Legacy | None) -> None:
+    def __init__(self, loop: Loop, path: str, host: UpgradeHost, legacy: InheritedState | None) -> None:
         self.loop, self.path, self.host = loop, path, host
-        self.door: socket.socket | None = None
-        self.place: tuple[int, int] | None = None  # what our name in $TMPDIR stands for
-        self.successor: Link | None = None
-        self.follows = False  # the successor has said yes
-        self.elder = Link(loop, legacy.link, self._from_elder, self._elder_ended) if legacy else None
-
-    def open(self) -> None:
+        self.listener: socket.socket | None = None
+        self.socket_identity: tuple[int, int] | None = None  # what our name in $TMPDIR stands for
+        self.successor: UpgradeConnection | None = None
+        self.successor_ready = False  # the successor has said yes
+        self.predecessor = (
+            UpgradeConnection(loop, legacy.connection, self._from_elder, self._elder_ended)
+            if legacy
+            else None
+        )
+
+    def announce_ready(self) -> None:
         """Ready: tell the elder, and be found by who comes next."""
-        if self.elder:
-            self.elder.tell({"ready": True})
+        if self.predecessor:
+            self.predecessor.send({"ready": True})
         self._take_place()
 
     def _take_place(self) -> None:
         try:
-            if self.door is None:
-                self.door = _listener(self.path)
-                self.loop.watch(self.door, IN, self._knock)
+            if self.listener is None:
+                self.listener = _listener(self.path)
+                self.loop.watch(self.listener, IN, self._knock)
                 told = os.stat(_own(self.path))
-                self.place = told.st_dev, told.st_ino
+                self.socket_identity = told.st_dev, told.st_ino
                 os.rename(_own(self.path), self.path)
-            elif self._placed() != self.place:  # a successor that died had it
-                self.loop.dispose(self.door)
-                self.door = None
+            elif self._placed() != self.socket_identity:  # a successor that died had it
+                self.loop.dispose(self.listener)
+                self.listener = None
                 self._take_place()
         except OSError as bad:
             log("handover", f"cannot be found by a successor: {bad.strerror}")
@@ -214,32 +218,32 @@
             return told.st_dev, told.st_ino
         return None
 
-    def leave(self) -> None:
+    def close(self) -> None:
         """The end of this process: its name goes, unless it is another's by now."""
-        if self.place and self._placed() == self.place:
+        if self.socket_identity and self._placed() == self.socket_identity:
             with contextlib.suppress(OSError):
                 os.unlink(self.path)
 
-    def give(self, sock: socket.socket, peer: str, asked: bool) -> bool:
+    def transfer(self, sock: socket.socket, peer: str, asked: bool) -> bool:
         """Pass a resting connection on; False if that cannot be done now."""
-        link = self.successor if self.follows else None
-        return link is not None and link.tell({"client": peer, "asked": asked}, [sock.fileno()])
+        link = self.successor if self.successor_ready else None
+        return link is not None and link.send({"client": peer, "asked": asked}, [sock.fileno()])
 
-    def tell_leaving(self) -> None:
+    def notify_leaving(self) -> None:
         if self.successor:
-            self.successor.tell({"leaving": True})
+            self.successor.send({"leaving": True})
 
     # ---- as the elder
 
     def _knock(self) -> None:
-        assert self.door
+        assert self.listener
         with contextlib.suppress(OSError):
-            sock, _ = self.door.accept()
+            sock, _ = self.listener.accept()
             sock.setblocking(False)
             if self.successor:  # one at a time; the other finds its address in use and ends
                 sock.close()
                 return
-            self.successor = Link(self.loop, sock, self._from_successor, self._successor_ended)
+            self.successor = UpgradeConnection(self.loop, sock, self._from_successor, self._successor_ended)
 
     def _from_successor(self, message: dict[str, Any], fds: list[int]) -> None:
         for fd in fds:
@@ -252,22 +256,22 @@
             for part in ("statements", "learned"):
                 if len(json.dumps(told)) > PACKET:
                     told.pop(part, None)
-            if link.tell(told, [listener.fileno() for listener in listeners]):
+            if link.send(told, [listener.fileno() for listener in listeners]):
                 log("handover", "a successor starts")
-                self.host.paired(True)
+                self.host.set_overlapping(True)
                 return
-            link.end()
+            link.close()
         elif message.get("ready") is True:
             log("handover", "the successor is ready")
-            self.follows = True
-            self.host.succeeded()
+            self.successor_ready = True
+            self.host.on_successor_ready()
         else:
-            link.end()
+            link.close()
 
     def _successor_ended(self) -> None:
         log("handover", "the successor has ended")
-        self.successor, self.follows = None, False
-        self.host.paired(False)
+        self.successor, self.successor_ready = None, False
+        self.host.set_overlapping(False)
         self._take_place()
 
     # ---- as the successor
@@ -275,14 +279,14 @@
     def _from_elder(self, message: dict[str, Any], fds: list[int]) -> None:
         peer, asked = message.get("client"), message.get("asked")
         if len(fds) == 1 and isinstance(peer, str) and isinstance(asked, bool):
-            self.host.handed(socket.socket(fileno=fds[0]), peer, asked)
+            self.host.receive_connection(socket.socket(fileno=fds[0]), peer, asked)
             return
         for fd in fds:
             os.close(fd)
         if message.get("leaving") is True:
-            self.host.elder_leaves()
+            self.host.on_predecessor_leaving()
 
     def _elder_ended(self) -> None:
         log("handover", "the elder has ended")
-        self.elder = None
-        self.host.paired(False)
+        self.predecessor = None
+        self.host.set_overlapping(False)
--- /dev/null
+++ b/query_gateway/model/settings.py
@@ -0,0 +1,107 @@
+"""The settings of a site, as the decision module is given them.
+
+Times and durations are in nanoseconds unless a name says otherwise."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Idempotency(Enum):
+    IDEMPOTENT = "safe"
+    KEYED = "keyed"
+    NON_IDEMPOTENT = "unsafe"
+
+
+class DeduplicationScope(Enum):
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class MemoryShortage(Enum):
+    """What an engine does when the memory granted passes what it has."""
+
+    WAIT = "wait"
+    SHRINK = "shrink"
+    PAGE = "page"
+
+
+@dataclass(slots=True, frozen=True)
+class ClassSettings:
+    latency_objective: int
+    objective_per_run_time: float
+    timeout: int
+    weight: float
+    late_weight: float
+    idempotency: Idempotency
+    deduplication_scope: DeduplicationScope
+    deduplication_window: int
+    threads: int
+    locks_tables: bool
+    waits_for_locks: bool
+    ordered_by_key: bool
+    allowed_zones: tuple[int, ...] | None
+    allowed_kinds: tuple[int, ...] | None
+
+
+@dataclass(slots=True, frozen=True)
+class Settings:
+    """What a site states at start; `None` stands for a rule or limit that it does not have."""
+
+    instance_index: int
+    instance_count: int
+    zone: int
+    classes: tuple[ClassSettings, ...]
+    tenant_quotas: tuple[float, ...]  # requests per second of each tenant, over all instances; 0: none stated
+    over_quota_weight: float
+    cores_by_kind: tuple[int, ...]  # by kind
+    memory_mb_by_kind: tuple[float, ...]  # by kind
+    max_grant_share: float
+    memory_shortage: MemoryShortage
+    takes_memory_grants: bool
+    heeds_priorities: bool
+    progress_interval: int  # time between notes; 0: none
+    reports_cost: bool
+    load_report_fields: tuple[str, ...]
+    polls_endpoint_list: bool
+    allows_health_checks: bool
+    allows_gossip: bool
+    allows_cancellation: bool
+    allows_hedging: bool
+    allows_retry_after: bool
+    max_retry_after: int
+    max_attempts: int
+    marks_retry: bool
+    cross_zone_cost: float
+    cold_capacity: float
+    slow_start_window: int
+    cold_overload_factor: float
+    cold_overload_window: int
+    key_quarantine: int
+    max_poll_interval: int
+    retry_allowance: float | None
+    retries_per_request: float
+    retry_window: int
+    slow_start_share: float = 1.0  # our part of what one instance may send to a cold engine
+    max_client_connections: int = 0  # connections that clients may hold; 0: no such limit is known
+    extra_run_time: int = (
+        0  # beyond what a run may take before it counts as odd: a wire's own connects and pauses
+    )
+
+    def check(self) -> None:
+        """Raise ValueError, naming the setting, where they contradict themselves or one another."""
+        faults = {
+            "instances": self.instance_count < 1,
+            "me": not 0 <= self.instance_index < self.instance_count,
+            "services": not self.classes,
+            "limits.max-attempts": self.max_attempts < 1,
+            "rules.start-capacity": not 0 < self.cold_capacity <= 1,
+            "rules.counted-over": self.retry_allowance is not None and self.retry_window <= 0,
+            "family-info.cpu-of-kind": any(c <= 0 for c in self.cores_by_kind),
+            "family-info.memory-by-kind-mb": len(self.cores_by_kind) != len(self.memory_mb_by_kind),
+            "family-info.parallelism": any(c.threads < 1 for c in self.classes),
+            "services[].give-up": any(c.timeout <= 0 for c in self.classes),
+        }
+        for name, bad in faults.items():
+            if bad:
+                raise ValueError(f"setting {name} contradicts itself or the others")
--- a/mothknot/net/loop.py
+++ b/query_gateway/net/loop.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable, Generator
 from itertools import count
 
-from mothknot.net.log import log
+from query_gateway.net.log import log
 
 Steps = Generator[float | None, None, None]
 IN, OUT = select.EPOLLIN, select.EPOLLOUT
@@ -24,21 +24,21 @@
 
 
 class Timer:
-    __slots__ = ("call", "when")
+    __slots__ = ("callback", "due_at")
 
     def __init__(self, call: Callable[[], None], when: float = 0.0) -> None:
-        self.call: Callable[[], None] | None = call
-        self.when = when
+        self.callback: Callable[[], None] | None = call
+        self.due_at = when
 
     def cancel(self) -> None:
-        self.call = None
+        self.callback = None
 
 
 class Task:
     """A coroutine on the loop."""
 
     def __init__(self, loop: "Loop", steps: Steps) -> None:
-        self.loop, self.steps = loop, steps
+        self.loop, self.coroutine = loop, steps
         self.queued = self.done = False
         self.timer: Timer | None = None
 
@@ -51,7 +51,7 @@
         self.queued = False
         until = None
         try:
-            until = next(self.steps)
+            until = next(self.coroutine)
         except StopIteration:
             self.done = True
         except Exception as fault:  # guards the others: one connection's fault ends that connection alone
@@ -59,11 +59,11 @@
             log("fault", f"a coroutine broke: {fault!r}")
             self.loop.faults += 1
         # Guards the heap against a cancelled timer for every step: one that is due before does as well
-        if self.timer and (until is None or self.timer.when > until):
+        if self.timer and (until is None or self.timer.due_at > until):
             self.timer.cancel()
             self.timer = None
         if until is not None and self.timer is None:
-            self.timer = self.loop.at(until, self._due)
+            self.timer = self.loop.call_at(until, self._due)
 
     def _due(self) -> None:
         self.timer = None
@@ -74,37 +74,44 @@
     def __init__(self) -> None:
         self.epoll = select.epoll()
         self.handlers: dict[int, Callable[[], None]] = {}
-        self.socks: dict[int, socket.socket] = {}
+        self.sockets: dict[int, socket.socket] = {}
         self.ready: deque[Task] = deque()
         self.timers: list[tuple[float, int, Timer]] = []
-        self.serial = count()
-        self.swept = 0  # timers that were left when the cancelled ones were last cleared away
-        self.after: list[Callable[[], bool]] = []  # run at the end of each turn; True: turn again at once
-        self.ended: list[socket.socket] = []
+        self.timer_sequence = count()
+        self.timers_after_sweep = 0  # timers that were left when the cancelled ones were last cleared away
+        self.turn_hooks: list[
+            Callable[[], bool]
+        ] = []  # run at the end of each turn; True: turn again at once
+        self.closing_sockets: list[socket.socket] = []
         self.running = True
         self.faults = 0
-        self.turned, self.last = self.now(), 0.0  # when this turn began, and how long the one before took
-        self.soon: deque[Callable[[], object]] = deque()
-        self.poked, self.poker = socket.socketpair()
-        self.poked.setblocking(False)
-        self.poker.setblocking(False)
-        self.watch(self.poked, IN, self._soon)
+        self.turn_started_at, self.last_turn_time = (
+            self.now(),
+            0.0,
+        )  # when this turn began, and how long the one before took
+        self.soon_callbacks: deque[Callable[[], object]] = deque()
+        self.wake_reader, self.wake_writer = socket.socketpair()
+        self.wake_reader.setblocking(False)
+        self.wake_writer.setblocking(False)
+        self.watch(self.wake_reader, IN, self._soon)
 
     @staticmethod
     def now() -> float:
         return time.monotonic()
 
-    def behind(self) -> float:
+    def lag(self) -> float:
         """How long what has just been taken up may have waited for us, in seconds."""
-        return max(self.last, self.now() - self.turned)
+        return max(self.last_turn_time, self.now() - self.turn_started_at)
 
-    def at(self, when: float, call: Callable[[], None]) -> Timer:
+    def call_at(self, when: float, call: Callable[[], None]) -> Timer:
         timer = Timer(call, when)
-        heapq.heappush(self.timers, (when, next(self.serial), timer))
-        if len(self.timers) > 2 * self.swept + TIMERS:  # guards the heap against what is cancelled before due
-            self.timers = [entry for entry in self.timers if entry[2].call]
+        heapq.heappush(self.timers, (when, next(self.timer_sequence), timer))
+        if (
+            len(self.timers) > 2 * self.timers_after_sweep + TIMERS
+        ):  # guards the heap against what is cancelled before due
+            self.timers = [entry for entry in self.timers if entry[2].callback]
             heapq.heapify(self.timers)
-            self.swept = len(self.timers)
+            self.timers_after_sweep = len(self.timers)
         return timer
 
     def spawn(self, steps: Steps) -> Task:
@@ -121,26 +128,26 @@
         else:
             self.epoll.register(sock, mask)
         self.handlers[sock.fileno()] = handler
-        self.socks[sock.fileno()] = sock
+        self.sockets[sock.fileno()] = sock
 
     def dispose(self, sock: socket.socket) -> None:
         """Close a socket once this turn's events are through, lest another gets its number among them."""
-        self.socks.pop(sock.fileno(), None)
+        self.sockets.pop(sock.fileno(), None)
         if self.handlers.pop(sock.fileno(), None):
             with contextlib.suppress(OSError):
                 self.epoll.unregister(sock)
-        self.ended.append(sock)
+        self.closing_sockets.append(sock)
 
     def call_soon(self, call: Callable[[], object]) -> None:
         """Call on the loop what another thread wants done."""
-        self.soon.append(call)
+        self.soon_callbacks.append(call)
         with contextlib.suppress(BlockingIOError):  # then it is poked already
-            self.poker.send(b".")
+            self.wake_writer.send(b".")
 
     def _soon(self) -> None:
-        self.poked.recv(4096)
-        while self.soon:
-            self._call(self.soon.popleft())  # one that breaks keeps no other from its turn
+        self.wake_reader.recv(4096)
+        while self.soon_callbacks:
+            self._call(self.soon_callbacks.popleft())  # one that breaks keeps no other from its turn
 
     def stop(self) -> None:
         self.running = False
@@ -152,7 +159,7 @@
 
     def close(self) -> None:
         """Close what is still open, once the loop has ended."""
-        for sock in (*self.socks.values(), *self.ended, self.poker):
+        for sock in (*self.sockets.values(), *self.closing_sockets, self.wake_writer):
             sock.close()
         self.epoll.close()
 
@@ -163,31 +170,34 @@
         elif self.timers:
             wait = max(0.0, self.timers[0][0] - self.now())
         events = self.epoll.poll(wait, MANY)
-        self.turned, self.last = self.now(), self.now() - self.turned if wait == 0.0 else 0.0
+        self.turn_started_at, self.last_turn_time = (
+            self.now(),
+            self.now() - self.turn_started_at if wait == 0.0 else 0.0,
+        )
         for fd, _ in events:
             if handler := self.handlers.get(fd):
                 self._call(handler)
         now = self.now()
         while self.timers and self.timers[0][0] <= now:
             timer = heapq.heappop(self.timers)[2]
-            if timer.call:
-                self._call(timer.call)
+            if timer.callback:
+                self._call(timer.callback)
         # Guards the order of a key: an answer that an engine's coroutine has just settled leaves before the
         # planner, which comes after, sends the next request of that key
         for _ in range(PASSES):
             self._run_ready()
         for _ in range(16):  # guards the sockets against events that beget events without end
             again = False
-            for call in self.after:
+            for call in self.turn_hooks:
                 again |= self._call(call) is True
             self._run_ready()
             if not again:
                 break
         else:
-            self.at(now, lambda: None)
-        for sock in self.ended:
+            self.call_at(now, lambda: None)
+        for sock in self.closing_sockets:
             sock.close()
-        self.ended.clear()
+        self.closing_sockets.clear()
 
     def _run_ready(self) -> None:
         for _ in range(len(self.ready)):
--- a/mothknot/net/stream.py
+++ b/query_gateway/net/stream.py
@@ -7,8 +7,8 @@
 from enum import Enum
 from ipaddress import IPv4Address
 
-from mothknot.net.log import log
-from mothknot.net.loop import IN, OUT, Loop
+from query_gateway.net.log import log
+from query_gateway.net.loop import IN, OUT, Loop
 
 CHUNK = 65_536
 INBOX = 262_144  # bytes read ahead of who takes them; then reading rests
@@ -30,13 +30,13 @@
     TOO_MANY = "too-many"
     STOPPING = "stopping"
     DRAINED = "drained"
-    HANDED_ON = "handed-on"
+    TRANSFERRED = "transferred"
     DIAL_REFUSED = "dial-refused"
     DIAL_TIMEOUT = "dial-timeout"
-    BAD_ANSWER = "bad-answer"
-    SILENT = "silent"
+    MALFORMED_RESPONSE = "malformed-response"
+    UNRESPONSIVE = "unresponsive"
     REPLACED = "replaced"
-    ANEW = "anew"
+    RESYNC = "resync"
     HOLD_EXPIRED = "hold-expired"
     NOTIFIED = "notified"
     FAULT = "fault"
@@ -53,10 +53,10 @@
 class Mark:
     """Bytes put behind others in an outbox: where they end, and who is called once they have left."""
 
-    __slots__ = ("end", "size", "call")
+    __slots__ = ("end", "size", "callback")
 
     def __init__(self, end: int, size: int, call: Callable[[], None]) -> None:
-        self.end, self.size, self.call = end, size, call
+        self.end, self.size, self.callback = end, size, call
 
 
 class Stream:
@@ -65,13 +65,13 @@
     def __init__(
         self, loop: Loop, sock: socket.socket, what: str, woken: Callable[[], None] = lambda: None
     ) -> None:
-        self.loop, self.sock, self.what, self.woken = loop, sock, what, woken
+        self.loop, self.sock, self.description, self.on_activity = loop, sock, what, woken
         self.inbox, self.outbox = bytearray(), bytearray()
-        self.queued = 0  # bytes ever put in the outbox
+        self.bytes_queued = 0  # bytes ever put in the outbox
         self.marks: deque[Mark] = deque()
         self.connected = True
-        self.eof = self.reset = self.closed = self.resting = False
-        self.refused = False
+        self.eof = self.reset = self.closed = self.read_paused = False
+        self.dial_refused = False
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.mask = IN
@@ -82,7 +82,7 @@
         stream.connected = False
         code = stream.sock.connect_ex(address)
         if code not in (0, errno.EINPROGRESS):
-            stream.eof = stream.refused = True
+            stream.eof = stream.dial_refused = True
         else:
             stream.mask = IN | OUT
             loop.watch(stream.sock, stream.mask, stream._ready)
@@ -92,7 +92,7 @@
         self.loop.watch(self.sock, self.mask, self._ready)
 
     @property
-    def over(self) -> bool:
+    def is_over(self) -> bool:
         return self.closed or self.eof
 
     def _ready(self) -> None:
@@ -102,16 +102,16 @@
             return
         if self.outbox:
             self._flush()
-        if not self.eof and not self.resting:
+        if not self.eof and not self.read_paused:
             self._read()
-        self._want()
-        self.woken()
+        self._update_mask()
+        self.on_activity()
 
     def _check_connected(self) -> bool:
         if self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
-            self.eof = self.refused = True
-            self._want()
-            self.woken()
+            self.eof = self.dial_refused = True
+            self._update_mask()
+            self.on_activity()
             return False
         try:
             self.sock.getpeername()
@@ -132,35 +132,35 @@
         if not data:
             self.eof = True
         self.inbox += data
-        self.resting = len(self.inbox) >= INBOX
+        self.read_paused = len(self.inbox) >= INBOX
         return True
 
-    def look(self) -> None:
+    def read_available(self) -> None:
         """Take in what has come since the loop last asked, before a decision that it would change."""
         had, was = len(self.inbox), self.eof
-        while self.connected and not (self.eof or self.closed or self.resting) and self._read():
+        while self.connected and not (self.eof or self.closed or self.read_paused) and self._read():
             pass  # on to the end behind the bytes, if that has come, too
         if self.eof is not was or len(self.inbox) > had:
-            self._want()
-            self.woken()
+            self._update_mask()
+            self.on_activity()
 
-    def _want(self) -> None:
+    def _update_mask(self) -> None:
         """Ask epoll for what can still happen, so that a level held does not spin the loop."""
         if self.closed:
             return
-        mask = (0 if self.eof or self.resting else IN) | (OUT if self.outbox or not self.connected else 0)
+        mask = (0 if self.eof or self.read_paused else IN) | (OUT if self.outbox or not self.connected else 0)
         if self.eof and self.reset:
             mask = 0
         if mask != self.mask:
             self.mask = mask
             self.loop.watch(self.sock, mask, self._ready)
 
-    def take(self) -> bytes:
+    def take_inbox(self) -> bytes:
         data = bytes(self.inbox)
         self.inbox.clear()
-        if self.resting:
-            self.resting = False
-            self._want()
+        if self.read_paused:
+            self.read_paused = False
+            self._update_mask()
         return data
 
     def write(self, data: bytes) -> None:
@@ -175,41 +175,41 @@
                 sent = 0
             except OSError:
                 self.eof = self.reset = True
-                self._want()
-                self.woken()
+                self._update_mask()
+                self.on_activity()
                 return
             if sent < len(data):
                 self._queue(data[sent:])
-        self._want()
+        self._update_mask()
 
     def _queue(self, data: bytes) -> None:
         self.outbox += data
-        self.queued += len(data)
+        self.bytes_queued += len(data)
 
-    def when_sent(self, call: Callable[[], None], size: int = 0) -> Mark | None:
+    def call_when_sent(self, call: Callable[[], None], size: int = 0) -> Mark | None:
         """Call once all that was written so far is with the machine; never, if the connection ends first.
 
         What is returned takes the last `size` bytes back, as long as none of them has left.
         """
         if self.outbox or not self.connected:
-            self.marks.append(mark := Mark(self.queued, size, call))
+            self.marks.append(mark := Mark(self.bytes_queued, size, call))
             return mark
         if not self.reset and not self.closed:
             call()
         return None
 
-    def take_back(self, mark: Mark) -> bool:
+    def withdraw(self, mark: Mark) -> bool:
         """Whether the bytes under a mark were all still here; then they never leave."""
-        at = mark.end - mark.size - (self.queued - len(self.outbox))
+        at = mark.end - mark.size - (self.bytes_queued - len(self.outbox))
         if at < 0 or mark not in self.marks:
             return False
         del self.outbox[at : at + mark.size]
-        self.queued -= mark.size
+        self.bytes_queued -= mark.size
         self.marks.remove(mark)
         for other in self.marks:
             if other.end > mark.end:
                 other.end -= mark.size
-        self._want()
+        self._update_mask()
         return True
 
     def _flush(self) -> None:
@@ -219,13 +219,13 @@
             return
         except OSError:
             self.eof = self.reset = True
-            self.queued -= len(self.outbox)
+            self.bytes_queued -= len(self.outbox)
             self.outbox.clear()
             self.marks.clear()
             return
         del self.outbox[:sent]
-        while self.marks and self.marks[0].end <= self.queued - len(self.outbox):
-            self.marks.popleft().call()
+        while self.marks and self.marks[0].end <= self.bytes_queued - len(self.outbox):
+            self.marks.popleft().callback()
 
     def half_close(self) -> None:
         """Nothing more is sent; what the peer still sends is read, lest it destroys our last bytes."""
@@ -239,7 +239,7 @@
             return
         self.closed = True
         self.loop.dispose(self.sock)
-        log("end", f"{self.what} {reason.value}{' ' + more if more else ''}")
+        log("end", f"{self.description} {reason.value}{' ' + more if more else ''}")
 
 
 class Listener:
@@ -254,20 +254,20 @@
         given: socket.socket | None = None,
     ) -> None:
         """`given`: a listener that another process of ours has; nothing is accepted there before `begin`."""
-        self.loop, self.taken, self.closed, self.paused = loop, taken, False, False
-        self.sock = given or socket.socket()
+        self.loop, self.on_accept, self.closed, self.paused = loop, taken, False, False
+        self.socket = given or socket.socket()
         if not given:
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             if shared:  # with other processes of ours
-                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-            self.sock.bind(address)
-            self.sock.listen(1024)
-            self.sock.setblocking(False)
-        self.address: tuple[str, int] = self.sock.getsockname()
+                self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+            self.socket.bind(address)
+            self.socket.listen(1024)
+            self.socket.setblocking(False)
+        self.address: tuple[str, int] = self.socket.getsockname()
         if not given:
-            self.begin()
+            self.resume()
 
-    def begin(self) -> None:
+    def resume(self) -> None:
         self.paused = False
         self._listen()
 
@@ -275,7 +275,7 @@
         """Accept nothing for now, yet keep what waits there alive."""
         self.paused = True
         if not self.closed:
-            self.loop.watch(self.sock, 0, self._ready)
+            self.loop.watch(self.socket, 0, self._ready)
 
     def _ready(self) -> None:
         for _ in range(ACCEPTS):
@@ -285,7 +285,7 @@
     def _accept(self) -> bool:
         """Take one; False if none is there or can be taken now."""
         try:
-            sock, (host, port) = self.sock.accept()
+            sock, (host, port) = self.socket.accept()
         except BlockingIOError:
             return False
         except OSError as fault:
@@ -293,21 +293,21 @@
                 return True
             # Out of descriptors: what waits is taken when some are free; guards against a loop that spins
             log("accept", f"cannot accept: {fault.strerror}")
-            self.loop.watch(self.sock, 0, self._ready)
-            self.loop.at(self.loop.now() + FULL_REST, self._listen)
+            self.loop.watch(self.socket, 0, self._ready)
+            self.loop.call_at(self.loop.now() + FULL_REST, self._listen)
             return False
-        self.taken(sock, f"{host}:{port}")
+        self.on_accept(sock, f"{host}:{port}")
         return True
 
     def _listen(self) -> None:
         if not self.closed and not self.paused:
-            self.loop.watch(self.sock, IN, self._ready)
+            self.loop.watch(self.socket, IN, self._ready)
 
     def release(self) -> None:
         """Accept nothing more: what waits is for the other process that has this listener."""
         if not self.closed:
             self.closed = True
-            self.loop.dispose(self.sock)
+            self.loop.dispose(self.socket)
 
     def close(self) -> None:
         while not self.closed and self._accept():
@@ -315,4 +315,4 @@
         if self.closed:
             return
         self.closed = True
-        self.loop.dispose(self.sock)
+        self.loop.dispose(self.socket)
--- a/mothknot/reading/frames.py
+++ b/query_gateway/parsing/frames.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
-from mothknot.statements.messages import Plan, Rules
-from mothknot.statements.shape import Shape
+from query_gateway.statements.messages import Plan, Rules
+from query_gateway.statements.shape import Shape
 
 LENGTH = struct.Struct("!I")
 MOST = 1 << 20  # bytes of a frame
--- a/mothknot/reading/parsers.py
+++ b/query_gateway/parsing/parsers.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from mothknot.statements.messages import Plan
-from mothknot.statements.shape import Shape
+from query_gateway.statements.messages import Plan
+from query_gateway.statements.shape import Shape
 
 BUDGET = 0.25  # seconds that a parse may take
 START = 10.0  # seconds in which a parser process must be ready
--- a/mothknot/reading/service.py
+++ b/query_gateway/parsing/service.py
@@ -8,36 +8,36 @@
 import sys
 from collections.abc import Callable, Collection, Sequence
 
-from mothknot.core.messages import Query
-from mothknot.interface import Code
-from mothknot.net.log import log
-from mothknot.net.loop import IN, Loop, Timer
-from mothknot.reading.frames import Ask, cut, decode_told, framed
-from mothknot.reading.keeper import Keeper
-from mothknot.reading.parsers import Parsers, Seat
-from mothknot.statements.classifier import SHAPES, Classifier, Known, turned_down
-from mothknot.statements.lexer import Unclear
-from mothknot.statements.messages import Judgement, Plan, Rules
-from mothknot.statements.shape import Shape
+from query_gateway.forwarder.messages import ClientRequest
+from query_gateway.model.events import OutcomeCode
+from query_gateway.net.log import log
+from query_gateway.net.loop import IN, Loop, Timer
+from query_gateway.parsing.frames import Ask, cut, decode_told, framed
+from query_gateway.parsing.parsers import Parsers, Seat
+from query_gateway.parsing.snapshot_store import SnapshotStore
+from query_gateway.statements.classifier import SHAPES, Classifier, Known, turned_down
+from query_gateway.statements.lexer import Unclear
+from query_gateway.statements.messages import Judgement, Plan, Rules
+from query_gateway.statements.shape import Shape
 
 CHUNK = 65_536
 KEEP_EVERY = 30.0  # seconds between two snapshots of what was learned
 RETUNED = "the rules have changed"
-CODES = {Code.ERROR, Code.RESET, Code.TIMEOUT}  # that may be a statement's own doing
+CODES = {OutcomeCode.ERROR, OutcomeCode.RESET, OutcomeCode.TIMEOUT}  # that may be a statement's own doing
 
 
-class Judged:
+class Classification:
     """What the fronts need to know of a statement. Without a judgement it is not read now: come back."""
 
-    __slots__ = ("judgement", "digest", "group", "cost_ns", "need_mb")
+    __slots__ = ("judgement", "digest", "table_group", "estimated_work_ns", "memory_mb")
 
     def __init__(self, judgement: Judgement | None, digest: bytes = b"", group: int | None = None) -> None:
-        self.judgement, self.digest, self.group = judgement, digest, group
-        self.cost_ns: int | None = None
-        self.need_mb = 0.0
+        self.judgement, self.digest, self.table_group = judgement, digest, group
+        self.estimated_work_ns: int | None = None
+        self.memory_mb = 0.0
 
 
-Then = Callable[[Judged], None]
+Then = Callable[[Classification], None]
 
 
 class Process:
@@ -47,7 +47,7 @@
         self.sock, theirs = socket.socketpair()
         try:
             self.child = subprocess.Popen(
-                [sys.executable, "-m", "mothknot.reading.child"],
+                [sys.executable, "-m", "query_gateway.parsing.worker"],
                 stdin=theirs.fileno(), stdout=subprocess.DEVNULL,
                 env={**os.environ, "PYTHONPATH": os.pathsep.join(p for p in sys.path if p)},
             )  # fmt: skip
@@ -75,13 +75,13 @@
         self.timer_at = 0.0
         self.stopped = False
         self.down = 0  # statements turned down
-        self.keeper: Keeper | None = None
+        self.snapshot_store: SnapshotStore | None = None
         for seat in self.parsers.seats:
             self._start(seat)
 
     # ---- what the fronts ask
 
-    def ask(
+    def classify(
         self, text: str, named: str | None, key: str | None, then: Then, bound: Sequence[object] = ()
     ) -> None:
         """`then` is called once: at once for a shape that is known, else when it is read."""
@@ -89,7 +89,7 @@
             shape = self.classifier.shape(text)
         except Unclear as why:
             self.down += 1
-            then(Judged(turned_down(why)))
+            then(Classification(turned_down(why)))
             return
         known = self.classifier.known(shape)
         if known is not None:
@@ -103,7 +103,7 @@
 
         def read(plan: Plan | None) -> None:
             if plan is None:
-                then(Judged(None))
+                then(Classification(None))
             else:
                 found = self.classifier.shapes.peek(shape.digest)
                 if found is None:
@@ -112,21 +112,21 @@
                 then(self._judged(found, shape, named, key, bound))
 
         if self.stopped or not self.parsers.add(shape, now, read):
-            then(Judged(None))
+            then(Classification(None))
             return
         self._go_on()
 
     def _judged(
         self, known: Known, shape: Shape, named: str | None, key: str | None, bound: Sequence[object]
-    ) -> Judged:
+    ) -> Classification:
         judgement = self.classifier.judge(known, shape, named, key, bound)
-        judged = Judged(judgement, shape.digest, known.group)
+        judged = Classification(judgement, shape.digest, known.group)
         if not judgement.taken or judgement.cls is None:
             self.down += 1
             return judged
         costs = self.classifier.costs
-        judged.cost_ns = costs.cost_ns(shape.digest, judgement.cls, known.group)
-        judged.need_mb = costs.need_mb(shape.digest)
+        judged.estimated_work_ns = costs.cost_ns(shape.digest, judgement.cls, known.group)
+        judged.memory_mb = costs.need_mb(shape.digest)
         return judged
 
     # ---- what becomes of statements: the desk's observer
@@ -134,22 +134,22 @@
     def may_run(self, digest: bytes, now: int) -> str:
         return self.classifier.limits.may_run(digest, now)
 
-    def taken(self, query: Query) -> None:
+    def on_accepted(self, query: ClientRequest) -> None:
         self.classifier.limits.begun(query.shape)
 
-    def settled(self, query: Query) -> None:
+    def on_settled(self, query: ClientRequest) -> None:
         self.classifier.limits.ended(query.shape)
 
-    def spilled(self, query: Query, now: int) -> None:
+    def on_spilled(self, query: ClientRequest, now: int) -> None:
         self.classifier.limits.spilled(query.shape, now)
 
-    def ended(
-        self, query: Query, engine: str, code: Code, work_ns: int, used_mb: float, now: int
+    def on_attempt_ended(
+        self, query: ClientRequest, engine: str, code: OutcomeCode, work_ns: int, used_mb: float, now: int
     ) -> None:
         """`work_ns`: of all its threads, as the engine tells it, else its time on all of them."""
         digest, limits, costs = query.shape, self.classifier.limits, self.classifier.costs
-        if code is Code.OK:
-            group = None if query.tables is None else int(query.tables)
+        if code is OutcomeCode.OK:
+            group = None if query.table_group is None else int(query.table_group)
             usual = costs.cost_ns(digest, query.class_name, group)
             limits.ran_well(digest, work_ns, usual, now)
             costs.ran(digest, query.class_name, group, work_ns, used_mb)
@@ -158,7 +158,7 @@
 
     # ---- what was learned, kept over restarts and upgrades
 
-    def remember(self, path: str, legacy: object = None) -> None:
+    def restore(self, path: str, legacy: object = None) -> None:
         """Take over what an elder tells, else what the file at `path` holds, and keep that file from now
         on.
         """
@@ -166,16 +166,16 @@
         told = legacy is not None and costs.adopt(legacy)
         if not path:
             return
-        self.keeper = Keeper(path)
-        found = None if told else self.keeper.load()
+        self.snapshot_store = SnapshotStore(path)
+        found = None if told else self.snapshot_store.load()
         if found is not None and not costs.adopt(found):
             log("statements", f"{path} holds nothing that can be used; costs are learned afresh")
-        self.loop.at(self.loop.now() + KEEP_EVERY, self._keep)
+        self.loop.call_at(self.loop.now() + KEEP_EVERY, self._keep)
 
     def _keep(self) -> None:
-        if self.keeper and not self.stopped:
-            self.keeper.save(self.classifier.costs.snapshot())
-            self.loop.at(self.loop.now() + KEEP_EVERY, self._keep)
+        if self.snapshot_store and not self.stopped:
+            self.snapshot_store.save(self.classifier.costs.snapshot())
+            self.loop.call_at(self.loop.now() + KEEP_EVERY, self._keep)
 
     def figures(self) -> list[str]:
         told = {
@@ -197,7 +197,7 @@
         except OSError as bad:
             log("parser", f"cannot be started: {bad.strerror}")
             self.parsers.failed_starts += 1
-            self.loop.at(self.loop.now() + max(1.0, self.parsers.rest), lambda: self._start(seat))
+            self.loop.call_at(self.loop.now() + max(1.0, self.parsers.rest), lambda: self._start(seat))
             return
         process.sock.setblocking(False)
         self.processes[seat.number] = process
@@ -239,7 +239,7 @@
         wait = self.parsers.rest
         if wait:
             self.parsers.started(seat, self.loop.now() + wait)
-            self.loop.at(self.loop.now() + wait, lambda: self._start(seat))
+            self.loop.call_at(self.loop.now() + wait, lambda: self._start(seat))
         else:
             self._start(seat)
         for then in job.thens if job else ():
@@ -258,7 +258,7 @@
             if self.timer:
                 self.timer.cancel()
             self.timer_at = due + 0.001
-            self.timer = self.loop.at(self.timer_at, self._look)
+            self.timer = self.loop.call_at(self.timer_at, self._look)
 
     def _look(self) -> None:
         self.timer = None
@@ -271,7 +271,7 @@
                 then(None)
         self._go_on()
 
-    def retune(self, rules: Rules, safe: Collection[str]) -> None:
+    def update_rules(self, rules: Rules, safe: Collection[str]) -> None:
         changed = rules != self.classifier.rules
         self.classifier.retune(rules, safe)
         if changed:
@@ -281,8 +281,8 @@
 
     def stop(self) -> None:
         """End the parser processes; nothing is read any more."""
-        if self.keeper and not self.stopped:
-            self.keeper.save(self.classifier.costs.snapshot())
+        if self.snapshot_store and not self.stopped:
+            self.snapshot_store.save(self.classifier.costs.snapshot())
         self.stopped = True
         for process in self.processes.values():
             self.loop.dispose(process.sock)
--- a/mothknot/reading/keeper.py
+++ b/query_gateway/parsing/snapshot_store.py
@@ -11,13 +11,13 @@
 from pathlib import Path
 from typing import Any
 
-from mothknot.net.log import log
+from query_gateway.net.log import log
 
 HEAD = "mothknot-costs 1"
 MOST = 16 << 20  # bytes of a file that is read
 
 
-class Keeper:
+class SnapshotStore:
     def __init__(self, path: str) -> None:
         self.path = Path(path)
 
--- a/mothknot/reading/child.py
+++ b/query_gateway/parsing/worker.py
@@ -5,10 +5,10 @@
 import socket
 import sys
 
-from mothknot.reading.frames import LENGTH, Told, decode_ask, decode_rules, framed
-from mothknot.statements.messages import Plan
-from mothknot.statements.reader import Reader
-from mothknot.statements.shape import shape_of
+from query_gateway.parsing.frames import LENGTH, Told, decode_ask, decode_rules, framed
+from query_gateway.statements.messages import Plan
+from query_gateway.statements.reader import Reader
+from query_gateway.statements.shape import shape_of
 
 WARM = ("SELECT a, count(*) FROM b WHERE c = 1 GROUP BY a ORDER BY 1", "DELETE FROM a WHERE b = 1")
 MEMORY = 1 << 30  # bytes of address space: guards the machine against a parse that never stops growing
--- a/mothknot/local/link.py
+++ b/query_gateway/planner/ipc.py
@@ -3,43 +3,44 @@
 from collections.abc import Callable, Generator
 from typing import Any
 
-from mothknot.core.messages import Avoids
-from mothknot.interface import Action, Event
-from mothknot.local.codec import ACTIONS, BadMessage, Decoder, encode
-from mothknot.net.log import log
-from mothknot.net.loop import Loop, Task
-from mothknot.net.stream import Reason, Stream
+from query_gateway.forwarder.messages import EjectedEndpoints
+from query_gateway.model.actions import Action
+from query_gateway.model.events import Event
+from query_gateway.net.log import log
+from query_gateway.net.loop import Loop, Task
+from query_gateway.net.stream import Reason, Stream
+from query_gateway.planner.ipc_codec import ACTIONS, Decoder, IpcMessageError, encode
 
 AGAIN = 0.1  # seconds before a new connection
 DIAL = 1.0
 OUTBOX = 16_777_216  # bytes that the other end may leave unread
 
 
-class Link:
+class IpcConnection:
     """One connection, on either end."""
 
     def __init__(self, stream: Stream, kinds: dict[str, Any], got: Callable[[Any], None]) -> None:
-        self.stream, self.got = stream, got
+        self.stream, self.on_message = stream, got
         self.decoder = Decoder(kinds)
-        self.leaving = False
+        self.closing = False
 
-    def tell(self, message: Event | Action | Avoids) -> None:
+    def send(self, message: Event | Action | EjectedEndpoints) -> None:
         self.stream.write(encode(message))
 
-    def talk(self) -> Generator[float | None, None, Reason]:
+    def receive(self) -> Generator[float | None, None, Reason]:
         """Hand on what comes until the connection ends."""
         while True:
             if self.stream.inbox:
                 try:
-                    for message in self.decoder.feed(self.stream.take()):
-                        self.got(message)
-                except BadMessage as bad:
+                    for message in self.decoder.feed(self.stream.take_inbox()):
+                        self.on_message(message)
+                except IpcMessageError as bad:
                     log("link", f"unusable message: {bad}")
-                    return Reason.BAD_ANSWER
+                    return Reason.MALFORMED_RESPONSE
                 except Exception as fault:  # guards what the other end holds: it hears that this end is gone
                     log("fault", f"a message could not be used: {fault!r}")
                     return Reason.FAULT
-            if self.leaving:
+            if self.closing:
                 return Reason.STOPPING
             if self.stream.eof:
                 return Reason.RESET if self.stream.reset else Reason.PEER_CLOSED
@@ -48,7 +49,7 @@
             yield None
 
 
-class Remote:
+class PlannerClient:
     """A forwarder's end: dials its planner again and again; `died` and `born` tell how it stands."""
 
     def __init__(
@@ -59,19 +60,25 @@
         born: Callable[[], None],
         died: Callable[[], None],
     ) -> None:
-        self.loop, self.address, self.act, self.born, self.died = loop, address, act, born, died
-        self.link: Link | None = None
+        self.loop, self.address, self.on_action, self.on_connected, self.on_disconnected = (
+            loop,
+            address,
+            act,
+            born,
+            died,
+        )
+        self.connection: IpcConnection | None = None
         self.stopped = False
         self.task: Task = loop.spawn(self._run())
 
-    def tell(self, event: Event) -> None:
-        if self.link:
-            self.link.tell(event)
+    def notify(self, event: Event) -> None:
+        if self.connection:
+            self.connection.send(event)
 
     def stop(self) -> None:
         self.stopped = True
-        if self.link:
-            self.link.leaving = True
+        if self.connection:
+            self.connection.closing = True
         self.task.wake()
 
     def _run(self) -> Generator[float | None, None, None]:
@@ -95,9 +102,9 @@
             if self.stopped or self.loop.now() >= until:
                 return Reason.STOPPING if self.stopped else Reason.DIAL_TIMEOUT
             yield until
-        self.link = Link(stream, ACTIONS, self.act)
-        self.born()
-        reason = yield from self.link.talk()
-        self.link = None
-        self.died()
+        self.connection = IpcConnection(stream, ACTIONS, self.on_action)
+        self.on_connected()
+        reason = yield from self.connection.receive()
+        self.connection = None
+        self.on_disconnected()
         return reason
--- a/mothknot/local/codec.py
+++ b/query_gateway/planner/ipc_codec.py
@@ -6,35 +6,33 @@
 from types import UnionType
 from typing import Any, get_args, get_origin, get_type_hints
 
-from mothknot.core.messages import Avoids
-from mothknot.interface import (
-    Action,
-    Cancel,
+from query_gateway.forwarder.messages import EjectedEndpoints
+from query_gateway.model.actions import Action, Cancel, Fail, Forward, Reject, SetTerms
+from query_gateway.model.events import (
+    AttemptOutcome,
+    EndpointUpdate,
     Event,
-    Fail,
-    Gone,
-    ListChange,
-    Note,
-    Outcome,
-    Refuse,
+    ProgressNote,
     Request,
-    Retune,
-    Send,
-    Terms,
+    RequestAbandoned,
+    SettingsUpdate,
 )
 
 LINE = 4_194_304  # bytes of one message; a list of all engines is the longest
-EVENTS: dict[str, type[Event]] = {t.__name__: t for t in (Request, Outcome, Note, Gone, ListChange, Retune)}
-ACTIONS: dict[str, type[Action | Avoids]] = {
-    t.__name__: t for t in (Send, Refuse, Fail, Cancel, Terms, Avoids)
+EVENTS: dict[str, type[Event]] = {
+    t.__name__: t
+    for t in (Request, AttemptOutcome, ProgressNote, RequestAbandoned, EndpointUpdate, SettingsUpdate)
+}
+ACTIONS: dict[str, type[Action | EjectedEndpoints]] = {
+    t.__name__: t for t in (Forward, Reject, Fail, Cancel, SetTerms, EjectedEndpoints)
 }
 
 
-class BadMessage(Exception):
+class IpcMessageError(Exception):
     """Bytes that are no message of the other end."""
 
 
-def encode(message: Event | Action | Avoids) -> bytes:
+def encode(message: Event | Action | EjectedEndpoints) -> bytes:
     return json.dumps([type(message).__name__, *_plain(message)], separators=(",", ":")).encode() + b"\n"
 
 
@@ -54,23 +52,23 @@
         return None if raw is None else _made(get_args(kind)[0], raw)
     if get_origin(kind) is tuple:
         if not isinstance(raw, list):
-            raise BadMessage("a list is missing")
+            raise IpcMessageError("a list is missing")
         return tuple(_made(get_args(kind)[0], v) for v in raw)
     if is_dataclass(kind) and isinstance(kind, type):
         names = [f.name for f in fields(kind)]
         if not isinstance(raw, list) or len(raw) != len(names):
-            raise BadMessage(f"{kind.__name__} has other fields")
+            raise IpcMessageError(f"{kind.__name__} has other fields")
         hints = get_type_hints(kind)
         return kind(*(_made(hints[name], v) for name, v in zip(names, raw, strict=True)))
     if isinstance(kind, type) and issubclass(kind, Enum):
         try:
             return kind(raw)
         except ValueError:
-            raise BadMessage(f"{raw!r:.40} is no {kind.__name__}") from None
+            raise IpcMessageError(f"{raw!r:.40} is no {kind.__name__}") from None
     if kind is float and type(raw) is int:
         return float(raw)
     if type(raw) is not kind:
-        raise BadMessage(f"{raw!r:.40} is out of place")
+        raise IpcMessageError(f"{raw!r:.40} is out of place")
     return raw
 
 
@@ -86,14 +84,14 @@
         *lines, rest = self.buffer.split(b"\n")
         self.buffer = rest
         if len(rest) > LINE:
-            raise BadMessage("a line is too long")
+            raise IpcMessageError("a line is too long")
         return [self._message(bytes(line)) for line in lines]
 
     def _message(self, line: bytes) -> Any:
         try:
             raw = json.loads(line)
         except (ValueError, RecursionError):
-            raise BadMessage(f"{line[:40]!r} is not JSON") from None
+            raise IpcMessageError(f"{line[:40]!r} is not JSON") from None
         if not isinstance(raw, list) or not raw or not isinstance(raw[0], str) or raw[0] not in self.kinds:
-            raise BadMessage(f"{line[:40]!r} is no message")
+            raise IpcMessageError(f"{line[:40]!r} is no message")
         return _made(self.kinds[raw[0]], raw[1:])
--- a/mothknot/core/learned.py
+++ b/query_gateway/planner/learned_state.py
@@ -4,16 +4,24 @@
 from collections.abc import Mapping
 from typing import Any
 
-from mothknot.policy import Gateway
-from mothknot.records import Class, Engine, Fading, Mean
+from query_gateway.model.averages import DecayedAverage, RunningMean
+from query_gateway.model.records import ClassState, EngineState
+from query_gateway.policy.scheduler import Scheduler
 
 VERSION = 1
 ENGINES = 512  # told of at most
 GROUPS = 16  # of tables kept warm
-MEANS = ("work", "log_work", "hint", "memory", "scatter")
+# The transferred key of each running mean and the attribute that holds it: the keys are a stored form
+MEANS = {
+    "work": "work",
+    "log_work": "log_work",
+    "hint": "estimate_error",
+    "memory": "memory_error",
+    "scatter": "run_time_error",
+}
 
 
-def learned(module: Gateway, numbers: Mapping[str, int]) -> dict[str, Any]:
+def learned(module: Scheduler, numbers: Mapping[str, int]) -> dict[str, Any]:
     return {
         "version": VERSION,
         "lag": module.lag,
@@ -21,21 +29,34 @@
         "costs": [_fading(cost) for cost in module.costs],
         "usual": module.usual,
         "classes": {name: _class(module.classes[number]) for name, number in numbers.items()},
-        "engines": {e.e.engine: _engine(e) for e in module.up[:ENGINES]},
+        "engines": {e.info.name: _engine(e) for e in module.up[:ENGINES]},
     }
 
 
-def _fading(f: Fading) -> list[float]:
-    return [f.total, f.n, f.at]
+def _fading(f: DecayedAverage) -> list[float]:
+    return [f.total, f.weight, f.updated_at]
 
 
-def _class(c: Class) -> dict[str, Any]:
-    means = {name: [(m := getattr(c, name)).value, m.var, m.n] for name in MEANS}
-    return {**means, "rate": _fading(c.rate), "first_span": c.first_span}
+def _mean(mean: RunningMean) -> list[float]:
+    return [mean.value, mean.variance, mean.count]
 
 
-def _engine(e: Engine) -> list[Any]:
-    return [e.e.launched, e.launch, _fading(e.pace), e.faults, e.sign, e.shun_until, e.shun, e.warm]
+def _class(c: ClassState) -> dict[str, Any]:
+    means = {key: _mean(getattr(c, attribute)) for key, attribute in MEANS.items()}
+    return {**means, "rate": _fading(c.slowdown), "first_span": c.longest_timeout}
+
+
+def _engine(e: EngineState) -> list[Any]:
+    return [
+        e.info.started_at,
+        e.started_at,
+        _fading(e.log_slowdown),
+        e.fault_rate,
+        e.last_heard_at,
+        e.ejected_until,
+        e.ejection_time,
+        e.warm_table_groups,
+    ]
 
 
 def _number(raw: Any) -> float:
@@ -44,17 +65,17 @@
     return float(raw)
 
 
-def _to_fading(raw: Any) -> Fading:
+def _to_fading(raw: Any) -> DecayedAverage:
     total, n, at = raw
-    return Fading(_number(total), max(0.0, _number(n)), int(_number(at)))
+    return DecayedAverage(_number(total), max(0.0, _number(n)), int(_number(at)))
 
 
-def _to_mean(raw: Any) -> Mean:
+def _to_mean(raw: Any) -> RunningMean:
     value, var, n = raw
-    return Mean(_number(value), max(0.0, _number(var)), max(0, int(_number(n))))
+    return RunningMean(_number(value), max(0.0, _number(var)), max(0, int(_number(n))))
 
 
-def adopt(module: Gateway, numbers: Mapping[str, int], raw: Any) -> bool:
+def adopt(module: Scheduler, numbers: Mapping[str, int], raw: Any) -> bool:
     """Take over what an elder tells, all of it or, if anything in it is unusable, nothing."""
     try:
         if raw["version"] != VERSION:
@@ -64,7 +85,7 @@
         classes = [
             (
                 module.classes[numbers[name]],
-                {mean: _to_mean(told[mean]) for mean in MEANS} | {"rate": _to_fading(told["rate"])},
+                {MEANS[key]: _to_mean(told[key]) for key in MEANS} | {"slowdown": _to_fading(told["rate"])},
                 int(_number(told["first_span"])),
             )
             for name, told in raw["classes"].items()
@@ -73,7 +94,7 @@
         engines = []
         for name, (launched, launch, pace, *rest, warm) in raw["engines"].items():
             engine = module.engines.get(name)
-            if engine and engine.e.launched == launched:  # a restart since: its past says nothing
+            if engine and engine.info.started_at == launched:  # a restart since: its past says nothing
                 faults, sign, until, shun = (_number(value) for value in rest)
                 groups = [_number(group) for group in warm[:GROUPS]]
                 past = int(_number(launch)), _to_fading(pace), faults
@@ -86,9 +107,14 @@
     for c, means, span in classes:
         for name, mean in means.items():
             setattr(c, name, mean)
-        c.first_span = span
+        c.longest_timeout = span
     for engine, (launch, pace, faults, sign, until, shun, groups) in engines:
-        engine.launch, engine.pace, engine.faults, engine.sign = launch, pace, faults, sign
-        engine.shun_until, engine.shun, engine.warm = until, shun, groups
-        engine.trial = until > sign  # rested and not heard since: one query at a time, as it was
+        engine.started_at, engine.log_slowdown, engine.fault_rate, engine.last_heard_at = (
+            launch,
+            pace,
+            faults,
+            sign,
+        )
+        engine.ejected_until, engine.ejection_time, engine.warm_table_groups = until, shun, groups
+        engine.on_probation = until > sign  # rested and not heard since: one query at a time, as it was
     return True
--- a/mothknot/local/parent.py
+++ b/query_gateway/planner/supervisor.py
@@ -7,8 +7,8 @@
 import time
 from collections.abc import Callable
 
-from mothknot.net.log import log
-from mothknot.net.loop import Loop
+from query_gateway.net.log import log
+from query_gateway.net.loop import Loop
 
 LOOK = 0.1  # seconds between two looks at the children
 AGAIN = 0.5  # and between two starts of the same one
@@ -22,12 +22,12 @@
         if os.getppid() != parent:
             leave()
         else:
-            loop.at(loop.now() + 1.0, look)
+            loop.call_at(loop.now() + 1.0, look)
 
     look()
 
 
-class Child:
+class WorkerProcess:
     def __init__(self, part: str) -> None:
         self.part = part
         self.started = 0.0
@@ -36,7 +36,7 @@
     def start(self) -> None:
         self.started = time.monotonic()
         environ = os.environ | {"MOTHKNOT_PART": self.part}
-        self.process = subprocess.Popen([sys.executable, "-m", "mothknot"], env=environ)
+        self.process = subprocess.Popen([sys.executable, "-m", "query_gateway"], env=environ)
 
     @property
     def lives(self) -> bool:
@@ -47,11 +47,11 @@
             self.process.send_signal(number)
 
 
-class Parent:
+class Supervisor:
     def __init__(self, planners: int, forwarders: int) -> None:
         self.loop = Loop()
-        self.planners = [Child(f"planner {n}") for n in range(planners)]
-        self.forwarders = [Child(f"forwarder {n}") for n in range(forwarders)]
+        self.planners = [WorkerProcess(f"planner {n}") for n in range(planners)]
+        self.forwarders = [WorkerProcess(f"forwarder {n}") for n in range(forwarders)]
         self.stopping = False
 
     def _look(self) -> None:
@@ -62,7 +62,7 @@
                 child.start()
         if self.stopping and not any(child.lives for child in self.forwarders):
             self.loop.stop()
-        self.loop.at(self.loop.now() + LOOK, self._look)
+        self.loop.call_at(self.loop.now() + LOOK, self._look)
 
     def _stop(self) -> None:
         """Forwarders first: planners are needed until all is answered."""
--- a/mothknot/rpc/grpc.py
+++ b/query_gateway/rpc/grpc.py
@@ -11,8 +11,8 @@
 import h2.settings
 from hyperframe.frame import GoAwayFrame
 
-from mothknot.net.loop import Loop, Task
-from mothknot.net.stream import Reason, Stream
+from query_gateway.net.loop import Loop, Task
+from query_gateway.net.stream import Reason, Stream
 
 WINDOW = 262_144  # bytes of a call that may be under way to us and not yet passed on
 MESSAGE = 16_777_216  # bytes of one message
@@ -132,7 +132,7 @@
         self.h2.increment_flow_control_window(WINDOW * 16)
         self._flush()
         self.task: Task = loop.spawn(self._run())
-        stream.woken = self.task.wake
+        stream.on_activity = self.task.wake
 
     def _run(self) -> Generator[float | None, None, None]:
         reason = Reason.FAULT
@@ -156,7 +156,7 @@
             if self.stream.inbox:
                 self.heard, self.used = True, self.loop.now()
                 try:
-                    for event in self.h2.receive_data(self.stream.take()):
+                    for event in self.h2.receive_data(self.stream.take_inbox()):
                         if isinstance(event, h2.events.ConnectionTerminated):
                             self.going = True
                             self.refused_from = event.last_stream_id or 0
@@ -167,11 +167,11 @@
                             self._event(event)
                 except (h2.exceptions.ProtocolError, UnicodeDecodeError):
                     self._flush()
-                    return Reason.BAD_ANSWER if self.h2.config.client_side else Reason.BAD_REQUEST
+                    return Reason.MALFORMED_RESPONSE if self.h2.config.client_side else Reason.BAD_REQUEST
             for call in list(self.calls.values()):
                 self.pump(call)
             self._flush()
-            if self.stream.over:
+            if self.stream.is_over:
                 return Reason.RESET if self.stream.reset else Reason.PEER_CLOSED
             if self.going and not self.calls:
                 if not self.h2.config.client_side:
@@ -183,8 +183,8 @@
                 until = self.used + (IDLE_TIME if self.heard else HELLO_TIME)
                 if self.loop.now() >= until:
                     if not self.heard:
-                        return Reason.SILENT
-                    self.stream.look()
+                        return Reason.UNRESPONSIVE
+                    self.stream.read_available()
                     if not self.stream.inbox:  # guards a call that crosses: it hears that it never ran
                         ended = Reason.IDLE
                         self.go_away()
@@ -195,18 +195,18 @@
         """Guards the last answer: a close over what has not left, or with unread input, would cut it off."""
         until = self.loop.now() + READER_TIME
         while self.stream.outbox and not self.stream.reset and self.loop.now() < until:
-            self.stream.take()
+            self.stream.take_inbox()
             yield until
         self.stream.half_close()
         until = self.loop.now() + LINGER
         while not self.stream.eof and self.loop.now() < until:
-            self.stream.take()
+            self.stream.take_inbox()
             yield until
 
     @property
     def resting(self) -> bool:
         """Whether nothing is under way here, either way, even now."""
-        self.stream.look()
+        self.stream.read_available()
         return not (self.calls or self.stream.inbox or self.stream.outbox)
 
     def _event(self, event: h2.events.Event) -> None:
@@ -265,7 +265,7 @@
 
     def open(self, headers: Headers, handler: Handler) -> Call | None:
         """Client side: begin a call, if the peer takes one more."""
-        if self.going or self.stream.over or not self.stream.connected:
+        if self.going or self.stream.is_over or not self.stream.connected:
             return None
         try:
             number = self.h2.get_next_available_stream_id()
@@ -314,12 +314,12 @@
 
     def reset(self, call: Call) -> None:
         self._forget(call)
-        if not self.stream.over:
+        if not self.stream.is_over:
             self.h2.reset_stream(call.number, h2.errors.ErrorCodes.CANCEL)
             self.task.wake()
 
     def acknowledge(self, call: Call, size: int) -> None:
-        if size and not self.stream.over:
+        if size and not self.stream.is_over:
             self.h2.acknowledge_received_data(size, call.number)
             self.task.wake()
 
@@ -329,7 +329,7 @@
 
     def go_away(self) -> None:
         """Server side: tell the peer that we take no more calls. (h2 itself would end what is open, too.)"""
-        if not self.going and not self.stream.over:
+        if not self.going and not self.stream.is_over:
             self._flush()
             self.stream.write(GoAwayFrame(0, last_stream_id=self.newest).serialize())
         self.leave()
--- a/mothknot/adapter.py
+++ b/query_gateway/simulator_adapter.py
@@ -4,67 +4,67 @@
 import sys
 from typing import TextIO
 
-from mothknot.interface import (
+from query_gateway.configuration.settings_parser import SettingsError, settings_of
+from query_gateway.model.actions import (
     Action,
     Cancel,
-    Code,
-    Entry,
-    Event,
     Fail,
-    Fetch,
-    Gone,
-    ListChange,
-    ListScope,
+    FetchEndpoints,
+    Forward,
+    HealthCheck,
     Log,
-    Message,
-    Note,
-    NoteKind,
-    Outcome,
-    Post,
-    Probe,
-    Probed,
-    Refuse,
-    Request,
-    Send,
+    Reject,
+    SendGossip,
+    SetTerms,
     SetTimer,
-    Started,
-    State,
-    Terms,
-    Timer,
-    Watch,
+    WatchEndpoints,
 )
-from mothknot.policy import Gateway
-from mothknot.settings import WireError, settings_of
+from query_gateway.model.endpoints import EndpointInfo, EndpointState, EndpointUpdateKind
+from query_gateway.model.events import (
+    AttemptOutcome,
+    AttemptStarted,
+    EndpointUpdate,
+    Event,
+    GossipMessage,
+    HealthCheckResult,
+    OutcomeCode,
+    ProgressKind,
+    ProgressNote,
+    Request,
+    RequestAbandoned,
+    TimerFired,
+)
+from query_gateway.policy.scheduler import Scheduler
 
 CODES = {
-    "pass": Code.OK,
-    "fault": Code.ERROR,
-    "no_room": Code.FULL,
-    "too_slow": Code.TIMEOUT,
-    "no_route": Code.CONNECT_FAILED,
-    "cut": Code.RESET,
-    "undone": Code.CANCELLED,
-    "stale_send": Code.MOOT,
+    "pass": OutcomeCode.OK,
+    "fault": OutcomeCode.ERROR,
+    "no_room": OutcomeCode.FULL,
+    "too_slow": OutcomeCode.TIMEOUT,
+    "no_route": OutcomeCode.CONNECT_FAILED,
+    "cut": OutcomeCode.RESET,
+    "undone": OutcomeCode.CANCELLED,
+    "stale_send": OutcomeCode.NOT_SENT,
 }
-STATES = {"U": State.UP, "L": State.DRAINING, "D": State.GONE}
+STATES = {"U": EndpointState.UP, "L": EndpointState.DRAINING, "D": EndpointState.REMOVED}
 SCOPES = {
-    "update": ListScope.CHANGES,
-    "replace": ListScope.FULL,
-    "restored": ListScope.CACHED,
-    "unavailable": ListScope.FAILED,
+    "update": EndpointUpdateKind.DELTA,
+    "replace": EndpointUpdateKind.SNAPSHOT,
+    "restored": EndpointUpdateKind.CACHED,
+    "unavailable": EndpointUpdateKind.FAILED,
 }
-NOTES = {1: NoteKind.PROGRESS, 2: NoteKind.SPILLS, 3: NoteKind.WAITS}
+NOTES = {1: ProgressKind.PROGRESS, 2: ProgressKind.SPILLING, 3: ProgressKind.WAITING}
 
 
-def entry_of(f: list[str]) -> Entry:
+def entry_of(f: list[str]) -> EndpointInfo:
     """size availability group launched type executor zone"""
-    return Entry(
-        engine=f[5],
+    return EndpointInfo(
+        name=f[5],
         state=STATES[f[1]],
         zone=number(f, 6),
         kind=number(f, 4),
         group=number(f, 2),
-        launched=number(f, 3),
+        started_at=number(f, 3),
         size=1.0 if f[0] == "-" else float(f[0]),
     )
 
@@ -93,66 +93,68 @@
             options = number(f, 6)
             cost = number(f, 2) if options & 1 and word(f, 2) else None
             return Request(
-                xid=int(f[1]),
-                cls=int(f[5]),
-                give_up_at=int(f[7]),
+                request_id=int(f[1]),
+                class_index=int(f[5]),
+                deadline=int(f[7]),
                 tenant=number(f, 8),
-                tables=real(f, 4),
+                table_group=real(f, 4),
                 key=word(f, 3),
-                cost=cost,
-                need_mb=real(f, 9) or 0.0,
-                retry=bool(options & 2),
+                estimated_work=cost,
+                memory_mb=real(f, 9) or 0.0,
+                is_retry=bool(options & 2),
             )
         case "completed":
             note = number(f, 7)
             told = tells_cost and note > 0 and f[3] == "pass"
-            return Outcome(
-                xid=int(f[1]),
+            return AttemptOutcome(
+                request_id=int(f[1]),
                 final=f[2] == "1",
                 code=CODES[f[3]],
-                took=number(f, 4),
-                copy=int(f[5]),
-                engine=f[6],
+                duration=number(f, 4),
+                attempt_number=int(f[5]),
+                endpoint=f[6],
                 work=note // 4096 * 1_000_000 if told else None,
                 memory_mb=note % 4096 * 4.0 if told else None,
-                report=report(f, 8),
+                load_report=report(f, 8),
             )
         case "heartbeat":
-            return Note(int(f[1]), int(f[2]), f[3], NOTES[int(f[4])], float(f[5]))
+            return ProgressNote(int(f[1]), int(f[2]), f[3], NOTES[int(f[4])], float(f[5]))
         case "under_way":
-            return Started(int(f[1]), int(f[3]), f[2])
+            return AttemptStarted(int(f[1]), int(f[3]), f[2])
         case "abandoned":
-            return Gone(int(f[1]))
+            return RequestAbandoned(int(f[1]))
         case "timeout_fired":
-            return Timer(int(f[1]))
+            return TimerFired(int(f[1]))
         case "probed":
-            return Probed(f[1], f[2] == "pass", number(f, 3), report(f, 4))
+            return HealthCheckResult(f[1], f[2] == "pass", number(f, 3), report(f, 4))
         case "message":
-            return Message(int(f[1]), base64.b64decode(word(f, 2) or "", validate=True).decode("latin-1"))
-    raise WireError("unknown event")
+            return GossipMessage(
+                int(f[1]), base64.b64decode(word(f, 2) or "", validate=True).decode("latin-1")
+            )
+    raise SettingsError("unknown event")
 
 
 def line_of(instance: int, action: Action) -> str:
     match action:
-        case Send(xid, engine, within):
+        case Forward(xid, engine, within):
             return f"place {instance} {xid} {within} {engine}"
-        case Refuse(xid, wait):
+        case Reject(xid, wait):
             return f"busy {instance} {xid} {wait}"
         case Fail(xid):
             return f"end_failed {instance} {xid}"
         case Cancel(xid, copy):
             return f"retract {instance} {xid} {copy}"
-        case Terms(xid, memory, priority):
+        case SetTerms(xid, memory, priority):
             return f"assign_terms {instance} {xid} {memory:g} {priority}"
         case SetTimer(wait, context):
             return f"timer {instance} {wait} {context}"
-        case Probe(engine):
+        case HealthCheck(engine):
             return f"ping {instance} {engine}"
-        case Watch(on):
+        case WatchEndpoints(on):
             return f"listen {instance} {int(on)}"
-        case Fetch():
+        case FetchEndpoints():
             return f"fetch {instance}"
-        case Post(data, peer):
+        case SendGossip(data, peer):
             to = "all" if peer is None else peer
             return f"post {instance} {to} {base64.b64encode(data.encode()).decode()}"
         case Log(text):
@@ -162,8 +164,8 @@
 class Drill:
     def __init__(self) -> None:
         self.now = 0
-        self.gateways: dict[int, tuple[Gateway, bool]] = {}
-        self.sheets: dict[int, tuple[Entry, ...]] = {}
+        self.gateways: dict[int, tuple[Scheduler, bool]] = {}
+        self.sheets: dict[int, tuple[EndpointInfo, ...]] = {}
         self.sheet = -1
         self.missing = 0
         self.batch: dict[int, list[Event]] = {}
@@ -181,14 +183,14 @@
         f = line.split(" ")
         name, f = f[0], f[1:]
         if self.missing and name != "entry":
-            raise WireError(f"{self.missing} entry lines are missing")
+            raise SettingsError(f"{self.missing} entry lines are missing")
         if name == "sync":
             if self.open:
-                raise WireError("a batch is open already")
+                raise SettingsError("a batch is open already")
             self.now, self.open = int(f[0]), True
             return None
         if not self.open:
-            raise WireError("no batch is open")
+            raise SettingsError("no batch is open")
         if name == "end":
             for instance in list(self.batch):
                 self.flush(instance)
@@ -199,7 +201,7 @@
             self.sheets[self.sheet] = ()
         elif name == "entry":
             if not self.missing:
-                raise WireError("entry outside a table")
+                raise SettingsError("entry outside a table")
             self.sheets[self.sheet] += (entry_of(f),)
             self.missing -= 1
         else:
@@ -212,12 +214,12 @@
             self.batch.pop(instance, None)
             settings = settings_of([part for part in f[2:] if part])
             try:
-                self.gateways[instance] = Gateway(settings, int(f[1])), settings.tells_cost
+                self.gateways[instance] = Scheduler(settings, int(f[1])), settings.reports_cost
             except ValueError as bad:
-                raise WireError(str(bad)) from None
+                raise SettingsError(str(bad)) from None
             return
         if instance not in self.gateways:
-            raise WireError(f"instance {instance} was never configured")
+            raise SettingsError(f"instance {instance} was never configured")
         if name == "killed":
             self.batch.pop(instance, None)
             del self.gateways[instance]
@@ -225,7 +227,9 @@
         event: Event
         if name == "targets":
             scope = SCOPES[f[1]]
-            event = ListChange(scope, () if scope is ListScope.FAILED else self.sheets[int(f[3])])
+            event = EndpointUpdate(
+                scope, () if scope is EndpointUpdateKind.FAILED else self.sheets[int(f[3])]
+            )
         else:
             event = event_of(name, f, self.gateways[instance][1])
         self.batch.setdefault(instance, []).append(event)
@@ -239,7 +243,7 @@
             continue
         try:
             reply = drill.take(line)
-        except WireError as bad:
+        except SettingsError as bad:
             fault = str(bad)
         except (ValueError, IndexError, KeyError) as bad:
             fault = f"missing or malformed field ({bad})"
--- a/mothknot/statements/__init__.py
+++ b/query_gateway/statements/__init__.py
@@ -2,5 +2,5 @@
 
 Owns the shapes seen, what was learned of each and the limits on those that did harm. Knows no socket, clock
 or process: time is handed in, and a full parse is asked for and answered by whoever holds it
-(`mothknot.reading`). Imported by the fronts only where an operator's file has the table `statements`.
+(`query_gateway.parsing`). Imported by the fronts only where an operator's file has the table `statements`.
 """
--- a/mothknot/statements/cache.py
+++ b/query_gateway/statements/cache.py
@@ -7,7 +7,7 @@
 
 from typing import Generic, TypeVar
 
-from mothknot.statements.sketch import CountMin
+from query_gateway.statements.sketch import CountMin
 
 V = TypeVar("V")
 
--- a/mothknot/statements/classifier.py
+++ b/query_gateway/statements/classifier.py
@@ -6,13 +6,13 @@
 from dataclasses import dataclass
 from typing import Any
 
-from mothknot.core.sql import table_group
-from mothknot.statements.cache import Cache
-from mothknot.statements.costs import Costs
-from mothknot.statements.lexer import Unclear
-from mothknot.statements.limits import ShapeLimits
-from mothknot.statements.messages import Judgement, Plan, Rules
-from mothknot.statements.shape import Shape, shape_of
+from query_gateway.forwarder.table_group import table_group
+from query_gateway.statements.cache import Cache
+from query_gateway.statements.costs import Costs
+from query_gateway.statements.lexer import Unclear
+from query_gateway.statements.limits import ShapeLimits
+from query_gateway.statements.messages import Judgement, Plan, Rules
+from query_gateway.statements.shape import Shape, shape_of
 
 SHAPES = 10_000  # kept at most
 
@@ -74,7 +74,7 @@
             if named and named == cls and key and (plan.uncovered or not rules.keys):
                 return Judgement(cls, True, False, key, plan.reason, True)
             return _down(plan.reason or "no key can be found")
-        from mothknot.statements.values import NoKey, key_of
+        from query_gateway.statements.values import NoKey, key_of
 
         try:
             found = key_of(rules.keys[plan.rule], plan.refs, shape.literals, bound)
@@ -112,7 +112,7 @@
 def as_line(
     judged: Judgement, shape: Shape | None, known: Known | None, costs: Costs, hit: bool
 ) -> dict[str, Any]:
-    """What `mothknot statements classify` prints of one."""
+    """What `query-gateway statements classify` prints of one."""
     cost = None
     if known and shape and judged.cls:
         cost = costs.cost_ns(shape.digest, judged.cls, known.group)
--- a/mothknot/statements/costs.py
+++ b/query_gateway/statements/costs.py
@@ -9,7 +9,7 @@
 from collections.abc import Mapping
 from typing import Any
 
-from mothknot.statements.sketch import CountMin
+from query_gateway.statements.sketch import CountMin
 
 VERSION = 1
 RATIO = 1.35  # between the bounds of a bucket: an estimate is off by its root at most, within a bucket
@@ -124,6 +124,7 @@
 
     def snapshot(self, most: int = 2_048) -> dict[str, Any]:
         """The shapes used last, as plain values."""
+
         def told(table: dict[bytes, Histogram]) -> dict[str, str]:
             return {d.hex(): bytes(h.counts).hex() for d, h in list(table.items())[-most:]}
 
--- a/mothknot/statements/keys.py
+++ b/query_gateway/statements/keys.py
@@ -11,9 +11,9 @@
 
 from sqlglot import expressions as exp
 
-from mothknot.statements.messages import KeyRule, Ref
-from mothknot.statements.shape import FIRST_NUMBER
-from mothknot.statements.values import NoKey
+from query_gateway.statements.messages import KeyRule, Ref
+from query_gateway.statements.shape import FIRST_NUMBER
+from query_gateway.statements.values import NoKey
 
 INTEGERS, TEXTS = ("INT", "BIGINT"), ("TEXT", "VARCHAR")
 
--- a/mothknot/statements/reader.py
+++ b/query_gateway/statements/reader.py
@@ -11,10 +11,10 @@
 from sqlglot import expressions as exp
 from sqlglot.errors import SqlglotError
 
-from mothknot.statements import keys, purity
-from mothknot.statements.messages import Plan, Rules
-from mothknot.statements.shape import SLOTS, Shape
-from mothknot.statements.values import NoKey
+from query_gateway.statements import keys, purity
+from query_gateway.statements.messages import Plan, Rules
+from query_gateway.statements.shape import SLOTS, Shape
+from query_gateway.statements.values import NoKey
 
 logging.getLogger("sqlglot").setLevel(logging.CRITICAL)  # it tells of each statement that it falls back on
 
@@ -26,7 +26,7 @@
 DML = ("Insert", "Update", "Delete", "Merge")
 READS = frozenset(("select", "with", "values", "from", "("))
 ROOTS = (exp.Select, exp.SetOperation, exp.Subquery, exp.Values)
-QUOTES = "\"`"
+QUOTES = '"`'
 
 
 class Unproven(Exception):
@@ -160,7 +160,7 @@
         harmful = frozenset() if load else purity.HARMFUL_WORDS
         for at, token in enumerate(folded):
             first = token[0]
-            if first in "\"`":
+            if first in '"`':
                 name, quoted = token[1:-1].replace(first * 2, first).casefold(), True
             elif first.isalpha() or first == "_":
                 name, quoted = token, False
@@ -178,7 +178,7 @@
                 continue
             if before == "." and at >= 2:
                 owner = folded[at - 2]
-                owner = owner[1:-1] if owner[0] in "\"`" else owner
+                owner = owner[1:-1] if owner[0] in '"`' else owner
                 name = f"{owner.casefold()}.{name}"
             if not self._known(name) and not (load and name in purity.LOAD_FUNCTIONS):
                 raise Unproven(f"function {name[:60]} is not known to write nothing")
--- a/mothknot/statements/shape.py
+++ b/query_gateway/statements/shape.py
@@ -12,7 +12,7 @@
 from hashlib import blake2b
 from typing import NamedTuple
 
-from mothknot.statements.lexer import (
+from query_gateway.statements.lexer import (
     MARKS,
     MOST_LENGTH,
     OPERATORS,
@@ -107,7 +107,7 @@
                     _known.clear()
                     _known.update(_PLAIN)
                 _known[token] = word
-        elif first in "\"`":
+        elif first in '"`':
             out[at] = token
         elif first == "$":
             literals.append(token)
--- a/mothknot/statements/values.py
+++ b/query_gateway/statements/values.py
@@ -11,8 +11,8 @@
 from decimal import Decimal
 from hashlib import blake2b
 
-from mothknot.statements.messages import KeyRule, Ref
-from mothknot.statements.shape import Literal
+from query_gateway.statements.messages import KeyRule, Ref
+from query_gateway.statements.shape import Literal
 
 DECIMAL = re.compile(r"[+-]?(\d{1,40}(\.\d*)?|\.\d{1,40})([eE][+-]?\d{1,2})?", re.ASCII)
 ODD_NUMBER = re.compile(r"[+-]?0[xXoObB][0-9a-fA-F_]+|[+-]?\d[\d_]*_[\d_]*", re.ASCII)
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -8,7 +8,7 @@
 from typing import Any
 from uuid import uuid4
 
-from mothknot.config import Config, config_of, flatten
+from query_gateway.configuration.platform import Configuration, config_of, flatten
 
 __all__ = ["SETTINGS", "Engine", "config", "flatten", "host", "post"]
 
@@ -38,7 +38,7 @@
 }  # fmt: skip
 
 
-def config(hosts: list[dict[str, Any]], journal: str = "127.0.0.1:1", **more: Any) -> Config:
+def config(hosts: list[dict[str, Any]], journal: str = "127.0.0.1:1", **more: Any) -> Configuration:
     known = {"pos": 1, "entries": [{"pos": 1, "hosts": {"seq": 1, "whole": True, "hosts": hosts}}]}
     raw = {"name": "n1", "listen": "127.0.0.1:0", "seed": "7", "journal": journal, "known": known}
     return config_of(raw | {"settings": SETTINGS} | more, {})
@@ -135,7 +135,7 @@
     gate: Any, cls: str, statement: str, row: str = "7f3a9c21e0b4d655", ttl: int = 5_000, **headers: str
 ) -> tuple[int, Any, dict[str, str]]:
     """One call as a client makes it: the status, the answer and its headers."""
-    host, port = gate.server.listener.address
+    host, port = gate.http_server.listener.address
     connection = http.client.HTTPConnection(host, port, timeout=20)
     told = {"X-Txn": uuid4().hex[:16], "X-Ttl-Ms": str(ttl), "X-Txn-Key": uuid4().hex, "X-Row": row} | headers
     connection.request("POST", f"/svc/{cls}", statement, {k.replace("_", "-"): v for k, v in told.items()})
--- a/tests/statements.py
+++ b/tests/statements.py
@@ -3,10 +3,10 @@
 from collections.abc import Iterator
 from pathlib import Path
 
-from mothknot.statements.classifier import Classifier, turned_down
-from mothknot.statements.lexer import Unclear
-from mothknot.statements.messages import Judgement, KeyRule, Rules
-from mothknot.statements.reader import DIALECTS, Reader
+from query_gateway.statements.classifier import Classifier, turned_down
+from query_gateway.statements.lexer import Unclear
+from query_gateway.statements.messages import Judgement, KeyRule, Rules
+from query_gateway.statements.reader import DIALECTS, Reader
 
 CORPUS = Path(__file__).parent / "corpus"
 KEYS = (KeyRule("lending_*.loans", "member"),)
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from mothknot.adapter import run
+from query_gateway.simulator_adapter import run
 
 ROOT = Path(__file__).parent.parent
 SETTINGS = (
@@ -69,6 +69,6 @@
     for name in tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["policy"]:
         lines = (ROOT / name).read_text().splitlines()
         assert sum(bool(line.strip()) for line in lines) <= 790
-    for path in [*(ROOT / "mothknot").glob("*.py"), *(ROOT / "tests").glob("*.py")]:
+    for path in [*(ROOT / "query_gateway").rglob("*.py"), *(ROOT / "tests").glob("*.py")]:
         assert all(len(line) <= 110 for line in path.read_text().splitlines()), path
-    assert "mothknot/interface.py" in (ROOT / "mothknot/policy.py").read_text().split('"""')[1]
+    assert "query_gateway/model" in (ROOT / "query_gateway/policy/scheduler.py").read_text().split('"""')[1]
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -12,9 +12,14 @@
 
 import pytest
 
-from mothknot.config import BadConfig, Config, Operator, config_of
-from mothknot.gateway import Gateway
-from mothknot.interface import Request
+from query_gateway.configuration.platform import (
+    Configuration,
+    ConfigurationError,
+    OperatorSettings,
+    config_of,
+)
+from query_gateway.gateway import Gateway
+from query_gateway.model.events import Request
 from tests.stand_ins import SETTINGS
 
 SPOILT: tuple[Any, ...] = (
@@ -50,23 +55,23 @@
             yield f"{path} {bad!r:.20}", spoilt[""]
 
 
-def works(config: Config, *lists: Any) -> bool:
+def works(config: Configuration, *lists: Any) -> bool:
     """Whether a gateway takes it, and decides on requests of each class, without a fault."""
-    gate = Gateway(config, Operator(), signals=False)
+    gate = Gateway(config, OperatorSettings(), signals=False)
     for news in lists:
         try:
             gate.take_list(news)
         except ValueError:  # what the journal's client guards against
-            assert list(gate.desk.targets) == ["e0"]
+            assert list(gate.forwarder.endpoints) == ["e0"]
     now = time.time_ns()
     for cls in range(len(config.settings.classes)):
-        key = "7f3a9c21e0b4d655" if config.settings.classes[cls].in_turn else None
-        gate.planner.tell(Request(cls + 1, cls, now + 7 * 10**9, 0, 7.0, key, 10**9, 96.0, False))
+        key = "7f3a9c21e0b4d655" if config.settings.classes[cls].ordered_by_key else None
+        gate.planner.notify(Request(cls + 1, cls, now + 7 * 10**9, 0, 7.0, key, 10**9, 96.0, False))
     for _ in range(2):
-        gate.loop.at(gate.loop.now(), lambda: None)
+        gate.loop.call_at(gate.loop.now(), lambda: None)
         gate.loop.turn()
     gate.loop.close()
-    return gate.planner.lives == 0 and gate.loop.faults == 0
+    return gate.planner.incarnation == 0 and gate.loop.faults == 0
 
 
 def test_a_spoilt_configuration_is_refused_or_works() -> None:
@@ -75,7 +80,7 @@
     for what, raw in each_spoilt(RAW):
         try:
             config = config_of(raw, {})
-        except BadConfig as bad:
+        except ConfigurationError as bad:
             assert "\n" not in str(bad)
             refused += 1
             continue
@@ -98,6 +103,6 @@
     file = tmp_path / "config.json"
     raw = RAW | {"limits": {"cores": 1.0, "memory_mb": 64, "sockets": "SPOILT"}}
     file.write_text(json.dumps(raw).replace('"SPOILT"', told))
-    run = [sys.executable, "-m", "mothknot"]
+    run = [sys.executable, "-m", "query_gateway"]
     done = subprocess.run(run, env=os.environ | {"ROUTER_CONFIG": str(file)}, capture_output=True, text=True)
     assert done.returncode == 2 and len(done.stderr.splitlines()) == 1, done.stderr
--- a/tests/test_bgp.py
+++ b/tests/test_bgp.py
@@ -7,9 +7,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from mothknot.bgp import messages as m
-from mothknot.bgp.session import Session, Settings
-from mothknot.net.loop import Loop
+from query_gateway.bgp import messages as m
+from query_gateway.bgp.session import Session, Settings
+from query_gateway.net.loop import Loop
 
 NET = (IPv4Network("10.9.0.1/32"), IPv4Network("10.8.0.0/15"))
 HOP = IPv4Address("127.0.0.1")
@@ -94,7 +94,7 @@
                 if isinstance(message, kind):
                     del self.got[: at + 1]
                     return message
-            self.loop.at(self.loop.now() + 0.01, lambda: None)
+            self.loop.call_at(self.loop.now() + 0.01, lambda: None)
             self.loop.turn()
             try:
                 self.got += self.decoder.feed(self.sock.recv(4096))
@@ -137,9 +137,9 @@
     peer.loop.turn()
     while not peer.session.up and peer.session.announced:
         peer.loop.turn()
-    peer.loop.at(peer.loop.now() + 0.05, lambda: None)
+    peer.loop.call_at(peer.loop.now() + 0.05, lambda: None)
     for _ in range(5):
-        peer.loop.at(peer.loop.now() + 0.02, lambda: None)
+        peer.loop.call_at(peer.loop.now() + 0.02, lambda: None)
         peer.loop.turn()
     peer.accept()
     peer.establish()
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -10,7 +10,7 @@
 import pytest
 from click.testing import CliRunner
 
-from mothknot.cli import main
+from query_gateway.cli import main
 from tests.stand_ins import SETTINGS
 
 ROOT = Path(__file__).parent.parent
@@ -129,7 +129,7 @@
 
 
 def test_a_bad_start_is_one_line_and_code_2(tmp_path: Path) -> None:
-    words = [sys.executable, "-m", "mothknot", "run", "--config", str(tmp_path / "missing.json")]
+    words = [sys.executable, "-m", "query_gateway", "run", "--config", str(tmp_path / "missing.json")]
     done = subprocess.run(words, capture_output=True, text=True, cwd=ROOT)
     assert done.returncode == 2 and len(done.stderr.splitlines()) == 1 and "missing.json" in done.stderr
 
