--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -25,23 +25,23 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from mothknot.config import Operator, operator_of
-from mothknot.core.exchange import Exchange
-from mothknot.core.messages import Target
-from mothknot.flight import messages
-from mothknot.flight.engines import Link
-from mothknot.flight.server import SERVICE
-from mothknot.gateway import CROSSING, KILLED_AT, Gateway
-from mothknot.handover import FDS, PACKET, VERSION, meet
-from mothknot.interface import Entry, State
-from mothknot.local.planner import Process
-from mothknot.net.log import log
-from mothknot.net.loop import Loop
-from mothknot.net.stream import Reason, Stream
-from mothknot.rpc.grpc import Call, Handler, Wire, framed
-from mothknot.targets import Change, Ends, follow
-from mothknot.web.journal import AGAIN
-from mothknot.web.server import Held, query_of
+from query_gateway.configuration.platform import OperatorSettings, operator_of
+from query_gateway.discovery.endpoint_list import EndpointListEvent, EndpointTombstones, follow
+from query_gateway.discovery.watch_client import AGAIN
+from query_gateway.flight import messages
+from query_gateway.flight.engines import Link
+from query_gateway.flight.server import SERVICE
+from query_gateway.forwarder.exchange import Exchange
+from query_gateway.forwarder.messages import Endpoint
+from query_gateway.gateway import CROSSING, KILLED_AT, Gateway
+from query_gateway.http.server import Held, query_of
+from query_gateway.lifecycle.hot_upgrade import FDS, PACKET, VERSION, meet
+from query_gateway.model.endpoints import EndpointInfo, EndpointState
+from query_gateway.net.log import log
+from query_gateway.net.loop import Loop
+from query_gateway.net.stream import Reason, Stream
+from query_gateway.planner.process import PlannerProcess
+from query_gateway.rpc.grpc import Call, Handler, Wire, framed
 from tests.stand_ins import SETTINGS, Engine, config, host, post
 from tests.test_handover import Site, site
 from tests.test_local import planner, until
@@ -141,7 +141,7 @@
 
 def ask(gate: Gateway, statement: str, cls: str = "lookup", row: str = "7f3a9c21e0b4d655") -> socket.socket:
     """A client's whole request on a connection that the test can close when it likes."""
-    sock = socket.create_connection(gate.server.listener.address)
+    sock = socket.create_connection(gate.http_server.listener.address)
     sock.settimeout(20)
     head = f"POST /svc/{cls} HTTP/1.1\r\nHost: x\r\nX-Txn: {uuid4().hex[:16]}\r\nX-Ttl-Ms: 600000\r\n"
     more = f"X-Row: {row}\r\nX-Txn-Key: {uuid4().hex}\r\n"
@@ -151,20 +151,20 @@
 
 def leave(gate: Gateway, sock: socket.socket) -> None:
     """The client leaves, and the gateway knows it."""
-    owed = gate.desk.outstanding
+    owed = gate.forwarder.open_request_count
     sock.close()
-    until(lambda: gate.desk.outstanding < owed)
+    until(lambda: gate.forwarder.open_request_count < owed)
 
 
 @contextlib.contextmanager
-def elsewhere(engine: Engine, **limits: Any) -> Iterator[tuple[Gateway, Process]]:
+def elsewhere(engine: Engine, **limits: Any) -> Iterator[tuple[Gateway, PlannerProcess]]:
     """A gateway, and its planner with a loop of its own."""
     with planner() as process:
         told = config([host(engine)], settings=tuned(**limits))
-        gate = Gateway(told, Operator(planners=(process.listener.address,)), signals=False)
+        gate = Gateway(told, OperatorSettings(planner_addresses=(process.listener.address,)), signals=False)
         thread = threading.Thread(target=gate.loop.run, daemon=True)
         thread.start()
-        until(lambda: gate.desk.live == [True])
+        until(lambda: gate.forwarder.planner_connected == [True])
         yield gate, process
         gate.loop.stop()
         thread.join(10)
@@ -182,11 +182,11 @@
     raw = tuned(cancelling=cancelling, dial_timeout=20 * SEC)
     with running(engine, settings=raw) as gate:
         client = ask(gate, GONE)
-        until(lambda: gate.pool.connections)
+        until(lambda: gate.engine_pool.connections)
         leave(gate, client)
         with ThreadPoolExecutor() as beside:
             marker = beside.submit(post, gate, "lookup", SQL, ttl=600_000)
-            until(lambda: gate.desk.outstanding)
+            until(lambda: gate.forwarder.open_request_count)
             engine.let_up()
             assert marker.result()[1] == {"rows": ROWS}
     assert engine.statements == [SQL]
@@ -197,7 +197,7 @@
     engine = Late()
     with elsewhere(engine, dial_timeout=20 * SEC) as (gate, process):
         client = ask(gate, GONE)
-        until(lambda: gate.pool.connections)
+        until(lambda: gate.engine_pool.connections)
         still, go = threading.Event(), threading.Event()
 
         def stand_still() -> None:
@@ -208,7 +208,11 @@
         assert still.wait(10)
         leave(gate, client)
         engine.let_up()
-        until(lambda: not gate.pool.connections or all(c.live for c in gate.pool.connections["e0"]))
+        until(
+            lambda: (
+                not gate.engine_pool.connections or all(c.live for c in gate.engine_pool.connections["e0"])
+            )
+        )
         go.set()
         assert post(gate, "lookup", SQL, ttl=600_000)[1] == {"rows": ROWS}
     assert engine.statements == [SQL]
@@ -227,7 +231,7 @@
         process.loop.call_soon(stand_still)
         assert still.wait(10)
         client = ask(gate, GONE)
-        until(lambda: gate.desk.outstanding)
+        until(lambda: gate.forwarder.open_request_count)
         leave(gate, client)
         go.set()
         assert post(gate, "lookup", SQL, ttl=600_000)[1] == {"rows": ROWS}
@@ -244,13 +248,13 @@
     with running(engine, settings=tuned(cancelling=cancelling)) as gate:
         open_ = [ask(gate, first)]
         until(lambda: engine.statements)
-        stream = gate.pool.connections["e0"][0].stream
+        stream = gate.engine_pool.connections["e0"][0].stream
         stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
         while not stream.outbox:
             open_.append(ask(gate, big))
-            until(lambda: len(gate.pool.where) == len(open_))
+            until(lambda: len(gate.engine_pool.where) == len(open_))
         victim = ask(gate, GONE)
-        until(lambda: len(gate.pool.where) == len(open_) + 1)
+        until(lambda: len(gate.engine_pool.where) == len(open_) + 1)
         leave(gate, victim)
         engine.reads.set()
         assert open_[-1].recv(65_536).startswith(b"HTTP/1.1 200")
@@ -264,7 +268,7 @@
     """Guards engines: the call was read and sent on before the end behind it was seen."""
     engine = Engine()
     with running(engine, settings=tuned()) as gate:
-        gate.loop.behind = lambda: 0.0  # type: ignore[method-assign]
+        gate.loop.lag = lambda: 0.0  # type: ignore[method-assign]
         assert post(gate, "lookup", SQL, ttl=600_000)[0] == 200  # from now on a connection is up
         there, go = threading.Event(), threading.Event()
 
@@ -277,15 +281,15 @@
         ask(gate, GONE).close()
         go.set()
         assert post(gate, "lookup", SQL, ttl=600_000)[1] == {"rows": ROWS}
-        until(lambda: not gate.desk.exchanges)
+        until(lambda: not gate.forwarder.exchanges)
     assert engine.statements == [SQL, SQL]
 
 
 def test_who_leaves_while_its_flight_call_waits_to_be_accepted_is_not_sent_on() -> None:
     engine = socket.create_server(("127.0.0.1", 0))
     gate = _flight_gate(engine)
-    assert gate.flight
-    pool: Any = gate.desk.engines["flight"]
+    assert gate.flight_server
+    pool: Any = gate.forwarder.engine_clients["flight"]
     link = pool.links["e0"] = Link(pool, "e0", pool.dials["e0"])
     peer = engine.accept()[0]
     _turns(gate, lambda: link.wire.stream.connected)
@@ -295,11 +299,11 @@
             "x-class": "load", "x-row": "7f3a9c21e0b4d655", "x-txn-key": uuid4().hex}  # fmt: skip
     wire.send_headers(1, list(told.items()))
     wire.send_data(1, framed(messages.update(LOAD)), end_stream=True)
-    first = gate.desk.next_xid
-    with socket.create_connection(gate.flight.listener.address) as client:
+    first = gate.forwarder.next_request_id
+    with socket.create_connection(gate.flight_server.listener.address) as client:
         client.sendall(wire.data_to_send())
-    _turns(gate, lambda: gate.flight and gate.flight.wires and gate.flight.quiet)
-    assert gate.desk.next_xid == first + 1 and not gate.desk.exchanges  # it was taken
+    _turns(gate, lambda: gate.flight_server and gate.flight_server.wires and gate.flight_server.is_idle)
+    assert gate.forwarder.next_request_id == first + 1 and not gate.forwarder.exchanges  # it was taken
     assert pool.links == {"e0": link} and link.wire.h2.get_next_available_stream_id() == 1
     gate.loop.close()
     for sock in (peer, engine):
@@ -330,8 +334,8 @@
 
 def _take_flight(gate: Gateway, statement: str) -> Exchange:
     headers = {"x-txn": uuid4().hex[:16], "x-ttl-ms": "600000"}
-    query = query_of("lookup", gate.config.classes, headers, statement.encode(), gate.desk.clock())
-    exchange = gate.desk.take(query, Held(lambda: None), "flight")
+    query = query_of("lookup", gate.config.classes, headers, statement.encode(), gate.forwarder.clock())
+    exchange = gate.forwarder.accept(query, Held(lambda: None), "flight")
     gate.turn()
     return exchange
 
@@ -344,9 +348,9 @@
         holder = ask(gate, LOAD, "load")
         until(lambda: engine.statements)
         victim = ask(gate, second, "load")
-        until(lambda: gate.desk.outstanding == 2)
+        until(lambda: gate.forwarder.open_request_count == 2)
         waiting = beside.submit(post, gate, "load", third, ttl=600_000)
-        until(lambda: gate.desk.outstanding == 3)
+        until(lambda: gate.forwarder.open_request_count == 3)
         leave(gate, victim)
         holder.close()
         assert waiting.result()[1] == {"rows": ROWS}
@@ -360,8 +364,10 @@
         client = ask(gate, GONE)
         until(lambda: engine.statements)
         leave(gate, client)
-        gate.loop.call_soon(lambda: gate.pool.connections["e0"][0].stream.sock.shutdown(socket.SHUT_RD))
-        until(lambda: not gate.desk.exchanges)
+        gate.loop.call_soon(
+            lambda: gate.engine_pool.connections["e0"][0].stream.sock.shutdown(socket.SHUT_RD)
+        )
+        until(lambda: not gate.forwarder.exchanges)
         assert post(gate, "lookup", SQL, ttl=600_000)[1] == {"rows": ROWS}
     assert engine.statements == [GONE, SQL]
 
@@ -376,7 +382,7 @@
         client.sendall(b"x" * more)
         client.close()
         assert engine.wait("STOP")
-        until(lambda: not gate.server.connections)
+        until(lambda: not gate.http_server.connections)
 
 
 def test_who_sends_far_too_much_ahead_is_ended_and_its_neighbour_served(capfd: Any) -> None:
@@ -398,8 +404,8 @@
         with ask(gate, GONE) as client:
             until(lambda: engine.statements)
             client.sendall(b"x" * 300_000)
-            until(lambda: any(c.ahead for c in gate.server.connections))
-            gate.loop.call_soon(lambda: next(iter(gate.desk.exchanges.values())).end_without_planner())
+            until(lambda: any(c.ahead for c in gate.http_server.connections))
+            gate.loop.call_soon(lambda: next(iter(gate.forwarder.exchanges.values())).end_without_planner())
             answer = b""
             while data := client.recv(65_536):
                 answer += data
@@ -431,19 +437,19 @@
 
         def hold() -> bool:
             """The planner has decided; before its word is read here, the list tells of a drain."""
-            if gate.desk.outstanding and not held:
+            if gate.forwarder.open_request_count and not held:
                 held.append(True)
-                until(lambda: any(seat.copies for seat in process.seats))
+                until(lambda: any(seat.attempt_numbers for seat in process.sessions))
                 news = [host(engine, "e0", "draining"), host(other, "e1")]
                 hosts = {"seq": 2, "whole": False, "hosts": news}
                 gate.take_list({"pos": 2, "entries": [{"pos": 2, "hosts": hosts}]})
             return False
 
-        gate.loop.call_soon(lambda: gate.loop.after.insert(0, hold))
+        gate.loop.call_soon(lambda: gate.loop.turn_hooks.insert(0, hold))
         assert post(gate, "lookup", SQL, ttl=600_000)[1] == {"rows": ROWS}
-        module = process.planner.module
+        module = process.planner.scheduler
         until(lambda: not process.owners and not module.queries)
-        assert held and not any(e.out for e in module.engines.values())
+        assert held and not any(e.in_flight for e in module.engines.values())
     assert (engine.statements, other.statements) == ([], [SQL])
     for one in (engine, other):
         one.close()
@@ -460,9 +466,9 @@
         news = [host(engine, "e0", "draining"), host(other, "e1")]
         hosts = {"seq": 2, "whole": False, "hosts": news}
         gate.loop.call_soon(lambda: gate.take_list({"pos": 2, "entries": [{"pos": 2, "hosts": hosts}]}))
-        until(lambda: "e1" in gate.desk.targets)
+        until(lambda: "e1" in gate.forwarder.endpoints)
         engine.hang_up()
-        until(lambda: "e1" in gate.pool.connections)  # it waits for its dial
+        until(lambda: "e1" in gate.engine_pool.connections)  # it waits for its dial
         assert waiting.result(20)[0] == 429
         other.let_up()
         assert post(gate, "lookup", SQL, ttl=600_000)[0] == 200
@@ -481,30 +487,30 @@
     engine = Engine()
     with running(engine, settings=unsafe()) as gate:
         assert post(gate, "lookup", SQL, ttl=600_000)[0] == 200
-        old = gate.pool.connections["e0"][0]
+        old = gate.engine_pool.connections["e0"][0]
         held = list[bool]()
 
         def hold() -> bool:
             """Behind the loop's look at its sockets, ahead of the planner that sends the request on."""
-            if gate.desk.outstanding and not held:
+            if gate.forwarder.open_request_count and not held:
                 engine.socks[0].sendall(last)
                 engine.hang_up()
                 held.append(True)
                 until(lambda: _state(old.stream.sock) == CLOSE_WAIT)
             return False
 
-        gate.loop.call_soon(lambda: gate.loop.after.insert(0, hold))
+        gate.loop.call_soon(lambda: gate.loop.turn_hooks.insert(0, hold))
         assert post(gate, "report", SQL, ttl=600_000)[1] == {"rows": ROWS}
         assert held and old.stream.closed and engine.statements == [SQL, SQL]
 
 
 def test_half_a_line_on_a_resting_connection_spoils_no_answer(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards a class that may not be repeated: its answer was glued to what was no answer."""
-    monkeypatch.setattr("mothknot.web.engines.STALLED", 600.0)
+    monkeypatch.setattr("query_gateway.engine_protocol.client.STALLED", 600.0)
     engine = Engine()
     with running(engine, settings=unsafe()) as gate:
         assert post(gate, "lookup", SQL, ttl=600_000)[0] == 200
-        old = gate.pool.connections["e0"][0]
+        old = gate.engine_pool.connections["e0"][0]
         engine.socks[0].sendall(b"ffff")
         until(lambda: old.decoder.partial)
         assert post(gate, "report", SQL, ttl=600_000)[1] == {"rows": ROWS}
@@ -516,8 +522,8 @@
     how: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards the client: with each byte the patience began anew, to the end of its time."""
-    monkeypatch.setattr("mothknot.web.engines.ENDLESS", 0.2, raising=False)
-    monkeypatch.setattr("mothknot.web.engines.STALLED", 600.0)
+    monkeypatch.setattr("query_gateway.engine_protocol.client.ENDLESS", 0.2, raising=False)
+    monkeypatch.setattr("query_gateway.engine_protocol.client.STALLED", 600.0)
     engine = Endless(how)
     with running(engine, settings=tuned()) as gate:
         assert post(gate, "lookup", SQL, ttl=600_000)[1] == {"rows": ROWS}
@@ -532,13 +538,13 @@
     with running(engine, settings=unsafe()) as gate, ThreadPoolExecutor() as beside:
         open_ = [ask(gate, first)]
         until(lambda: engine.statements)
-        stream = gate.pool.connections["e0"][0].stream
+        stream = gate.engine_pool.connections["e0"][0].stream
         stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
         while not stream.outbox:
             open_.append(ask(gate, big))
-            until(lambda: len(gate.pool.where) == len(open_))
+            until(lambda: len(gate.engine_pool.where) == len(open_))
         report = beside.submit(post, gate, "report", SQL, ttl=600_000)
-        until(lambda: len(gate.pool.where) == len(open_) + 1)
+        until(lambda: len(gate.engine_pool.where) == len(open_) + 1)
         engine.hang_up()
         engine.reads.set()
         assert report.result()[1] == {"rows": ROWS}
@@ -551,13 +557,13 @@
     engine, other = Late(), Engine()
     with running(engine, settings=tuned(dial_timeout=20 * SEC)) as gate, ThreadPoolExecutor() as beside:
         waiting = beside.submit(post, gate, "lookup", SQL, ttl=600_000)
-        until(lambda: gate.pool.connections)
+        until(lambda: gate.engine_pool.connections)
         news = [host(engine, "e0", "draining"), host(other, "e1")]
         raw = {"pos": 2, "entries": [{"pos": 2, "hosts": {"seq": 2, "whole": False, "hosts": news}}]}
         gate.loop.call_soon(lambda: gate.take_list(raw))
         assert waiting.result()[1] == {"rows": ROWS}
         engine.let_up()
-        until(lambda: "e0" not in gate.pool.connections)
+        until(lambda: "e0" not in gate.engine_pool.connections)
     assert (engine.statements, other.statements) == ([], [SQL])
     other.close()
 
@@ -569,13 +575,13 @@
     with running(engine, settings=tuned()) as gate, ThreadPoolExecutor() as beside:
         open_ = [ask(gate, first)]
         until(lambda: engine.statements)
-        stream = gate.pool.connections["e0"][0].stream
+        stream = gate.engine_pool.connections["e0"][0].stream
         stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
         while not stream.outbox:
             open_.append(ask(gate, big))
-            until(lambda: len(gate.pool.where) == len(open_))
+            until(lambda: len(gate.engine_pool.where) == len(open_))
         waiting = beside.submit(post, gate, "lookup", SQL, ttl=600_000)
-        until(lambda: len(gate.pool.where) == len(open_) + 1)
+        until(lambda: len(gate.engine_pool.where) == len(open_) + 1)
         news = [host(engine, "e0", "draining"), host(other, "e1")]
         raw = {"pos": 2, "entries": [{"pos": 2, "hosts": {"seq": 2, "whole": False, "hosts": news}}]}
         gate.loop.call_soon(lambda: gate.take_list(raw))
@@ -598,11 +604,11 @@
     exchanges = [_take_flight(gate, statement) for statement in (big, GONE)]
     peer = engine.accept()[0]
     peer.settimeout(0.01)
-    wire = gate.desk.engines["flight"].links["e0"].wire  # type: ignore[attr-defined]
+    wire = gate.forwarder.engine_clients["flight"].links["e0"].wire  # type: ignore[attr-defined]
     while len(wire.calls) < 2 or wire.h2.outbound_flow_control_window:
         gate.loop.turn()
     if how == "leaves":
-        exchanges[1].gone()
+        exchanges[1].abandon()
     elif how == "drains":
         news = host_of(engine) | {"health": "draining"}
         gate.take_list({"pos": 2, "entries": [{"pos": 2, "hosts": {"whole": False, "hosts": [news]}}]})
@@ -613,7 +619,9 @@
         exchanges = []
     # What has gone in part is not whole either, so it never ran; its client still waits for it
     if exchanges:
-        assert exchanges[1].attempt is None and bool(exchanges[0].attempt) is (how == "leaves")
+        assert exchanges[1].current_attempt is None and bool(exchanges[0].current_attempt) is (
+            how == "leaves"
+        )
         window = WindowUpdateFrame(0, window_increment=1_000_000).serialize()
         own = WindowUpdateFrame(1, window_increment=1_000_000).serialize()
         peer.sendall(SettingsFrame(0).serialize() + window + own)
@@ -632,14 +640,14 @@
     """Guards an update that may not be repeated: written behind the engine's close it counts as run."""
     engine = socket.create_server(("127.0.0.1", 0))
     gate = _flight_gate(engine)
-    pool: Any = gate.desk.engines["flight"]
+    pool: Any = gate.forwarder.engine_clients["flight"]
     old = pool.links["e0"] = Link(pool, "e0", pool.dials["e0"])
     peer = engine.accept()[0]
     _turns(gate, lambda: old.wire.stream.connected)
     peer.shutdown(socket.SHUT_WR)
     until(lambda: _state(old.wire.stream.sock) == CLOSE_WAIT)
     exchange = _take_flight(gate, SQL)
-    assert exchange.attempt and pool.links["e0"] is not old and not old.wire.calls
+    assert exchange.current_attempt and pool.links["e0"] is not old and not old.wire.calls
     gate.loop.close()
     for sock in (peer, engine):
         sock.close()
@@ -686,7 +694,7 @@
     if why == "stopping":
         wire.go_away()
     else:
-        monkeypatch.setattr("mothknot.rpc.grpc.IDLE_TIME", 0.0)
+        monkeypatch.setattr("query_gateway.rpc.grpc.IDLE_TIME", 0.0)
         wire.task.wake()
     got, ended = 0, set[Any]()
     client.settimeout(0.01)
@@ -708,7 +716,7 @@
 
 def _turned(loop: Loop) -> bool:
     """One turn, which waits for nothing long."""
-    loop.at(loop.now() + 0.01, lambda: None)
+    loop.call_at(loop.now() + 0.01, lambda: None)
     loop.turn()
     return True
 
@@ -721,13 +729,13 @@
     near.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
     sent: list[str] = []
     stream.write(b"a" * 1_000_000)
-    partly = stream.when_sent(lambda: sent.append("a"), 1_000_000)
+    partly = stream.call_when_sent(lambda: sent.append("a"), 1_000_000)
     stream.write(b"b" * 10)
-    middle = stream.when_sent(lambda: sent.append("b"), 10)
+    middle = stream.call_when_sent(lambda: sent.append("b"), 10)
     stream.write(b"c" * 5)
-    stream.when_sent(lambda: sent.append("c"), 5)
-    assert partly and middle and not stream.take_back(partly)
-    assert stream.take_back(middle) and not stream.take_back(middle)
+    stream.call_when_sent(lambda: sent.append("c"), 5)
+    assert partly and middle and not stream.withdraw(partly)
+    assert stream.withdraw(middle) and not stream.withdraw(middle)
     got = b""
     far.settimeout(0.01)
     while stream.outbox or len(got) < 1_000_005:
@@ -749,29 +757,29 @@
 ) -> None:
     """Guards the request: closed over it in the machine's buffer, its connection was reset."""
     engine = Engine()
-    monkeypatch.setattr("mothknot.web.server.IDLE_TIME", 0.3 if why == "idle" else 6.0)
+    monkeypatch.setattr("query_gateway.http.server.IDLE_TIME", 0.3 if why == "idle" else 6.0)
     with running(engine, settings=tuned()) as gate:
-        gate.loop.behind = lambda: 0.0  # type: ignore[method-assign]
-        kept = http.client.HTTPConnection(*gate.server.listener.address, timeout=10)
+        gate.loop.lag = lambda: 0.0  # type: ignore[method-assign]
+        kept = http.client.HTTPConnection(*gate.http_server.listener.address, timeout=10)
         told = {"X-Txn": "1" * 16, "X-Ttl-Ms": "600000"}
         kept.request("POST", "/svc/lookup", SQL, told)
         assert kept.getresponse().read()
-        until(lambda: gate.server.idle)
+        until(lambda: gate.http_server.idle)
         there, go = threading.Event(), threading.Event()
-        due = next(iter(gate.server.idle)).task.timer
+        due = next(iter(gate.http_server.idle)).task.timer
 
         def hold() -> None:
             there.set()
             assert go.wait(30)
             if why == "idle":
-                while due and gate.loop.now() < due.when:
+                while due and gate.loop.now() < due.due_at:
                     pass
             elif why == "stopping":
-                gate.server.close()
+                gate.http_server.close()
             else:
-                gate.server.most = 1
-                other = socket.create_connection(gate.server.listener.address)
-                gate.server.listener._accept()
+                gate.http_server.max_connections = 1
+                other = socket.create_connection(gate.http_server.listener.address)
+                gate.http_server.listener._accept()
                 other.close()
 
         gate.loop.call_soon(hold)
@@ -790,23 +798,23 @@
     with running(engine, settings=tuned()) as gate:
         client = ask(gate, SQL)
         assert client.recv(65_536).startswith(b"HTTP/1.1 200")
-        until(lambda: gate.server.idle)
+        until(lambda: gate.http_server.idle)
         sent = list[bool]()
 
         def between() -> bool:
             """Behind the connection's turn, ahead of the end of the loop's."""
-            if gate.server.closing and not sent:
+            if gate.http_server.closing and not sent:
                 client.sendall(b"POST /svc/lookup HTTP/1.1\r\n")
                 sent.append(True)
             return False
 
-        gate.loop.call_soon(lambda: gate.loop.after.insert(0, between))
-        gate.loop.call_soon(gate.server.close)
+        gate.loop.call_soon(lambda: gate.loop.turn_hooks.insert(0, between))
+        gate.loop.call_soon(gate.http_server.close)
         assert client.recv(65_536) == b""
         until(lambda: sent)
         assert client.recv(65_536) == b""
         client.close()
-        until(lambda: not gate.server.connections)
+        until(lambda: not gate.http_server.connections)
     assert engine.statements == [SQL]
 
 
@@ -816,10 +824,12 @@
 def test_a_plain_stop_gives_up_what_is_open_before_the_kill() -> None:
     """Guards clients of long requests: the kill comes 0.7 s after the longest deadline, or after 3 s."""
     for raw, longest in ((SETTINGS, KILLED_AT), (hurried(1.0), 1.0)):
-        gate = Gateway(config([], settings=raw), Operator(), signals=False)
+        gate = Gateway(config([], settings=raw), OperatorSettings(), signals=False)
         gate.drain()
         gate.drain()  # a second SIGTERM begins nothing anew
-        due = [when - gate.loop.now() for when, _, timer in gate.loop.timers if timer.call == gate._give_up]
+        due = [
+            when - gate.loop.now() for when, _, timer in gate.loop.timers if timer.callback == gate._give_up
+        ]
         assert len(due) == 1 and longest < due[0] < longest + 0.7
         gate.loop.close()
 
@@ -828,10 +838,10 @@
     """Guards clients of a class that was dropped: the kill no longer waits for its longer deadline."""
     raw = hurried(1.0)
     raw["services"][1] |= {"name": "audit"}
-    gate = Gateway(config([]), Operator(), signals=False, read_again=lambda: config([], settings=raw))
+    gate = Gateway(config([]), OperatorSettings(), signals=False, read_again=lambda: config([], settings=raw))
     gate.reload()
     gate.drain()
-    due = [when - gate.loop.now() for when, _, timer in gate.loop.timers if timer.call == gate._give_up]
+    due = [when - gate.loop.now() for when, _, timer in gate.loop.timers if timer.callback == gate._give_up]
     assert len(due) == 1 and 1.0 < due[0] < 1.7
     gate.loop.close()
 
@@ -842,7 +852,7 @@
     with running(engine, settings=unsafe() | {"limits": tuned(dial_timeout=600 * SEC)["limits"]}) as gate:
         with ThreadPoolExecutor() as beside:
             waiting = beside.submit(post, gate, "report", SQL, ttl=600_000)
-            until(lambda: gate.pool.connections)
+            until(lambda: gate.engine_pool.connections)
             gate.loop.call_soon(gate._give_up)
             assert waiting.result()[0] == 429
         engine.let_up()
@@ -910,7 +920,7 @@
 def _followed(folder: Path, engine: Engine, *says: str) -> Iterator[tuple[Gateway, socket.socket]]:
     """A gateway, and a successor of which the test holds the link."""
     told = config([host(engine)], settings=tuned())
-    gate = Gateway(told, Operator(), signals=False, meeting=str(folder / "door"))
+    gate = Gateway(told, OperatorSettings(), signals=False, meeting=str(folder / "door"))
     thread = threading.Thread(target=gate.loop.run, daemon=True)
     thread.start()
     with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as link:
@@ -934,17 +944,17 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards who still comes after SIGTERM: the elder closed its listener, and what rested, at that death."""
-    monkeypatch.setattr("mothknot.gateway.ACCEPTING", 600.0)
+    monkeypatch.setattr("query_gateway.gateway.ACCEPTING", 600.0)
     with _followed(tmp_path, Engine()) as (gate, link):
-        assert gate.handover
-        kept = http.client.HTTPConnection(*gate.server.listener.address, timeout=10)
+        assert gate.hot_upgrade
+        kept = http.client.HTTPConnection(*gate.http_server.listener.address, timeout=10)
         told = {"X-Txn": "1" * 16, "X-Ttl-Ms": "600000"}
         kept.request("POST", "/svc/lookup", SQL, told)
         assert kept.getresponse().read()
         gate.loop.call_soon(gate.drain)
-        until(lambda: gate.server.listener.paused)
+        until(lambda: gate.http_server.listener.paused)
         link.close()
-        until(lambda: gate.handover and not gate.handover.successor)
+        until(lambda: gate.hot_upgrade and not gate.hot_upgrade.successor)
         assert post(gate, "lookup", SQL, ttl=600_000)[0] == 200
         kept.request("POST", "/svc/lookup", SQL, told | {"X-Txn": "2" * 16})
         assert kept.getresponse().status == 200
@@ -954,18 +964,18 @@
 @pytest.mark.parametrize("step", ["met", "hello", "ready"])
 def test_a_successor_that_dies_at_any_step_leaves_its_elder_serving(step: str, tmp_path: Path) -> None:
     with _followed(tmp_path, Engine(), *(["ready"] if step == "ready" else [])) as (gate, first):
-        assert gate.handover
+        assert gate.hot_upgrade
         link = first
         if step == "met":  # another, that comes when the first has gone and says nothing
             first.close()
-            until(lambda: gate.handover and not gate.handover.successor)
+            until(lambda: gate.hot_upgrade and not gate.hot_upgrade.successor)
             link = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
             link.connect(str(tmp_path / "door"))
-            until(lambda: gate.handover and gate.handover.successor)
+            until(lambda: gate.hot_upgrade and gate.hot_upgrade.successor)
         elif step != "hello":
-            until(lambda: gate.handover and gate.handover.follows)
+            until(lambda: gate.hot_upgrade and gate.hot_upgrade.successor_ready)
         link.close()
-        until(lambda: gate.handover and not gate.handover.successor)
+        until(lambda: gate.hot_upgrade and not gate.hot_upgrade.successor)
         assert post(gate, "lookup", SQL, ttl=600_000)[0] == 200
         with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as second:
             second.connect(str(tmp_path / "door"))
@@ -994,7 +1004,7 @@
             link.close()
         legacy = met.result(10)
         assert (legacy is None) is (step == "met")
-    gate = Gateway(config([host(engine)]), Operator(), signals=False, meeting=path, legacy=legacy)
+    gate = Gateway(config([host(engine)]), OperatorSettings(), signals=False, meeting=path, legacy=legacy)
     thread = threading.Thread(target=gate.loop.run, daemon=True)
     thread.start()
     if step in ("heard the yes", "leaving"):
@@ -1002,7 +1012,7 @@
     if step == "leaving":
         link.send(json.dumps({"leaving": True}).encode())
     link.close()
-    until(lambda: gate.handover and not gate.handover.elder and gate.readiness.ready)
+    until(lambda: gate.hot_upgrade and not gate.hot_upgrade.predecessor and gate.readiness.ready)
     assert post(gate, "lookup", SQL, ttl=5_000)[0] == 200
     gate.loop.stop()
     thread.join(10)
@@ -1017,19 +1027,19 @@
     engine = Deaf(script={LOAD: ["mute"]})
     engine.reads.set()
     with _followed(tmp_path, engine, "ready") as (gate, link), ThreadPoolExecutor() as beside:
-        until(lambda: gate.handover and gate.handover.follows)
+        until(lambda: gate.hot_upgrade and gate.hot_upgrade.successor_ready)
         resting = ask(gate, SQL)
         assert resting.recv(65_536).startswith(b"HTTP/1.1 200")
         waiting = beside.submit(post, gate, "load", LOAD, ttl=600_000)
         assert engine.wait("REQ", 2)
         gate.loop.call_soon(gate.drain)
-        until(lambda: not gate.server.idle and len(gate.server.connections) == 1)
+        until(lambda: not gate.http_server.idle and len(gate.http_server.connections) == 1)
         link.close()  # with the connection in it, unread
         with contextlib.suppress(ConnectionResetError):
             assert resting.recv(65_536) == b""
         resting.close()
-        until(lambda: gate.handover and not gate.handover.successor)
-        engine._say(engine.socks[0], f"{next(iter(gate.pool.where))} ok sheets=1", "0\tx\ty\n")
+        until(lambda: gate.hot_upgrade and not gate.hot_upgrade.successor)
+        engine._say(engine.socks[0], f"{next(iter(gate.engine_pool.where))} ok sheets=1", "0\tx\ty\n")
         assert waiting.result()[1] == {"rows": ROWS[:1]}
 
 
@@ -1039,7 +1049,7 @@
 def test_a_watch_that_counts_anew_or_leaves_out_is_asked_for_all(capfd: Any) -> None:
     """Guards the list: it kept the highest number, and stood still for good without a line."""
     journal, one, two = JournalStandIn(), Engine(), Engine()
-    gate = Gateway(config([], journal=journal.address), Operator(), signals=False)
+    gate = Gateway(config([], journal=journal.address), OperatorSettings(), signals=False)
     thread = threading.Thread(target=gate.loop.run, daemon=True)
     thread.start()
     whole = {"seq": 1, "whole": True, "hosts": [host(two, "e2")]}
@@ -1053,14 +1063,14 @@
         (anew, 0), (b'{"pos":1,"entries":[]}', 1), (anew, 0),  # nothing at once, as if it had news
     )  # fmt: skip
     assert [journal.answer(body) for body, _ in answers] == [f"/journal?tail={tail}" for _, tail in answers]
-    assert list(gate.desk.targets) == ["e2"] and post(gate, "lookup", SQL, ttl=600_000)[0] == 200
+    assert list(gate.forwarder.endpoints) == ["e2"] and post(gate, "lookup", SQL, ttl=600_000)[0] == 200
     gate.loop.stop()
     thread.join(10)
     gate.loop.close()
     assert (len(one.statements), len(two.statements), gate.loop.faults) == (0, 1, 0)
     said = capfd.readouterr().err
     assert all(f"journal {reason}: " in said for reason in ("began-anew", "skipped", "repeated"))
-    assert said.count(" anew\n") >= 3
+    assert said.count(" resync\n") >= 3
     journal.close()
     for engine in (one, two):
         engine.close()
@@ -1069,7 +1079,7 @@
 def test_a_service_that_began_anew_and_passed_our_number_is_asked_for_all(capfd: Any) -> None:
     """Guards the list: lower numbers would show it, but there are none left when we ask again."""
     journal, one, two = JournalStandIn(), Engine(), Engine()
-    gate = Gateway(config([], journal=journal.address), Operator(), signals=False)
+    gate = Gateway(config([], journal=journal.address), OperatorSettings(), signals=False)
     thread = threading.Thread(target=gate.loop.run, daemon=True)
     thread.start()
     assert journal.answer(news_of(one)) == "/journal?tail=1"
@@ -1077,14 +1087,12 @@
     assert journal.answer(news_of(one)) == "/journal?tail=1"  # the same as before: nothing is asked anew
     journal.breaks()
     whole = {"pos": 1, "hosts": {"seq": 1, "whole": True, "hosts": [host(two, "e2", "draining")]}}
-    later = [
-        {"pos": n, "hosts": {"seq": n, "whole": False, "hosts": [host(two, f"e{n}")]}} for n in (2, 3)
-    ]
+    later = [{"pos": n, "hosts": {"seq": n, "whole": False, "hosts": [host(two, f"e{n}")]}} for n in (2, 3)]
     assert journal.answer(json.dumps({"pos": 3, "entries": later}).encode()) == "/journal?tail=1"
     assert journal.answer(json.dumps({"pos": 3, "entries": [whole, *later]}).encode()) == "/journal?tail=0"
     assert journal.answer(b'{"pos":3,"entries":[]}') == "/journal?tail=3"
-    assert {n: t.entry.state for n, t in gate.desk.targets.items()} == {
-        "e2": State.UP, "e3": State.UP}  # fmt: skip
+    assert {n: t.info.state for n, t in gate.forwarder.endpoints.items()} == {
+        "e2": EndpointState.UP, "e3": EndpointState.UP}  # fmt: skip
     gate.loop.stop()
     thread.join(10)
     gate.loop.close()
@@ -1105,7 +1113,7 @@
         return json.dumps({"pos": pos, "entries": [event]}).encode()
 
     known = json.loads(told(1, e0="up", e1="up", e2="up"))
-    gate = Gateway(config([], journal=journal.address, known=known), Operator(), signals=False)
+    gate = Gateway(config([], journal=journal.address, known=known), OperatorSettings(), signals=False)
     thread = threading.Thread(target=gate.loop.run, daemon=True)
     thread.start()
     answers = (
@@ -1114,13 +1122,13 @@
     )  # fmt: skip
     assert [journal.answer(body) for body, _ in answers] == [f"/journal?tail={tail}" for _, tail in answers]
     until(lambda: gate.position == 1)
-    states = {name: target.entry.state for name, target in gate.desk.targets.items()}
-    assert states == {"e0": State.DRAINING, "e1": State.UP}
+    states = {name: target.info.state for name, target in gate.forwarder.endpoints.items()}
+    assert states == {"e0": EndpointState.DRAINING, "e1": EndpointState.UP}
     assert [post(gate, "lookup", SQL, ttl=600_000)[0] for _ in range(8)] == [200] * 8
     assert [len(engine.statements) for engine in engines] == [0, 8, 0]
     assert journal.answer(told(2, e0="up again")) == "/journal?tail=1"
     until(lambda: gate.position == 2)
-    assert gate.desk.targets["e0"].entry.state is State.UP
+    assert gate.forwarder.endpoints["e0"].info.state is EndpointState.UP
     gate.loop.stop()
     thread.join(10)
     gate.loop.close()
@@ -1131,30 +1139,37 @@
 
 def test_a_drain_stands_whatever_a_service_that_counts_anew_says() -> None:
     """Any order of news, free of sockets: only a later start or the service's own next word ends a drain."""
-    def target(name: str, state: State, launched: int = 0) -> Target:
-        return Target(Entry(name, state, 0, 0, 0, launched, 1.0), {})
-
-    up = [target(name, State.UP, 7) for name in "abcd"]
-    ends = Ends()
-    ends.note(up, True, {})
-    known = {t.entry.engine: t for t in up}
-    ends.note([target("a", State.DRAINING, 7), target("b", State.GONE)], False, known)
-    ends.note([t for t in up if t.entry.engine != "c"], True, known)  # a and b up again, c left out
-    ends.note([target("a", State.DRAINING, 7), target("b", State.GONE)], False, known)
-    kept = {t.entry.engine: t.entry.state for t in ends.kept([*up, target("e", State.UP, 7)])}
-    assert kept == {"a": State.DRAINING, "d": State.UP, "e": State.UP}
-    again = ends.kept([target("a", State.UP, 8), target("b", State.UP, 8), target("d", State.DRAINING)])
-    assert [t.entry.state for t in again] == [State.UP, State.UP, State.DRAINING]
+
+    def target(name: str, state: EndpointState, launched: int = 0) -> Endpoint:
+        return Endpoint(EndpointInfo(name, state, 0, 0, 0, launched, 1.0), {})
+
+    up = [target(name, EndpointState.UP, 7) for name in "abcd"]
+    ends = EndpointTombstones()
+    ends.record(up, True, {})
+    known = {t.info.name: t for t in up}
+    ends.record([target("a", EndpointState.DRAINING, 7), target("b", EndpointState.REMOVED)], False, known)
+    ends.record([t for t in up if t.info.name != "c"], True, known)  # a and b up again, c left out
+    ends.record([target("a", EndpointState.DRAINING, 7), target("b", EndpointState.REMOVED)], False, known)
+    kept = {t.info.name: t.info.state for t in ends.apply([*up, target("e", EndpointState.UP, 7)])}
+    assert kept == {"a": EndpointState.DRAINING, "d": EndpointState.UP, "e": EndpointState.UP}
+    again = ends.apply(
+        [
+            target("a", EndpointState.UP, 8),
+            target("b", EndpointState.UP, 8),
+            target("d", EndpointState.DRAINING),
+        ]
+    )
+    assert [t.info.state for t in again] == [EndpointState.UP, EndpointState.UP, EndpointState.DRAINING]
 
 
 @pytest.mark.parametrize("how", ["silent", "breaks"])
 def test_a_drain_told_while_the_watch_is_dead_is_heeded_with_the_next(
     how: str, monkeypatch: pytest.MonkeyPatch, capfd: Any
 ) -> None:
-    monkeypatch.setattr("mothknot.web.journal.WAIT_MS", 100)
-    monkeypatch.setattr("mothknot.web.journal.LATE", 0.1)
+    monkeypatch.setattr("query_gateway.discovery.watch_client.WAIT_MS", 100)
+    monkeypatch.setattr("query_gateway.discovery.watch_client.LATE", 0.1)
     journal, engine = JournalStandIn(), Engine()
-    gate = Gateway(config([host(engine)], journal=journal.address), Operator(), signals=False)
+    gate = Gateway(config([host(engine)], journal=journal.address), OperatorSettings(), signals=False)
     thread = threading.Thread(target=gate.loop.run, daemon=True)
     thread.start()
     dead = journal.server.accept()[0]
@@ -1165,12 +1180,12 @@
     drains = json.dumps({"pos": 2, "entries": [{"pos": 2, "hosts": hosts}]}).encode()
     assert [journal.answer(body) for body in (drains, b'{"pos":2,"entries":[]}')] == [
         "/journal?tail=1", "/journal?tail=2"]  # fmt: skip
-    assert gate.desk.targets["e0"].entry.state is State.DRAINING
+    assert gate.forwarder.endpoints["e0"].info.state is EndpointState.DRAINING
     assert post(gate, "lookup", SQL, ttl=400)[0] == 429 and not engine.statements
     gate.loop.stop()
     thread.join(10)
     gate.loop.close()
-    code = "silent" if how == "silent" else "peer-closed"
+    code = "unresponsive" if how == "silent" else "peer-closed"
     assert f"end journal {journal.address} {code}" in capfd.readouterr().err
     dead.close()
     journal.close()
@@ -1181,10 +1196,10 @@
     """Guards the service: all gateways came back in the same moment, each 0.1 s."""
     back: list[float] = []
     for seed in range(20):
-        gate = Gateway(config([], seed=f"{seed:x}"), Operator(), signals=False)
-        while not (timer := gate.journal.task.timer) or timer.when - gate.loop.now() > 2 * AGAIN[0]:
+        gate = Gateway(config([], seed=f"{seed:x}"), OperatorSettings(), signals=False)
+        while not (timer := gate.watch_client.task.timer) or timer.due_at - gate.loop.now() > 2 * AGAIN[0]:
             gate.loop.turn()  # until the dial is refused and the rest before the next has begun
-        back.append(timer.when - gate.loop.now())
+        back.append(timer.due_at - gate.loop.now())
         gate.loop.close()
     assert max(back) - min(back) > AGAIN[0] / 2 and max(back) <= 1.5 * AGAIN[0]
 
@@ -1193,28 +1208,28 @@
 HOW = st.sampled_from(["good", "empty", "gap", "twice", "anew"])
 
 
-def _event(number: int) -> Change:
+def _event(number: int) -> EndpointListEvent:
     """Each event starts one engine and drains an earlier one; the first holds the whole list."""
-    names = [(number, State.UP)] + [(number // 2, State.DRAINING)] * (number > 1)
-    return number, number == 1, [Target(Entry(str(n), s, 0, 0, 0, 0, 1.0), {}) for n, s in names]
+    names = [(number, EndpointState.UP)] + [(number // 2, EndpointState.DRAINING)] * (number > 1)
+    return number, number == 1, [Endpoint(EndpointInfo(str(n), s, 0, 0, 0, 0, 1.0), {}) for n, s in names]
 
 
-def _list_at(last: int) -> dict[str, State]:
-    return {t.entry.engine: t.entry.state for n in range(1, last + 1) for t in _event(n)[2]}
+def _list_at(last: int) -> dict[str, EndpointState]:
+    return {t.info.name: t.info.state for n in range(1, last + 1) for t in _event(n)[2]}
 
 
 @steady
 @given(st.lists(st.tuples(st.integers(1, EVENTS), HOW)))
 def test_whatever_a_watch_does_its_next_good_answers_tell_the_whole_list(
-    steps: list[tuple[int, str]]
+    steps: list[tuple[int, str]],
 ) -> None:
-    held, known = 0, dict[str, State]()
+    held, known = 0, dict[str, EndpointState]()
 
-    def take(last: int, events: list[Change]) -> None:
+    def take(last: int, events: list[EndpointListEvent]) -> None:
         nonlocal held, known
         news = follow(held, last, events)
-        known = {} if news.whole else known
-        known |= {t.entry.engine: t.entry.state for t in news.targets}
+        known = {} if news.is_snapshot else known
+        known |= {t.info.name: t.info.state for t in news.endpoints}
         held = news.position
 
     for last, how in steps:
@@ -1238,7 +1253,7 @@
         raw["services"][1] |= {"name": next(names)}  # type: ignore[index]
         return config([], settings=raw)
 
-    gate = Gateway(config([]), Operator(), signals=False, read_again=again)
+    gate = Gateway(config([]), OperatorSettings(), signals=False, read_again=again)
     start = gate.loop.now()
     seen = []
     for at, reloads in ((0.0, True), (1.0, True), (1.2, False), (1.6, False), (2.6, False)):
@@ -1247,7 +1262,7 @@
             gate.reload()
         while gate.loop.timers and gate.loop.timers[0][0] <= start + at:
             gate.loop.turn()
-        seen.append(set(gate.server.classes) - {"lookup", "load"})
+        seen.append(set(gate.http_server.classes) - {"lookup", "load"})
     assert CROSSING == 1.5
     assert seen == [{"report", "audit"}, {"report", "audit", "third"}, {"report", "audit", "third"},
                     {"audit", "third"}, {"third"}]  # fmt: skip
@@ -1270,7 +1285,7 @@
     raw = {"listen": "127.0.0.1:0", "journal": "127.0.0.1:1", "known": known, "settings": SETTINGS}
     file = tmp_path / "config.json"
     os.mkfifo(file)  # the start stands still where it reads its configuration
-    run = [sys.executable, "-m", "mothknot"]
+    run = [sys.executable, "-m", "query_gateway"]
     environ = os.environ | {"ROUTER_CONFIG": str(file)}
     with subprocess.Popen(run, env=environ, stderr=subprocess.PIPE, text=True) as process:
         with file.open("w") as first:  # it reads
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -5,28 +5,20 @@
 
 import pytest
 
-from mothknot.interface import (
-    Cancel,
-    Code,
-    Fail,
-    Gone,
-    ListChange,
-    ListScope,
-    Message,
-    Note,
-    NoteKind,
-    Outcome,
-    Post,
-    Refuse,
-    Repeat,
-    Send,
-    Short,
-    State,
-    Terms,
-    Timer,
-    Watch,
+from query_gateway.model.actions import Cancel, Fail, Forward, Reject, SendGossip, SetTerms, WatchEndpoints
+from query_gateway.model.endpoints import EndpointState, EndpointUpdateKind
+from query_gateway.model.events import (
+    AttemptOutcome,
+    EndpointUpdate,
+    GossipMessage,
+    OutcomeCode,
+    ProgressKind,
+    ProgressNote,
+    RequestAbandoned,
+    TimerFired,
 )
-from mothknot.policy import Gateway
+from query_gateway.model.settings import Idempotency, MemoryShortage
+from query_gateway.policy.scheduler import Scheduler
 from tests.world import LOAD, MS, QUICK, REPORT, SEC, SITE, World, cancels, engine
 
 ONE = (engine("a"),)
@@ -35,7 +27,7 @@
 
 
 def _refused(w: World) -> list[int]:
-    return [a.xid for a in w.last if isinstance(a, Refuse)]
+    return [a.request_id for a in w.last if isinstance(a, Reject)]
 
 
 def fill(w: World, n: int = 200) -> None:
@@ -47,21 +39,21 @@
     w = World(engines=TWO)
     for tables in range(4):
         w.ask(tables=float(tables))
-    assert sorted(s.engine for s in w.sent) == ["a", "a", "b", "b"]
+    assert sorted(s.endpoint for s in w.sent) == ["a", "a", "b", "b"]
 
 
 def test_overload_is_refused_early_with_advice_when_to_return() -> None:
     w = World(engines=ONE)
     fill(w)
     assert len(w.sent) < 40
-    refusal = next(a for a in w.last if isinstance(a, Refuse))
+    refusal = next(a for a in w.last if isinstance(a, Reject))
     assert 0 < refusal.retry_after <= SITE.max_retry_after
 
 
 def test_no_advice_where_the_site_has_none() -> None:
-    w = World(replace(SITE, retry_after=False), ONE)
+    w = World(replace(SITE, allows_retry_after=False), ONE)
     fill(w)
-    assert [a.retry_after for a in w.last if isinstance(a, Refuse)] == [0]
+    assert [a.retry_after for a in w.last if isinstance(a, Reject)] == [0]
 
 
 def test_held_queries_leave_by_earliest_deadline() -> None:
@@ -70,33 +62,33 @@
         w.ask(1)
     w.ask(1, left=12 * SEC)
     tight = w.ask(1, left=5 * SEC)
-    assert tight.xid not in {s.xid for s in w.sent}
+    assert tight.request_id not in {s.request_id for s in w.sent}
     n = len(w.sent)
     for s in list(w.sent):
-        w.end(s.xid, Code.OK, took=SEC)
+        w.end(s.request_id, OutcomeCode.OK, took=SEC)
         if len(w.sent) > n:
             break
-    assert w.sent[n].xid == tight.xid
+    assert w.sent[n].request_id == tight.request_id
 
 
 def test_a_query_that_endangers_more_worth_than_its_own_is_refused() -> None:
-    w = World(replace(SITE, classes=(replace(QUICK, aim=2 * SEC), REPORT)), ONE)
+    w = World(replace(SITE, classes=(replace(QUICK, latency_objective=2 * SEC), REPORT)), ONE)
     gate = w.gate
     while len(w.sent) == w.next:
         w.ask()
     held = w.ask()
-    q = gate.queries[held.xid]
-    assert q.held_at is not None
-    q.worth, q.start_at = 50.0, q.deadline - q.run - 1.0  # it would just make it
+    q = gate.queries[held.request_id]
+    assert q.queued_at is not None
+    q.weight, q.start_at = 50.0, q.due_at - q.run_time - 1.0  # it would just make it
     small = w.ask(left=SEC)
-    assert Refuse in {type(a) for a in w.last if getattr(a, "xid", 0) == small.xid}
+    assert Reject in {type(a) for a in w.last if getattr(a, "request_id", 0) == small.request_id}
 
 
 def test_nothing_more_is_held_once_clients_find_no_place() -> None:
     """Guards clients at the door: at peak all their connections were held, and more were not let in."""
     told = {}
     for places in (0, 40):
-        w = World(replace(SITE, places=places), ONE)
+        w = World(replace(SITE, max_client_connections=places), ONE)
         while len(w.sent) == w.next:
             w.ask()
         for _ in range(60):
@@ -106,7 +98,7 @@
 
 
 def test_controller_tightens_on_lateness_and_loosens_on_refusals() -> None:
-    gate = Gateway(SITE, 1)
+    gate = Scheduler(SITE, 1)
     gate.now = 10 * SEC
     gate._cost(10.0, 0.0, 2.0)
     gate._controller()
@@ -118,7 +110,7 @@
 
 
 def test_controller_rests_below_its_floor() -> None:
-    gate = Gateway(SITE, 1)
+    gate = Scheduler(SITE, 1)
     gate.now = 10 * SEC
     gate._cost(1000.0, 1.0, 0.0)
     gate._controller()
@@ -134,45 +126,47 @@
 def test_a_retry_whose_aim_has_passed_is_refused_at_once() -> None:
     w = World(engines=ONE)
     first = w.ask()
-    w.end(first.xid, Code.OK)
+    w.end(first.request_id, OutcomeCode.OK)
     late = w.ask(left=1 * SEC, retry=True)
-    assert isinstance(w.last[0], Refuse) and w.last[0].xid == late.xid
+    assert isinstance(w.last[0], Reject) and w.last[0].request_id == late.request_id
 
 
 def test_an_attempt_without_notes_is_begun_anew_elsewhere_and_takes_no_place() -> None:
-    w = World(replace(SITE, classes=(replace(QUICK, aim=60 * SEC, give_up=90 * SEC), REPORT)), TWO)
+    w = World(
+        replace(SITE, classes=(replace(QUICK, latency_objective=60 * SEC, timeout=90 * SEC), REPORT)), TWO
+    )
     r = w.ask()
-    here = w.sent[-1].engine
+    here = w.sent[-1].endpoint
     for _ in range(40):
-        w.tell(Timer(0), after=100 * MS)
+        w.tell(TimerFired(0), after=100 * MS)
         if cancels(w.last):
             break
-    assert cancels(w.last) == [(r.xid, 0)]
-    w.end(r.xid, Code.CANCELLED)
-    assert w.sent[-1].xid == r.xid and w.sent[-1].engine != here
-    assert w.gate.engines[here].used == [0, 0]
+    assert cancels(w.last) == [(r.request_id, 0)]
+    w.end(r.request_id, OutcomeCode.CANCELLED)
+    assert w.sent[-1].request_id == r.request_id and w.sent[-1].endpoint != here
+    assert w.gate.engines[here].threads_in_use == [0, 0]
 
 
 def test_a_wrong_plan_is_begun_anew_once_by_its_notes() -> None:
     w = World(engines=TWO)
     for _ in range(20):
         r = w.ask(1)
-        w.end(r.xid, Code.OK, took=SEC, after=SEC)
+        w.end(r.request_id, OutcomeCode.OK, took=SEC, after=SEC)
     r = w.ask(1)
-    w.tell(Note(r.xid, 0, w.sent[-1].engine, NoteKind.PROGRESS, 0.05), after=500 * MS)
-    w.tell(Timer(0), after=MS)
-    assert cancels(w.last) == [(r.xid, 0)]
-    w.end(r.xid, Code.CANCELLED)
-    w.tell(Note(r.xid, 1, w.sent[-1].engine, NoteKind.PROGRESS, 0.2), after=500 * MS)
-    w.tell(Timer(0), after=MS)
+    w.tell(ProgressNote(r.request_id, 0, w.sent[-1].endpoint, ProgressKind.PROGRESS, 0.05), after=500 * MS)
+    w.tell(TimerFired(0), after=MS)
+    assert cancels(w.last) == [(r.request_id, 0)]
+    w.end(r.request_id, OutcomeCode.CANCELLED)
+    w.tell(ProgressNote(r.request_id, 1, w.sent[-1].endpoint, ProgressKind.PROGRESS, 0.2), after=500 * MS)
+    w.tell(TimerFired(0), after=MS)
     assert cancels(w.last) == []
 
 
 def test_a_steady_attempt_is_let_run() -> None:
     w = World(engines=TWO)
     r = w.ask(1)
-    w.tell(Note(r.xid, 0, w.sent[-1].engine, NoteKind.PROGRESS, 0.5), after=SEC)
-    w.tell(Timer(0), after=MS)
+    w.tell(ProgressNote(r.request_id, 0, w.sent[-1].endpoint, ProgressKind.PROGRESS, 0.5), after=SEC)
+    w.tell(TimerFired(0), after=MS)
     assert cancels(w.last) == []
 
 
@@ -180,12 +174,12 @@
     w = World(engines=MANY)
     for _ in range(200):
         r = w.ask()
-        w.end(r.xid, Code.OK, took=200 * MS, after=20 * MS)
+        w.end(r.request_id, OutcomeCode.OK, took=200 * MS, after=20 * MS)
     sent = len(w.sent)
     slow = [w.ask() for _ in range(60)]
     for _ in range(6):
-        w.tell(Timer(0), after=100 * MS)
-    open_ = {s.xid for s in w.sent[sent:]} & {r.xid for r in slow}
+        w.tell(TimerFired(0), after=100 * MS)
+    open_ = {s.request_id for s in w.sent[sent:]} & {r.request_id for r in slow}
     assert len(w.sent) - sent <= 1.2 * len(open_)
 
 
@@ -193,59 +187,59 @@
     w = World(engines=TWO)
     w.tell(after=SEC)
     r = w.ask()
-    dead = w.sent[-1].engine
-    w.end(r.xid, Code.CONNECT_FAILED)
+    dead = w.sent[-1].endpoint
+    w.end(r.request_id, OutcomeCode.CONNECT_FAILED)
     for _ in range(5):
         w.ask()
-    assert all(s.engine != dead for s in w.sent[1:])
+    assert all(s.endpoint != dead for s in w.sent[1:])
     n = len(w.sent)
     w.tell(after=SEC)
     for _ in range(5):
         w.ask()
-    back = [s for s in w.sent[n:] if s.engine == dead]
+    back = [s for s in w.sent[n:] if s.endpoint == dead]
     assert len(back) == 1
-    w.end(back[0].xid, Code.OK)
-    assert w.gate.engines[dead].launch > 0
+    w.end(back[0].request_id, OutcomeCode.OK)
+    assert w.gate.engines[dead].started_at > 0
 
 
 def test_an_odd_connect_to_an_engine_just_heard_does_not_make_it_cold() -> None:
     """Guards a sound engine: after one, it was held to a cold start's trickle for the whole span."""
     w = World(engines=TWO)
     r = w.ask()
-    odd = w.sent[-1].engine
-    w.end(r.xid, Code.OK)
-    while w.sent[-1].engine != odd or r.xid not in w.gate.queries:
+    odd = w.sent[-1].endpoint
+    w.end(r.request_id, OutcomeCode.OK)
+    while w.sent[-1].endpoint != odd or r.request_id not in w.gate.queries:
         r = w.ask()
-        if w.sent[-1].engine != odd:
-            w.end(r.xid, Code.OK)
-    for code in (Code.CONNECT_FAILED, Code.OK):
-        w.end(r.xid, code)
+        if w.sent[-1].endpoint != odd:
+            w.end(r.request_id, OutcomeCode.OK)
+    for code in (OutcomeCode.CONNECT_FAILED, OutcomeCode.OK):
+        w.end(r.request_id, code)
     w.tell(after=SEC)
-    while w.sent[-1].engine != odd:
+    while w.sent[-1].endpoint != odd:
         r = w.ask()
-        w.end(r.xid, Code.OK)
-    assert w.gate.engines[odd].launch == 0
+        w.end(r.request_id, OutcomeCode.OK)
+    assert w.gate.engines[odd].started_at == 0
 
 
 def test_a_reset_rests_no_engine_but_asks_for_one_sign() -> None:
     """Guards sound engines: each connection that broke took one out for half a second or more."""
     w = World(engines=TWO)
     r = w.ask()
-    engine_of = w.gate.engines[w.sent[-1].engine]
-    w.end(r.xid, Code.RESET)
-    assert engine_of.trial and engine_of.shun_until == 0
+    engine_of = w.gate.engines[w.sent[-1].endpoint]
+    w.end(r.request_id, OutcomeCode.RESET)
+    assert engine_of.on_probation and engine_of.ejected_until == 0
     r = w.ask()
-    while w.sent[-1].engine != engine_of.e.engine:
+    while w.sent[-1].endpoint != engine_of.info.name:
         r = w.ask()
-    assert not w.gate._room(engine_of, w.gate.queries[r.xid])  # no second one beside it
-    w.end(r.xid, Code.OK)
-    assert not engine_of.trial
-    for code in (Code.RESET, Code.RESET):  # the second is the trial's
+    assert not w.gate._room(engine_of, w.gate.queries[r.request_id])  # no second one beside it
+    w.end(r.request_id, OutcomeCode.OK)
+    assert not engine_of.on_probation
+    for code in (OutcomeCode.RESET, OutcomeCode.RESET):  # the second is the trial's
         r = w.ask()
-        while w.sent[-1].engine != engine_of.e.engine:
+        while w.sent[-1].endpoint != engine_of.info.name:
             r = w.ask()
-        w.end(r.xid, code)
-    assert engine_of.shun_until > w.now
+        w.end(r.request_id, code)
+    assert engine_of.ejected_until > w.now
 
 
 @pytest.mark.parametrize("served", [False, True])
@@ -254,27 +248,27 @@
     w = World(engines=TWO)
     for _ in range(6):
         r = w.ask()
-        w.end(r.xid, Code.ERROR)
-        while r.xid in w.gate.queries:
-            w.end(r.xid, Code.OK if served else Code.ERROR)
-    assert any(e.faults > 0 for e in w.gate.engines.values()) is served
+        w.end(r.request_id, OutcomeCode.ERROR)
+        while r.request_id in w.gate.queries:
+            w.end(r.request_id, OutcomeCode.OK if served else OutcomeCode.ERROR)
+    assert any(e.fault_rate > 0 for e in w.gate.engines.values()) is served
 
 
 def test_what_was_sent_to_a_resting_engine_is_not_begun_anew_for_that() -> None:
     w = World(engines=(engine("a"),))
     w.gate._shun(w.gate.engines["a"])
     r = w.ask()
-    assert w.sent[-1].xid == r.xid
-    assert not cancels(w.tell(Timer(0), after=100 * MS))
+    assert w.sent[-1].request_id == r.request_id
+    assert not cancels(w.tell(TimerFired(0), after=100 * MS))
 
 
 def test_an_engine_that_has_gone_is_forgotten_once_nothing_is_out_there() -> None:
     w = World(engines=TWO)
     r = w.ask()
-    name = w.sent[-1].engine
-    w.tell(ListChange(ListScope.CHANGES, (engine(name, State.GONE),)))
+    name = w.sent[-1].endpoint
+    w.tell(EndpointUpdate(EndpointUpdateKind.DELTA, (engine(name, EndpointState.REMOVED),)))
     assert name in w.gate.engines
-    w.end(r.xid, Code.OK)
+    w.end(r.request_id, OutcomeCode.OK)
     w.tell(after=SEC)
     assert name not in w.gate.engines
 
@@ -283,8 +277,8 @@
     w = World(engines=TWO)
     for _ in range(6):
         r = w.ask()
-        if any(s.xid == r.xid for s in w.sent):
-            w.end(r.xid, Code.CONNECT_FAILED)
+        if any(s.request_id == r.request_id for s in w.sent):
+            w.end(r.request_id, OutcomeCode.CONNECT_FAILED)
     n = len(w.sent)
     w.ask()
     assert len(w.sent) > n
@@ -296,49 +290,49 @@
     for name, x in (("a", 0.0), ("b", 1.5)):
         for _ in range(20):
             gate._pace_add(gate.engines[name], gate.classes[0], math.exp(x))
-    w.tell(Timer(0), after=200 * MS)
-    assert gate.engines["b"].illness > 1.5 * gate.engines["a"].illness
+    w.tell(TimerFired(0), after=200 * MS)
+    assert gate.engines["b"].penalty > 1.5 * gate.engines["a"].penalty
     for _ in range(60):
         gate._pace_add(gate.engines["a"], gate.classes[0], math.exp(1.5))
-    w.tell(Timer(0), after=200 * MS)
-    assert gate.engines["b"].illness == pytest.approx(1.0, abs=0.1)
+    w.tell(TimerFired(0), after=200 * MS)
+    assert gate.engines["b"].penalty == pytest.approx(1.0, abs=0.1)
 
 
 def test_memory_where_surplus_is_lost_follows_the_estimate_and_spills_raise_it() -> None:
-    for short in (Short.WAIT, Short.SHRINK):
-        w = World(replace(SITE, when_short=short), ONE)
-        r = replace(w.request(1), need_mb=1000.0)
-        first = next(a for a in w.tell(r) if isinstance(a, Terms))
+    for short in (MemoryShortage.WAIT, MemoryShortage.SHRINK):
+        w = World(replace(SITE, memory_shortage=short), ONE)
+        r = replace(w.request(1), memory_mb=1000.0)
+        first = next(a for a in w.tell(r) if isinstance(a, SetTerms))
         assert 1000 <= first.memory_mb < 1500
-        w.tell(Note(r.xid, 0, "a", NoteKind.SPILLS, 2000.0))
-        again = replace(w.request(1), need_mb=1000.0)
-        assert next(a for a in w.tell(again) if isinstance(a, Terms)).memory_mb > first.memory_mb
+        w.tell(ProgressNote(r.request_id, 0, "a", ProgressKind.SPILLING, 2000.0))
+        again = replace(w.request(1), memory_mb=1000.0)
+        assert next(a for a in w.tell(again) if isinstance(a, SetTerms)).memory_mb > first.memory_mb
 
 
 def test_memory_where_only_use_counts_is_granted_in_full() -> None:
-    w = World(replace(SITE, when_short=Short.PAGE), ONE)
-    terms = next(a for a in w.tell(w.request(1)) if isinstance(a, Terms))
+    w = World(replace(SITE, memory_shortage=MemoryShortage.PAGE), ONE)
+    terms = next(a for a in w.tell(w.request(1)) if isinstance(a, SetTerms))
     assert terms.memory_mb == pytest.approx(0.4 * 16384, abs=1)
 
 
 def test_no_terms_where_the_site_heeds_none() -> None:
-    w = World(replace(SITE, grants=False, priorities=False), ONE)
+    w = World(replace(SITE, takes_memory_grants=False, heeds_priorities=False), ONE)
     w.ask(1)
-    assert w.of(Terms) == [] and len(w.sent) == 1
+    assert w.of(SetTerms) == [] and len(w.sent) == 1
 
 
 def test_traffic_beyond_a_tenants_share_is_worth_little() -> None:
-    w = World(replace(SITE, quotas=(5.0,)), MANY)
-    worths = [w.gate.queries[w.ask().xid].worth for _ in range(40)]
+    w = World(replace(SITE, tenant_quotas=(5.0,)), MANY)
+    worths = [w.gate.queries[w.ask().request_id].weight for _ in range(40)]
     assert worths[0] == 1.0 and worths[-1] == pytest.approx(0.1)
 
 
 def test_an_estimate_counts_as_far_as_it_has_proved_itself() -> None:
-    gate = Gateway(SITE, 1)
+    gate = Scheduler(SITE, 1)
     c = gate.classes[0]
     for i in range(50):
         c.log_work.add(math.log(1e8) + (i % 2), 1 / 80)
-        c.hint.add(math.log(2.0), 1 / 80)
+        c.estimate_error.add(math.log(2.0), 1 / 80)
     w = World()
     assert gate._work(c, w.request(cost=100 * MS)) == pytest.approx(2e8, rel=0.05)
 
@@ -346,14 +340,14 @@
 @pytest.mark.parametrize(
     "off",
     [
-        {"cancelling": False},
-        {"progress": 0},
-        {"grants": False},
-        {"priorities": False},
-        {"retry_after": False},
-        {"second_copies": True},
-        {"may_probe": True},
-        {"tells_cost": True},
+        {"allows_cancellation": False},
+        {"progress_interval": 0},
+        {"takes_memory_grants": False},
+        {"heeds_priorities": False},
+        {"allows_retry_after": False},
+        {"allows_hedging": True},
+        {"allows_health_checks": True},
+        {"reports_cost": True},
         {"marks_retry": False},
     ],
 )
@@ -361,37 +355,37 @@
     w = World(replace(SITE, **off), TWO)  # type: ignore[arg-type]
     asked = [w.ask(i % 3) for i in range(30)]
     for s in list(w.sent):
-        w.end(s.xid, Code.OK, after=10 * MS)
+        w.end(s.request_id, OutcomeCode.OK, after=10 * MS)
     for _ in range(300):
-        w.tell(Timer(0), after=100 * MS)
+        w.tell(TimerFired(0), after=100 * MS)
         assert off.get("cancelling", True) or not w.of(Cancel)
         for s in w.sent:
-            if s.xid in w.gate.queries and w.gate.queries[s.xid].out:
-                w.end(s.xid, Code.OK)
+            if s.request_id in w.gate.queries and w.gate.queries[s.request_id].in_flight:
+                w.end(s.request_id, OutcomeCode.OK)
     assert not w.gate.queries
     assert len(asked) == 30
 
 
 def test_a_list_that_must_be_asked_for_is_watched_and_asked_again_after_a_failure() -> None:
-    w = World(replace(SITE, asks_list=True), TWO)
-    assert w.of(Watch) == [Watch(True)]
-    w.tell(ListChange(ListScope.FAILED, ()))
-    assert w.of(Watch) == []
-    w.tell(Timer(0), after=2 * SEC)
-    assert w.of(Watch) == [Watch(True)]
+    w = World(replace(SITE, polls_endpoint_list=True), TWO)
+    assert w.of(WatchEndpoints) == [WatchEndpoints(True)]
+    w.tell(EndpointUpdate(EndpointUpdateKind.FAILED, ()))
+    assert w.of(WatchEndpoints) == []
+    w.tell(TimerFired(0), after=2 * SEC)
+    assert w.of(WatchEndpoints) == [WatchEndpoints(True)]
 
 
 def test_without_engines_a_query_is_held_then_refused_not_kept_to_its_end() -> None:
     w = World()
     r = w.ask()
-    assert not w.of(Refuse)
-    while not w.of(Refuse):
-        w.tell(Timer(0), after=100 * MS)
-        assert w.now < r.give_up_at - SEC
-    assert not w.of(Fail) and not w.of(Send)
+    assert not w.of(Reject)
+    while not w.of(Reject):
+        w.tell(TimerFired(0), after=100 * MS)
+        assert w.now < r.deadline - SEC
+    assert not w.of(Fail) and not w.of(Forward)
 
 
-IN_TURN = replace(SITE, classes=(QUICK, REPORT, replace(LOAD, in_turn=True)))
+IN_TURN = replace(SITE, classes=(QUICK, REPORT, replace(LOAD, ordered_by_key=True)))
 
 
 def test_what_has_its_turn_is_not_held_by_a_class_bound() -> None:
@@ -399,19 +393,21 @@
     while len(w.sent) == w.next:
         w.ask(1)
     load = w.ask(2, key="k")
-    assert w.sent[-1].xid == load.xid
+    assert w.sent[-1].request_id == load.request_id
 
 
-KEYED = replace(LOAD, repeat=Repeat.KEYED, in_turn=True, late_value=0.5, memory_span=25 * SEC)
+KEYED = replace(
+    LOAD, idempotency=Idempotency.KEYED, ordered_by_key=True, late_weight=0.5, deduplication_window=25 * SEC
+)
 
 
 def _key_held_up(late_value: float = 0.5) -> World:
     """Three loads of a key: the first runs for 10 s, the second is late by then, the third came after 6 s."""
-    w = World(replace(SITE, classes=(QUICK, REPORT, replace(KEYED, late_value=late_value))), TWO)
+    w = World(replace(SITE, classes=(QUICK, REPORT, replace(KEYED, late_weight=late_value))), TWO)
     w.ask(2, key="k")
     w.ask(2, key="k")
     for _ in range(100):
-        w.tell(Timer(0), after=100 * MS)
+        w.tell(TimerFired(0), after=100 * MS)
         if w.now == 106 * SEC:
             w.ask(2, key="k")
     return w
@@ -420,16 +416,16 @@
 def test_a_load_that_its_key_held_up_goes_late_where_nobody_behind_loses_by_it() -> None:
     """Guards keys with one long load: all that waited behind it were refused, and each client's retry too."""
     w = _key_held_up()
-    assert [s.xid for s in w.sent] == [1] and w.now > w.gate.queries[2].deadline
-    w.tell(Gone(3))
-    w.end(1, Code.OK, took=10 * SEC)
-    assert [s.xid for s in w.sent] == [1, 2]
+    assert [s.request_id for s in w.sent] == [1] and w.now > w.gate.queries[2].due_at
+    w.tell(RequestAbandoned(3))
+    w.end(1, OutcomeCode.OK, took=10 * SEC)
+    assert [s.request_id for s in w.sent] == [1, 2]
 
 
 def test_a_late_load_is_refused_as_its_turn_comes_where_one_behind_would_be_late_by_it() -> None:
     w = _key_held_up()
-    w.end(1, Code.OK, took=10 * SEC)
-    assert _refused(w) == [2] and [s.xid for s in w.sent] == [1, 3]
+    w.end(1, OutcomeCode.OK, took=10 * SEC)
+    assert _refused(w) == [2] and [s.request_id for s in w.sent] == [1, 3]
 
 
 def test_a_load_that_its_key_held_up_is_refused_at_once_where_late_is_worth_nothing() -> None:
@@ -439,10 +435,10 @@
 
 def test_a_load_that_its_key_holds_up_is_refused_before_its_client_gives_up() -> None:
     w = _key_held_up()
-    r = w.gate.queries[2].r
+    r = w.gate.queries[2].request
     while 2 in w.gate.queries:
-        w.tell(Timer(0), after=100 * MS)
-    assert _refused(w) == [2] and w.now < r.give_up_at
+        w.tell(TimerFired(0), after=100 * MS)
+    assert _refused(w) == [2] and w.now < r.deadline
 
 
 def test_a_load_that_its_key_held_up_is_refused_where_an_engine_is_pressed() -> None:
@@ -450,61 +446,61 @@
     w = _key_held_up()
     for _ in range(40):
         w.gate._pace_add(w.gate.engines["a"], w.gate.classes[0], 3.0)
-    w.tell(Timer(0), after=200 * MS)
+    w.tell(TimerFired(0), after=200 * MS)
     assert _refused(w) == [2]
 
 
 def test_a_tenants_surplus_is_refused_where_the_engine_is_pressed_and_let_in_where_not() -> None:
-    w = World(replace(SITE, quotas=(1.0,)), MANY)
+    w = World(replace(SITE, tenant_quotas=(1.0,)), MANY)
     calm = [w.ask(tables=float(i)) for i in range(8)]
-    assert w.gate.queries[calm[-1].xid].worth == pytest.approx(0.1)
+    assert w.gate.queries[calm[-1].request_id].weight == pytest.approx(0.1)
     assert len(w.sent) == len(calm)
     for e in w.gate.engines.values():
-        e.told, e.told_at = 1.0, w.now
+        e.reported_load, e.reported_at = 1.0, w.now
     w.gate.told.add(1.0, w.now, SEC)
-    w.tell(Timer(0), after=200 * MS)
+    w.tell(TimerFired(0), after=200 * MS)
     over = w.ask()
-    assert _refused(w) == [over.xid]
+    assert _refused(w) == [over.request_id]
 
 
 def test_peers_tell_their_part_of_a_tenants_traffic_and_fall_silent_when_down() -> None:
-    w = World(replace(SITE, quotas=(40.0,), peers=True, instances=2), MANY)
+    w = World(replace(SITE, tenant_quotas=(40.0,), allows_gossip=True, instance_count=2), MANY)
     for i in range(6):
         w.ask(tables=float(i))
-    w.tell(Timer(0), after=SEC)
-    posts = [a for a in w.last if isinstance(a, Post)] or w.tell(Timer(0), after=SEC)
-    assert any(isinstance(a, Post) for a in posts)
+    w.tell(TimerFired(0), after=SEC)
+    posts = [a for a in w.last if isinstance(a, SendGossip)] or w.tell(TimerFired(0), after=SEC)
+    assert any(isinstance(a, SendGossip) for a in posts)
     assert w.gate._part(0) == 1.0
-    w.tell(Message(1, "2"), Message(1, "not,ours"))
+    w.tell(GossipMessage(1, "2"), GossipMessage(1, "not,ours"))
     assert 0.5 < w.gate._part(0) < 1.0
-    w.tell(Timer(0), after=4 * SEC)
+    w.tell(TimerFired(0), after=4 * SEC)
     assert w.gate._part(0) == 1.0
 
 
 @pytest.mark.parametrize(
     "bad, name",
     [
-        ({"instances": 0}, "instances"),
+        ({"instance_count": 0}, "instances"),
         ({"max_attempts": 0}, "limits.max-attempts"),
-        ({"start_capacity": 0.0}, "rules.start-capacity"),
-        ({"spare_attempts": 1.0}, "rules.counted-over"),
+        ({"cold_capacity": 0.0}, "rules.start-capacity"),
+        ({"retry_allowance": 1.0}, "rules.counted-over"),
     ],
 )
 def test_settings_that_contradict_themselves_name_the_setting(bad: dict[str, float], name: str) -> None:
     with pytest.raises(ValueError, match=name):
-        Gateway(replace(SITE, **bad), 1)  # type: ignore[arg-type]
+        Scheduler(replace(SITE, **bad), 1)  # type: ignore[arg-type]
 
 
 def test_events_about_what_is_unknown_or_ended_are_ignored() -> None:
     w = World(engines=TWO)
     r = w.ask()
-    here = w.sent[-1].engine
-    w.end(r.xid, Code.OK)
+    here = w.sent[-1].endpoint
+    w.end(r.request_id, OutcomeCode.OK)
     for event in (
-        Outcome(r.xid, True, Code.OK, MS, 0, here, None, None, ()),
-        Outcome(999, False, Code.ERROR, MS, 0, "nowhere", None, None, ()),
-        Note(999, 0, here, NoteKind.PROGRESS, 0.5),
-        Gone(999),
-        Timer(77),
+        AttemptOutcome(r.request_id, True, OutcomeCode.OK, MS, 0, here, None, None, ()),
+        AttemptOutcome(999, False, OutcomeCode.ERROR, MS, 0, "nowhere", None, None, ()),
+        ProgressNote(999, 0, here, ProgressKind.PROGRESS, 0.5),
+        RequestAbandoned(999),
+        TimerFired(77),
     ):
         assert w.tell(event, after=MS) == []
--- a/tests/test_flight.py
+++ b/tests/test_flight.py
@@ -15,9 +15,9 @@
 import pytest
 from google.protobuf import any_pb2
 
-from mothknot.config import Operator, Reading
-from mothknot.core.messages import Verdict
-from mothknot.gateway import Gateway
+from query_gateway.configuration.platform import OperatorSettings, StatementSettings
+from query_gateway.forwarder.messages import Verdict
+from query_gateway.gateway import Gateway
 from tests.stand_ins import Engine, config, post
 from tests.test_local import until
 
@@ -84,7 +84,7 @@
 
 @contextmanager
 def gateway(
-    *nodes: Node, web: tuple[Engine, ...] = (), statements: Reading | None = None
+    *nodes: Node, web: tuple[Engine, ...] = (), statements: StatementSettings | None = None
 ) -> Iterator[Gateway]:
     """A whole gateway with both fronts on a thread of its own."""
     hosts = []
@@ -94,7 +94,7 @@
             host["flight"] = f"127.0.0.1:{nodes[at].port}"
         host["dial"] = web[at].address if at < len(web) else "127.0.0.1:1"
         hosts.append(host)
-    operator = Operator(flight=("127.0.0.1", 0), statements=statements)
+    operator = OperatorSettings(flight_address=("127.0.0.1", 0), statements=statements)
     gate = Gateway(config(hosts), operator, signals=False)
     thread = threading.Thread(target=gate.loop.run, daemon=True)
     thread.start()
@@ -110,8 +110,8 @@
 
 
 def client(gate: Gateway) -> Any:
-    assert gate.flight
-    return fl.connect(f"grpc://127.0.0.1:{gate.flight.listener.address[1]}")
+    assert gate.flight_server
+    return fl.connect(f"grpc://127.0.0.1:{gate.flight_server.listener.address[1]}")
 
 
 def options(seconds: float = 10.0, **meta: Any) -> Any:
@@ -158,8 +158,8 @@
 def test_an_adbc_client_reads_a_result(node: Node) -> None:
     adbc = pytest.importorskip("adbc_driver_flightsql.dbapi")
     with gateway(node) as gate:
-        assert gate.flight
-        uri = f"grpc://127.0.0.1:{gate.flight.listener.address[1]}"
+        assert gate.flight_server
+        uri = f"grpc://127.0.0.1:{gate.flight_server.listener.address[1]}"
         with adbc.connect(uri) as connection, connection.cursor() as cursor:
             cursor.execute(SQL)
             assert cursor.fetchall() == [("0",), ("1",), ("2",)]
@@ -177,7 +177,7 @@
         reader.read_chunk()
         reader.cancel()
         assert node.cancelled.wait(10)
-        assert wait_until(lambda: not gate.desk.exchanges)
+        assert wait_until(lambda: not gate.forwarder.exchanges)
     assert node.sent < 2_000
 
 
@@ -226,7 +226,7 @@
             reader = mine.do_get(endpoint.ticket, options(x_class="report"))
             reader.read_chunk()
             gate.loop.call_soon(gate.readiness.drain)
-            until(lambda: gate.flight and all(w.going for w in gate.flight.wires))
+            until(lambda: gate.flight_server and all(w.going for w in gate.flight_server.wires))
             with pytest.raises(fl.FlightUnavailableError):
                 ask(gate, "SELECT b FROM lending_8.loans")
             node.go_on.set()
@@ -240,7 +240,7 @@
     with gateway() as gate, pytest.raises(pa.ArrowInvalid) as refused:
         # No engine is known: the module gives the request up, and nothing has run
         ask(gate, SQL, x_class="lookup").read_all()
-    assert "Overloaded" in str(refused.value) and gate.desk.counters.total(Verdict.REFUSED) == 1
+    assert "Overloaded" in str(refused.value) and gate.forwarder.counters.total(Verdict.REJECTED) == 1
     with gateway(node) as gate, pytest.raises(pa.ArrowInvalid, match="Overloaded"):
         # Three tries in vain of a safe class: asking again later does no harm
         ask(gate, "SELECT broken FROM lending_7.loans").read_all()
@@ -248,7 +248,7 @@
     with gateway(node) as gate, pytest.raises(fl.FlightInternalError, match="Internal"):
         # Rows have left: no other attempt can stand in, and the client must see that the result is not whole
         ask(gate, "SELECT torn FROM lending_7.loans").read_all()
-    assert [gate.desk.counters.total(v) for v in Verdict] == [0, 0, 1]
+    assert [gate.forwarder.counters.total(v) for v in Verdict] == [0, 0, 1]
 
 
 def test_a_deadline_ends_a_stream_that_stands_still(node: Node) -> None:
@@ -259,7 +259,7 @@
         reader = peer.do_get(info.endpoints[0].ticket, options(seconds=1.5))
         with pytest.raises(fl.FlightError):
             reader.read_all()
-        assert wait_until(lambda: not gate.desk.exchanges)
+        assert wait_until(lambda: not gate.forwarder.exchanges)
 
 
 def test_bad_calls_get_a_prompt_status(node: Node) -> None:
@@ -282,12 +282,12 @@
 def test_silent_connections_and_calls_end_and_keep_nobody_out(
     node: Node, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr("mothknot.rpc.grpc.HELLO_TIME", 0.1)
-    monkeypatch.setattr("mothknot.flight.server.CALL_TIME", 0.1)
+    monkeypatch.setattr("query_gateway.rpc.grpc.HELLO_TIME", 0.1)
+    monkeypatch.setattr("query_gateway.flight.server.CALL_TIME", 0.1)
     with gateway(node) as gate:
-        assert gate.flight
-        gate.flight.most = 3
-        address = gate.flight.listener.address
+        assert gate.flight_server
+        gate.flight_server.max_connections = 3
+        address = gate.flight_server.listener.address
         crowd = [socket.create_connection(address) for _ in range(6)]
         assert ask(gate).read_all().num_rows == 3
         with socket.create_connection(address) as sock:
@@ -338,7 +338,7 @@
         for thread in threads:
             thread.join(30)
         assert counts["web"] == counts["flight"] == {"served": 24}
-        assert gate.desk.counters.total(Verdict.SERVED) == 48
+        assert gate.forwarder.counters.total(Verdict.SERVED) == 48
     loads = sum((n.loads for n in nodes), Counter())
     web_loads = Counter(s for e in engines for s in e.statements if s.startswith("INSERT"))
     assert loads == web_loads and set(loads.values()) == {1} and len(loads) == 6
--- a/tests/test_flight_statements.py
+++ b/tests/test_flight_statements.py
@@ -13,13 +13,18 @@
 import pyarrow.flight as fl
 import pytest
 
-from mothknot.config import BadConfig, Operator, Reading, operator_of
-from mothknot.core.messages import Verdict
-from mothknot.flight.server import FlightClass, query_of
-from mothknot.gateway import Gateway
-from mothknot.net.loop import Loop
-from mothknot.reading.service import Judged, Statements
-from mothknot.statements.messages import Judgement, Rules
+from query_gateway.configuration.platform import (
+    ConfigurationError,
+    OperatorSettings,
+    StatementSettings,
+    operator_of,
+)
+from query_gateway.flight.server import FlightClass, query_of
+from query_gateway.forwarder.messages import Verdict
+from query_gateway.gateway import Gateway
+from query_gateway.net.loop import Loop
+from query_gateway.parsing.service import Classification, Statements
+from query_gateway.statements.messages import Judgement, Rules
 from tests.stand_ins import Engine, config, post
 from tests.statements import KEYS
 from tests.test_flight import Node, ask, client, command, gateway, load, options
@@ -27,7 +32,7 @@
 READ = "SELECT a FROM lending_7.loans WHERE member = 42"
 DELETE = "DELETE FROM lending_7.loans WHERE member = 42"
 RULES = Rules(keys=KEYS)
-ON = Reading(RULES, web=True, parsers=1)
+ON = StatementSettings(RULES, covers_http=True, parser_count=1)
 
 
 @pytest.fixture
@@ -45,14 +50,14 @@
 
 def held(gate: Gateway, attribute: str) -> set[Any]:
     """What the desk's exchanges hold now."""
-    return {getattr(e.query, attribute) for e in list(gate.desk.exchanges.values())}
+    return {getattr(e.request, attribute) for e in list(gate.forwarder.exchanges.values())}
 
 
 def test_reads_get_their_class_without_a_label(nodes: tuple[Node, Node]) -> None:
     with gateway(*nodes, statements=ON) as gate:
         assert ask(gate, READ).read_all().num_rows == 3
         assert ask(gate, "SELECT a FROM lending_7.loans").read_all().num_rows == 3
-        served = {name: told[Verdict.SERVED] for name, told in gate.desk.counters.answers.items()}
+        served = {name: told[Verdict.SERVED] for name, told in gate.forwarder.counters.answers.items()}
     assert served == {"lookup": 1, "report": 1, "load": 0}
 
 
@@ -63,7 +68,7 @@
         reader = ask(gate, DELETE)
         reader.read_chunk()
         assert held(gate, "class_name") == {"load"} and held(gate, "key") == {"1dcc58982fa48171"}
-        [once] = held(gate, "idempotency")
+        [once] = held(gate, "idempotency_key")
         assert len(once) == 32
         for node in nodes:
             node.go_on.set()
@@ -154,7 +159,7 @@
                 call.start()
             for call in calls:
                 call.join(30)
-            assert gate.desk.counters.answers["load"][Verdict.SERVED] == 9
+            assert gate.forwarder.counters.answers["load"][Verdict.SERVED] == 9
     finally:
         Node.do_put = original  # type: ignore[method-assign]
     assert most == 1
@@ -240,7 +245,7 @@
     legacy = told["statements"]
     loop = Loop()
     successor = Statements(loop, RULES, ("lookup", "report"), parsers=1)
-    successor.remember("", legacy)
+    successor.restore("", legacy)
     [digest] = costs.shapes
     usual = successor.classifier.costs.cost_ns(digest, "lookup", 7)
     successor.stop()
@@ -284,19 +289,21 @@
         statements.parsers.next = original  # type: ignore[method-assign]
         gate.loop.call_soon(statements._go_on)
         assert ask(gate, READ).read_all().num_rows == 3
-        assert not gate.desk.exchanges
+        assert not gate.forwarder.exchanges
     assert "SELECT c FROM t WHERE a = 1" not in ran(*nodes)
 
 
 def test_a_key_made_by_the_gateway_belongs_to_one_request() -> None:
     c = FlightClass(2, True, True, 10**10, False)
-    judged = Judged(Judgement("load", True, False, "0" * 16, "insert", True))
+    judged = Classification(Judgement("load", True, False, "0" * 16, "insert", True))
     sql = "INSERT INTO a (b) VALUES (1)"
     queries = [query_of(sql, "load", c, {}, 0, True, judged) for _ in range(2)]
     assert {q.key for q in queries} == {"0" * 16}
-    assert len({q.idempotency for q in queries}) == 2 and {len(q.idempotency or "") for q in queries} == {32}
+    assert len({q.idempotency_key for q in queries}) == 2 and {
+        len(q.idempotency_key or "") for q in queries
+    } == {32}
     named = query_of(sql, "load", c, {"x-txn-key": "f" * 32}, 0, True, judged)
-    assert named.idempotency == "f" * 32
+    assert named.idempotency_key == "f" * 32
 
 
 def test_new_rules_come_with_sighup_and_bad_ones_change_nothing(
@@ -324,19 +331,31 @@
                     break
                 except pa.ArrowInvalid:
                     time.sleep(0.1)
-            return {name: told[Verdict.SERVED] for name, told in gate.desk.counters.answers.items()}
+            return {name: told[Verdict.SERVED] for name, told in gate.forwarder.counters.answers.items()}
 
         assert served() == {"lookup": 0, "report": 1, "load": 0}
         reload('dialect = "oracle"')
-        assert gate.desk.counters.rejected == 1 and served() == {"lookup": 0, "report": 2, "load": 0}
+        assert gate.forwarder.counters.reloads_rejected == 1 and served() == {
+            "lookup": 0,
+            "report": 2,
+            "load": 0,
+        }
         reload('load = "lookup"')
-        assert gate.desk.counters.rejected == 2
+        assert gate.forwarder.counters.reloads_rejected == 2
         reload("[statements.reports]\naggregates = false\nunselective = false")
-        assert gate.desk.counters.applied == 1 and served() == {"lookup": 1, "report": 2, "load": 0}
+        assert gate.forwarder.counters.reloads_applied == 1 and served() == {
+            "lookup": 1,
+            "report": 2,
+            "load": 0,
+        }
         slower = replace(gate.config.settings, max_retry_after=400_000_000)
         gate.read_again = lambda: replace(gate.config, settings=slower)
         reload("")  # new settings and the first rules again, in one
-        assert gate.desk.counters.applied == 2 and served() == {"lookup": 1, "report": 3, "load": 0}
+        assert gate.forwarder.counters.reloads_applied == 2 and served() == {
+            "lookup": 1,
+            "report": 3,
+            "load": 0,
+        }
 
 
 def test_the_figures_tell_of_statements(nodes: tuple[Node, Node]) -> None:
@@ -366,13 +385,13 @@
     ({"colour": "red"}, "statements.colour"),
 ])  # fmt: skip
 def test_a_bad_table_is_turned_down_with_its_place(table: dict[str, Any], place: str) -> None:
-    with pytest.raises(BadConfig) as bad:
+    with pytest.raises(ConfigurationError) as bad:
         operator_of({"flight": {"listen": "127.0.0.1:0"}, "statements": table}, config([]))
     assert place in str(bad.value) and "\n" not in str(bad.value)
 
 
 def test_a_table_that_no_front_uses_is_turned_down() -> None:
-    with pytest.raises(BadConfig, match="no front reads statements"):
+    with pytest.raises(ConfigurationError, match="no front reads statements"):
         operator_of({"statements": {}}, config([]))
     assert operator_of({"statements": {"web": True}}, config([])).statements
-    assert operator_of({}, config([])) == Operator()
+    assert operator_of({}, config([])) == OperatorSettings()
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -19,14 +19,15 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from mothknot import handover
-from mothknot.config import Operator
-from mothknot.core.learned import adopt, learned
-from mothknot.gateway import Gateway
-from mothknot.interface import Code as C
-from mothknot.interface import Event, Outcome, Request, Send
-from mothknot.net.loop import Loop
-from mothknot.policy import Gateway as Module
+from query_gateway.configuration.platform import OperatorSettings
+from query_gateway.gateway import Gateway
+from query_gateway.lifecycle import hot_upgrade
+from query_gateway.model.actions import Forward
+from query_gateway.model.events import AttemptOutcome, Event, Request
+from query_gateway.model.events import OutcomeCode as C
+from query_gateway.net.loop import Loop
+from query_gateway.planner.learned_state import adopt, learned
+from query_gateway.policy.scheduler import Scheduler as Module
 from tests.stand_ins import SETTINGS, Engine, config, host, post
 from tests.test_local import free_port, until
 from tests.test_ops import ask, figures
@@ -65,16 +66,20 @@
                "settings": SETTINGS}  # fmt: skip
         (folder / "config.json").write_text(json.dumps(raw))
         self.environ = os.environ | {"ROUTER_CONFIG": str(folder / "config.json"), "TMPDIR": str(folder)}
-        self.gate = SimpleNamespace(server=SimpleNamespace(listener=SimpleNamespace(address=self.listen)))
+        self.gate = SimpleNamespace(
+            http_server=SimpleNamespace(listener=SimpleNamespace(address=self.listen))
+        )
         self.processes: list[subprocess.Popen[bytes]] = []
 
     def start(self, ready: bool = True, **more: str) -> Any:
         ops = "127.0.0.1", free_port()
         environ = self.environ | {"ROUTER_OPS": f"{ops[0]}:{ops[1]}"} | more
-        run = [sys.executable, "-m", "mothknot"]
+        run = [sys.executable, "-m", "query_gateway"]
         process = subprocess.Popen(run, env=environ, stderr=subprocess.PIPE)
         self.processes.append(process)
-        one = SimpleNamespace(process=process, ops=SimpleNamespace(listener=SimpleNamespace(address=ops)))
+        one = SimpleNamespace(
+            process=process, admin_server=SimpleNamespace(listener=SimpleNamespace(address=ops))
+        )
 
         def says_yes() -> bool:
             try:
@@ -199,23 +204,27 @@
 
 def test_where_no_socket_can_be_made_there_is_no_meeting(tmp_path: Path) -> None:
     listen = "127.0.0.1", 9
-    assert handover.path_of({}, listen) is None
-    assert handover.path_of({"TMPDIR": str(tmp_path / "none")}, listen) is None
-    path = handover.path_of({"TMPDIR": str(tmp_path)}, listen)
-    assert path and not os.listdir(tmp_path) and handover.meet(path) is None
+    assert hot_upgrade.path_of({}, listen) is None
+    assert hot_upgrade.path_of({"TMPDIR": str(tmp_path / "none")}, listen) is None
+    path = hot_upgrade.path_of({"TMPDIR": str(tmp_path)}, listen)
+    assert path and not os.listdir(tmp_path) and hot_upgrade.meet(path) is None
 
 
 def test_the_cold_budget_goes_over_in_steps() -> None:
     """Guards cold engines, and traffic: a successor kept to half of it while its elder sent no more."""
-    gate = Gateway(config([host(Engine())]), Operator(), signals=False)
-    shares = [gate.planner.settings.cold_share]
-    steps: list[Callable[[], None]] = [gate.succeeded, gate.elder_leaves, lambda: gate.paired(False)]
-    for step in (lambda: gate.paired(True), *steps):
+    gate = Gateway(config([host(Engine())]), OperatorSettings(), signals=False)
+    shares = [gate.planner.settings.slow_start_share]
+    steps: list[Callable[[], None]] = [
+        gate.on_successor_ready,
+        gate.on_predecessor_leaving,
+        lambda: gate.set_overlapping(False),
+    ]
+    for step in (lambda: gate.set_overlapping(True), *steps):
         step()
-        gate.loop.at(gate.loop.now(), lambda: None)
+        gate.loop.call_at(gate.loop.now(), lambda: None)
         gate.loop.turn()
-        shares.append(gate.planner.settings.cold_share)
-    assert shares == [1.0, 1.0, 0.5, 0.9, 1.0] and gate.server.most == gate.most
+        shares.append(gate.planner.settings.slow_start_share)
+    assert shares == [1.0, 1.0, 0.5, 0.9, 1.0] and gate.http_server.max_connections == gate.most
     gate.loop.close()
 
 
@@ -225,10 +234,12 @@
     loop, ends, said = Loop(), list[int](), list[Any]()
     near, far = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
     near.setblocking(False)
-    link = handover.Link(loop, near, lambda message, fds: said.append(message), lambda: ends.append(1))
+    link = hot_upgrade.UpgradeConnection(
+        loop, near, lambda message, fds: said.append(message), lambda: ends.append(1)
+    )
     far.send(noise)
     loop.turn()
-    assert bool(ends) is link.over and all(isinstance(message, dict) for message in said)
+    assert bool(ends) is link.closed and all(isinstance(message, dict) for message in said)
     far.close()
     loop.close()
 
@@ -236,13 +247,16 @@
 def taught() -> Module:
     module = Module(config([]).settings, 1)
     sec, events = 10**9, list[Event]()
-    from mothknot.interface import Entry, ListChange, ListScope, State
+    from query_gateway.model.endpoints import EndpointInfo, EndpointState, EndpointUpdateKind
+    from query_gateway.model.events import EndpointUpdate
 
-    events = [ListChange(ListScope.FULL, (Entry("e0", State.UP, 0, 0, 0, 0, 1.0),))]
+    events = [
+        EndpointUpdate(EndpointUpdateKind.SNAPSHOT, (EndpointInfo("e0", EndpointState.UP, 0, 0, 0, 0, 1.0),))
+    ]
     module.handle(sec, events)
     sent = module.handle(2 * sec, [Request(1, 1, 60 * sec, 0, 7.0, None, 10**9, 0.0, False)])
-    assert any(isinstance(action, Send) for action in sent)
-    module.handle(3 * sec, [Outcome(1, True, C.OK, sec, 0, "e0", None, None, ())])
+    assert any(isinstance(action, Forward) for action in sent)
+    module.handle(3 * sec, [AttemptOutcome(1, True, C.OK, sec, 0, "e0", None, None, ())])
     return module
 
 
@@ -252,11 +266,14 @@
 def test_what_was_learned_goes_on_under_the_names_of_classes() -> None:
     old, new = taught(), Module(config([]).settings, 2)
     new.engines = {name: e for name, e in taught().engines.items()}
-    new.engines["e0"].warm = []
+    new.engines["e0"].warm_table_groups = []
     told = json.loads(json.dumps(learned(old, NUMBERS)))
     assert adopt(new, {"lookup": 1, "report": 2, "load": 0}, told)
-    assert new.classes[2].work == old.classes[1].work and new.classes[2].work.n == 1
-    assert new.engines["e0"].warm == [7.0] and new.engines["e0"].pace == old.engines["e0"].pace
+    assert new.classes[2].work == old.classes[1].work and new.classes[2].work.count == 1
+    assert (
+        new.engines["e0"].warm_table_groups == [7.0]
+        and new.engines["e0"].log_slowdown == old.engines["e0"].log_slowdown
+    )
 
 
 @pytest.mark.parametrize(
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -3,11 +3,15 @@
 import subprocess
 import sys
 
-FORBIDDEN = (
-    "socket", "select", "time", "h11", "h2", "google", "mothknot.net", "mothknot.web", "mothknot.ops",
+WIRES = tuple(
+    f"query_gateway.{part}"
+    for part in ("net", "http", "engine_protocol", "discovery", "admin", "flight", "rpc", "bgp", "lifecycle")
+)
+FORBIDDEN = ("socket", "select", "time", "h11", "h2", "google", *WIRES)
+CORE = (
+    "forwarder.class_numbers", "forwarder.counters", "forwarder.exchange", "forwarder.messages",
+    "forwarder.readiness", "forwarder.table_group", "planner.learned_state", "planner.planner",
 )  # fmt: skip
-PARTS = ("classes", "counters", "exchange", "learned", "messages", "planner", "readiness", "sql")
-
 
 STATEMENTS = (
     "cache", "classifier", "costs", "lexer", "limits", "messages", "purity", "shape", "sketch", "values",
@@ -30,25 +34,32 @@
 
 
 def test_the_core_imports_no_wire() -> None:
-    found = loaded(*(f"mothknot.core.{part}" for part in PARTS))
-    assert "mothknot.core.exchange" in found and not among(found, FORBIDDEN)
+    found = loaded(*(f"query_gateway.{part}" for part in CORE))
+    assert "query_gateway.forwarder.exchange" in found and not among(found, FORBIDDEN)
 
 
 def test_the_statements_import_no_wire_and_the_gateway_s_part_no_parser() -> None:
-    found = loaded(*(f"mothknot.statements.{part}" for part in STATEMENTS))
-    wires = ("mothknot.net", "mothknot.web", "mothknot.flight", "mothknot.reading", "h11", "h2", "google")
-    assert "mothknot.statements.classifier" in found and not among(found, (*wires, "sqlglot"))
-    assert not among(loaded("mothknot.statements.reader"), wires)
-    assert not among(loaded("mothknot.reading.service"), ("sqlglot",))
+    found = loaded(*(f"query_gateway.statements.{part}" for part in STATEMENTS))
+    wires = (*WIRES, "query_gateway.parsing", "h11", "h2", "google")
+    assert "query_gateway.statements.classifier" in found and not among(found, (*wires, "sqlglot"))
+    assert not among(loaded("query_gateway.statements.reader"), wires)
+    assert not among(loaded("query_gateway.parsing.service"), ("sqlglot",))
 
 
 def test_what_is_off_is_not_loaded() -> None:
-    off = tuple(f"mothknot.{part}" for part in ("statements", "reading", "schema", "cli", "flight", "rpc"))
-    found = loaded("mothknot.__main__")
-    assert "mothknot.gateway" in found
+    off = tuple(
+        f"query_gateway.{part}"
+        for part in ("statements", "parsing", "configuration.schema", "cli", "flight", "rpc")
+    )
+    found = loaded("query_gateway.__main__")
+    assert "query_gateway.gateway" in found
     assert not among(found, (*off, "sqlglot", "pydantic", "msgspec", "click"))
 
 
 def test_the_rpc_layer_knows_no_front() -> None:
-    above = ("mothknot.flight", "mothknot.web", "mothknot.core", "google")
-    assert not among(loaded("mothknot.rpc.grpc"), above)
+    above = (
+        *(wire for wire in WIRES if wire not in ("query_gateway.net", "query_gateway.rpc")),
+        "query_gateway.forwarder",
+        "google",
+    )
+    assert not among(loaded("query_gateway.rpc.grpc"), above)
--- a/tests/test_local.py
+++ b/tests/test_local.py
@@ -18,28 +18,22 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from mothknot.config import Operator
-from mothknot.gateway import Gateway
-from mothknot.interface import (
-    Cancel,
-    Code,
-    Entry,
-    Fail,
-    Gone,
-    ListChange,
-    ListScope,
-    Note,
-    NoteKind,
-    Outcome,
-    Refuse,
+from query_gateway.configuration.platform import OperatorSettings
+from query_gateway.gateway import Gateway
+from query_gateway.model.actions import Cancel, Fail, Forward, Reject, SetTerms
+from query_gateway.model.endpoints import EndpointInfo, EndpointState, EndpointUpdateKind
+from query_gateway.model.events import (
+    AttemptOutcome,
+    EndpointUpdate,
+    OutcomeCode,
+    ProgressKind,
+    ProgressNote,
     Request,
-    Send,
-    State,
-    Terms,
-    Timer,
+    RequestAbandoned,
+    TimerFired,
 )
-from mothknot.local import codec
-from mothknot.local.planner import Process
+from query_gateway.planner import ipc_codec as codec
+from query_gateway.planner.process import PlannerProcess
 from tests.stand_ins import SETTINGS, Engine, config, host, post
 from tests.test_web import LOAD, ROWS, SQL
 
@@ -47,11 +41,13 @@
 KINDS: dict[str, Any] = {**codec.EVENTS, **codec.ACTIONS}
 MESSAGES = (
     Request(2**40, 2, 10**18, 0, 7.0, "7f3a9c21e0b4d655", None, 96.5, True),
-    Outcome(1, False, Code.ERROR, 5, 0, "s-1", None, None, ()),
-    Note(1, 0, "s-1", NoteKind.SPILLS, 0.5),
-    Gone(1),
-    ListChange(ListScope.FULL, (Entry("s-1", State.UP, 1, 0, 2, 10**18, 4.0),)),
-    Send(1, "s-1", 0), Refuse(1, 500), Fail(1), Cancel(1, 0), Terms(1, 96.0, 3),
+    AttemptOutcome(1, False, OutcomeCode.ERROR, 5, 0, "s-1", None, None, ()),
+    ProgressNote(1, 0, "s-1", ProgressKind.SPILLING, 0.5),
+    RequestAbandoned(1),
+    EndpointUpdate(
+        EndpointUpdateKind.SNAPSHOT, (EndpointInfo("s-1", EndpointState.UP, 1, 0, 2, 10**18, 4.0),)
+    ),
+    Forward(1, "s-1", 0), Reject(1, 500), Fail(1), Cancel(1, 0), SetTerms(1, 96.0, 3),
 )  # fmt: skip
 
 
@@ -70,19 +66,24 @@
 def test_garbage_is_refused(noise: bytes, message: Any, at: int) -> None:
     data = codec.encode(message)
     at %= len(data) - 1
-    with pytest.raises(codec.BadMessage):
+    with pytest.raises(codec.IpcMessageError):
         codec.Decoder(KINDS).feed(data[:at] + b"\0" + noise.replace(b"\n", b"") + data[at:])
 
 
 def test_the_build_leaves_the_messages_their_types() -> None:
     """Guards the link where the module is compiled: a message with an optional field was refused there."""
-    told = subprocess.run(["make", "-nB", "mothknot/.compiled"], capture_output=True, text=True, check=True)
-    assert "mothknot/policy.py" in told.stdout and "mothknot/interface.py" not in told.stdout
+    told = subprocess.run(
+        ["make", "-nB", "query_gateway/.compiled"], capture_output=True, text=True, check=True
+    )
+    assert (
+        "query_gateway/policy/scheduler.py" in told.stdout
+        and "query_gateway/model/events.py" not in told.stdout
+    )
 
 
 @contextmanager
-def planner(port: int = 0) -> Iterator[Process]:
-    process = Process(config([]).settings, 7, ("127.0.0.1", port))
+def planner(port: int = 0) -> Iterator[PlannerProcess]:
+    process = PlannerProcess(config([]).settings, 7, ("127.0.0.1", port))
     thread = threading.Thread(target=process.loop.run, daemon=True)
     thread.start()
     try:
@@ -104,10 +105,10 @@
     engine = Engine(script={SQL: ["mute"]})
     with planner() as first:
         address = first.listener.address
-        gate = Gateway(config([host(engine)]), Operator(planners=(address,)), signals=False)
+        gate = Gateway(config([host(engine)]), OperatorSettings(planner_addresses=(address,)), signals=False)
         thread = threading.Thread(target=gate.loop.run, daemon=True)
         thread.start()
-        until(lambda: gate.desk.live == [True])
+        until(lambda: gate.forwarder.planner_connected == [True])
         assert post(gate, "load", LOAD)[1] == {"rows": ROWS}
         until(lambda: not first.owners)  # what is answered is forgotten there
         answers: list[int] = []
@@ -116,11 +117,11 @@
         assert engine.wait("REQ", 2)
     waiting.join(10)
     assert answers == [429]
-    until(lambda: gate.desk.live == [False])
+    until(lambda: gate.forwarder.planner_connected == [False])
     status, _, headers = post(gate, "load", LOAD)
     assert status == 429 and int(headers["x-throttle-ms"]) > 0
     with planner(address[1]):
-        until(lambda: gate.desk.live == [True])
+        until(lambda: gate.forwarder.planner_connected == [True])
         assert post(gate, "load", LOAD)[0] == 200
         assert post(gate, "lookup", SQL)[0] == 200
     gate.loop.stop()
@@ -133,35 +134,39 @@
 def test_a_forwarder_that_ends_leaves_nothing_behind_at_its_planner() -> None:
     engine = Engine(script={SQL: ["mute"]})
     with planner() as process:
-        gate = Gateway(config([host(engine)]), Operator(planners=(process.listener.address,)), signals=False)
+        gate = Gateway(
+            config([host(engine)]),
+            OperatorSettings(planner_addresses=(process.listener.address,)),
+            signals=False,
+        )
         thread = threading.Thread(target=gate.loop.run, daemon=True)
         thread.start()
-        until(lambda: gate.desk.live == [True])
-        with socket.create_connection(gate.server.listener.address) as sock:
+        until(lambda: gate.forwarder.planner_connected == [True])
+        with socket.create_connection(gate.http_server.listener.address) as sock:
             head = f"POST /svc/lookup HTTP/1.1\r\nHost: x\r\nX-Txn: {'a' * 16}\r\nX-Ttl-Ms: 5000\r\n"
             sock.sendall(f"{head}Content-Length: {len(SQL)}\r\n\r\n{SQL}".encode())
             assert engine.wait("REQ") and process.owners
             gate.loop.stop()
             thread.join(10)
             gate.loop.close()
-        until(lambda: not process.seats)
-        module = process.planner.module
+        until(lambda: not process.sessions)
+        module = process.planner.scheduler
         until(lambda: not process.owners and not module.queries)
-        assert not any(e.out for e in module.engines.values())
+        assert not any(e.in_flight for e in module.engines.values())
     engine.close()
 
 
 def test_a_module_that_breaks_ends_its_process() -> None:
-    process = Process(config([]).settings, 7, ("127.0.0.1", 0))
+    process = PlannerProcess(config([]).settings, 7, ("127.0.0.1", 0))
 
     class Broken:
         def handle(self, now: int, events: list[Any]) -> list[Any]:
             raise RuntimeError("broken on purpose")
 
-    process.planner.module = Broken()  # type: ignore[assignment]
-    process.planner.tell(Timer(0))
+    process.planner.scheduler = Broken()  # type: ignore[assignment]
+    process.planner.notify(TimerFired(0))
     with pytest.raises(SystemExit):
-        process.turn()
+        process.run_planner()
     process.loop.close()
 
 
@@ -181,8 +186,8 @@
         "ROUTER_CONFIG": str(tmp_path / "config.json"),
         "MOTHKNOT_OPERATOR": str(tmp_path / "operator.toml"),
     }
-    gate = SimpleNamespace(server=SimpleNamespace(listener=SimpleNamespace(address=listen)))
-    run = [sys.executable, "-m", "mothknot"]
+    gate = SimpleNamespace(http_server=SimpleNamespace(listener=SimpleNamespace(address=listen)))
+    run = [sys.executable, "-m", "query_gateway"]
     with subprocess.Popen(run, env=environ, stderr=subprocess.DEVNULL) as process:
 
         def served() -> bool:
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -7,12 +7,12 @@
 
 import pytest
 
-from mothknot.config import BadConfig, Operator, config_of, operator_of
-from mothknot.core.readiness import Phase, Readiness
-from mothknot.gateway import Gateway
-from mothknot.net.loop import Loop
-from mothknot.net.stream import Stream
-from mothknot.ops.server import CALLERS, Server
+from query_gateway.admin.server import CALLERS, Server
+from query_gateway.configuration.platform import ConfigurationError, OperatorSettings, config_of, operator_of
+from query_gateway.forwarder.readiness import Phase, Readiness
+from query_gateway.gateway import Gateway
+from query_gateway.net.loop import Loop
+from query_gateway.net.stream import Stream
 from tests.stand_ins import SETTINGS, Engine, config, host, post
 from tests.test_local import until
 from tests.test_web import SQL, running
@@ -21,7 +21,7 @@
 
 
 def ask(gate: Any, line: bytes) -> str:
-    with socket.create_connection(gate.ops.listener.address, 10) as sock:
+    with socket.create_connection(gate.admin_server.listener.address, 10) as sock:
         sock.sendall(line)
         return sock.makefile().read()
 
@@ -33,8 +33,8 @@
 
 
 def ops(gate: Gateway) -> Server:
-    assert gate.ops
-    return gate.ops
+    assert gate.admin_server
+    return gate.admin_server
 
 
 def test_calls_are_known_or_refused() -> None:
@@ -85,7 +85,7 @@
         stream = Stream(loop, listener.accept()[0], "test")
     stream.start()
     stream.write(b"x" * 20_000_000)
-    stream.when_sent(lambda: said.append(1))
+    stream.call_when_sent(lambda: said.append(1))
     assert not said and stream.outbox
     with ThreadPoolExecutor() as beside, far, far.makefile("rb") as read:
         got = beside.submit(read.read, 20_000_000)
@@ -98,10 +98,10 @@
 def test_a_stopping_process_is_not_revived() -> None:
     state, seen = Readiness(), list[Phase]()
     state.watchers.append(lambda: seen.append(state.phase))
-    state.begin()
+    state.start()
     assert state.drain() and state.undrain()
-    state.planners(False)
-    state.planners(True)
+    state.set_planner_available(False)
+    state.set_planner_available(True)
     state.stop()
     assert not state.undrain() and not state.ready
     assert seen == [Phase.READY, Phase.DRAINING, Phase.READY, Phase.STARTING, Phase.READY, Phase.STOPPING]
@@ -117,18 +117,21 @@
 
 def test_the_second_address_is_its_own_and_needs_one_forwarder() -> None:
     raw = {"listen": "127.0.0.1:9", "journal": "127.0.0.1:1", "known": {"pos": 0, "entries": []}}
-    with pytest.raises(BadConfig):
+    with pytest.raises(ConfigurationError):
         config_of(raw | {"settings": SETTINGS, "ops": "127.0.0.1:9"}, {})
     told = config_of(raw | {"settings": SETTINGS}, {"ROUTER_OPS": "127.0.0.1:8"})
-    assert told.ops == ("127.0.0.1", 8) and config_of(raw | {"settings": SETTINGS}, {}).ops is None
+    assert (
+        told.admin_address == ("127.0.0.1", 8)
+        and config_of(raw | {"settings": SETTINGS}, {}).admin_address is None
+    )
     planners = {"planners": ["127.0.0.1:1", "127.0.0.1:2"], "forwarders": 2}
-    with pytest.raises(BadConfig):
+    with pytest.raises(ConfigurationError):
         operator_of({"processes": planners}, told)
 
 
 def test_without_a_second_address_nothing_listens_there() -> None:
-    gate = Gateway(config([host(Engine())]), Operator(), signals=False)
-    assert gate.ops is None
+    gate = Gateway(config([host(Engine())]), OperatorSettings(), signals=False)
+    assert gate.admin_server is None
     gate.loop.close()
 
 
@@ -142,7 +145,7 @@
     """Guards requests that cross: idle connections end in a half-close only once the front sends no more."""
     engine = Engine(script={SQL: ["mute"]})
     with running(engine, **OPS) as gate, ThreadPoolExecutor() as beside:
-        address = gate.server.listener.address
+        address = gate.http_server.listener.address
         idle, silent, used = (socket.create_connection(address) for _ in range(3))
         assert live(idle).startswith(b"HTTP/1.1 200") and live(used).startswith(b"HTTP/1.1 200")
         waiting = beside.submit(post, gate, "lookup", SQL, ttl=3_000)
@@ -160,7 +163,7 @@
             assert sock.recv(1) == b""
             sock.close()
         assert 0.4 < time.monotonic() - began < 2.0
-        until(lambda: gate.server.away(1.5))
+        until(lambda: gate.http_server.away(1.5))
         status, _, headers = post(gate, "lookup", "SELECT 3")
         assert status == 429 and headers["connection"] == "close"
         assert waiting.result()[2]["connection"] == "close"
--- a/tests/test_reading.py
+++ b/tests/test_reading.py
@@ -7,13 +7,13 @@
 
 import pytest
 
-from mothknot.net.loop import Loop
-from mothknot.reading.frames import Ask, Told, cut, decode_ask, decode_told, framed
-from mothknot.reading.keeper import Keeper
-from mothknot.reading.parsers import BUDGET, PATIENCE, POISON, TRIES, WAITING, Parsers
-from mothknot.reading.service import Judged, Statements
-from mothknot.statements.messages import Plan, Rules
-from mothknot.statements.shape import Shape, shape_of
+from query_gateway.net.loop import Loop
+from query_gateway.parsing.frames import Ask, Told, cut, decode_ask, decode_told, framed
+from query_gateway.parsing.parsers import BUDGET, PATIENCE, POISON, TRIES, WAITING, Parsers
+from query_gateway.parsing.service import Classification, Statements
+from query_gateway.parsing.snapshot_store import SnapshotStore
+from query_gateway.statements.messages import Plan, Rules
+from query_gateway.statements.shape import Shape, shape_of
 from tests.statements import KEYS
 
 RULES = Rules(keys=KEYS)
@@ -108,11 +108,11 @@
     assert loop.faults == 0
 
 
-def ask(service: Statements, sql: str, named: str | None = None) -> Judged:
+def ask(service: Statements, sql: str, named: str | None = None) -> Classification:
     """One answer; a `come back` is followed, as a client would."""
     for _ in range(100):
-        told: list[Judged] = []
-        service.ask(sql, named, None, told.append)
+        told: list[Classification] = []
+        service.classify(sql, named, None, told.append)
         while not told:
             service.loop.turn()
         if told[0].judgement is not None:
@@ -120,7 +120,7 @@
     raise AssertionError("no answer")
 
 
-def cls(judged: Judged) -> str | None:
+def cls(judged: Classification) -> str | None:
     assert judged.judgement
     return judged.judgement.cls
 
@@ -130,8 +130,8 @@
 
 def test_a_miss_is_read_elsewhere_and_a_hit_at_once(service: Statements) -> None:
     assert cls(ask(service, READ)) == "lookup"
-    told: list[Judged] = []
-    service.ask(READ.replace("42", "43"), None, None, told.append)
+    told: list[Classification] = []
+    service.classify(READ.replace("42", "43"), None, None, told.append)
     assert told and cls(told[0]) == "lookup"
     assert service.classifier.shapes.hits >= 1
 
@@ -160,9 +160,9 @@
 
 def test_a_crowd_that_asks_for_one_shape_is_told_together(service: Statements) -> None:
     ask(service, READ)
-    told: list[Judged] = []
+    told: list[Classification] = []
     for n in range(50):
-        service.ask(f"SELECT copy FROM lending_7.loans WHERE member = {n}", None, None, told.append)
+        service.classify(f"SELECT copy FROM lending_7.loans WHERE member = {n}", None, None, told.append)
     while len(told) < 50:
         service.loop.turn()
     assert {cls(one) for one in told} == {"lookup"} and len({one.digest for one in told}) == 1
@@ -170,9 +170,9 @@
 
 def test_new_rules_are_read_by_from_then_on(service: Statements) -> None:
     assert cls(ask(service, READ)) == "lookup"
-    service.retune(Rules(keys=KEYS, lookup="quick"), ("quick", "report"))
+    service.update_rules(Rules(keys=KEYS, lookup="quick"), ("quick", "report"))
     assert cls(ask(service, READ)) == "quick"
-    service.retune(service.classifier.rules, ("report",))
+    service.update_rules(service.classifier.rules, ("report",))
     told = ask(service, READ)
     assert told.judgement and not told.judgement.repeatable
 
@@ -207,7 +207,7 @@
 
 
 def test_a_file_is_whole_or_counts_as_none(tmp_path: Path) -> None:
-    keeper = Keeper(str(tmp_path / "costs"))
+    keeper = SnapshotStore(str(tmp_path / "costs"))
     assert keeper.load() is None
     assert keeper.save({"a": 1}) and keeper.load() == {"a": 1}
     whole = keeper.path.read_bytes()
@@ -221,7 +221,7 @@
 
 
 def test_a_disk_that_fails_costs_the_snapshot_alone(tmp_path: Path) -> None:
-    assert not Keeper(str(tmp_path / "missing" / "costs")).save({"a": 1})
+    assert not SnapshotStore(str(tmp_path / "missing" / "costs")).save({"a": 1})
 
 
 def test_what_was_learned_outlives_a_restart(tmp_path: Path) -> None:
@@ -229,7 +229,7 @@
     for _ in range(2):
         loop = Loop()
         service = Statements(loop, RULES, ("lookup", "report"), parsers=1)
-        service.remember(path)
+        service.restore(path)
         costs.append(service.classifier.costs.cost_ns(shape().digest, "lookup", 7))
         for _ in range(10):
             service.classifier.costs.ran(shape().digest, "lookup", 7, 50_000_000)
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -11,13 +11,21 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from mothknot.config import BadConfig, Config, Operator, check_kept, config_of, read
-from mothknot.core.classes import numbered
-from mothknot.gateway import Gateway
-from mothknot.interface import Code as C
-from mothknot.interface import Event, Outcome, Request, Retune, Send
-from mothknot.local import codec
-from mothknot.policy import Gateway as Module
+from query_gateway.configuration.platform import (
+    Configuration,
+    ConfigurationError,
+    OperatorSettings,
+    check_kept,
+    config_of,
+    read,
+)
+from query_gateway.forwarder.class_numbers import numbered
+from query_gateway.gateway import Gateway
+from query_gateway.model.actions import Forward
+from query_gateway.model.events import AttemptOutcome, Event, Request, SettingsUpdate
+from query_gateway.model.events import OutcomeCode as C
+from query_gateway.planner import ipc_codec as codec
+from query_gateway.policy.scheduler import Scheduler as Module
 from tests.stand_ins import SETTINGS, Engine, config, host, post
 from tests.test_local import until
 from tests.test_ops import figures
@@ -68,14 +76,14 @@
 )  # fmt: skip
 def test_a_file_with_a_fault_is_turned_down(change: Any) -> None:
     """Guards against defaults that stand in for a missing key, and against what only looks like a number."""
-    with pytest.raises(BadConfig):
+    with pytest.raises(ConfigurationError):
         check_kept(config_of(RAW, {}), config_of(changed(change), {}))
 
 
 @pytest.mark.parametrize("text", ["", "[]", "{", "[" * 100_000, '{"settings": NaN}', json.dumps(RAW)[:-20]])
 def test_a_file_that_is_cut_off_is_turned_down(text: str, tmp_path: Any) -> None:
     (tmp_path / "c.json").write_text(text)
-    with pytest.raises(BadConfig):
+    with pytest.raises(ConfigurationError):
         read({"ROUTER_CONFIG": str(tmp_path / "c.json")})
 
 
@@ -104,17 +112,17 @@
     return raw
 
 
-def reload(gate: Gateway, new: Config) -> None:
+def reload(gate: Gateway, new: Configuration) -> None:
     gate.read_again = lambda: new
-    done = gate.desk.counters.applied + gate.desk.counters.rejected
+    done = gate.forwarder.counters.reloads_applied + gate.forwarder.counters.reloads_rejected
     gate.loop.call_soon(gate.reload)
-    until(lambda: gate.desk.counters.applied + gate.desk.counters.rejected > done)
+    until(lambda: gate.forwarder.counters.reloads_applied + gate.forwarder.counters.reloads_rejected > done)
 
 
 def test_classes_change_under_load_and_open_requests_keep_their_rules(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr("mothknot.gateway.CROSSING", 0.2)
+    monkeypatch.setattr("query_gateway.gateway.CROSSING", 0.2)
     old, once = "SELECT old FROM lending_7.loans", "SELECT once FROM lending_7.loans"
     engine = Engine(script={old: ["mute", "ok"], once: ["error", "ok"]})
     with running(engine, ops="127.0.0.1:0") as gate, ThreadPoolExecutor() as beside:
@@ -124,14 +132,14 @@
         reload(gate, new)
         assert post(gate, "audit", once)[0] == 500  # it may have run, and is not sent again
         assert post(gate, "lookup", SQL)[0] == 200
-        until(lambda: "report" not in gate.server.classes)
+        until(lambda: "report" not in gate.http_server.classes)
         assert post(gate, "report", SQL)[0] == 404
         assert waiting.result()[0] == 200  # taken when a second attempt was allowed, and a class of its own
         assert engine.statements.count(old) == 2 and engine.statements.count(once) == 1
         now = figures(gate)
         assert now['svc_succeeded_total{service="report"}'] == 1
         assert now['svc_aborted_total{service="audit"}'] == 1 and now["svc_sighup_applied_total"] == 1
-        reload(gate, replace(new, keys=frozenset()))
+        reload(gate, replace(new, setting_paths=frozenset()))
         assert figures(gate)["svc_sighup_rejected_total"] == 1
         reload(gate, config([host(engine, "e0")], ops="127.0.0.1:0"))
         assert post(gate, "report", SQL)[0] == 200 and post(gate, "load", LOAD)[0] == 200
@@ -140,24 +148,26 @@
 def test_the_module_keeps_what_it_learned_and_what_is_open_its_rules() -> None:
     site = config([host(Engine())])
     module = Module(site.settings, 1)
-    gate = Gateway(site, Operator(), signals=False)
-    module.handle(1, [e for e in gate.planner.events])
+    gate = Gateway(site, OperatorSettings(), signals=False)
+    module.handle(1, [e for e in gate.planner.pending_events])
     gate.loop.close()
     sec = 10**9
     ask: list[Event] = [Request(n, 1, 60 * sec, 0, None, None, 10**9, 0.0, False) for n in (1, 2)]
-    sent = [a for a in module.handle(sec, ask) if isinstance(a, Send)]
+    sent = [a for a in module.handle(sec, ask) if isinstance(a, Forward)]
     assert len(sent) == 2
-    module.handle(2 * sec, [Outcome(1, True, C.OK, sec, 0, "e0", None, None, ())])
+    module.handle(2 * sec, [AttemptOutcome(1, True, C.OK, sec, 0, "e0", None, None, ())])
     learned = module.classes[1].work
-    rules = tuple(replace(c, give_up=c.give_up // 2) for c in site.settings.classes)
-    module.handle(2 * sec, [Retune(replace(site.settings, classes=rules, max_attempts=1), (0,))])
-    assert module.classes[1].work is learned and learned.n == 1
-    assert module.queries[2].c.s.give_up == 25 * sec and module.queries[2].most == 3
-    assert module.classes[0].work.n == 0 and module.classes[1].s.give_up == rules[1].give_up
+    rules = tuple(replace(c, timeout=c.timeout // 2) for c in site.settings.classes)
+    module.handle(2 * sec, [SettingsUpdate(replace(site.settings, classes=rules, max_attempts=1), (0,))])
+    assert module.classes[1].work is learned and learned.count == 1
+    assert (
+        module.queries[2].request_class.settings.timeout == 25 * sec and module.queries[2].max_attempts == 3
+    )
+    assert module.classes[0].work.count == 0 and module.classes[1].settings.timeout == rules[1].timeout
 
 
 def test_new_settings_cross_the_local_link_whole() -> None:
-    told = Retune(config([]).settings, (1,))
+    told = SettingsUpdate(config([]).settings, (1,))
     assert codec.Decoder({**codec.EVENTS}).feed(codec.encode(told)) == [told]
 
 
@@ -165,10 +175,14 @@
     """Guards a reload that says it is applied: limits outside the module's settings stayed as they were."""
     raw: dict[str, Any] = copy.deepcopy(SETTINGS)
     raw["limits"] |= {"most-held": 1, "dial-timeout": 600_000_000, "streams-per-conn": 5}
-    operator = Operator(flight=("127.0.0.1", 0))
+    operator = OperatorSettings(flight_address=("127.0.0.1", 0))
     gate = Gateway(config([]), operator, signals=False, read_again=lambda: config([], settings=raw))
     gate.reload()
-    pools: list[Any] = list(gate.desk.engines.values())
+    pools: list[Any] = list(gate.forwarder.engine_clients.values())
     assert [pool.dial_timeout for pool in pools] == [0.6, 0.6]
-    assert (gate.pool.streams, gate.desk.most, gate.desk.counters.applied) == (5, 1, 1)
+    assert (
+        gate.engine_pool.streams_per_connection,
+        gate.forwarder.max_exchanges,
+        gate.forwarder.counters.reloads_applied,
+    ) == (5, 1, 1)
     gate.loop.close()
--- a/tests/test_statements_cache.py
+++ b/tests/test_statements_cache.py
@@ -8,9 +8,9 @@
 from hypothesis import strategies as st
 
 from bench.statements import Lru, skewed, statement
-from mothknot.statements.cache import Cache
-from mothknot.statements.messages import Rules
-from mothknot.statements.sketch import CountMin
+from query_gateway.statements.cache import Cache
+from query_gateway.statements.messages import Rules
+from query_gateway.statements.sketch import CountMin
 from tests.statements import KEYS, Whole
 
 
--- a/tests/test_statements_corpus.py
+++ b/tests/test_statements_corpus.py
@@ -6,8 +6,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from mothknot.statements.lexer import Unclear, tokens
-from mothknot.statements.shape import shape_of
+from query_gateway.statements.lexer import Unclear, tokens
+from query_gateway.statements.shape import shape_of
 from tests.statements import Whole, corpus, in_dialects
 
 WHOLE = in_dialects()
--- a/tests/test_statements_costs.py
+++ b/tests/test_statements_costs.py
@@ -6,8 +6,8 @@
 import pytest
 
 from bench.statements import run_time
-from mothknot.statements.costs import BUCKETS, ENOUGH, FULL, Costs, Histogram
-from mothknot.statements.limits import ENGINES, FORGET, FREE, HELD, WELL, ShapeLimits
+from query_gateway.statements.costs import BUCKETS, ENOUGH, FULL, Costs, Histogram
+from query_gateway.statements.limits import ENGINES, FORGET, FREE, HELD, WELL, ShapeLimits
 from tests.test_statements_cache import digest
 
 MS, SEC = 1_000_000, 1_000_000_000
--- a/tests/test_statements_keys.py
+++ b/tests/test_statements_keys.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from mothknot.statements.messages import KeyRule, Rules
+from query_gateway.statements.messages import KeyRule, Rules
 from tests.statements import KEYS, Whole, in_dialects
 from tests.test_statements_corpus import engine
 
--- a/tests/test_statements_postgres.py
+++ b/tests/test_statements_postgres.py
@@ -9,7 +9,7 @@
 from pglast import ast
 from pglast.visitors import Visitor
 
-from mothknot.statements import purity
+from query_gateway.statements import purity
 from tests.test_statements_corpus import READS, WHOLE, WRITES
 
 POSTGRES = WHOLE["postgres"]
@@ -36,18 +36,18 @@
         self.writes: list[str] = []
         self.calls: list[str] = []
 
-    def visit_IntoClause(self, _: Any, node: Any) -> None:
+    def visit_IntoClause(self, _: Any, node: Any) -> None:  # noqa: N802 - the name that pglast calls
         self.writes.append("INTO")
 
-    def visit_LockingClause(self, _: Any, node: Any) -> None:
+    def visit_LockingClause(self, _: Any, node: Any) -> None:  # noqa: N802 - the name that pglast calls
         self.writes.append("lock")
 
-    def visit_InsertStmt(self, _: Any, node: Any) -> None:
+    def visit_InsertStmt(self, _: Any, node: Any) -> None:  # noqa: N802 - the name that pglast calls
         self.writes.append("DML")
 
-    visit_UpdateStmt = visit_DeleteStmt = visit_MergeStmt = visit_InsertStmt
+    visit_UpdateStmt = visit_DeleteStmt = visit_MergeStmt = visit_InsertStmt  # noqa: N815 - as above
 
-    def visit_FuncCall(self, _: Any, node: Any) -> None:
+    def visit_FuncCall(self, _: Any, node: Any) -> None:  # noqa: N802 - the name that pglast calls
         self.calls.append(".".join(part.sval for part in node.funcname).lower())
 
 
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -20,15 +20,15 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from mothknot.config import BadConfig, Operator, config_of, operator_of
-from mothknot.core.messages import Verdict
-from mothknot.core.sql import table_group
-from mothknot.gateway import Gateway
-from mothknot.interface import Timer
-from mothknot.net.loop import IN, Loop
-from mothknot.net.stream import Listener
-from mothknot.web import frames
-from mothknot.web.server import Held, plain_call, query_of
+from query_gateway.configuration.platform import ConfigurationError, OperatorSettings, config_of, operator_of
+from query_gateway.engine_protocol import frames
+from query_gateway.forwarder.messages import Verdict
+from query_gateway.forwarder.table_group import table_group
+from query_gateway.gateway import Gateway
+from query_gateway.http.server import Held, plain_call, query_of
+from query_gateway.model.events import TimerFired
+from query_gateway.net.loop import IN, Loop
+from query_gateway.net.stream import Listener
 from tests.stand_ins import SETTINGS, Engine, config, host, post
 
 SQL = "SELECT a FROM lending_7.loans"
@@ -40,7 +40,7 @@
 @contextmanager
 def running(*engines: Engine, **more: Any) -> Iterator[Gateway]:
     hosts = [host(e, f"e{n}") for n, e in enumerate(engines)]
-    gate = Gateway(config(hosts, **more), Operator(), signals=False)
+    gate = Gateway(config(hosts, **more), OperatorSettings(), signals=False)
     thread = threading.Thread(target=gate.loop.run, daemon=True)
     thread.start()
     try:
@@ -115,13 +115,13 @@
     with running(engine) as gate:
         status, _, _ = post(gate, "lookup", SQL, ttl=1_000)
         assert status in (429, 500) and engine.wait("STOP")
-        assert gate.desk.counters.total(Verdict.SERVED) == 0
+        assert gate.forwarder.counters.total(Verdict.SERVED) == 0
 
 
 def test_a_client_that_leaves_stops_its_query() -> None:
     engine = Engine(script={SQL: ["mute"]})
     with running(engine) as gate:
-        sock = socket.create_connection(gate.server.listener.address)
+        sock = socket.create_connection(gate.http_server.listener.address)
         head = f"POST /svc/lookup HTTP/1.1\r\nHost: x\r\nX-Txn: {'a' * 16}\r\nX-Ttl-Ms: 5000\r\n"
         sock.sendall(f"{head}Content-Length: {len(SQL)}\r\n\r\n{SQL}".encode())
         assert engine.wait("REQ")
@@ -140,14 +140,14 @@
 def test_a_request_that_meets_its_connection_just_up_is_written_once() -> None:
     """Guards against a doubled load: found on a fast day, where one came between the dial and its task."""
     engine = Engine(script={SQL: ["mute"], LOAD: ["mute"]})
-    gate = Gateway(config([host(engine)]), Operator(), signals=False)
+    gate = Gateway(config([host(engine)]), OperatorSettings(), signals=False)
     for name, statement in (("1" * 16, SQL), ("2" * 16, LOAD)):
         headers = {"x-txn": name, "x-ttl-ms": "5000", "x-txn-key": "a" * 32, "x-row": "b" * 16}
         cls = "lookup" if statement == SQL else "load"
-        query = query_of(cls, gate.config.classes, headers, statement.encode(), gate.desk.clock())
-        gate.desk.take(query, Held(lambda: None), "web")
+        query = query_of(cls, gate.config.classes, headers, statement.encode(), gate.forwarder.clock())
+        gate.forwarder.accept(query, Held(lambda: None), "web")
         gate.turn()
-        stream = gate.pool.connections["e0"][0].stream
+        stream = gate.engine_pool.connections["e0"][0].stream
         while not stream.connected:
             stream._ready()  # the connection is up, but its task has not run yet
     while len(engine.statements) < 2:
@@ -161,7 +161,7 @@
 def test_a_loop_far_behind_refuses_unseen() -> None:
     engine = Engine()
     with running(engine) as gate:
-        gate.loop.behind = lambda: 1.0  # type: ignore[method-assign]
+        gate.loop.lag = lambda: 1.0  # type: ignore[method-assign]
         status, _, headers = post(gate, "lookup", SQL)
         assert (status, headers["x-throttle-ms"]) == (429, "500") and not engine.statements
 
@@ -198,12 +198,12 @@
                 raise RuntimeError("broken on purpose")
 
         def break_it() -> None:
-            gate.planner.module = Broken()  # type: ignore[assignment]
-            gate.planner.tell(Timer(0))
+            gate.planner.scheduler = Broken()  # type: ignore[assignment]
+            gate.planner.notify(TimerFired(0))
 
         gate.loop.call_soon(break_it)
         waiting.join(10)
-        assert answers == [429] and gate.planner.lives == 1
+        assert answers == [429] and gate.planner.incarnation == 1
         assert post(gate, "lookup", "SELECT b FROM lending_8.loans")[0] == 200
 
 
@@ -221,7 +221,7 @@
     ],
 )
 def test_bad_calls_get_a_prompt_answer(data: bytes, status: int) -> None:
-    with running(Engine()) as gate, socket.create_connection(gate.server.listener.address) as sock:
+    with running(Engine()) as gate, socket.create_connection(gate.http_server.listener.address) as sock:
         sock.settimeout(10)
         sock.sendall(data)
         answer = sock.recv(65_536)
@@ -238,7 +238,7 @@
 )  # fmt: skip
 def test_a_call_that_cannot_be_taken_is_refused_before_its_body(told: str, status: int) -> None:
     engine = Engine()
-    with running(engine) as gate, socket.create_connection(gate.server.listener.address) as sock:
+    with running(engine) as gate, socket.create_connection(gate.http_server.listener.address) as sock:
         sock.settimeout(10)
         sock.sendall(f"{HEAD}{told}\r\n\r\n0\r\n\r\n".encode())
         assert sock.recv(65_536).startswith(b"HTTP/1.1 %d " % status)
@@ -247,17 +247,17 @@
 
 def test_the_id_of_an_open_request_is_refused_and_no_engine_is_blamed() -> None:
     engine = Engine(script={SQL: ["mute"]})
-    with running(engine) as gate, socket.create_connection(gate.server.listener.address) as sock:
+    with running(engine) as gate, socket.create_connection(gate.http_server.listener.address) as sock:
         call = f"{HEAD}Content-Length: {len(SQL)}\r\n\r\n{SQL}".encode()
         sock.sendall(call)
         assert engine.wait("REQ")
         assert post(gate, "lookup", "SELECT 2", X_Txn="c" * 16)[0] == 409
         assert post(gate, "lookup", "SELECT a FROM lending_8.loans")[0] == 200
-        assert len(engine.statements) == 2 and not gate.planner.module.engines["e0"].shun_until
+        assert len(engine.statements) == 2 and not gate.planner.scheduler.engines["e0"].ejected_until
 
 
 def test_calls_sent_at_once_are_answered_in_turn() -> None:
-    with running(Engine()) as gate, socket.create_connection(gate.server.listener.address) as sock:
+    with running(Engine()) as gate, socket.create_connection(gate.http_server.listener.address) as sock:
         sock.settimeout(10)
         live = b"GET /status/live HTTP/1.1\r\nHost: x\r\n\r\n"
         sock.sendall(live * 3)
@@ -268,10 +268,10 @@
 
 
 def test_silent_and_half_calls_end_soon(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("mothknot.web.server.HELLO_TIME", 0.1)
+    monkeypatch.setattr("query_gateway.http.server.HELLO_TIME", 0.1)
     with running(Engine()) as gate:
         for said, answer in ((b"", b""), (HEAD.encode(), b"HTTP/1.1 408 ")):
-            with socket.create_connection(gate.server.listener.address) as sock:
+            with socket.create_connection(gate.http_server.listener.address) as sock:
                 sock.settimeout(10)
                 sock.sendall(said)
                 assert sock.recv(65_536).startswith(answer)
@@ -280,10 +280,10 @@
 def test_a_crowd_that_says_nothing_keeps_nobody_out() -> None:
     """Guards usual clients: the crowd held every place for a minute, and they were turned away."""
     with running(Engine()) as gate:
-        gate.server.most = 4
-        crowd = [socket.create_connection(gate.server.listener.address) for _ in range(8)]
+        gate.http_server.max_connections = 4
+        crowd = [socket.create_connection(gate.http_server.listener.address) for _ in range(8)]
         assert post(gate, "lookup", SQL)[0] == 200
-        assert len(gate.server.connections) <= 4
+        assert len(gate.http_server.connections) <= 4
         for sock in crowd:
             sock.close()
 
@@ -291,7 +291,7 @@
 def test_timers_cancelled_long_before_due_do_not_pile_up() -> None:
     loop = Loop()
     for _ in range(5_000):
-        loop.at(loop.now() + 3_600, lambda: None).cancel()
+        loop.call_at(loop.now() + 3_600, lambda: None).cancel()
     task = loop.spawn(itertools.repeat(loop.now() + 3_600))  # type: ignore[arg-type]
     for _ in range(5_000):
         task.step()
@@ -318,7 +318,7 @@
 
     waiting, settling = loop.spawn(client()), loop.spawn(engine())  # type: ignore[arg-type]
     loop.turn()
-    loop.after.append(planner)
+    loop.turn_hooks.append(planner)
     settling.wake()
     loop.turn()
     assert ran == ["answer", "planner"]
@@ -335,9 +335,9 @@
 
     loop = Loop()
     listener = Listener(loop, ("127.0.0.1", 0), lambda sock, peer: None)
-    loop.dispose(listener.sock)
-    listener.sock = Full(fileno=os.dup(listener.sock.fileno()))
-    loop.watch(listener.sock, IN, listener._ready)
+    loop.dispose(listener.socket)
+    listener.socket = Full(fileno=os.dup(listener.socket.fileno()))
+    loop.watch(listener.socket, IN, listener._ready)
     with socket.create_connection(listener.address):
         turns = 0
         while Full.calls < 2:
@@ -355,7 +355,7 @@
     data = f"{head}Content-Length: {len(SQL)}\r\n\r\n{SQL}".encode()
     if garbled and cuts:
         data = data[: cuts[0]] + b"\0" + data[cuts[0] :]
-    with socket.create_connection(gate.server.listener.address) as sock:
+    with socket.create_connection(gate.http_server.listener.address) as sock:
         sock.settimeout(10)
         for cut in [*cuts, len(data)]:
             sock.sendall(data[:cut])
@@ -371,7 +371,7 @@
     """One gateway for all examples of a property; its thread ends with the tests."""
     if not _kept:
         engine = Engine()
-        gate = Gateway(config([host(engine)]), Operator(), signals=False)
+        gate = Gateway(config([host(engine)]), OperatorSettings(), signals=False)
         threading.Thread(target=gate.loop.run, daemon=True).start()
         _kept.append((gate, engine))
     return _kept[0]
@@ -379,12 +379,12 @@
 
 def test_a_planned_stop_takes_what_still_comes_and_then_ends() -> None:
     engine = Engine()
-    gate = Gateway(config([host(engine)]), Operator(), signals=False)
+    gate = Gateway(config([host(engine)]), OperatorSettings(), signals=False)
     thread = threading.Thread(target=gate.run)
     thread.start()
     assert post(gate, "lookup", SQL)[0] == 200
     gate.loop.call_soon(gate.drain)
-    live = http.client.HTTPConnection(*gate.server.listener.address, timeout=10)
+    live = http.client.HTTPConnection(*gate.http_server.listener.address, timeout=10)
     live.request("GET", "/status/live")
     assert live.getresponse().status == 503
     assert post(gate, "lookup", SQL)[0] == 200
@@ -399,7 +399,7 @@
     """Guards clients who wait for little: half their time was kept back, so they were refused."""
     classes = config([]).classes
     query = query_of("lookup", classes, {"x-txn": "a" * 16, "x-ttl-ms": "250"}, SQL.encode(), 0)
-    assert 220_000_000 <= query.give_up_at < 250_000_000
+    assert 220_000_000 <= query.deadline < 250_000_000
 
 
 def test_only_the_plain_form_passes_by_h11() -> None:
@@ -477,14 +477,14 @@
 )  # fmt: skip
 def test_bad_configuration_is_named(broken: dict[str, Any]) -> None:
     raw = {"listen": "127.0.0.1:0", "journal": "127.0.0.1:1", "known": {"pos": 0, "entries": []}}
-    with pytest.raises(BadConfig):
+    with pytest.raises(ConfigurationError):
         config_of(raw | {"settings": SETTINGS} | broken, {})
 
 
 @pytest.mark.parametrize("raw", [{"flight": {}, "bgp": {}}, {"flight": {"listen": "x"}}, {"flight": 3},
                                  {"flight": {"listen": "127.0.0.1:0", "query_class": "none"}}])  # fmt: skip
 def test_a_bad_operator_file_is_named(raw: dict[str, Any]) -> None:
-    with pytest.raises(BadConfig):
+    with pytest.raises(ConfigurationError):
         operator_of(raw, config([]))
 
 
@@ -529,7 +529,7 @@
     """A stand-in journal: odd answers that must not end the feed, news, and a call from the new position."""
     journal, engine = JournalStandIn(), Engine()
     odd = (b"[]", b"3", b'{"pos":null,"entries":[]}', b'{"pos":Infinity,"entries":[]}', b"[" * 9_000)
-    gate = Gateway(config([], journal=journal.address), Operator(), signals=False)
+    gate = Gateway(config([], journal=journal.address), OperatorSettings(), signals=False)
     thread = threading.Thread(target=gate.loop.run, daemon=True)
     thread.start()
     asked = [journal.answer(body) for body in (*odd, news_of(engine), news_of(engine))]
@@ -548,7 +548,7 @@
     known = {"pos": 7, "entries": []}
     raw = {"listen": "127.0.0.1:0", "journal": old.address, "known": known, "settings": SETTINGS}
     file.write_text(json.dumps(raw))
-    run = [sys.executable, "-m", "mothknot"]
+    run = [sys.executable, "-m", "query_gateway"]
     environ = os.environ | {"ROUTER_CONFIG": str(file)}
     with subprocess.Popen(run, env=environ, stderr=subprocess.PIPE, text=True) as process:
         assert process.stderr and "listens" in process.stderr.readline()
