Name BGP's messages, errors and session states as RFC 4271 does

Cause: message types, error codes and path attributes stood as bare numbers, and two flags stood for the state of the session. Change: enums for message types and error codes, BgpProtocolError in place of Malformed, SessionState with the states that the session has, BgpSession and BgpSettings, a method a step. The bytes sent stay.

--- a/query_gateway/bgp/messages.py
+++ b/query_gateway/bgp/messages.py
@@ -1,41 +1,125 @@
-"""BGP-4 messages (RFC 4271), as far as a speaker needs that only announces: encoders and one decoder."""
+"""BGP-4 messages (RFC 4271), as far as a speaker needs that only announces: encoders and one decoder.
+
+Sans I/O: bytes in, messages out, and the other way round. An error carries the NOTIFICATION that answers it.
+"""
 
 from dataclasses import dataclass
+from enum import IntEnum
 from ipaddress import IPv4Address, IPv4Network
 
 MARKER = b"\xff" * 16
-HEADER, LONGEST = 19, 4_096
-OPEN, UPDATE, NOTIFICATION, KEEPALIVE = 1, 2, 3, 4
-LEAST = {OPEN: 29, UPDATE: 23, NOTIFICATION: 21, KEEPALIVE: 19}
-AS_TRANS = 23_456  # stands in an OPEN for a number of more than two octets
+HEADER_LENGTH = 19  # bytes: marker, length, type
+MAX_MESSAGE_LENGTH = 4_096  # bytes
+NOTIFICATION_HEADER_LENGTH = 21  # bytes: the header, error code and subcode
+VERSION = 4
+
+MAX_TWO_OCTET_ASN = 65_535
+AS_TRANS = 23_456  # stands in an OPEN for an AS number of more than two octets (RFC 6793)
+
+OPTIONAL_PARAMETER_CAPABILITIES = 2
+CAPABILITY_MULTIPROTOCOL = 1
+CAPABILITY_FOUR_OCTET_ASN = 65
+IPV4_UNICAST = bytes([0, 1, 0, 1])  # AFI 1, a reserved octet, SAFI 1
+
+WELL_KNOWN_TRANSITIVE = 0x40  # the flags of each path attribute that is sent here
+ATTRIBUTE_ORIGIN = 1
+ATTRIBUTE_AS_PATH = 2
+ATTRIBUTE_NEXT_HOP = 3
+ATTRIBUTE_LOCAL_PREF = 5
+ORIGIN_IGP = 0
+AS_SEQUENCE = 2
+LOCAL_PREF = 100
+
+
+class MessageType(IntEnum):
+    """The type octet of the message header."""
+
+    OPEN = 1
+    UPDATE = 2
+    NOTIFICATION = 3
+    KEEPALIVE = 4
+
+
+MIN_LENGTHS = {
+    MessageType.OPEN: 29,
+    MessageType.UPDATE: 23,
+    MessageType.NOTIFICATION: 21,
+    MessageType.KEEPALIVE: 19,
+}  # bytes, with the header
+
+
+class ErrorCode(IntEnum):
+    """The error code of a NOTIFICATION."""
+
+    MESSAGE_HEADER = 1
+    OPEN_MESSAGE = 2
+    UPDATE_MESSAGE = 3
+    HOLD_TIMER_EXPIRED = 4
+    FINITE_STATE_MACHINE = 5
+    CEASE = 6
+
+
+class HeaderError(IntEnum):
+    """The subcodes of `ErrorCode.MESSAGE_HEADER`."""
+
+    NOT_SYNCHRONIZED = 1
+    BAD_LENGTH = 2
+    BAD_TYPE = 3
+
+
+class OpenError(IntEnum):
+    """The subcodes of `ErrorCode.OPEN_MESSAGE`."""
+
+    UNSPECIFIC = 0
+    UNSUPPORTED_VERSION = 1
+    BAD_PEER_AS = 2
+    BAD_IDENTIFIER = 3
+    UNSUPPORTED_PARAMETER = 4
+    UNACCEPTABLE_HOLD_TIME = 6
+
+
+class UpdateError(IntEnum):
+    """The subcodes of `ErrorCode.UPDATE_MESSAGE`."""
 
-HEADER_ERROR, OPEN_ERROR, UPDATE_ERROR, HOLD_EXPIRED, STATE_ERROR, CEASE = 1, 2, 3, 4, 5, 6
+    MALFORMED_ATTRIBUTE_LIST = 1
+    INVALID_NETWORK_FIELD = 10
 
 
-class Malformed(Exception):
-    """What is wrong, as the NOTIFICATION that answers it."""
+UNSPECIFIC = 0  # the subcode of an error that has none
+ADMINISTRATIVE_SHUTDOWN = 2  # a subcode of `ErrorCode.CEASE` (RFC 4486)
 
-    def __init__(self, code: int, subcode: int, data: bytes = b"") -> None:
+
+class BgpProtocolError(Exception):
+    """The peer broke the protocol; code, subcode and data are those of the NOTIFICATION that answers it."""
+
+    def __init__(self, code: ErrorCode, subcode: int, data: bytes = b"") -> None:
+        """Take the fields of the NOTIFICATION to send."""
         super().__init__(f"{code}/{subcode}")
         self.code, self.subcode, self.data = code, subcode, data
 
 
 @dataclass(slots=True, frozen=True)
 class Open:
+    """OPEN: who the peer is, and the hold time that it proposes, in seconds."""
+
     asn: int
-    hold: int
+    hold_time: int
     identifier: IPv4Address
-    wide: bool = False  # it reads numbers of four octets
+    four_octet_asn: bool = False  # the peer reads AS numbers of four octets
 
 
 @dataclass(slots=True, frozen=True)
 class Update:
+    """UPDATE: the prefixes that are withdrawn and announced; path attributes are not decoded."""
+
     withdrawn: tuple[IPv4Network, ...] = ()
     announced: tuple[IPv4Network, ...] = ()
 
 
 @dataclass(slots=True, frozen=True)
 class Notification:
+    """NOTIFICATION: why the sender ends the session."""
+
     code: int
     subcode: int
     data: bytes = b""
@@ -43,148 +127,202 @@
 
 @dataclass(slots=True, frozen=True)
 class Keepalive:
-    pass
+    """KEEPALIVE: the sender is alive."""
 
 
 Message = Open | Update | Notification | Keepalive
 
 
-def _message(kind: int, body: bytes = b"") -> bytes:
-    return MARKER + (HEADER + len(body)).to_bytes(2, "big") + bytes([kind]) + body
+def _encode(message_type: MessageType, body: bytes = b"") -> bytes:
+    return MARKER + (HEADER_LENGTH + len(body)).to_bytes(2, "big") + bytes([message_type]) + body
 
 
-def open_(asn: int, hold: int, identifier: IPv4Address) -> bytes:
-    """With the capabilities for IPv4 unicast routes and for numbers of four octets (RFC 6793)."""
-    capabilities = bytes([1, 4, 0, 1, 0, 1, 65, 4]) + asn.to_bytes(4, "big")
-    options = bytes([2, len(capabilities)]) + capabilities
-    short = asn if asn < 65_536 else AS_TRANS
-    body = bytes([4]) + short.to_bytes(2, "big") + hold.to_bytes(2, "big") + identifier.packed
-    return _message(OPEN, body + bytes([len(options)]) + options)
+def encode_open(asn: int, hold_time: int, identifier: IPv4Address) -> bytes:
+    """Encode an OPEN with the capabilities for IPv4 unicast and for AS numbers of four octets (RFC 6793)."""
+    capabilities = bytes([CAPABILITY_MULTIPROTOCOL, len(IPV4_UNICAST)]) + IPV4_UNICAST
+    capabilities += bytes([CAPABILITY_FOUR_OCTET_ASN, 4]) + asn.to_bytes(4, "big")
+    parameters = bytes([OPTIONAL_PARAMETER_CAPABILITIES, len(capabilities)]) + capabilities
+    two_octet_asn = asn if asn <= MAX_TWO_OCTET_ASN else AS_TRANS
+    body = bytes([VERSION]) + two_octet_asn.to_bytes(2, "big") + hold_time.to_bytes(2, "big")
+    body += identifier.packed + bytes([len(parameters)]) + parameters
+    return _encode(MessageType.OPEN, body)
 
 
-def keepalive() -> bytes:
-    return _message(KEEPALIVE)
+def encode_keepalive() -> bytes:
+    """Encode a KEEPALIVE."""
+    return _encode(MessageType.KEEPALIVE)
 
 
-def notification(code: int, subcode: int, data: bytes = b"") -> bytes:
-    return _message(NOTIFICATION, bytes([code, subcode]) + data[: LONGEST - 21])
+def encode_notification(code: int, subcode: int, data: bytes = b"") -> bytes:
+    """Encode a NOTIFICATION; data that would make it too long is cut."""
+    body = bytes([code, subcode]) + data[: MAX_MESSAGE_LENGTH - NOTIFICATION_HEADER_LENGTH]
+    return _encode(MessageType.NOTIFICATION, body)
 
 
-def _prefixes(networks: tuple[IPv4Network, ...]) -> bytes:
+def _encode_prefixes(networks: tuple[IPv4Network, ...]) -> bytes:
     return b"".join(
-        bytes([n.prefixlen]) + n.network_address.packed[: (n.prefixlen + 7) // 8] for n in networks
+        bytes([network.prefixlen]) + network.network_address.packed[: (network.prefixlen + 7) // 8]
+        for network in networks
     )
 
 
-def withdraw(networks: tuple[IPv4Network, ...]) -> bytes:
-    gone = _prefixes(networks)
-    return _message(UPDATE, len(gone).to_bytes(2, "big") + gone + b"\0\0")
+def encode_withdrawal(networks: tuple[IPv4Network, ...]) -> bytes:
+    """Encode an UPDATE that withdraws `networks`."""
+    withdrawn = _encode_prefixes(networks)
+    return _encode(MessageType.UPDATE, len(withdrawn).to_bytes(2, "big") + withdrawn + b"\0\0")
 
 
-def announce(
-    networks: tuple[IPv4Network, ...], asn: int, next_hop: IPv4Address, wide: bool, inner: bool
+def _encode_attribute(attribute: int, value: bytes) -> bytes:
+    return bytes([WELL_KNOWN_TRANSITIVE, attribute, len(value)]) + value
+
+
+def encode_announcement(
+    networks: tuple[IPv4Network, ...],
+    asn: int,
+    next_hop: IPv4Address,
+    four_octet_asn: bool,
+    internal: bool,
 ) -> bytes:
-    """`wide`: the peer reads numbers of four octets; `inner`: it is of our own system, so no path."""
-    path = b"" if inner else bytes([2, 1]) + asn.to_bytes(4 if wide else 2, "big")
-    attributes = bytes([0x40, 1, 1, 0]) + bytes([0x40, 2, len(path)]) + path
-    attributes += bytes([0x40, 3, 4]) + next_hop.packed
-    if inner:
-        attributes += bytes([0x40, 5, 4]) + (100).to_bytes(4, "big")  # LOCAL_PREF
-    return _message(UPDATE, b"\0\0" + len(attributes).to_bytes(2, "big") + attributes + _prefixes(networks))
+    """Encode an UPDATE that announces `networks`.
+
+    `four_octet_asn`: the peer reads AS numbers of four octets; `internal`: it belongs to our own AS, so the
+    AS path is empty and a LOCAL_PREF is needed.
+    """
+    segment = bytes([AS_SEQUENCE, 1]) + asn.to_bytes(4 if four_octet_asn else 2, "big")
+    attributes = _encode_attribute(ATTRIBUTE_ORIGIN, bytes([ORIGIN_IGP]))
+    attributes += _encode_attribute(ATTRIBUTE_AS_PATH, b"" if internal else segment)
+    attributes += _encode_attribute(ATTRIBUTE_NEXT_HOP, next_hop.packed)
+    if internal:
+        attributes += _encode_attribute(ATTRIBUTE_LOCAL_PREF, LOCAL_PREF.to_bytes(4, "big"))
+    body = b"\0\0" + len(attributes).to_bytes(2, "big") + attributes + _encode_prefixes(networks)
+    return _encode(MessageType.UPDATE, body)
 
 
-class Decoder:
-    """Bytes in, whole messages out; raises Malformed with the right NOTIFICATION."""
+class MessageDecoder:
+    """Turns the bytes of a connection into messages, however they are cut."""
 
     def __init__(self) -> None:
-        self.buffer = bytearray()
+        """Start at the first byte of a connection."""
+        self.buffer = bytearray()  # the start of a message that is not complete yet
 
     def feed(self, data: bytes) -> list[Message]:
+        """Return the messages that `data` completes, in order.
+
+        Raises BgpProtocolError at the first one that is malformed; the connection is of no use then.
+        """
         self.buffer += data
-        out: list[Message] = []
-        while len(self.buffer) >= HEADER:
-            length, kind = int.from_bytes(self.buffer[16:18], "big"), self.buffer[18]
-            if self.buffer[:16] != MARKER:
-                raise Malformed(HEADER_ERROR, 1)
-            if kind not in LEAST:
-                if not HEADER <= length <= LONGEST:
-                    raise Malformed(HEADER_ERROR, 2, bytes(self.buffer[16:18]))
-                raise Malformed(HEADER_ERROR, 3, bytes([kind]))
-            wrong = length > LONGEST or length < LEAST[kind] or (kind == KEEPALIVE and length != HEADER)
-            if wrong:
-                raise Malformed(HEADER_ERROR, 2, bytes(self.buffer[16:18]))
+        messages: list[Message] = []
+        while len(self.buffer) >= HEADER_LENGTH:
+            message_type, length = self._decode_header()
             if len(self.buffer) < length:
                 break
-            body = bytes(self.buffer[HEADER:length])
+            body = bytes(self.buffer[HEADER_LENGTH:length])
             del self.buffer[:length]
-            out.append(_decode(kind, body))
-        return out
-
-
-def _decode(kind: int, body: bytes) -> Message:
-    if kind == OPEN:
+            messages.append(_decode(message_type, body))
+        return messages
+
+    def _decode_header(self) -> tuple[MessageType, int]:
+        """The type of the message at the start of the buffer, and its length in bytes, header included."""
+        if self.buffer[:16] != MARKER:
+            raise _header_error(HeaderError.NOT_SYNCHRONIZED)
+        length_field, type_octet = bytes(self.buffer[16:18]), self.buffer[18]
+        length = int.from_bytes(length_field, "big")
+        if not HEADER_LENGTH <= length <= MAX_MESSAGE_LENGTH:
+            raise _header_error(HeaderError.BAD_LENGTH, length_field)
+        if type_octet not in MIN_LENGTHS:
+            raise _header_error(HeaderError.BAD_TYPE, bytes([type_octet]))
+        message_type = MessageType(type_octet)
+        if length < MIN_LENGTHS[message_type]:
+            raise _header_error(HeaderError.BAD_LENGTH, length_field)
+        if message_type is MessageType.KEEPALIVE and length != HEADER_LENGTH:
+            raise _header_error(HeaderError.BAD_LENGTH, length_field)
+        return message_type, length
+
+
+def _decode(message_type: MessageType, body: bytes) -> Message:
+    if message_type is MessageType.OPEN:
         return _decode_open(body)
-    if kind == UPDATE:
+    if message_type is MessageType.UPDATE:
         return _decode_update(body)
-    if kind == NOTIFICATION:
+    if message_type is MessageType.NOTIFICATION:
         return Notification(body[0], body[1], body[2:])
     return Keepalive()
 
 
+def _header_error(subcode: HeaderError, data: bytes = b"") -> BgpProtocolError:
+    return BgpProtocolError(ErrorCode.MESSAGE_HEADER, subcode, data)
+
+
+def _open_error(subcode: OpenError, data: bytes = b"") -> BgpProtocolError:
+    return BgpProtocolError(ErrorCode.OPEN_MESSAGE, subcode, data)
+
+
 def _decode_open(body: bytes) -> Open:
-    if body[0] != 4:
-        raise Malformed(OPEN_ERROR, 1, (4).to_bytes(2, "big"))
-    asn, hold = int.from_bytes(body[1:3], "big"), int.from_bytes(body[3:5], "big")
+    if body[0] != VERSION:
+        raise _open_error(OpenError.UNSUPPORTED_VERSION, VERSION.to_bytes(2, "big"))
+    two_octet_asn, hold_time = int.from_bytes(body[1:3], "big"), int.from_bytes(body[3:5], "big")
     identifier = IPv4Address(body[5:9])
-    if hold in (1, 2):
-        raise Malformed(OPEN_ERROR, 6)
+    if hold_time in (1, 2):
+        raise _open_error(OpenError.UNACCEPTABLE_HOLD_TIME)
     if int(identifier) == 0:
-        raise Malformed(OPEN_ERROR, 3)
-    options, wide = body[10:], False
-    if len(options) != body[9]:
-        raise Malformed(OPEN_ERROR, 0)
-    while options:
-        if len(options) < 2 or len(options) < 2 + options[1]:
-            raise Malformed(OPEN_ERROR, 0)
-        if options[0] != 2:
-            raise Malformed(OPEN_ERROR, 4)
-        found = _wide_number(options[2 : 2 + options[1]])
-        asn, wide = (asn, wide) if found is None else (found, True)
-        options = options[2 + options[1] :]
+        raise _open_error(OpenError.BAD_IDENTIFIER)
+    parameters = body[10:]
+    if len(parameters) != body[9]:
+        raise _open_error(OpenError.UNSPECIFIC)
+    four_octet_asn = _decode_parameters(parameters)
+    asn = two_octet_asn if four_octet_asn is None else four_octet_asn
     if asn == 0:
-        raise Malformed(OPEN_ERROR, 2)
-    return Open(asn, hold, identifier, wide)
+        raise _open_error(OpenError.BAD_PEER_AS)
+    return Open(asn, hold_time, identifier, four_octet_asn is not None)
+
+
+def _decode_parameters(parameters: bytes) -> int | None:
+    """The AS number of four octets that the optional parameters of an OPEN state, if they do."""
+    asn = None
+    while parameters:
+        if len(parameters) < 2 or len(parameters) < 2 + parameters[1]:
+            raise _open_error(OpenError.UNSPECIFIC)
+        if parameters[0] != OPTIONAL_PARAMETER_CAPABILITIES:
+            raise _open_error(OpenError.UNSUPPORTED_PARAMETER)
+        found = _decode_capabilities(parameters[2 : 2 + parameters[1]])
+        asn = asn if found is None else found
+        parameters = parameters[2 + parameters[1] :]
+    return asn
 
 
-def _wide_number(capabilities: bytes) -> int | None:
+def _decode_capabilities(capabilities: bytes) -> int | None:
+    """The AS number of the capability for four octets; other capabilities are read past."""
     asn = None
     while capabilities:
         if len(capabilities) < 2 or len(capabilities) < 2 + capabilities[1]:
-            raise Malformed(OPEN_ERROR, 0)
-        if capabilities[0] == 65 and capabilities[1] == 4:
+            raise _open_error(OpenError.UNSPECIFIC)
+        if capabilities[0] == CAPABILITY_FOUR_OCTET_ASN and capabilities[1] == 4:
             asn = int.from_bytes(capabilities[2:6], "big")
         capabilities = capabilities[2 + capabilities[1] :]
     return asn
 
 
 def _decode_update(body: bytes) -> Update:
-    gone = int.from_bytes(body[:2], "big")
-    if gone + 4 > len(body):
-        raise Malformed(UPDATE_ERROR, 1)
-    size = int.from_bytes(body[2 + gone : 4 + gone], "big")
-    if gone + 4 + size > len(body):
-        raise Malformed(UPDATE_ERROR, 1)
-    withdrawn = _networks(body[2 : 2 + gone], 1)
-    return Update(withdrawn, _networks(body[4 + gone + size :], 10))
-
-
-def _networks(data: bytes, subcode: int) -> tuple[IPv4Network, ...]:
-    out = []
+    malformed = BgpProtocolError(ErrorCode.UPDATE_MESSAGE, UpdateError.MALFORMED_ATTRIBUTE_LIST)
+    withdrawn_length = int.from_bytes(body[:2], "big")
+    if withdrawn_length + 4 > len(body):
+        raise malformed
+    attributes_at = 4 + withdrawn_length
+    attributes_length = int.from_bytes(body[2 + withdrawn_length : attributes_at], "big")
+    if attributes_at + attributes_length > len(body):
+        raise malformed
+    withdrawn = _decode_prefixes(body[2 : 2 + withdrawn_length], UpdateError.MALFORMED_ATTRIBUTE_LIST)
+    announced = _decode_prefixes(body[attributes_at + attributes_length :], UpdateError.INVALID_NETWORK_FIELD)
+    return Update(withdrawn, announced)
+
+
+def _decode_prefixes(data: bytes, subcode: UpdateError) -> tuple[IPv4Network, ...]:
+    networks = []
     while data:
-        bits, size = data[0], (data[0] + 7) // 8
-        if bits > 32 or len(data) < 1 + size:
-            raise Malformed(UPDATE_ERROR, subcode)
-        address = data[1 : 1 + size].ljust(4, b"\0")
-        out.append(IPv4Network((address, bits), strict=False))
-        data = data[1 + size :]
-    return tuple(out)
+        prefix_length, octets = data[0], (data[0] + 7) // 8
+        if prefix_length > 32 or len(data) < 1 + octets:
+            raise BgpProtocolError(ErrorCode.UPDATE_MESSAGE, subcode)
+        address = data[1 : 1 + octets].ljust(4, b"\0")
+        networks.append(IPv4Network((address, prefix_length), strict=False))
+        data = data[1 + octets :]
+    return tuple(networks)
--- a/query_gateway/bgp/session.py
+++ b/query_gateway/bgp/session.py
@@ -2,41 +2,79 @@
 
 from collections.abc import Generator
 from dataclasses import dataclass
+from enum import Enum
 from ipaddress import IPv4Address, IPv4Network
 
-from query_gateway.bgp import messages as m
+from query_gateway.bgp.messages import (
+    ADMINISTRATIVE_SHUTDOWN,
+    UNSPECIFIC,
+    BgpProtocolError,
+    ErrorCode,
+    Keepalive,
+    Message,
+    MessageDecoder,
+    Notification,
+    Open,
+    OpenError,
+    encode_announcement,
+    encode_keepalive,
+    encode_notification,
+    encode_open,
+    encode_withdrawal,
+)
 from query_gateway.net.log import log
 from query_gateway.net.loop import Loop, Task
 from query_gateway.net.stream import Reason, Stream
 
-DIAL = 5.0  # seconds for a connection to come up
-OPENING = 240.0  # the hold time until the peer has named its own (RFC 4271, 8.2.2)
-LINGER = 1.0
+CONNECT_TIMEOUT = 5.0  # seconds for a connection to come up
+INITIAL_HOLD_TIME = 240.0  # seconds, until the peer has named its own (RFC 4271, 8.2.2)
+LINGER_TIME = 1.0  # seconds in which the peer may read our last message
+KEEPALIVES_PER_HOLD_TIME = 3
 
 
 @dataclass(slots=True, frozen=True)
-class Settings:
+class BgpSettings:
+    """Who we are, who the peer is, and what is announced to it."""
+
     peer: tuple[str, int]
     asn: int
     peer_asn: int
     identifier: IPv4Address
     next_hop: IPv4Address
     networks: tuple[IPv4Network, ...]
-    hold: int = 90
-    again: float = 5.0  # seconds before a new connection
+    hold_time: int = 90  # seconds; 0: no keepalives
+    reconnect_delay: float = 5.0  # seconds before a new connection
+
+
+class SessionState(Enum):
+    """The states of RFC 4271, 8.2.2. Active is not among them: we only connect, and never listen."""
+
+    IDLE = "idle"  # no connection; the next one is made after the reconnect delay
+    CONNECT = "connect"  # waiting for the connection to come up
+    OPEN_SENT = "open-sent"  # waiting for the peer's OPEN
+    OPEN_CONFIRM = "open-confirm"  # waiting for the KEEPALIVE that answers ours
+    ESTABLISHED = "established"  # addresses may be announced
 
 
-class Session:
-    def __init__(self, loop: Loop, settings: Settings) -> None:
-        self.loop, self.s = loop, settings
+class BgpSession:
+    """A session with one peer, begun again whenever it ends, until `stop`.
+
+    Owns its connection and the task that serves it.
+    """
+
+    def __init__(self, loop: Loop, settings: BgpSettings) -> None:
+        """Begin to connect on `loop`."""
+        self.loop, self.settings = loop, settings
+        self.state = SessionState.IDLE
         self.ready = self.stopped = False
-        self.up = self.announced = False
-        self.wide = False
-        self.hold = OPENING
+        self.announced = False  # what the peer has last heard of our addresses
+        self.four_octet_asn = False  # the peer reads AS numbers of four octets
+        self.hold_time = INITIAL_HOLD_TIME  # seconds; 0: the session needs no keepalives
+        self.last_received_at = self.last_sent_at = 0.0  # loop time
         self.task: Task = loop.spawn(self._run())
 
     def announce(self, ready: bool) -> None:
-        """Our addresses are reached here from now on, or no longer."""
+        """Announce our addresses from now on, or withdraw them."""
         self.ready = ready
         self.task.wake()
 
@@ -46,106 +84,146 @@
         self.task.wake()
 
     @property
-    def quiet(self) -> bool:
+    def is_established(self) -> bool:
+        """Whether addresses can be announced now."""
+        return self.state is SessionState.ESTABLISHED
+
+    @property
+    def is_finished(self) -> bool:
+        """Whether the session was stopped and its connection is closed."""
         return self.task.done
 
     def _run(self) -> Generator[float | None, None, None]:
+        description = f"bgp {self.settings.peer[0]}:{self.settings.peer[1]}"
         while not self.stopped:
-            who = f"bgp {self.s.peer[0]}:{self.s.peer[1]}"
-            self.up = self.announced = False
             try:
-                stream = Stream.dial(self.loop, self.s.peer, who, lambda: self.task.wake())
-            except OSError as bad:  # out of descriptors
-                log("bgp", f"cannot dial: {bad.strerror}")
+                stream = Stream.dial(self.loop, self.settings.peer, description, lambda: self.task.wake())
+            except OSError as error:  # out of descriptors
+                log("bgp", f"cannot dial: {error.strerror}")
             else:
-                stream.close((yield from self._session(stream)))
-            self.up = self.announced = False
-            until = self.loop.now() + self.s.again
-            while not self.stopped and self.loop.now() < until:
-                yield until
-
-    def _session(self, stream: Stream) -> Generator[float | None, None, Reason]:
-        until = self.loop.now() + DIAL
+                stream.close((yield from self._run_session(stream)))
+            self.state, self.announced = SessionState.IDLE, False
+            reconnect_at = self.loop.now() + self.settings.reconnect_delay
+            while not self.stopped and self.loop.now() < reconnect_at:
+                yield reconnect_at
+
+    def _run_session(self, stream: Stream) -> Generator[float | None, None, Reason]:
+        failure = yield from self._connect(stream)
+        if failure:
+            return failure
+        stream.write(encode_open(self.settings.asn, self.settings.hold_time, self.settings.identifier))
+        self.state, self.hold_time = SessionState.OPEN_SENT, INITIAL_HOLD_TIME
+        try:
+            return (yield from self._serve(stream))
+        except BgpProtocolError as error:
+            log("bgp", f"sent NOTIFICATION {error.code}/{error.subcode}")
+            stream.write(encode_notification(error.code, error.subcode, error.data))
+            return (yield from self._linger(stream, Reason.NOTIFIED))
+
+    def _connect(self, stream: Stream) -> Generator[float | None, None, Reason | None]:
+        """Wait for the connection; return why there is none."""
+        self.state = SessionState.CONNECT
+        timeout_at = self.loop.now() + CONNECT_TIMEOUT
         while not stream.connected:
             if stream.eof:
                 return Reason.DIAL_REFUSED
             if self.stopped:
                 return Reason.STOPPING
-            if self.loop.now() >= until:
+            if self.loop.now() >= timeout_at:
                 return Reason.DIAL_TIMEOUT
-            yield until
-        stream.write(m.open_(self.s.asn, self.s.hold, self.s.identifier))
-        try:
-            return (yield from self._talk(stream))
-        except m.Malformed as bad:
-            log("bgp", f"sent NOTIFICATION {bad.code}/{bad.subcode}")
-            stream.write(m.notification(bad.code, bad.subcode, bad.data))
-            return (yield from self._linger(stream, Reason.NOTIFIED))
+            yield timeout_at
+        return None
 
-    def _talk(self, stream: Stream) -> Generator[float | None, None, Reason]:
-        decoder = m.Decoder()
-        opened = False
-        self.hold = OPENING
-        heard = spoke = self.loop.now()
+    def _serve(self, stream: Stream) -> Generator[float | None, None, Reason]:
+        """Serve the connection from OpenSent to its end."""
+        decoder = MessageDecoder()
+        self.last_received_at = self.last_sent_at = self.loop.now()
         while True:
             if stream.inbox:
                 for message in decoder.feed(stream.take_inbox()):
-                    heard = self.loop.now()
-                    if isinstance(message, m.Notification):
+                    self.last_received_at = self.loop.now()
+                    if isinstance(message, Notification):
                         log("bgp", f"got NOTIFICATION {message.code}/{message.subcode}")
                         return Reason.NOTIFIED
-                    if not opened:
-                        self._opened(message)
-                        opened = True
-                        stream.write(m.keepalive())
-                        spoke = heard
-                    elif isinstance(message, m.Open):
-                        raise m.Malformed(m.STATE_ERROR, 0)
-                    elif not self.up:
-                        if not isinstance(message, m.Keepalive):
-                            raise m.Malformed(m.STATE_ERROR, 0)
-                        self.up = True
-                        log("bgp", "session is up")
+                    self._on_message(stream, message)
             if stream.eof:
                 return Reason.RESET if stream.reset else Reason.PEER_CLOSED
             now = self.loop.now()
-            if self.hold and now >= heard + self.hold:
-                raise m.Malformed(m.HOLD_EXPIRED, 0)
-            self._tell(stream)
+            if self.hold_time and now >= self.last_received_at + self.hold_time:
+                raise BgpProtocolError(ErrorCode.HOLD_TIMER_EXPIRED, UNSPECIFIC)
+            self._send_update(stream)
             if self.stopped:
-                stream.write(m.notification(m.CEASE, 2))  # administrative shutdown
+                stream.write(encode_notification(ErrorCode.CEASE, ADMINISTRATIVE_SHUTDOWN))
                 return (yield from self._linger(stream, Reason.STOPPING))
-            if opened and self.hold and now >= spoke + self.hold / 3:
-                stream.write(m.keepalive())
-                spoke = now
-            due = [heard + self.hold, *([spoke + self.hold / 3] if opened else [])]
-            yield min(due) if self.hold else None
-
-    def _opened(self, message: m.Message) -> None:
-        if not isinstance(message, m.Open):
-            raise m.Malformed(m.STATE_ERROR, 0)
-        if message.asn != self.s.peer_asn:
-            raise m.Malformed(m.OPEN_ERROR, 2)
-        if message.identifier == self.s.identifier:
-            raise m.Malformed(m.OPEN_ERROR, 3)
-        self.hold = float(min(self.s.hold, message.hold))
-        self.wide = message.wide
-
-    def _tell(self, stream: Stream) -> None:
-        if not self.up or self.announced == self.ready:
+            self._send_keepalive_if_due(stream, now)
+            yield self._next_timer()
+
+    def _on_message(self, stream: Stream, message: Message) -> None:
+        """Take a message that is no NOTIFICATION: move to the next state, or raise BgpProtocolError."""
+        unexpected = BgpProtocolError(ErrorCode.FINITE_STATE_MACHINE, UNSPECIFIC)
+        if self.state is SessionState.OPEN_SENT:
+            if not isinstance(message, Open):
+                raise unexpected
+            self._accept_open(message)
+            self.state = SessionState.OPEN_CONFIRM
+            stream.write(encode_keepalive())
+            self.last_sent_at = self.last_received_at
+        elif isinstance(message, Open):
+            raise unexpected
+        elif self.state is SessionState.OPEN_CONFIRM:
+            if not isinstance(message, Keepalive):
+                raise unexpected
+            self.state = SessionState.ESTABLISHED
+            log("bgp", "session is up")
+
+    def _accept_open(self, message: Open) -> None:
+        if message.asn != self.settings.peer_asn:
+            raise BgpProtocolError(ErrorCode.OPEN_MESSAGE, OpenError.BAD_PEER_AS)
+        if message.identifier == self.settings.identifier:
+            raise BgpProtocolError(ErrorCode.OPEN_MESSAGE, OpenError.BAD_IDENTIFIER)
+        self.hold_time = float(min(self.settings.hold_time, message.hold_time))
+        self.four_octet_asn = message.four_octet_asn
+
+    def _send_update(self, stream: Stream) -> None:
+        """Announce or withdraw, if the peer has not heard of the present readiness yet."""
+        if not self.is_established or self.announced == self.ready:
             return
         self.announced = self.ready
+        settings = self.settings
         if self.ready:
-            inner = self.s.asn == self.s.peer_asn
-            stream.write(m.announce(self.s.networks, self.s.asn, self.s.next_hop, self.wide, inner))
+            internal = settings.asn == settings.peer_asn
+            stream.write(
+                encode_announcement(
+                    settings.networks, settings.asn, settings.next_hop, self.four_octet_asn, internal
+                )
+            )
         else:
-            stream.write(m.withdraw(self.s.networks))
+            stream.write(encode_withdrawal(settings.networks))
         log("bgp", "addresses announced" if self.ready else "addresses withdrawn")
 
+    @property
+    def _next_keepalive_at(self) -> float:
+        return self.last_sent_at + self.hold_time / KEEPALIVES_PER_HOLD_TIME
+
+    def _send_keepalive_if_due(self, stream: Stream, now: float) -> None:
+        opened = self.state is not SessionState.OPEN_SENT
+        if opened and self.hold_time and now >= self._next_keepalive_at:
+            stream.write(encode_keepalive())
+            self.last_sent_at = now
+
+    def _next_timer(self) -> float | None:
+        """When the hold time runs out or a keepalive is due, whichever is first; None without a hold time."""
+        if not self.hold_time:
+            return None
+        hold_expires_at = self.last_received_at + self.hold_time
+        if self.state is SessionState.OPEN_SENT:
+            return hold_expires_at
+        return min(hold_expires_at, self._next_keepalive_at)
+
     def _linger(self, stream: Stream, reason: Reason) -> Generator[float | None, None, Reason]:
-        """Guards our last message: a close with unread input would reset the connection under it."""
+        """Guard our last message: a close with unread input would reset the connection under it."""
         stream.half_close()
-        until = self.loop.now() + LINGER
+        until = self.loop.now() + LINGER_TIME
         while not stream.eof and self.loop.now() < until:
             stream.take_inbox()
             yield until
--- a/query_gateway/configuration/platform.py
+++ b/query_gateway/configuration/platform.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
-from query_gateway.bgp.session import Settings as BgpSettings
+from query_gateway.bgp.session import BgpSettings
 from query_gateway.configuration.settings_parser import SettingsError, settings_of
 from query_gateway.discovery.endpoint_list import EndpointListError, ZoneAndKindNames, changes_of
 from query_gateway.forwarder.messages import RequestClass, RequestClasses
@@ -219,8 +219,8 @@
         identifier=IPv4Address(told.identifier),
         next_hop=IPv4Address(told.next_hop),
         networks=tuple(IPv4Network(n) for n in told.networks),
-        hold=told.hold,
-        again=told.again,
+        hold_time=told.hold,
+        reconnect_delay=told.again,
     )
 
 
--- a/query_gateway/gateway.py
+++ b/query_gateway/gateway.py
@@ -11,7 +11,7 @@
 from query_gateway.admin.figures import rendered
 from query_gateway.admin.server import ROOM
 from query_gateway.admin.server import Server as OpsServer
-from query_gateway.bgp.session import Session as BgpSession
+from query_gateway.bgp.session import BgpSession
 from query_gateway.configuration.platform import (
     Configuration,
     ConfigurationError,
@@ -575,7 +575,7 @@
         if not self.forwarder.exchanges and fronts:
             if self.bgp:
                 self.bgp.stop()
-            if not self.bgp or self.bgp.quiet:
+            if not self.bgp or self.bgp.is_finished:
                 self.loop.stop()
         return False
 
--- a/tests/test_bgp.py
+++ b/tests/test_bgp.py
@@ -1,45 +1,49 @@
-"""The BGP speaker: its messages cut and garbled, and a session against a stand-in peer on loopback."""
+"""The BGP speaker: its messages cut and garbled, and a session with a peer on loopback."""
 
 import socket
 from ipaddress import IPv4Address, IPv4Network
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
 from query_gateway.bgp import messages as m
-from query_gateway.bgp.session import Session, Settings
+from query_gateway.bgp.session import BgpSession, BgpSettings
 from query_gateway.net.loop import Loop
 
-NET = (IPv4Network("10.9.0.1/32"), IPv4Network("10.8.0.0/15"))
-HOP = IPv4Address("127.0.0.1")
+NETWORKS = (IPv4Network("10.9.0.1/32"), IPv4Network("10.8.0.0/15"))
+NEXT_HOP = IPv4Address("127.0.0.1")
 VALID = (
-    m.open_(65_001, 9, HOP), m.keepalive(), m.announce(NET, 65_001, HOP, True, False), m.withdraw(NET),
-    m.notification(6, 2, b"x"),
-)  # fmt: skip
-steady = settings(derandomize=True, deadline=None, max_examples=150)
+    m.encode_open(65_001, 9, NEXT_HOP),
+    m.encode_keepalive(),
+    m.encode_announcement(NETWORKS, 65_001, NEXT_HOP, four_octet_asn=True, internal=False),
+    m.encode_withdrawal(NETWORKS),
+    m.encode_notification(6, 2, b"x"),
+)
+steady = hypothesis_settings(derandomize=True, deadline=None, max_examples=150)
 
 
 @steady
 @given(st.lists(st.sampled_from(VALID), max_size=6), st.lists(st.integers(1, 40), max_size=20))
-def test_cuts_change_nothing(parts: list[bytes], cuts: list[int]) -> None:
-    data, decoder, got = b"".join(parts), m.Decoder(), []
+def test_messages_are_decoded_however_the_bytes_are_cut(parts: list[bytes], cuts: list[int]) -> None:
+    data, decoder, messages = b"".join(parts), m.MessageDecoder(), []
     for cut in [*cuts, len(data)]:
-        got += decoder.feed(data[:cut])
+        messages += decoder.feed(data[:cut])
         data = data[cut:]
-    assert got == [message for part in parts for message in m.Decoder().feed(part)]
-    assert len(got) == len(parts)
+    assert messages == [message for part in parts for message in m.MessageDecoder().feed(part)]
+    assert len(messages) == len(parts)
 
 
 @steady
 @given(st.binary(max_size=80), st.sampled_from(VALID), st.integers(0, 200))
-def test_garbage_is_malformed_or_waits(noise: bytes, valid: bytes, at: int) -> None:
+def test_garbage_is_an_error_or_an_incomplete_message(noise: bytes, valid: bytes, at: int) -> None:
     data = valid[: at % len(valid)] + noise
-    decoder = m.Decoder()
+    decoder = m.MessageDecoder()
     try:
         decoder.feed(data)
-    except m.Malformed as bad:
-        assert 1 <= bad.code <= 3
+    except m.BgpProtocolError as error:
+        assert 1 <= error.code <= 3
     assert len(decoder.buffer) <= len(data)
 
 
@@ -58,53 +62,53 @@
         (m.MARKER + b"\x00\x18\x02\0\0\0\0\x21", (3, 10)),
     ],
 )
-def test_each_fault_has_its_notification(data: bytes, code: tuple[int, int]) -> None:
-    with pytest.raises(m.Malformed) as bad:
-        m.Decoder().feed(data)
-    assert (bad.value.code, bad.value.subcode) == code
+def test_each_malformed_message_has_its_notification(data: bytes, code: tuple[int, int]) -> None:
+    with pytest.raises(m.BgpProtocolError) as error:
+        m.MessageDecoder().feed(data)
+    assert (error.value.code, error.value.subcode) == code
 
 
 class Peer:
-    """A stand-in BGP peer, driven step by step together with the loop."""
+    """A BGP peer on a plain socket, driven step by step together with the loop."""
 
-    def __init__(self, hold: int = 9) -> None:
+    def __init__(self, hold_time: int = 9) -> None:
         self.server = socket.create_server(("127.0.0.1", 0))
         self.loop = Loop()
-        us = Settings(
+        settings = BgpSettings(
             peer=self.server.getsockname(), asn=65_001, peer_asn=65_002, identifier=IPv4Address("127.0.0.2"),
-            next_hop=HOP, networks=NET, hold=hold, again=0.01,
+            next_hop=NEXT_HOP, networks=NETWORKS, hold_time=hold_time, reconnect_delay=0.01,
         )  # fmt: skip
-        self.session = Session(self.loop, us)
+        self.session = BgpSession(self.loop, settings)
         self.accept()
 
     def accept(self) -> None:
         self.loop.turn()
         self.sock, _ = self.server.accept()
         self.sock.settimeout(0.01)
-        self.decoder = m.Decoder()
-        self.got: list[m.Message] = []
+        self.decoder = m.MessageDecoder()
+        self.received: list[m.Message] = []
 
-    def say(self, *messages: bytes) -> None:
+    def send(self, *messages: bytes) -> None:
         self.sock.sendall(b"".join(messages))
 
     def expect(self, kind: type) -> m.Message:
         """Run the loop until a message of that kind has come."""
         for _ in range(1_000):
-            for at, message in enumerate(self.got):
+            for at, message in enumerate(self.received):
                 if isinstance(message, kind):
-                    del self.got[: at + 1]
+                    del self.received[: at + 1]
                     return message
             self.loop.call_at(self.loop.now() + 0.01, lambda: None)
             self.loop.turn()
             try:
-                self.got += self.decoder.feed(self.sock.recv(4096))
+                self.received += self.decoder.feed(self.sock.recv(4096))
             except TimeoutError:
                 continue
         raise AssertionError(f"no {kind.__name__} came")
 
     def establish(self) -> None:
         assert self.expect(m.Open) == m.Open(65_001, 9, IPv4Address("127.0.0.2"), True)
-        self.say(m.open_(65_002, 9, HOP), m.keepalive())
+        self.send(m.encode_open(65_002, 9, NEXT_HOP), m.encode_keepalive())
         self.expect(m.Keepalive)
 
     def close(self) -> None:
@@ -113,29 +117,29 @@
         self.loop.close()
 
 
-def test_announces_when_ready_withdraws_at_drain_and_ceases_at_the_stop() -> None:
+def test_session_announces_when_ready_withdraws_when_draining_and_ceases_when_stopped() -> None:
     peer = Peer()
     peer.establish()
     peer.session.announce(True)
-    assert peer.expect(m.Update) == m.Update((), NET)
+    assert peer.expect(m.Update) == m.Update((), NETWORKS)
     peer.session.announce(False)
-    assert peer.expect(m.Update) == m.Update(NET, ())
+    assert peer.expect(m.Update) == m.Update(NETWORKS, ())
     peer.session.announce(True)
     peer.expect(m.Update)
     peer.session.stop()
-    assert peer.expect(m.Update) == m.Update(NET, ())
-    assert peer.expect(m.Notification) == m.Notification(m.CEASE, 2)
+    assert peer.expect(m.Update) == m.Update(NETWORKS, ())
+    assert peer.expect(m.Notification) == m.Notification(m.ErrorCode.CEASE, 2)
     peer.close()
 
 
-def test_a_session_that_breaks_is_begun_anew_and_announces_again() -> None:
+def test_a_broken_session_is_restarted_and_announces_again() -> None:
     peer = Peer()
     peer.session.announce(True)
     peer.establish()
     peer.expect(m.Update)
     peer.sock.close()
     peer.loop.turn()
-    while not peer.session.up and peer.session.announced:
+    while not peer.session.is_established and peer.session.announced:
         peer.loop.turn()
     peer.loop.call_at(peer.loop.now() + 0.05, lambda: None)
     for _ in range(5):
@@ -143,24 +147,26 @@
         peer.loop.turn()
     peer.accept()
     peer.establish()
-    assert peer.expect(m.Update) == m.Update((), NET)
+    assert peer.expect(m.Update) == m.Update((), NETWORKS)
     peer.close()
 
 
 @pytest.mark.parametrize(
-    ("said", "code"),
+    ("sent", "code"),
     [
         ([b"\0" * 19], (1, 1)),
-        ([m.keepalive()], (5, 0)),
-        ([m.open_(65_009, 9, HOP)], (2, 2)),
-        ([m.open_(65_002, 9, IPv4Address("127.0.0.2"))], (2, 3)),
-        ([m.open_(65_002, 9, HOP), m.withdraw(NET)], (5, 0)),
-        ([m.open_(65_002, 3, HOP)], (4, 0)),  # and then silence: its hold time runs out
+        ([m.encode_keepalive()], (5, 0)),
+        ([m.encode_open(65_009, 9, NEXT_HOP)], (2, 2)),
+        ([m.encode_open(65_002, 9, IPv4Address("127.0.0.2"))], (2, 3)),
+        ([m.encode_open(65_002, 9, NEXT_HOP), m.encode_withdrawal(NETWORKS)], (5, 0)),
+        ([m.encode_open(65_002, 3, NEXT_HOP)], (4, 0)),  # and then silence: its hold time runs out
     ],
 )
-def test_a_peer_that_errs_gets_the_right_notification(said: list[bytes], code: tuple[int, int]) -> None:
+def test_a_protocol_error_of_the_peer_is_answered_with_its_notification(
+    sent: list[bytes], code: tuple[int, int]
+) -> None:
     peer = Peer()
-    peer.say(*said)
-    got = peer.expect(m.Notification)
-    assert isinstance(got, m.Notification) and (got.code, got.subcode) == code
+    peer.send(*sent)
+    answer = peer.expect(m.Notification)
+    assert isinstance(answer, m.Notification) and (answer.code, answer.subcode) == code
     peer.close()
