Split the endpoint list into decoding, sequence checks and tombstones; type its events

Cause: events crossed modules as bare tuples, anomalies as strings, and one client method polled, timed out and read the answer. Change: EndpointListEvent and EndpointListAnswer are frozen dataclasses, SequenceAnomaly an enum; the watch client has a method a step and constants with units; the configuration keeps the list that it has decoded. The requests sent stay. Result: tests of crossings, web, bad input and layers pass.

--- a/query_gateway/configuration/platform.py
+++ b/query_gateway/configuration/platform.py
@@ -11,7 +11,12 @@
 
 from query_gateway.bgp.session import BgpSettings
 from query_gateway.configuration.settings_parser import SettingsError, settings_of
-from query_gateway.discovery.endpoint_list import EndpointListError, ZoneAndKindNames, changes_of
+from query_gateway.discovery.endpoint_list import (
+    EndpointListAnswer,
+    EndpointListError,
+    ZoneAndKindNames,
+    parse_answer,
+)
 from query_gateway.forwarder.messages import RequestClass, RequestClasses
 from query_gateway.model.settings import Idempotency, Settings
 from query_gateway.net.stream import address_of
@@ -37,7 +42,7 @@
     seed: int
     max_descriptors: int
     discovery_address: str
-    initial_endpoints: Any
+    initial_endpoints: EndpointListAnswer
     settings: Settings
     zones_and_kinds: ZoneAndKindNames
     classes: RequestClasses
@@ -152,7 +157,7 @@
         site_limits = settings_raw.get("limits", {})
         zones, kinds = settings_raw.get("zones", []), settings_raw.get("flavors", [])
         names = ZoneAndKindNames([str(z) for z in zones], [str(k) for k in kinds])
-        changes_of(raw["known"], names)
+        initial_endpoints = parse_answer(raw["known"], names)
         address_of(str(raw["journal"]))
         config = Configuration(
             name=str(raw.get("name") or environ.get("ROUTER_NAME", "gateway")),
@@ -161,7 +166,7 @@
             seed=int(str(raw.get("seed", "0")), 16) % 2**63,
             max_descriptors=int(limits.get("sockets", 1024)),
             discovery_address=str(raw["journal"]),
-            initial_endpoints=raw["known"],
+            initial_endpoints=initial_endpoints,
             settings=settings,
             zones_and_kinds=names,
             classes={
--- a/query_gateway/discovery/watch_client.py
+++ b/query_gateway/discovery/watch_client.py
@@ -1,4 +1,4 @@
-"""The journal's client: asks for what comes after the last event held, again and again."""
+"""The client of the discovery service: long polls for the events behind the last position, for ever."""
 
 import json
 from collections.abc import Callable, Generator
@@ -11,130 +11,189 @@
 from query_gateway.net.loop import Loop
 from query_gateway.net.stream import Reason, Stream, address_of
 
-WAIT_MS = 2_000  # how long a call may be held: short, so that a journal that went silent is soon noticed
-LATE = 0.8  # seconds past that after which the connection counts as dead
-DIAL = 0.5
-AGAIN = (0.1, 0.2)  # seconds before a new connection, at first and at most, by half less or more: many
-# gateways whose watches break in one moment shall not come back in one
-HURRY = 0.8  # seconds for the answer to a call that is not to be held
-ANSWER = 4_194_304  # bytes of one answer
+POLL_HOLD_MS = 2_000  # how long the service may hold a poll: short, so that one that is dead is soon noticed
+SHORT_POLL_HOLD_MS = 1  # and until the first answer, where somebody waits for it
+ANSWER_GRACE_SECONDS = 0.8  # past the hold, after which the connection counts as dead
+SHORT_POLL_TIMEOUT_SECONDS = 0.8
+CONNECT_TIMEOUT_SECONDS = 0.5
+# Before a new connection, half less or more at random: gateways whose watches break together shall not come
+# back together
+MIN_BACKOFF_SECONDS = 0.1
+MAX_BACKOFF_SECONDS = 0.2
+MAX_ANSWER_BYTES = 4_194_304
 
 
 class EndpointWatchClient:
-    """`take` gets each answer's JSON, and whether it tells the event that we hold last once more; it returns
-    the last position held.
+    """Polls the discovery service, over one connection at a time, until `stop`.
+
+    Owns that connection and the task that serves it.
     """
 
-    def __init__(
+    def __init__(  # noqa: PLR0913 - the parts that it joins; no two of them belong together
         self,
         loop: Loop,
         address: str,
         position: int,
-        take: Callable[[Any, bool], int],
-        caught_up: Callable[[], None] | None = None,
+        on_update: Callable[[Any, bool], int],
+        *,
+        on_caught_up: Callable[[], None] | None = None,
         seed: int = 0,
     ) -> None:
-        """With `caught_up` the first calls are not held, until one is answered."""
-        self.loop, self.address, self.position, self.on_update = loop, address, position, take
-        self.on_caught_up = caught_up
-        self.stopped = self.moved = False
-        self.heard = self.lost = False  # an answer came; and its connection broke since
-        self.random, self.again = Random(seed), AGAIN[0]
+        """Begin to poll for the events behind `position`.
+
+        `on_update` gets the JSON of each answer, and whether the event at our position was polled for once
+        more; it returns the position to poll from next, and may raise anything at what it cannot read.
+        `on_caught_up` is called once, after the first answer; until then polls are not held.
+        """
+        self.loop, self.address, self.position, self.on_update = loop, address, position, on_update
+        self.on_caught_up = on_caught_up
+        self._stopped = self._address_changed = False
+        self._answered = False  # at least once
+        self._connection_lost = False  # since the last answer
+        self._random, self._backoff = Random(seed), MIN_BACKOFF_SECONDS
         self.task = loop.spawn(self._run())
 
     def stop(self) -> None:
-        self.stopped = True
+        """End the connection and poll no more."""
+        self._stopped = True
         self.task.wake()
 
     def set_address(self, address: str) -> None:
-        """Ask elsewhere from now on; the numbers of the events go on."""
+        """Poll another address from now on; the positions go on."""
         if address != self.address:
-            self.address, self.moved = address, True
+            self.address, self._address_changed = address, True
             self.task.wake()
 
     def _run(self) -> Generator[float | None, None, None]:
-        while not self.stopped:
-            self.moved = False
+        while not self._stopped:
+            self._address_changed = False
             try:
                 stream = Stream.dial(
-                    self.loop, address_of(self.address), f"journal {self.address}", lambda: self.task.wake()
+                    self.loop,
+                    address_of(self.address),
+                    f"discovery {self.address}",
+                    lambda: self.task.wake(),
                 )
-            except OSError as bad:  # out of descriptors
-                log("journal", f"cannot dial: {bad.strerror}")
+            except OSError as error:  # out of descriptors
+                log("discovery", f"cannot dial: {error.strerror}")
             else:
-                reason = yield from self._talk(stream)
+                reason = yield from self._serve(stream)
                 stream.close(reason)
-                self.lost = self.heard and reason is not Reason.DONE
-            until = self.loop.now() + self.again * (0.5 + self.random.random())
-            self.again = min(2 * self.again, AGAIN[1])
-            while not self.stopped and not self.moved and self.loop.now() < until:
-                yield until
-
-    def _talk(self, stream: Stream) -> Generator[float | None, None, Reason]:
-        until = self.loop.now() + DIAL
+                self._connection_lost = self._answered and reason is not Reason.DONE
+            reconnect_at = self.loop.now() + self._backoff * (0.5 + self._random.random())
+            self._backoff = min(2 * self._backoff, MAX_BACKOFF_SECONDS)
+            while not self._interruption() and self.loop.now() < reconnect_at:
+                yield reconnect_at
+
+    def _interruption(self) -> Reason | None:
+        """Why the present connection is not wanted any longer, if so."""
+        if self._stopped:
+            return Reason.STOPPING
+        return Reason.REPLACED if self._address_changed else None
+
+    def _serve(self, stream: Stream) -> Generator[float | None, None, Reason]:
+        """Poll over one connection; return why it ends."""
+        failure = yield from self._connect(stream)
+        if failure:
+            return failure
+        connection = h11.Connection(h11.CLIENT)
+        while True:
+            failure = yield from self._poll(stream, connection)
+            if failure:
+                return failure
+            if connection.our_state is not h11.DONE or connection.their_state is not h11.DONE:
+                return Reason.DONE
+            connection.start_next_cycle()
+
+    def _connect(self, stream: Stream) -> Generator[float | None, None, Reason | None]:
+        timeout_at = self.loop.now() + CONNECT_TIMEOUT_SECONDS
         while not stream.connected:
             if stream.eof:
                 return Reason.DIAL_REFUSED
-            if self.stopped or self.moved:
-                return Reason.STOPPING if self.stopped else Reason.REPLACED
-            if self.loop.now() >= until:
+            if interruption := self._interruption():
+                return interruption
+            if self.loop.now() >= timeout_at:
                 return Reason.DIAL_TIMEOUT
-            yield until
-        http = h11.Connection(h11.CLIENT)
-        while True:
-            wait = 1 if self.on_caught_up else WAIT_MS
-            held, asked_at = self.position, self.loop.now()
-            # Guards against a service that began anew and has passed our number: it shows by that event
-            again = self.lost and held > 0
-            path = f"/journal?tail={held - again}&max_wait={wait}"
-            ask = h11.Request(method="GET", target=path, headers=[("Host", self.address)])
-            stream.write((http.send(ask) or b"") + (http.send(h11.EndOfMessage()) or b""))
-            try:
-                body = yield from self._answer(stream, http)
-                if isinstance(body, Reason):
-                    return body
-                self.position = self.on_update(json.loads(body), again)
-                self.heard, self.lost = True, False
-                caught_up, self.on_caught_up = self.on_caught_up, None
-                if caught_up:
-                    caught_up()
-            except Exception as bad:  # guards the feed: no answer, however odd, may end it for good
-                log("journal", f"unusable answer: {bad!r}")
-                return Reason.MALFORMED_RESPONSE
-            idle = self.position == held and not caught_up and not again
-            if self.position < held or (idle and self.loop.now() < asked_at + AGAIN[0]):
-                return Reason.RESYNC  # guards the service, and us, against asking without a rest
-            self.again = AGAIN[0]
-            if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
-                return Reason.DONE
-            http.start_next_cycle()
+            yield timeout_at
+        return None
+
+    def _poll(
+        self, stream: Stream, connection: h11.Connection
+    ) -> Generator[float | None, None, Reason | None]:
+        """Poll once; return why the connection must end, or None."""
+        position, polled_at = self.position, self.loop.now()
+        # Guards against a service that restarted its numbering and has passed our position: the event there
+        # is polled for once more, and differs
+        verifies = self._connection_lost and position > 0
+        self._send_poll(stream, connection, position - 1 if verifies else position)
+        try:
+            body = yield from self._read_answer(stream, connection)
+            if isinstance(body, Reason):
+                return body
+            self.position = self.on_update(json.loads(body), verifies)
+            self._answered, self._connection_lost = True, False
+            is_first = self._notify_caught_up()
+        except Exception as error:  # guards the watch: no answer, however odd, may end it for good
+            log("discovery", f"invalid answer: {error!r}")
+            return Reason.MALFORMED_RESPONSE
+        is_idle = self.position == position and not is_first and not verifies
+        is_early = self.loop.now() < polled_at + MIN_BACKOFF_SECONDS
+        if self.position < position or (is_idle and is_early):
+            return Reason.RESYNC  # guards the service, and us, against polls without a pause
+        self._backoff = MIN_BACKOFF_SECONDS
+        return None
+
+    def _notify_caught_up(self) -> bool:
+        """Call `on_caught_up` after the first answer; whether this was it."""
+        callback, self.on_caught_up = self.on_caught_up, None
+        if callback:
+            callback()
+        return callback is not None
+
+    def _send_poll(self, stream: Stream, connection: h11.Connection, position: int) -> None:
+        hold_ms = SHORT_POLL_HOLD_MS if self.on_caught_up else POLL_HOLD_MS
+        target = f"/journal?tail={position}&max_wait={hold_ms}"
+        request = h11.Request(method="GET", target=target, headers=[("Host", self.address)])
+        stream.write((connection.send(request) or b"") + (connection.send(h11.EndOfMessage()) or b""))
 
-    def _answer(self, stream: Stream, http: h11.Connection) -> Generator[float | None, None, Reason | bytes]:
-        until = self.loop.now() + (HURRY if self.on_caught_up else WAIT_MS / 1000 + LATE)
+    def _read_answer(
+        self, stream: Stream, connection: h11.Connection
+    ) -> Generator[float | None, None, Reason | bytes]:
+        """Read the body of an answer; return why the connection must end if there is none."""
+        held_for = POLL_HOLD_MS / 1000 + ANSWER_GRACE_SECONDS
+        timeout_at = self.loop.now() + (SHORT_POLL_TIMEOUT_SECONDS if self.on_caught_up else held_for)
         body = bytearray()
         status = 0
         while True:
-            event = http.next_event()
-            if event is h11.NEED_DATA:
-                if stream.inbox:
-                    http.receive_data(stream.take_inbox())
-                elif stream.eof:
-                    return Reason.RESET if stream.reset else Reason.PEER_CLOSED
-                elif self.stopped or self.moved:
-                    return Reason.STOPPING if self.stopped else Reason.REPLACED
-                elif self.loop.now() >= until:
-                    return Reason.UNRESPONSIVE
-                else:
-                    yield until
-            elif isinstance(event, h11.Response):
+            event = yield from self._next_event(stream, connection, timeout_at)
+            if isinstance(event, Reason):
+                return event
+            if isinstance(event, h11.Response):
                 status = event.status_code
             elif isinstance(event, h11.Data):
                 body += event.data
-                if len(body) > ANSWER:
+                if len(body) > MAX_ANSWER_BYTES:
                     return Reason.MALFORMED_RESPONSE
             elif isinstance(event, h11.EndOfMessage):
-                if status != 200:
-                    return Reason.MALFORMED_RESPONSE
-                return bytes(body)
+                return bytes(body) if status == 200 else Reason.MALFORMED_RESPONSE
             else:
                 return Reason.PEER_CLOSED
+
+    def _next_event(
+        self, stream: Stream, connection: h11.Connection, timeout_at: float
+    ) -> Generator[float | None, None, Any]:
+        """Wait for the next h11 event; return a Reason if none can come any more."""
+        while True:
+            event = connection.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            if stream.inbox:
+                connection.receive_data(stream.take_inbox())
+            elif stream.eof:
+                return Reason.RESET if stream.reset else Reason.PEER_CLOSED
+            elif interruption := self._interruption():
+                return interruption
+            elif self.loop.now() >= timeout_at:
+                return Reason.UNRESPONSIVE
+            else:
+                yield timeout_at
--- a/query_gateway/gateway.py
+++ b/query_gateway/gateway.py
@@ -21,13 +21,9 @@
     read_operator,
     safe_classes,
 )
-from query_gateway.discovery.endpoint_list import (
-    EndpointListError,
-    EndpointListEvent,
-    EndpointTombstones,
-    changes_of,
-    follow,
-)
+from query_gateway.discovery.endpoint_list import EndpointListError, EndpointListEvent, parse_answer
+from query_gateway.discovery.reconciliation import SequenceAnomaly, reconcile
+from query_gateway.discovery.tombstones import EndpointTombstones
 from query_gateway.discovery.watch_client import EndpointWatchClient
 from query_gateway.engine_protocol.client import ConnectionPool
 from query_gateway.forwarder.class_numbers import laid_out, numbered
@@ -134,12 +130,14 @@
             self.planner = Planner(settings, config.seed, time.time_ns, self.alarm)
             self.forwarder.add_planner(self.planner.notify, True)
             loop.turn_hooks.append(self.turn)
-        last, changes = changes_of(config.initial_endpoints, config.zones_and_kinds)
-        news = follow(0, last, changes)
+        answer = config.initial_endpoints
+        news = reconcile(0, answer)
         self.ends = EndpointTombstones()
         self.ends.record(news.endpoints, news.is_snapshot, {})
         self.forwarder.update_endpoints(news.endpoints, news.is_snapshot)
-        self._hold(last, changes)  # as the configuration says: the service is asked for what comes after
+        self._hold(
+            answer.position, answer.events
+        )  # as the configuration says: the service is asked for what comes after
         # Engines, the journal and the loop keep a part of the descriptors; a second front halves the rest
         sockets = config.max_descriptors // max(1, operator.forwarder_count)
         clients = sockets - min(sockets // 2, max(64, sockets // 4)) - (ROOM if config.admin_address else 0)
@@ -154,7 +152,12 @@
         self.http_server = Server(loop, self.forwarder, *web)
         caught_up = self._begin if legacy else None
         self.watch_client = EndpointWatchClient(
-            loop, config.discovery_address, self.position, self.take_list, caught_up, config.seed
+            loop,
+            config.discovery_address,
+            self.position,
+            self.take_list,
+            on_caught_up=caught_up,
+            seed=config.seed,
         )
         self.flight_server = (
             self._flight(operator, most, shared, given.get("flight")) if operator.flight_address else None
@@ -241,24 +244,25 @@
     def take_list(self, raw: Any, again: bool = False) -> int:
         """An answer of the journal; `again`: to a call for the event that we hold last, and what follows."""
         try:
-            last, changes = changes_of(raw, self.config.zones_and_kinds)
+            answer = parse_answer(raw, self.config.zones_and_kinds)
         except EndpointListError as bad:
             raise ValueError(str(bad)) from None
-        news = follow(self.position, last, changes, self.newest if again else None)
-        self.anew |= news.anomaly == "began-anew"
+        news = reconcile(self.position, answer, self.newest if again else None)
+        self.anew |= news.anomaly is SequenceAnomaly.RESET
         targets = self.ends.apply(news.endpoints) if self.anew else news.endpoints
         if news.is_snapshot or targets:
             self.ends.record(targets, news.is_snapshot, self.forwarder.endpoints)
             self.forwarder.update_endpoints(targets, news.is_snapshot)
         self.anew &= not news.is_snapshot
         if news.anomaly:
-            log("journal", f"{news.anomaly}: held {self.position}, told to {last}; held now {news.position}")
-        self._hold(news.position, changes)
+            positions = f"position {self.position}, answer to {answer.position}; position now {news.position}"
+            log("discovery", f"{news.anomaly.value}: {positions}")
+        self._hold(news.position, answer.events)
         return self.position
 
-    def _hold(self, position: int, changes: list[EndpointListEvent]) -> None:
+    def _hold(self, position: int, events: tuple[EndpointListEvent, ...]) -> None:
         self.position = position
-        self.newest = next((c for c in reversed(changes) if c[0] == position), self.newest)
+        self.newest = next((e for e in reversed(events) if e.position == position), self.newest)
 
     def turn(self) -> bool:
         """Let the planner decide on what has come; True if there is more at once."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -26,8 +26,10 @@
 from hypothesis import strategies as st
 
 from query_gateway.configuration.platform import OperatorSettings, operator_of
-from query_gateway.discovery.endpoint_list import EndpointListEvent, EndpointTombstones, follow
-from query_gateway.discovery.watch_client import AGAIN
+from query_gateway.discovery.endpoint_list import EndpointListAnswer, EndpointListEvent
+from query_gateway.discovery.reconciliation import reconcile
+from query_gateway.discovery.tombstones import EndpointTombstones
+from query_gateway.discovery.watch_client import MIN_BACKOFF_SECONDS
 from query_gateway.flight import messages
 from query_gateway.flight.engines import Link
 from query_gateway.flight.server import SERVICE
@@ -1069,7 +1071,9 @@
     gate.loop.close()
     assert (len(one.statements), len(two.statements), gate.loop.faults) == (0, 1, 0)
     said = capfd.readouterr().err
-    assert all(f"journal {reason}: " in said for reason in ("began-anew", "skipped", "repeated"))
+    assert all(
+        f"discovery {anomaly}: " in said for anomaly in ("sequence-reset", "sequence-gap", "duplicate")
+    )
     assert said.count(" resync\n") >= 3
     journal.close()
     for engine in (one, two):
@@ -1096,7 +1100,7 @@
     gate.loop.stop()
     thread.join(10)
     gate.loop.close()
-    assert capfd.readouterr().err.count("journal began-anew: ") == 1
+    assert capfd.readouterr().err.count("discovery sequence-reset: ") == 1
     journal.close()
     for engine in (one, two):
         engine.close()
@@ -1166,8 +1170,8 @@
 def test_a_drain_told_while_the_watch_is_dead_is_heeded_with_the_next(
     how: str, monkeypatch: pytest.MonkeyPatch, capfd: Any
 ) -> None:
-    monkeypatch.setattr("query_gateway.discovery.watch_client.WAIT_MS", 100)
-    monkeypatch.setattr("query_gateway.discovery.watch_client.LATE", 0.1)
+    monkeypatch.setattr("query_gateway.discovery.watch_client.POLL_HOLD_MS", 100)
+    monkeypatch.setattr("query_gateway.discovery.watch_client.ANSWER_GRACE_SECONDS", 0.1)
     journal, engine = JournalStandIn(), Engine()
     gate = Gateway(config([host(engine)], journal=journal.address), OperatorSettings(), signals=False)
     thread = threading.Thread(target=gate.loop.run, daemon=True)
@@ -1186,7 +1190,7 @@
     thread.join(10)
     gate.loop.close()
     code = "unresponsive" if how == "silent" else "peer-closed"
-    assert f"end journal {journal.address} {code}" in capfd.readouterr().err
+    assert f"end discovery {journal.address} {code}" in capfd.readouterr().err
     dead.close()
     journal.close()
     engine.close()
@@ -1197,11 +1201,14 @@
     back: list[float] = []
     for seed in range(20):
         gate = Gateway(config([], seed=f"{seed:x}"), OperatorSettings(), signals=False)
-        while not (timer := gate.watch_client.task.timer) or timer.due_at - gate.loop.now() > 2 * AGAIN[0]:
+        while (
+            not (timer := gate.watch_client.task.timer)
+            or timer.due_at - gate.loop.now() > 2 * MIN_BACKOFF_SECONDS
+        ):
             gate.loop.turn()  # until the dial is refused and the rest before the next has begun
         back.append(timer.due_at - gate.loop.now())
         gate.loop.close()
-    assert max(back) - min(back) > AGAIN[0] / 2 and max(back) <= 1.5 * AGAIN[0]
+    assert max(back) - min(back) > MIN_BACKOFF_SECONDS / 2 and max(back) <= 1.5 * MIN_BACKOFF_SECONDS
 
 
 EVENTS = 12
@@ -1211,11 +1218,12 @@
 def _event(number: int) -> EndpointListEvent:
     """Each event starts one engine and drains an earlier one; the first holds the whole list."""
     names = [(number, EndpointState.UP)] + [(number // 2, EndpointState.DRAINING)] * (number > 1)
-    return number, number == 1, [Endpoint(EndpointInfo(str(n), s, 0, 0, 0, 0, 1.0), {}) for n, s in names]
+    endpoints = [Endpoint(EndpointInfo(str(n), s, 0, 0, 0, 0, 1.0), {}) for n, s in names]
+    return EndpointListEvent(number, number == 1, tuple(endpoints))
 
 
 def _list_at(last: int) -> dict[str, EndpointState]:
-    return {t.info.name: t.info.state for n in range(1, last + 1) for t in _event(n)[2]}
+    return {t.info.name: t.info.state for n in range(1, last + 1) for t in _event(n).endpoints}
 
 
 @steady
@@ -1227,7 +1235,7 @@
 
     def take(last: int, events: list[EndpointListEvent]) -> None:
         nonlocal held, known
-        news = follow(held, last, events)
+        news = reconcile(held, EndpointListAnswer(last, tuple(events)))
         known = {} if news.is_snapshot else known
         known |= {t.info.name: t.info.state for t in news.endpoints}
         held = news.position
