Split the configuration into the platform's file, the operator's file and the flattening

Cause: one module read both files, and its short function names did not say which; MOTHKNOT_OPERATOR still bore the project's name. Change: platform.py, operator_file.py and settings_flattening.py with names that say what is read, parsed or checked; the keys of both files stand once, as aliases of the schema or where they are decoded. The variable QUERY_GATEWAY_OPERATOR_FILE names the operator's file; MOTHKNOT_OPERATOR is still read, with one log line that says which name to use.

--- a/bench/statements.py
+++ b/bench/statements.py
@@ -351,7 +351,10 @@
     keys = '[[statements.keys]]\ntable = "lending_*.loans"\ncolumn = "member"\n'
     table = f"[statements]\n{more}{keys}" if on else ""
     (folder / "operator.toml").write_text(f'[flight]\nlisten = "127.0.0.1:{flight}"\n{table}')
-    files = {"ROUTER_CONFIG": str(folder / "config.json"), "MOTHKNOT_OPERATOR": str(folder / "operator.toml")}
+    files = {
+        "ROUTER_CONFIG": str(folder / "config.json"),
+        "QUERY_GATEWAY_OPERATOR_FILE": str(folder / "operator.toml"),
+    }
     gate = subprocess.Popen(
         [sys.executable, "-m", "query_gateway"],
         env={**os.environ, **files},
--- a/query_gateway/__main__.py
+++ b/query_gateway/__main__.py
@@ -8,7 +8,8 @@
 if __name__ == "__main__":  # guards the start against a SIGHUP, which would end it; nothing is read yet
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
-from query_gateway.configuration.platform import ConfigurationError, read, read_operator
+from query_gateway.configuration.operator_file import read_operator_settings
+from query_gateway.configuration.platform import ConfigurationError, read_configuration
 from query_gateway.gateway import Gateway, settings_for
 from query_gateway.lifecycle.hot_upgrade import meet, occupied, occupy, path_of
 
@@ -17,8 +18,8 @@
     """Run this process's part: all of it, or what the parent of several processes named."""
     hangups: list[int] = []  # come while we start: what is read by then may be old already
     signal.signal(signal.SIGHUP, lambda *_: hangups.append(1))
-    config = read(os.environ)
-    operator = read_operator(os.environ, config)
+    config = read_configuration(os.environ)
+    operator = read_operator_settings(os.environ, config)
     kind, _, number = part.partition(" ")
     if operator.planner_addresses and not part:
         from query_gateway.planner.supervisor import Supervisor
--- a/query_gateway/cli.py
+++ b/query_gateway/cli.py
@@ -13,12 +13,11 @@
 
 import click
 
+from query_gateway.configuration.operator_file import find_operator_faults, load_operator_file
 from query_gateway.configuration.platform import (
     ConfigurationError,
-    config_of,
-    faults_of_operator,
-    raw_of,
-    raw_of_operator,
+    load_configuration_file,
+    parse_configuration,
 )
 
 if TYPE_CHECKING:
@@ -42,7 +41,7 @@
 
 @main.command()
 @click.option("--config", type=click.Path(dir_okay=False), help="In place of ROUTER_CONFIG.")
-@click.option("--operator", type=click.Path(dir_okay=False), help="In place of MOTHKNOT_OPERATOR.")
+@click.option("--operator", type=click.Path(dir_okay=False), help="In place of QUERY_GATEWAY_OPERATOR_FILE.")
 def run(config: str | None, operator: str | None) -> None:
     """Start a gateway."""
     from query_gateway.__main__ import serve
@@ -50,7 +49,7 @@
     if config:
         os.environ["ROUTER_CONFIG"] = config
     if operator:
-        os.environ["MOTHKNOT_OPERATOR"] = operator
+        os.environ["QUERY_GATEWAY_OPERATOR_FILE"] = operator
     serve()
 
 
@@ -69,7 +68,7 @@
         faults += [f"{file}: {fault}" for fault in told]
     for file in toml:
         try:
-            faults += [f"{file}: {fault}" for fault in faults_of_operator(raw_of_operator(file), config)]
+            faults += [f"{file}: {fault}" for fault in find_operator_faults(load_operator_file(file), config)]
         except ConfigurationError as bad:
             faults.append(str(bad))
     for fault in faults:
@@ -80,14 +79,14 @@
 
 
 def _check_config(file: str) -> tuple[Any, list[str]]:
-    from query_gateway.configuration.schema import faults_of_configuration
+    from query_gateway.configuration.schema import find_configuration_faults
 
     try:
-        raw = raw_of(file)
-        faults = faults_of_configuration(raw)
+        raw = load_configuration_file(file)
+        faults = find_configuration_faults(raw)
         if faults:
             return None, faults
-        return config_of(raw, {}), []
+        return parse_configuration(raw, {}), []
     except ConfigurationError as bad:
         return None, [str(bad).removeprefix(f"{file}: ")]
 
@@ -105,16 +104,16 @@
 
     A line may also hold "class" and "key" as a client names them, and "params" with the values bound.
     """
-    from query_gateway.configuration.platform import reading_of
+    from query_gateway.configuration.operator_file import parse_statement_settings
     from query_gateway.net.loop import Loop
     from query_gateway.parsing.service import Statements
 
     try:
-        raw = raw_of_operator(rules)
-        faults = faults_of_operator(raw, None)
+        raw = load_operator_file(rules)
+        faults = find_operator_faults(raw, None)
         if faults:
             raise ConfigurationError(f"{rules}: {faults[0]}")
-        reading = reading_of(raw)
+        reading = parse_statement_settings(raw)
         if reading is None:
             raise ConfigurationError(f"{rules}: has no table [statements]")
     except ConfigurationError as bad:
--- /dev/null
+++ b/query_gateway/configuration/operator_file.py
@@ -0,0 +1,189 @@
+"""The operator's file: what it turns on beside the platform's own, and its faults.
+
+The file is TOML; its form is checked by `schema`, which is loaded only where such a file is named.
+"""
+
+import tomllib
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from ipaddress import IPv4Address, IPv4Network
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from query_gateway.bgp.session import BgpSettings
+from query_gateway.configuration.platform import Configuration, ConfigurationError, idempotent_classes
+from query_gateway.net.log import log
+from query_gateway.net.stream import address_of
+
+if TYPE_CHECKING:
+    from query_gateway.configuration import schema
+    from query_gateway.statements.messages import Rules
+
+OPERATOR_FILE_VARIABLE = "QUERY_GATEWAY_OPERATOR_FILE"
+DEPRECATED_OPERATOR_FILE_VARIABLE = "MOTHKNOT_OPERATOR"
+
+
+@dataclass(slots=True, frozen=True)
+class StatementSettings:
+    """How statements are classified: the rules, and what their parsing takes."""
+
+    rules: "Rules"
+    covers_http: bool = False  # the platform's front, too, rejects writes under an idempotent class
+    max_shapes: int = 10_000
+    parser_count: int = 2
+    snapshot_path: str = ""  # empty: learned costs are not kept
+
+
+@dataclass(slots=True, frozen=True)
+class OperatorSettings:
+    """What an operator's file turns on; the defaults are the platform's, with all of it off."""
+
+    flight_address: tuple[str, int] | None = None
+    query_class: str = "lookup"
+    update_class: str = "load"
+    bgp: BgpSettings | None = None
+    planner_addresses: tuple[tuple[str, int], ...] = ()  # of planners that are processes of their own
+    forwarder_count: int = 1
+    statements: StatementSettings | None = None
+
+
+def _decode_bgp(table: "schema.Bgp") -> BgpSettings:
+    return BgpSettings(
+        peer=address_of(table.peer),
+        asn=table.asn,
+        peer_asn=table.peer_asn,
+        identifier=IPv4Address(table.identifier),
+        next_hop=IPv4Address(table.next_hop),
+        networks=tuple(IPv4Network(network) for network in table.networks),
+        hold_time=table.hold_time,
+        reconnect_delay=table.reconnect_delay,
+    )
+
+
+def _decode_statements(table: "schema.Statements") -> StatementSettings:
+    from query_gateway.statements.messages import KeyRule, Rules
+
+    rules = Rules(
+        dialect=table.dialect,
+        lookup=table.lookup,
+        report=table.report,
+        load=table.load or None,
+        aggregates=table.reports.aggregates,
+        windows=table.reports.windows,
+        joins=table.reports.joins,
+        unselective=table.reports.unselective,
+        sort_rows=table.reports.sort_rows,
+        pure=tuple(table.pure_functions),
+        mismatch=table.mismatch,
+        most_length=table.max_length,
+        keys=tuple(KeyRule(key.table, key.column, key.type) for key in table.keys),
+    )
+    return StatementSettings(
+        rules,
+        covers_http=table.covers_http,
+        max_shapes=table.max_shapes,
+        parser_count=table.parser_count,
+        snapshot_path=table.snapshot_path,
+    )
+
+
+def parse_statement_settings(raw: Any) -> StatementSettings | None:
+    """Decode the table `statements` of an operator's file that has no faults, if it has that table."""
+    from query_gateway.configuration import schema
+
+    table = schema.OperatorFile.model_validate(raw).statements
+    return _decode_statements(table) if table else None
+
+
+def find_operator_faults(raw: Any, configuration: Configuration | None) -> list[str]:
+    """Every fault of an operator's file: those of its form, or else what contradicts the configuration."""
+    from query_gateway.configuration import schema
+
+    faults = schema.find_operator_faults(raw)
+    if faults or configuration is None:
+        return faults
+    return list(_contradictions(schema.OperatorFile.model_validate(raw), configuration))
+
+
+def _contradictions(file: "schema.OperatorFile", configuration: Configuration) -> Iterator[str]:
+    if file.statements and not file.flight and not file.statements.covers_http:
+        yield "statements: no front reads statements: it needs [flight], or web = true"
+    if file.flight:
+        yield from _class_faults("flight.query_class", file.flight.query_class, configuration)
+        yield from _class_faults("flight.update_class", file.flight.update_class, configuration)
+    if file.statements:
+        yield from _statement_class_faults(file.statements, configuration)
+    if configuration.admin_address and file.processes and file.processes.forwarders > 1:
+        yield "processes.forwarders: the second address needs one forwarder: figures are not added up"
+
+
+def _class_faults(location: str, name: str, configuration: Configuration) -> Iterator[str]:
+    if name not in configuration.classes:
+        yield f"{location}: names class {name!r}, which the settings lack"
+
+
+def _statement_class_faults(table: "schema.Statements", configuration: Configuration) -> Iterator[str]:
+    """Reads need classes whose requests may run twice, and writes one whose requests may not."""
+    for key, name in (("lookup", table.lookup), ("report", table.report), ("load", table.load)):
+        if not name:  # no class for writes: they are rejected
+            continue
+        location = f"statements.{key}"
+        if name not in configuration.classes:
+            yield from _class_faults(location, name, configuration)
+            continue
+        is_idempotent = name in idempotent_classes(configuration)
+        if is_idempotent is (key == "load"):
+            verb = "may" if is_idempotent else "may not"
+            yield f"{location}: names class {name!r}, whose requests {verb} run twice"
+
+
+def parse_operator_settings(raw: Any, configuration: Configuration) -> OperatorSettings:
+    """Check and decode the TOML of an operator's file; raises ConfigurationError with its first fault."""
+    from query_gateway.configuration import schema
+
+    faults = find_operator_faults(raw, configuration)
+    if faults:
+        more = f" (and {len(faults) - 1} more: see `query-gateway check`)" if len(faults) > 1 else ""
+        raise ConfigurationError(f"the operator's file: {faults[0]}{more}")
+    file = schema.OperatorFile.model_validate(raw)
+    flight, processes = file.flight, file.processes
+    return OperatorSettings(
+        flight_address=address_of(flight.listen) if flight else None,
+        query_class=flight.query_class if flight else "lookup",
+        update_class=flight.update_class if flight else "load",
+        bgp=_decode_bgp(file.bgp) if file.bgp else None,
+        planner_addresses=tuple(address_of(text) for text in processes.planners) if processes else (),
+        forwarder_count=processes.forwarders if processes else 1,
+        statements=_decode_statements(file.statements) if file.statements else None,
+    )
+
+
+def load_operator_file(path: str) -> Any:
+    """Return the TOML of a file, not yet checked; raises ConfigurationError if it cannot be read."""
+    try:
+        return tomllib.loads(Path(path).read_text())
+    except OSError as error:
+        raise ConfigurationError(f"{path}: {error.strerror}") from None
+    except ValueError as error:
+        raise ConfigurationError(f"{path} is not TOML ({error})") from None
+
+
+def _operator_file_path(environ: Mapping[str, str]) -> str | None:
+    """The file that is named; under the deprecated name only where the present one names none."""
+    if path := environ.get(OPERATOR_FILE_VARIABLE):
+        return path
+    path = environ.get(DEPRECATED_OPERATOR_FILE_VARIABLE)
+    if path:
+        log(
+            "configuration",
+            f"{DEPRECATED_OPERATOR_FILE_VARIABLE} is deprecated; use {OPERATOR_FILE_VARIABLE}",
+        )
+    return path
+
+
+def read_operator_settings(environ: Mapping[str, str], configuration: Configuration) -> OperatorSettings:
+    """Read the file that QUERY_GATEWAY_OPERATOR_FILE names, if any; raises ConfigurationError."""
+    path = _operator_file_path(environ)
+    if not path:
+        return OperatorSettings()
+    return parse_operator_settings(load_operator_file(path), configuration)
--- /dev/null
+++ b/query_gateway/configuration/settings_flattening.py
@@ -0,0 +1,48 @@
+"""Nested JSON as flat paths: the words of the settings, and the keys that a file states."""
+
+from typing import Any
+
+# The endpoint list in the configuration: it changes with each event, so its keys are no settings
+ENDPOINT_LIST_KEY = "known"
+
+
+def flatten_settings(value: Any, path: str = "") -> list[str]:
+    """Nested JSON as the path=value words of the simulator's first message."""
+    if isinstance(value, dict):
+        return [
+            word
+            for key, inner in value.items()
+            for word in flatten_settings(inner, f"{path}.{key}" if path else str(key))
+        ]
+    if isinstance(value, list) and any(isinstance(inner, dict) for inner in value):
+        words = [f"{path}.count={len(value)}"]
+        for index, inner in enumerate(value):
+            words += flatten_settings(inner, f"{path}.{index}")
+        return words
+    if isinstance(value, list):
+        return [f"{path}={','.join(_format_scalar(inner) for inner in value)}"]
+    return [f"{path}={_format_scalar(value)}"]
+
+
+def _format_scalar(value: Any) -> str:
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    if value is None:
+        return "-"
+    return str(value).replace(" ", "_").replace(",", "_")
+
+
+def collect_key_paths(value: Any, path: str = "") -> frozenset[str]:
+    """The paths of all keys; of a list of objects, those that stand in each of them."""
+    if isinstance(value, dict):
+        by_path = {f"{path}.{key}" if path else str(key): inner for key, inner in value.items()}
+        nested = (
+            collect_key_paths(inner, inner_path)
+            for inner_path, inner in by_path.items()
+            if not inner_path.startswith(f"{ENDPOINT_LIST_KEY}.")
+        )
+        return frozenset(by_path).union(*nested)
+    if isinstance(value, list) and value and all(isinstance(inner, dict) for inner in value):
+        paths_of_each = [collect_key_paths(inner, f"{path}[]") for inner in value]
+        return paths_of_each[0].intersection(*paths_of_each[1:])
+    return frozenset()
--- a/query_gateway/configuration/settings_parser.py
+++ b/query_gateway/configuration/settings_parser.py
@@ -1,4 +1,7 @@
-"""The settings of a site, from path=value pairs; the gateway's JSON is flattened to them."""
+"""The settings of a site, from path=value words; the gateway's JSON is flattened to them.
+
+The words of the settings stand here. Durations on the wire are nanoseconds.
+"""
 
 from collections.abc import Callable
 from typing import TypeVar
@@ -13,121 +16,149 @@
 
 T = TypeVar("T")
 
-REPEATS = {
+IDEMPOTENCY_WORDS = {
     "idempotent": Idempotency.IDEMPOTENT,
     "deduplicated": Idempotency.KEYED,
     "at_most_once": Idempotency.NON_IDEMPOTENT,
 }
-BOOLS = {"true": True, "false": False, "1": True, "0": False}
+BOOLEAN_WORDS = {"true": True, "false": False, "1": True, "0": False}
+ABSENT = "-"
+POLLED_ENDPOINT_LIST = "ask"  # as against "push"
 
 
 class SettingsError(Exception):
-    """A line that does not follow the wire."""
+    """A setting that is missing or does not follow the wire; names it and its value."""
 
 
 class SettingsReader:
-    """The path=value pairs of `configure`; a path that is not asked for is left alone."""
+    """The path=value words of the settings; a path that is not read is ignored."""
 
     def __init__(self, words: list[str]) -> None:
+        """Take the words apart; the last of a path counts. Raises SettingsError."""
         self.values: dict[str, str] = {}
         for word in words:
-            path, mark, value = word.partition("=")
-            if not mark or not path:
+            path, separator, value = word.partition("=")
+            if not separator or not path:
                 raise SettingsError(f"setting {word!r} is not path=value")
             self.values[path] = value
 
-    def get(self, path: str, parse: Callable[[str], T], absent: T) -> T:
+    def optional(self, path: str, parse: Callable[[str], T]) -> T | None:
+        """Return the value, or None if it is absent; raises SettingsError at one that cannot be parsed."""
         value = self.values.get(path)
-        if value is None or value == "-":
-            return absent
-        try:
-            return parse(value)
-        except (ValueError, KeyError):
-            raise SettingsError(f"setting {path} has the value {value!r}") from None
+        return None if value is None or value == ABSENT else self._parse(path, parse)
 
-    def need(self, path: str, parse: Callable[[str], T]) -> T:
+    def get(self, path: str, parse: Callable[[str], T], default: T) -> T:
+        """Return the value, or `default` if it is absent; raises SettingsError as `optional`."""
+        value = self.optional(path, parse)
+        return default if value is None else value
+
+    def require(self, path: str, parse: Callable[[str], T]) -> T:
+        """Return the value; raises SettingsError if it is absent or cannot be parsed."""
         if path not in self.values:
             raise SettingsError(f"setting {path} is missing")
+        return self._parse(path, parse)
+
+    def _parse(self, path: str, parse: Callable[[str], T]) -> T:
         try:
             return parse(self.values[path])
         except (ValueError, KeyError):
             raise SettingsError(f"setting {path} has the value {self.values[path]!r}") from None
 
 
-def many(parse: Callable[[str], T]) -> Callable[[str], tuple[T, ...]]:
+def _list_of(parse: Callable[[str], T]) -> Callable[[str], tuple[T, ...]]:
     return lambda text: tuple(parse(part) for part in text.split(",")) if text else ()
 
 
-def whole(text: str) -> int:
+def _integer(text: str) -> int:
     return int(float(text)) if "." in text or "e" in text else int(text)
 
 
-def settings_of(words: list[str]) -> Settings:
-    p = SettingsReader(words)
-    flag = BOOLS.__getitem__
-    count = p.need("services.count", whole)
-    none_i: tuple[int, ...] | None = None
-    empty_b: tuple[bool, ...] = ()
-    empty_i: tuple[int, ...] = ()
-    threads = p.get("family-info.parallelism", many(whole), empty_i)
-    loads = p.get("family-info.loads", many(flag), empty_b)
-    waits = p.get("family-info.waits-for-loads", many(flag), empty_b)
-    classes = []
-    for i in range(count):
-        at = f"services.{i}."
-        classes.append(
-            ClassSettings(
-                latency_objective=p.need(at + "aim", whole),
-                objective_per_run_time=p.get(at + "aim-stretch", float, 0.0),
-                timeout=p.need(at + "give-up", whole),
-                weight=p.need(at + "worth", float),
-                late_weight=p.get(at + "late-value", float, 0.0),
-                idempotency=p.need(at + "repeat", REPEATS.__getitem__),
-                deduplication_scope=p.get(at + "dedup-scope", DeduplicationScope, DeduplicationScope.ALL),
-                deduplication_window=p.get(at + "memory-span", whole, 0),
-                threads=threads[i] if i < len(threads) else 1,
-                locks_tables=loads[i] if i < len(loads) else False,
-                waits_for_locks=waits[i] if i < len(waits) else False,
-                ordered_by_key=p.get(at + "in-turn", flag, False),
-                allowed_zones=p.get(at + "stays-in", many(whole), none_i),
-                allowed_kinds=p.get(at + "bound-to", many(whole), none_i),
-            )
-        )
-    realms = p.get("realms.count", whole, 0)
-    no_number: float | None = None
+def _flag(text: str) -> bool:
+    return BOOLEAN_WORDS[text]
+
+
+def _element(values: tuple[T, ...], index: int, default: T) -> T:
+    return values[index] if index < len(values) else default
+
+
+def _parse_classes(reader: SettingsReader) -> tuple[ClassSettings, ...]:
+    count = reader.require("services.count", _integer)
+    threads: tuple[int, ...] = reader.get("family-info.parallelism", _list_of(_integer), ())
+    locks_tables: tuple[bool, ...] = reader.get("family-info.loads", _list_of(_flag), ())
+    waits_for_locks: tuple[bool, ...] = reader.get("family-info.waits-for-loads", _list_of(_flag), ())
+    return tuple(
+        _parse_class(reader, index, threads, locks_tables, waits_for_locks) for index in range(count)
+    )
+
+
+def _parse_class(
+    reader: SettingsReader,
+    index: int,
+    threads: tuple[int, ...],
+    locks_tables: tuple[bool, ...],
+    waits_for_locks: tuple[bool, ...],
+) -> ClassSettings:
+    path = f"services.{index}."
+    return ClassSettings(
+        latency_objective=reader.require(path + "aim", _integer),
+        objective_per_run_time=reader.get(path + "aim-stretch", float, 0.0),
+        timeout=reader.require(path + "give-up", _integer),
+        weight=reader.require(path + "worth", float),
+        late_weight=reader.get(path + "late-value", float, 0.0),
+        idempotency=reader.require(path + "repeat", IDEMPOTENCY_WORDS.__getitem__),
+        deduplication_scope=reader.get(path + "dedup-scope", DeduplicationScope, DeduplicationScope.ALL),
+        deduplication_window=reader.get(path + "memory-span", _integer, 0),
+        threads=_element(threads, index, 1),
+        locks_tables=_element(locks_tables, index, False),
+        waits_for_locks=_element(waits_for_locks, index, False),
+        ordered_by_key=reader.get(path + "in-turn", _flag, False),
+        allowed_zones=reader.optional(path + "stays-in", _list_of(_integer)),
+        allowed_kinds=reader.optional(path + "bound-to", _list_of(_integer)),
+    )
+
+
+def _parse_tenant_quotas(reader: SettingsReader, count: int) -> tuple[float, ...]:
+    return tuple(reader.get(f"realms.{index}.quota-rps", float, 0.0) for index in range(count))
+
+
+def parse_settings(words: list[str]) -> Settings:
+    """Decode the settings; raises SettingsError at the first fault. `Settings.check` is the caller's."""
+    reader = SettingsReader(words)
+    classes = _parse_classes(reader)
+    tenant_count = reader.get("realms.count", _integer, 0)
     return Settings(
-        instance_index=p.get("me", whole, 0),
-        instance_count=p.need("instances", whole),
-        zone=p.get("my-zone", whole, 0),
-        classes=tuple(classes),
-        tenant_quotas=tuple(p.get(f"realms.{i}.quota-rps", float, 0.0) for i in range(realms)),
-        over_quota_weight=p.get("over-share-worth", float, 1.0),
-        cores_by_kind=p.get("family-info.cpu-of-kind", many(whole), ()),
-        memory_mb_by_kind=p.get("family-info.memory-by-kind-mb", many(float), ()),
-        max_grant_share=p.get("family-info.max-grant-share", float, 1.0),
-        memory_shortage=p.get("family-info.out-of-memory", MemoryShortage, MemoryShortage.WAIT),
-        takes_memory_grants=p.get("family-info.takes-grants", flag, False),
-        heeds_priorities=p.get("family-info.priorities", flag, False),
-        progress_interval=p.get("family-info.progress", whole, 0),
-        reports_cost=p.get("family-info.cost-in-answers", flag, False),
-        load_report_fields=p.get("report.fields", many(str), ()),
-        polls_endpoint_list=p.get("registry-mode", str, "push") == "ask",
-        allows_gossip=p.get("limits.peers", flag, False),
-        allows_health_checks=p.get("limits.may-probe", flag, False),
-        allows_cancellation=p.get("limits.cancelling", flag, False),
-        allows_hedging=p.get("limits.second-copies", flag, False),
-        allows_retry_after=p.get("limits.retry-after", flag, False),
-        max_retry_after=p.get("limits.max-retry-after", whole, 0),
-        max_attempts=p.need("limits.max-attempts", whole),
-        marks_retry=p.get("clients.marks-retry", flag, False),
-        cross_zone_cost=p.get("fees.cross-zone", float, 0.0),
-        cold_capacity=p.get("rules.start-capacity", float, 1.0),
-        slow_start_window=p.get("rules.cold", whole, 0),
-        cold_overload_factor=p.get("rules.overload-factor", float, 0.0),
-        cold_overload_window=p.get("rules.tip-after", whole, 0),
-        key_quarantine=p.get("rules.settle-after-doubt", whole, 0),
-        max_poll_interval=p.get("rules.must-ask-in", whole, 0),
-        retry_allowance=p.get("rules.spare-attempts", float, no_number),
-        retries_per_request=p.get("rules.extra-per-request", float, 0.0),
-        retry_window=p.get("rules.counted-over", whole, 0),
+        instance_index=reader.get("me", _integer, 0),
+        instance_count=reader.require("instances", _integer),
+        zone=reader.get("my-zone", _integer, 0),
+        classes=classes,
+        tenant_quotas=_parse_tenant_quotas(reader, tenant_count),
+        over_quota_weight=reader.get("over-share-worth", float, 1.0),
+        cores_by_kind=reader.get("family-info.cpu-of-kind", _list_of(_integer), ()),
+        memory_mb_by_kind=reader.get("family-info.memory-by-kind-mb", _list_of(float), ()),
+        max_grant_share=reader.get("family-info.max-grant-share", float, 1.0),
+        memory_shortage=reader.get("family-info.out-of-memory", MemoryShortage, MemoryShortage.WAIT),
+        takes_memory_grants=reader.get("family-info.takes-grants", _flag, False),
+        heeds_priorities=reader.get("family-info.priorities", _flag, False),
+        progress_interval=reader.get("family-info.progress", _integer, 0),
+        reports_cost=reader.get("family-info.cost-in-answers", _flag, False),
+        load_report_fields=reader.get("report.fields", _list_of(str), ()),
+        polls_endpoint_list=reader.get("registry-mode", str, "push") == POLLED_ENDPOINT_LIST,
+        allows_gossip=reader.get("limits.peers", _flag, False),
+        allows_health_checks=reader.get("limits.may-probe", _flag, False),
+        allows_cancellation=reader.get("limits.cancelling", _flag, False),
+        allows_hedging=reader.get("limits.second-copies", _flag, False),
+        allows_retry_after=reader.get("limits.retry-after", _flag, False),
+        max_retry_after=reader.get("limits.max-retry-after", _integer, 0),
+        max_attempts=reader.require("limits.max-attempts", _integer),
+        marks_retry=reader.get("clients.marks-retry", _flag, False),
+        cross_zone_cost=reader.get("fees.cross-zone", float, 0.0),
+        cold_capacity=reader.get("rules.start-capacity", float, 1.0),
+        slow_start_window=reader.get("rules.cold", _integer, 0),
+        cold_overload_factor=reader.get("rules.overload-factor", float, 0.0),
+        cold_overload_window=reader.get("rules.tip-after", _integer, 0),
+        key_quarantine=reader.get("rules.settle-after-doubt", _integer, 0),
+        max_poll_interval=reader.get("rules.must-ask-in", _integer, 0),
+        retry_allowance=reader.optional("rules.spare-attempts", float),
+        retries_per_request=reader.get("rules.extra-per-request", float, 0.0),
+        retry_window=reader.get("rules.counted-over", _integer, 0),
     )
--- a/query_gateway/discovery/watch_client.py
+++ b/query_gateway/discovery/watch_client.py
@@ -151,8 +151,8 @@
         return callback is not None
 
     def _send_poll(self, stream: Stream, connection: h11.Connection, position: int) -> None:
-        hold_ms = SHORT_POLL_HOLD_MS if self.on_caught_up else POLL_HOLD_MS
-        target = f"/journal?tail={position}&max_wait={hold_ms}"
+        wait_ms = SHORT_POLL_HOLD_MS if self.on_caught_up else POLL_HOLD_MS
+        target = f"/journal?tail={position}&max_wait={wait_ms}"
         request = h11.Request(method="GET", target=target, headers=[("Host", self.address)])
         stream.write((connection.send(request) or b"") + (connection.send(h11.EndOfMessage()) or b""))
 
@@ -160,8 +160,10 @@
         self, stream: Stream, connection: h11.Connection
     ) -> Generator[float | None, None, Reason | bytes]:
         """Read the body of an answer; return why the connection must end if there is none."""
-        held_for = POLL_HOLD_MS / 1000 + ANSWER_GRACE_SECONDS
-        timeout_at = self.loop.now() + (SHORT_POLL_TIMEOUT_SECONDS if self.on_caught_up else held_for)
+        held_poll_timeout = POLL_HOLD_MS / 1000 + ANSWER_GRACE_SECONDS
+        timeout_at = self.loop.now() + (
+            SHORT_POLL_TIMEOUT_SECONDS if self.on_caught_up else held_poll_timeout
+        )
         body = bytearray()
         status = 0
         while True:
--- a/query_gateway/gateway.py
+++ b/query_gateway/gateway.py
@@ -12,14 +12,13 @@
 from query_gateway.admin.server import ROOM
 from query_gateway.admin.server import Server as OpsServer
 from query_gateway.bgp.session import BgpSession
+from query_gateway.configuration.operator_file import OperatorSettings, read_operator_settings
 from query_gateway.configuration.platform import (
     Configuration,
     ConfigurationError,
-    OperatorSettings,
-    check_kept,
-    read,
-    read_operator,
-    safe_classes,
+    check_no_key_dropped,
+    idempotent_classes,
+    read_configuration,
 )
 from query_gateway.discovery.endpoint_list import EndpointListError, EndpointListEvent, parse_answer
 from query_gateway.discovery.reconciliation import SequenceAnomaly, reconcile
@@ -95,8 +94,8 @@
         config: Configuration,
         operator: OperatorSettings,
         signals: bool = True,
-        read_again: Callable[[], Configuration] = lambda: read(os.environ),
-        operator_again: Callable[[Configuration], OperatorSettings] = lambda config: read_operator(
+        read_again: Callable[[], Configuration] = lambda: read_configuration(os.environ),
+        operator_again: Callable[[Configuration], OperatorSettings] = lambda config: read_operator_settings(
             os.environ, config
         ),
         number: int = 0,
@@ -307,7 +306,7 @@
             return None
         from query_gateway.parsing.service import Statements
 
-        safe = safe_classes(self.config)
+        safe = idempotent_classes(self.config)
         statements = Statements(self.loop, reading.rules, safe, reading.parser_count, reading.max_shapes)
         path = reading.snapshot_path
         if path and self.operator.forwarder_count > 1:
@@ -327,7 +326,7 @@
         """Check the new file whole; a bad one leaves the old in force."""
         try:
             config = self.read_again()
-            check_kept(self.config, config)
+            check_no_key_dropped(self.config, config)
             rules = self._rules_again(config)
             self._check_usable(config, rules)
         except ConfigurationError as bad:
@@ -365,7 +364,7 @@
         if config.settings != old.settings or list(config.classes) != list(old.classes):
             self._retune(rules)
         elif self.statements and rules:
-            self.statements.update_rules(rules, safe_classes(config))
+            self.statements.update_rules(rules, idempotent_classes(config))
         self.watch_client.set_address(config.discovery_address)
 
     def _limits(self) -> None:
@@ -398,11 +397,11 @@
             if name not in config.classes:
                 raise ConfigurationError(f"the operator's file names class {name!r}, which the settings lack")
         for name in (rules.lookup, rules.report) if rules else ():
-            if name not in safe_classes(config):
+            if name not in idempotent_classes(config):
                 raise ConfigurationError(
                     f"statements are read as {name!r}, whose requests could not run twice then"
                 )
-        if rules and rules.load in safe_classes(config):
+        if rules and rules.load in idempotent_classes(config):
             raise ConfigurationError(f"writes run as {rules.load!r}, whose requests could run twice then")
         if len({*lines, *config.classes}) > MOST_LINES:
             raise ConfigurationError(f"the figures have lines for {MOST_LINES} classes; more need a restart")
--- a/query_gateway/simulator_adapter.py
+++ b/query_gateway/simulator_adapter.py
@@ -4,7 +4,7 @@
 import sys
 from typing import TextIO
 
-from query_gateway.configuration.settings_parser import SettingsError, settings_of
+from query_gateway.configuration.settings_parser import SettingsError, parse_settings
 from query_gateway.model.actions import (
     Action,
     Cancel,
@@ -212,7 +212,7 @@
         instance = int(f[0])
         if name == "configure":
             self.batch.pop(instance, None)
-            settings = settings_of([part for part in f[2:] if part])
+            settings = parse_settings([part for part in f[2:] if part])
             try:
                 self.gateways[instance] = Scheduler(settings, int(f[1])), settings.reports_cost
             except ValueError as bad:
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -8,9 +8,10 @@
 from typing import Any
 from uuid import uuid4
 
-from query_gateway.configuration.platform import Configuration, config_of, flatten
+from query_gateway.configuration.platform import Configuration, parse_configuration
+from query_gateway.configuration.settings_flattening import flatten_settings
 
-__all__ = ["SETTINGS", "Engine", "config", "flatten", "host", "post"]
+__all__ = ["SETTINGS", "Engine", "config", "flatten_settings", "host", "post"]
 
 SEC = 1_000_000_000
 SETTINGS = {
@@ -41,7 +42,7 @@
 def config(hosts: list[dict[str, Any]], journal: str = "127.0.0.1:1", **more: Any) -> Configuration:
     known = {"pos": 1, "entries": [{"pos": 1, "hosts": {"seq": 1, "whole": True, "hosts": hosts}}]}
     raw = {"name": "n1", "listen": "127.0.0.1:0", "seed": "7", "journal": journal, "known": known}
-    return config_of(raw | {"settings": SETTINGS} | more, {})
+    return parse_configuration(raw | {"settings": SETTINGS} | more, {})
 
 
 def host(engine: "Engine", name: str = "e0", health: str = "up", born_ms: int = 0) -> dict[str, Any]:
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -12,12 +12,8 @@
 
 import pytest
 
-from query_gateway.configuration.platform import (
-    Configuration,
-    ConfigurationError,
-    OperatorSettings,
-    config_of,
-)
+from query_gateway.configuration.operator_file import OperatorSettings
+from query_gateway.configuration.platform import Configuration, ConfigurationError, parse_configuration
 from query_gateway.gateway import Gateway
 from query_gateway.model.events import Request
 from tests.stand_ins import SETTINGS
@@ -79,7 +75,7 @@
     refused, broken = 0, []
     for what, raw in each_spoilt(RAW):
         try:
-            config = config_of(raw, {})
+            config = parse_configuration(raw, {})
         except ConfigurationError as bad:
             assert "\n" not in str(bad)
             refused += 1
@@ -94,7 +90,7 @@
 
 def test_a_spoilt_list_event_leaves_what_works() -> None:
     """Guards the list: a name that is no text broke the planner, and each that was begun anew."""
-    config = config_of(RAW, {})
+    config = parse_configuration(RAW, {})
     assert [what for what, raw in each_spoilt(NEWS) if not works(config, raw)] == []
 
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -25,7 +25,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from query_gateway.configuration.platform import OperatorSettings, operator_of
+from query_gateway.configuration.operator_file import OperatorSettings, parse_operator_settings
 from query_gateway.discovery.endpoint_list import EndpointListAnswer, EndpointListEvent
 from query_gateway.discovery.reconciliation import reconcile
 from query_gateway.discovery.tombstones import EndpointTombstones
@@ -330,7 +330,7 @@
 
 def _flight_gate(engine: socket.socket, settings: dict[str, Any] | None = None) -> Gateway:
     """A gateway with the Flight front, whose loop the test turns, and one engine on that wire."""
-    flight = operator_of({"flight": {"listen": "127.0.0.1:0"}}, config([]))
+    flight = parse_operator_settings({"flight": {"listen": "127.0.0.1:0"}}, config([]))
     return Gateway(config([host_of(engine)], settings=settings or tuned()), flight, signals=False)
 
 
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -2,13 +2,13 @@
 
 from collections.abc import Callable
 
-from query_gateway.configuration.settings_parser import settings_of
+from query_gateway.configuration.settings_parser import parse_settings
 from query_gateway.forwarder.exchange import STOP_WAY, Forwarder
 from query_gateway.forwarder.messages import Answer, AttemptHandle, ClientRequest, Endpoint, Verdict
 from query_gateway.model.actions import Cancel, Forward, Reject
 from query_gateway.model.endpoints import EndpointInfo, EndpointState
 from query_gateway.model.events import AttemptOutcome, Event, OutcomeCode, Request
-from tests.stand_ins import SETTINGS, flatten
+from tests.stand_ins import SETTINGS, flatten_settings
 
 
 class Alarm:
@@ -50,7 +50,7 @@
         self.now, self.due = 0, list[tuple[int, Callable[[], None]]]()
         self.told: list[Event] = []
         self.wire, self.client = Wire(), Client()
-        self.desk = Forwarder(settings_of(flatten(SETTINGS)), lambda: self.now, self.alarms, 10)
+        self.desk = Forwarder(parse_settings(flatten_settings(SETTINGS)), lambda: self.now, self.alarms, 10)
         self.desk.engine_clients["web"] = self.wire
         self.desk.add_planner(self.told.append, True)
         entries = [EndpointInfo(name, EndpointState.UP, 0, 0, 0, 0, 1.0) for name in "ab"]
--- a/tests/test_flight.py
+++ b/tests/test_flight.py
@@ -15,7 +15,7 @@
 import pytest
 from google.protobuf import any_pb2
 
-from query_gateway.configuration.platform import OperatorSettings, StatementSettings
+from query_gateway.configuration.operator_file import OperatorSettings, StatementSettings
 from query_gateway.forwarder.messages import Verdict
 from query_gateway.gateway import Gateway
 from tests.stand_ins import Engine, config, post
--- a/tests/test_flight_statements.py
+++ b/tests/test_flight_statements.py
@@ -13,12 +13,12 @@
 import pyarrow.flight as fl
 import pytest
 
-from query_gateway.configuration.platform import (
-    ConfigurationError,
+from query_gateway.configuration.operator_file import (
     OperatorSettings,
     StatementSettings,
-    operator_of,
+    parse_operator_settings,
 )
+from query_gateway.configuration.platform import ConfigurationError
 from query_gateway.flight.server import FlightClass, query_of
 from query_gateway.forwarder.messages import Verdict
 from query_gateway.gateway import Gateway
@@ -312,7 +312,7 @@
     """The way of a real reload: the operator's file is read again, checked, and taken whole or not at all."""
     path = tmp_path / "operator.toml"
     table = '[flight]\nlisten = "127.0.0.1:0"\n[statements]\n{}\n'
-    monkeypatch.setenv("MOTHKNOT_OPERATOR", str(path))
+    monkeypatch.setenv("QUERY_GATEWAY_OPERATOR_FILE", str(path))
     with gateway(*nodes, statements=ON) as gate:
         gate.read_again = lambda: gate.config
         count = "SELECT count(*) FROM lending_7.loans"
@@ -386,12 +386,12 @@
 ])  # fmt: skip
 def test_a_bad_table_is_turned_down_with_its_place(table: dict[str, Any], place: str) -> None:
     with pytest.raises(ConfigurationError) as bad:
-        operator_of({"flight": {"listen": "127.0.0.1:0"}, "statements": table}, config([]))
+        parse_operator_settings({"flight": {"listen": "127.0.0.1:0"}, "statements": table}, config([]))
     assert place in str(bad.value) and "\n" not in str(bad.value)
 
 
 def test_a_table_that_no_front_uses_is_turned_down() -> None:
     with pytest.raises(ConfigurationError, match="no front reads statements"):
-        operator_of({"statements": {}}, config([]))
-    assert operator_of({"statements": {"web": True}}, config([])).statements
-    assert operator_of({}, config([])) == OperatorSettings()
+        parse_operator_settings({"statements": {}}, config([]))
+    assert parse_operator_settings({"statements": {"web": True}}, config([])).statements
+    assert parse_operator_settings({}, config([])) == OperatorSettings()
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -19,7 +19,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from query_gateway.configuration.platform import OperatorSettings
+from query_gateway.configuration.operator_file import OperatorSettings
 from query_gateway.gateway import Gateway
 from query_gateway.lifecycle import hot_upgrade
 from query_gateway.model.actions import Forward
@@ -197,7 +197,7 @@
     (tmp_path / "operator.toml").write_text(f'[processes]\nplanners = ["127.0.0.1:{free_port()}"]\n')
     with site(tmp_path) as s:
         s.start()
-        late = s.start(False, MOTHKNOT_OPERATOR=str(tmp_path / "operator.toml"))
+        late = s.start(False, QUERY_GATEWAY_OPERATOR_FILE=str(tmp_path / "operator.toml"))
         assert late.process.wait(10) == 2 and b"cannot follow" in late.process.stderr.read()
         assert s.served() == 200
 
--- a/tests/test_local.py
+++ b/tests/test_local.py
@@ -18,7 +18,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from query_gateway.configuration.platform import OperatorSettings
+from query_gateway.configuration.operator_file import OperatorSettings
 from query_gateway.gateway import Gateway
 from query_gateway.model.actions import Cancel, Fail, Forward, Reject, SetTerms
 from query_gateway.model.endpoints import EndpointInfo, EndpointState, EndpointUpdateKind
@@ -184,7 +184,7 @@
     (tmp_path / "operator.toml").write_text(f"[processes]\nplanners = {planners}\nforwarders = 2\n")
     environ = os.environ | {
         "ROUTER_CONFIG": str(tmp_path / "config.json"),
-        "MOTHKNOT_OPERATOR": str(tmp_path / "operator.toml"),
+        "QUERY_GATEWAY_OPERATOR_FILE": str(tmp_path / "operator.toml"),
     }
     gate = SimpleNamespace(http_server=SimpleNamespace(listener=SimpleNamespace(address=listen)))
     run = [sys.executable, "-m", "query_gateway"]
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -8,7 +8,8 @@
 import pytest
 
 from query_gateway.admin.server import CALLERS, Server
-from query_gateway.configuration.platform import ConfigurationError, OperatorSettings, config_of, operator_of
+from query_gateway.configuration.operator_file import OperatorSettings, parse_operator_settings
+from query_gateway.configuration.platform import ConfigurationError, parse_configuration
 from query_gateway.forwarder.readiness import Phase, Readiness
 from query_gateway.gateway import Gateway
 from query_gateway.net.loop import Loop
@@ -118,15 +119,15 @@
 def test_the_second_address_is_its_own_and_needs_one_forwarder() -> None:
     raw = {"listen": "127.0.0.1:9", "journal": "127.0.0.1:1", "known": {"pos": 0, "entries": []}}
     with pytest.raises(ConfigurationError):
-        config_of(raw | {"settings": SETTINGS, "ops": "127.0.0.1:9"}, {})
-    told = config_of(raw | {"settings": SETTINGS}, {"ROUTER_OPS": "127.0.0.1:8"})
+        parse_configuration(raw | {"settings": SETTINGS, "ops": "127.0.0.1:9"}, {})
+    told = parse_configuration(raw | {"settings": SETTINGS}, {"ROUTER_OPS": "127.0.0.1:8"})
     assert (
         told.admin_address == ("127.0.0.1", 8)
-        and config_of(raw | {"settings": SETTINGS}, {}).admin_address is None
+        and parse_configuration(raw | {"settings": SETTINGS}, {}).admin_address is None
     )
     planners = {"planners": ["127.0.0.1:1", "127.0.0.1:2"], "forwarders": 2}
     with pytest.raises(ConfigurationError):
-        operator_of({"processes": planners}, told)
+        parse_operator_settings({"processes": planners}, told)
 
 
 def test_without_a_second_address_nothing_listens_there() -> None:
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -11,13 +11,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from query_gateway.configuration.operator_file import OperatorSettings
 from query_gateway.configuration.platform import (
     Configuration,
     ConfigurationError,
-    OperatorSettings,
-    check_kept,
-    config_of,
-    read,
+    check_no_key_dropped,
+    parse_configuration,
+    read_configuration,
 )
 from query_gateway.forwarder.class_numbers import numbered
 from query_gateway.gateway import Gateway
@@ -77,14 +77,14 @@
 def test_a_file_with_a_fault_is_turned_down(change: Any) -> None:
     """Guards against defaults that stand in for a missing key, and against what only looks like a number."""
     with pytest.raises(ConfigurationError):
-        check_kept(config_of(RAW, {}), config_of(changed(change), {}))
+        check_no_key_dropped(parse_configuration(RAW, {}), parse_configuration(changed(change), {}))
 
 
 @pytest.mark.parametrize("text", ["", "[]", "{", "[" * 100_000, '{"settings": NaN}', json.dumps(RAW)[:-20]])
 def test_a_file_that_is_cut_off_is_turned_down(text: str, tmp_path: Any) -> None:
     (tmp_path / "c.json").write_text(text)
     with pytest.raises(ConfigurationError):
-        read({"ROUTER_CONFIG": str(tmp_path / "c.json")})
+        read_configuration({"ROUTER_CONFIG": str(tmp_path / "c.json")})
 
 
 NAMES = st.lists(st.sampled_from("abcdef"), unique=True, max_size=6)
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -20,7 +20,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from query_gateway.configuration.platform import ConfigurationError, OperatorSettings, config_of, operator_of
+from query_gateway.configuration.operator_file import OperatorSettings, parse_operator_settings
+from query_gateway.configuration.platform import ConfigurationError, parse_configuration
 from query_gateway.engine_protocol import frames
 from query_gateway.forwarder.messages import Verdict
 from query_gateway.forwarder.table_group import table_group
@@ -478,14 +479,14 @@
 def test_bad_configuration_is_named(broken: dict[str, Any]) -> None:
     raw = {"listen": "127.0.0.1:0", "journal": "127.0.0.1:1", "known": {"pos": 0, "entries": []}}
     with pytest.raises(ConfigurationError):
-        config_of(raw | {"settings": SETTINGS} | broken, {})
+        parse_configuration(raw | {"settings": SETTINGS} | broken, {})
 
 
 @pytest.mark.parametrize("raw", [{"flight": {}, "bgp": {}}, {"flight": {"listen": "x"}}, {"flight": 3},
                                  {"flight": {"listen": "127.0.0.1:0", "query_class": "none"}}])  # fmt: skip
 def test_a_bad_operator_file_is_named(raw: dict[str, Any]) -> None:
     with pytest.raises(ConfigurationError):
-        operator_of(raw, config([]))
+        parse_operator_settings(raw, config([]))
 
 
 class JournalStandIn:
