--- a/query_gateway/gateway.py
+++ b/query_gateway/gateway.py
@@ -11,23 +11,18 @@
 from query_gateway.admin.figures import rendered
 from query_gateway.admin.server import ROOM
 from query_gateway.admin.server import Server as OpsServer
-from query_gateway.bgp.session import Session as BgpSession
+from query_gateway.bgp.session import BgpSession
+from query_gateway.configuration.operator_file import OperatorSettings, read_operator_settings
 from query_gateway.configuration.platform import (
     Configuration,
     ConfigurationError,
-    OperatorSettings,
-    check_kept,
-    read,
-    read_operator,
-    safe_classes,
-)
-from query_gateway.discovery.endpoint_list import (
-    EndpointListError,
-    EndpointListEvent,
-    EndpointTombstones,
-    changes_of,
-    follow,
+    check_no_key_dropped,
+    idempotent_classes,
+    read_configuration,
 )
+from query_gateway.discovery.endpoint_list import EndpointListError, EndpointListEvent, parse_answer
+from query_gateway.discovery.reconciliation import SequenceAnomaly, reconcile
+from query_gateway.discovery.tombstones import EndpointTombstones
 from query_gateway.discovery.watch_client import EndpointWatchClient
 from query_gateway.engine_protocol.client import ConnectionPool
 from query_gateway.forwarder.class_numbers import laid_out, numbered
@@ -99,8 +94,8 @@
         config: Configuration,
         operator: OperatorSettings,
         signals: bool = True,
-        read_again: Callable[[], Configuration] = lambda: read(os.environ),
-        operator_again: Callable[[Configuration], OperatorSettings] = lambda config: read_operator(
+        read_again: Callable[[], Configuration] = lambda: read_configuration(os.environ),
+        operator_again: Callable[[Configuration], OperatorSettings] = lambda config: read_operator_settings(
             os.environ, config
         ),
         number: int = 0,
@@ -134,12 +129,14 @@
             self.planner = Planner(settings, config.seed, time.time_ns, self.alarm)
             self.forwarder.add_planner(self.planner.notify, True)
             loop.turn_hooks.append(self.turn)
-        last, changes = changes_of(config.initial_endpoints, config.zones_and_kinds)
-        news = follow(0, last, changes)
+        answer = config.initial_endpoints
+        news = reconcile(0, answer)
         self.ends = EndpointTombstones()
         self.ends.record(news.endpoints, news.is_snapshot, {})
         self.forwarder.update_endpoints(news.endpoints, news.is_snapshot)
-        self._hold(last, changes)  # as the configuration says: the service is asked for what comes after
+        self._hold(
+            answer.position, answer.events
+        )  # as the configuration says: the service is asked for what comes after
         # Engines, the journal and the loop keep a part of the descriptors; a second front halves the rest
         sockets = config.max_descriptors // max(1, operator.forwarder_count)
         clients = sockets - min(sockets // 2, max(64, sockets // 4)) - (ROOM if config.admin_address else 0)
@@ -154,7 +151,12 @@
         self.http_server = Server(loop, self.forwarder, *web)
         caught_up = self._begin if legacy else None
         self.watch_client = EndpointWatchClient(
-            loop, config.discovery_address, self.position, self.take_list, caught_up, config.seed
+            loop,
+            config.discovery_address,
+            self.position,
+            self.take_list,
+            on_caught_up=caught_up,
+            seed=config.seed,
         )
         self.flight_server = (
             self._flight(operator, most, shared, given.get("flight")) if operator.flight_address else None
@@ -241,24 +243,25 @@
     def take_list(self, raw: Any, again: bool = False) -> int:
         """An answer of the journal; `again`: to a call for the event that we hold last, and what follows."""
         try:
-            last, changes = changes_of(raw, self.config.zones_and_kinds)
+            answer = parse_answer(raw, self.config.zones_and_kinds)
         except EndpointListError as bad:
             raise ValueError(str(bad)) from None
-        news = follow(self.position, last, changes, self.newest if again else None)
-        self.anew |= news.anomaly == "began-anew"
+        news = reconcile(self.position, answer, self.newest if again else None)
+        self.anew |= news.anomaly is SequenceAnomaly.RESET
         targets = self.ends.apply(news.endpoints) if self.anew else news.endpoints
         if news.is_snapshot or targets:
             self.ends.record(targets, news.is_snapshot, self.forwarder.endpoints)
             self.forwarder.update_endpoints(targets, news.is_snapshot)
         self.anew &= not news.is_snapshot
         if news.anomaly:
-            log("journal", f"{news.anomaly}: held {self.position}, told to {last}; held now {news.position}")
-        self._hold(news.position, changes)
+            positions = f"position {self.position}, answer to {answer.position}; position now {news.position}"
+            log("discovery", f"{news.anomaly.value}: {positions}")
+        self._hold(news.position, answer.events)
         return self.position
 
-    def _hold(self, position: int, changes: list[EndpointListEvent]) -> None:
+    def _hold(self, position: int, events: tuple[EndpointListEvent, ...]) -> None:
         self.position = position
-        self.newest = next((c for c in reversed(changes) if c[0] == position), self.newest)
+        self.newest = next((e for e in reversed(events) if e.position == position), self.newest)
 
     def turn(self) -> bool:
         """Let the planner decide on what has come; True if there is more at once."""
@@ -303,7 +306,7 @@
             return None
         from query_gateway.parsing.service import Statements
 
-        safe = safe_classes(self.config)
+        safe = idempotent_classes(self.config)
         statements = Statements(self.loop, reading.rules, safe, reading.parser_count, reading.max_shapes)
         path = reading.snapshot_path
         if path and self.operator.forwarder_count > 1:
@@ -323,7 +326,7 @@
         """Check the new file whole; a bad one leaves the old in force."""
         try:
             config = self.read_again()
-            check_kept(self.config, config)
+            check_no_key_dropped(self.config, config)
             rules = self._rules_again(config)
             self._check_usable(config, rules)
         except ConfigurationError as bad:
@@ -361,7 +364,7 @@
         if config.settings != old.settings or list(config.classes) != list(old.classes):
             self._retune(rules)
         elif self.statements and rules:
-            self.statements.update_rules(rules, safe_classes(config))
+            self.statements.update_rules(rules, idempotent_classes(config))
         self.watch_client.set_address(config.discovery_address)
 
     def _limits(self) -> None:
@@ -394,11 +397,11 @@
             if name not in config.classes:
                 raise ConfigurationError(f"the operator's file names class {name!r}, which the settings lack")
         for name in (rules.lookup, rules.report) if rules else ():
-            if name not in safe_classes(config):
+            if name not in idempotent_classes(config):
                 raise ConfigurationError(
                     f"statements are read as {name!r}, whose requests could not run twice then"
                 )
-        if rules and rules.load in safe_classes(config):
+        if rules and rules.load in idempotent_classes(config):
             raise ConfigurationError(f"writes run as {rules.load!r}, whose requests could run twice then")
         if len({*lines, *config.classes}) > MOST_LINES:
             raise ConfigurationError(f"the figures have lines for {MOST_LINES} classes; more need a restart")
@@ -575,7 +578,7 @@
         if not self.forwarder.exchanges and fronts:
             if self.bgp:
                 self.bgp.stop()
-            if not self.bgp or self.bgp.quiet:
+            if not self.bgp or self.bgp.is_finished:
                 self.loop.stop()
         return False
 
