--- /dev/null
+++ b/query_gateway/flight/client_call.py
@@ -0,0 +1,211 @@
+"""One call of a Flight SQL client: its message becomes a request, and the result goes back as it comes."""
+
+from collections.abc import Callable
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from query_gateway.flight import messages
+from query_gateway.flight.messages import FlightMessageError, FlightMethod
+from query_gateway.flight.requests import (
+    KEY_DIGITS,
+    MAX_NAME_IN_ERROR,
+    NS_PER_MS,
+    FlightStatement,
+    decode_request,
+)
+from query_gateway.forwarder.exchange import Exchange
+from query_gateway.forwarder.messages import Answer, Verdict
+from query_gateway.http.server import BadCall, hex_header
+from query_gateway.rpc.call import Call, CallHandler, Headers
+from query_gateway.rpc.connection import SLOW_READER_TIMEOUT_S
+from query_gateway.rpc.status import GrpcStatus
+
+if TYPE_CHECKING:
+    from query_gateway.flight.server import FlightServer
+    from query_gateway.parsing.service import Classification
+
+MESSAGE_TIMEOUT_S = 5.0  # in which a call must have brought its message
+RESPONSE_HEADERS = [(":status", "200"), ("content-type", "application/grpc")]
+# The one status of each verdict; the on-call page names them
+REJECTED_STATUS, FAILED_STATUS = GrpcStatus.RESOURCE_EXHAUSTED, GrpcStatus.INTERNAL
+
+
+class FlightCallState(Enum):
+    """How far a client's call has come."""
+
+    AWAITING_MESSAGE = "awaiting message"
+    CLASSIFYING = "classifying"  # its statement is being parsed
+    FORWARDED = "forwarded"  # the forwarder has it
+    DONE = "done"  # its final status has been given, or it was aborted
+
+
+class FlightCall(CallHandler):
+    """One call of a client; of an exchange it is the client's side."""
+
+    def __init__(self, server: "FlightServer", headers: dict[str, str], call: Call) -> None:
+        """Wait for the message of a call that has just begun with these request headers."""
+        self.server, self.request_headers, self.call = server, headers, call
+        self.method_name = headers.get(":path", "").removeprefix(messages.SERVICE_PATH)
+        self.exchange: Exchange | None = None
+        self.state = FlightCallState.AWAITING_MESSAGE
+        self.headers_sent = False
+        # Guards the table of calls against those that never send their message
+        server.loop.call_at(server.loop.now() + MESSAGE_TIMEOUT_S, self._on_message_timeout)
+
+    def _on_message_timeout(self) -> None:
+        if not self.exchange:
+            self._finish(GrpcStatus.DEADLINE_EXCEEDED, "the call's message did not come in time")
+
+    # ---- the client's call
+
+    def on_message(self, data: bytes, flow_controlled_bytes: int) -> None:
+        """Take up the call's first message; what may follow it is acknowledged and dropped."""
+        self.call.acknowledge(flow_controlled_bytes)
+        if self.state is not FlightCallState.AWAITING_MESSAGE:
+            return
+        try:
+            self._handle_message(data)
+        except (FlightMessageError, BadCall) as error:
+            self._finish(GrpcStatus.INVALID_ARGUMENT, str(error))
+
+    def _handle_message(self, data: bytes) -> None:
+        if self.method_name == FlightMethod.GET_FLIGHT_INFO.value:
+            info = messages.encode_flight_info(data, messages.decode_query_descriptor(data))
+            self._send_headers()
+            self.call.send(info)
+            self._finish(GrpcStatus.OK)
+        elif self.method_name == FlightMethod.DO_GET.value:
+            self._classify(messages.decode_ticket(data), is_update=False)
+        elif self.method_name == FlightMethod.DO_PUT.value:
+            self._classify(messages.decode_update(data), is_update=True)
+        else:
+            name = self.method_name[:MAX_NAME_IN_ERROR]
+            self._finish(GrpcStatus.UNIMPLEMENTED, f"{name} is not supported here")
+
+    def on_end_stream(self) -> None:
+        """End a call that the client has half-closed without a message."""
+        if self.state is FlightCallState.AWAITING_MESSAGE:
+            is_known = any(self.method_name == method.value for method in FlightMethod)
+            status = GrpcStatus.INVALID_ARGUMENT if is_known else GrpcStatus.UNIMPLEMENTED
+            self._finish(status, "the call holds no message")
+
+    def on_aborted(self, never_ran: bool) -> None:
+        """Abandon the request of a client that has cancelled its call or gone away."""
+        self.state = FlightCallState.DONE
+        if self.exchange:
+            self.exchange.abandon()
+
+    # ---- from the message to the forwarder
+
+    def _classify(self, text: str, is_update: bool) -> None:
+        """Forward a statement at once, or once it has been parsed where statements are."""
+        server = self.server
+        statement = FlightStatement(text, is_update, server.forwarder.clock())
+        class_name = self.request_headers.get("x-class")
+        if server.statements is None:
+            default_class = server.update_class if is_update else server.query_class
+            self._forward(statement, class_name or default_class)
+            return
+        if class_name is not None and class_name not in server.classes:
+            raise _unknown_class(class_name)
+        if class_name is None and is_update:
+            class_name = server.update_class  # an update says itself what it is
+        self.state = FlightCallState.CLASSIFYING
+        key = hex_header(self.request_headers, "x-row", KEY_DIGITS, False)
+
+        def on_classified(classification: "Classification") -> None:
+            """Go on with this statement."""
+            self._on_classified(statement, classification)
+
+        server.statements.classify(text, class_name, key, on_classified)
+
+    def _on_classified(self, statement: FlightStatement, classification: "Classification") -> None:
+        if self.state is FlightCallState.DONE:
+            return
+        judgement = classification.judgement
+        if judgement is None:
+            self._reject_unforwarded("Overloaded")
+        elif not judgement.taken or judgement.cls is None:
+            self._finish(GrpcStatus.INVALID_ARGUMENT, judgement.reason)
+        elif quarantine := self._shape_quarantine(statement, classification):
+            self._reject_unforwarded(quarantine)
+        else:
+            try:
+                self._forward(statement, judgement.cls, classification)
+            except BadCall as error:
+                self._finish(GrpcStatus.INVALID_ARGUMENT, str(error))
+
+    def _shape_quarantine(self, statement: FlightStatement, classification: "Classification") -> str | None:
+        """Return why statements of this shape do not run for now, if so."""
+        statements = self.server.statements
+        return statements.may_run(classification.digest, statement.received_at_ns) if statements else None
+
+    def _forward(
+        self, statement: FlightStatement, class_name: str, classification: "Classification | None" = None
+    ) -> None:
+        """Give the request to the forwarder; raises BadCall if its class or a header is unusable."""
+        flight_class = self.server.classes.get(class_name)
+        if flight_class is None:
+            raise _unknown_class(class_name)
+        request = decode_request(statement, class_name, flight_class, self.request_headers, classification)
+        self.exchange = self.server.forwarder.accept(request, self, "flight")
+        if self.state is not FlightCallState.DONE:  # accepting may have answered it
+            self.state = FlightCallState.FORWARDED
+
+    # ---- the answer
+
+    def _reject_unforwarded(self, reason: str) -> None:
+        """Reject before the forwarder has it: the client may come back when the settings say."""
+        self._reject(reason, self.server.forwarder.settings.max_retry_after)
+
+    def _reject(self, reason: str, retry_after_ns: int) -> None:
+        retry_after_ms = -(-retry_after_ns // NS_PER_MS)  # rounded up
+        self._finish(REJECTED_STATUS, reason, [("x-throttle-ms", str(retry_after_ms))])
+
+    def _send_headers(self) -> None:
+        if not self.headers_sent:
+            self.headers_sent = True
+            self.call.send_headers(RESPONSE_HEADERS)
+
+    def _finish(self, status: GrpcStatus, message: str = "", metadata: Headers | None = None) -> None:
+        """Give the call its final status; without a result before it, in one frame with the headers."""
+        if self.state is FlightCallState.DONE:
+            return
+        self.state = FlightCallState.DONE
+        trailers = [("grpc-status", str(status.value)), *(metadata or [])]
+        if message:
+            trailers.append(("grpc-message", _printable(message)))
+        if not self.headers_sent:
+            self.call.send_headers(RESPONSE_HEADERS + trailers, end_stream=True)
+            return
+        self.call.finish(trailers)
+        if not self.call.is_closed:  # guards the table of calls against clients that never read their answer
+            loop = self.server.loop
+            loop.call_at(loop.now() + SLOW_READER_TIMEOUT_S, self.call.reset)
+
+    # ---- the client's side of an exchange
+
+    def send_page(self, page: bytes, left: Callable[[], None]) -> None:
+        """Send one FlightData; `left` is called when flow control has let it go."""
+        if self.state is not FlightCallState.DONE:
+            self._send_headers()
+            self.call.send(page, left)
+
+    def send_answer(self, answer: Answer) -> None:
+        """Finish the call with the status of the answer's verdict."""
+        if answer.verdict is Verdict.SERVED:
+            self._send_headers()
+            self._finish(GrpcStatus.OK)
+        elif answer.verdict is Verdict.REJECTED:
+            self._reject("Overloaded", answer.retry_after_ns)
+        else:
+            self._finish(FAILED_STATUS, "Internal")
+
+
+def _unknown_class(class_name: str) -> BadCall:
+    return BadCall(404, f"class {class_name[:MAX_NAME_IN_ERROR]!r} is unknown")
+
+
+def _printable(text: str) -> str:
+    """Return the text with a question mark for whatever `grpc-message` would need percent-encoded."""
+    return "".join(char if " " <= char <= "~" and char != "%" else "?" for char in text)
--- a/query_gateway/flight/engines.py
+++ b/query_gateway/flight/engines.py
@@ -1,260 +1,330 @@
-"""Flight SQL engines: one HTTP/2 connection to each, a call or two for every attempt."""
+"""Flight SQL engines: one HTTP/2 connection to each, and one or two calls for every attempt."""
 
 import re
 from collections.abc import Callable
-from enum import Enum
+from dataclasses import dataclass
 
 from query_gateway.flight import messages
-from query_gateway.flight.server import SERVICE
+from query_gateway.flight.messages import FlightMessageError, FlightMethod
 from query_gateway.forwarder.messages import AttemptHandle, Endpoint
 from query_gateway.model.endpoints import EndpointState
 from query_gateway.model.events import OutcomeCode
 from query_gateway.net.loop import Loop
 from query_gateway.net.stream import Reason, Stream, address_of
-from query_gateway.rpc import grpc
+from query_gateway.rpc.call import Call, CallHandler, Headers
+from query_gateway.rpc.connection import GrpcConnection
+from query_gateway.rpc.status import GrpcStatus
 
-MS = 1_000_000
-FIGURE = re.compile(r"\d{1,9}(\.\d{1,6})?", re.ASCII)  # of a query's work or memory, as an engine tells it
+NS_PER_MS = 1_000_000
+MEASUREMENT = re.compile(
+    r"\d{1,9}(\.\d{1,6})?", re.ASCII
+)  # a query's work or memory, as an engine reports it
 
 
-class Step(Enum):
-    INFO = "GetFlightInfo"
-    GET = "DoGet"
-    PUT = "DoPut"
+@dataclass(slots=True, frozen=True)
+class ResultMessage:
+    """One FlightData of a result, undecoded, and what passing it on acknowledges to the engine."""
 
+    data: bytes
+    flow_controlled_bytes: int
 
-class Run(grpc.Handler):
-    """One attempt: for a query its plan and then its result, for an update one exchange of messages."""
 
-    def __init__(self, pool: "Pool", attempt: AttemptHandle) -> None:
-        self.pool, self.attempt = pool, attempt
-        self.link: Link | None = None
-        self.call: grpc.Call | None = None
-        self.step = Step.PUT if attempt.request.is_update else Step.INFO
+PASSED_ON = ResultMessage(b"", 0)  # in the place of a schema that has left
+
+
+class FlightAttempt(CallHandler):
+    """One attempt at an engine: for a query its plan and then its result, for an update one DoPut.
+
+    Each call in turn is an HTTP/2 stream of its own; this is the handler of them all.
+    """
+
+    def __init__(
+        self, pool: "FlightConnectionPool", connection: "FlightConnection", attempt: AttemptHandle
+    ) -> None:
+        """Prepare an attempt on this connection; nothing is sent before `begin`."""
+        self.pool, self.connection, self.attempt = pool, connection, attempt
+        self.call: Call | None = None
+        self.method = FlightMethod.DO_PUT if attempt.request.is_update else FlightMethod.GET_FLIGHT_INFO
         self.tickets: list[bytes] = []
-        self.first: tuple[bytes, int] | None = None  # kept back until more comes: a schema is no row
-        self.status: str | None = None
-        self.over = False
+        self.schema: ResultMessage | None = None  # kept back until more comes: a schema is no row
+        self.status: str | None = None  # of the call under way, as the engine sent it
+        self.is_over = False
 
-    def begin(self, link: "Link") -> None:
-        self.link = link
+    @property
+    def is_withdrawable(self) -> bool:
+        """Whether the engine has surely begun nothing of it.
+
+        A call whose message has not left whole runs nothing. That of DoGet counts as run all the same: the
+        engine may have begun the query when it planned it.
+        """
+        if self.method is FlightMethod.DO_GET:
+            return False
+        return self.call is None or bool(self.call.queue)
+
+    def begin(self) -> None:
+        """Open the attempt's first call."""
         statement = self.attempt.request.statement.decode()
-        if self.step is Step.PUT:
-            self._open(messages.update(statement))
+        if self.method is FlightMethod.DO_PUT:
+            self._open_call(messages.encode_update(statement))
         else:
-            self._open(messages.query_descriptor(statement))
+            self._open_call(messages.encode_query_descriptor(statement))
 
-    def _open(self, message: bytes) -> None:
-        q, a, link = self.attempt.request, self.attempt, self.link
-        left = max(1, (q.deadline - self.pool.clock()) // MS)
-        headers = [
-            (":method", "POST"), (":scheme", "http"), (":path", SERVICE + self.step.value),
-            (":authority", link.dial if link else ""), ("te", "trailers"),
-            ("content-type", "application/grpc"),
-            ("grpc-timeout", f"{left}m"), ("x-class", q.class_name), ("x-txn", q.client_id),
-            ("x-priority", str(a.priority)),
-        ]  # fmt: skip
-        if q.idempotency_key:
-            headers.append(("x-txn-key", q.idempotency_key))
-        if a.memory_mb > 0:
-            headers.append(("x-grant-mb", f"{a.memory_mb:g}"))
+    def stop(self) -> None:
+        """Cancel the attempt without notifying anybody."""
+        self.is_over = True
+        if self.call:
+            self.call.reset()
+        self.connection.remove_waiting(self)
+
+    def end(self, code: OutcomeCode) -> None:
+        """Notify the forwarder of the attempt's one outcome; later ones are dropped."""
+        if not self.is_over:
+            self.is_over = True
+            self.pool.attempts.pop(id(self.attempt), None)
+            self.attempt.on_ended(code)
+
+    def _open_call(self, message: bytes) -> None:
         self.status = None
-        self.call = link.wire.open(headers, self) if link else None
+        self.call = self.connection.grpc.open_call(self._request_headers(), self)
         if self.call is None:
-            self._end(OutcomeCode.CONNECT_FAILED if self.step is not Step.GET else OutcomeCode.RESET)
+            self.end(self._outcome_of_abort(never_ran=True))
             return
-        stream = link.wire.stream if link and self.step is not Step.GET else None
-
-        def sent() -> None:
-            if stream:
-                stream.call_when_sent(self.attempt.on_written)
-
-        self.call.send(message, sent if stream else None, last=True)
+        # A query counts as written with its plan's request; its result's is no second one
+        is_first = self.method is not FlightMethod.DO_GET
+        self.call.send(message, self._on_message_released if is_first else None, half_close=True)
 
-    # ---- what the engine says
-
-    def headers(self, headers: dict[str, str]) -> None:
+    def _request_headers(self) -> Headers:
+        request, attempt = self.attempt.request, self.attempt
+        timeout_ms = max(1, (request.deadline - self.pool.clock()) // NS_PER_MS)
+        headers = [
+            (":method", "POST"),
+            (":scheme", "http"),
+            (":path", messages.SERVICE_PATH + self.method.value),
+            (":authority", self.connection.address),
+            ("te", "trailers"),
+            ("content-type", "application/grpc"),
+            ("grpc-timeout", f"{timeout_ms}m"),
+            ("x-class", request.class_name),
+            ("x-txn", request.client_id),
+            ("x-priority", str(attempt.priority)),
+        ]
+        if request.idempotency_key:
+            headers.append(("x-txn-key", request.idempotency_key))
+        if attempt.memory_mb > 0:
+            headers.append(("x-grant-mb", f"{attempt.memory_mb:g}"))
+        return headers
+
+    def _on_message_released(self) -> None:
+        """Flow control has let the message go; it counts as written once the socket has taken it."""
+        self.connection.grpc.stream.call_when_sent(self.attempt.on_written)
+
+    def _outcome_of_abort(self, never_ran: bool) -> OutcomeCode:
+        if never_ran and self.method is not FlightMethod.DO_GET:
+            return OutcomeCode.CONNECT_FAILED
+        return OutcomeCode.RESET
+
+    # ---- what the engine sends
+
+    def on_headers(self, headers: dict[str, str]) -> None:
+        """Note the call's status and what the engine measured of the query."""
         self.status = headers.get("grpc-status", self.status)
         if "x-work-ms" in headers or "x-used-mb" in headers:
-            work, used = (_figure(headers.get(name, "0")) for name in ("x-work-ms", "x-used-mb"))
-            self.attempt.on_measured(int(work * MS), used)
+            work_ms = _parse_measurement(headers.get("x-work-ms", "0"))
+            used_mb = _parse_measurement(headers.get("x-used-mb", "0"))
+            self.attempt.on_measured(int(work_ms * NS_PER_MS), used_mb)
 
-    def message(self, data: bytes, size: int) -> None:
+    def on_message(self, data: bytes, flow_controlled_bytes: int) -> None:
+        """Take the tickets of a plan, or pass a message of the result on."""
         call = self.call
-        if self.over or call is None:
+        if self.is_over or call is None:
             return
-        if self.step is Step.INFO:
-            call.taken(size)
+        if self.method is FlightMethod.GET_FLIGHT_INFO:
+            call.acknowledge(flow_controlled_bytes)
             try:
-                self.tickets = messages.tickets_of_info(data)
-            except messages.BadMessage:
+                self.tickets = messages.decode_flight_info_tickets(data)
+            except FlightMessageError:
                 call.reset()
-                self._end(OutcomeCode.ERROR)
-        elif self.first is None and self.step is Step.GET:
-            self.first = data, size
+                self.end(OutcomeCode.ERROR)
+        elif self.method is FlightMethod.DO_GET and self.schema is None:
+            self.schema = ResultMessage(data, flow_controlled_bytes)
         else:
-            self._release_first()
-            self._pass(data, size)
+            self._pass_schema_on()
+            self._pass_on(ResultMessage(data, flow_controlled_bytes))
 
-    def _release_first(self) -> None:
-        if self.first and self.first[0]:
-            data, size = self.first
-            self.first = b"", 0
-            self._pass(data, size)
-
-    def _pass(self, data: bytes, size: int) -> None:
-        if call := self.call:
-            self.attempt.on_page(data, lambda: call.taken(size))
-
-    def ended(self) -> None:
-        if self.over:
+    def on_end_stream(self) -> None:
+        """Go on from a plan to its result, or end with the outcome that the call's status says."""
+        if self.is_over:
             return
-        if self.status != str(grpc.OK):
-            self._end(OutcomeCode.FULL if self.status == str(grpc.EXHAUSTED) else OutcomeCode.ERROR)
-        elif self.step is Step.INFO and self.tickets:
-            self.step = Step.GET
-            self._open(self.tickets.pop(0))
-        elif self.step is Step.INFO:
-            self._end(OutcomeCode.ERROR)
-        elif self.tickets:  # a result in several parts: each brings its schema, of which one is passed on
-            self._release_first()
-            self.first = None
-            self._end(OutcomeCode.ERROR)
+        if self.status != str(GrpcStatus.OK.value):
+            is_full = self.status == str(GrpcStatus.RESOURCE_EXHAUSTED.value)
+            self.end(OutcomeCode.FULL if is_full else OutcomeCode.ERROR)
+        elif self.method is FlightMethod.GET_FLIGHT_INFO:
+            self._fetch_result()
+        elif self.tickets:  # a result in several parts is not supported: each would bring a schema of its own
+            self._pass_schema_on()
+            self.end(OutcomeCode.ERROR)
         else:
             self.attempt.on_executed()
-            self._release_first()
-            self._end(OutcomeCode.OK)
-
-    def broken(self, never_ran: bool) -> None:
-        self._end(
-            OutcomeCode.CONNECT_FAILED if never_ran and self.step is not Step.GET else OutcomeCode.RESET
-        )
-
-    def _end(self, code: OutcomeCode) -> None:
-        if not self.over:
-            self.over = True
-            self.pool.runs.pop(id(self.attempt), None)
-            self.attempt.on_ended(code)
+            self._pass_schema_on()
+            self.end(OutcomeCode.OK)
 
-    def stop(self) -> None:
-        self.over = True
-        if self.call:
-            self.call.reset()
-        if self.link:
-            self.link.waiting = [r for r in self.link.waiting if r is not self]
+    def on_aborted(self, never_ran: bool) -> None:
+        """End the attempt, as one that may be sent elsewhere if the engine surely began nothing."""
+        self.end(self._outcome_of_abort(never_ran))
 
+    def _fetch_result(self) -> None:
+        if self.tickets:
+            self.method = FlightMethod.DO_GET
+            self._open_call(self.tickets.pop(0))
+        else:
+            self.end(OutcomeCode.ERROR)
 
-def _figure(text: str) -> float:
-    """A figure that an engine tells of a query; one that cannot be read counts as not told."""
-    return float(text) if FIGURE.fullmatch(text) else 0.0
+    def _pass_schema_on(self) -> None:
+        if self.schema and self.schema.data:
+            schema, self.schema = self.schema, PASSED_ON
+            self._pass_on(schema)
 
+    def _pass_on(self, message: ResultMessage) -> None:
+        """Pass a message on; it is acknowledged to the engine only once it has left for the client."""
+        if call := self.call:
+            self.attempt.on_page(message.data, lambda: call.acknowledge(message.flow_controlled_bytes))
 
-class Link:
-    """The connection to one engine, with what waits for it to come up."""
 
-    def __init__(self, pool: "Pool", engine: str, dial: str) -> None:
-        self.pool, self.dial = pool, dial
-        self.waiting: list[Run] = []
-        loop = pool.loop
-        stream = Stream.dial(loop, address_of(dial), f"flight-engine {engine} {dial}", lambda: None)
-        self.wire = grpc.Wire(loop, stream, client=True)
-        wake = self.wire.task.wake
+def _parse_measurement(text: str) -> float:
+    """Return a figure that an engine reports of a query; 0, for not reported, if it cannot be read."""
+    return float(text) if MEASUREMENT.fullmatch(text) else 0.0
 
-        def woken() -> None:
-            wake()
-            self._look()
 
-        stream.on_activity = woken
-        loop.call_at(loop.now() + pool.dial_timeout, self._late)
+class FlightConnection:
+    """The connection to one engine, with the attempts that wait for it to come up."""
+
+    def __init__(self, pool: "FlightConnectionPool", engine: str, address: str) -> None:
+        """Dial `address`, given as ADDRESS:PORT; raises OSError when no file descriptor is left."""
+        self.pool, self.address = pool, address
+        self.waiting: list[FlightAttempt] = []
+        loop = pool.loop
+        stream = Stream.dial(loop, address_of(address), f"flight-engine {engine} {address}", lambda: None)
+        self.grpc = GrpcConnection(loop, stream, is_client=True)
+        stream.on_activity = self._on_activity
+        loop.call_at(loop.now() + pool.dial_timeout, self._on_dial_timeout)
 
     @property
-    def usable(self) -> bool:
-        # Guards a call: written behind the engine's close, it may count as run
-        self.wire.stream.read_available()
-        return not self.wire.going and not self.wire.stream.is_over
-
-    def _look(self) -> None:
-        """Begin what waited, or end it if the connection never came up."""
-        stream = self.wire.stream
+    def is_usable(self) -> bool:
+        """Whether a further call may be begun.
+
+        Reads what has arrived first. Guards an update: written behind the engine's close, it may count as
+        run.
+        """
+        self.grpc.stream.read_available()
+        return not self.grpc.draining and not self.grpc.stream.is_over
+
+    def start(self, attempt: FlightAttempt) -> None:
+        """Begin the attempt, at once or when the connection has come up."""
+        if self.grpc.stream.connected:
+            attempt.begin()
+        else:
+            self.waiting.append(attempt)
+
+    def remove_waiting(self, attempt: FlightAttempt) -> None:
+        """Begin this attempt no more, if it still waits."""
+        self.waiting = [other for other in self.waiting if other is not attempt]
+
+    def _on_activity(self) -> None:
+        self.grpc.wake()
+        self._start_waiting()
+
+    def _start_waiting(self) -> None:
+        """Begin what waits, or end it if the connection never came up."""
+        stream = self.grpc.stream
         if not stream.connected and not stream.is_over:
             return
         waiting, self.waiting = self.waiting, []
-        for run in waiting:
+        for attempt in waiting:
             if stream.is_over:
-                run._end(OutcomeCode.CONNECT_FAILED)
+                attempt.end(OutcomeCode.CONNECT_FAILED)
             else:
-                run.begin(self)
-
-    def _late(self) -> None:
-        if not self.wire.stream.connected and not self.wire.stream.closed:
-            self.wire.going = True
-            self.wire.stream.close(Reason.DIAL_TIMEOUT)
-            self._look()
-
-    def take(self, run: Run) -> None:
-        run.link = self
-        if self.wire.stream.connected:
-            run.begin(self)
-        else:
-            self.waiting.append(run)
+                attempt.begin()
 
+    def _on_dial_timeout(self) -> None:
+        if not self.grpc.stream.connected and not self.grpc.stream.closed:
+            self.grpc.draining = True
+            self.grpc.stream.close(Reason.DIAL_TIMEOUT)
+            self._start_waiting()
 
-class Pool:
-    """Every Flight SQL engine's connection."""
+
+class FlightConnectionPool:
+    """The forwarder's client for engines on Flight SQL; owns their connections and the attempts there."""
 
     streams_results = True
 
     def __init__(self, loop: Loop, clock: Callable[[], int], dial_timeout: float) -> None:
+        """Begin without engines. `clock` gives clock time in nanoseconds; `dial_timeout` is in seconds."""
         self.loop, self.clock, self.dial_timeout = loop, clock, dial_timeout
-        self.dials: dict[str, str] = {}
-        self.links: dict[str, Link] = {}
-        self.runs: dict[int, Run] = {}
+        self.addresses: dict[str, str] = {}  # of the engines that may get new attempts, by engine
+        self.connections: dict[str, FlightConnection] = {}  # by engine
+        self.attempts: dict[int, FlightAttempt] = {}  # by the id() of the forwarder's attempt
 
     def start(self, attempt: AttemptHandle) -> None:
-        dial = self.dials.get(attempt.endpoint)
-        if dial is None:
-            attempt.on_ended(OutcomeCode.NOT_SENT)  # never sent, and no fault of the engine's
+        """Send an attempt to its engine; NOT_SENT if that is impossible and no fault of the engine's."""
+        address = self.addresses.get(attempt.endpoint)
+        if address is None:
+            attempt.on_ended(OutcomeCode.NOT_SENT)
             return
-        link = self.links.get(attempt.endpoint)
-        if link is None or not link.usable or link.dial != dial:
-            if link:
-                link.wire.leave()
-            try:
-                link = self.links[attempt.endpoint] = Link(self, attempt.endpoint, dial)
-            except OSError:  # out of descriptors: never sent either
-                attempt.on_ended(OutcomeCode.NOT_SENT)
-                return
-        run = self.runs[id(attempt)] = Run(self, attempt)
-        link.take(run)
+        connection = self._connection_to(attempt.endpoint, address)
+        if connection is None:
+            attempt.on_ended(OutcomeCode.NOT_SENT)
+            return
+        flight_attempt = self.attempts[id(attempt)] = FlightAttempt(self, connection, attempt)
+        connection.start(flight_attempt)
+
+    def _connection_to(self, engine: str, address: str) -> FlightConnection | None:
+        """Return the engine's connection, or a new one if it takes no further call; None: out of sockets."""
+        connection = self.connections.get(engine)
+        if connection and connection.is_usable and connection.address == address:
+            return connection
+        if connection:
+            connection.grpc.drain()
+        try:
+            connection = self.connections[engine] = FlightConnection(self, engine, address)
+        except OSError:  # no file descriptor is left
+            return None
+        return connection
 
     def withdraw(self, attempt: AttemptHandle) -> bool:
-        run = self.runs.get(id(attempt))
-        # A call whose message has not left whole runs nothing, but behind its plan it may have begun
-        here = run and run.step is not Step.GET and (run.call is None or bool(run.call.out))
-        if here:
-            self.cancel(attempt)
-        return bool(here)
+        """Cancel the attempt if the engine has surely begun nothing of it; False if it may have."""
+        flight_attempt = self.attempts.get(id(attempt))
+        if flight_attempt is None or not flight_attempt.is_withdrawable:
+            return False
+        self.cancel(attempt)
+        return True
 
     def cancel(self, attempt: AttemptHandle) -> None:
-        if run := self.runs.pop(id(attempt), None):
-            run.stop()
+        """Stop the attempt at its engine; it gets no outcome."""
+        if flight_attempt := self.attempts.pop(id(attempt), None):
+            flight_attempt.stop()
 
     def set_priority(self, attempt: AttemptHandle) -> None:
-        """A priority cannot be changed on this wire once the call is out."""
+        """Do nothing: a priority cannot be changed on this wire once the call is out."""
 
     def update_endpoints(self, targets: list[Endpoint], full: bool) -> None:
+        """Take over the engines' addresses and states; `full`: those not named are gone.
+
+        Guards the drain of an engine: nothing new goes there, while results under way go on.
+        """
         if full:
-            self.dials = {}
+            self.addresses = {}
         for target in targets:
             engine = target.info.name
             if target.info.state is EndpointState.UP and "flight" in target.addresses:
-                self.dials[engine] = target.addresses["flight"]
+                self.addresses[engine] = target.addresses["flight"]
             else:
-                # Guards the drain: nothing new goes there, while results under way go on
-                self.dials.pop(engine, None)
-        for engine in [e for e in self.links if e not in self.dials]:
-            link = self.links.pop(engine)
-            link.wire.leave()
-            for run in [r for r in self.runs.values() if r.link is link]:
-                if self.withdraw(run.attempt):
-                    run.attempt.on_ended(OutcomeCode.CONNECT_FAILED)
+                self.addresses.pop(engine, None)
+        for engine in [engine for engine in self.connections if engine not in self.addresses]:
+            self._drain_connection(self.connections.pop(engine))
+
+    def _drain_connection(self, connection: FlightConnection) -> None:
+        """Begin nothing more there, and hand back what the engine has not begun to be sent elsewhere."""
+        connection.grpc.drain()
+        for flight_attempt in list(self.attempts.values()):
+            if flight_attempt.connection is connection and self.withdraw(flight_attempt.attempt):
+                flight_attempt.attempt.on_ended(OutcomeCode.CONNECT_FAILED)
--- a/query_gateway/flight/messages.py
+++ b/query_gateway/flight/messages.py
@@ -4,128 +4,177 @@
 each is turned into a plain value at once. A FlightData of a result is not even decoded: it passes as it is.
 """
 
+from dataclasses import dataclass
+from enum import Enum
 from typing import Any
 
 from google.protobuf import any_pb2, descriptor_pb2, descriptor_pool, message_factory
 from google.protobuf.message import DecodeError
 
-FLIGHT, SQL = "arrow.flight.protocol", "arrow.flight.protocol.sql"
-URL = f"type.googleapis.com/{SQL}."
-F = descriptor_pb2.FieldDescriptorProto
-BYTES, STRING, INT, MESSAGE = F.TYPE_BYTES, F.TYPE_STRING, F.TYPE_INT64, F.TYPE_MESSAGE
-CMD = 2  # the descriptor type that holds a command
+SERVICE_PATH = "/arrow.flight.protocol.FlightService/"
+FLIGHT_PACKAGE, SQL_PACKAGE = "arrow.flight.protocol", "arrow.flight.protocol.sql"
+TYPE_URL_PREFIX = f"type.googleapis.com/{SQL_PACKAGE}."
+FieldProto = descriptor_pb2.FieldDescriptorProto
+BYTES, STRING, INT64, MESSAGE = (
+    FieldProto.TYPE_BYTES,
+    FieldProto.TYPE_STRING,
+    FieldProto.TYPE_INT64,
+    FieldProto.TYPE_MESSAGE,
+)
+COMMAND_DESCRIPTOR = 2  # the FlightDescriptor type that holds a command
+UNKNOWN_TOTAL = -1  # of a result's records or bytes
+MAX_TYPE_URL_IN_ERROR = 80  # characters
 
-Field = tuple[str, int, Any, str]  # name, number, type, and the message's name, with "*" if repeated
 
-FLIGHT_MESSAGES: dict[str, list[Field]] = {
-    "Location": [("uri", 1, STRING, "")],
-    "Ticket": [("ticket", 1, BYTES, "")],
-    "FlightDescriptor": [("type", 1, F.TYPE_INT32, ""), ("cmd", 2, BYTES, "")],
-    "FlightEndpoint": [("ticket", 1, MESSAGE, "Ticket"), ("location", 2, MESSAGE, "*Location")],
+class FlightMethod(Enum):
+    """The methods of the Flight service that the gateway serves and calls; the values are the wire's."""
+
+    GET_FLIGHT_INFO = "GetFlightInfo"
+    DO_GET = "DoGet"
+    DO_PUT = "DoPut"
+
+
+class FlightMessageError(Exception):
+    """Bytes that are not the message expected."""
+
+
+@dataclass(slots=True, frozen=True)
+class FieldSpec:
+    """One field of a message, as the public specification declares it."""
+
+    name: str
+    number: int
+    type: Any  # a FieldDescriptorProto type; protobuf's enum has no common type for them
+    message: str = ""  # the message's name, of a field of type MESSAGE
+    is_repeated: bool = False
+
+
+FLIGHT_MESSAGES: dict[str, list[FieldSpec]] = {
+    "Location": [FieldSpec("uri", 1, STRING)],
+    "Ticket": [FieldSpec("ticket", 1, BYTES)],
+    "FlightDescriptor": [FieldSpec("type", 1, FieldProto.TYPE_INT32), FieldSpec("cmd", 2, BYTES)],
+    "FlightEndpoint": [
+        FieldSpec("ticket", 1, MESSAGE, "Ticket"),
+        FieldSpec("location", 2, MESSAGE, "Location", is_repeated=True),
+    ],
     "FlightInfo": [
-        ("schema", 1, BYTES, ""),
-        ("flight_descriptor", 2, MESSAGE, "FlightDescriptor"),
-        ("endpoint", 3, MESSAGE, "*FlightEndpoint"),
-        ("total_records", 4, INT, ""),
-        ("total_bytes", 5, INT, ""),
+        FieldSpec("schema", 1, BYTES),
+        FieldSpec("flight_descriptor", 2, MESSAGE, "FlightDescriptor"),
+        FieldSpec("endpoint", 3, MESSAGE, "FlightEndpoint", is_repeated=True),
+        FieldSpec("total_records", 4, INT64),
+        FieldSpec("total_bytes", 5, INT64),
     ],
     "FlightData": [
-        ("flight_descriptor", 1, MESSAGE, "FlightDescriptor"),
-        ("data_header", 2, BYTES, ""),
-        ("app_metadata", 3, BYTES, ""),
-        ("data_body", 1000, BYTES, ""),
+        FieldSpec("flight_descriptor", 1, MESSAGE, "FlightDescriptor"),
+        FieldSpec("data_header", 2, BYTES),
+        FieldSpec("app_metadata", 3, BYTES),
+        FieldSpec("data_body", 1000, BYTES),
     ],
 }
-SQL_MESSAGES: dict[str, list[Field]] = {
-    "CommandStatementQuery": [("query", 1, STRING, "")],
-    "CommandStatementUpdate": [("query", 1, STRING, "")],
-    "TicketStatementQuery": [("statement_handle", 1, BYTES, "")],
+SQL_MESSAGES: dict[str, list[FieldSpec]] = {
+    "CommandStatementQuery": [FieldSpec("query", 1, STRING)],
+    "CommandStatementUpdate": [FieldSpec("query", 1, STRING)],
+    "TicketStatementQuery": [FieldSpec("statement_handle", 1, BYTES)],
 }
 
 
-class BadMessage(Exception):
-    """Bytes that are not the message expected."""
-
-
-def _declare(package: str, messages: dict[str, list[Field]], pool: Any) -> dict[str, Any]:
-    name = f"mothknot/{package}.proto"
-    file = descriptor_pb2.FileDescriptorProto(name=name, package=package, syntax="proto3")
+def _declare_messages(package: str, messages: dict[str, list[FieldSpec]], pool: Any) -> dict[str, Any]:
+    """Declare the messages of one package in the pool and return their classes by name."""
+    file = descriptor_pb2.FileDescriptorProto(
+        name=f"mothknot/{package}.proto", package=package, syntax="proto3"
+    )
     for name, fields in messages.items():
         message = file.message_type.add(name=name)
-        for field, number, kind, of in fields:
-            label = F.LABEL_REPEATED if of.startswith("*") else F.LABEL_OPTIONAL
-            added = message.field.add(name=field, number=number, type=kind, label=label)
-            if kind == MESSAGE:
-                added.type_name = f".{package}.{of.lstrip('*')}"
+        for field in fields:
+            label = FieldProto.LABEL_REPEATED if field.is_repeated else FieldProto.LABEL_OPTIONAL
+            added = message.field.add(name=field.name, number=field.number, type=field.type, label=label)
+            if field.message:
+                added.type_name = f".{package}.{field.message}"
     pool.AddSerializedFile(file.SerializeToString())
-    found = ((name, pool.FindMessageTypeByName(f"{package}.{name}")) for name in messages)
-    return {name: message_factory.GetMessageClass(descriptor) for name, descriptor in found}
+    descriptors = {name: pool.FindMessageTypeByName(f"{package}.{name}") for name in messages}
+    return {name: message_factory.GetMessageClass(descriptor) for name, descriptor in descriptors.items()}
 
 
 _pool: Any = descriptor_pool.DescriptorPool()  # our own: another library may declare the same names
-_types = _declare(FLIGHT, FLIGHT_MESSAGES, _pool) | _declare(SQL, SQL_MESSAGES, _pool)
+_classes = _declare_messages(FLIGHT_PACKAGE, FLIGHT_MESSAGES, _pool) | _declare_messages(
+    SQL_PACKAGE, SQL_MESSAGES, _pool
+)
 
 
 def _parse(name: str, data: bytes) -> Any:
     try:
-        return _types[name].FromString(data)
+        return _classes[name].FromString(data)
     except DecodeError:
-        raise BadMessage(f"not a {name}") from None
+        raise FlightMessageError(f"not a {name}") from None
 
 
 def _unpack(data: bytes, name: str) -> Any:
-    """The message of that name inside an Any."""
+    """Return the message of that name inside an Any."""
     try:
         outer = any_pb2.Any.FromString(data)
     except DecodeError:
-        raise BadMessage("not an Any") from None
-    if outer.type_url.rpartition("/")[2] != f"{SQL}.{name}":
-        raise BadMessage(f"{outer.type_url[:80] or 'an unnamed message'} is not supported here")
+        raise FlightMessageError("not an Any") from None
+    if outer.type_url.rpartition("/")[2] != f"{SQL_PACKAGE}.{name}":
+        type_url = outer.type_url[:MAX_TYPE_URL_IN_ERROR] or "an unnamed message"
+        raise FlightMessageError(f"{type_url} is not supported here")
     return _parse(name, outer.value)
 
 
 def _pack(name: str, **fields: Any) -> bytes:
-    value = _types[name](**fields).SerializeToString()
-    return any_pb2.Any(type_url=URL + name, value=value).SerializeToString()
+    """Return a Flight SQL message inside an Any, encoded."""
+    value = _classes[name](**fields).SerializeToString()
+    return any_pb2.Any(type_url=TYPE_URL_PREFIX + name, value=value).SerializeToString()
 
 
-def query_descriptor(statement: str) -> bytes:
-    return bytes(_types["FlightDescriptor"](
-        type=CMD, cmd=_pack("CommandStatementQuery", query=statement)
-    ).SerializeToString())  # fmt: skip
+def encode_query_descriptor(statement: str) -> bytes:
+    """Return the FlightDescriptor that asks GetFlightInfo for a query's plan."""
+    command = _pack("CommandStatementQuery", query=statement)
+    descriptor = _classes["FlightDescriptor"](type=COMMAND_DESCRIPTOR, cmd=command)
+    return bytes(descriptor.SerializeToString())
 
 
-def statement_of_descriptor(data: bytes) -> str:
+def decode_query_descriptor(data: bytes) -> str:
+    """Return the statement of a query's FlightDescriptor; raises FlightMessageError."""
     return str(_unpack(_parse("FlightDescriptor", data).cmd, "CommandStatementQuery").query)
 
 
-def info(descriptor: bytes, statement: str) -> bytes:
-    """The answer to GetFlightInfo: one endpoint here, whose ticket carries the statement back to us."""
+def encode_flight_info(descriptor: bytes, statement: str) -> bytes:
+    """Return the FlightInfo for a query: one endpoint here, whose ticket carries the statement back to us.
+
+    `descriptor` is the FlightDescriptor asked about, encoded. Raises FlightMessageError if it is none.
+    """
     ticket = _pack("TicketStatementQuery", statement_handle=statement.encode())
-    endpoint = _types["FlightEndpoint"](ticket=_types["Ticket"](ticket=ticket))
-    return bytes(_types["FlightInfo"](
-        flight_descriptor=_parse("FlightDescriptor", descriptor), endpoint=[endpoint], total_records=-1,
-        total_bytes=-1,
-    ).SerializeToString())  # fmt: skip
+    endpoint = _classes["FlightEndpoint"](ticket=_classes["Ticket"](ticket=ticket))
+    info = _classes["FlightInfo"](
+        flight_descriptor=_parse("FlightDescriptor", descriptor),
+        endpoint=[endpoint],
+        total_records=UNKNOWN_TOTAL,
+        total_bytes=UNKNOWN_TOTAL,
+    )
+    return bytes(info.SerializeToString())
 
 
-def tickets_of_info(data: bytes) -> list[bytes]:
-    return [e.ticket.SerializeToString() for e in _parse("FlightInfo", data).endpoint]
+def decode_flight_info_tickets(data: bytes) -> list[bytes]:
+    """Return the tickets of a FlightInfo, each encoded, in order; raises FlightMessageError."""
+    return [endpoint.ticket.SerializeToString() for endpoint in _parse("FlightInfo", data).endpoint]
 
 
-def statement_of_ticket(data: bytes) -> str:
+def decode_ticket(data: bytes) -> str:
+    """Return the statement that a ticket of ours carries; raises FlightMessageError for any other."""
     handle = _unpack(_parse("Ticket", data).ticket, "TicketStatementQuery").statement_handle
     try:
         return bytes(handle).decode()
     except UnicodeDecodeError:
-        raise BadMessage("the ticket is none of ours") from None
+        raise FlightMessageError("the ticket is none of ours") from None
 
 
-def update(statement: str) -> bytes:
-    cmd = _pack("CommandStatementUpdate", query=statement)
-    descriptor = _types["FlightDescriptor"](type=CMD, cmd=cmd)
-    return bytes(_types["FlightData"](flight_descriptor=descriptor).SerializeToString())
+def encode_update(statement: str) -> bytes:
+    """Return the FlightData that starts DoPut with an update statement."""
+    command = _pack("CommandStatementUpdate", query=statement)
+    descriptor = _classes["FlightDescriptor"](type=COMMAND_DESCRIPTOR, cmd=command)
+    return bytes(_classes["FlightData"](flight_descriptor=descriptor).SerializeToString())
 
 
-def statement_of_update(data: bytes) -> str:
+def decode_update(data: bytes) -> str:
+    """Return the update statement of DoPut's first FlightData; raises FlightMessageError."""
     return str(_unpack(_parse("FlightData", data).flight_descriptor.cmd, "CommandStatementUpdate").query)
--- a/query_gateway/gateway.py
+++ b/query_gateway/gateway.py
@@ -45,8 +45,8 @@
 from query_gateway.planner.planner import Planner
 
 if TYPE_CHECKING:
-    from query_gateway.flight.engines import Pool as FlightPool
-    from query_gateway.flight.server import Server as FlightServer
+    from query_gateway.flight.engines import FlightConnectionPool
+    from query_gateway.flight.server import FlightServer
     from query_gateway.parsing.service import Statements
     from query_gateway.statements.messages import Rules
 
@@ -91,7 +91,7 @@
     anew = False  # its service counts anew, and has not told the whole list yet
     last_call = 0.0  # told to stop, until when requests still come
     given_up = False  # told to stop, and so late that nothing is begun any more
-    flight_pool: "FlightPool | None" = None
+    flight_pool: "FlightConnectionPool | None" = None
     planner: Planner  # only where it shares our process
 
     def __init__(
@@ -279,22 +279,26 @@
         self, operator: OperatorSettings, most: int, shared: bool, given: socket.socket | None
     ) -> "FlightServer":
         """The second front; what it needs is not even loaded where it is off."""
-        from query_gateway.flight.engines import Pool as FlightPool
-        from query_gateway.flight.server import Server as FlightServer
-        from query_gateway.flight.server import classes_of
+        from query_gateway.flight.engines import FlightConnectionPool
+        from query_gateway.flight.requests import build_flight_classes
+        from query_gateway.flight.server import FlightServer, FlightServerSettings
 
         config = self.config
-        classes = classes_of(config.classes, config.settings)
-        pool = self.flight_pool = FlightPool(self.loop, time.time_ns, config.dial_timeout)
+        classes = build_flight_classes(config.classes, config.settings)
+        pool = self.flight_pool = FlightConnectionPool(self.loop, time.time_ns, config.dial_timeout)
         self.forwarder.engine_clients["flight"] = pool
         pool.update_endpoints(list(self.forwarder.endpoints.values()), True)
         assert operator.flight_address
-        names = operator.query_class, operator.update_class
-        return FlightServer(
-            self.loop, self.forwarder, operator.flight_address, classes, *names, most, self.readiness,
-            shared, given,
-            self.statements,
-        )  # fmt: skip
+        settings = FlightServerSettings(
+            operator.flight_address,
+            classes,
+            operator.query_class,
+            operator.update_class,
+            most,
+            shared,
+            given,
+        )
+        return FlightServer(self.loop, self.forwarder, self.readiness, settings, self.statements)
 
     def _statements(self, legacy: Any) -> "Statements | None":
         """What reads bare SQL; not even loaded where it is off."""
@@ -450,9 +454,9 @@
             }
             self.statements.update_rules(self.statements.classifier.rules, safe)
         if self.flight_server:
-            from query_gateway.flight.server import classes_of
+            from query_gateway.flight.requests import build_flight_classes
 
-            self.flight_server.classes = classes_of(classes, self.forwarder.settings)
+            self.flight_server.classes = build_flight_classes(classes, self.forwarder.settings)
 
     def drain(self) -> None:
         if self.readiness.stopping:
--- a/query_gateway/rpc/__init__.py
+++ b/query_gateway/rpc/__init__.py
@@ -1,5 +1,6 @@
-"""gRPC over HTTP/2 for whoever speaks it: connections and calls with flow control from end to end.
+"""gRPC over HTTP/2: connections and calls with bounded buffers and flow control from end to end.
 
-Decides when a connection takes no more calls and which one has been silent for too long; owns their buffers.
-Imported by the Flight SQL front and engine client; knows no message of theirs.
+Decides when a connection accepts no more calls, and when one that is silent or idle is closed. Owns each
+connection's h2 state and each call's queued messages; the socket's buffers belong to `net`. Imported by the
+Flight SQL server and engine client alone; knows no message of theirs.
 """
--- /dev/null
+++ b/query_gateway/rpc/peer_events.py
@@ -0,0 +1,110 @@
+"""What the peer's HTTP/2 frames, as h2 decodes them, mean for the calls of a connection."""
+
+from typing import TYPE_CHECKING
+
+import h2.errors
+import h2.events
+
+from query_gateway.rpc.call import Call, CallHandler
+from query_gateway.rpc.errors import FramingError
+
+if TYPE_CHECKING:
+    from query_gateway.rpc.connection import GrpcConnection
+
+MAX_STREAM_ID = 2**31 - 1
+HeadersEvent = h2.events.ResponseReceived | h2.events.TrailersReceived
+
+
+class PeerEventHandler:
+    """Applies h2's events to the calls of one connection and notifies their handlers."""
+
+    def __init__(self, connection: "GrpcConnection") -> None:
+        """Serve this connection, which owns the calls."""
+        self.connection = connection
+        self.newest_stream_id = 0  # of the last call that the peer began
+        self.goaway_stream_id = MAX_STREAM_ID  # the last call that the peer's GOAWAY promises to serve
+
+    def is_refused(self, call: Call) -> bool:
+        """Whether the peer's GOAWAY says that it never acted on this call."""
+        return call.stream_id > self.goaway_stream_id
+
+    def handle(self, event: h2.events.Event) -> None:
+        """Apply one event; events that concern no open call change nothing."""
+        if isinstance(event, h2.events.ConnectionTerminated):
+            self._on_goaway(event)
+        elif isinstance(event, h2.events.RequestReceived):
+            self._on_request(event)
+        elif isinstance(event, h2.events.DataReceived):
+            self._on_data(event)
+        elif isinstance(event, HeadersEvent | h2.events.StreamEnded | h2.events.StreamReset) and (
+            call := self._find_call(event.stream_id)
+        ):
+            if isinstance(event, HeadersEvent):
+                call.handler.on_headers(_header_dict(event))
+            elif isinstance(event, h2.events.StreamEnded):
+                self._on_end_stream(call)
+            else:
+                self._on_reset(call, event)
+
+    def _find_call(self, stream_id: int | None) -> Call | None:
+        return None if stream_id is None else self.connection.calls.get(stream_id)
+
+    def _on_goaway(self, event: h2.events.ConnectionTerminated) -> None:
+        self.connection.draining = True
+        self.goaway_stream_id = event.last_stream_id or 0
+        for call in [call for call in self.connection.calls.values() if self.is_refused(call)]:
+            self.connection.forget(call)
+            call.handler.on_aborted(True)
+
+    def _on_request(self, event: h2.events.RequestReceived) -> None:
+        accept_call = self.connection.on_call
+        if not accept_call or not event.stream_id:
+            return
+        headers = _header_dict(event)
+        if self.connection.draining:  # it crossed our GOAWAY: REFUSED_STREAM says that it never ran
+            self.connection.h2.reset_stream(event.stream_id, h2.errors.ErrorCodes.REFUSED_STREAM)
+            return
+        self.newest_stream_id = event.stream_id
+        call = Call(self.connection, event.stream_id, CallHandler())
+        self.connection.calls[event.stream_id] = call
+        call.handler = accept_call(headers, call)
+
+    def _on_data(self, event: h2.events.DataReceived) -> None:
+        if event.stream_id is None:
+            return
+        flow_controlled_bytes = event.flow_controlled_length or 0
+        call = self._find_call(event.stream_id)
+        if call is None or call.is_closed:
+            # Guards the connection's window: nobody else acknowledges what still comes for a closed call
+            self.connection.h2.acknowledge_received_data(flow_controlled_bytes, event.stream_id)
+        else:
+            self._decode_messages(call, event.data or b"", flow_controlled_bytes)
+
+    def _decode_messages(self, call: Call, data: bytes, flow_controlled_bytes: int) -> None:
+        try:
+            messages = call.decoder.feed(data)
+        except FramingError:
+            call.reset()
+            call.handler.on_aborted(False)
+            return
+        # What completes no message is acknowledged at once, or one above the window would never come whole
+        if not messages:
+            call.acknowledge(flow_controlled_bytes)
+        for index, message in enumerate(messages):
+            call.handler.on_message(message, flow_controlled_bytes if index == 0 else 0)
+
+    def _on_end_stream(self, call: Call) -> None:
+        call.handler.on_end_stream()
+        if self.connection.is_client:
+            self.connection.forget(call)
+
+    def _on_reset(self, call: Call, event: h2.events.StreamReset) -> None:
+        is_refused = event.error_code == h2.errors.ErrorCodes.REFUSED_STREAM
+        # A peer acts on a call only when its message has arrived whole
+        never_ran = is_refused or bool(call.queue)
+        self.connection.forget(call)
+        call.handler.on_aborted(never_ran)
+
+
+def _header_dict(event: h2.events.RequestReceived | HeadersEvent) -> dict[str, str]:
+    return {str(name): str(value) for name, value in event.headers or []}
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -29,8 +29,7 @@
 from query_gateway.discovery.endpoint_list import EndpointListEvent, EndpointTombstones, follow
 from query_gateway.discovery.watch_client import AGAIN
 from query_gateway.flight import messages
-from query_gateway.flight.engines import Link
-from query_gateway.flight.server import SERVICE
+from query_gateway.flight.engines import FlightConnection
 from query_gateway.forwarder.exchange import Exchange
 from query_gateway.forwarder.messages import Endpoint
 from query_gateway.gateway import CROSSING, KILLED_AT, Gateway
@@ -41,7 +40,9 @@
 from query_gateway.net.loop import Loop
 from query_gateway.net.stream import Reason, Stream
 from query_gateway.planner.process import PlannerProcess
-from query_gateway.rpc.grpc import Call, Handler, Wire, framed
+from query_gateway.rpc.call import Call, CallHandler
+from query_gateway.rpc.connection import GrpcConnection
+from query_gateway.rpc.framing import encode_message
 from tests.stand_ins import SETTINGS, Engine, config, host, post
 from tests.test_handover import Site, site
 from tests.test_local import planner, until
@@ -290,21 +291,21 @@
     gate = _flight_gate(engine)
     assert gate.flight_server
     pool: Any = gate.forwarder.engine_clients["flight"]
-    link = pool.links["e0"] = Link(pool, "e0", pool.dials["e0"])
+    connection = pool.connections["e0"] = FlightConnection(pool, "e0", pool.addresses["e0"])
     peer = engine.accept()[0]
-    _turns(gate, lambda: link.wire.stream.connected)
+    _turns(gate, lambda: connection.grpc.stream.connected)
     wire = H2Connection(H2Configuration(client_side=True))
     wire.initiate_connection()
-    told = {":method": "POST", ":scheme": "http", ":path": SERVICE + "DoPut", ":authority": "x",
+    told = {":method": "POST", ":scheme": "http", ":path": messages.SERVICE_PATH + "DoPut", ":authority": "x",
             "x-class": "load", "x-row": "7f3a9c21e0b4d655", "x-txn-key": uuid4().hex}  # fmt: skip
     wire.send_headers(1, list(told.items()))
-    wire.send_data(1, framed(messages.update(LOAD)), end_stream=True)
+    wire.send_data(1, encode_message(messages.encode_update(LOAD)), end_stream=True)
     first = gate.forwarder.next_request_id
     with socket.create_connection(gate.flight_server.listener.address) as client:
         client.sendall(wire.data_to_send())
-    _turns(gate, lambda: gate.flight_server and gate.flight_server.wires and gate.flight_server.is_idle)
+    _turns(gate, lambda: gate.flight_server and gate.flight_server.connections and gate.flight_server.is_idle)
     assert gate.forwarder.next_request_id == first + 1 and not gate.forwarder.exchanges  # it was taken
-    assert pool.links == {"e0": link} and link.wire.h2.get_next_available_stream_id() == 1
+    assert pool.connections == {"e0": connection} and connection.grpc.h2.get_next_available_stream_id() == 1
     gate.loop.close()
     for sock in (peer, engine):
         sock.close()
@@ -604,8 +605,8 @@
     exchanges = [_take_flight(gate, statement) for statement in (big, GONE)]
     peer = engine.accept()[0]
     peer.settimeout(0.01)
-    wire = gate.forwarder.engine_clients["flight"].links["e0"].wire  # type: ignore[attr-defined]
-    while len(wire.calls) < 2 or wire.h2.outbound_flow_control_window:
+    grpc = gate.forwarder.engine_clients["flight"].connections["e0"].grpc  # type: ignore[attr-defined]
+    while len(grpc.calls) < 2 or grpc.h2.outbound_flow_control_window:
         gate.loop.turn()
     if how == "leaves":
         exchanges[1].abandon()
@@ -614,7 +615,7 @@
         gate.take_list({"pos": 2, "entries": [{"pos": 2, "hosts": {"whole": False, "hosts": [news]}}]})
     else:
         peer.shutdown(socket.SHUT_RDWR)
-        _turns(gate, lambda: wire.stream.closed)
+        _turns(gate, lambda: grpc.stream.closed)
         assert not any(e.may_have_run for e in exchanges)
         exchanges = []
     # What has gone in part is not whole either, so it never ran; its client still waits for it
@@ -626,7 +627,7 @@
         own = WindowUpdateFrame(1, window_increment=1_000_000).serialize()
         peer.sendall(SettingsFrame(0).serialize() + window + own)
     got = b""
-    while got.count(b"x") < 200_000 and not wire.stream.closed:
+    while got.count(b"x") < 200_000 and not grpc.stream.closed:
         gate.loop.turn()
         with contextlib.suppress(TimeoutError):
             got += peer.recv(65_536)
@@ -641,26 +642,26 @@
     engine = socket.create_server(("127.0.0.1", 0))
     gate = _flight_gate(engine)
     pool: Any = gate.forwarder.engine_clients["flight"]
-    old = pool.links["e0"] = Link(pool, "e0", pool.dials["e0"])
+    old = pool.connections["e0"] = FlightConnection(pool, "e0", pool.addresses["e0"])
     peer = engine.accept()[0]
-    _turns(gate, lambda: old.wire.stream.connected)
+    _turns(gate, lambda: old.grpc.stream.connected)
     peer.shutdown(socket.SHUT_WR)
-    until(lambda: _state(old.wire.stream.sock) == CLOSE_WAIT)
+    until(lambda: _state(old.grpc.stream.sock) == CLOSE_WAIT)
     exchange = _take_flight(gate, SQL)
-    assert exchange.current_attempt and pool.links["e0"] is not old and not old.wire.calls
+    assert exchange.current_attempt and pool.connections["e0"] is not old and not old.grpc.calls
     gate.loop.close()
     for sock in (peer, engine):
         sock.close()
 
 
-class Answers(Handler):
+class Answers(CallHandler):
     """Answers its call at once, with much."""
 
     def __init__(self, call: Call) -> None:
         self.call = call
 
-    def message(self, data: bytes, size: int) -> None:
-        self.call.wire.headers(self.call, [(":status", "200")])
+    def on_message(self, data: bytes, flow_controlled_bytes: int) -> None:
+        self.call.send_headers([(":status", "200")])
         self.call.send(b"x" * 600_000)
         self.call.finish([("grpc-status", "0")])
 
@@ -684,18 +685,18 @@
     peer.increment_flow_control_window(1_000_000)
     told = [(":method", "POST"), (":scheme", "http"), (":path", "/x"), (":authority", "x")]
     peer.send_headers(1, told)
-    peer.send_data(1, framed(b"?"), end_stream=True)
+    peer.send_data(1, encode_message(b"?"), end_stream=True)
     client.sendall(peer.data_to_send())
     stream = Stream(loop, server.accept()[0], "client")
-    wire = Wire(loop, stream, client=False)
-    wire.taken = lambda _, call: Answers(call)
+    connection = GrpcConnection(loop, stream, is_client=False)
+    connection.on_call = lambda _, call: Answers(call)
     stream.start()
-    until(lambda: _turned(loop) and stream.outbox and not wire.calls)
+    until(lambda: _turned(loop) and stream.outbox and not connection.calls)
     if why == "stopping":
-        wire.go_away()
+        connection.send_goaway()
     else:
-        monkeypatch.setattr("query_gateway.rpc.grpc.IDLE_TIME", 0.0)
-        wire.task.wake()
+        monkeypatch.setattr("query_gateway.rpc.connection.IDLE_TIMEOUT_S", 0.0)
+        connection.wake()
     got, ended = 0, set[Any]()
     client.settimeout(0.01)
     while ConnectionTerminated not in ended or StreamEnded not in ended:
--- a/tests/test_flight.py
+++ b/tests/test_flight.py
@@ -226,7 +226,7 @@
             reader = mine.do_get(endpoint.ticket, options(x_class="report"))
             reader.read_chunk()
             gate.loop.call_soon(gate.readiness.drain)
-            until(lambda: gate.flight_server and all(w.going for w in gate.flight_server.wires))
+            until(lambda: gate.flight_server and all(w.draining for w in gate.flight_server.connections))
             with pytest.raises(fl.FlightUnavailableError):
                 ask(gate, "SELECT b FROM lending_8.loans")
             node.go_on.set()
@@ -282,8 +282,8 @@
 def test_silent_connections_and_calls_end_and_keep_nobody_out(
     node: Node, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr("query_gateway.rpc.grpc.HELLO_TIME", 0.1)
-    monkeypatch.setattr("query_gateway.flight.server.CALL_TIME", 0.1)
+    monkeypatch.setattr("query_gateway.rpc.connection.FIRST_BYTES_TIMEOUT_S", 0.1)
+    monkeypatch.setattr("query_gateway.flight.client_call.MESSAGE_TIMEOUT_S", 0.1)
     with gateway(node) as gate:
         assert gate.flight_server
         gate.flight_server.max_connections = 3
--- a/tests/test_flight_statements.py
+++ b/tests/test_flight_statements.py
@@ -19,7 +19,7 @@
     StatementSettings,
     operator_of,
 )
-from query_gateway.flight.server import FlightClass, query_of
+from query_gateway.flight.requests import FlightClass, FlightStatement, decode_request
 from query_gateway.forwarder.messages import Verdict
 from query_gateway.gateway import Gateway
 from query_gateway.net.loop import Loop
@@ -294,15 +294,15 @@
 
 
 def test_a_key_made_by_the_gateway_belongs_to_one_request() -> None:
-    c = FlightClass(2, True, True, 10**10, False)
-    judged = Classification(Judgement("load", True, False, "0" * 16, "insert", True))
-    sql = "INSERT INTO a (b) VALUES (1)"
-    queries = [query_of(sql, "load", c, {}, 0, True, judged) for _ in range(2)]
+    load_class = FlightClass(2, True, True, 10**10, False)
+    classification = Classification(Judgement("load", True, False, "0" * 16, "insert", True))
+    insert = FlightStatement("INSERT INTO a (b) VALUES (1)", is_update=True, received_at_ns=0)
+    queries = [decode_request(insert, "load", load_class, {}, classification) for _ in range(2)]
     assert {q.key for q in queries} == {"0" * 16}
     assert len({q.idempotency_key for q in queries}) == 2 and {
         len(q.idempotency_key or "") for q in queries
     } == {32}
-    named = query_of(sql, "load", c, {"x-txn-key": "f" * 32}, 0, True, judged)
+    named = decode_request(insert, "load", load_class, {"x-txn-key": "f" * 32}, classification)
     assert named.idempotency_key == "f" * 32
 
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -62,4 +62,4 @@
         "query_gateway.forwarder",
         "google",
     )
-    assert not among(loaded("query_gateway.rpc.grpc"), above)
+    assert not among(loaded("query_gateway.rpc.connection", "query_gateway.rpc.status"), above)
