--- a/bench/statements.py
+++ b/bench/statements.py
@@ -273,12 +273,12 @@
     a shape; what the gateway has learned by its end is compared with 50 further draws of each. Then another
     gateway takes that over, and one shape runs `slow` times, 5 times slower.
     """
-    from tests.test_flight import Node
+    from tests.test_flight import FlightEngine
 
     random = Random(seed)
     usual = {n: 0.03 * random.lognormvariate(0, 0.8) for n in range(shapes)}
 
-    class Slow(Node):
+    class Slow(FlightEngine):
         def get_flight_info(self, context: Any, descriptor: Any) -> Any:
             time.sleep(int(descriptor.command.rpartition(b"= ")[2]) / 1e6)
             return super().get_flight_info(context, descriptor)
@@ -310,9 +310,9 @@
     """Three gateways at once, asked in turn for a quarter of a second each, so that what else the machine
     does falls on all of them alike.
     """
-    from tests.test_flight import Node
+    from tests.test_flight import FlightEngine
 
-    node, ways = Node(), ("off", "hits", "flood")
+    node, ways = FlightEngine(), ("off", "hits", "flood")
     served, used = dict.fromkeys(ways, 0), dict.fromkeys(ways, 0.0)
     with ExitStack() as stack:
         gates = {}
--- a/tests/test_flight.py
+++ b/tests/test_flight.py
@@ -1,4 +1,4 @@
-"""The Flight SQL front and client against independent peers: pyarrow servers, pyarrow and ADBC clients."""
+"""Flight SQL against independent peers: pyarrow servers as engines, pyarrow and ADBC as clients."""
 
 import socket
 import threading
@@ -26,8 +26,8 @@
 TXN_KEY = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
 
 
-class Node(fl.FlightServerBase):  # type: ignore[misc]
-    """A stand-in for a Flight SQL engine: it counts what runs and what is called off."""
+class FlightEngine(fl.FlightServerBase):  # type: ignore[misc]
+    """A stand-in for a Flight SQL engine: it counts what runs and what is cancelled."""
 
     def __init__(self, **more: Any) -> None:
         super().__init__("grpc://127.0.0.1:0", **more)
@@ -84,14 +84,14 @@
 
 @contextmanager
 def gateway(
-    *nodes: Node, web: tuple[Engine, ...] = (), statements: StatementSettings | None = None
+    *flight_engines: FlightEngine, web: tuple[Engine, ...] = (), statements: StatementSettings | None = None
 ) -> Iterator[Gateway]:
-    """A whole gateway with both fronts on a thread of its own."""
+    """A complete gateway, HTTP and Flight SQL, on a thread of its own."""
     hosts = []
-    for at in range(max(len(nodes), len(web))):
+    for at in range(max(len(flight_engines), len(web))):
         host: dict[str, Any] = {"host": f"e{at}", "site": "hall-a", "class": "std-16", "health": "up"}
-        if at < len(nodes):
-            host["flight"] = f"127.0.0.1:{nodes[at].port}"
+        if at < len(flight_engines):
+            host["flight"] = f"127.0.0.1:{flight_engines[at].port}"
         host["dial"] = web[at].address if at < len(web) else "127.0.0.1:1"
         hosts.append(host)
     operator = OperatorSettings(flight_address=("127.0.0.1", 0), statements=statements)
@@ -125,13 +125,13 @@
     return fl.FlightDescriptor.for_command(any_pb2.Any(type_url=url, value=value).SerializeToString())
 
 
-def ask(gate: Gateway, statement: str = SQL, seconds: float = 10.0, **meta: str) -> Any:
+def run_query(gate: Gateway, statement: str = SQL, seconds: float = 10.0, **meta: str) -> Any:
     peer = client(gate)
     info = peer.get_flight_info(command("CommandStatementQuery", statement), options())
     return peer.do_get(info.endpoints[0].ticket, options(seconds, **meta))
 
 
-def load(gate: Gateway, statement: str, row: str) -> bytes:
+def run_update(gate: Gateway, statement: str, row: str) -> bytes:
     peer = client(gate)
     meta = options(x_row=row, x_txn_key=TXN_KEY)
     writer, reader = peer.do_put(command("CommandStatementUpdate", statement), pa.schema([]), meta)
@@ -142,22 +142,22 @@
 
 
 @pytest.fixture
-def node() -> Iterator[Node]:
-    server = Node()
+def engine() -> Iterator[FlightEngine]:
+    server = FlightEngine()
     yield server
     server.go_on.set()
     server.shutdown()
 
 
-def test_a_query_passes_through_whole(node: Node) -> None:
-    with gateway(node) as gate:
-        assert ask(gate).read_all().column("a").to_pylist() == ["0", "1", "2"]
-    assert node.ran == {SQL: 1}
+def test_query_runs_once_and_returns_every_row(engine: FlightEngine) -> None:
+    with gateway(engine) as gate:
+        assert run_query(gate).read_all().column("a").to_pylist() == ["0", "1", "2"]
+    assert engine.ran == {SQL: 1}
 
 
-def test_an_adbc_client_reads_a_result(node: Node) -> None:
+def test_adbc_client_reads_a_result(engine: FlightEngine) -> None:
     adbc = pytest.importorskip("adbc_driver_flightsql.dbapi")
-    with gateway(node) as gate:
+    with gateway(engine) as gate:
         assert gate.flight_server
         uri = f"grpc://127.0.0.1:{gate.flight_server.listener.address[1]}"
         with adbc.connect(uri) as connection, connection.cursor() as cursor:
@@ -165,95 +165,95 @@
             assert cursor.fetchall() == [("0",), ("1",), ("2",)]
 
 
-def test_an_update_runs_once_and_tells_its_count(node: Node) -> None:
-    with gateway(node) as gate:
-        assert load(gate, "INSERT INTO lending_7.loans VALUES (1)", "7f3a9c21e0b4d655") == b"\x08\x05"
-    assert list(node.loads.values()) == [1]
+def test_update_runs_once_and_returns_its_record_count(engine: FlightEngine) -> None:
+    with gateway(engine) as gate:
+        assert run_update(gate, "INSERT INTO lending_7.loans VALUES (1)", "7f3a9c21e0b4d655") == b"\x08\x05"
+    assert list(engine.loads.values()) == [1]
 
 
-def test_a_client_that_cancels_midway_stops_the_engine(node: Node) -> None:
-    with gateway(node) as gate:
-        reader = ask(gate, "SELECT long FROM lending_7.loans", x_class="report")
+def test_client_cancelling_midway_cancels_the_engine_call(engine: FlightEngine) -> None:
+    with gateway(engine) as gate:
+        reader = run_query(gate, "SELECT long FROM lending_7.loans", x_class="report")
         reader.read_chunk()
         reader.cancel()
-        assert node.cancelled.wait(10)
+        assert engine.cancelled.wait(10)
         assert wait_until(lambda: not gate.forwarder.exchanges)
-    assert node.sent < 2_000
+    assert engine.sent < 2_000
 
 
-def test_a_reader_that_stands_still_holds_the_engine_back(node: Node) -> None:
-    """Guards against a result that piles up in the gateway: flow control reaches from end to end."""
-    with gateway(node) as gate:
-        reader = ask(gate, "SELECT long FROM lending_7.loans", 25.0, x_class="report")
+def test_stalled_reader_stops_the_engine_by_flow_control(engine: FlightEngine) -> None:
+    """Guards against a result that accumulates in the gateway: flow control reaches from end to end."""
+    with gateway(engine) as gate:
+        reader = run_query(gate, "SELECT long FROM lending_7.loans", 25.0, x_class="report")
         reader.read_chunk()
-        steady = wait_until_steady(lambda: node.sent)
+        steady = wait_until_steady(lambda: engine.sent)
         assert steady < 1_500
         assert len(reader.read_all()) == 1_999
 
 
-def test_a_node_that_drains_ends_its_stream_and_gets_nothing_new(node: Node) -> None:
-    node.go_on.clear()
-    other = Node()
-    with gateway(node) as gate:
-        reader = ask(gate, SQL, x_class="report")
+def test_draining_engine_finishes_its_stream_and_gets_no_new_call(engine: FlightEngine) -> None:
+    engine.go_on.clear()
+    other = FlightEngine()
+    with gateway(engine) as gate:
+        reader = run_query(gate, SQL, x_class="report")
         reader.read_chunk()
         host = {"site": "hall-a", "class": "std-16", "share": 1, "dial": "127.0.0.1:1"}
         news = [
-            {**host, "host": "e0", "flight": f"127.0.0.1:{node.port}", "health": "draining"},
+            {**host, "host": "e0", "flight": f"127.0.0.1:{engine.port}", "health": "draining"},
             {**host, "host": "e9", "flight": f"127.0.0.1:{other.port}", "health": "up"},
         ]
-        told = threading.Event()
+        applied = threading.Event()
         entries = {"pos": 2, "entries": [{"pos": 2, "hosts": {"seq": 2, "whole": False, "hosts": news}}]}
 
-        def tell() -> None:
+        def apply_list() -> None:
             gate.take_list(entries)
-            told.set()
+            applied.set()
 
-        gate.loop.call_soon(tell)
-        assert told.wait(10)
-        assert ask(gate, "SELECT b FROM lending_8.loans").read_all().num_rows == 3
-        node.go_on.set()
+        gate.loop.call_soon(apply_list)
+        assert applied.wait(10)
+        assert run_query(gate, "SELECT b FROM lending_8.loans").read_all().num_rows == 3
+        engine.go_on.set()
         assert reader.read_all().num_rows == 2
-    assert node.ran == {SQL: 1} and sum(other.ran.values()) == 1
+    assert engine.ran == {SQL: 1} and sum(other.ran.values()) == 1
     other.shutdown()
 
 
-def test_a_gateway_that_drains_ends_its_stream_and_takes_no_new_call(node: Node) -> None:
-    node.go_on.clear()
-    with gateway(node) as gate:
+def test_draining_gateway_finishes_open_streams_and_accepts_no_new_call(engine: FlightEngine) -> None:
+    engine.go_on.clear()
+    with gateway(engine) as gate:
         with client(gate) as mine:
             endpoint = mine.get_flight_info(command("CommandStatementQuery", SQL), options()).endpoints[0]
             reader = mine.do_get(endpoint.ticket, options(x_class="report"))
             reader.read_chunk()
             gate.loop.call_soon(gate.readiness.drain)
-            until(lambda: gate.flight_server and all(w.draining for w in gate.flight_server.connections))
+            until(lambda: gate.flight_server and all(c.draining for c in gate.flight_server.connections))
             with pytest.raises(fl.FlightUnavailableError):
-                ask(gate, "SELECT b FROM lending_8.loans")
-            node.go_on.set()
+                run_query(gate, "SELECT b FROM lending_8.loans")
+            engine.go_on.set()
             assert reader.read_all().num_rows == 2
         gate.loop.call_soon(gate.readiness.undrain)
         until(lambda: gate.readiness.ready)
-        assert ask(gate, "SELECT b FROM lending_8.loans").read_all().num_rows == 3
+        assert run_query(gate, "SELECT b FROM lending_8.loans").read_all().num_rows == 3
 
 
-def test_refusals_and_failures_have_a_status_each(node: Node) -> None:
+def test_rejections_and_failures_have_one_status_each(engine: FlightEngine) -> None:
     with gateway() as gate, pytest.raises(pa.ArrowInvalid) as refused:
-        # No engine is known: the module gives the request up, and nothing has run
-        ask(gate, SQL, x_class="lookup").read_all()
+        # No engine is known: the scheduler gives the request up, and nothing has run
+        run_query(gate, SQL, x_class="lookup").read_all()
     assert "Overloaded" in str(refused.value) and gate.forwarder.counters.total(Verdict.REJECTED) == 1
-    with gateway(node) as gate, pytest.raises(pa.ArrowInvalid, match="Overloaded"):
-        # Three tries in vain of a safe class: asking again later does no harm
-        ask(gate, "SELECT broken FROM lending_7.loans").read_all()
-    assert node.ran["SELECT broken FROM lending_7.loans"] == 3
-    with gateway(node) as gate, pytest.raises(fl.FlightInternalError, match="Internal"):
+    with gateway(engine) as gate, pytest.raises(pa.ArrowInvalid, match="Overloaded"):
+        # Three failed attempts of an idempotent class: a retry later does no harm
+        run_query(gate, "SELECT broken FROM lending_7.loans").read_all()
+    assert engine.ran["SELECT broken FROM lending_7.loans"] == 3
+    with gateway(engine) as gate, pytest.raises(fl.FlightInternalError, match="Internal"):
         # Rows have left: no other attempt can stand in, and the client must see that the result is not whole
-        ask(gate, "SELECT torn FROM lending_7.loans").read_all()
+        run_query(gate, "SELECT torn FROM lending_7.loans").read_all()
     assert [gate.forwarder.counters.total(v) for v in Verdict] == [0, 0, 1]
 
 
-def test_a_deadline_ends_a_stream_that_stands_still(node: Node) -> None:
-    node.go_on.clear()
-    with gateway(node) as gate:
+def test_deadline_ends_a_stalled_stream(engine: FlightEngine) -> None:
+    engine.go_on.clear()
+    with gateway(engine) as gate:
         peer = client(gate)
         info = peer.get_flight_info(command("CommandStatementQuery", SQL), options())
         reader = peer.do_get(info.endpoints[0].ticket, options(seconds=1.5))
@@ -262,11 +262,11 @@
         assert wait_until(lambda: not gate.forwarder.exchanges)
 
 
-def test_bad_calls_get_a_prompt_status(node: Node) -> None:
-    with gateway(node) as gate:
+def test_unusable_calls_get_invalid_argument_or_unimplemented(engine: FlightEngine) -> None:
+    with gateway(engine) as gate:
         calls: tuple[Callable[[], Any], ...] = (
-            lambda: ask(gate, SQL, x_class="nothing").read_all(),
-            lambda: ask(gate, SQL, x_txn="short").read_all(),
+            lambda: run_query(gate, SQL, x_class="nothing").read_all(),
+            lambda: run_query(gate, SQL, x_txn="short").read_all(),
             lambda: client(gate).do_get(fl.Ticket(b"\xff\xff"), options()).read_all(),
             lambda: client(gate).get_flight_info(fl.FlightDescriptor.for_path("x"), options()),
         )
@@ -275,25 +275,25 @@
                 call()
         with pytest.raises(pa.ArrowNotImplementedError):
             list(client(gate).list_flights(options=options()))
-        assert ask(gate).read_all().num_rows == 3
-    assert node.ran == {SQL: 1}
+        assert run_query(gate).read_all().num_rows == 3
+    assert engine.ran == {SQL: 1}
 
 
-def test_silent_connections_and_calls_end_and_keep_nobody_out(
-    node: Node, monkeypatch: pytest.MonkeyPatch
+def test_silent_connections_and_calls_are_ended_and_lock_nobody_out(
+    engine: FlightEngine, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.setattr("query_gateway.rpc.connection.FIRST_BYTES_TIMEOUT_S", 0.1)
     monkeypatch.setattr("query_gateway.flight.client_call.MESSAGE_TIMEOUT_S", 0.1)
-    with gateway(node) as gate:
+    with gateway(engine) as gate:
         assert gate.flight_server
         gate.flight_server.max_connections = 3
         address = gate.flight_server.listener.address
         crowd = [socket.create_connection(address) for _ in range(6)]
-        assert ask(gate).read_all().num_rows == 3
+        assert run_query(gate).read_all().num_rows == 3
         with socket.create_connection(address) as sock:
             sock.settimeout(10)
             while sock.recv(65_536):
-                pass  # our settings, then the close of who said nothing
+                pass  # our settings, then the close of a connection that sent nothing
         with socket.create_connection(address) as sock:
             sock.settimeout(10)
             peer = h2.connection.H2Connection()
@@ -311,41 +311,48 @@
             sock.close()
 
 
-def test_both_fronts_mixed_give_the_same_counts_and_double_no_load() -> None:
-    nodes, engines = (Node(), Node()), (Engine(), Engine())
-    with gateway(*nodes, web=engines) as gate:
-        counts: dict[str, Counter[str]] = {"web": Counter(), "flight": Counter()}
+def test_http_and_flight_clients_together_get_the_same_counts_and_no_load_runs_twice() -> None:
+    flight_engines, http_engines = (FlightEngine(), FlightEngine()), (Engine(), Engine())
+    with gateway(*flight_engines, web=http_engines) as gate:
+        counts: dict[str, Counter[str]] = {"http": Counter(), "flight": Counter()}
 
-        def one(front: str, at: int) -> None:
+        def run_one(protocol: str, at: int) -> None:
             row = f"{at % 3:016x}"
             if at % 4 == 0:
                 statement = f"INSERT INTO lending_{at}.loans VALUES ({at})"
-                if front == "flight":
-                    good = load(gate, statement, row) != b""
+                if protocol == "flight":
+                    good = run_update(gate, statement, row) != b""
                 else:
                     good = "rows" in post(gate, "load", statement, row=row)[1]
             else:
                 statement = f"SELECT a FROM lending_{at}.loans"
-                if front == "flight":
-                    good = ask(gate, statement).read_all().num_rows == 3
+                if protocol == "flight":
+                    good = run_query(gate, statement).read_all().num_rows == 3
                 else:
                     good = len(post(gate, "lookup", statement)[1]["rows"]) == 3
-            counts[front]["served" if good else "other"] += 1
+            counts[protocol]["served" if good else "other"] += 1
 
-        threads = [threading.Thread(target=one, args=(front, at)) for at in range(24) for front in counts]
+        threads = [
+            threading.Thread(target=run_one, args=(protocol, at)) for at in range(24) for protocol in counts
+        ]
         for thread in threads:
             thread.start()
         for thread in threads:
             thread.join(30)
-        assert counts["web"] == counts["flight"] == {"served": 24}
+        assert counts["http"] == counts["flight"] == {"served": 24}
         assert gate.forwarder.counters.total(Verdict.SERVED) == 48
-    loads = sum((n.loads for n in nodes), Counter())
-    web_loads = Counter(s for e in engines for s in e.statements if s.startswith("INSERT"))
-    assert loads == web_loads and set(loads.values()) == {1} and len(loads) == 6
-    for node in nodes:
-        node.shutdown()
-    for engine in engines:
-        engine.close()
+    flight_loads = sum((engine.loads for engine in flight_engines), Counter())
+    http_loads = Counter(
+        statement
+        for http_engine in http_engines
+        for statement in http_engine.statements
+        if statement.startswith("INSERT")
+    )
+    assert flight_loads == http_loads and set(flight_loads.values()) == {1} and len(flight_loads) == 6
+    for engine in flight_engines:
+        engine.shutdown()
+    for http_engine in http_engines:
+        http_engine.close()
 
 
 def wait_until(true: Any, seconds: float = 10.0) -> bool:
--- a/tests/test_flight_statements.py
+++ b/tests/test_flight_statements.py
@@ -1,4 +1,4 @@
-"""Statements read by the fronts: writes under a wrong label, keys from the text, harm, death of a parser."""
+"""Statements parsed by the gateway: writes under a wrong label, keys from the text, limits, dying parsers."""
 
 import json
 import threading
@@ -27,53 +27,58 @@
 from query_gateway.statements.messages import Judgement, Rules
 from tests.stand_ins import Engine, config, post
 from tests.statements import KEYS
-from tests.test_flight import Node, ask, client, command, gateway, load, options
+from tests.test_flight import FlightEngine, client, command, gateway, options, run_query, run_update
 
 READ = "SELECT a FROM lending_7.loans WHERE member = 42"
 DELETE = "DELETE FROM lending_7.loans WHERE member = 42"
 RULES = Rules(keys=KEYS)
 ON = StatementSettings(RULES, covers_http=True, parser_count=1)
+EnginePair = tuple[FlightEngine, FlightEngine]
 
 
 @pytest.fixture
-def nodes() -> Iterator[tuple[Node, Node]]:
-    both = Node(), Node()
+def flight_engines() -> Iterator[EnginePair]:
+    both = FlightEngine(), FlightEngine()
     yield both
-    for node in both:
-        node.go_on.set()
-        node.shutdown()
+    for engine in both:
+        engine.go_on.set()
+        engine.shutdown()
 
 
-def ran(*nodes: Node) -> Counter[str]:
-    return sum((n.ran + n.loads for n in nodes), Counter())
+def statements_run(*flight_engines: FlightEngine) -> Counter[str]:
+    return sum((engine.ran + engine.loads for engine in flight_engines), Counter())
 
 
-def held(gate: Gateway, attribute: str) -> set[Any]:
-    """What the desk's exchanges hold now."""
+def values_in_flight(gate: Gateway, attribute: str) -> set[Any]:
+    """This attribute of every request that the forwarder has open."""
     return {getattr(e.request, attribute) for e in list(gate.forwarder.exchanges.values())}
 
 
-def test_reads_get_their_class_without_a_label(nodes: tuple[Node, Node]) -> None:
-    with gateway(*nodes, statements=ON) as gate:
-        assert ask(gate, READ).read_all().num_rows == 3
-        assert ask(gate, "SELECT a FROM lending_7.loans").read_all().num_rows == 3
-        served = {name: told[Verdict.SERVED] for name, told in gate.forwarder.counters.answers.items()}
+def test_reads_get_their_class_without_a_label(flight_engines: EnginePair) -> None:
+    with gateway(*flight_engines, statements=ON) as gate:
+        assert run_query(gate, READ).read_all().num_rows == 3
+        assert run_query(gate, "SELECT a FROM lending_7.loans").read_all().num_rows == 3
+        served = {name: answers[Verdict.SERVED] for name, answers in gate.forwarder.counters.answers.items()}
     assert served == {"lookup": 1, "report": 1, "load": 0}
 
 
-def test_an_unlabelled_delete_through_doget_is_a_load_with_its_key(nodes: tuple[Node, Node]) -> None:
-    for node in nodes:
-        node.go_on.clear()
-    with gateway(*nodes, statements=ON) as gate:
-        reader = ask(gate, DELETE)
+def test_unlabelled_delete_through_doget_runs_as_a_load_with_its_key(
+    flight_engines: EnginePair,
+) -> None:
+    for engine in flight_engines:
+        engine.go_on.clear()
+    with gateway(*flight_engines, statements=ON) as gate:
+        reader = run_query(gate, DELETE)
         reader.read_chunk()
-        assert held(gate, "class_name") == {"load"} and held(gate, "key") == {"1dcc58982fa48171"}
-        [once] = held(gate, "idempotency_key")
-        assert len(once) == 32
-        for node in nodes:
-            node.go_on.set()
+        assert values_in_flight(gate, "class_name") == {"load"} and values_in_flight(gate, "key") == {
+            "1dcc58982fa48171"
+        }
+        [idempotency_key] = values_in_flight(gate, "idempotency_key")
+        assert len(idempotency_key) == 32
+        for engine in flight_engines:
+            engine.go_on.set()
         reader.read_all()
-    assert ran(*nodes) == {DELETE: 1}
+    assert statements_run(*flight_engines) == {DELETE: 1}
 
 
 @pytest.mark.parametrize("sql", [
@@ -82,64 +87,75 @@
     "SELECT '\\' broken", "INSERT INTO broken VALUES (1)",
 ])  # fmt: skip
 @pytest.mark.parametrize("label", ["lookup", "report"])
-def test_a_write_labelled_as_a_read_reaches_no_engine_on_either_front(
-    nodes: tuple[Node, Node], sql: str, label: str
+def test_write_labelled_as_a_read_reaches_no_engine_over_http_or_flight(
+    flight_engines: EnginePair, sql: str, label: str
 ) -> None:
-    engines = Engine(script={sql: ["error"] * 9}), Engine(script={sql: ["error"] * 9})
-    with gateway(*nodes, web=engines, statements=ON) as gate:
+    http_engines = Engine(script={sql: ["error"] * 9}), Engine(script={sql: ["error"] * 9})
+    with gateway(*flight_engines, web=http_engines, statements=ON) as gate:
         with pytest.raises(pa.ArrowInvalid):
-            ask(gate, sql, x_class=label).read_all()
+            run_query(gate, sql, x_class=label).read_all()
         status, body, _ = post(gate, label, sql)
         assert status == 400 and body["failure"]
-        assert post(gate, label, READ)[0] == 200 and ask(gate, READ, x_class=label).read_all().num_rows == 3
-    assert sql not in ran(*nodes) and not any(sql in engine.statements for engine in engines)
-    for engine in engines:
-        engine.close()
-
-
-def test_both_fronts_mixed_send_no_labelled_write_anywhere_and_double_no_load() -> None:
-    nodes, engines = (Node(), Node()), (Engine(), Engine())
-    with gateway(*nodes, web=engines, statements=ON) as gate:
-        told: Counter[str] = Counter()
+        assert (
+            post(gate, label, READ)[0] == 200
+            and run_query(gate, READ, x_class=label).read_all().num_rows == 3
+        )
+    assert sql not in statements_run(*flight_engines) and not any(
+        sql in http_engine.statements for http_engine in http_engines
+    )
+    for http_engine in http_engines:
+        http_engine.close()
+
+
+def test_http_and_flight_clients_together_forward_no_labelled_write_and_run_no_load_twice() -> None:
+    flight_engines, http_engines = (FlightEngine(), FlightEngine()), (Engine(), Engine())
+    with gateway(*flight_engines, web=http_engines, statements=ON) as gate:
+        counts: Counter[str] = Counter()
         lock = threading.Lock()
 
-        def one(front: str, at: int) -> None:
+        def run_one(protocol: str, at: int) -> None:
             read, write = READ.replace("42", str(at)), DELETE.replace("42", str(at))
-            if front == "flight":
-                good = ask(gate, read).read_all().num_rows == 3
-                wrote = load(gate, write, f"{at:016x}") != b""
+            if protocol == "flight":
+                good = run_query(gate, read).read_all().num_rows == 3
+                wrote = run_update(gate, write, f"{at:016x}") != b""
                 with pytest.raises(pa.ArrowInvalid):
-                    ask(gate, write, x_class="lookup").read_all()
+                    run_query(gate, write, x_class="lookup").read_all()
             else:
                 good = post(gate, "lookup", read)[0] == 200
                 wrote = post(gate, "load", write)[0] == 200
                 assert post(gate, "lookup", write)[0] == 400
             with lock:
-                told.update({"read": good, "load": wrote, "refused": 1})
+                counts.update({"read": good, "load": wrote, "rejected": 1})
 
-        threads = [threading.Thread(target=one, args=(f, n)) for n in range(12) for f in ("web", "flight")]
+        threads = [
+            threading.Thread(target=run_one, args=(protocol, n))
+            for n in range(12)
+            for protocol in ("http", "flight")
+        ]
         for thread in threads:
             thread.start()
         for thread in threads:
             thread.join(30)
-        assert told == {"read": 24, "load": 24, "refused": 24}
-    loads = sum((n.loads for n in nodes), Counter())
-    web = Counter(s for e in engines for s in e.statements if s.startswith("DELETE"))
+        assert counts == {"read": 24, "load": 24, "rejected": 24}
+    loads = sum((engine.loads for engine in flight_engines), Counter())
+    web = Counter(s for e in http_engines for s in e.statements if s.startswith("DELETE"))
     assert set(loads.values()) == set(web.values()) == {1} and len(loads) == len(web) == 12
-    for node in nodes:
-        node.shutdown()
-    for engine in engines:
-        engine.close()
+    for engine in flight_engines:
+        engine.shutdown()
+    for http_engine in http_engines:
+        http_engine.close()
 
 
-def test_two_loads_of_one_key_never_run_at_once_whatever_their_spelling(nodes: tuple[Node, Node]) -> None:
-    """The clients name other keys; the text's own counts."""
+def test_loads_of_one_key_never_run_at_once_however_the_key_is_spelled(
+    flight_engines: EnginePair,
+) -> None:
+    """The clients send other keys; the key in the text counts."""
     spelt = [DELETE, DELETE.replace("42", "'42'"), 'DELETE FROM "lending_7"."loans" WHERE "member" = 42.0']
     running: set[str] = set()
     most = 0
     lock = threading.Lock()
 
-    def put(self: Node, context: Any, descriptor: Any, reader: Any, writer: Any) -> None:
+    def put(self: FlightEngine, context: Any, descriptor: Any, reader: Any, writer: Any) -> None:
         nonlocal most
         name = f"{id(context)}"
         with lock:
@@ -150,102 +166,107 @@
             running.discard(name)
         writer.write(pa.py_buffer(b"\x08\x05"))
 
-    original, Node.do_put = Node.do_put, put  # type: ignore[method-assign]
+    original, FlightEngine.do_put = FlightEngine.do_put, put  # type: ignore[method-assign]
     try:
-        with gateway(*nodes, statements=ON) as gate:
+        with gateway(*flight_engines, statements=ON) as gate:
             rows = [f"{n:016x}" for n in range(9)]
-            calls = [threading.Thread(target=load, args=(gate, spelt[n % 3], rows[n])) for n in range(9)]
+            calls = [
+                threading.Thread(target=run_update, args=(gate, spelt[n % 3], rows[n])) for n in range(9)
+            ]
             for call in calls:
                 call.start()
             for call in calls:
                 call.join(30)
             assert gate.forwarder.counters.answers["load"][Verdict.SERVED] == 9
     finally:
-        Node.do_put = original  # type: ignore[method-assign]
+        FlightEngine.do_put = original  # type: ignore[method-assign]
     assert most == 1
 
 
-def test_an_update_under_a_class_that_may_run_twice_is_turned_down(nodes: tuple[Node, Node]) -> None:
-    """Where nothing is read, too: the call itself says that it changes something."""
+def test_update_under_an_idempotent_class_is_rejected(
+    flight_engines: EnginePair,
+) -> None:
+    """Also where statements are not parsed: the call itself says that it changes something."""
     for reading in (None, ON):
-        with gateway(*nodes, statements=reading) as gate:
+        with gateway(*flight_engines, statements=reading) as gate:
             meta = options(x_class="lookup")
             writer, reader = client(gate).do_put(command("CommandStatementUpdate", READ), pa.schema([]), meta)
             writer.done_writing()
             with pytest.raises(pa.ArrowInvalid):
                 reader.read()
                 writer.close()
-    assert not ran(*nodes)
+    assert not statements_run(*flight_engines)
 
 
-def test_a_shape_that_fails_everywhere_is_held_and_others_are_not(nodes: tuple[Node, Node]) -> None:
-    third = Node()
-    with gateway(*nodes, third, statements=ON) as gate:
+def test_shape_that_fails_on_every_engine_is_limited_and_others_are_not(
+    flight_engines: EnginePair,
+) -> None:
+    third = FlightEngine()
+    with gateway(*flight_engines, third, statements=ON) as gate:
         assert gate.statements
         broken = "SELECT broken FROM lending_7.loans WHERE member = {}"
         limits = gate.statements.classifier.limits
-        for n in range(6):  # three attempts each, at engines that the module picks
+        for n in range(6):  # three attempts each, at engines that the scheduler picks
             if not limits.held:
                 with pytest.raises(pa.ArrowInvalid, match="Overloaded"):
-                    ask(gate, broken.format(n)).read_all()
+                    run_query(gate, broken.format(n)).read_all()
         assert limits.held == 1
         [digest] = limits.records
-        for _ in range(20):  # as many as are let in run already
+        for _ in range(20):  # as many as are admitted already run
             limits.begun(digest)
         with pytest.raises(pa.ArrowInvalid, match="run already"):
-            ask(gate, broken.format(2)).read_all()
-        assert ask(gate, READ).read_all().num_rows == 3
+            run_query(gate, broken.format(2)).read_all()
+        assert run_query(gate, READ).read_all().num_rows == 3
     third.shutdown()
 
 
-def test_costs_are_learned_on_the_way(nodes: tuple[Node, Node]) -> None:
-    with gateway(*nodes, statements=ON) as gate:
+def test_costs_are_learned_from_finished_queries(flight_engines: EnginePair) -> None:
+    with gateway(*flight_engines, statements=ON) as gate:
         assert gate.statements
         for n in range(8):
-            ask(gate, READ.replace("42", str(n))).read_all()
+            run_query(gate, READ.replace("42", str(n))).read_all()
         costs = gate.statements.classifier.costs
         [digest] = costs.shapes
-        told = costs.cost_ns(digest, "lookup", 7)
-        assert told and 0 < told < 5_000_000_000
-        assert costs.cost_ns(b"0" * 16, "lookup", 7) == told
+        cost_ns = costs.cost_ns(digest, "lookup", 7)
+        assert cost_ns and 0 < cost_ns < 5_000_000_000
+        assert costs.cost_ns(b"0" * 16, "lookup", 7) == cost_ns
 
 
-class Telling(fl.ServerMiddlewareFactory):  # type: ignore[misc]
-    """An engine's figures of each call, in its headers."""
+class MeasurementMiddlewareFactory(fl.ServerMiddlewareFactory):  # type: ignore[misc]
+    """Sends an engine's measurements of each call in its headers."""
 
     def start_call(self, info: Any, headers: Any) -> Any:
-        return Figures()
+        return MeasurementMiddleware()
 
 
-class Figures(fl.ServerMiddleware):  # type: ignore[misc]
+class MeasurementMiddleware(fl.ServerMiddleware):  # type: ignore[misc]
     def sending_headers(self) -> dict[str, str]:
         return {"x-work-ms": "700", "x-used-mb": "96.5"}
 
 
-def test_what_an_engine_tells_of_work_and_memory_is_learned() -> None:
-    node = Node(middleware={"telling": Telling()})
-    with gateway(node, statements=ON) as gate:
+def test_work_and_memory_reported_by_an_engine_are_learned() -> None:
+    engine = FlightEngine(middleware={"measurements": MeasurementMiddlewareFactory()})
+    with gateway(engine, statements=ON) as gate:
         assert gate.statements
         for n in range(8):
-            ask(gate, READ.replace("42", str(n))).read_all()
+            run_query(gate, READ.replace("42", str(n))).read_all()
         costs = gate.statements.classifier.costs
         [digest] = costs.shapes
         assert 500_000_000 < (costs.cost_ns(digest, "lookup", 7) or 0) < 1_000_000_000
         assert 70 < costs.need_mb(digest) < 140
-    node.shutdown()
+    engine.shutdown()
 
 
-def test_a_successor_takes_over_what_was_learned(nodes: tuple[Node, Node]) -> None:
-    with gateway(*nodes, statements=ON) as gate:
+def test_successor_inherits_learned_costs(flight_engines: EnginePair) -> None:
+    with gateway(*flight_engines, statements=ON) as gate:
         for n in range(8):
-            ask(gate, READ.replace("42", str(n))).read_all()
-        told = json.loads(json.dumps(gate.offer()[0]))
+            run_query(gate, READ.replace("42", str(n))).read_all()
+        transferred = json.loads(json.dumps(gate.offer()[0]))
         assert gate.statements
         costs = gate.statements.classifier.costs
-    legacy = told["statements"]
     loop = Loop()
     successor = Statements(loop, RULES, ("lookup", "report"), parsers=1)
-    successor.restore("", legacy)
+    successor.restore("", transferred["statements"])
     [digest] = costs.shapes
     usual = successor.classifier.costs.cost_ns(digest, "lookup", 7)
     successor.stop()
@@ -253,47 +274,51 @@
     assert usual is not None and usual == costs.cost_ns(digest, "lookup", 7)
 
 
-def test_the_gateway_lives_on_while_parsers_die(nodes: tuple[Node, Node]) -> None:
-    with gateway(*nodes, statements=ON) as gate:
+def test_gateway_keeps_serving_while_parser_processes_die(
+    flight_engines: EnginePair,
+) -> None:
+    with gateway(*flight_engines, statements=ON) as gate:
         assert gate.statements
-        assert ask(gate, READ).read_all().num_rows == 3
+        assert run_query(gate, READ).read_all().num_rows == 3
         for n in range(3):
             for process in list(gate.statements.processes.values()):
                 process.child.kill()
-            known = READ.replace("42", str(n))  # its shape is: no parser is needed
-            assert ask(gate, known).read_all().num_rows == 3
+            known = READ.replace("42", str(n))  # its shape is known: no parser is needed
+            assert run_query(gate, known).read_all().num_rows == 3
             until = time.monotonic() + 20
             while time.monotonic() < until:
                 try:
                     fresh = f"SELECT b{n} FROM lending_7.loans WHERE member = 1"
-                    assert ask(gate, fresh).read_all().num_rows == 3
+                    assert run_query(gate, fresh).read_all().num_rows == 3
                     break
-                except pa.ArrowInvalid:  # refused while no parser is up, or lost with one
+                except pa.ArrowInvalid:  # rejected while no parser is up, or lost with one
                     gate.loop.call_soon(gate.statements.parsers.poison.clear)
             else:
                 raise AssertionError("no parser came back")
 
 
-def test_a_client_that_leaves_before_its_statement_is_read_leaves_nothing(nodes: tuple[Node, Node]) -> None:
-    with gateway(*nodes, statements=ON) as gate:
+def test_client_that_leaves_before_its_statement_is_parsed_leaves_nothing_behind(
+    flight_engines: EnginePair,
+) -> None:
+    with gateway(*flight_engines, statements=ON) as gate:
         assert gate.statements
         statements = gate.statements
-        ask(gate, READ).read_all()
+        run_query(gate, READ).read_all()
         reader = client(gate)
-        told = command("CommandStatementQuery", "SELECT c FROM t WHERE a = 1")
-        info = reader.get_flight_info(told, options())
+        descriptor = command("CommandStatementQuery", "SELECT c FROM t WHERE a = 1")
+        info = reader.get_flight_info(descriptor, options())
         original = statements.parsers.next
         statements.parsers.next = lambda now: []  # type: ignore[method-assign]  # nothing is read for now
         with pytest.raises(fl.FlightTimedOutError):
             reader.do_get(info.endpoints[0].ticket, options(seconds=0.2)).read_all()
         statements.parsers.next = original  # type: ignore[method-assign]
         gate.loop.call_soon(statements._go_on)
-        assert ask(gate, READ).read_all().num_rows == 3
+        assert run_query(gate, READ).read_all().num_rows == 3
         assert not gate.forwarder.exchanges
-    assert "SELECT c FROM t WHERE a = 1" not in ran(*nodes)
+    assert "SELECT c FROM t WHERE a = 1" not in statements_run(*flight_engines)
 
 
-def test_a_key_made_by_the_gateway_belongs_to_one_request() -> None:
+def test_idempotency_key_made_by_the_gateway_belongs_to_one_request() -> None:
     load_class = FlightClass(2, True, True, 10**10, False)
     classification = Classification(Judgement("load", True, False, "0" * 16, "insert", True))
     insert = FlightStatement("INSERT INTO a (b) VALUES (1)", is_update=True, received_at_ns=0)
@@ -306,14 +331,14 @@
     assert named.idempotency_key == "f" * 32
 
 
-def test_new_rules_come_with_sighup_and_bad_ones_change_nothing(
-    nodes: tuple[Node, Node], tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+def test_reload_applies_new_rules_and_invalid_ones_change_nothing(
+    flight_engines: EnginePair, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """The way of a real reload: the operator's file is read again, checked, and taken whole or not at all."""
     path = tmp_path / "operator.toml"
     table = '[flight]\nlisten = "127.0.0.1:0"\n[statements]\n{}\n'
     monkeypatch.setenv("MOTHKNOT_OPERATOR", str(path))
-    with gateway(*nodes, statements=ON) as gate:
+    with gateway(*flight_engines, statements=ON) as gate:
         gate.read_again = lambda: gate.config
         count = "SELECT count(*) FROM lending_7.loans"
 
@@ -325,13 +350,15 @@
             assert done.wait(10)
 
         def served() -> dict[str, int]:
-            for _ in range(50):  # while the parsers start anew it is told to come back
+            for _ in range(50):  # while the parsers restart it is asked to come back
                 try:
-                    ask(gate, count).read_all()
+                    run_query(gate, count).read_all()
                     break
                 except pa.ArrowInvalid:
                     time.sleep(0.1)
-            return {name: told[Verdict.SERVED] for name, told in gate.forwarder.counters.answers.items()}
+            return {
+                name: answers[Verdict.SERVED] for name, answers in gate.forwarder.counters.answers.items()
+            }
 
         assert served() == {"lookup": 0, "report": 1, "load": 0}
         reload('dialect = "oracle"')
@@ -358,16 +385,16 @@
         }
 
 
-def test_the_figures_tell_of_statements(nodes: tuple[Node, Node]) -> None:
-    with gateway(*nodes, statements=ON) as gate:
+def test_figures_count_statements(flight_engines: EnginePair) -> None:
+    with gateway(*flight_engines, statements=ON) as gate:
         for sql in (READ, READ, "SELECT 1; SELECT 2"):
             try:
-                ask(gate, sql).read_all()
+                run_query(gate, sql).read_all()
             except pa.ArrowInvalid:
                 continue
-        told = dict(line.rsplit(" ", 1) for line in gate.figures())
-    assert told["svc_statement_hits_total"] == "1" and told["svc_statement_misses_total"] == "1"
-    assert told["svc_statement_turned_down_total"] == "1" and told["svc_statement_shapes"] == "1"
+        figures = dict(line.rsplit(" ", 1) for line in gate.figures())
+    assert figures["svc_statement_hits_total"] == "1" and figures["svc_statement_misses_total"] == "1"
+    assert figures["svc_statement_turned_down_total"] == "1" and figures["svc_statement_shapes"] == "1"
 
 
 @pytest.mark.parametrize("table, place", [
@@ -384,13 +411,13 @@
     ({"reports": {"sort_rows": -1}}, "statements.reports.sort_rows"),
     ({"colour": "red"}, "statements.colour"),
 ])  # fmt: skip
-def test_a_bad_table_is_turned_down_with_its_place(table: dict[str, Any], place: str) -> None:
+def test_invalid_statements_table_is_rejected_with_its_place(table: dict[str, Any], place: str) -> None:
     with pytest.raises(ConfigurationError) as bad:
         operator_of({"flight": {"listen": "127.0.0.1:0"}, "statements": table}, config([]))
     assert place in str(bad.value) and "\n" not in str(bad.value)
 
 
-def test_a_table_that_no_front_uses_is_turned_down() -> None:
+def test_statements_table_that_no_server_uses_is_rejected() -> None:
     with pytest.raises(ConfigurationError, match="no front reads statements"):
         operator_of({"statements": {}}, config([]))
     assert operator_of({"statements": {"web": True}}, config([])).statements
