--- a/query_gateway/cli.py
+++ b/query_gateway/cli.py
@@ -7,6 +7,7 @@
 import os
 import sys
 from collections.abc import Iterator
+from dataclasses import dataclass
 from importlib.metadata import PackageNotFoundError, version
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, TextIO
@@ -14,24 +15,50 @@
 import click
 
 from query_gateway.configuration.platform import (
+    Configuration,
     ConfigurationError,
+    StatementSettings,
     config_of,
     faults_of_operator,
     raw_of,
     raw_of_operator,
+    reading_of,
 )
 
 if TYPE_CHECKING:
     from query_gateway.parsing.service import Classification, Statements
 
-PATIENCE = 30.0  # seconds that one statement may wait for a parser process
+CONFIGURATION_VARIABLE = "ROUTER_CONFIG"
+OPERATOR_FILE_VARIABLE = "QUERY_GATEWAY_OPERATOR_FILE"
+DEVELOPMENT_VERSION = "0.2.0"  # of a program that is started from its folder, not installed
+EXIT_FAULT = 2
+EXIT_NO_PARSER = 1
+PARSER_TIMEOUT = 30.0  # seconds that one statement may wait for a parser process
+
+
+class StatementLineError(Exception):
+    """A line of input that is no statement to classify."""
+
+    def __init__(self) -> None:
+        """The message is what `classify` prints as the reason."""
+        super().__init__('not a line {"sql": "..."}')
+
+
+@dataclass(slots=True, frozen=True)
+class StatementLine:
+    """One line of input to `classify`: a statement, and what a client may say beside it."""
+
+    sql: str
+    class_name: str | None
+    key: str | None
+    parameters: list[Any]
 
 
 def _version() -> str:
     try:
         return version("mothknot")
-    except PackageNotFoundError:  # started from its folder
-        return "0.2.0"
+    except PackageNotFoundError:
+        return DEVELOPMENT_VERSION
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -41,16 +68,17 @@
 
 
 @main.command()
-@click.option("--config", type=click.Path(dir_okay=False), help="In place of ROUTER_CONFIG.")
-@click.option("--operator", type=click.Path(dir_okay=False), help="In place of MOTHKNOT_OPERATOR.")
+@click.option("--config", type=click.Path(dir_okay=False), help=f"In place of {CONFIGURATION_VARIABLE}.")
+@click.option("--operator", type=click.Path(dir_okay=False), help=f"In place of {OPERATOR_FILE_VARIABLE}.")
 def run(config: str | None, operator: str | None) -> None:
     """Start a gateway."""
-    from query_gateway.__main__ import serve
+    from query_gateway.lifecycle.process import serve
 
+    # The environment, not an argument: a reload reads it again, and so do worker processes
     if config:
-        os.environ["ROUTER_CONFIG"] = config
+        os.environ[CONFIGURATION_VARIABLE] = config
     if operator:
-        os.environ["MOTHKNOT_OPERATOR"] = operator
+        os.environ[OPERATOR_FILE_VARIABLE] = operator
     serve()
 
 
@@ -62,34 +90,39 @@
 
     Exit code 2 if there is a fault. Where both are given, also whether they go together.
     """
-    toml = [file for file in files if file.endswith(".toml")] + ([operator] if operator else [])
-    config, faults = None, []
+    operator_files = [file for file in files if file.endswith(".toml")] + ([operator] if operator else [])
+    config: Configuration | None = None
+    faults: list[str] = []
     for file in (file for file in files if not file.endswith(".toml")):
-        config, told = _check_config(file)
-        faults += [f"{file}: {fault}" for fault in told]
-    for file in toml:
-        try:
-            faults += [f"{file}: {fault}" for fault in faults_of_operator(raw_of_operator(file), config)]
-        except ConfigurationError as bad:
-            faults.append(str(bad))
+        config, found = _check_configuration(file)
+        faults += [f"{file}: {fault}" for fault in found]
+    for file in operator_files:
+        faults += _check_operator_file(file, config)
     for fault in faults:
         click.echo(fault, err=True)
     if faults:
-        sys.exit(2)
+        sys.exit(EXIT_FAULT)
     click.echo("no faults")
 
 
-def _check_config(file: str) -> tuple[Any, list[str]]:
+def _check_configuration(file: str) -> tuple[Configuration | None, list[str]]:
+    """The configuration that the file holds, if it has no fault, and its faults."""
     from query_gateway.configuration.schema import faults_of_configuration
 
     try:
         raw = raw_of(file)
         faults = faults_of_configuration(raw)
-        if faults:
-            return None, faults
-        return config_of(raw, {}), []
-    except ConfigurationError as bad:
-        return None, [str(bad).removeprefix(f"{file}: ")]
+        return (None, faults) if faults else (config_of(raw, {}), [])
+    except ConfigurationError as error:
+        return None, [str(error).removeprefix(f"{file}: ")]
+
+
+def _check_operator_file(file: str, config: Configuration | None) -> list[str]:
+    """The faults of an operator's file, and what of it does not go with the configuration."""
+    try:
+        return [f"{file}: {fault}" for fault in faults_of_operator(raw_of_operator(file), config)]
+    except ConfigurationError as error:
+        return [str(error)]
 
 
 @main.group()
@@ -105,70 +138,91 @@
 
     A line may also hold "class" and "key" as a client names them, and "params" with the values bound.
     """
-    from query_gateway.configuration.platform import reading_of
-    from query_gateway.net.loop import Loop
-    from query_gateway.parsing.service import Statements
-
     try:
-        raw = raw_of_operator(rules)
-        faults = faults_of_operator(raw, None)
-        if faults:
-            raise ConfigurationError(f"{rules}: {faults[0]}")
-        reading = reading_of(raw)
-        if reading is None:
-            raise ConfigurationError(f"{rules}: has no table [statements]")
-    except ConfigurationError as bad:
-        click.echo(f"query-gateway: configuration: {bad}", err=True)
-        sys.exit(2)
-    safe = (reading.rules.lookup, reading.rules.report)
-    service = Statements(Loop(), reading.rules, safe, reading.parser_count, reading.max_shapes)
-    if reading.snapshot_path and Path(reading.snapshot_path).exists():
-        service.restore(reading.snapshot_path)
-        service.snapshot_store = None  # read, never written from here
+        settings = _read_statement_settings(rules)
+    except ConfigurationError as error:
+        click.echo(f"query-gateway: configuration: {error}", err=True)
+        sys.exit(EXIT_FAULT)
+    service = _start_statements(settings)
     try:
         for line in file:
             if line.strip():
-                click.echo(json.dumps(_classified(service, line)))
+                click.echo(json.dumps(_classify_line(service, line)))
     finally:
         service.stop()
 
 
-def _classified(service: "Statements", line: str) -> dict[str, Any]:
+def _read_statement_settings(file: str) -> StatementSettings:
+    """The table [statements] of an operator's file. Raises ConfigurationError."""
+    raw = raw_of_operator(file)
+    faults = faults_of_operator(raw, None)
+    if faults:
+        raise ConfigurationError(f"{file}: {faults[0]}")
+    settings = reading_of(raw)
+    if settings is None:
+        raise ConfigurationError(f"{file}: has no table [statements]")
+    return settings
+
+
+def _start_statements(settings: StatementSettings) -> "Statements":
+    """A reader of statements on a loop of its own, with what a gateway has learned of costs."""
+    from query_gateway.net.loop import Loop
+    from query_gateway.parsing.service import Statements
+
+    rules = settings.rules
+    idempotent = (rules.lookup, rules.report)
+    service = Statements(Loop(), rules, idempotent, settings.parser_count, settings.max_shapes)
+    if settings.snapshot_path and Path(settings.snapshot_path).exists():
+        service.restore(settings.snapshot_path)
+        service.snapshot_store = None  # read, never written from here
+    return service
+
+
+def _parse_line(text: str) -> StatementLine:
+    """Raises StatementLineError."""
+    try:
+        raw = json.loads(text)
+        sql, class_name, key, parameters = (raw.get(name) for name in ("sql", "class", "key", "params"))
+    except (ValueError, AttributeError, RecursionError):
+        raise StatementLineError from None
+    optional_text = all(value is None or isinstance(value, str) for value in (class_name, key))
+    if not isinstance(sql, str) or not optional_text or not isinstance(parameters or [], list):
+        raise StatementLineError
+    return StatementLine(sql, class_name, key, parameters or [])
+
+
+def _classify_line(service: "Statements", text: str) -> dict[str, Any]:
+    """What becomes of one line of input, as it is printed."""
     from query_gateway.statements.classifier import as_line, turned_down
     from query_gateway.statements.lexer import Unclear
 
     classifier = service.classifier
     try:
-        raw = json.loads(line)
-        sql, named, key, params = (raw.get(name) for name in ("sql", "class", "key", "params"))
-        plain = isinstance(sql, str) and all(told is None or isinstance(told, str) for told in (named, key))
-        if not plain or not isinstance(params or [], list):
-            raise ValueError
-    except (ValueError, AttributeError, RecursionError):
-        bad = turned_down(Unclear('not a line {"sql": "..."}'))
-        return as_line(bad, None, None, classifier.costs, False)
-    try:
-        shape = classifier.shape(sql)
-    except Unclear as why:
-        return as_line(turned_down(why), None, None, classifier.costs, False)
-    hit = classifier.shapes.peek(shape.digest) is not None
-    judged = next(one for one in _asked(service, sql, named, key, params or ()) if one.judgement is not None)
+        line = _parse_line(text)
+        shape = classifier.shape(line.sql)
+    except StatementLineError as error:
+        return as_line(turned_down(Unclear(str(error))), None, None, classifier.costs, False)
+    except Unclear as error:
+        return as_line(turned_down(error), None, None, classifier.costs, False)
+    was_cached = classifier.shapes.peek(shape.digest) is not None
+    judgement = next(
+        classification.judgement
+        for classification in _classifications(service, line)
+        if classification.judgement is not None
+    )
     known = classifier.shapes.peek(shape.digest)
-    assert judged.judgement
-    return as_line(judged.judgement, shape, known, classifier.costs, hit)
+    return as_line(judgement, shape, known, classifier.costs, was_cached)
 
 
-def _asked(
-    service: "Statements", sql: str, named: str | None, key: str | None, params: Any
-) -> Iterator["Classification"]:
-    """Answers until one is no `come back`."""
+def _classifications(service: "Statements", line: StatementLine) -> Iterator["Classification"]:
+    """Ask until an answer is more than "come back": a parser process may just have died."""
     loop = service.loop
-    until = loop.now() + PATIENCE
-    while loop.now() < until:
-        told: list[Classification] = []
-        service.classify(sql, named, key, told.append, params)
-        while not told:
+    deadline = loop.now() + PARSER_TIMEOUT
+    while loop.now() < deadline:
+        answers: list[Classification] = []
+        service.classify(line.sql, line.class_name, line.key, answers.append, line.parameters)
+        while not answers:
             loop.turn()
-        yield told[0]
+        yield answers[0]
     click.echo("query-gateway: no parser process answers", err=True)
-    sys.exit(1)
+    sys.exit(EXIT_NO_PARSER)
--- /dev/null
+++ b/query_gateway/composition.py
@@ -0,0 +1,196 @@
+"""Builds those parts of a gateway that take much of the configuration; `gateway.py` joins them."""
+
+import socket
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from typing import TYPE_CHECKING
+
+from query_gateway.configuration.platform import safe_classes
+from query_gateway.engine_protocol.client import ConnectionPool
+from query_gateway.forwarder.exchange import Forwarder
+from query_gateway.forwarder.readiness import Readiness
+from query_gateway.http.server import Server as HttpServer
+from query_gateway.lifecycle.active_configuration import (
+    ActiveConfiguration,
+    max_exchanges,
+    progress_interval_seconds,
+)
+from query_gateway.lifecycle.client_fronts import max_connections_per_front
+from query_gateway.lifecycle.overlap import FLIGHT_FRONT, HTTP_FRONT
+from query_gateway.lifecycle.planner_settings import planner_settings
+from query_gateway.lifecycle.reload import ConfigurationSources
+from query_gateway.lifecycle.upgrade_socket import InheritedState
+from query_gateway.net.loop import Loop, Timer
+from query_gateway.planner.planner import Planner
+from query_gateway.planner.planner_links import PlannerLinks
+
+if TYPE_CHECKING:
+    from query_gateway.flight.engines import Pool as FlightPool
+    from query_gateway.flight.server import Server as FlightServer
+    from query_gateway.parsing.service import Statements
+
+
+@dataclass(slots=True, frozen=True)
+class GatewayOptions:
+    """What depends on how the process was started, rather than on its configuration."""
+
+    number: int = 0  # of this forwarder, where there are several
+    upgrade_path: str | None = None  # where predecessor and successor meet; None: no upgrade is possible
+    inherited: InheritedState | None = None  # from a predecessor that still runs
+    sources: ConfigurationSources = field(default_factory=ConfigurationSources)
+
+
+@dataclass(slots=True, frozen=True)
+class Core:
+    """What nearly every part stands on."""
+
+    loop: Loop
+    readiness: Readiness
+    forwarder: Forwarder
+    active: ActiveConfiguration
+    options: GatewayOptions
+
+
+@dataclass(slots=True, frozen=True)
+class FrontOptions:
+    """What both fronts have in common."""
+
+    max_connections: int
+    shares_port: bool  # with other processes, which listen at the same address
+    inherited_listeners: dict[str, socket.socket]  # by front
+    statements: "Statements | None"
+
+    @staticmethod
+    def of(core: Core, takes_signals: bool, statements: "Statements | None") -> "FrontOptions":
+        """Follow from the configuration, and from whether this is the whole of a process."""
+        active, options = core.active, core.options
+        # Where a successor cannot be given our listeners, it must be able to listen beside them
+        is_alone = takes_signals and options.upgrade_path is None and not active.operator.planner_addresses
+        return FrontOptions(
+            max_connections_per_front(active.config, active.operator),
+            active.operator.forwarder_count > 1 or is_alone,
+            options.inherited.listeners if options.inherited else {},
+            statements,
+        )
+
+
+def clock_alarm(loop: Loop) -> Callable[[int, Callable[[], None]], Timer]:
+    """Calls at a clock time, in nanoseconds, by the loop's own time."""
+
+    def call_at(clock_time: int, callback: Callable[[], None]) -> Timer:
+        return loop.call_at(loop.now() + (clock_time - time.time_ns()) / 1e9, callback)
+
+    return call_at
+
+
+def build_forwarder(loop: Loop, active: ActiveConfiguration) -> Forwarder:
+    """The table of exchanges, with a line of figures for each class."""
+    config = active.config
+    # Request ids go on from the clock, so that no planner meets one twice after our restart
+    first_request_id = time.time_ns()
+    forwarder = Forwarder(
+        config.settings, time.time_ns, clock_alarm(loop), max_exchanges(config), first_request_id
+    )
+    for name in config.classes:
+        forwarder.counters.add_class(name)
+    return forwarder
+
+
+def build_engine_pool(core: Core) -> ConnectionPool:
+    """The connections to engines on the platform's wire."""
+    config = core.active.config
+    pool = ConnectionPool(
+        core.loop,
+        time.time_ns,
+        config.streams_per_connection,
+        config.dial_timeout,
+        config.connection_idle_timeout,
+        progress_interval_seconds(config),
+    )
+    core.forwarder.engine_clients[HTTP_FRONT] = pool
+    return pool
+
+
+def build_planner_links(core: Core, slow_start_share: float) -> PlannerLinks:
+    """One planner in this process, or a connection to each planner process."""
+    config, operator = core.active.config, core.active.operator
+    links = PlannerLinks(core.loop, core.forwarder, core.readiness)
+    # Several forwarders share their planners, so none of them may set a planner's settings
+    is_only_forwarder = operator.forwarder_count == 1
+    for planner_index, address in enumerate(operator.planner_addresses):
+        settings = planner_settings(config, operator, planner_index)
+        links.add_remote(address, settings if is_only_forwarder else None)
+    if not operator.planner_addresses:
+        settings = replace(planner_settings(config, operator), slow_start_share=slow_start_share)
+        links.add_local(Planner(settings, config.seed, time.time_ns, clock_alarm(core.loop)))
+    return links
+
+
+def build_statements(core: Core) -> "Statements | None":
+    """What reads bare SQL; not even imported where it is off."""
+    operator, inherited = core.active.operator, core.options.inherited
+    settings = operator.statements
+    if settings is None:
+        return None
+    from query_gateway.parsing.service import Statements
+
+    idempotent = safe_classes(core.active.config)
+    statements = Statements(core.loop, settings.rules, idempotent, settings.parser_count, settings.max_shapes)
+    path = settings.snapshot_path
+    if path and operator.forwarder_count > 1:
+        path = f"{path}.{core.options.number}"
+    statements.restore(path, inherited.statement_costs if inherited else None)
+    core.forwarder.observer = statements
+    return statements
+
+
+def build_http_server(core: Core, options: FrontOptions) -> HttpServer:
+    """The platform's front; it reads statements only where the operator's file says so."""
+    config, settings = core.active.config, core.active.operator.statements
+    return HttpServer(
+        core.loop,
+        core.forwarder,
+        config.listen_address,
+        config.classes,
+        options.max_connections,
+        core.readiness,
+        options.shares_port,
+        options.inherited_listeners.get(HTTP_FRONT),
+        options.statements if settings and settings.covers_http else None,
+    )
+
+
+def build_flight_pool(core: Core) -> "FlightPool | None":
+    """The connections to engines on the Flight wire; not even imported where it is off."""
+    if not core.active.operator.flight_address:
+        return None
+    from query_gateway.flight.engines import Pool as FlightPool
+
+    pool = FlightPool(core.loop, time.time_ns, core.active.config.dial_timeout)
+    core.forwarder.engine_clients[FLIGHT_FRONT] = pool
+    pool.update_endpoints(list(core.forwarder.endpoints.values()), True)
+    return pool
+
+
+def build_flight_server(core: Core, options: FrontOptions) -> "FlightServer | None":
+    """The second front; not even imported where it is off."""
+    config, operator = core.active.config, core.active.operator
+    if not operator.flight_address:
+        return None
+    from query_gateway.flight.server import Server as FlightServer
+    from query_gateway.flight.server import classes_of
+
+    return FlightServer(
+        core.loop,
+        core.forwarder,
+        operator.flight_address,
+        classes_of(config.classes, config.settings),
+        operator.query_class,
+        operator.update_class,
+        options.max_connections,
+        core.readiness,
+        options.shares_port,
+        options.inherited_listeners.get(FLIGHT_FRONT),
+        options.statements,
+    )
--- /dev/null
+++ b/query_gateway/lifecycle/active_configuration.py
@@ -0,0 +1,36 @@
+"""The configuration in force, and the limits that follow from it."""
+
+from dataclasses import dataclass
+
+from query_gateway.configuration.platform import Configuration, OperatorSettings
+from query_gateway.forwarder.messages import RequestClasses
+
+MAX_OPEN_REQUESTS = 4_000  # whatever the settings allow: what the memory bears
+
+
+@dataclass(slots=True)
+class ActiveConfiguration:
+    """What the process runs under. Only a reload changes it; every part reads it here when it needs it.
+
+    `classes` holds each class by name, under the number that it has in this process: after a reload that may
+    be another number than the position in the file.
+    """
+
+    config: Configuration
+    operator: OperatorSettings
+    classes: RequestClasses
+
+    @property
+    def longest_timeout(self) -> float:
+        """Seconds until the last deadline of a request taken now; a retired class counts no more."""
+        return max(settings.timeout for settings in self.config.settings.classes) / 1e9
+
+
+def max_exchanges(config: Configuration) -> int:
+    """How many requests may be open at once."""
+    return min(config.max_open_requests, MAX_OPEN_REQUESTS)
+
+
+def progress_interval_seconds(config: Configuration) -> float:
+    """How often an engine reports progress of an attempt; 0 if it does not."""
+    return config.settings.progress_interval / 1e9
--- a/query_gateway/lifecycle/hot_upgrade.py
+++ b/query_gateway/lifecycle/hot_upgrade.py
@@ -1,292 +1,192 @@
-"""The handover of an upgrade: an elder passes its listeners and resting connections on to its successor.
+"""The protocol of a hot upgrade: a predecessor passes its listeners and idle connections to its successor.
 
-They meet at a Unix socket in $TMPDIR, a JSON object a packet, some with descriptors:
+Both run side by side for a while. The order of the steps keeps every client served:
 
-    successor: {"hello": VERSION}   {"ready": true}
-    elder:     {"fronts": [...], "learned": {...}, "statements": {...}} with its listeners   {"leaving": true}
-               {"client": PEER, "asked": BOOL} with its connection
+1. The successor says hello; the predecessor answers with its listeners and its learned state, and both share
+   the budgets of one gateway from then on.
+2. The successor says ready once it takes requests, and is found by whoever comes next.
+3. The predecessor, told to stop, says that it leaves, transfers every idle connection, and answers what is
+   open. If either process dies, the other end of the connection shows it, and the survivor goes on alone.
 """
 
 import contextlib
-import json
 import os
 import socket
-from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass, field
-from typing import Any, Protocol
-
+from typing import Protocol
+
+from query_gateway.lifecycle.upgrade_messages import (
+    ClientTransfer,
+    Draining,
+    FromPredecessor,
+    FromSuccessor,
+    Hello,
+    Offer,
+    Ready,
+    decode_from_predecessor,
+    decode_from_successor,
+)
+from query_gateway.lifecycle.upgrade_socket import (
+    ConnectionHandler,
+    InheritedState,
+    UpgradeConnection,
+    close_descriptors,
+    listen_beside,
+    private_path,
+)
 from query_gateway.net.log import log
 from query_gateway.net.loop import IN, Loop
 
-VERSION = 1
-PACKET = 200_000  # bytes of a message
-FDS = 8  # descriptors with one
-MEET = 2.0  # seconds in which an elder must answer
-
-
-@dataclass(slots=True)
-class InheritedState:
-    """What an elder left or leaves: its listeners by front, what its module learned, and the link to it."""
-
-    connection: socket.socket
-    listeners: dict[str, socket.socket] = field(default_factory=dict)
-    scheduler_state: Any = None
-    statement_costs: Any = None  # and what it learned of statements' costs
+SocketIdentity = tuple[int, int]  # device and inode
 
 
 class UpgradeHost(Protocol):
-    """What the handover asks of the gateway."""
-
-    def offer(self) -> tuple[dict[str, Any], list[socket.socket]]: ...
+    """What the protocol asks of the gateway."""
 
-    def set_overlapping(self, on: bool) -> None:
-        """Another process of this gateway lives, or has ended."""
+    def offer(self) -> tuple[Offer, list[socket.socket]]:
+        """What a successor inherits, and the listeners; these stay the gateway's."""
 
-    def receive_connection(self, sock: socket.socket, peer: str, asked: bool) -> None:
-        """A client's connection comes over."""
+    def begin_overlap(self) -> None:
+        """Another process of this gateway runs."""
 
-    def on_successor_ready(self) -> None:
-        """The successor says yes."""
-
-    def on_predecessor_leaving(self) -> None:
-        """The elder takes nothing more."""
+    def end_overlap(self) -> None:
+        """The other process has ended."""
 
+    def receive_connection(self, sock: socket.socket, peer: str, has_sent_request: bool) -> None:
+        """A client's connection comes over, and is the gateway's from now on."""
 
-def path_of(environ: Mapping[str, str], listen: tuple[str, int]) -> str | None:
-    """Where the two meet, or None where no socket can be made there."""
-    folder = environ.get("TMPDIR")
-    if not folder:
-        return None
-    path = os.path.join(folder, f"mothknot-{listen[0]}-{listen[1]}")
-    try:
-        _listener(path).close()
-        os.unlink(_own(path))
-    except OSError as bad:
-        log("handover", f"not possible in $TMPDIR: {bad.strerror or bad}")
-        return None
-    return path
-
-
-def _own(path: str) -> str:
-    return f"{path}.{os.getpid()}"
-
-
-def _listener(path: str) -> socket.socket:
-    """A listener under our own name, which is then put in place of the path."""
-    sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
-    try:
-        with contextlib.suppress(FileNotFoundError):
-            os.unlink(_own(path))
-        sock.bind(_own(path))
-        os.chmod(_own(path), 0o600)
-        sock.listen(4)
-        sock.setblocking(False)
-    except OSError:
-        sock.close()
-        raise
-    return sock
-
-
-def occupied(path: str) -> bool:
-    """Whether a gateway is to be met there."""
-    with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as sock:
-        return sock.connect_ex(path) == 0
-
-
-def occupy(path: str) -> socket.socket:
-    """For a gateway that cannot be handed over: whoever would follow it finds the place taken."""
-    sock = _listener(path)
-    os.rename(_own(path), path)
-    return sock
-
-
-def meet(path: str) -> InheritedState | None:
-    """Ask an elder for what it leaves; None if there is none, or if it ends meanwhile."""
-    sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
-    sock.settimeout(MEET)
-    try:
-        sock.connect(path)
-        sock.send(json.dumps({"hello": VERSION}).encode())
-        data, fds, _, _ = socket.recv_fds(sock, PACKET, FDS)
-        listeners = [socket.socket(fileno=fd) for fd in fds]
-        told = json.loads(data)
-        fronts = dict(zip(told["fronts"], listeners, strict=True))
-    except (OSError, ValueError, KeyError, TypeError) as bad:
-        if not isinstance(bad, FileNotFoundError | ConnectionRefusedError):
-            log("handover", f"no elder to follow: {bad!r}")
-        sock.close()
-        return None
-    for listener in listeners:
-        listener.setblocking(False)
-    sock.setblocking(False)
-    return InheritedState(sock, fronts, told.get("learned"), told.get("statements"))
-
-
-class UpgradeConnection:
-    """One end of the link between the two processes."""
-
-    def __init__(
-        self,
-        loop: Loop,
-        sock: socket.socket,
-        got: Callable[[Any, list[int]], None],
-        ended: Callable[[], None],
-    ) -> None:
-        self.loop, self.sock, self.on_message, self.on_closed = loop, sock, got, ended
-        self.closed = False
-        loop.watch(sock, IN, self._ready)
-
-    def send(self, message: dict[str, Any], fds: Sequence[int] = ()) -> bool:
-        """False if the other end takes nothing now."""
-        if self.closed:
-            return False
-        try:
-            socket.send_fds(self.sock, [json.dumps(message).encode()], fds)
-        except BlockingIOError:
-            return False
-        except OSError:
-            self.close()
-            return False
-        return True
-
-    def _ready(self) -> None:
-        while not self.closed:
-            try:
-                data, fds, _, _ = socket.recv_fds(self.sock, PACKET, FDS)
-            except BlockingIOError:
-                return
-            except OSError:
-                return self.close()
-            if not data:
-                return self.close()
-            try:
-                message = json.loads(data)
-                if not isinstance(message, dict):
-                    raise ValueError("no object")
-            except (ValueError, RecursionError):
-                for fd in fds:
-                    os.close(fd)
-                return self.close()
-            self.on_message(message, fds)
+    def on_successor_ready(self) -> None:
+        """The successor takes requests."""
 
-    def close(self) -> None:
-        if not self.closed:
-            self.closed = True
-            self.loop.dispose(self.sock)
-            self.on_closed()
+    def on_predecessor_draining(self) -> None:
+        """The predecessor takes no more requests."""
 
 
 class HotUpgrade:
-    """This process's part: successor of an elder at its start, later perhaps the elder of a successor."""
+    """This process's part: successor at its start, later perhaps the predecessor of another."""
+
+    host: UpgradeHost
 
-    def __init__(self, loop: Loop, path: str, host: UpgradeHost, legacy: InheritedState | None) -> None:
-        self.loop, self.path, self.host = loop, path, host
+    def __init__(self, loop: Loop, path: str) -> None:
+        """`path`: the socket where the two meet. Nothing is opened before `start` and `announce_ready`."""
+        self.loop, self.path = loop, path
         self.listener: socket.socket | None = None
-        self.socket_identity: tuple[int, int] | None = None  # what our name in $TMPDIR stands for
-        self.successor: UpgradeConnection | None = None
-        self.successor_ready = False  # the successor has said yes
-        self.predecessor = (
-            UpgradeConnection(loop, legacy.connection, self._from_elder, self._elder_ended)
-            if legacy
-            else None
-        )
+        self.socket_identity: SocketIdentity | None = None  # of the listener's file
+        self.predecessor: UpgradeConnection[FromPredecessor] | None = None
+        self.successor: UpgradeConnection[FromSuccessor] | None = None
+        self.successor_ready = False
+
+    def start(self, host: UpgradeHost, inherited: InheritedState | None) -> None:
+        """Join the gateway; with an inherited state listen to the predecessor."""
+        self.host = host
+        if inherited:
+            handler = ConnectionHandler(
+                decode_from_predecessor, self._on_predecessor_message, self._on_predecessor_ended
+            )
+            self.predecessor = UpgradeConnection(self.loop, inherited.connection, handler)
 
     def announce_ready(self) -> None:
-        """Ready: tell the elder, and be found by who comes next."""
+        """Tell the predecessor that this process takes requests, and be found by who comes next."""
         if self.predecessor:
-            self.predecessor.send({"ready": True})
-        self._take_place()
+            self.predecessor.send(Ready())
+        self._claim_path()
 
-    def _take_place(self) -> None:
-        try:
-            if self.listener is None:
-                self.listener = _listener(self.path)
-                self.loop.watch(self.listener, IN, self._knock)
-                told = os.stat(_own(self.path))
-                self.socket_identity = told.st_dev, told.st_ino
-                os.rename(_own(self.path), self.path)
-            elif self._placed() != self.socket_identity:  # a successor that died had it
-                self.loop.dispose(self.listener)
-                self.listener = None
-                self._take_place()
-        except OSError as bad:
-            log("handover", f"cannot be found by a successor: {bad.strerror}")
+    def notify_draining(self) -> None:
+        """Tell the successor that this process takes no more requests."""
+        if self.successor:
+            self.successor.send(Draining())
 
-    def _placed(self) -> tuple[int, int] | None:
-        with contextlib.suppress(OSError):
-            told = os.stat(self.path)
-            return told.st_dev, told.st_ino
-        return None
+    def transfer(self, sock: socket.socket, peer: str, has_sent_request: bool) -> bool:
+        """Pass an idle connection on; False if that cannot be done now, and the connection stays here."""
+        connection = self.successor if self.successor_ready else None
+        return connection is not None and connection.send(
+            ClientTransfer(peer, has_sent_request), [sock.fileno()]
+        )
 
     def close(self) -> None:
-        """The end of this process: its name goes, unless it is another's by now."""
-        if self.socket_identity and self._placed() == self.socket_identity:
+        """The end of this process: the socket's file goes, unless it is another's by now."""
+        if self.socket_identity and self._identity_at_path() == self.socket_identity:
             with contextlib.suppress(OSError):
                 os.unlink(self.path)
 
-    def transfer(self, sock: socket.socket, peer: str, asked: bool) -> bool:
-        """Pass a resting connection on; False if that cannot be done now."""
-        link = self.successor if self.successor_ready else None
-        return link is not None and link.send({"client": peer, "asked": asked}, [sock.fileno()])
+    # ---- the place where a successor looks
 
-    def notify_leaving(self) -> None:
-        if self.successor:
-            self.successor.send({"leaving": True})
+    def _claim_path(self) -> None:
+        try:
+            if self.listener is None:
+                self.listener = listen_beside(self.path)
+                self.loop.watch(self.listener, IN, self._on_successor_connects)
+                found = os.stat(private_path(self.path))
+                self.socket_identity = found.st_dev, found.st_ino
+                os.rename(private_path(self.path), self.path)
+            elif self._identity_at_path() != self.socket_identity:  # a successor that died had the place
+                self.loop.dispose(self.listener)
+                self.listener = None
+                self._claim_path()
+        except OSError as error:
+            log("upgrade", f"cannot be found by a successor: {error.strerror}")
 
-    # ---- as the elder
+    def _identity_at_path(self) -> SocketIdentity | None:
+        with contextlib.suppress(OSError):
+            found = os.stat(self.path)
+            return found.st_dev, found.st_ino
+        return None
+
+    # ---- as the predecessor
 
-    def _knock(self) -> None:
+    def _on_successor_connects(self) -> None:
         assert self.listener
         with contextlib.suppress(OSError):
             sock, _ = self.listener.accept()
             sock.setblocking(False)
-            if self.successor:  # one at a time; the other finds its address in use and ends
+            if self.successor:  # one at a time; the other finds the clients' address in use and ends
                 sock.close()
                 return
-            self.successor = UpgradeConnection(self.loop, sock, self._from_successor, self._successor_ended)
-
-    def _from_successor(self, message: dict[str, Any], fds: list[int]) -> None:
-        for fd in fds:
-            os.close(fd)
-        link = self.successor
-        if link is None:
+            handler = ConnectionHandler(
+                decode_from_successor, self._on_successor_message, self._on_successor_ended
+            )
+            self.successor = UpgradeConnection(self.loop, sock, handler)
+
+    def _on_successor_message(self, message: FromSuccessor, descriptors: list[int]) -> None:
+        close_descriptors(descriptors)  # a successor has none to pass
+        if self.successor is None:
             return
-        if message.get("hello") == VERSION:
-            told, listeners = self.host.offer()
-            for part in ("statements", "learned"):
-                if len(json.dumps(told)) > PACKET:
-                    told.pop(part, None)
-            if link.send(told, [listener.fileno() for listener in listeners]):
-                log("handover", "a successor starts")
-                self.host.set_overlapping(True)
-                return
-            link.close()
-        elif message.get("ready") is True:
-            log("handover", "the successor is ready")
-            self.successor_ready = True
-            self.host.on_successor_ready()
-        else:
-            link.close()
-
-    def _successor_ended(self) -> None:
-        log("handover", "the successor has ended")
+        match message:
+            case Hello():
+                self._send_offer(self.successor)
+            case Ready():
+                log("upgrade", "the successor is ready")
+                self.successor_ready = True
+                self.host.on_successor_ready()
+            case _:
+                self.successor.close()
+
+    def _send_offer(self, successor: UpgradeConnection[FromSuccessor]) -> None:
+        offer, listeners = self.host.offer()
+        if not successor.send(offer, [listener.fileno() for listener in listeners]):
+            successor.close()
+            return
+        log("upgrade", "a successor starts")
+        self.host.begin_overlap()
+
+    def _on_successor_ended(self) -> None:
+        log("upgrade", "the successor has ended")
         self.successor, self.successor_ready = None, False
-        self.host.set_overlapping(False)
-        self._take_place()
+        self.host.end_overlap()
+        self._claim_path()
 
     # ---- as the successor
 
-    def _from_elder(self, message: dict[str, Any], fds: list[int]) -> None:
-        peer, asked = message.get("client"), message.get("asked")
-        if len(fds) == 1 and isinstance(peer, str) and isinstance(asked, bool):
-            self.host.receive_connection(socket.socket(fileno=fds[0]), peer, asked)
-            return
-        for fd in fds:
-            os.close(fd)
-        if message.get("leaving") is True:
-            self.host.on_predecessor_leaving()
-
-    def _elder_ended(self) -> None:
-        log("handover", "the elder has ended")
+    def _on_predecessor_message(self, message: FromPredecessor, descriptors: list[int]) -> None:
+        match message, descriptors:
+            case ClientTransfer(peer, has_sent_request), [descriptor]:
+                self.host.receive_connection(socket.socket(fileno=descriptor), peer, has_sent_request)
+            case Draining(), _:
+                close_descriptors(descriptors)
+                self.host.on_predecessor_draining()
+            case _:
+                close_descriptors(descriptors)
+
+    def _on_predecessor_ended(self) -> None:
+        log("upgrade", "the predecessor has ended")
         self.predecessor = None
-        self.host.set_overlapping(False)
+        self.host.end_overlap()
--- /dev/null
+++ b/query_gateway/lifecycle/planner_settings.py
@@ -0,0 +1,54 @@
+"""The settings that planners work under, derived from the configuration in force."""
+
+from dataclasses import replace
+
+from query_gateway.configuration.platform import Configuration, OperatorSettings
+from query_gateway.forwarder.exchange import Forwarder
+from query_gateway.lifecycle.active_configuration import ActiveConfiguration
+from query_gateway.model.settings import Settings
+
+FLIGHT_EXTRA_RUN_TIME_NS = 500_000_000  # that an attempt on the Flight wire may take beyond its run
+DESCRIPTORS_PER_CLIENT = 3  # of the descriptors, clients hold at most one in so many
+
+
+def planner_settings(config: Configuration, operator: OperatorSettings, planner_index: int = 0) -> Settings:
+    """The settings of one planner: each of several counts as an instance of its own."""
+    settings, planner_count = config.settings, max(1, len(operator.planner_addresses))
+    # The Flight wire brings no progress notes, so with it their absence must not count as a fault
+    progress_interval = 0 if operator.flight_address else settings.progress_interval
+    # A call on that wire may take some 50 ms for a connect alone, which is no sign of a bad run
+    extra_run_time = FLIGHT_EXTRA_RUN_TIME_NS if operator.flight_address else settings.extra_run_time
+    return replace(
+        settings,
+        progress_interval=progress_interval,
+        instance_index=settings.instance_index * planner_count + planner_index,
+        instance_count=settings.instance_count * planner_count,
+        max_client_connections=max(1, config.max_descriptors // DESCRIPTORS_PER_CLIENT // planner_count),
+        extra_run_time=extra_run_time,
+    )
+
+
+class PlannerSettingsPublisher:
+    """Gives the forwarder and its planners new settings, with this process's share of slow-start budgets."""
+
+    def __init__(self, forwarder: Forwarder, active: ActiveConfiguration, slow_start_share: float) -> None:
+        """`slow_start_share`: the part of every slow-start budget that this process may use, 0 to 1."""
+        self.forwarder, self.active = forwarder, active
+        self.slow_start_share = slow_start_share
+
+    def publish(self, settings: Settings, new_classes: tuple[int, ...] = ()) -> None:
+        """Put `settings` in force; `new_classes` are the numbers that stand for another class from now on."""
+        config = replace(self.active.config, settings=settings)
+        by_planner = [
+            replace(
+                planner_settings(config, self.active.operator, planner_index),
+                slow_start_share=self.slow_start_share,
+            )
+            for planner_index in range(len(self.forwarder.notify_planners))
+        ]
+        self.forwarder.update_settings(settings, by_planner, new_classes)
+
+    def publish_share(self, slow_start_share: float) -> None:
+        """Put another share in force; the settings stay."""
+        self.slow_start_share = slow_start_share
+        self.publish(self.forwarder.settings)
--- /dev/null
+++ b/query_gateway/lifecycle/process.py
@@ -0,0 +1,101 @@
+"""The entry of a process: reads the configuration, starts this process's part, and runs it to its end."""
+
+import gc
+import os
+import signal
+import sys
+
+from query_gateway.composition import GatewayOptions
+from query_gateway.configuration.platform import (
+    Configuration,
+    ConfigurationError,
+    OperatorSettings,
+    read,
+    read_operator,
+)
+from query_gateway.gateway import Gateway
+from query_gateway.lifecycle.planner_settings import planner_settings
+from query_gateway.lifecycle.upgrade_socket import (
+    claim,
+    is_served,
+    request_inherited_state,
+    upgrade_socket_path,
+)
+
+EXIT_CANNOT_START = 2
+PART_VARIABLE = "MOTHKNOT_PART"  # what the parent of several processes names: "planner N" or "forwarder N"
+
+
+def serve() -> None:
+    """Start and end the process; whatever keeps it from starting is one plain line and code 2."""
+    try:
+        sys.exit(start(os.environ.get(PART_VARIABLE, "")))
+    except ConfigurationError as error:
+        print(f"query-gateway: configuration: {error}", file=sys.stderr)
+        sys.exit(EXIT_CANNOT_START)
+    except OSError as error:
+        print(f"query-gateway: cannot listen: {error.strerror}", file=sys.stderr)
+        sys.exit(EXIT_CANNOT_START)
+
+
+def start(part: str) -> int:
+    """Run this process's part, all of it if `part` is empty, and return its exit code."""
+    hangups: list[int] = []
+    # Before the configuration is read: a SIGHUP meanwhile means that what is read may be old already
+    signal.signal(signal.SIGHUP, lambda *_: hangups.append(1))
+    config = read(os.environ)
+    operator = read_operator(os.environ, config)
+    kind, _, number = part.partition(" ")
+    if operator.planner_addresses and not part:
+        return _run_supervisor(config, operator)
+    if kind == "planner":
+        return _run_planner(config, operator, int(number))
+    return _run_gateway(config, operator, part, hangups)
+
+
+def _run_supervisor(config: Configuration, operator: OperatorSettings) -> int:
+    from query_gateway.planner.supervisor import Supervisor
+
+    path = upgrade_socket_path(os.environ, config.listen_address)
+    if path and is_served(path):
+        raise ConfigurationError(
+            "a gateway serves here, and several processes cannot follow it; stop it first"
+        )
+    claimed = claim(path) if path else None  # held to our end
+    code = Supervisor(len(operator.planner_addresses), operator.forwarder_count).run()
+    if claimed:
+        claimed.close()
+    return code
+
+
+def _run_planner(config: Configuration, operator: OperatorSettings, planner_index: int) -> int:
+    from query_gateway.planner.process import PlannerProcess
+    from query_gateway.planner.supervisor import with_parent
+
+    process = PlannerProcess(
+        planner_settings(config, operator, planner_index),
+        config.seed + planner_index,
+        operator.planner_addresses[planner_index],
+    )
+    with_parent(process.loop, process.loop.stop)
+    process.run()
+    return 0
+
+
+def _run_gateway(config: Configuration, operator: OperatorSettings, part: str, hangups: list[int]) -> int:
+    number = int(part.partition(" ")[2] or 0)
+    # One of several processes cannot be upgraded
+    path = None if part else upgrade_socket_path(os.environ, config.listen_address)
+    # Before our listeners are made: what a predecessor listens at is taken over, not bound again
+    inherited = request_inherited_state(path) if path else None
+    options = GatewayOptions(number=number, upgrade_path=path, inherited=inherited)
+    gateway = Gateway(config, operator, options=options)
+    if part:
+        from query_gateway.planner.supervisor import with_parent
+
+        with_parent(gateway.loop, gateway.begin_shutdown)
+    if hangups:
+        gateway.loop.call_soon(gateway.reload)
+    gc.freeze()  # what the start made stays; later collections pass it over
+    gateway.run()
+    return 0
--- /dev/null
+++ b/query_gateway/lifecycle/reload.py
@@ -0,0 +1,177 @@
+"""The configuration reload at SIGHUP: read and check the new file whole, then apply it in one step."""
+
+import os
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING
+
+from query_gateway.configuration.platform import (
+    Configuration,
+    ConfigurationError,
+    OperatorSettings,
+    check_kept,
+    read,
+    read_operator,
+    safe_classes,
+)
+from query_gateway.discovery.watch_client import EndpointWatchClient
+from query_gateway.engine_protocol.client import ConnectionPool
+from query_gateway.forwarder.exchange import Forwarder
+from query_gateway.lifecycle.active_configuration import (
+    ActiveConfiguration,
+    max_exchanges,
+    progress_interval_seconds,
+)
+from query_gateway.lifecycle.client_fronts import ClientFronts
+from query_gateway.lifecycle.request_classes import RequestClassRegistry
+from query_gateway.net.log import log
+
+if TYPE_CHECKING:
+    from query_gateway.flight.engines import Pool as FlightPool
+    from query_gateway.statements.messages import Rules
+
+MAX_COUNTED_CLASSES = 256  # that the figures have lines for
+
+
+@dataclass(slots=True)
+class ConfigurationSources:
+    """Where a reload reads from; both raise ConfigurationError."""
+
+    read_configuration: Callable[[], Configuration] = lambda: read(os.environ)
+    read_operator: Callable[[Configuration], OperatorSettings] = lambda config: read_operator(
+        os.environ, config
+    )
+
+
+@dataclass(slots=True, frozen=True)
+class ReloadParts:
+    """What a new configuration changes; nothing of it is owned here."""
+
+    forwarder: Forwarder
+    fronts: ClientFronts
+    request_classes: RequestClassRegistry
+    watch_client: EndpointWatchClient
+    engine_pool: ConnectionPool
+    flight_pool: "FlightPool | None"  # None where the Flight wire is off
+    active: ActiveConfiguration
+
+
+class ConfigurationReload:
+    """Replaces the configuration in force; a bad file leaves the old one in force."""
+
+    def __init__(self, parts: ReloadParts, sources: ConfigurationSources) -> None:
+        """Nothing is read before `reload`."""
+        self.parts, self.sources = parts, sources
+
+    def reload(self) -> None:
+        """Read the new files, check them against the configuration in force, and apply them."""
+        counters = self.parts.forwarder.counters
+        try:
+            config = self.sources.read_configuration()
+            check_kept(self.parts.active.config, config)
+            rules = self._read_rules(config)
+            self._check_usable(config, rules)
+        except ConfigurationError as error:
+            counters.reloads_rejected += 1
+            log("reload", f"the old configuration stays in force: {error}")
+            return
+        counters.reloads_applied += 1
+        self._apply(config, rules)
+
+    def _read_rules(self, config: Configuration) -> "Rules | None":
+        """How statements are to be read from now on; the rest of the operator's file needs a restart."""
+        statements = self.parts.fronts.statements
+        if statements is None:
+            return None
+        settings = self.sources.read_operator(config).statements
+        return settings.rules if settings else statements.classifier.rules
+
+    # ---- the check
+
+    def _check_usable(self, config: Configuration, rules: "Rules | None") -> None:
+        """Raise ConfigurationError if this process could not work under the configuration."""
+        active = self.parts.active
+        if active.operator.forwarder_count > 1 and config.settings != active.config.settings:
+            raise ConfigurationError(
+                "new settings need one forwarder: several would number the classes apart"
+            )
+        for name in self._classes_named_by_operator(rules):
+            if name not in config.classes:
+                raise ConfigurationError(f"the operator's file names class {name!r}, which the settings lack")
+        if rules:
+            _check_idempotency(config, rules)
+        if len({*self.parts.forwarder.counters.answers, *config.classes}) > MAX_COUNTED_CLASSES:
+            raise ConfigurationError(
+                f"the figures have lines for {MAX_COUNTED_CLASSES} classes; more need a restart"
+            )
+
+    def _classes_named_by_operator(self, rules: "Rules | None") -> list[str]:
+        operator = self.parts.active.operator
+        names = [operator.query_class, operator.update_class] if operator.flight_address else []
+        if rules:
+            names += [name for name in (rules.lookup, rules.report, rules.load) if name]
+        return names
+
+    # ---- the change
+
+    def _apply(self, config: Configuration, rules: "Rules | None") -> None:
+        active, old = self.parts.active, self.parts.active.config
+        restart = "" if _fixed_part(config) == _fixed_part(old) else (
+            "; what it says of name, addresses, sockets and zones needs a restart"
+        )  # fmt: skip
+        log(
+            "reload",
+            f"journal {config.discovery_address}, classes {' '.join(config.classes)}{restart}",
+        )
+        active.config = replace(
+            config,
+            name=old.name,
+            listen_address=old.listen_address,
+            admin_address=old.admin_address,
+            zones_and_kinds=old.zones_and_kinds,
+        )
+        self._update_limits()
+        statements = self.parts.fronts.statements
+        if config.settings != old.settings or list(config.classes) != list(old.classes):
+            self.parts.request_classes.update(rules)
+        elif statements and rules:
+            statements.update_rules(rules, safe_classes(config))
+        # Last: what the discovery service at a new address tells is taken under the new settings
+        self.parts.watch_client.set_address(config.discovery_address)
+
+    def _update_limits(self) -> None:
+        """The limits that the forwarder and the engine clients keep, not the scheduler."""
+        config = self.parts.active.config
+        self.parts.forwarder.max_exchanges = max_exchanges(config)
+        self.parts.engine_pool.update_limits(
+            config.streams_per_connection,
+            config.dial_timeout,
+            config.connection_idle_timeout,
+            progress_interval_seconds(config),
+        )
+        if self.parts.flight_pool:
+            self.parts.flight_pool.dial_timeout = config.dial_timeout
+
+
+def _check_idempotency(config: Configuration, rules: "Rules") -> None:
+    """Raise ConfigurationError if a statement's class does not fit what the statement does."""
+    idempotent = safe_classes(config)
+    for name in (rules.lookup, rules.report):
+        if name not in idempotent:
+            raise ConfigurationError(
+                f"statements are read as {name!r}, whose requests could not run twice then"
+            )
+    if rules.load in idempotent:
+        raise ConfigurationError(f"writes run as {rules.load!r}, whose requests could run twice then")
+
+
+def _fixed_part(config: Configuration) -> tuple[object, ...]:
+    """What a reload cannot change."""
+    return (
+        config.name,
+        config.listen_address,
+        config.admin_address,
+        config.max_descriptors,
+        config.zones_and_kinds.zones,
+        config.zones_and_kinds.kinds,
+    )
--- /dev/null
+++ b/query_gateway/lifecycle/route_announcer.py
@@ -0,0 +1,57 @@
+"""When the gateway's addresses are announced over BGP."""
+
+from query_gateway.bgp.session import Session as BgpSession
+from query_gateway.bgp.session import Settings as BgpSettings
+from query_gateway.forwarder.readiness import Readiness
+from query_gateway.lifecycle.hot_upgrade import HotUpgrade
+from query_gateway.net.loop import Loop
+
+
+class RouteAnnouncer:
+    """Owns the BGP session, if there is to be one, and announces while the gateway takes requests."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        settings: BgpSettings | None,
+        readiness: Readiness,
+        hot_upgrade: HotUpgrade | None,
+    ) -> None:
+        """No session begins here: see `start`. `settings` is None where BGP is off."""
+        self.loop, self.settings = loop, settings
+        self.readiness, self.hot_upgrade = readiness, hot_upgrade
+        self.session: BgpSession | None = None
+
+    def start(self) -> None:
+        """Begin the session, unless there is one.
+
+        A successor calls this only when its predecessor has ended: two sessions under one identifier collide,
+        and the router would drop both.
+        """
+        if self.session is None and self.settings is not None:
+            self.session = BgpSession(self.loop, self.settings)
+
+    def start_and_update(self) -> None:
+        """Begin the session if there is none yet, and announce; a session that runs stays as it is."""
+        if self.session is None:
+            self.start()
+            self.update()
+
+    def update(self) -> None:
+        """Announce or withdraw, as the readiness stands now."""
+        if self.session:
+            # While a successor serves behind the same addresses they stay announced until this process ends
+            successor_serves = (
+                self.readiness.stopping and self.hot_upgrade is not None and self.hot_upgrade.successor_ready
+            )
+            self.session.announce(self.readiness.ready or successor_serves)
+
+    def stop(self) -> None:
+        """Withdraw the addresses and end the session."""
+        if self.session:
+            self.session.stop()
+
+    @property
+    def is_finished(self) -> bool:
+        """Whether nothing is left to be sent to the router."""
+        return self.session is None or self.session.quiet
--- /dev/null
+++ b/query_gateway/lifecycle/slow_start_share.py
@@ -0,0 +1,38 @@
+"""How predecessor and successor divide the slow-start budget of engines that have just started."""
+
+from query_gateway.lifecycle.planner_settings import PlannerSettingsPublisher
+from query_gateway.net.loop import Loop
+
+FULL_SHARE = 1.0
+OVERLAP_SHARE = 0.5  # of each process, while both take requests
+DRAINING_SHARE = 0.1  # of a predecessor told to stop: it forwards only what it still holds
+
+
+class SlowStartShare:
+    """This process's share; a later change replaces one that is still due."""
+
+    def __init__(self, loop: Loop, publisher: PlannerSettingsPublisher) -> None:
+        """The publisher already holds the share at the start."""
+        self.loop, self.publisher = loop, publisher
+        self._last_change = 0  # counts the changes asked for
+
+    def change(self, share: float) -> None:
+        """Use another share from the next turn of the loop on."""
+        self._change_after(0.0, share)
+
+    def change_after_window(self, share: float) -> None:
+        """Use another share once what the other process has sent no longer counts at the engines.
+
+        Guards engines in slow start: what the other process forwarded under its share still runs there.
+        """
+        self._change_after(self.publisher.forwarder.settings.cold_overload_window / 1e9, share)
+
+    def _change_after(self, delay: float, share: float) -> None:
+        self._last_change += 1
+        change = self._last_change
+
+        def apply() -> None:
+            if change == self._last_change:
+                self.publisher.publish_share(share)
+
+        self.loop.call_at(self.loop.now() + delay, apply)
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -60,7 +60,7 @@
     gate = Gateway(config, OperatorSettings(), signals=False)
     for news in lists:
         try:
-            gate.take_list(news)
+            gate.endpoint_feed.take_answer(news)
         except ValueError:  # what the journal's client guards against
             assert list(gate.forwarder.endpoints) == ["e0"]
     now = time.time_ns()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -25,6 +25,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from query_gateway.composition import GatewayOptions
 from query_gateway.configuration.platform import OperatorSettings, operator_of
 from query_gateway.discovery.endpoint_list import EndpointListEvent, EndpointTombstones, follow
 from query_gateway.discovery.watch_client import AGAIN
@@ -33,9 +34,13 @@
 from query_gateway.flight.server import SERVICE
 from query_gateway.forwarder.exchange import Exchange
 from query_gateway.forwarder.messages import Endpoint
-from query_gateway.gateway import CROSSING, KILLED_AT, Gateway
+from query_gateway.gateway import Gateway
 from query_gateway.http.server import Held, query_of
-from query_gateway.lifecycle.hot_upgrade import FDS, PACKET, VERSION, meet
+from query_gateway.lifecycle.reload import ConfigurationSources
+from query_gateway.lifecycle.request_classes import GRACE_PERIOD_SECONDS
+from query_gateway.lifecycle.shutdown import ANSWER_SECONDS
+from query_gateway.lifecycle.upgrade_messages import MAX_DESCRIPTORS, MAX_PACKET_BYTES, PROTOCOL_VERSION
+from query_gateway.lifecycle.upgrade_socket import request_inherited_state
 from query_gateway.model.endpoints import EndpointInfo, EndpointState
 from query_gateway.net.log import log
 from query_gateway.net.loop import Loop
@@ -336,7 +341,7 @@
     headers = {"x-txn": uuid4().hex[:16], "x-ttl-ms": "600000"}
     query = query_of("lookup", gate.config.classes, headers, statement.encode(), gate.forwarder.clock())
     exchange = gate.forwarder.accept(query, Held(lambda: None), "flight")
-    gate.turn()
+    gate.planner_links.run_local()
     return exchange
 
 
@@ -442,7 +447,7 @@
                 until(lambda: any(seat.attempt_numbers for seat in process.sessions))
                 news = [host(engine, "e0", "draining"), host(other, "e1")]
                 hosts = {"seq": 2, "whole": False, "hosts": news}
-                gate.take_list({"pos": 2, "entries": [{"pos": 2, "hosts": hosts}]})
+                gate.endpoint_feed.take_answer({"pos": 2, "entries": [{"pos": 2, "hosts": hosts}]})
             return False
 
         gate.loop.call_soon(lambda: gate.loop.turn_hooks.insert(0, hold))
@@ -465,7 +470,9 @@
         assert engine.wait("REQ")
         news = [host(engine, "e0", "draining"), host(other, "e1")]
         hosts = {"seq": 2, "whole": False, "hosts": news}
-        gate.loop.call_soon(lambda: gate.take_list({"pos": 2, "entries": [{"pos": 2, "hosts": hosts}]}))
+        gate.loop.call_soon(
+            lambda: gate.endpoint_feed.take_answer({"pos": 2, "entries": [{"pos": 2, "hosts": hosts}]})
+        )
         until(lambda: "e1" in gate.forwarder.endpoints)
         engine.hang_up()
         until(lambda: "e1" in gate.engine_pool.connections)  # it waits for its dial
@@ -560,7 +567,7 @@
         until(lambda: gate.engine_pool.connections)
         news = [host(engine, "e0", "draining"), host(other, "e1")]
         raw = {"pos": 2, "entries": [{"pos": 2, "hosts": {"seq": 2, "whole": False, "hosts": news}}]}
-        gate.loop.call_soon(lambda: gate.take_list(raw))
+        gate.loop.call_soon(lambda: gate.endpoint_feed.take_answer(raw))
         assert waiting.result()[1] == {"rows": ROWS}
         engine.let_up()
         until(lambda: "e0" not in gate.engine_pool.connections)
@@ -584,7 +591,7 @@
         until(lambda: len(gate.engine_pool.where) == len(open_) + 1)
         news = [host(engine, "e0", "draining"), host(other, "e1")]
         raw = {"pos": 2, "entries": [{"pos": 2, "hosts": {"seq": 2, "whole": False, "hosts": news}}]}
-        gate.loop.call_soon(lambda: gate.take_list(raw))
+        gate.loop.call_soon(lambda: gate.endpoint_feed.take_answer(raw))
         assert waiting.result()[1] == {"rows": ROWS}
         engine.reads.set()
         for sock in open_:
@@ -611,7 +618,9 @@
         exchanges[1].abandon()
     elif how == "drains":
         news = host_of(engine) | {"health": "draining"}
-        gate.take_list({"pos": 2, "entries": [{"pos": 2, "hosts": {"whole": False, "hosts": [news]}}]})
+        gate.endpoint_feed.take_answer(
+            {"pos": 2, "entries": [{"pos": 2, "hosts": {"whole": False, "hosts": [news]}}]}
+        )
     else:
         peer.shutdown(socket.SHUT_RDWR)
         _turns(gate, lambda: wire.stream.closed)
@@ -823,12 +832,14 @@
 
 def test_a_plain_stop_gives_up_what_is_open_before_the_kill() -> None:
     """Guards clients of long requests: the kill comes 0.7 s after the longest deadline, or after 3 s."""
-    for raw, longest in ((SETTINGS, KILLED_AT), (hurried(1.0), 1.0)):
+    for raw, longest in ((SETTINGS, ANSWER_SECONDS), (hurried(1.0), 1.0)):
         gate = Gateway(config([], settings=raw), OperatorSettings(), signals=False)
-        gate.drain()
-        gate.drain()  # a second SIGTERM begins nothing anew
+        gate.begin_shutdown()
+        gate.begin_shutdown()  # a second SIGTERM begins nothing anew
         due = [
-            when - gate.loop.now() for when, _, timer in gate.loop.timers if timer.callback == gate._give_up
+            when - gate.loop.now()
+            for when, _, timer in gate.loop.timers
+            if timer.callback == gate.shutdown.give_up
         ]
         assert len(due) == 1 and longest < due[0] < longest + 0.7
         gate.loop.close()
@@ -838,10 +849,15 @@
     """Guards clients of a class that was dropped: the kill no longer waits for its longer deadline."""
     raw = hurried(1.0)
     raw["services"][1] |= {"name": "audit"}
-    gate = Gateway(config([]), OperatorSettings(), signals=False, read_again=lambda: config([], settings=raw))
+    sources = ConfigurationSources(read_configuration=lambda: config([], settings=raw))
+    gate = Gateway(config([]), OperatorSettings(), signals=False, options=GatewayOptions(sources=sources))
     gate.reload()
-    gate.drain()
-    due = [when - gate.loop.now() for when, _, timer in gate.loop.timers if timer.callback == gate._give_up]
+    gate.begin_shutdown()
+    due = [
+        when - gate.loop.now()
+        for when, _, timer in gate.loop.timers
+        if timer.callback == gate.shutdown.give_up
+    ]
     assert len(due) == 1 and 1.0 < due[0] < 1.7
     gate.loop.close()
 
@@ -853,7 +869,7 @@
         with ThreadPoolExecutor() as beside:
             waiting = beside.submit(post, gate, "report", SQL, ttl=600_000)
             until(lambda: gate.engine_pool.connections)
-            gate.loop.call_soon(gate._give_up)
+            gate.loop.call_soon(gate.shutdown.give_up)
             assert waiting.result()[0] == 429
         engine.let_up()
     assert engine.statements == []
@@ -920,14 +936,15 @@
 def _followed(folder: Path, engine: Engine, *says: str) -> Iterator[tuple[Gateway, socket.socket]]:
     """A gateway, and a successor of which the test holds the link."""
     told = config([host(engine)], settings=tuned())
-    gate = Gateway(told, OperatorSettings(), signals=False, meeting=str(folder / "door"))
+    options = GatewayOptions(upgrade_path=str(folder / "door"))
+    gate = Gateway(told, OperatorSettings(), signals=False, options=options)
     thread = threading.Thread(target=gate.loop.run, daemon=True)
     thread.start()
     with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as link:
         link.settimeout(10)
         link.connect(str(folder / "door"))
-        link.send(json.dumps({"hello": VERSION}).encode())
-        _, fds, _, _ = socket.recv_fds(link, PACKET, FDS)
+        link.send(json.dumps({"hello": PROTOCOL_VERSION}).encode())
+        _, fds, _, _ = socket.recv_fds(link, MAX_PACKET_BYTES, MAX_DESCRIPTORS)
         for word in says:
             link.send(json.dumps({word: True}).encode())
         yield gate, link
@@ -944,14 +961,14 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards who still comes after SIGTERM: the elder closed its listener, and what rested, at that death."""
-    monkeypatch.setattr("query_gateway.gateway.ACCEPTING", 600.0)
+    monkeypatch.setattr("query_gateway.lifecycle.shutdown.LAST_CALL_SECONDS", 600.0)
     with _followed(tmp_path, Engine()) as (gate, link):
         assert gate.hot_upgrade
         kept = http.client.HTTPConnection(*gate.http_server.listener.address, timeout=10)
         told = {"X-Txn": "1" * 16, "X-Ttl-Ms": "600000"}
         kept.request("POST", "/svc/lookup", SQL, told)
         assert kept.getresponse().read()
-        gate.loop.call_soon(gate.drain)
+        gate.loop.call_soon(gate.begin_shutdown)
         until(lambda: gate.http_server.listener.paused)
         link.close()
         until(lambda: gate.hot_upgrade and not gate.hot_upgrade.successor)
@@ -979,9 +996,9 @@
         assert post(gate, "lookup", SQL, ttl=600_000)[0] == 200
         with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as second:
             second.connect(str(tmp_path / "door"))
-            second.send(json.dumps({"hello": VERSION}).encode())
+            second.send(json.dumps({"hello": PROTOCOL_VERSION}).encode())
             second.settimeout(10)
-            data, fds, _, _ = socket.recv_fds(second, PACKET, FDS)
+            data, fds, _, _ = socket.recv_fds(second, MAX_PACKET_BYTES, MAX_DESCRIPTORS)
             assert json.loads(data)["fronts"] == ["web"] and len(fds) == 1
             os.close(fds[0])
 
@@ -994,21 +1011,22 @@
     with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as door, ThreadPoolExecutor() as beside:
         door.bind(path)
         door.listen()
-        met = beside.submit(meet, path)
+        met = beside.submit(request_inherited_state, path)
         link = door.accept()[0]
-        assert json.loads(link.recv(PACKET)) == {"hello": VERSION}
+        assert json.loads(link.recv(MAX_PACKET_BYTES)) == {"hello": PROTOCOL_VERSION}
         if step != "met":
             told = {"fronts": ["web"], "learned": None}
             socket.send_fds(link, [json.dumps(told).encode()], [front.fileno()])
         else:
             link.close()
-        legacy = met.result(10)
-        assert (legacy is None) is (step == "met")
-    gate = Gateway(config([host(engine)]), OperatorSettings(), signals=False, meeting=path, legacy=legacy)
+        inherited = met.result(10)
+        assert (inherited is None) is (step == "met")
+    options = GatewayOptions(upgrade_path=path, inherited=inherited)
+    gate = Gateway(config([host(engine)]), OperatorSettings(), signals=False, options=options)
     thread = threading.Thread(target=gate.loop.run, daemon=True)
     thread.start()
     if step in ("heard the yes", "leaving"):
-        assert json.loads(link.recv(PACKET)) == {"ready": True}
+        assert json.loads(link.recv(MAX_PACKET_BYTES)) == {"ready": True}
     if step == "leaving":
         link.send(json.dumps({"leaving": True}).encode())
     link.close()
@@ -1032,7 +1050,7 @@
         assert resting.recv(65_536).startswith(b"HTTP/1.1 200")
         waiting = beside.submit(post, gate, "load", LOAD, ttl=600_000)
         assert engine.wait("REQ", 2)
-        gate.loop.call_soon(gate.drain)
+        gate.loop.call_soon(gate.begin_shutdown)
         until(lambda: not gate.http_server.idle and len(gate.http_server.connections) == 1)
         link.close()  # with the connection in it, unread
         with contextlib.suppress(ConnectionResetError):
@@ -1069,7 +1087,7 @@
     gate.loop.close()
     assert (len(one.statements), len(two.statements), gate.loop.faults) == (0, 1, 0)
     said = capfd.readouterr().err
-    assert all(f"journal {reason}: " in said for reason in ("began-anew", "skipped", "repeated"))
+    assert all(f"discovery {reason}: " in said for reason in ("began-anew", "skipped", "repeated"))
     assert said.count(" resync\n") >= 3
     journal.close()
     for engine in (one, two):
@@ -1096,7 +1114,7 @@
     gate.loop.stop()
     thread.join(10)
     gate.loop.close()
-    assert capfd.readouterr().err.count("journal began-anew: ") == 1
+    assert capfd.readouterr().err.count("discovery began-anew: ") == 1
     journal.close()
     for engine in (one, two):
         engine.close()
@@ -1121,13 +1139,13 @@
         (told(1, e0="up", e1="up", e2="up"), 0),
     )  # fmt: skip
     assert [journal.answer(body) for body, _ in answers] == [f"/journal?tail={tail}" for _, tail in answers]
-    until(lambda: gate.position == 1)
+    until(lambda: gate.endpoint_feed.position == 1)
     states = {name: target.info.state for name, target in gate.forwarder.endpoints.items()}
     assert states == {"e0": EndpointState.DRAINING, "e1": EndpointState.UP}
     assert [post(gate, "lookup", SQL, ttl=600_000)[0] for _ in range(8)] == [200] * 8
     assert [len(engine.statements) for engine in engines] == [0, 8, 0]
     assert journal.answer(told(2, e0="up again")) == "/journal?tail=1"
-    until(lambda: gate.position == 2)
+    until(lambda: gate.endpoint_feed.position == 2)
     assert gate.forwarder.endpoints["e0"].info.state is EndpointState.UP
     gate.loop.stop()
     thread.join(10)
@@ -1253,7 +1271,8 @@
         raw["services"][1] |= {"name": next(names)}  # type: ignore[index]
         return config([], settings=raw)
 
-    gate = Gateway(config([]), OperatorSettings(), signals=False, read_again=again)
+    options = GatewayOptions(sources=ConfigurationSources(read_configuration=again))
+    gate = Gateway(config([]), OperatorSettings(), signals=False, options=options)
     start = gate.loop.now()
     seen = []
     for at, reloads in ((0.0, True), (1.0, True), (1.2, False), (1.6, False), (2.6, False)):
@@ -1263,7 +1282,7 @@
         while gate.loop.timers and gate.loop.timers[0][0] <= start + at:
             gate.loop.turn()
         seen.append(set(gate.http_server.classes) - {"lookup", "load"})
-    assert CROSSING == 1.5
+    assert GRACE_PERIOD_SECONDS == 1.5
     assert seen == [{"report", "audit"}, {"report", "audit", "third"}, {"report", "audit", "third"},
                     {"audit", "third"}, {"third"}]  # fmt: skip
     gate.loop.close()
--- a/tests/test_flight.py
+++ b/tests/test_flight.py
@@ -206,7 +206,7 @@
         entries = {"pos": 2, "entries": [{"pos": 2, "hosts": {"seq": 2, "whole": False, "hosts": news}}]}
 
         def tell() -> None:
-            gate.take_list(entries)
+            gate.endpoint_feed.take_answer(entries)
             told.set()
 
         gate.loop.call_soon(tell)
--- a/tests/test_flight_statements.py
+++ b/tests/test_flight_statements.py
@@ -22,6 +22,7 @@
 from query_gateway.flight.server import FlightClass, query_of
 from query_gateway.forwarder.messages import Verdict
 from query_gateway.gateway import Gateway
+from query_gateway.lifecycle.upgrade_messages import encode
 from query_gateway.net.loop import Loop
 from query_gateway.parsing.service import Classification, Statements
 from query_gateway.statements.messages import Judgement, Rules
@@ -239,7 +240,7 @@
     with gateway(*nodes, statements=ON) as gate:
         for n in range(8):
             ask(gate, READ.replace("42", str(n))).read_all()
-        told = json.loads(json.dumps(gate.offer()[0]))
+        told = json.loads(encode(gate.overlap.offer()[0]))
         assert gate.statements
         costs = gate.statements.classifier.costs
     legacy = told["statements"]
@@ -314,7 +315,7 @@
     table = '[flight]\nlisten = "127.0.0.1:0"\n[statements]\n{}\n'
     monkeypatch.setenv("MOTHKNOT_OPERATOR", str(path))
     with gateway(*nodes, statements=ON) as gate:
-        gate.read_again = lambda: gate.config
+        gate.configuration_reload.sources.read_configuration = lambda: gate.config
         count = "SELECT count(*) FROM lending_7.loans"
 
         def reload(text: str) -> None:
@@ -349,7 +350,7 @@
             "load": 0,
         }
         slower = replace(gate.config.settings, max_retry_after=400_000_000)
-        gate.read_again = lambda: replace(gate.config, settings=slower)
+        gate.configuration_reload.sources.read_configuration = lambda: replace(gate.config, settings=slower)
         reload("")  # new settings and the first rules again, in one
         assert gate.forwarder.counters.reloads_applied == 2 and served() == {
             "lookup": 1,
@@ -365,7 +366,7 @@
                 ask(gate, sql).read_all()
             except pa.ArrowInvalid:
                 continue
-        told = dict(line.rsplit(" ", 1) for line in gate.figures())
+        told = dict(line.rsplit(" ", 1) for line in gate.gateway_figures.lines())
     assert told["svc_statement_hits_total"] == "1" and told["svc_statement_misses_total"] == "1"
     assert told["svc_statement_turned_down_total"] == "1" and told["svc_statement_shapes"] == "1"
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -21,7 +21,21 @@
 
 from query_gateway.configuration.platform import OperatorSettings
 from query_gateway.gateway import Gateway
-from query_gateway.lifecycle import hot_upgrade
+from query_gateway.lifecycle.upgrade_messages import (
+    ClientTransfer,
+    Draining,
+    Hello,
+    Ready,
+    UnknownMessage,
+    decode_from_predecessor,
+    decode_from_successor,
+)
+from query_gateway.lifecycle.upgrade_socket import (
+    ConnectionHandler,
+    UpgradeConnection,
+    request_inherited_state,
+    upgrade_socket_path,
+)
 from query_gateway.model.actions import Forward
 from query_gateway.model.events import AttemptOutcome, Event, Request
 from query_gateway.model.events import OutcomeCode as C
@@ -204,10 +218,10 @@
 
 def test_where_no_socket_can_be_made_there_is_no_meeting(tmp_path: Path) -> None:
     listen = "127.0.0.1", 9
-    assert hot_upgrade.path_of({}, listen) is None
-    assert hot_upgrade.path_of({"TMPDIR": str(tmp_path / "none")}, listen) is None
-    path = hot_upgrade.path_of({"TMPDIR": str(tmp_path)}, listen)
-    assert path and not os.listdir(tmp_path) and hot_upgrade.meet(path) is None
+    assert upgrade_socket_path({}, listen) is None
+    assert upgrade_socket_path({"TMPDIR": str(tmp_path / "none")}, listen) is None
+    path = upgrade_socket_path({"TMPDIR": str(tmp_path)}, listen)
+    assert path and not os.listdir(tmp_path) and request_inherited_state(path) is None
 
 
 def test_the_cold_budget_goes_over_in_steps() -> None:
@@ -215,31 +229,34 @@
     gate = Gateway(config([host(Engine())]), OperatorSettings(), signals=False)
     shares = [gate.planner.settings.slow_start_share]
     steps: list[Callable[[], None]] = [
-        gate.on_successor_ready,
-        gate.on_predecessor_leaving,
-        lambda: gate.set_overlapping(False),
+        gate.overlap.on_successor_ready,
+        gate.overlap.on_predecessor_draining,
+        gate.overlap.end_overlap,
     ]
-    for step in (lambda: gate.set_overlapping(True), *steps):
+    for step in (gate.overlap.begin_overlap, *steps):
         step()
         gate.loop.call_at(gate.loop.now(), lambda: None)
         gate.loop.turn()
         shares.append(gate.planner.settings.slow_start_share)
-    assert shares == [1.0, 1.0, 0.5, 0.9, 1.0] and gate.http_server.max_connections == gate.most
+    assert shares == [1.0, 1.0, 0.5, 0.9, 1.0] and gate.http_server.max_connections == gate.max_connections
     gate.loop.close()
 
 
+Received = Hello | Ready | Draining | ClientTransfer | UnknownMessage
+
+
+@pytest.mark.parametrize("decode", [decode_from_successor, decode_from_predecessor])
 @steady
-@given(st.binary(min_size=1, max_size=60))
-def test_garbage_on_the_link_ends_it_or_changes_nothing(noise: bytes) -> None:
+@given(noise=st.binary(min_size=1, max_size=60))
+def test_garbage_on_the_link_ends_it_or_changes_nothing(decode: Any, noise: bytes) -> None:
     loop, ends, said = Loop(), list[int](), list[Any]()
     near, far = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
     near.setblocking(False)
-    link = hot_upgrade.UpgradeConnection(
-        loop, near, lambda message, fds: said.append(message), lambda: ends.append(1)
-    )
+    handler = ConnectionHandler(decode, lambda message, fds: said.append(message), lambda: ends.append(1))
+    link = UpgradeConnection(loop, near, handler)
     far.send(noise)
     loop.turn()
-    assert bool(ends) is link.closed and all(isinstance(message, dict) for message in said)
+    assert bool(ends) is link.closed and all(isinstance(message, Received) for message in said)
     far.close()
     loop.close()
 
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -11,6 +11,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from query_gateway.composition import GatewayOptions
 from query_gateway.configuration.platform import (
     Configuration,
     ConfigurationError,
@@ -21,6 +22,7 @@
 )
 from query_gateway.forwarder.class_numbers import numbered
 from query_gateway.gateway import Gateway
+from query_gateway.lifecycle.reload import ConfigurationSources
 from query_gateway.model.actions import Forward
 from query_gateway.model.events import AttemptOutcome, Event, Request, SettingsUpdate
 from query_gateway.model.events import OutcomeCode as C
@@ -113,7 +115,7 @@
 
 
 def reload(gate: Gateway, new: Configuration) -> None:
-    gate.read_again = lambda: new
+    gate.configuration_reload.sources.read_configuration = lambda: new
     done = gate.forwarder.counters.reloads_applied + gate.forwarder.counters.reloads_rejected
     gate.loop.call_soon(gate.reload)
     until(lambda: gate.forwarder.counters.reloads_applied + gate.forwarder.counters.reloads_rejected > done)
@@ -122,7 +124,7 @@
 def test_classes_change_under_load_and_open_requests_keep_their_rules(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr("query_gateway.gateway.CROSSING", 0.2)
+    monkeypatch.setattr("query_gateway.lifecycle.request_classes.GRACE_PERIOD_SECONDS", 0.2)
     old, once = "SELECT old FROM lending_7.loans", "SELECT once FROM lending_7.loans"
     engine = Engine(script={old: ["mute", "ok"], once: ["error", "ok"]})
     with running(engine, ops="127.0.0.1:0") as gate, ThreadPoolExecutor() as beside:
@@ -176,7 +178,8 @@
     raw: dict[str, Any] = copy.deepcopy(SETTINGS)
     raw["limits"] |= {"most-held": 1, "dial-timeout": 600_000_000, "streams-per-conn": 5}
     operator = OperatorSettings(flight_address=("127.0.0.1", 0))
-    gate = Gateway(config([]), operator, signals=False, read_again=lambda: config([], settings=raw))
+    sources = ConfigurationSources(read_configuration=lambda: config([], settings=raw))
+    gate = Gateway(config([]), operator, signals=False, options=GatewayOptions(sources=sources))
     gate.reload()
     pools: list[Any] = list(gate.forwarder.engine_clients.values())
     assert [pool.dial_timeout for pool in pools] == [0.6, 0.6]
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -146,7 +146,7 @@
         cls = "lookup" if statement == SQL else "load"
         query = query_of(cls, gate.config.classes, headers, statement.encode(), gate.forwarder.clock())
         gate.forwarder.accept(query, Held(lambda: None), "web")
-        gate.turn()
+        gate.planner_links.run_local()
         stream = gate.engine_pool.connections["e0"][0].stream
         while not stream.connected:
             stream._ready()  # the connection is up, but its task has not run yet
@@ -175,7 +175,7 @@
         raw = {"pos": 2, "entries": [{"pos": 2, "hosts": {"seq": 2, "whole": False, "hosts": news}}]}
 
         def tell() -> None:
-            gate.take_list(raw)
+            gate.endpoint_feed.take_answer(raw)
             told.set()
 
         gate.loop.call_soon(tell)
@@ -383,7 +383,7 @@
     thread = threading.Thread(target=gate.run)
     thread.start()
     assert post(gate, "lookup", SQL)[0] == 200
-    gate.loop.call_soon(gate.drain)
+    gate.loop.call_soon(gate.begin_shutdown)
     live = http.client.HTTPConnection(*gate.http_server.listener.address, timeout=10)
     live.request("GET", "/status/live")
     assert live.getresponse().status == 503
