--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,6 +1,8 @@
 """The command line and the package: every fault with its place, what classify prints, pins that agree."""
 
+import ast
 import json
+import os
 import subprocess
 import sys
 import tomllib
@@ -145,3 +147,37 @@
 def test_the_deploy_file_s_example_has_no_faults() -> None:
     done = CliRunner().invoke(main, ["check", "example/config.json", "deploy/branches.toml"])
     assert done.exit_code == 0, done.output
+
+
+def imported_by(path: Path) -> set[str]:
+    """The package's modules that a module imports anywhere in its text, also inside functions."""
+    tree = ast.parse(path.read_text())
+    nodes = [node for node in ast.walk(tree) if isinstance(node, ast.ImportFrom) and node.module]
+    names = {f"{node.module}.{alias.name}" for node in nodes for alias in node.names}
+    return names | {str(node.module) for node in nodes}
+
+
+def test_the_process_entry_and_the_command_line_do_not_import_each_other() -> None:
+    """Guards the start: what imports the entry again would run its first lines, and its imports, twice."""
+    package = ROOT / "query_gateway"
+    importers: dict[str, set[str]] = {"__main__": set(), "cli": set(), "lifecycle.process": set()}
+    for path in package.rglob("*.py"):
+        for name, found in importers.items():
+            if f"query_gateway.{name}" in imported_by(path):
+                found.add(path.relative_to(package).as_posix())
+    assert importers == {
+        "__main__": set(),
+        "cli": {"__main__.py"},
+        "lifecycle.process": {"__main__.py", "cli.py"},
+    }
+
+
+def test_run_names_the_files_for_the_process_and_its_workers(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setenv("ROUTER_CONFIG", "unset")
+    monkeypatch.setenv("QUERY_GATEWAY_OPERATOR_FILE", "unset")
+    monkeypatch.setattr("query_gateway.lifecycle.process.serve", lambda: None)
+    done = CliRunner().invoke(main, ["run", "--config", "a.json", "--operator", "b.toml"])
+    assert done.exit_code == 0, done.output
+    assert (os.environ["ROUTER_CONFIG"], os.environ["QUERY_GATEWAY_OPERATOR_FILE"]) == ("a.json", "b.toml")
--- /dev/null
+++ b/tests/test_upgrade_compatibility.py
@@ -0,0 +1,220 @@
+"""A hot upgrade from the version before: bytes that it wrote are restored, and written in the same form."""
+
+import contextlib
+import json
+import os
+import socket
+import threading
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from query_gateway.composition import GatewayOptions
+from query_gateway.configuration.platform import OperatorSettings, StatementSettings
+from query_gateway.gateway import Gateway
+from query_gateway.lifecycle.upgrade_messages import (
+    MAX_DESCRIPTORS,
+    MAX_PACKET_BYTES,
+    ClientTransfer,
+    Draining,
+    Hello,
+    Offer,
+    Ready,
+    decode_from_predecessor,
+    decode_from_successor,
+    decode_offer,
+    decode_packet,
+    encode,
+)
+from query_gateway.lifecycle.upgrade_socket import (
+    InheritedState,
+    request_inherited_state,
+    upgrade_socket_path,
+)
+from query_gateway.statements.messages import Rules
+from tests.stand_ins import Engine, config, host
+from tests.test_local import until
+
+FIXTURES = Path(__file__).parent / "fixtures" / "hot_upgrade"
+OFFER = "predecessor-offer.json"
+RECORDED_AT_ADDRESS = "127.0.0.1", 29_700
+REQUEST = (
+    b"POST /svc/lookup HTTP/1.1\r\nHost: x\r\nX-Txn: 0123456789abcdef\r\nX-Ttl-Ms: 5000\r\n"
+    b"Content-Length: 50\r\n\r\nSELECT due FROM lending_7.loans WHERE member = 007"
+)
+
+
+def recorded(name: str) -> bytes:
+    return (FIXTURES / name).read_bytes()
+
+
+def same_form(written: Any, before: Any) -> bool:
+    """The same keys in the same order, values of the same kind; numbers may differ by what a float holds."""
+    if isinstance(before, dict):
+        same_keys = isinstance(written, dict) and list(written) == list(before)
+        return same_keys and all(same_form(written[key], before[key]) for key in before)
+    if isinstance(before, list):
+        same_length = isinstance(written, list) and len(written) == len(before)
+        return same_length and all(map(same_form, written, before))
+    if type(before) in (int, float):
+        return type(written) in (int, float) and written == pytest.approx(before, rel=1e-12)
+    return type(written) is type(before) and bool(written == before)
+
+
+@pytest.mark.parametrize(
+    ("name", "message"),
+    [("successor-hello.json", Hello()), ("successor-ready.json", Ready()),
+     ("predecessor-leaving.json", Draining()),
+     ("predecessor-client-after-requests.json", ClientTransfer("127.0.0.1:56458", True)),
+     ("predecessor-client-silent.json", ClientTransfer("127.0.0.1:56470", False))],
+)  # fmt: skip
+def test_a_recorded_packet_is_read_and_written_byte_for_byte(
+    name: str, message: Hello | Ready | Draining | ClientTransfer
+) -> None:
+    decode = decode_from_successor if name.startswith("successor") else decode_from_predecessor
+    assert decode(decode_packet(recorded(name))) == message
+    assert encode(message) == recorded(name)
+
+
+def test_a_recorded_offer_is_read_and_written_byte_for_byte() -> None:
+    offer = decode_offer(recorded(OFFER))
+    raw = json.loads(recorded(OFFER))
+    assert offer == Offer(("web", "flight"), raw["learned"], raw["statements"])
+    assert encode(offer) == recorded(OFFER)
+
+
+def test_an_offer_that_is_too_long_lacks_the_costs_first_and_then_what_the_scheduler_learned() -> None:
+    offer = decode_offer(recorded(OFFER))
+    long = {"filler": "x" * MAX_PACKET_BYTES}
+    assert list(json.loads(encode(replace(offer, statement_costs=long)))) == ["fronts", "learned"]
+    assert list(json.loads(encode(replace(offer, scheduler_state=long)))) == ["fronts"]
+
+
+def test_the_socket_has_the_name_that_the_version_before_looks_for(tmp_path: Path) -> None:
+    path = upgrade_socket_path({"TMPDIR": str(tmp_path)}, RECORDED_AT_ADDRESS)
+    assert path == str(tmp_path / recorded("socket-name.txt").decode())
+
+
+@contextlib.contextmanager
+def predecessor(folder: Path) -> Iterator[tuple[InheritedState, socket.socket]]:
+    """A process of the version before that answers with the recorded offer, and our connection to it."""
+    path = str(folder / recorded("socket-name.txt").decode())
+    fronts = [socket.create_server(("127.0.0.1", 0)) for _ in range(2)]
+    with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as listener, ThreadPoolExecutor() as beside:
+        listener.bind(path)
+        listener.listen()
+        answer = beside.submit(request_inherited_state, path)
+        connection = listener.accept()[0]
+        connection.settimeout(10)
+        assert connection.recv(MAX_PACKET_BYTES) == recorded("successor-hello.json")
+        socket.send_fds(connection, [recorded(OFFER)], [front.fileno() for front in fronts])
+        inherited = answer.result(10)
+    assert inherited
+    yield inherited, connection
+    connection.close()
+    for front in fronts:
+        front.close()
+
+
+@contextlib.contextmanager
+def gateway(folder: Path, inherited: InheritedState | None = None) -> Iterator[Gateway]:
+    """A gateway of this version with the fronts and the engine of the recorded one; its loop is not run."""
+    engine = Engine()
+    statements = StatementSettings(Rules(lookup="lookup", report="report", load="load"), covers_http=True)
+    operator = OperatorSettings(flight_address=("127.0.0.1", 0), statements=statements)
+    options = GatewayOptions(upgrade_path=str(folder / "successor"), inherited=inherited)
+    site = config([host(engine, born_ms=1_700_000_000_000)])
+    gate = Gateway(site, operator, signals=False, options=options)
+    yield gate
+    assert gate.statements
+    gate.statements.stop()
+    assert gate.loop.faults == 0
+    gate.loop.close()
+    engine.close()
+
+
+@contextlib.contextmanager
+def turning(gate: Gateway) -> Iterator[None]:
+    thread = threading.Thread(target=gate.loop.run, daemon=True)
+    thread.start()
+    yield
+    gate.loop.stop()
+    thread.join(10)
+
+
+def test_a_successor_restores_what_the_version_before_learned(tmp_path: Path) -> None:
+    before = json.loads(recorded(OFFER))
+    with predecessor(tmp_path) as (inherited, _), gateway(tmp_path, inherited) as gate:
+        scheduler = gate.planner.scheduler
+        for name, counts in (("lookup", 7), ("report", 6), ("load", 6)):
+            request_class = scheduler.classes[gate.config.classes[name].index]
+            value, _, count = before["learned"]["classes"][name]["work"]
+            assert request_class.work.value == value and request_class.work.count == count == counts
+        assert scheduler.usual == before["learned"]["usual"] and scheduler.lag == before["learned"]["lag"]
+        assert scheduler.engines["e0"].warm_table_groups == [7.0]
+        assert gate.statements
+        costs = gate.statements.classifier.costs
+        assert {digest.hex() for digest in costs.shapes} == set(before["statements"]["shapes"])
+        fronts = [listener.address for listener in gate.fronts.listeners]
+        assert fronts == [listener.getsockname() for listener in inherited.listeners.values()]
+        # And what this version would tell the next one has the same form, key for key
+        assert same_form(json.loads(encode(gate.overlap.offer()[0])), before)
+
+
+def test_a_successor_heeds_what_the_version_before_says_and_takes_its_connections(tmp_path: Path) -> None:
+    with (
+        predecessor(tmp_path) as (inherited, connection),
+        gateway(tmp_path, inherited) as gate,
+        turning(gate),
+    ):
+        assert connection.recv(MAX_PACKET_BYTES) == recorded("successor-ready.json")
+        connection.send(recorded("predecessor-leaving.json"))
+        until(lambda: gate.planner.settings.slow_start_share == 0.9)
+        for name in ("predecessor-client-after-requests.json", "predecessor-client-silent.json"):
+            with socket.create_server(("127.0.0.1", 0)) as server:
+                client = socket.create_connection(server.getsockname())
+                client.settimeout(10)
+                served, _ = server.accept()
+            socket.send_fds(connection, [recorded(name)], [served.fileno()])
+            served.close()
+            client.sendall(REQUEST)
+            assert client.recv(65_536).startswith(b"HTTP/1.1 200")
+            client.close()
+
+
+def test_a_predecessor_answers_a_successor_of_the_version_before_in_its_form(tmp_path: Path) -> None:
+    with (
+        gateway(tmp_path) as gate,
+        turning(gate),
+        socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as successor,
+    ):
+        address = gate.http_server.listener.address
+        client = socket.create_connection(address)
+        client.settimeout(10)
+        client.sendall(REQUEST)
+        assert client.recv(65_536).startswith(b"HTTP/1.1 200")
+        successor.settimeout(10)
+        successor.connect(str(tmp_path / "successor"))
+        successor.send(recorded("successor-hello.json"))
+        data, descriptors, _, _ = socket.recv_fds(successor, MAX_PACKET_BYTES, MAX_DESCRIPTORS)
+        before = json.loads(recorded(OFFER))
+        offer = json.loads(data)
+        assert list(offer) == list(before) and offer["fronts"] == before["fronts"] and len(descriptors) == 2
+        assert list(offer["learned"]) == list(before["learned"])
+        assert list(offer["learned"]["classes"]["lookup"]) == list(before["learned"]["classes"]["lookup"])
+        assert list(offer["statements"]) == list(before["statements"])
+        successor.send(recorded("successor-ready.json"))
+        until(lambda: gate.hot_upgrade is not None and gate.hot_upgrade.successor_ready)
+        gate.loop.call_soon(gate.begin_shutdown)
+        assert successor.recv(MAX_PACKET_BYTES) == recorded("predecessor-leaving.json")
+        data, transferred, _, _ = socket.recv_fds(successor, MAX_PACKET_BYTES, MAX_DESCRIPTORS)
+        host_and_port = "{}:{}".format(*client.getsockname())
+        written = recorded("predecessor-client-after-requests.json")
+        assert data == written.replace(b"127.0.0.1:56458", host_and_port.encode()) and len(transferred) == 1
+        for descriptor in (*descriptors, *transferred):
+            os.close(descriptor)
+        client.close()
