Name the tests of hot upgrades and reloads after what they show

Cause: test_handover.py and test_retune.py carried the withdrawn words of the code that they test.

What is asserted stays. Wires to engines and fronts in an offer have names of their own in the code, though both read "web" and "flight".

--- a/query_gateway/composition.py
+++ b/query_gateway/composition.py
@@ -31,6 +31,9 @@
     from query_gateway.parsing.service import Statements
 
 
+HTTP_WIRE, FLIGHT_WIRE = "web", "flight"  # as exchanges and endpoints name the wires to the engines
+
+
 @dataclass(slots=True, frozen=True)
 class GatewayOptions:
     """What depends on how the process was started, rather than on its configuration."""
@@ -108,7 +111,7 @@
         config.connection_idle_timeout,
         progress_interval_seconds(config),
     )
-    core.forwarder.engine_clients[HTTP_FRONT] = pool
+    core.forwarder.engine_clients[HTTP_WIRE] = pool
     return pool
 
 
@@ -168,7 +171,7 @@
     from query_gateway.flight.engines import Pool as FlightPool
 
     pool = FlightPool(core.loop, time.time_ns, core.active.config.dial_timeout)
-    core.forwarder.engine_clients[FLIGHT_FRONT] = pool
+    core.forwarder.engine_clients[FLIGHT_WIRE] = pool
     pool.update_endpoints(list(core.forwarder.endpoints.values()), True)
     return pool
 
--- a/query_gateway/lifecycle/__init__.py
+++ b/query_gateway/lifecycle/__init__.py
@@ -5,6 +5,6 @@
 state of the shutdown, and the socket at which a successor finds its predecessor. Requests, engines and
 policy are not its concern: those parts are handed to it.
 
-`gateway.py` builds these parts and joins them; `process.py` is the process entry, which `__main__` and `cli`
-call. No other package imports from here.
+`gateway.py` and `composition.py` build these parts and join them; `process.py` is the process entry, which
+`__main__` and `cli` call. No other module imports from here.
 """
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -48,7 +48,7 @@
 from query_gateway.planner.process import PlannerProcess
 from query_gateway.rpc.grpc import Call, Handler, Wire, framed
 from tests.stand_ins import SETTINGS, Engine, config, host, post
-from tests.test_handover import Site, site
+from tests.test_hot_upgrade import Site, site
 from tests.test_local import planner, until
 from tests.test_web import LOAD, ROWS, SQL, JournalStandIn, news_of, running, steady
 
--- a/tests/test_handover.py
+++ b/tests/test_hot_upgrade.py
@@ -1,4 +1,4 @@
-"""Upgrades with real processes: one accept queue, resting connections that go on, deaths on either side."""
+"""Hot upgrades with real processes: one accept queue, idle connections that go on, deaths on either side."""
 
 import http.client
 import json
@@ -37,11 +37,10 @@
     upgrade_socket_path,
 )
 from query_gateway.model.actions import Forward
-from query_gateway.model.events import AttemptOutcome, Event, Request
-from query_gateway.model.events import OutcomeCode as C
+from query_gateway.model.events import AttemptOutcome, Event, OutcomeCode, Request
 from query_gateway.net.loop import Loop
 from query_gateway.planner.learned_state import adopt, learned
-from query_gateway.policy.scheduler import Scheduler as Module
+from query_gateway.policy.scheduler import Scheduler
 from tests.stand_ins import SETTINGS, Engine, config, host, post
 from tests.test_local import free_port, until
 from tests.test_ops import ask, figures
@@ -91,19 +90,19 @@
         run = [sys.executable, "-m", "query_gateway"]
         process = subprocess.Popen(run, env=environ, stderr=subprocess.PIPE)
         self.processes.append(process)
-        one = SimpleNamespace(
+        gateway = SimpleNamespace(
             process=process, admin_server=SimpleNamespace(listener=SimpleNamespace(address=ops))
         )
 
-        def says_yes() -> bool:
+        def is_ready() -> bool:
             try:
-                return ask(one, b"READY\n") == "200 ready\n"
+                return ask(gateway, b"READY\n") == "200 ready\n"
             except OSError:
                 return False
 
         if ready:
-            until(says_yes)
-        return one
+            until(is_ready)
+        return gateway
 
     def served(self, statement: str = SQL, **more: Any) -> int:
         return post(self.gate, "lookup", statement, **more)[0]
@@ -132,27 +131,27 @@
     return answer.status
 
 
-def total(one: Any) -> int:
-    return figures(one)['svc_succeeded_total{service="lookup"}']
+def total(gateway: Any) -> int:
+    return figures(gateway)['svc_succeeded_total{service="lookup"}']
 
 
 def test_an_upgrade_closes_no_connection_and_loses_no_request(tmp_path: Path) -> None:
     slow = "SELECT slow FROM lending_7.loans"
-    with site(tmp_path) as s, ThreadPoolExecutor() as beside:
-        s.engine.script[slow] = ["mute"] * 3
-        elder = s.start()
-        kept = http.client.HTTPConnection(*s.listen, timeout=10)
-        silent = socket.create_connection(s.listen)
+    with site(tmp_path) as running_site, ThreadPoolExecutor() as beside:
+        running_site.engine.script[slow] = ["mute"] * 3
+        predecessor = running_site.start()
+        kept = http.client.HTTPConnection(*running_site.listen, timeout=10)
+        silent = socket.create_connection(running_site.listen)
         assert call(kept, "1") == 200
-        waiting = beside.submit(s.served, slow, ttl=1_500)
-        assert s.engine.wait("REQ", 2)
-        successor = s.start()
+        waiting = beside.submit(running_site.served, slow, ttl=1_500)
+        assert running_site.engine.wait("REQ", 2)
+        successor = running_site.start()
         assert total(successor) == 0
-        elder.process.send_signal(signal.SIGTERM)
-        assert s.served() == 200  # one queue: whoever accepts it
+        predecessor.process.send_signal(signal.SIGTERM)
+        assert running_site.served() == 200  # one queue: whoever accepts it
         assert call(kept, "2") == 200 and call(kept, "3") == 200
-        assert waiting.result() in (429, 500)  # its elder answers it
-        assert elder.process.wait(10) == 0
+        assert waiting.result() in (429, 500)  # its predecessor answers it
+        assert predecessor.process.wait(10) == 0
         before = total(successor)
         assert before >= 1 and call(kept, "4") == 200 and total(successor) == before + 1
         silent.settimeout(10)
@@ -160,63 +159,65 @@
         assert silent.recv(4096).startswith(b"HTTP/1.1 200")
         kept.close()
         silent.close()
-        third = s.start()  # it finds the second, not the first
+        third = running_site.start()  # it finds the second, not the first
         successor.process.send_signal(signal.SIGTERM)
-        assert successor.process.wait(10) == 0 and s.served() == 200 and total(third) == 1
+        assert successor.process.wait(10) == 0 and running_site.served() == 200 and total(third) == 1
 
 
-def test_a_successor_that_dies_leaves_its_elder_serving_and_found(tmp_path: Path) -> None:
-    with site(tmp_path) as s:
-        elder = s.start()
-        first = s.start()
+def test_a_successor_that_dies_leaves_its_predecessor_serving_and_found(tmp_path: Path) -> None:
+    with site(tmp_path) as running_site:
+        predecessor = running_site.start()
+        first = running_site.start()
         first.process.kill()
         first.process.wait()
-        until(lambda: total(elder) or s.served() == 200)
-        assert [s.served() for _ in range(4)] == [200] * 4
-        second = s.start()
-        elder.process.send_signal(signal.SIGTERM)
-        assert elder.process.wait(10) == 0 and s.served() == 200 and total(second) == 1
-
-
-def test_an_elder_that_dies_leaves_all_to_its_successor_and_its_file_is_no_fault(tmp_path: Path) -> None:
-    with site(tmp_path) as s:
-        elder, successor = s.start(), s.start()
-        elder.process.kill()
-        elder.process.wait()
-        assert [s.served() for _ in range(4)] == [200] * 4 and total(successor) == 4
+        until(lambda: total(predecessor) or running_site.served() == 200)
+        assert [running_site.served() for _ in range(4)] == [200] * 4
+        second = running_site.start()
+        predecessor.process.send_signal(signal.SIGTERM)
+        assert predecessor.process.wait(10) == 0 and running_site.served() == 200 and total(second) == 1
+
+
+def test_a_predecessor_that_dies_leaves_all_to_its_successor_and_its_file_is_no_fault(tmp_path: Path) -> None:
+    with site(tmp_path) as running_site:
+        predecessor, successor = running_site.start(), running_site.start()
+        predecessor.process.kill()
+        predecessor.process.wait()
+        assert [running_site.served() for _ in range(4)] == [200] * 4 and total(successor) == 4
         successor.process.kill()
         successor.process.wait()
         assert any(name.startswith("mothknot-") for name in os.listdir(tmp_path))
-        assert s.start() and s.served() == 200
+        assert running_site.start() and running_site.served() == 200
 
 
-def test_an_elder_told_to_stop_before_the_yes_hands_over_at_the_yes(tmp_path: Path) -> None:
-    """The journal is silent, so the successor says yes late; what comes meanwhile waits in the one queue."""
-    with site(tmp_path) as s, ThreadPoolExecutor() as beside:
-        elder = s.start()
-        kept = http.client.HTTPConnection(*s.listen, timeout=10)
+def test_a_predecessor_told_to_stop_before_its_successor_is_ready_transfers_once_it_is(
+    tmp_path: Path,
+) -> None:
+    """The journal is silent, so the successor is ready late; what comes meanwhile waits in the one queue."""
+    with site(tmp_path) as running_site, ThreadPoolExecutor() as beside:
+        predecessor = running_site.start()
+        kept = http.client.HTTPConnection(*running_site.listen, timeout=10)
         assert call(kept, "1") == 200
-        s.journal.silent = True
-        starting = beside.submit(s.start)
-        until(lambda: b"a successor starts" in os.read(elder.process.stderr.fileno(), 4096))
-        elder.process.send_signal(signal.SIGTERM)
-        crossing = beside.submit(s.served)
+        running_site.journal.silent = True
+        starting = beside.submit(running_site.start)
+        until(lambda: b"a successor starts" in os.read(predecessor.process.stderr.fileno(), 4096))
+        predecessor.process.send_signal(signal.SIGTERM)
+        crossing = beside.submit(running_site.served)
         successor = starting.result()
         assert crossing.result() == 200
-        assert call(kept, "2") == 200 and elder.process.wait(10) == 0 and total(successor) >= 1
+        assert call(kept, "2") == 200 and predecessor.process.wait(10) == 0 and total(successor) >= 1
         kept.close()
 
 
 def test_several_processes_cannot_be_followed(tmp_path: Path) -> None:
     (tmp_path / "operator.toml").write_text(f'[processes]\nplanners = ["127.0.0.1:{free_port()}"]\n')
-    with site(tmp_path) as s:
-        s.start()
-        late = s.start(False, MOTHKNOT_OPERATOR=str(tmp_path / "operator.toml"))
+    with site(tmp_path) as running_site:
+        running_site.start()
+        late = running_site.start(False, MOTHKNOT_OPERATOR=str(tmp_path / "operator.toml"))
         assert late.process.wait(10) == 2 and b"cannot follow" in late.process.stderr.read()
-        assert s.served() == 200
+        assert running_site.served() == 200
 
 
-def test_where_no_socket_can_be_made_there_is_no_meeting(tmp_path: Path) -> None:
+def test_where_no_socket_can_be_made_no_upgrade_is_possible(tmp_path: Path) -> None:
     listen = "127.0.0.1", 9
     assert upgrade_socket_path({}, listen) is None
     assert upgrade_socket_path({"TMPDIR": str(tmp_path / "none")}, listen) is None
@@ -224,8 +225,8 @@
     assert path and not os.listdir(tmp_path) and request_inherited_state(path) is None
 
 
-def test_the_cold_budget_goes_over_in_steps() -> None:
-    """Guards cold engines, and traffic: a successor kept to half of it while its elder sent no more."""
+def test_the_slow_start_budget_goes_over_in_steps() -> None:
+    """Guards engines and traffic: a successor kept to half while its predecessor forwarded no more."""
     gate = Gateway(config([host(Engine())]), OperatorSettings(), signals=False)
     shares = [gate.planner.settings.slow_start_share]
     steps: list[Callable[[], None]] = [
@@ -248,7 +249,7 @@
 @pytest.mark.parametrize("decode", [decode_from_successor, decode_from_predecessor])
 @steady
 @given(noise=st.binary(min_size=1, max_size=60))
-def test_garbage_on_the_link_ends_it_or_changes_nothing(decode: Any, noise: bytes) -> None:
+def test_garbage_on_the_connection_ends_it_or_changes_nothing(decode: Any, noise: bytes) -> None:
     loop, ends, said = Loop(), list[int](), list[Any]()
     near, far = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
     near.setblocking(False)
@@ -261,8 +262,8 @@
     loop.close()
 
 
-def taught() -> Module:
-    module = Module(config([]).settings, 1)
+def taught() -> Scheduler:
+    scheduler = Scheduler(config([]).settings, 1)
     sec, events = 10**9, list[Event]()
     from query_gateway.model.endpoints import EndpointInfo, EndpointState, EndpointUpdateKind
     from query_gateway.model.events import EndpointUpdate
@@ -270,19 +271,19 @@
     events = [
         EndpointUpdate(EndpointUpdateKind.SNAPSHOT, (EndpointInfo("e0", EndpointState.UP, 0, 0, 0, 0, 1.0),))
     ]
-    module.handle(sec, events)
-    sent = module.handle(2 * sec, [Request(1, 1, 60 * sec, 0, 7.0, None, 10**9, 0.0, False)])
+    scheduler.handle(sec, events)
+    sent = scheduler.handle(2 * sec, [Request(1, 1, 60 * sec, 0, 7.0, None, 10**9, 0.0, False)])
     assert any(isinstance(action, Forward) for action in sent)
-    module.handle(3 * sec, [AttemptOutcome(1, True, C.OK, sec, 0, "e0", None, None, ())])
-    return module
+    scheduler.handle(3 * sec, [AttemptOutcome(1, True, OutcomeCode.OK, sec, 0, "e0", None, None, ())])
+    return scheduler
 
 
 NUMBERS = {"lookup": 0, "report": 1, "load": 2}
 
 
-def test_what_was_learned_goes_on_under_the_names_of_classes() -> None:
-    old, new = taught(), Module(config([]).settings, 2)
-    new.engines = {name: e for name, e in taught().engines.items()}
+def test_learned_state_is_restored_under_the_names_of_classes() -> None:
+    old, new = taught(), Scheduler(config([]).settings, 2)
+    new.engines = {name: engine for name, engine in taught().engines.items()}
     new.engines["e0"].warm_table_groups = []
     told = json.loads(json.dumps(learned(old, NUMBERS)))
     assert adopt(new, {"lookup": 1, "report": 2, "load": 0}, told)
@@ -297,8 +298,8 @@
     "bad", [None, [], {"version": 0}, {"lag": "1"}, {"costs": []}, {"usual": float("nan")},
             {"engines": {"e0": [1]}}, {"classes": {"lookup": {}}}]
 )  # fmt: skip
-def test_what_cannot_be_used_is_not_taken_in_part(bad: Any) -> None:
-    new = Module(config([]).settings, 2)
+def test_learned_state_that_cannot_be_used_is_not_restored_in_part(bad: Any) -> None:
+    new = Scheduler(config([]).settings, 2)
     told = learned(taught(), NUMBERS)
     told["lag"] = 2.0
     assert not adopt(new, NUMBERS, told | bad if isinstance(bad, dict) else bad) and new.lag == 1.0
--- a/tests/test_retune.py
+++ b/tests/test_reload.py
@@ -1,4 +1,4 @@
-"""A new configuration under load: checked whole, then taken in one step; what is open keeps its rules."""
+"""A configuration reload under load: checked whole, applied in one step; open requests keep their rules."""
 
 import copy
 import json
@@ -76,14 +76,14 @@
        for bad in (0, -5, True, "7", None, float("nan"), float("inf"), [1])),
      put(2.5, *ATTEMPTS), put("report", "settings", "services", 0, "name"), put([], "settings", "services")],
 )  # fmt: skip
-def test_a_file_with_a_fault_is_turned_down(change: Any) -> None:
+def test_a_file_with_a_fault_is_rejected(change: Any) -> None:
     """Guards against defaults that stand in for a missing key, and against what only looks like a number."""
     with pytest.raises(ConfigurationError):
         check_kept(config_of(RAW, {}), config_of(changed(change), {}))
 
 
 @pytest.mark.parametrize("text", ["", "[]", "{", "[" * 100_000, '{"settings": NaN}', json.dumps(RAW)[:-20]])
-def test_a_file_that_is_cut_off_is_turned_down(text: str, tmp_path: Any) -> None:
+def test_a_file_that_is_cut_off_is_rejected(text: str, tmp_path: Any) -> None:
     (tmp_path / "c.json").write_text(text)
     with pytest.raises(ConfigurationError):
         read({"ROUTER_CONFIG": str(tmp_path / "c.json")})
@@ -94,7 +94,7 @@
 
 @steady
 @given(NAMES, NAMES, st.sets(st.integers(0, 8)))
-def test_a_number_stands_for_one_class_and_is_not_reused_while_held(
+def test_a_number_stands_for_one_class_and_is_not_reused_while_in_use(
     old: list[str], new: list[str], held: set[int]
 ) -> None:
     before = numbered(old, {}, ())
@@ -121,7 +121,7 @@
     until(lambda: gate.forwarder.counters.reloads_applied + gate.forwarder.counters.reloads_rejected > done)
 
 
-def test_classes_change_under_load_and_open_requests_keep_their_rules(
+def test_classes_change_under_load_and_open_requests_keep_their_settings(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr("query_gateway.lifecycle.request_classes.GRACE_PERIOD_SECONDS", 0.2)
@@ -147,7 +147,7 @@
         assert post(gate, "report", SQL)[0] == 200 and post(gate, "load", LOAD)[0] == 200
 
 
-def test_the_module_keeps_what_it_learned_and_what_is_open_its_rules() -> None:
+def test_the_scheduler_keeps_what_it_learned_and_open_requests_their_settings() -> None:
     site = config([host(Engine())])
     module = Module(site.settings, 1)
     gate = Gateway(site, OperatorSettings(), signals=False)
@@ -168,12 +168,12 @@
     assert module.classes[0].work.count == 0 and module.classes[1].settings.timeout == rules[1].timeout
 
 
-def test_new_settings_cross_the_local_link_whole() -> None:
+def test_new_settings_pass_the_ipc_connection_complete() -> None:
     told = SettingsUpdate(config([]).settings, (1,))
     assert codec.Decoder({**codec.EVENTS}).feed(codec.encode(told)) == [told]
 
 
-def test_limits_that_change_alone_are_heeded() -> None:
+def test_limits_that_change_alone_are_applied() -> None:
     """Guards a reload that says it is applied: limits outside the module's settings stayed as they were."""
     raw: dict[str, Any] = copy.deepcopy(SETTINGS)
     raw["limits"] |= {"most-held": 1, "dial-timeout": 600_000_000, "streams-per-conn": 5}
