Say what the lifecycle does in ordinary terms; decouple the figures from the planners

Cause: comments and docstrings of the new modules still used words of the earlier house style, and the figures of the second address depended on the planner package for one set of names.

Change: comments and docstrings alone, and GatewayFigures takes a callable for the ejected endpoints.

--- a/query_gateway/composition.py
+++ b/query_gateway/composition.py
@@ -66,7 +66,7 @@
 
     @staticmethod
     def of(core: Core, takes_signals: bool, statements: "Statements | None") -> "FrontOptions":
-        """Follow from the configuration, and from whether this is the whole of a process."""
+        """Derive them from the configuration; `takes_signals`: whether the gateway is a whole process."""
         active, options = core.active, core.options
         # Where a successor cannot be given our listeners, it must be able to listen beside them
         is_alone = takes_signals and options.upgrade_path is None and not active.operator.planner_addresses
--- a/query_gateway/discovery/endpoint_feed.py
+++ b/query_gateway/discovery/endpoint_feed.py
@@ -1,4 +1,4 @@
-"""What the gateway holds of the endpoint list: its position, and what each answer changes."""
+"""The gateway's position in the endpoint list's events, and what each answer changes."""
 
 from typing import Any
 
@@ -18,20 +18,20 @@
 
 
 class EndpointFeed:
-    """Checks every answer of the discovery service against the last event held, and passes it on."""
+    """Checks every answer of the discovery service against the last event received, and passes it on."""
 
     def __init__(self, forwarder: Forwarder, names: ZoneAndKindNames) -> None:
-        """The feed holds nothing before `take_initial`."""
+        """The feed is empty before `take_initial`."""
         self.forwarder, self.names = forwarder, names
-        self.position = 0  # the number of the last event held; 0: the whole list is to be asked for
+        self.position = 0  # the number of the last event; 0: a snapshot is needed
         self.newest: EndpointListEvent | None = None  # and that event
-        self.resyncing = False  # the service has begun anew, and has not told the whole list since
+        self.resyncing = False  # the service has restarted its numbers, and sent no snapshot since
         self.tombstones = EndpointTombstones()
 
     def take_initial(self, raw: Any) -> None:
-        """Take the list that the configuration holds. Raises EndpointListError.
+        """Take the list that the configuration contains. Raises EndpointListError.
 
-        The position is as the configuration says, also where events are missing: the service is asked for
+        The position is as the configuration says, also where events are missing: the first poll is for
         what comes after.
         """
         last, events = changes_of(raw, self.names)
@@ -40,9 +40,9 @@
         self._record_position(last, events)
 
     def take_answer(self, raw: Any, repeats_newest: bool = False) -> int:
-        """Take an answer of the discovery service and return the position now held. Raises ValueError.
+        """Take an answer of the discovery service and return the new position. Raises ValueError.
 
-        `repeats_newest`: the call was for the event held last, and what follows it.
+        `repeats_newest`: the poll was for the newest event once more, and what follows it.
         """
         try:
             last, events = changes_of(raw, self.names)
--- a/query_gateway/gateway.py
+++ b/query_gateway/gateway.py
@@ -116,7 +116,9 @@
         if not self.options.inherited:
             self.announcer.start()
         self.readiness.watchers.append(self.announcer.update)
-        self.gateway_figures = GatewayFigures(self.forwarder, self.planner_links, self.statements)
+        self.gateway_figures = GatewayFigures(
+            self.forwarder, self.planner_links.ejected_endpoints, self.statements
+        )
         self.admin_server = (
             AdminServer(self.loop, config.admin_address, self.readiness, self.gateway_figures.lines)
             if config.admin_address
@@ -162,7 +164,7 @@
             signal.signal(number, lambda *_: self.loop.call_soon(self.begin_shutdown))
         signal.signal(signal.SIGHUP, lambda *_: self.loop.call_soon(self.reload))
 
-    # ---- what is asked of the whole
+    # ---- the interface of a running gateway
 
     @property
     def config(self) -> Configuration:
@@ -175,11 +177,11 @@
         return self.planner_links.planner
 
     def reload(self) -> None:
-        """Read the configuration again, as SIGHUP asks."""
+        """Read the configuration again, as at SIGHUP."""
         self.configuration_reload.reload()
 
     def begin_shutdown(self) -> None:
-        """Stop gracefully, as SIGTERM asks; `run` returns when all is answered."""
+        """Stop gracefully, as at SIGTERM; `run` returns when all is answered."""
         self.shutdown.begin()
 
     def run(self) -> None:
--- a/query_gateway/lifecycle/client_fronts.py
+++ b/query_gateway/lifecycle/client_fronts.py
@@ -56,7 +56,7 @@
         return self.http_server.is_idle and (not self.flight_server or self.flight_server.is_idle)
 
     def set_max_connections(self, max_connections: int) -> None:
-        """Limit the clients of each front from now on; whoever is connected stays."""
+        """Limit the clients of each front from now on; existing connections stay."""
         self.http_server.max_connections = max_connections
         if self.flight_server:
             self.flight_server.max_connections = max_connections
@@ -83,6 +83,6 @@
         self.close_flight()
 
     def close_flight(self) -> None:
-        """Close the Flight SQL front alone: its clients hear of it, their open streams go on."""
+        """Close the Flight SQL front alone: its clients get a GOAWAY, open streams go on."""
         if self.flight_server:
             self.flight_server.close()
--- a/query_gateway/lifecycle/hot_upgrade.py
+++ b/query_gateway/lifecycle/hot_upgrade.py
@@ -4,8 +4,8 @@
 
 1. The successor says hello; the predecessor answers with its listeners and its learned state, and both share
    the budgets of one gateway from then on.
-2. The successor says ready once it takes requests, and is found by whoever comes next.
-3. The predecessor, told to stop, says that it leaves, transfers every idle connection, and answers what is
+2. The successor says ready once it takes requests, and listens for a successor of its own.
+3. The predecessor, at SIGTERM, says that it leaves, transfers every idle connection, and answers what is
    open. If either process dies, the other end of the connection shows it, and the survivor goes on alone.
 """
 
@@ -40,7 +40,7 @@
 
 
 class UpgradeHost(Protocol):
-    """What the protocol asks of the gateway."""
+    """What the protocol needs from the gateway."""
 
     def offer(self) -> tuple[Offer, list[socket.socket]]:
         """What a successor inherits, and the listeners; these stay the gateway's."""
@@ -85,7 +85,7 @@
             self.predecessor = UpgradeConnection(self.loop, inherited.connection, handler)
 
     def announce_ready(self) -> None:
-        """Tell the predecessor that this process takes requests, and be found by who comes next."""
+        """Notify the predecessor that this process takes requests, and listen for a successor."""
         if self.predecessor:
             self.predecessor.send(Ready())
         self._claim_path()
--- a/query_gateway/lifecycle/overlap.py
+++ b/query_gateway/lifecycle/overlap.py
@@ -83,7 +83,7 @@
         self.parts.fronts.set_max_connections(max(1, int(self.max_connections * DESCRIPTOR_SHARE)))
 
     def on_successor_ready(self) -> None:
-        """The successor takes requests as well; if this process is already told to stop, it leaves now."""
+        """The successor takes requests as well; a shutdown that has begun here goes on at once."""
         self.parts.slow_start_share.change(OVERLAP_SHARE)
         if self.parts.shutdown.state is not ShutdownState.SERVING:
             self.parts.shutdown.transfer_to_successor()
--- a/query_gateway/lifecycle/process.py
+++ b/query_gateway/lifecycle/process.py
@@ -61,7 +61,7 @@
         raise ConfigurationError(
             "a gateway serves here, and several processes cannot follow it; stop it first"
         )
-    claimed = claim(path) if path else None  # held to our end
+    claimed = claim(path) if path else None  # stays claimed until this process ends
     code = Supervisor(len(operator.planner_addresses), operator.forwarder_count).run()
     if claimed:
         claimed.close()
--- a/query_gateway/lifecycle/reload.py
+++ b/query_gateway/lifecycle/reload.py
@@ -1,4 +1,4 @@
-"""The configuration reload at SIGHUP: read and check the new file whole, then apply it in one step."""
+"""The configuration reload at SIGHUP: read and check the complete new file, then apply it in one step."""
 
 import os
 from collections.abc import Callable
@@ -136,7 +136,7 @@
             self.parts.request_classes.update(rules)
         elif statements and rules:
             statements.update_rules(rules, safe_classes(config))
-        # Last: what the discovery service at a new address tells is taken under the new settings
+        # Last: answers of a discovery service at a new address are taken under the new settings
         self.parts.watch_client.set_address(config.discovery_address)
 
     def _update_limits(self) -> None:
--- a/query_gateway/lifecycle/request_classes.py
+++ b/query_gateway/lifecycle/request_classes.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from query_gateway.statements.messages import Rules
 
-GRACE_PERIOD_SECONDS = 1.5  # in which a retired class is still taken: clients hear of its end late
+GRACE_PERIOD_SECONDS = 1.5  # in which a retired class is still taken: clients learn of its end late
 
 
 class RequestClassRegistry:
@@ -62,7 +62,7 @@
         self._retire(old_classes)
 
     def _numbers_in_use(self) -> set[int]:
-        """The numbers that an open request or a retired class holds: none of them may stand for another."""
+        """The numbers that an open request or a retired class uses: none of them may stand for another."""
         in_flight = {exchange.request.class_index for exchange in self.forwarder.exchanges.values()}
         taken = {request_class.index for request_class in self.fronts.http_server.classes.values()}
         return in_flight | taken
--- a/query_gateway/lifecycle/shutdown.py
+++ b/query_gateway/lifecycle/shutdown.py
@@ -1,13 +1,13 @@
 """The graceful shutdown: SIGTERM, the last call, giving up, and leaving when all is answered.
 
-Whoever sent SIGTERM kills the process some time later, and clients and routers hear of the stop only after a
+Whoever sent SIGTERM kills the process some time later, and clients and routers notice the stop only after a
 while. So the steps come in this order:
 
 1. `begin`: the readiness says no and the addresses are withdrawn, so that clients go elsewhere. What still
    comes is served.
 2. After the last call nothing more is accepted; with a successor that is ready, at once.
 3. `give_up`, before the kill: what is still open is answered without a planner.
-4. The loop stops once no request and no connection is open and the router has been told.
+4. The loop stops once no request and no connection is open and the router has been notified.
 """
 
 from dataclasses import dataclass
@@ -32,8 +32,8 @@
 class ShutdownState(Enum):
     """How far the shutdown is. Each state is entered once, in this order."""
 
-    SERVING = "serving"  # not told to stop
-    DRAINING = "draining"  # told to stop: what is open is answered
+    SERVING = "serving"  # no SIGTERM yet
+    DRAINING = "draining"  # SIGTERM: what is open is answered
     GIVEN_UP = "given up"  # the kill is near: what was open has its answer, and nothing is begun any more
 
 
@@ -93,16 +93,16 @@
     def transfer_to_successor(self) -> None:
         """Accept nothing more: what is open is answered here, what is idle goes on with the successor."""
         if not self._successor_ready:
-            # Guards who waits to be accepted: the successor may yet die, and nobody else could take them
+            # Guards clients in the accept queue: if the successor dies yet, nobody else can accept them
             for listener in self.parts.fronts.listeners:
                 listener.pause()
             return
         hot_upgrade = self.parts.hot_upgrade
         assert hot_upgrade
-        # Only now: the successor accepts at these listeners, so nobody who waits there is lost
+        # Only now: the successor accepts at these listeners, so no client in the accept queue is lost
         for listener in self.parts.fronts.listeners:
             listener.release()
-        # The successor hears that we leave before the first connection comes: it takes its larger share
+        # The successor is notified before the first connection arrives, and takes its larger share
         self.parts.slow_start_share.change(DRAINING_SHARE)
         hot_upgrade.notify_draining()
         self.parts.fronts.http_server.start_transfer(hot_upgrade.transfer)
@@ -112,7 +112,7 @@
     def continue_without_successor(self) -> None:
         """The successor died after SIGTERM: this is a plain shutdown again, to the same last call.
 
-        Guards who still comes: nobody else accepts, and what is idle has nowhere to go.
+        Guards new connections: no other process accepts them, and idle ones have nowhere to go.
         """
         self.parts.fronts.http_server.transfer = None
         for listener in self.parts.fronts.listeners:
@@ -122,19 +122,19 @@
     def give_up(self) -> None:
         """Answer all that is open, before the kill.
 
-        Guards clients of what is still open: they hear of it while there is time, and may ask again.
+        Guards clients of what is still open: they get an answer while there is time, and may retry.
         """
         self.state = ShutdownState.GIVEN_UP
         self.parts.fronts.http_server.refuses = True
         for exchange in list(self.parts.forwarder.exchanges.values()):
             exchange.end_without_planner()
         if not self._successor_ready:
-            # A successor that was never ready accepts nothing: who waits to be accepted hears it from us
+            # A successor that was never ready accepts nothing: who is in the accept queue is answered here
             self._close_fronts()
 
     def _close_fronts(self) -> None:
         """The last call is over, or all is given up: accept nothing more."""
-        if self._is_followed and self.state is not ShutdownState.GIVEN_UP:  # it came meanwhile
+        if self._is_followed and self.state is not ShutdownState.GIVEN_UP:  # it started meanwhile
             return self.transfer_to_successor()
         self.parts.fronts.close()
         self.parts.announcer.stop()
@@ -145,7 +145,7 @@
             self.loop.turn_hooks.append(self._exit_if_done)
 
     def _exit_if_done(self) -> bool:
-        """Stop the loop once all that was taken is answered, the answers are read and the router is told."""
+        """Stop the loop once all requests are answered, the answers read and the router notified."""
         if not self.parts.forwarder.exchanges and self.parts.fronts.is_idle:
             self.parts.announcer.stop()
             if self.parts.announcer.is_finished:
--- a/query_gateway/lifecycle/slow_start_share.py
+++ b/query_gateway/lifecycle/slow_start_share.py
@@ -5,16 +5,16 @@
 
 FULL_SHARE = 1.0
 OVERLAP_SHARE = 0.5  # of each process, while both take requests
-DRAINING_SHARE = 0.1  # of a predecessor told to stop: it forwards only what it still holds
+DRAINING_SHARE = 0.1  # of a predecessor that shuts down: it forwards only what it has queued
 
 
 class SlowStartShare:
     """This process's share; a later change replaces one that is still due."""
 
     def __init__(self, loop: Loop, publisher: PlannerSettingsPublisher) -> None:
-        """The publisher already holds the share at the start."""
+        """The publisher starts with a share of its own."""
         self.loop, self.publisher = loop, publisher
-        self._last_change = 0  # counts the changes asked for
+        self._last_change = 0  # counts the requested changes
 
     def change(self, share: float) -> None:
         """Use another share from the next turn of the loop on."""
--- a/query_gateway/lifecycle/startup.py
+++ b/query_gateway/lifecycle/startup.py
@@ -31,7 +31,7 @@
         """Take requests from here on; a second call changes nothing."""
         if self.readiness.started:
             return
-        # First accept, then say so: the predecessor lets go of its listeners as soon as it hears "ready"
+        # First accept, then send "ready": a predecessor that shuts down closes its listeners at that message
         for listener in self._inherited_listeners:
             listener.resume()
         self.readiness.start()
--- a/query_gateway/lifecycle/upgrade_messages.py
+++ b/query_gateway/lifecycle/upgrade_messages.py
@@ -35,7 +35,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Hello:
-    """The successor has started and asks for what it inherits."""
+    """The successor has started and requests the state that it inherits."""
 
 
 @dataclass(slots=True, frozen=True)
--- a/query_gateway/lifecycle/upgrade_socket.py
+++ b/query_gateway/lifecycle/upgrade_socket.py
@@ -89,7 +89,7 @@
 
 
 def claim(path: str) -> socket.socket:
-    """Listen at the path for a gateway that cannot be upgraded: whoever would follow it finds it taken.
+    """Listen at the path for a gateway that cannot be upgraded, so that no other takes its place.
 
     The caller closes the socket at its end.
     """
@@ -99,7 +99,7 @@
 
 
 def request_inherited_state(path: str) -> InheritedState | None:
-    """Ask a predecessor for what it leaves; None if there is none, or if it ends meanwhile.
+    """Request a predecessor's state; None if there is no predecessor, or if it ends meanwhile.
 
     Blocks for `OFFER_TIMEOUT` at most: nothing else runs in this process yet.
     """
@@ -172,7 +172,7 @@
             self.handler.on_message(self.handler.decode(packet), descriptors)
 
     def close(self) -> None:
-        """End the connection, and tell the handler; a second call changes nothing."""
+        """End the connection and notify the handler; a second call changes nothing."""
         if not self.closed:
             self.closed = True
             self.loop.dispose(self.sock)
--- a/query_gateway/planner/planner_links.py
+++ b/query_gateway/planner/planner_links.py
@@ -48,7 +48,7 @@
 
     def _restart_local(self) -> None:
         self.planner.restart()
-        # What the broken one held is settled, and what is said about that means nothing to the new one
+        # The requests of the broken one are settled; the events about that mean nothing to the new one
         self.forwarder.on_planner_lost(LOCAL_PLANNER_INDEX)
         self.planner.pending_events.clear()
         self.forwarder.on_planner_connected(LOCAL_PLANNER_INDEX)
