--- a/query_gateway/composition.py
+++ b/query_gateway/composition.py
@@ -82,6 +82,7 @@
     """Calls at a clock time, in nanoseconds, by the loop's own time."""
 
     def call_at(clock_time: int, callback: Callable[[], None]) -> Timer:
+        """Call once, at `clock_time` nanoseconds since the epoch; the timer can be cancelled."""
         return loop.call_at(loop.now() + (clock_time - time.time_ns()) / 1e9, callback)
 
     return call_at
--- a/query_gateway/lifecycle/slow_start_share.py
+++ b/query_gateway/lifecycle/slow_start_share.py
@@ -32,6 +32,7 @@
         change = self._last_change
 
         def apply() -> None:
+            """Publish the share, unless another change has been requested since."""
             if change == self._last_change:
                 self.publisher.publish_share(share)
 
--- a/query_gateway/planner/planner_links.py
+++ b/query_gateway/planner/planner_links.py
@@ -70,6 +70,7 @@
 
     def _action_handler(self, planner_index: int) -> Callable[[Any], None]:
         def on_action(action: Any) -> None:
+            """Carry out what this planner has decided."""
             if isinstance(action, EjectedEndpoints):
                 self._ejected_by_planner[planner_index] = action.names
             else:
