Merge the composition root and the lifecycle modules

# Conflicts: # query_gateway/__main__.py # query_gateway/cli.py # query_gateway/gateway.py # tests/test_bad_input.py # tests/test_crossings.py # tests/test_flight.py # tests/test_flight_statements.py # tests/test_hot_upgrade.py # tests/test_reload.py

--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -59,7 +59,7 @@
     gateway = Gateway(config, OperatorSettings(), signals=False)
     for answer in lists:
         try:
-            gateway.take_list(answer)
+            gateway.endpoint_feed.take_answer(answer)
         except ValueError:  # what the watch client guards against
             assert list(gateway.forwarder.endpoints) == ["e0"]
     now = time.time_ns()
--- a/tests/test_flight.py
+++ b/tests/test_flight.py
@@ -206,7 +206,7 @@
         entries = {"pos": 2, "entries": [{"pos": 2, "hosts": {"seq": 2, "whole": False, "hosts": news}}]}
 
         def apply_list() -> None:
-            gate.take_list(entries)
+            gate.endpoint_feed.take_answer(entries)
             applied.set()
 
         gate.loop.call_soon(apply_list)
--- a/tests/test_flight_statements.py
+++ b/tests/test_flight_statements.py
@@ -22,6 +22,7 @@
 from query_gateway.flight.requests import FlightClass, FlightStatement, decode_request
 from query_gateway.forwarder.messages import Verdict
 from query_gateway.gateway import Gateway
+from query_gateway.lifecycle.upgrade_messages import encode
 from query_gateway.net.loop import Loop
 from query_gateway.parsing.service import Classification, Statements
 from query_gateway.statements.messages import Judgement, Rules
@@ -261,7 +262,7 @@
     with gateway(*flight_engines, statements=ON) as gate:
         for n in range(8):
             run_query(gate, READ.replace("42", str(n))).read_all()
-        transferred = json.loads(json.dumps(gate.offer()[0]))
+        transferred = json.loads(encode(gate.overlap.offer()[0]))
         assert gate.statements
         costs = gate.statements.classifier.costs
     loop = Loop()
@@ -339,7 +340,7 @@
     table = '[flight]\nlisten = "127.0.0.1:0"\n[statements]\n{}\n'
     monkeypatch.setenv("QUERY_GATEWAY_OPERATOR_FILE", str(path))
     with gateway(*flight_engines, statements=ON) as gate:
-        gate.read_again = lambda: gate.config
+        gate.configuration_reload.sources.read_configuration = lambda: gate.config
         count = "SELECT count(*) FROM lending_7.loans"
 
         def reload(text: str) -> None:
@@ -376,7 +377,7 @@
             "load": 0,
         }
         slower = replace(gate.config.settings, max_retry_after=400_000_000)
-        gate.read_again = lambda: replace(gate.config, settings=slower)
+        gate.configuration_reload.sources.read_configuration = lambda: replace(gate.config, settings=slower)
         reload("")  # new settings and the first rules again, in one
         assert gate.forwarder.counters.reloads_applied == 2 and served() == {
             "lookup": 1,
@@ -392,7 +393,7 @@
                 run_query(gate, sql).read_all()
             except pa.ArrowInvalid:
                 continue
-        figures = dict(line.rsplit(" ", 1) for line in gate.figures())
+        figures = dict(line.rsplit(" ", 1) for line in gate.gateway_figures.lines())
     assert figures["svc_statement_hits_total"] == "1" and figures["svc_statement_misses_total"] == "1"
     assert figures["svc_statement_turned_down_total"] == "1" and figures["svc_statement_shapes"] == "1"
 
