Split the scanner of table groups into short functions with whole names

The scanner stood in two long functions under names such as found, at and table. It is now one function for each kind of token run, with the two states of the loop named for what they mean.

--- a/query_gateway/forwarder/table_group.py
+++ b/query_gateway/forwarder/table_group.py
@@ -1,98 +1,133 @@
-"""The table group of a statement: the number at the end of the name of the schema that it reads or writes."""
+"""The table group of a statement: the number at the end of the name of the schema that it reads or writes.
+
+A scanner for SQL that is not parsed further: it skips comments and string literals, finds dotted names, and
+knows from the words around them which ones are the names of tables.
+"""
 
 import re
+from typing import NamedTuple
 
-TOKEN = re.compile(
+_TOKEN = re.compile(
     r"""
     (?P<skip>\s+|--[^\n]*|/\*)
   | (?P<string>[eE]'(?:[^'\\]|\\.|'')*'?|'(?:[^']|'')*'?)
   | (?P<dollar>\$(?P<tag>(?:[A-Za-z_]\w*)?)\$)
   | "(?P<quoted>(?:[^"]|"")*)"?
-  | `(?P<ticked>(?:[^`]|``)*)`?
+  | `(?P<backquoted>(?:[^`]|``)*)`?
   | (?P<word>[^\W\d][\w$]*)
   | (?P<number>\d[\w.]*)
   | (?P<mark>.)
     """,
     re.VERBOSE | re.DOTALL,
 )
-BEFORE_TABLE = {"from", "join", "into", "update", "table", "using", "only", "truncate", "overwrite"}
-AFTER_TABLES = {"where", "group", "order", "set", "select", "having", "limit", "values"}
-GROUP = re.compile(r".*_(\d{1,9})", re.DOTALL)
+_WORDS_BEFORE_TABLE = {"from", "join", "into", "update", "table", "using", "only", "truncate", "overwrite"}
+_WORDS_AFTER_TABLES = {"where", "group", "order", "set", "select", "having", "limit", "values"}
+_SCHEMA_WITH_GROUP = re.compile(r".*_(\d{1,9})", re.DOTALL)
+
+# The kind and the text of a token: a plain tuple, as one is made for every word of every statement
+Token = tuple[str, str]
+_NAME = "name"  # a quoted name
+_WORD = "word"  # a keyword or a name without quotes
+_MARK = "mark"  # any other character
+_VALUE = "value"  # a literal, whose text does not matter
+_DOT = (_MARK, ".")
+
 
-Token = tuple[str, str]  # kind (name, key for an unquoted name, mark) and text
+class _DottedName(NamedTuple):
+    """A name of two or more parts, and whether it stands where a table's name does."""
 
+    parts: list[str]
+    is_table: bool
 
-def _past_comment(text: str, at: int) -> int:
-    """The end of a block comment whose opening ends at `at`; such comments nest."""
+
+def _end_of_comment(text: str, start: int) -> int:
+    """The end of a block comment whose opening mark ends at `start`; such comments nest."""
     depth = 1
-    for found in re.finditer(r"/\*|\*/", text[at:]):
-        depth += 1 if found.group() == "/*" else -1
+    for mark in re.finditer(r"/\*|\*/", text[start:]):
+        depth += 1 if mark.group() == "/*" else -1
         if depth == 0:
-            return at + found.end()
+            return start + mark.end()
     return len(text)
 
 
-def tokens(text: str) -> list[Token]:
-    out: list[Token] = []
-    at = 0
-    while found := TOKEN.match(text, at):
-        at = found.end()
-        kind, piece = found.lastgroup, found.group()
+def _end_of_dollar_string(text: str, start: int, delimiter: str) -> int:
+    """The end of a dollar-quoted string whose opening delimiter ends at `start`."""
+    end = text.find(delimiter, start)
+    return len(text) if end < 0 else end + len(delimiter)
+
+
+def _tokenize(text: str) -> list[Token]:
+    """The tokens of a statement without its space and comments; what is not closed goes on to the end."""
+    tokens: list[Token] = []
+    position = 0
+    while match := _TOKEN.match(text, position):
+        position = match.end()
+        kind, piece = match.lastgroup, match.group()
         if piece == "/*":
-            at = _past_comment(text, at)
-        elif found["dollar"]:
-            end = text.find(piece, at)
-            at = len(text) if end < 0 else end + len(piece)
-        elif found["quoted"] is not None:
-            out.append(("name", found["quoted"].replace('""', '"')))
-        elif found["ticked"] is not None:
-            out.append(("name", found["ticked"].replace("``", "`")))
+            position = _end_of_comment(text, position)
+        elif match["dollar"]:
+            position = _end_of_dollar_string(text, position, piece)
+        elif match["quoted"] is not None:
+            tokens.append((_NAME, match["quoted"].replace('""', '"')))
+        elif match["backquoted"] is not None:
+            tokens.append((_NAME, match["backquoted"].replace("``", "`")))
         elif kind == "word":
-            out.append(("word", piece))
+            tokens.append((_WORD, piece))
         elif kind == "mark":
-            out.append(("mark", piece))
+            tokens.append((_MARK, piece))
         elif kind in ("string", "number"):
-            out.append(("value", ""))
-    return out
-
-
-def _names(found: list[Token]) -> list[tuple[list[str], bool]]:
-    """Every dotted name with its parts, and whether it stands where a table does."""
-    names: list[tuple[list[str], bool]] = []
-    at, table = 0, False  # `table`: the next name is a table's
-    listing = False  # within a list of tables, where a comma brings another
-    while at < len(found):
-        kind, text = found[at]
-        if kind == "mark":
-            table = listing if text == "," else False
-            listing = listing and text not in "()"
-            at += 1
-            continue
-        parts = [text]
-        while at + 2 < len(found) and found[at + 1] == ("mark", ".") and found[at + 2][0] in ("name", "word"):
-            parts.append(found[at + 2][1])
-            at += 2
-        at += 1
-        if kind == "word" and len(parts) == 1 and text.lower() in BEFORE_TABLE:
-            table, listing = True, text.lower() == "from"
+            tokens.append((_VALUE, ""))
+    return tokens
+
+
+def _dotted_parts(tokens: list[Token], position: int) -> list[str]:
+    """The parts of the name that begins at a position, with the dots between them taken off."""
+    parts = [tokens[position][1]]
+    while position + 2 < len(tokens) and tokens[position + 1] == _DOT:
+        kind, text = tokens[position + 2]
+        if kind not in (_NAME, _WORD):
+            break
+        parts.append(text)
+        position += 2
+    return parts
+
+
+def _dotted_names(tokens: list[Token]) -> list[_DottedName]:
+    """Every dotted name of a statement, in order."""
+    names: list[_DottedName] = []
+    position = 0
+    table_follows = False  # whether the next name is a table's
+    in_table_list = False  # whether another table's name follows a comma
+    while position < len(tokens):
+        kind, text = tokens[position]
+        position += 1
+        if kind == _MARK:
+            table_follows = in_table_list if text == "," else False
+            in_table_list = in_table_list and text not in "()"
             continue
-        if kind == "word" and len(parts) == 1 and text.lower() in AFTER_TABLES:
-            listing = False
-        if len(parts) > 1 and kind != "value":
-            names.append((parts, table))
-        table = False
+        if position < len(tokens) and tokens[position] == _DOT:
+            parts = _dotted_parts(tokens, position - 1)
+            position += 2 * (len(parts) - 1)
+            if len(parts) > 1 and kind != _VALUE:
+                names.append(_DottedName(parts, table_follows))
+            is_keyword = len(parts) == 1 and kind == _WORD
+        else:
+            is_keyword = kind == _WORD
+        keyword = text.lower() if is_keyword else ""
+        table_follows = keyword in _WORDS_BEFORE_TABLE
+        if table_follows:
+            in_table_list = keyword == "from"
+        elif keyword in _WORDS_AFTER_TABLES:
+            in_table_list = False
     return names
 
 
 def table_group(statement: str) -> int | None:
     """The first table's group; a name elsewhere (a column's) counts only if no table has one."""
-    names = _names(tokens(statement))
-    for table in (True, False):
-        for parts, in_place in names:
-            if in_place is not table:
-                continue
-            schema = parts[-2] if table else parts[0]
-            found = GROUP.fullmatch(schema)
-            if found:  # `staging` has no number, so it never counts
-                return int(found[1])
+    names = _dotted_names(_tokenize(statement))
+    table_schemas = [name.parts[-2] for name in names if name.is_table]
+    other_schemas = [name.parts[0] for name in names if not name.is_table]
+    for schema in (*table_schemas, *other_schemas):
+        if match := _SCHEMA_WITH_GROUP.fullmatch(schema):
+            return int(match[1])
     return None
