--- a/query_gateway/__main__.py
+++ b/query_gateway/__main__.py
@@ -35,22 +35,22 @@
         return code
     if kind == "planner":
         from query_gateway.planner.process import PlannerProcess
-        from query_gateway.planner.supervisor import with_parent
+        from query_gateway.planner.supervisor import stop_with_supervisor
 
         at = int(number)
         process = PlannerProcess(
             settings_for(config, operator, at), config.seed + at, operator.planner_addresses[at]
         )
-        with_parent(process.loop, process.loop.stop)
+        stop_with_supervisor(process.loop, process.loop.stop)
         process.run()
         return 0
     meeting = None if part else path_of(os.environ, config.listen_address)
     legacy = meet(meeting) if meeting else None
     gateway = Gateway(config, operator, number=int(number or 0), meeting=meeting, legacy=legacy)
     if part:
-        from query_gateway.planner.supervisor import with_parent
+        from query_gateway.planner.supervisor import stop_with_supervisor
 
-        with_parent(gateway.loop, gateway.drain)
+        stop_with_supervisor(gateway.loop, gateway.drain)
     if hangups:
         gateway.loop.call_soon(gateway.reload)
     gc.freeze()  # what the start made stays; later collections pass it over
@@ -61,7 +61,7 @@
 def serve() -> None:
     """Start and end the process; whatever keeps it from starting is one plain line and code 2."""
     try:
-        sys.exit(start(os.environ.get("MOTHKNOT_PART", "")))
+        sys.exit(start(os.environ.get("QUERY_GATEWAY_PART", "")))
     except ConfigurationError as bad:
         print(f"query-gateway: configuration: {bad}", file=sys.stderr)
         sys.exit(2)
--- a/query_gateway/flight/server.py
+++ b/query_gateway/flight/server.py
@@ -8,9 +8,10 @@
 from uuid import uuid4
 
 from query_gateway.flight import messages
-from query_gateway.forwarder.exchange import Exchange, Forwarder
+from query_gateway.forwarder.exchange import Exchange
+from query_gateway.forwarder.forwarder import Forwarder
 from query_gateway.forwarder.messages import Answer, ClientRequest, RequestClasses, Verdict
-from query_gateway.forwarder.readiness import STILL_COME, Phase, Readiness
+from query_gateway.forwarder.readiness import DRAIN_CLOSE_IDLE_AFTER_S, Phase, Readiness
 from query_gateway.forwarder.table_group import table_group
 from query_gateway.http.server import BadCall, hex_header, real_header
 from query_gateway.model.settings import Idempotency, Settings
@@ -249,10 +250,13 @@
     def _changed(self) -> None:
         if self.readiness.phase is Phase.DRAINING:
             self.sent_away = self.loop.now()
-            self.loop.call_at(self.sent_away + STILL_COME, self._send_away)
+            self.loop.call_at(self.sent_away + DRAIN_CLOSE_IDLE_AFTER_S, self._send_away)
 
     def _send_away(self) -> None:
-        if self.readiness.phase is Phase.DRAINING and self.loop.now() >= self.sent_away + STILL_COME:
+        if (
+            self.readiness.phase is Phase.DRAINING
+            and self.loop.now() >= self.sent_away + DRAIN_CLOSE_IDLE_AFTER_S
+        ):
             for wire in self.wires:
                 wire.go_away()
 
--- a/query_gateway/forwarder/class_numbers.py
+++ b/query_gateway/forwarder/class_numbers.py
@@ -1,27 +1,38 @@
-"""Classes go by name: which number stands for which name, across new configurations."""
+"""The numbers of request classes: which number stands for which class name across configuration reloads."""
 
 from collections.abc import Collection, Iterable, Mapping
 
 from query_gateway.model.settings import ClassSettings
 
 
-def numbered(names: Iterable[str], current: Mapping[str, int], held: Collection[int]) -> dict[str, int]:
-    """The number that a name has, else the lowest that stands for no class and that nothing open holds."""
+def assign_class_numbers(
+    names: Iterable[str], current: Mapping[str, int], in_use: Collection[int]
+) -> dict[str, int]:
+    """Number each class name; `in_use` are the numbers that open requests still refer to.
+
+    A name keeps the number that it has in `current`. Every other name gets the lowest number that stands for
+    no class and is not in use.
+    """
     names = list(names)
     numbers = {name: current[name] for name in names if name in current}
-    taken = {*numbers.values(), *held}
-    free = 0
+    unavailable = {*numbers.values(), *in_use}
+    candidate = 0
     for name in names:
         if name in numbers:
             continue
-        while free in taken:
-            free += 1
-        numbers[name] = free
-        taken.add(free)
+        while candidate in unavailable:
+            candidate += 1
+        numbers[name] = candidate
+        unavailable.add(candidate)
     return numbers
 
 
-def laid_out(old: tuple[ClassSettings, ...], rules: Mapping[int, ClassSettings]) -> tuple[ClassSettings, ...]:
-    """Rules by number; a number without a class keeps the rules it had, for what is open under them."""
-    size = max(len(old), *(number + 1 for number in rules))
-    return tuple(rules[n] if n in rules else old[n] for n in range(size))
+def class_settings_by_number(
+    previous: tuple[ClassSettings, ...], current: Mapping[int, ClassSettings]
+) -> tuple[ClassSettings, ...]:
+    """Class settings indexed by class number.
+
+    A number without a class keeps its previous settings, which requests that are still open run under.
+    """
+    size = max(len(previous), *(number + 1 for number in current))
+    return tuple(current[number] if number in current else previous[number] for number in range(size))
--- a/query_gateway/forwarder/messages.py
+++ b/query_gateway/forwarder/messages.py
@@ -1,4 +1,7 @@
-"""What the fronts and the engine clients exchange with the core: small typed values, free of any wire."""
+"""What servers and engine clients exchange with the forwarder: small typed values, free of any wire.
+
+Times are clock times in nanoseconds, durations are nanoseconds unless a name says otherwise.
+"""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -6,10 +9,24 @@
 from typing import Protocol
 
 from query_gateway.model.endpoints import EndpointInfo
-from query_gateway.model.events import OutcomeCode, ProgressKind
+from query_gateway.model.events import Event, OutcomeCode, ProgressKind
+
+Notify = Callable[[Event], None]
+
+
+class Timer(Protocol):
+    """A pending call that can be cancelled."""
+
+    def cancel(self) -> None:
+        """Do not make the call; without effect once it was made."""
+
+
+CallAt = Callable[[int, Callable[[], None]], Timer]  # schedules a call at a clock time
 
 
 class Verdict(Enum):
+    """How a request ended for its client; the value is the word of the log."""
+
     SERVED = "served"
     REJECTED = "refused"
     FAILED = "failed"
@@ -17,7 +34,7 @@
 
 @dataclass(slots=True, frozen=True)
 class RequestClass:
-    """What the fronts know of a request class: its number in the settings, what its requests must bring."""
+    """What the servers know of a request class: its number in the settings, what its requests must bring."""
 
     index: int
     needs_idempotency_key: bool
@@ -29,56 +46,52 @@
 
 @dataclass(slots=True, frozen=True)
 class ClientRequest:
-    """One try of a client, as any front decodes it. Times are clock times in nanoseconds."""
+    """One request of a client, as any server decodes it; a client's retry is a request of its own."""
 
-    client_id: str  # the client's id for this try, passed on unchanged
+    client_id: str  # the client's id for this request, passed on unchanged
     class_index: int
     class_name: str
     statement: bytes
     deadline: int  # when the answer must have left, the way back to the client taken off
     is_retry: bool
-    key: str | None  # requests of one key run in turn
+    key: str | None  # requests of one key run one after the other
     idempotency_key: str | None
     estimated_work: int | None  # estimated work in nanoseconds on one core
     memory_mb: float
     table_group: float | None
     is_update: bool = False  # a statement without a result, on a wire that tells these apart
-    shape: bytes = b""  # of the statement, where statements are read; empty: nobody learns from it
+    shape: bytes = b""  # of the statement, where statements are parsed; empty: nothing is learned from it
 
 
 @dataclass(slots=True, frozen=True)
 class Answer:
+    """The one final answer to a request."""
+
     verdict: Verdict
     pages: tuple[bytes, ...] = ()  # of a served result that was not passed on page by page
-    retry_after_ns: int = 0  # with a refusal: when to come back
+    retry_after_ns: int = 0  # with a rejection: how long to wait before a retry; 0: no advice
 
 
 @dataclass(slots=True, frozen=True)
 class Endpoint:
-    """An engine on the list with its address on each wire that it speaks."""
+    """An engine on the endpoint list with its address on each wire that it speaks, by the wire's name."""
 
     info: EndpointInfo
     addresses: dict[str, str]
 
 
-@dataclass(slots=True, frozen=True)
-class EjectedEndpoints:
-    """The listed engines that a planner gives nothing for now; told over a local link when they change."""
-
-    names: tuple[str, ...]
-
-
 class Client(Protocol):
-    """The client's side of an exchange: gets rows, if it asked for them as they come, and one answer."""
+    """The client's side of an exchange: gets result pages, where these are streamed, and one answer."""
 
-    def send_page(self, page: bytes, left: Callable[[], None]) -> None:
-        """One page; `left` is called when it has left, so that the engine may send more."""
+    def send_page(self, page: bytes, on_sent: Callable[[], None]) -> None:
+        """Send one page; `on_sent` is called when it has left, so that the engine may send more."""
 
-    def send_answer(self, answer: Answer) -> None: ...
+    def send_answer(self, answer: Answer) -> None:
+        """Send the final answer; called once at most, and nothing is sent after it."""
 
 
 class AttemptHandle(Protocol):
-    """What an engine client sees of an attempt, and tells about it."""
+    """What an engine client sees of an attempt, and reports about it."""
 
     endpoint: str
     sent_at: int
@@ -86,50 +99,64 @@
     priority: int
 
     @property
-    def request(self) -> ClientRequest: ...
+    def request(self) -> ClientRequest:
+        """The request that the attempt runs."""
 
     @property
-    def in_flight(self) -> bool: ...
+    def in_flight(self) -> bool:
+        """Whether the attempt has not ended; an ended one ignores reports."""
 
     def on_written(self) -> None:
-        """Its request is with the machine to the last byte."""
+        """The request has left for the engine to its last byte."""
 
-    def on_progress(self, kind: ProgressKind, level: float) -> None: ...
+    def on_progress(self, kind: ProgressKind, level: float) -> None:
+        """The engine sent a progress note."""
 
-    def on_page(self, data: bytes, left: Callable[[], None] = ...) -> None: ...
+    def on_page(self, data: bytes, on_sent: Callable[[], None] = ...) -> None:
+        """One page of the result has come; `on_sent` is called when it has left for the client."""
 
-    def on_executed(self) -> None: ...
+    def on_executed(self) -> None:
+        """The engine has finished the work; what follows is the transfer of the result."""
 
     def on_measured(self, work_ns: int, used_mb: float) -> None:
-        """What the engine itself says that the work took, and the memory; 0: not told."""
+        """The work and the memory that the engine itself reports; 0: not reported."""
 
-    def on_ended(self, code: OutcomeCode) -> None: ...
+    def on_ended(self, code: OutcomeCode) -> None:
+        """The attempt has ended; any later report is ignored."""
 
 
 class QueryObserver(Protocol):
-    """Told what becomes of queries with a shape; it decides nothing here."""
+    """Notified of what happens to requests whose statement has a shape; it decides nothing here."""
 
-    def on_accepted(self, query: ClientRequest) -> None: ...
+    def on_accepted(self, request: ClientRequest) -> None:
+        """The request is open from here on."""
 
-    def on_settled(self, query: ClientRequest) -> None: ...
+    def on_settled(self, request: ClientRequest) -> None:
+        """The request is answered and no attempt of it is in flight; called once for each accepted one."""
 
-    def on_spilled(self, query: ClientRequest, now: int) -> None: ...
+    def on_spilled(self, request: ClientRequest, now: int) -> None:
+        """The engine reported that the statement spills to disk."""
 
-    def on_attempt_ended(
-        self, query: ClientRequest, engine: str, code: OutcomeCode, work_ns: int, used_mb: float, now: int
-    ) -> None: ...
+    def on_attempt_ended(  # noqa: PLR0913, PLR0917 - six plain values, passed on as they are in one place
+        self, request: ClientRequest, endpoint: str, code: OutcomeCode, work_ns: int, used_mb: float, now: int
+    ) -> None:
+        """An attempt has ended; `work_ns` over all threads, `used_mb` 0 where the engine reports none."""
 
 
 class EngineClient(Protocol):
-    """The engine side: starts, stops and re-ranks attempts on one wire."""
+    """The engine side: starts, cancels and re-prioritizes attempts on one wire."""
 
-    def start(self, attempt: AttemptHandle) -> None: ...
+    def start(self, attempt: AttemptHandle) -> None:
+        """Send the attempt to its endpoint; its end is reported to it, at once if it cannot be sent."""
 
     def withdraw(self, attempt: AttemptHandle) -> bool:
-        """Whether nothing of it had left, so that it surely never ran; then nothing will."""
+        """Whether nothing of the attempt had left, so that it surely never ran; then nothing will leave."""
 
-    def cancel(self, attempt: AttemptHandle) -> None: ...
+    def cancel(self, attempt: AttemptHandle) -> None:
+        """Tell the engine to stop the attempt; its end is not reported for that."""
 
-    def set_priority(self, attempt: AttemptHandle) -> None: ...
+    def set_priority(self, attempt: AttemptHandle) -> None:
+        """Tell the engine the attempt's new priority."""
 
-    def update_endpoints(self, targets: list[Endpoint], full: bool) -> None: ...
+    def update_endpoints(self, endpoints: list[Endpoint], is_snapshot: bool) -> None:
+        """Take in the endpoint list: a snapshot replaces what is known, else these entries have changed."""
--- a/query_gateway/gateway.py
+++ b/query_gateway/gateway.py
@@ -30,9 +30,9 @@
 )
 from query_gateway.discovery.watch_client import EndpointWatchClient
 from query_gateway.engine_protocol.client import ConnectionPool
-from query_gateway.forwarder.class_numbers import laid_out, numbered
-from query_gateway.forwarder.exchange import Forwarder
-from query_gateway.forwarder.messages import EjectedEndpoints, RequestClass, RequestClasses, Verdict
+from query_gateway.forwarder.class_numbers import assign_class_numbers, class_settings_by_number
+from query_gateway.forwarder.forwarder import Forwarder
+from query_gateway.forwarder.messages import RequestClass, RequestClasses, Verdict
 from query_gateway.forwarder.readiness import Readiness
 from query_gateway.http.server import Server
 from query_gateway.lifecycle.hot_upgrade import HotUpgrade, InheritedState
@@ -41,6 +41,7 @@
 from query_gateway.net.loop import Loop, Timer
 from query_gateway.net.stream import Listener
 from query_gateway.planner.ipc import PlannerClient
+from query_gateway.planner.ipc_codec import EjectedEndpoints
 from query_gateway.planner.learned_state import adopt, learned
 from query_gateway.planner.planner import Planner
 
@@ -120,7 +121,9 @@
         loop = self.loop
         most = min(config.max_open_requests, MOST_OPEN)
         # Numbers of requests go on from the clock, so that no planner meets one twice after our restart
-        self.forwarder = Forwarder(config.settings, time.time_ns, self.alarm, most, first_xid=time.time_ns())
+        self.forwarder = Forwarder(
+            config.settings, time.time_ns, self.alarm, most, first_request_id=time.time_ns()
+        )
         for name in config.classes:
             self.forwarder.counters.add_class(name)
         period = config.settings.progress_interval / 1e9
@@ -168,7 +171,7 @@
             if config.admin_address
             else None
         )
-        self.readiness.set_planner_available(any(self.forwarder.planner_connected))
+        self.readiness.set_planner_available(self.forwarder.any_planner_connected)
         self.hot_upgrade = HotUpgrade(loop, meeting, self, legacy) if meeting else None
         if legacy:
             self.set_overlapping(True)
@@ -205,7 +208,7 @@
         def died() -> None:
             self.avoided.pop(link, None)
             self.forwarder.on_planner_lost(link)
-            self.readiness.set_planner_available(any(self.forwarder.planner_connected))
+            self.readiness.set_planner_available(self.forwarder.any_planner_connected)
 
         def act(action: Any) -> None:
             if isinstance(action, EjectedEndpoints):
@@ -408,10 +411,12 @@
         config, old = self.config, self.classes
         held = {e.request.class_index for e in self.forwarder.exchanges.values()}
         held |= {c.index for c in self.http_server.classes.values()}
-        numbers = numbered(config.classes, {name: c.index for name, c in old.items()}, held)
+        numbers = assign_class_numbers(config.classes, {name: c.index for name, c in old.items()}, held)
         self.classes = {name: replace(told, index=numbers[name]) for name, told in config.classes.items()}
         rules = {numbers[name]: config.settings.classes[told.index] for name, told in config.classes.items()}
-        settings = replace(config.settings, classes=laid_out(self.forwarder.settings.classes, rules))
+        settings = replace(
+            config.settings, classes=class_settings_by_number(self.forwarder.settings.classes, rules)
+        )
         for name in self.classes:
             self.forwarder.counters.add_class(name)
         self._tell_rules(settings, tuple(n for name, n in numbers.items() if name not in old))
@@ -432,9 +437,7 @@
 
     def _tell_rules(self, settings: Settings, fresh: tuple[int, ...] = ()) -> None:
         told = replace(self.config, settings=settings)
-        tuned = [
-            settings_for(told, self.operator, link) for link in range(len(self.forwarder.notify_planners))
-        ]
+        tuned = [settings_for(told, self.operator, link) for link in range(len(self.forwarder.planners))]
         self.forwarder.update_settings(
             settings, [replace(t, slow_start_share=self.share) for t in tuned], fresh
         )
--- a/query_gateway/http/server.py
+++ b/query_gateway/http/server.py
@@ -11,9 +11,15 @@
 
 import h11
 
-from query_gateway.forwarder.exchange import Exchange, Forwarder
+from query_gateway.forwarder.exchange import Exchange
+from query_gateway.forwarder.forwarder import Forwarder
 from query_gateway.forwarder.messages import Answer, ClientRequest, RequestClasses, Verdict
-from query_gateway.forwarder.readiness import LAST_TAKEN, STILL_COME, Phase, Readiness
+from query_gateway.forwarder.readiness import (
+    DRAIN_CLOSE_IDLE_AFTER_S,
+    DRAIN_REJECT_AFTER_S,
+    Phase,
+    Readiness,
+)
 from query_gateway.forwarder.table_group import table_group
 from query_gateway.net.loop import Loop, Task
 from query_gateway.net.stream import Listener, Reason, Stream
@@ -212,7 +218,7 @@
                 if give(self.stream.sock, self.peer, self.asked):
                     return Reason.TRANSFERRED
                 until = min(until, self.loop.now() + GIVE_AGAIN)
-            if self.server.away(STILL_COME):
+            if self.server.away(DRAIN_CLOSE_IDLE_AFTER_S):
                 if self.asked:
                     return (yield from self._linger(Reason.DRAINED))
                 until = min(until, self.began + HELLO_AWAY)
@@ -338,7 +344,7 @@
         held = Held(self.task.wake)
         # Guards engines: who waited long to be accepted may have left behind its call
         self.stream.read_available()
-        if self.loop.lag() > BEHIND or self.server.away(LAST_TAKEN) or self.server.refuses:
+        if self.loop.lag() > BEHIND or self.server.away(DRAIN_REJECT_AFTER_S) or self.server.refuses:
             # Guards against a backlog that makes all answers late: what the core has no time for goes at
             # once; and a drain against connections that would never come to rest
             self._refuse(query, held)
@@ -496,7 +502,7 @@
             self.sent_away = None
         elif self.sent_away is None:
             self.sent_away = self.loop.now()
-            self.loop.call_at(self.sent_away + STILL_COME, self._wake)
+            self.loop.call_at(self.sent_away + DRAIN_CLOSE_IDLE_AFTER_S, self._wake)
 
     def _wake(self) -> None:
         for connection in list(self.connections):
--- a/query_gateway/model/events.py
+++ b/query_gateway/model/events.py
@@ -6,6 +6,8 @@
 from query_gateway.model.endpoints import EndpointInfo, EndpointUpdateKind
 from query_gateway.model.settings import Settings
 
+LAST_ATTEMPT = -1  # an attempt number: the last attempt sent, where the exchange that counted them has ended
+
 
 class OutcomeCode(Enum):
     OK = "ok"
--- a/query_gateway/planner/ipc.py
+++ b/query_gateway/planner/ipc.py
@@ -1,108 +1,131 @@
-"""The local link between a forwarder and a planner in processes of their own: events go, actions come."""
+"""The IPC between a forwarder and a planner in processes of their own: events go, actions come."""
 
 from collections.abc import Callable, Generator
 from typing import Any
 
-from query_gateway.forwarder.messages import EjectedEndpoints
-from query_gateway.model.actions import Action
 from query_gateway.model.events import Event
 from query_gateway.net.log import log
 from query_gateway.net.loop import Loop, Task
 from query_gateway.net.stream import Reason, Stream
-from query_gateway.planner.ipc_codec import ACTIONS, Decoder, IpcMessageError, encode
+from query_gateway.planner.ipc_codec import ACTION_TYPES, Decoder, IpcMessage, IpcMessageError, encode
 
-AGAIN = 0.1  # seconds before a new connection
-DIAL = 1.0
-OUTBOX = 16_777_216  # bytes that the other end may leave unread
+RECONNECT_DELAY_S = 0.1
+DIAL_TIMEOUT_S = 1.0
+MAX_UNREAD_BYTES = 16_777_216  # that the other end may leave unread before the connection ends
+
+Steps = Generator[float | None, None, None]  # of a coroutine on the loop
+ReasonSteps = Generator[float | None, None, Reason]  # of one that returns why a connection ended
 
 
 class IpcConnection:
-    """One connection, on either end."""
+    """One connection, the same on either end.
+
+    Its owner runs `receive` as a coroutine and closes the stream with the reason that this returns.
+    """
 
-    def __init__(self, stream: Stream, kinds: dict[str, Any], got: Callable[[Any], None]) -> None:
-        self.stream, self.on_message = stream, got
-        self.decoder = Decoder(kinds)
-        self.closing = False
+    def __init__(
+        self, stream: Stream, message_types: dict[str, Any], on_message: Callable[[Any], None]
+    ) -> None:
+        """`on_message` takes each message, of the types that this end accepts by their names."""
+        self.stream = stream
+        self.on_message = on_message
+        self.decoder = Decoder(message_types)
+        self.closing = False  # set by the owner, who then wakes the coroutine
 
-    def send(self, message: Event | Action | EjectedEndpoints) -> None:
+    def send(self, message: IpcMessage) -> None:
+        """Queue a message; `receive` ends the connection if too many are left unread."""
         self.stream.write(encode(message))
 
-    def receive(self) -> Generator[float | None, None, Reason]:
-        """Hand on what comes until the connection ends."""
+    def receive(self) -> ReasonSteps:
+        """Hand on messages until the connection ends, and return why it does."""
         while True:
-            if self.stream.inbox:
-                try:
-                    for message in self.decoder.feed(self.stream.take_inbox()):
-                        self.on_message(message)
-                except IpcMessageError as bad:
-                    log("link", f"unusable message: {bad}")
-                    return Reason.MALFORMED_RESPONSE
-                except Exception as fault:  # guards what the other end holds: it hears that this end is gone
-                    log("fault", f"a message could not be used: {fault!r}")
-                    return Reason.FAULT
+            if self.stream.inbox and (fault := self._handle_inbox()):
+                return fault
             if self.closing:
                 return Reason.STOPPING
             if self.stream.eof:
                 return Reason.RESET if self.stream.reset else Reason.PEER_CLOSED
-            if len(self.stream.outbox) > OUTBOX:
+            if len(self.stream.outbox) > MAX_UNREAD_BYTES:
                 return Reason.SLOW_READER
             yield None
 
+    def _handle_inbox(self) -> Reason | None:
+        """Hand on what has come; a reason if the connection cannot go on.
+
+        An error in handling a message ends the connection, so that the other end takes this one for lost and
+        settles what it has open here, instead of waiting for it.
+        """
+        try:
+            for message in self.decoder.feed(self.stream.take_inbox()):
+                self.on_message(message)
+        except IpcMessageError as error:
+            log("ipc", f"unusable message: {error}")
+            return Reason.MALFORMED_RESPONSE
+        except Exception as error:
+            log("fault", f"a message could not be handled: {error!r}")
+            return Reason.FAULT
+        return None
+
 
 class PlannerClient:
-    """A forwarder's end: dials its planner again and again; `died` and `born` tell how it stands."""
+    """A forwarder's end: connects to its planner, and again whenever the connection has ended.
+
+    `on_connected` and `on_disconnected` are called in turn; actions come only in between. `stop` ends it.
+    """
 
     def __init__(
         self,
         loop: Loop,
         address: tuple[str, int],
-        act: Callable[[Any], None],
-        born: Callable[[], None],
-        died: Callable[[], None],
+        on_action: Callable[[Any], None],
+        on_connected: Callable[[], None],
+        on_disconnected: Callable[[], None],
     ) -> None:
-        self.loop, self.address, self.on_action, self.on_connected, self.on_disconnected = (
-            loop,
-            address,
-            act,
-            born,
-            died,
-        )
+        """Connect to the planner at `address`, from the loop's next turn on."""
+        self.loop = loop
+        self.address = address
+        self.on_action = on_action
+        self.on_connected = on_connected
+        self.on_disconnected = on_disconnected
         self.connection: IpcConnection | None = None
         self.stopped = False
         self.task: Task = loop.spawn(self._run())
 
     def notify(self, event: Event) -> None:
+        """Send an event; while there is no connection it is dropped."""
         if self.connection:
             self.connection.send(event)
 
     def stop(self) -> None:
+        """End the connection and connect no more."""
         self.stopped = True
         if self.connection:
             self.connection.closing = True
         self.task.wake()
 
-    def _run(self) -> Generator[float | None, None, None]:
-        what = f"planner {self.address[0]}:{self.address[1]}"
+    def _run(self) -> Steps:
+        description = f"planner {self.address[0]}:{self.address[1]}"
         while not self.stopped:
             try:
-                stream = Stream.dial(self.loop, self.address, what, lambda: self.task.wake())
-            except OSError as bad:  # out of descriptors
-                log("link", f"cannot dial: {bad.strerror}")
+                stream = Stream.dial(self.loop, self.address, description, lambda: self.task.wake())
+            except OSError as error:  # out of descriptors
+                log("ipc", f"cannot dial: {error.strerror}")
             else:
-                stream.close((yield from self._session(stream)))
-            until = self.loop.now() + AGAIN
-            while not self.stopped and self.loop.now() < until:
-                yield until
+                stream.close((yield from self._run_connection(stream)))
+            reconnect_at = self.loop.now() + RECONNECT_DELAY_S
+            while not self.stopped and self.loop.now() < reconnect_at:
+                yield reconnect_at
 
-    def _session(self, stream: Stream) -> Generator[float | None, None, Reason]:
-        until = self.loop.now() + DIAL
+    def _run_connection(self, stream: Stream) -> ReasonSteps:
+        """Wait until the stream is connected and use it to its end; returns why that came."""
+        timeout_at = self.loop.now() + DIAL_TIMEOUT_S
         while not stream.connected:
             if stream.eof:
                 return Reason.DIAL_REFUSED
-            if self.stopped or self.loop.now() >= until:
+            if self.stopped or self.loop.now() >= timeout_at:
                 return Reason.STOPPING if self.stopped else Reason.DIAL_TIMEOUT
-            yield until
-        self.connection = IpcConnection(stream, ACTIONS, self.on_action)
+            yield timeout_at
+        self.connection = IpcConnection(stream, ACTION_TYPES, self.on_action)
         self.on_connected()
         reason = yield from self.connection.receive()
         self.connection = None
--- a/query_gateway/planner/ipc_codec.py
+++ b/query_gateway/planner/ipc_codec.py
@@ -1,12 +1,14 @@
-"""The local link's one codec: an event or action is a line of JSON, its kind and then its fields in order."""
+"""The codec of the IPC: a message is a line of JSON, the name of its type and then its fields in order.
+
+Both ends are processes of one gateway, so the types' names and the order of their fields may change freely.
+"""
 
 import json
-from dataclasses import fields, is_dataclass
+from dataclasses import dataclass, fields, is_dataclass
 from enum import Enum
 from types import UnionType
 from typing import Any, get_args, get_origin, get_type_hints
 
-from query_gateway.forwarder.messages import EjectedEndpoints
 from query_gateway.model.actions import Action, Cancel, Fail, Forward, Reject, SetTerms
 from query_gateway.model.events import (
     AttemptOutcome,
@@ -18,13 +20,33 @@
     SettingsUpdate,
 )
 
-LINE = 4_194_304  # bytes of one message; a list of all engines is the longest
-EVENTS: dict[str, type[Event]] = {
-    t.__name__: t
-    for t in (Request, AttemptOutcome, ProgressNote, RequestAbandoned, EndpointUpdate, SettingsUpdate)
+MAX_LINE_BYTES = 4_194_304  # of one message; a snapshot of all endpoints is the longest
+
+
+@dataclass(slots=True, frozen=True)
+class EjectedEndpoints:
+    """The endpoints that a planner sends nothing to for now; sent at the start and when they change."""
+
+    names: tuple[str, ...]
+
+
+IpcMessage = Event | Action | EjectedEndpoints
+
+# What a planner receives, and what a forwarder receives, by the name that a line begins with
+EVENT_TYPES: dict[str, type[Event]] = {
+    message_type.__name__: message_type
+    for message_type in (
+        Request,
+        AttemptOutcome,
+        ProgressNote,
+        RequestAbandoned,
+        EndpointUpdate,
+        SettingsUpdate,
+    )
 }
-ACTIONS: dict[str, type[Action | EjectedEndpoints]] = {
-    t.__name__: t for t in (Forward, Reject, Fail, Cancel, SetTerms, EjectedEndpoints)
+ACTION_TYPES: dict[str, type[Action | EjectedEndpoints]] = {
+    message_type.__name__: message_type
+    for message_type in (Forward, Reject, Fail, Cancel, SetTerms, EjectedEndpoints)
 }
 
 
@@ -32,66 +54,76 @@
     """Bytes that are no message of the other end."""
 
 
-def encode(message: Event | Action | EjectedEndpoints) -> bytes:
-    return json.dumps([type(message).__name__, *_plain(message)], separators=(",", ":")).encode() + b"\n"
+def encode(message: IpcMessage) -> bytes:
+    """A message as a line with its end."""
+    line = json.dumps([type(message).__name__, *_encode_value(message)], separators=(",", ":"))
+    return line.encode() + b"\n"
 
 
-def _plain(value: Any) -> Any:
+def _encode_value(value: Any) -> Any:
     if isinstance(value, Enum):
         return value.value
     if isinstance(value, tuple):
-        return [_plain(v) for v in value]
+        return [_encode_value(item) for item in value]
     if is_dataclass(value):
-        return [_plain(getattr(value, f.name)) for f in fields(value)]
+        return [_encode_value(getattr(value, field.name)) for field in fields(value)]
     return value
 
 
-def _made(kind: Any, raw: Any) -> Any:
-    """A value of the kind that a field is declared as, or BadMessage."""
-    if get_origin(kind) is UnionType:
-        return None if raw is None else _made(get_args(kind)[0], raw)
-    if get_origin(kind) is tuple:
+def _decode_value(declared: Any, raw: Any) -> Any:
+    """A value of the declared type; raises IpcMessageError where `raw` is none."""
+    if get_origin(declared) is UnionType:
+        return None if raw is None else _decode_value(get_args(declared)[0], raw)
+    if get_origin(declared) is tuple:
         if not isinstance(raw, list):
-            raise IpcMessageError("a list is missing")
-        return tuple(_made(get_args(kind)[0], v) for v in raw)
-    if is_dataclass(kind) and isinstance(kind, type):
-        names = [f.name for f in fields(kind)]
-        if not isinstance(raw, list) or len(raw) != len(names):
-            raise IpcMessageError(f"{kind.__name__} has other fields")
-        hints = get_type_hints(kind)
-        return kind(*(_made(hints[name], v) for name, v in zip(names, raw, strict=True)))
-    if isinstance(kind, type) and issubclass(kind, Enum):
+            raise IpcMessageError(f"{raw!r:.40} is no list")
+        return tuple(_decode_value(get_args(declared)[0], item) for item in raw)
+    if is_dataclass(declared) and isinstance(declared, type):
+        return _decode_dataclass(declared, raw)
+    if isinstance(declared, type) and issubclass(declared, Enum):
         try:
-            return kind(raw)
+            return declared(raw)
         except ValueError:
-            raise IpcMessageError(f"{raw!r:.40} is no {kind.__name__}") from None
-    if kind is float and type(raw) is int:
+            raise IpcMessageError(f"{raw!r:.40} is no {declared.__name__}") from None
+    if declared is float and type(raw) is int:
         return float(raw)
-    if type(raw) is not kind:
-        raise IpcMessageError(f"{raw!r:.40} is out of place")
+    if type(raw) is not declared:
+        raise IpcMessageError(f"{raw!r:.40} is no {declared.__name__}")
     return raw
 
 
+def _decode_dataclass(declared: type[Any], raw: Any) -> Any:
+    names = [field.name for field in fields(declared)]
+    if not isinstance(raw, list) or len(raw) != len(names):
+        raise IpcMessageError(f"{raw!r:.40} has not the fields of {declared.__name__}")
+    types = get_type_hints(declared)
+    return declared(*(_decode_value(types[name], value) for name, value in zip(names, raw, strict=True)))
+
+
 class Decoder:
-    """Bytes in, whole messages out; of what is not yet whole no more than one line is kept."""
+    """Bytes in, complete messages out; of an incomplete one no more than a line is buffered."""
 
-    def __init__(self, kinds: dict[str, Any]) -> None:
-        self.kinds = kinds
+    def __init__(self, message_types: dict[str, Any]) -> None:
+        """`message_types` are the types that this end accepts, by their names."""
+        self.message_types = message_types
         self.buffer = bytearray()
 
     def feed(self, data: bytes) -> list[Any]:
+        """The messages that `data` completes; after an IpcMessageError the decoder is of no use."""
         self.buffer += data
-        *lines, rest = self.buffer.split(b"\n")
-        self.buffer = rest
-        if len(rest) > LINE:
-            raise IpcMessageError("a line is too long")
-        return [self._message(bytes(line)) for line in lines]
+        *lines, incomplete = self.buffer.split(b"\n")
+        self.buffer = incomplete
+        if len(incomplete) > MAX_LINE_BYTES:
+            raise IpcMessageError(f"a line is longer than {MAX_LINE_BYTES} bytes")
+        return [self._decode_line(bytes(line)) for line in lines]
 
-    def _message(self, line: bytes) -> Any:
+    def _decode_line(self, line: bytes) -> Any:
         try:
             raw = json.loads(line)
         except (ValueError, RecursionError):
             raise IpcMessageError(f"{line[:40]!r} is not JSON") from None
-        if not isinstance(raw, list) or not raw or not isinstance(raw[0], str) or raw[0] not in self.kinds:
+        if not isinstance(raw, list) or not raw or not isinstance(raw[0], str):
             raise IpcMessageError(f"{line[:40]!r} is no message")
-        return _made(self.kinds[raw[0]], raw[1:])
+        if raw[0] not in self.message_types:
+            raise IpcMessageError(f"{line[:40]!r} is no message that this end accepts")
+        return _decode_value(self.message_types[raw[0]], raw[1:])
--- a/query_gateway/planner/process.py
+++ b/query_gateway/planner/process.py
@@ -1,43 +1,60 @@
-"""A planner as a process of its own: one instance of the module for the forwarders that dial it."""
+"""A planner in a process of its own: one instance of the decision module for the forwarders that connect."""
 
 import signal
 import socket
 import time
-from collections.abc import Generator
-from dataclasses import replace
-from typing import Any
+from collections.abc import Callable
+from dataclasses import dataclass, replace
 
-from query_gateway.forwarder.exchange import LAST
-from query_gateway.forwarder.messages import EjectedEndpoints
 from query_gateway.model.actions import Action, Cancel, Fail, Forward, Reject, SetTerms
-from query_gateway.model.events import AttemptOutcome, Event, OutcomeCode, Request, RequestAbandoned
+from query_gateway.model.events import (
+    LAST_ATTEMPT,
+    AttemptOutcome,
+    Event,
+    OutcomeCode,
+    Request,
+    RequestAbandoned,
+)
 from query_gateway.model.settings import Settings
 from query_gateway.net.log import log
-from query_gateway.net.loop import Loop
+from query_gateway.net.loop import Loop, Timer
 from query_gateway.net.stream import Listener, Reason, Stream
-from query_gateway.planner.ipc import IpcConnection
-from query_gateway.planner.ipc_codec import EVENTS
+from query_gateway.planner.ipc import IpcConnection, Steps
+from query_gateway.planner.ipc_codec import EVENT_TYPES, EjectedEndpoints
 from query_gateway.planner.planner import Planner
 
-FORWARDERS = 64  # connections at most
-LOOK = 0.2  # seconds between two looks at which engines are avoided
+MAX_FORWARDERS = 64  # connections
+EJECTION_POLL_INTERVAL_S = 0.2  # how often changes of the ejected endpoints are looked for
 RequestAction = Forward | Reject | Fail | Cancel | SetTerms  # what concerns one request, so one forwarder
 
 
+@dataclass(slots=True)
+class OpenRequest:
+    """A request of a forwarder that the planner has not seen the end of."""
+
+    attempt_count: int = 0
+    in_flight: Forward | None = None  # the attempt whose outcome has not come
+
+    @property
+    def last_attempt_number(self) -> int:
+        """The number of the last attempt; 0 where there was none."""
+        return max(0, self.attempt_count - 1)
+
+
 class PlannerSession:
-    """A forwarder here, with its requests and the attempt of each that is out."""
-
-    def __init__(self, home: "PlannerProcess", sock: socket.socket, peer: str) -> None:
-        self.process = home
-        self.forwarded: dict[int, Forward | None] = {}
-        self.attempt_numbers: dict[int, int] = {}
-        stream = Stream(home.loop, sock, f"forwarder {peer}")
-        self.connection = IpcConnection(stream, EVENTS, self.on_event)
-        self.task = home.loop.spawn(self._run())
+    """One connected forwarder with its open requests; it ends with the connection."""
+
+    def __init__(self, process: "PlannerProcess", sock: socket.socket, peer: str) -> None:
+        """Take over an accepted socket; `peer` is its address for the log."""
+        self.process = process
+        self.open_requests: dict[int, OpenRequest] = {}  # by request id
+        stream = Stream(process.loop, sock, f"forwarder {peer}")
+        self.connection = IpcConnection(stream, EVENT_TYPES, self.on_event)
+        self.task = process.loop.spawn(self._run())
         stream.on_activity = self.task.wake
         stream.start()
 
-    def _run(self) -> Generator[float | None, None, None]:
+    def _run(self) -> Steps:
         reason = Reason.FAULT
         try:
             reason = yield from self.connection.receive()
@@ -46,89 +63,127 @@
             self.process.on_session_ended(self)
 
     def on_event(self, event: Event) -> None:
+        """Note what the event says of the forwarder's requests and pass it to the planner."""
         if isinstance(event, Request):
-            self.forwarded[event.request_id] = None
+            self.open_requests[event.request_id] = OpenRequest()
             self.process.owners[event.request_id] = self
         elif isinstance(event, AttemptOutcome):
-            if event.attempt_number == LAST:  # the forwarder had ended the request before the send came
-                event = replace(event, attempt_number=self.attempt_numbers.get(event.request_id, 0))
-            if event.final:
+            event = self._note_outcome(event)
+        elif isinstance(event, RequestAbandoned):
+            request = self.open_requests.get(event.request_id)
+            if request is None or request.in_flight is None:  # else its outcome is still to come
                 self.forget(event.request_id)
-            elif event.request_id in self.forwarded:
-                self.forwarded[event.request_id] = None
-        elif isinstance(event, RequestAbandoned) and self.forwarded.get(event.request_id) is None:
-            self.forget(event.request_id)
         self.process.planner.notify(event)
 
-    def forget(self, xid: int) -> None:
-        self.forwarded.pop(xid, None)
-        self.attempt_numbers.pop(xid, None)
-        self.process.owners.pop(xid, None)
-
-    def send_action(self, action: Action) -> None:
+    def _note_outcome(self, outcome: AttemptOutcome) -> AttemptOutcome:
+        """The outcome with the number of its attempt, which the forwarder may have forgotten."""
+        request = self.open_requests.get(outcome.request_id)
+        if outcome.attempt_number == LAST_ATTEMPT:  # it had ended the request before the attempt reached it
+            outcome = replace(outcome, attempt_number=request.last_attempt_number if request else 0)
+        if outcome.final:
+            self.forget(outcome.request_id)
+        elif request:
+            request.in_flight = None
+        return outcome
+
+    def forget(self, request_id: int) -> None:
+        """Drop a request that has ended."""
+        self.open_requests.pop(request_id, None)
+        self.process.owners.pop(request_id, None)
+
+    def send_action(self, action: RequestAction) -> None:
+        """Send the forwarder an action on one of its open requests."""
+        request = self.open_requests[action.request_id]
         if isinstance(action, Forward):
-            self.forwarded[action.request_id] = action
-            self.attempt_numbers[action.request_id] = self.attempt_numbers.get(action.request_id, -1) + 1
+            request.in_flight = action
+            request.attempt_count += 1
         self.connection.send(action)
-        if isinstance(action, Reject | Fail) and self.forwarded[action.request_id] is None:
+        if isinstance(action, Reject | Fail) and request.in_flight is None:
             self.forget(action.request_id)
 
 
 class PlannerProcess:
+    """The planner with its loop, its listener and a session for each forwarder that connects."""
+
     def __init__(self, settings: Settings, seed: int, address: tuple[str, int]) -> None:
+        """Listen at `address`; raises OSError if that is not possible. `run` or the caller runs the loop."""
         self.loop = Loop()
-        self.planner = Planner(settings, seed, time.time_ns, self._later)
-        self.owners: dict[int, PlannerSession] = {}
+        self.planner = Planner(settings, seed, time.time_ns, self._call_at)
+        self.owners: dict[int, PlannerSession] = {}  # by request id
         self.sessions: set[PlannerSession] = set()
-        self.listener = Listener(self.loop, address, self._taken)
+        self.listener = Listener(self.loop, address, self._on_accepted)
         self.loop.turn_hooks.append(self.run_planner)
         self.ejected = EjectedEndpoints(())
-        self._look()
+        self._poll_ejected_endpoints()
 
-    def _later(self, when: int, call: Any) -> object:
-        return self.loop.call_at(self.loop.now() + (when - time.time_ns()) / 1e9, call)
+    def _call_at(self, due_at_ns: int, callback: Callable[[], None]) -> Timer:
+        delay_s = (due_at_ns - time.time_ns()) / 1e9
+        return self.loop.call_at(self.loop.now() + delay_s, callback)
 
-    def _taken(self, sock: socket.socket, peer: str) -> None:
-        if len(self.sessions) >= FORWARDERS:  # guards the table against whoever else dials
+    def _on_accepted(self, sock: socket.socket, peer: str) -> None:
+        if len(self.sessions) >= MAX_FORWARDERS:  # guards the table against whoever else connects
             Stream(self.loop, sock, f"forwarder {peer}").close(Reason.TOO_MANY)
             return
-        self.sessions.add(seat := PlannerSession(self, sock, peer))
-        seat.connection.send(self.ejected)
-
-    def _look(self) -> None:
-        avoided = EjectedEndpoints(self.planner.ejected_endpoints())
-        if avoided != self.ejected:
-            self.ejected = avoided
-            for seat in self.sessions:
-                seat.connection.send(avoided)
-        self.loop.call_at(self.loop.now() + LOOK, self._look)
-
-    def on_session_ended(self, seat: PlannerSession) -> None:
-        """Guards the module's view of the engines: what a forwarder had out ended with it."""
-        self.sessions.discard(seat)
-        for xid, sent in list(seat.forwarded.items()):
-            self.planner.notify(RequestAbandoned(xid))
-            if sent:
-                copy = seat.attempt_numbers.get(xid, 0)
-                ended = AttemptOutcome(
-                    xid, True, OutcomeCode.CANCELLED, 0, copy, sent.endpoint, None, None, ()
-                )
-                self.planner.notify(ended)
-            seat.forget(xid)
+        session = PlannerSession(self, sock, peer)
+        self.sessions.add(session)
+        session.connection.send(self.ejected)
+
+    def _poll_ejected_endpoints(self) -> None:
+        """Send all forwarders the ejected endpoints when these have changed."""
+        ejected = EjectedEndpoints(self.planner.ejected_endpoints())
+        if ejected != self.ejected:
+            self.ejected = ejected
+            for session in self.sessions:
+                session.connection.send(ejected)
+        self.loop.call_at(self.loop.now() + EJECTION_POLL_INTERVAL_S, self._poll_ejected_endpoints)
+
+    def on_session_ended(self, session: PlannerSession) -> None:
+        """Report the end of everything that a forwarder had open: it ended with the forwarder.
+
+        Guards the module's view of the engines against attempts whose outcome never comes.
+        """
+        self.sessions.discard(session)
+        for request_id, request in list(session.open_requests.items()):
+            self.planner.notify(RequestAbandoned(request_id))
+            if request.in_flight:
+                self.planner.notify(self._cancelled_outcome(request_id, request, request.in_flight.endpoint))
+            session.forget(request_id)
+
+    @staticmethod
+    def _cancelled_outcome(request_id: int, request: OpenRequest, endpoint: str) -> AttemptOutcome:
+        return AttemptOutcome(
+            request_id=request_id,
+            final=True,
+            code=OutcomeCode.CANCELLED,
+            duration=0,
+            attempt_number=request.last_attempt_number,
+            endpoint=endpoint,
+            work=None,
+            memory_mb=None,
+            load_report=(),
+        )
 
     def run_planner(self) -> bool:
-        """A module that breaks ends the process: its forwarders settle all, and the parent starts another."""
+        """Let the module decide on what has come and send its actions; True if there is more to decide.
+
+        A module that breaks ends the process: its forwarders settle all, and the supervisor starts another.
+        """
         try:
             actions = self.planner.decide()
-        except Exception as fault:
-            log("planner", f"a planner broke and ends: {fault!r}")
-            raise SystemExit(1) from fault
+        except Exception as error:
+            log("planner", f"a planner broke and ends: {error!r}")
+            raise SystemExit(1) from error
         for action in actions:
-            if isinstance(action, RequestAction) and (seat := self.owners.get(action.request_id)):
-                seat.send_action(action)
+            self._send_action(action)
         return bool(self.planner.pending_events)
 
+    def _send_action(self, action: Action) -> None:
+        """Send an action to the forwarder of its request; without one it is dropped."""
+        if isinstance(action, RequestAction) and (session := self.owners.get(action.request_id)):
+            session.send_action(action)
+
     def run(self) -> None:
+        """Serve until SIGTERM or SIGINT. SIGHUP is ignored: new settings come from the forwarders."""
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: self.loop.stop())
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
--- a/query_gateway/planner/supervisor.py
+++ b/query_gateway/planner/supervisor.py
@@ -1,4 +1,4 @@
-"""The parent of forwarders and planners in processes of their own: starts them, and anew if one dies."""
+"""The supervisor of forwarders and planners in processes of their own: starts them, and again if one dies."""
 
 import os
 import signal
@@ -10,79 +10,103 @@
 from query_gateway.net.log import log
 from query_gateway.net.loop import Loop
 
-LOOK = 0.1  # seconds between two looks at the children
-AGAIN = 0.5  # and between two starts of the same one
+WORKER_POLL_INTERVAL_S = 0.1  # how often the supervisor looks whether its workers run
+RESTART_INTERVAL_S = 0.5  # at least, between two starts of the same worker
+SUPERVISOR_POLL_INTERVAL_S = 1.0  # how often a worker looks whether its supervisor runs
+PART_VARIABLE = "QUERY_GATEWAY_PART"  # tells a worker process which one it is: "planner 0", "forwarder 1"
 
 
-def with_parent(loop: Loop, leave: Callable[[], None]) -> None:
-    """Guards the ports against children that outlive a parent which was killed."""
-    parent = os.getppid()
+def stop_with_supervisor(loop: Loop, stop: Callable[[], None]) -> None:
+    """Call `stop` in a worker when its supervisor has ended.
 
-    def look() -> None:
-        if os.getppid() != parent:
-            leave()
+    Guards the ports against workers that outlive a supervisor which was killed.
+    """
+    supervisor_pid = os.getppid()
+
+    def poll() -> None:
+        if os.getppid() != supervisor_pid:
+            stop()
         else:
-            loop.call_at(loop.now() + 1.0, look)
+            loop.call_at(loop.now() + SUPERVISOR_POLL_INTERVAL_S, poll)
 
-    look()
+    poll()
 
 
 class WorkerProcess:
+    """One forwarder or planner process, which may be started again when it has ended."""
+
     def __init__(self, part: str) -> None:
+        """A worker that was not started yet; `part` says which one it is."""
         self.part = part
-        self.started = 0.0
+        self.started_at = 0.0  # monotonic seconds
         self.process: subprocess.Popen[bytes] | None = None
 
     def start(self) -> None:
-        self.started = time.monotonic()
-        environ = os.environ | {"MOTHKNOT_PART": self.part}
+        """Start the process, which reads the same configuration as this one."""
+        self.started_at = time.monotonic()
+        environ = os.environ | {PART_VARIABLE: self.part}
         self.process = subprocess.Popen([sys.executable, "-m", "query_gateway"], env=environ)
 
     @property
-    def lives(self) -> bool:
+    def running(self) -> bool:
+        """Whether it was started and has not ended."""
         return self.process is not None and self.process.poll() is None
 
-    def send(self, number: int) -> None:
-        if self.process and self.lives:
-            self.process.send_signal(number)
+    def send(self, signal_number: int) -> None:
+        """Send a signal, if it runs."""
+        if self.process and self.running:
+            self.process.send_signal(signal_number)
 
 
 class Supervisor:
-    def __init__(self, planners: int, forwarders: int) -> None:
+    """Runs a process for each planner and each forwarder until it is told to stop."""
+
+    def __init__(self, planner_count: int, forwarder_count: int) -> None:
+        """Nothing is started before `run`."""
         self.loop = Loop()
-        self.planners = [WorkerProcess(f"planner {n}") for n in range(planners)]
-        self.forwarders = [WorkerProcess(f"forwarder {n}") for n in range(forwarders)]
+        self.planners = [WorkerProcess(f"planner {index}") for index in range(planner_count)]
+        self.forwarders = [WorkerProcess(f"forwarder {index}") for index in range(forwarder_count)]
         self.stopping = False
 
-    def _look(self) -> None:
-        for child in () if self.stopping else (*self.planners, *self.forwarders):
-            if not child.lives and time.monotonic() - child.started >= AGAIN:
-                if child.process:
-                    log("parent", f"{child.part} ended with {child.process.returncode} and is started anew")
-                child.start()
-        if self.stopping and not any(child.lives for child in self.forwarders):
+    def _poll(self) -> None:
+        if not self.stopping:
+            for worker in (*self.planners, *self.forwarders):
+                self._start_if_ended(worker)
+        elif not any(worker.running for worker in self.forwarders):
             self.loop.stop()
-        self.loop.call_at(self.loop.now() + LOOK, self._look)
+        self.loop.call_at(self.loop.now() + WORKER_POLL_INTERVAL_S, self._poll)
+
+    def _start_if_ended(self, worker: WorkerProcess) -> None:
+        if worker.running or time.monotonic() - worker.started_at < RESTART_INTERVAL_S:
+            return
+        if worker.process:
+            log("supervisor", f"{worker.part} ended with {worker.process.returncode} and is restarted")
+        worker.start()
 
     def _stop(self) -> None:
-        """Forwarders first: planners are needed until all is answered."""
+        """Stop the forwarders first: they need the planners until all requests are answered."""
         if not self.stopping:
             self.stopping = True
-            for child in self.forwarders:
-                child.send(signal.SIGTERM)
+            for worker in self.forwarders:
+                worker.send(signal.SIGTERM)
 
     def _reload(self) -> None:
-        for child in self.forwarders:
-            child.send(signal.SIGHUP)
+        for worker in self.forwarders:
+            worker.send(signal.SIGHUP)
 
     def run(self) -> int:
-        for number, call in (
-            (signal.SIGTERM, self._stop), (signal.SIGINT, self._stop), (signal.SIGHUP, self._reload),
-        ):  # fmt: skip
-            signal.signal(number, lambda *_, call=call: self.loop.call_soon(call))
-        self._look()
+        """Run until SIGTERM or SIGINT and return the worst exit code; SIGHUP is passed on to forwarders."""
+        self._on_signal(signal.SIGTERM, self._stop)
+        self._on_signal(signal.SIGINT, self._stop)
+        self._on_signal(signal.SIGHUP, self._reload)
+        self._poll()
         self.loop.run()
-        for child in self.planners:
-            child.send(signal.SIGTERM)
-        codes = [child.process.wait() for child in (*self.planners, *self.forwarders) if child.process]
-        return max(map(abs, codes), default=0)
+        for worker in self.planners:
+            worker.send(signal.SIGTERM)
+        workers = (*self.planners, *self.forwarders)
+        exit_codes = [worker.process.wait() for worker in workers if worker.process]
+        return max(map(abs, exit_codes), default=0)
+
+    def _on_signal(self, signal_number: int, action: Callable[[], None]) -> None:
+        """Take an action on the loop when a signal comes."""
+        signal.signal(signal_number, lambda *_: self.loop.call_soon(action))
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -164,7 +164,7 @@
         gate = Gateway(told, OperatorSettings(planner_addresses=(process.listener.address,)), signals=False)
         thread = threading.Thread(target=gate.loop.run, daemon=True)
         thread.start()
-        until(lambda: gate.forwarder.planner_connected == [True])
+        until(lambda: gate.forwarder.any_planner_connected)
         yield gate, process
         gate.loop.stop()
         thread.join(10)
@@ -439,7 +439,13 @@
             """The planner has decided; before its word is read here, the list tells of a drain."""
             if gate.forwarder.open_request_count and not held:
                 held.append(True)
-                until(lambda: any(seat.attempt_numbers for seat in process.sessions))
+                until(
+                    lambda: any(
+                        request.attempt_count
+                        for session in list(process.sessions)
+                        for request in list(session.open_requests.values())
+                    )
+                )
                 news = [host(engine, "e0", "draining"), host(other, "e1")]
                 hosts = {"seq": 2, "whole": False, "hosts": news}
                 gate.take_list({"pos": 2, "entries": [{"pos": 2, "hosts": hosts}]})
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -1,9 +1,10 @@
-"""The desk on a clock of its own: one attempt out at a time, and answers that wait for nothing."""
+"""The forwarder on a clock of its own: one attempt out at a time, and answers that wait for nothing."""
 
 from collections.abc import Callable
 
 from query_gateway.configuration.settings_parser import settings_of
-from query_gateway.forwarder.exchange import STOP_WAY, Forwarder
+from query_gateway.forwarder.exchange import CANCEL_PROPAGATION_NS
+from query_gateway.forwarder.forwarder import Forwarder
 from query_gateway.forwarder.messages import Answer, AttemptHandle, ClientRequest, Endpoint, Verdict
 from query_gateway.model.actions import Cancel, Forward, Reject
 from query_gateway.model.endpoints import EndpointInfo, EndpointState
@@ -11,155 +12,174 @@
 from tests.stand_ins import SETTINGS, flatten
 
 
-class Alarm:
+class PendingTimer:
     def cancel(self) -> None: ...
 
 
-class Wire:
+class RecordingEngineClient:
     streams_results = False
 
     def __init__(self) -> None:
-        self.did: list[tuple[str, str]] = []
+        self.calls: list[tuple[str, str]] = []
 
     def start(self, attempt: AttemptHandle) -> None:
-        self.did.append(("start", attempt.endpoint))
+        self.calls.append(("start", attempt.endpoint))
 
     def withdraw(self, attempt: AttemptHandle) -> bool:
         return False
 
     def cancel(self, attempt: AttemptHandle) -> None:
-        self.did.append(("stop", attempt.endpoint))
+        self.calls.append(("cancel", attempt.endpoint))
 
     def set_priority(self, attempt: AttemptHandle) -> None: ...
 
-    def update_endpoints(self, targets: list[Endpoint], full: bool) -> None: ...
+    def update_endpoints(self, endpoints: list[Endpoint], is_snapshot: bool) -> None: ...
 
 
-class Client:
+class RecordingClient:
     def __init__(self) -> None:
-        self.got: list[Answer] = []
+        self.answers: list[Answer] = []
 
-    def send_page(self, page: bytes, left: Callable[[], None]) -> None: ...
+    def send_page(self, page: bytes, on_sent: Callable[[], None]) -> None: ...
 
     def send_answer(self, answer: Answer) -> None:
-        self.got.append(answer)
+        self.answers.append(answer)
 
 
 class World:
+    """A forwarder with one planner, one engine client and two endpoints, and an open request for "lookup"."""
+
     def __init__(self) -> None:
-        self.now, self.due = 0, list[tuple[int, Callable[[], None]]]()
-        self.told: list[Event] = []
-        self.wire, self.client = Wire(), Client()
-        self.desk = Forwarder(settings_of(flatten(SETTINGS)), lambda: self.now, self.alarms, 10)
-        self.desk.engine_clients["web"] = self.wire
-        self.desk.add_planner(self.told.append, True)
+        self.now = 0
+        self.timers: list[tuple[int, Callable[[], None]]] = []
+        self.events: list[Event] = []
+        self.engine_client, self.client = RecordingEngineClient(), RecordingClient()
+        settings = settings_of(flatten(SETTINGS))
+        self.forwarder = Forwarder(settings, lambda: self.now, self.call_at, max_exchanges=10)
+        self.forwarder.engine_clients["web"] = self.engine_client
+        self.forwarder.add_planner(self.events.append, True)
         entries = [EndpointInfo(name, EndpointState.UP, 0, 0, 0, 0, 1.0) for name in "ab"]
-        self.desk.update_endpoints([Endpoint(e, {"web": "127.0.0.1:1"}) for e in entries], True)
-        query = ClientRequest("1" * 16, 0, "lookup", b"x", 5_000_000_000, False, None, None, None, 0.0, None)
-        self.xid = self.desk.accept(query, self.client, "web").request_id
+        self.forwarder.update_endpoints([Endpoint(entry, {"web": "127.0.0.1:1"}) for entry in entries], True)
+        self.request_id = self.accept(
+            ClientRequest("1" * 16, 0, "lookup", b"x", 5_000_000_000, False, None, None, None, 0.0, None),
+            self.client,
+        )
+
+    def accept(self, request: ClientRequest, client: RecordingClient) -> int:
+        return self.forwarder.accept(request, client, "web").request_id
 
-    def alarms(self, when: int, call: Callable[[], None]) -> Alarm:
-        self.due.append((when, call))
-        return Alarm()
+    def call_at(self, due_at: int, callback: Callable[[], None]) -> PendingTimer:
+        self.timers.append((due_at, callback))
+        return PendingTimer()
 
     def pass_time(self, until: int) -> None:
         self.now = until
-        ripe = [call for when, call in self.due if when <= until]
-        self.due = [(when, call) for when, call in self.due if when > until]
-        for call in ripe:
-            call()
-
-    def outcomes(self) -> list[OutcomeCode]:
-        return [e.code for e in self.told if isinstance(e, AttemptOutcome)]
-
-
-def test_a_stopped_attempt_counts_as_over_when_its_stop_has_arrived() -> None:
-    """Guards the rule on single attempts: on fast days a second copy overtook the first one's stop."""
-    w = World()
-    w.desk.apply(Forward(w.xid, "a", 0))
-    w.desk.apply(Cancel(w.xid, 0))
-    assert w.wire.did == [("start", "a"), ("stop", "a")] and w.outcomes() == []
-    w.desk.apply(Forward(w.xid, "b", 0))  # too early: it is not sent
-    assert w.outcomes() == [OutcomeCode.NOT_SENT] and len(w.wire.did) == 2
-    w.pass_time(STOP_WAY)
-    assert w.outcomes() == [OutcomeCode.NOT_SENT, OutcomeCode.CANCELLED]
-    w.desk.apply(Forward(w.xid, "b", 0))
-    assert w.wire.did[-1] == ("start", "b")
-
-
-def test_a_refusal_leaves_at_once_whatever_is_out() -> None:
-    w = World()
-    w.desk.apply(Forward(w.xid, "a", 0))
-    w.desk.apply(Cancel(w.xid, 0))
-    w.desk.apply(Reject(w.xid, 7))
-    assert w.client.got == [Answer(Verdict.REJECTED, retry_after_ns=7)]
-    w.pass_time(STOP_WAY)
-    w.desk.apply(Reject(w.xid, 7))
-    assert len(w.client.got) == 1 and not w.desk.exchanges
-
-
-def test_a_deadline_that_no_planner_heeds_still_ends_in_one_answer() -> None:
-    w = World()
-    w.desk.apply(Forward(w.xid, "a", 0))
-    w.pass_time(5_000_000_000)
-    assert w.outcomes() == [OutcomeCode.TIMEOUT] and w.client.got == []
-    w.pass_time(5_010_000_000)
-    assert [a.verdict for a in w.client.got] == [Verdict.FAILED] and not w.desk.exchanges
-
-
-def test_loads_that_come_as_their_keys_rest_ends_keep_their_order() -> None:
-    """Guards the order of a key: one that came in the moment between that end and its alarm went ahead."""
-    w = World()
-    w.desk.on_planner_lost(0)
-    w.desk.on_planner_connected(0)
-
-    def load(name: str) -> int:
-        query = ClientRequest(name * 16, 2, "load", b"x", 9_000_000_000, False, "k", "u", None, 0.0, None)
-        return w.desk.accept(query, Client(), "web").request_id
-
-    first, second = load("2"), load("3")
-    w.now = w.desk.quarantined_until[0]  # it has ended, and the alarms have not been called yet
-    third = load("4")
-    w.pass_time(w.now)
-    told = [e.request_id for e in w.told if isinstance(e, Request) and e.key]
-    assert told == [first, second, third]
-    w.desk.on_planner_lost(0)  # once more, while others wait
-    w.desk.on_planner_connected(0)
-    load("5")
-    w.now += 1
-    w.desk.on_planner_lost(0)
-    w.desk.on_planner_connected(0)
-    last = load("6")
-    w.pass_time(w.desk.quarantined_until[0] - 1)
-    assert [e.request_id for e in w.told if isinstance(e, Request) and e.key] == told
-    w.pass_time(w.desk.quarantined_until[0])
-    assert [e.request_id for e in w.told if isinstance(e, Request) and e.key] == [*told, last]
-
-
-def test_a_send_that_comes_when_engines_have_forgotten_the_first_does_not_leave() -> None:
-    """Guards against doubled effects: a planner elsewhere may have been still since it decided."""
-    w = World()
-    query = ClientRequest("2" * 16, 2, "load", b"x", 60_000_000_000, False, None, "u", None, 0.0, None)
-    xid = w.desk.accept(query, w.client, "web").request_id
-    w.desk.apply(Forward(xid, "a", 0))
-    w.desk.exchanges[xid].attempts[-1].on_ended(OutcomeCode.RESET)
-    w.now = 24_999_999_999
-    w.desk.apply(Forward(xid, "b", 0))
-    w.desk.exchanges[xid].attempts[-1].on_ended(OutcomeCode.FULL)
-    w.now = 25_000_000_000
-    w.desk.apply(Forward(xid, "a", 0))
-    assert w.outcomes() == [OutcomeCode.RESET, OutcomeCode.FULL, OutcomeCode.NOT_SENT]
-    assert w.wire.did == [("start", "a"), ("start", "b")]
-
-
-def test_attempts_behind_one_that_was_not_begun_keep_the_planners_numbers() -> None:
-    """An engine without an address on the front's wire: the end of the next attempt was not heeded."""
-    w = World()
-    w.desk.update_endpoints(
-        [Endpoint(EndpointInfo("a", EndpointState.UP, 0, 0, 0, 0, 1.0), {"flight": "127.0.0.1:1"})], False
-    )
-    w.desk.apply(Forward(w.xid, "a", 0))
-    w.desk.apply(Forward(w.xid, "b", 0))
-    w.desk.exchanges[w.xid].attempts[-1].on_ended(OutcomeCode.ERROR)
-    told = [(e.endpoint, e.attempt_number, e.code) for e in w.told if isinstance(e, AttemptOutcome)]
-    assert told == [("a", 0, OutcomeCode.NOT_SENT), ("b", 1, OutcomeCode.ERROR)]
+        due = [callback for due_at, callback in self.timers if due_at <= until]
+        self.timers = [(due_at, callback) for due_at, callback in self.timers if due_at > until]
+        for callback in due:
+            callback()
+
+    def outcomes(self) -> list[AttemptOutcome]:
+        return [event for event in self.events if isinstance(event, AttemptOutcome)]
+
+    def outcome_codes(self) -> list[OutcomeCode]:
+        return [outcome.code for outcome in self.outcomes()]
+
+    def keyed_requests(self) -> list[int]:
+        return [event.request_id for event in self.events if isinstance(event, Request) and event.key]
+
+    def end_last_attempt(self, code: OutcomeCode, request_id: int | None = None) -> None:
+        self.forwarder.exchanges[request_id or self.request_id].attempts[-1].on_ended(code)
+
+
+def test_a_cancelled_attempt_counts_as_ended_when_its_cancellation_has_arrived() -> None:
+    """Guards the rule on single attempts: on fast days a retry overtook the first one's cancellation."""
+    world = World()
+    world.forwarder.apply(Forward(world.request_id, "a", 0))
+    world.forwarder.apply(Cancel(world.request_id, 0))
+    assert world.engine_client.calls == [("start", "a"), ("cancel", "a")] and world.outcome_codes() == []
+    world.forwarder.apply(Forward(world.request_id, "b", 0))  # too early: it is not sent
+    assert world.outcome_codes() == [OutcomeCode.NOT_SENT] and len(world.engine_client.calls) == 2
+    world.pass_time(CANCEL_PROPAGATION_NS)
+    assert world.outcome_codes() == [OutcomeCode.NOT_SENT, OutcomeCode.CANCELLED]
+    world.forwarder.apply(Forward(world.request_id, "b", 0))
+    assert world.engine_client.calls[-1] == ("start", "b")
+
+
+def test_a_rejection_is_sent_at_once_while_an_attempt_is_in_flight() -> None:
+    world = World()
+    world.forwarder.apply(Forward(world.request_id, "a", 0))
+    world.forwarder.apply(Cancel(world.request_id, 0))
+    world.forwarder.apply(Reject(world.request_id, 7))
+    assert world.client.answers == [Answer(Verdict.REJECTED, retry_after_ns=7)]
+    world.pass_time(CANCEL_PROPAGATION_NS)
+    world.forwarder.apply(Reject(world.request_id, 7))
+    assert len(world.client.answers) == 1 and not world.forwarder.exchanges
+
+
+def test_a_deadline_that_the_planner_ignores_still_ends_in_one_answer() -> None:
+    world = World()
+    world.forwarder.apply(Forward(world.request_id, "a", 0))
+    world.pass_time(5_000_000_000)
+    assert world.outcome_codes() == [OutcomeCode.TIMEOUT] and world.client.answers == []
+    world.pass_time(5_010_000_000)
+    verdicts = [answer.verdict for answer in world.client.answers]
+    assert verdicts == [Verdict.FAILED] and not world.forwarder.exchanges
+
+
+def test_requests_that_come_as_their_key_quarantine_ends_keep_their_order() -> None:
+    """Guards the order of a key: one that came in the moment between that end and its timer went ahead."""
+    world = World()
+    forwarder = world.forwarder
+
+    def restart_planner() -> None:
+        forwarder.on_planner_lost(0)
+        forwarder.on_planner_connected(0)
+
+    def accept_load(digit: str) -> int:
+        request = ClientRequest(digit * 16, 2, "load", b"x", 9_000_000_000, False, "k", "u", None, 0.0, None)
+        return world.accept(request, RecordingClient())
+
+    restart_planner()
+    first, second = accept_load("2"), accept_load("3")
+    world.now = forwarder.key_quarantine.ends_at[0]  # it has ended, and the timers have not been called yet
+    third = accept_load("4")
+    world.pass_time(world.now)
+    assert world.keyed_requests() == [first, second, third]
+    restart_planner()
+    accept_load("5")
+    world.now += 1
+    restart_planner()  # once more, while others wait
+    last = accept_load("6")
+    world.pass_time(forwarder.key_quarantine.ends_at[0] - 1)
+    assert world.keyed_requests() == [first, second, third]
+    world.pass_time(forwarder.key_quarantine.ends_at[0])
+    assert world.keyed_requests() == [first, second, third, last]
+
+
+def test_a_retry_is_not_sent_once_engines_have_forgotten_the_first_attempt() -> None:
+    """Guards against doubled effects: a planner in another process may have been suspended."""
+    world = World()
+    request = ClientRequest("2" * 16, 2, "load", b"x", 60_000_000_000, False, None, "u", None, 0.0, None)
+    request_id = world.accept(request, world.client)
+    world.forwarder.apply(Forward(request_id, "a", 0))
+    world.end_last_attempt(OutcomeCode.RESET, request_id)
+    world.now = 24_999_999_999
+    world.forwarder.apply(Forward(request_id, "b", 0))
+    world.end_last_attempt(OutcomeCode.FULL, request_id)
+    world.now = 25_000_000_000
+    world.forwarder.apply(Forward(request_id, "a", 0))
+    assert world.outcome_codes() == [OutcomeCode.RESET, OutcomeCode.FULL, OutcomeCode.NOT_SENT]
+    assert world.engine_client.calls == [("start", "a"), ("start", "b")]
+
+
+def test_attempts_after_one_that_was_not_sent_keep_the_planners_numbers() -> None:
+    """An engine without an address on the server's wire: the end of the next attempt was ignored."""
+    world = World()
+    entry = EndpointInfo("a", EndpointState.UP, 0, 0, 0, 0, 1.0)
+    world.forwarder.update_endpoints([Endpoint(entry, {"flight": "127.0.0.1:1"})], False)
+    world.forwarder.apply(Forward(world.request_id, "a", 0))
+    world.forwarder.apply(Forward(world.request_id, "b", 0))
+    world.end_last_attempt(OutcomeCode.ERROR)
+    outcomes = [(outcome.endpoint, outcome.attempt_number, outcome.code) for outcome in world.outcomes()]
+    assert outcomes == [("a", 0, OutcomeCode.NOT_SENT), ("b", 1, OutcomeCode.ERROR)]
--- a/tests/test_local.py
+++ b/tests/test_local.py
@@ -38,7 +38,7 @@
 from tests.test_web import LOAD, ROWS, SQL
 
 steady = settings(derandomize=True, deadline=None, max_examples=150)
-KINDS: dict[str, Any] = {**codec.EVENTS, **codec.ACTIONS}
+KINDS: dict[str, Any] = {**codec.EVENT_TYPES, **codec.ACTION_TYPES}
 MESSAGES = (
     Request(2**40, 2, 10**18, 0, 7.0, "7f3a9c21e0b4d655", None, 96.5, True),
     AttemptOutcome(1, False, OutcomeCode.ERROR, 5, 0, "s-1", None, None, ()),
@@ -108,7 +108,7 @@
         gate = Gateway(config([host(engine)]), OperatorSettings(planner_addresses=(address,)), signals=False)
         thread = threading.Thread(target=gate.loop.run, daemon=True)
         thread.start()
-        until(lambda: gate.forwarder.planner_connected == [True])
+        until(lambda: gate.forwarder.any_planner_connected)
         assert post(gate, "load", LOAD)[1] == {"rows": ROWS}
         until(lambda: not first.owners)  # what is answered is forgotten there
         answers: list[int] = []
@@ -117,11 +117,11 @@
         assert engine.wait("REQ", 2)
     waiting.join(10)
     assert answers == [429]
-    until(lambda: gate.forwarder.planner_connected == [False])
+    until(lambda: not gate.forwarder.any_planner_connected)
     status, _, headers = post(gate, "load", LOAD)
     assert status == 429 and int(headers["x-throttle-ms"]) > 0
     with planner(address[1]):
-        until(lambda: gate.forwarder.planner_connected == [True])
+        until(lambda: gate.forwarder.any_planner_connected)
         assert post(gate, "load", LOAD)[0] == 200
         assert post(gate, "lookup", SQL)[0] == 200
     gate.loop.stop()
@@ -141,7 +141,7 @@
         )
         thread = threading.Thread(target=gate.loop.run, daemon=True)
         thread.start()
-        until(lambda: gate.forwarder.planner_connected == [True])
+        until(lambda: gate.forwarder.any_planner_connected)
         with socket.create_connection(gate.http_server.listener.address) as sock:
             head = f"POST /svc/lookup HTTP/1.1\r\nHost: x\r\nX-Txn: {'a' * 16}\r\nX-Ttl-Ms: 5000\r\n"
             sock.sendall(f"{head}Content-Length: {len(SQL)}\r\n\r\n{SQL}".encode())
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -19,7 +19,7 @@
     config_of,
     read,
 )
-from query_gateway.forwarder.class_numbers import numbered
+from query_gateway.forwarder.class_numbers import assign_class_numbers
 from query_gateway.gateway import Gateway
 from query_gateway.model.actions import Forward
 from query_gateway.model.events import AttemptOutcome, Event, Request, SettingsUpdate
@@ -95,8 +95,8 @@
 def test_a_number_stands_for_one_class_and_is_not_reused_while_held(
     old: list[str], new: list[str], held: set[int]
 ) -> None:
-    before = numbered(old, {}, ())
-    after = numbered(new, before, held)
+    before = assign_class_numbers(old, {}, ())
+    after = assign_class_numbers(new, before, held)
     assert len(set(after.values())) == len(new)
     assert all(after[name] == before[name] for name in new if name in before)
     assert not {after[name] for name in new if name not in before} & held
@@ -168,7 +168,7 @@
 
 def test_new_settings_cross_the_local_link_whole() -> None:
     told = SettingsUpdate(config([]).settings, (1,))
-    assert codec.Decoder({**codec.EVENTS}).feed(codec.encode(told)) == [told]
+    assert codec.Decoder({**codec.EVENT_TYPES}).feed(codec.encode(told)) == [told]
 
 
 def test_limits_that_change_alone_are_heeded() -> None:
