Test the whole rule that imports point down, on the source and on what is loaded

Cause: the test named eight modules of the core, so a new one was not looked at, and it said nothing of the policy, of the model, or of wires that import a planner.

Change: the rooms are read from the tree. Wires may import the forwarder, the model and each other without a circle; forwarder and policy the model alone; a planner model and policy, and only its three IPC modules the net; the model and the net no other room. An import counts wherever it stands, also in a function or for type checking. The core's source names no socket, clock or wire, and loads none. Nothing that was asked before is asked less.

--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -1,17 +1,40 @@
-"""The core and the statements know no socket, clock or wire; what is off is not loaded."""
+"""Imports point down, from the wires to the model; what is off is not loaded.
 
+Two kinds of tests: what the source says, where an import counts wherever it stands, also in a function or for
+type checking; and what an interpreter has loaded after an import, through however many modules.
+"""
+
+import ast
 import subprocess
 import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+PACKAGE = Path(__file__).parent.parent / "query_gateway"
+
+# The wires and what they need: above the forwarder, below what starts and joins the parts
+WIRE_ROOMS = (
+    "admin", "bgp", "configuration", "discovery", "engine_protocol", "flight", "http", "net", "parsing",
+    "rpc", "statements",
+)  # fmt: skip
+# Planner modules that connect processes; all others of the planner know no socket
+PLANNER_IPC_MODULES = ("planner.ipc", "planner.process", "planner.supervisor")
 
 WIRES = tuple(
     f"query_gateway.{part}"
     for part in ("net", "http", "engine_protocol", "discovery", "admin", "flight", "rpc", "bgp", "lifecycle")
 )
-FORBIDDEN = ("socket", "select", "time", "h11", "h2", "google", *WIRES)
-CORE = (
-    "forwarder.class_numbers", "forwarder.counters", "forwarder.exchange", "forwarder.messages",
-    "forwarder.readiness", "forwarder.table_group", "planner.learned_state", "planner.planner",
+ABOVE_THE_CORE = tuple(
+    f"query_gateway.{part}"
+    for part in ("statements", "parsing", "configuration", "gateway", "cli", "simulator_adapter")
+)
+# What reads a clock, opens a socket or a process, or speaks a wire
+FORBIDDEN_LIBRARIES = (
+    "socket", "select", "selectors", "ssl", "time", "datetime", "signal", "subprocess", "threading",
+    "multiprocessing", "asyncio", "h11", "h2", "hyperframe", "google", "click", "pydantic", "msgspec",
+    "sqlglot",
 )  # fmt: skip
+FORBIDDEN = (*FORBIDDEN_LIBRARIES, *WIRES, *ABOVE_THE_CORE)
 
 STATEMENTS = (
     "cache", "classifier", "costs", "lexer", "limits", "messages", "purity", "shape", "sketch", "values",
@@ -33,11 +56,111 @@
     return {name for name in names if any(name == f or name.startswith(f + ".") for f in forbidden)}
 
 
+def modules() -> list[str]:
+    """Every module by its name below the package; a room's own is its name alone."""
+    paths = sorted(path.relative_to(PACKAGE).with_suffix("") for path in PACKAGE.rglob("*.py"))
+    return [".".join(path.parts).removesuffix("__init__").strip(".") for path in paths if path.parts]
+
+
+def room_of(module: str) -> str:
+    return module.split(".")[0]
+
+
+def core_modules() -> list[str]:
+    """The modules that know no socket, clock or wire."""
+    return [
+        module
+        for module in modules()
+        if room_of(module) in ("model", "policy", "forwarder", "planner")
+        and module not in PLANNER_IPC_MODULES
+    ]
+
+
+def imported_names(module: str) -> Iterator[str]:
+    """The full names that a module imports from anywhere, wherever in its source."""
+    path = PACKAGE / (module.replace(".", "/") + ".py")
+    if not path.exists():
+        path = PACKAGE / module.replace(".", "/") / "__init__.py"
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            yield from (alias.name for alias in node.names)
+        elif isinstance(node, ast.ImportFrom):
+            assert node.level == 0, f"{module} has a relative import, which these tests do not follow"
+            assert node.module
+            yield from (f"{node.module}.{alias.name}" for alias in node.names)
+
+
+def imported_rooms(module: str) -> set[str]:
+    """The other rooms that a module imports from."""
+    prefix = "query_gateway."
+    names = [name.removeprefix(prefix) for name in imported_names(module) if name.startswith(prefix)]
+    return {room_of(name) for name in names} - {room_of(module)}
+
+
+def allowed_rooms(module: str) -> set[str] | None:
+    """The rooms that a module may import from, besides its own; None: any."""
+    match room_of(module):
+        case "model" | "net":
+            return set()
+        case "policy" | "forwarder":
+            return {"model"}
+        case "planner" if module in PLANNER_IPC_MODULES:
+            return {"model", "policy", "net"}
+        case "planner":
+            return {"model", "policy"}
+        case room if room in WIRE_ROOMS:
+            return {"model", "forwarder", *WIRE_ROOMS}
+        case _:
+            return None  # what starts, joins and ends the parts
+
+
+def test_imports_between_rooms_point_down() -> None:
+    """Wires to the forwarder, forwarder and planner to the model, the policy to the model alone."""
+    found = {module: imported_rooms(module) for module in modules()}
+    assert {"http", "forwarder", "policy", "model"} <= {room_of(module) for module in found}
+    upward = {
+        module: rooms - allowed
+        for module, rooms in found.items()
+        if (allowed := allowed_rooms(module)) is not None and not rooms <= allowed
+    }
+    assert not upward
+
+
+def test_no_two_rooms_of_wires_import_each_other() -> None:
+    """Not around a circle of several, either."""
+    rooms = {
+        room: {name for module in modules() if room_of(module) == room for name in imported_rooms(module)}
+        for room in WIRE_ROOMS
+    }
+    while bottom := {room for room, below in rooms.items() if not below & rooms.keys()}:
+        rooms = {room: below for room, below in rooms.items() if room not in bottom}
+    assert not rooms
+
+
+def test_the_core_s_source_names_no_socket_clock_or_wire() -> None:
+    core = core_modules()
+    assert {"forwarder.exchange", "planner.planner", "planner.ipc_codec", "policy.scheduler"} <= set(core)
+    named = {module: among(set(imported_names(module)), FORBIDDEN) for module in core}
+    assert not {module: names for module, names in named.items() if names}
+
+
 def test_the_core_imports_no_wire() -> None:
-    found = loaded(*(f"query_gateway.{part}" for part in CORE))
+    found = loaded(*(f"query_gateway.{module}" for module in core_modules()))
     assert "query_gateway.forwarder.exchange" in found and not among(found, FORBIDDEN)
 
 
+def test_the_forwarder_loads_neither_policy_nor_planner_and_the_policy_no_forwarder() -> None:
+    def loaded_with(room: str) -> set[str]:
+        return loaded(*(f"query_gateway.{module}" for module in core_modules() if room_of(module) == room))
+
+    model, policy = loaded_with("model"), loaded_with("policy")
+    forwarder, planner = loaded_with("forwarder"), loaded_with("planner")
+    assert not among(model, ("query_gateway.policy", "query_gateway.forwarder", "query_gateway.planner"))
+    assert not among(policy, ("query_gateway.forwarder", "query_gateway.planner"))
+    assert not among(forwarder, ("query_gateway.policy", "query_gateway.planner"))
+    assert not among(planner, ("query_gateway.forwarder",))
+
+
 def test_the_statements_import_no_wire_and_the_gateway_s_part_no_parser() -> None:
     found = loaded(*(f"query_gateway.statements.{part}" for part in STATEMENTS))
     wires = (*WIRES, "query_gateway.parsing", "h11", "h2", "google")
