Name the IPC tests after what they show; ask for exactly one connected planner again

Change: the tests of the IPC have names in the field's terms.

Result: test_exchange, test_local, test_layers and test_crossings pass, 84 tests.

--- a/query_gateway/forwarder/__init__.py
+++ b/query_gateway/forwarder/__init__.py
@@ -1,8 +1,8 @@
 """The exchange between one client request and its one final answer.
 
 Decides which answer a client gets when planner, engine and deadline disagree, and whether an attempt that a
-planner asked for may still be sent. Owns the table of open exchanges, readiness and the counters. It knows no
-socket, no wire and no clock: the time, timers and engine clients are handed in.
+planner decided on may still be sent. Owns the table of open exchanges, readiness and the counters. It knows
+no socket, no wire and no clock: the time, timers and engine clients are handed in.
 
 It imports `query_gateway.model` alone. The servers, the engine clients, discovery, the configuration and the
 composition root import it; the model, the policy and the planner do not.
--- a/query_gateway/forwarder/attempt.py
+++ b/query_gateway/forwarder/attempt.py
@@ -133,12 +133,12 @@
 
     def abort(self, code: OutcomeCode) -> None:
         """End the attempt at once: as never sent if that is so, else cancelled with this code."""
-        if not self.withdraw():
+        if not self.withdraw() and self.in_flight:
             self.exchange.engine_client.cancel(self)
             self.on_ended(code)
 
     def outcome(self, code: OutcomeCode, duration: int) -> AttemptOutcome:
-        """What the planner is told of the end of the attempt; `duration` in nanoseconds."""
+        """The event for the planner that reports the end of the attempt; `duration` in nanoseconds."""
         return AttemptOutcome(
             request_id=self.exchange.request_id,
             final=self.exchange.answered,
--- a/query_gateway/forwarder/exchange.py
+++ b/query_gateway/forwarder/exchange.py
@@ -62,7 +62,7 @@
         self.attempt_count = 0  # as the planner counts them: one that was not sent has a number, too
         self.terms = AttemptTerms()
         self.state = ExchangeState.OPEN
-        self.planner_notified = False  # whether the planner has the request and hears of it
+        self.planner_notified = False  # whether the planner has the request and gets its events
         self.first_executed_at: int | None = None  # when the first attempt that may have run was sent
         self.timer: Timer | None = None
 
@@ -235,7 +235,7 @@
     def end_without_planner(self) -> None:
         """End the exchange at once, as its planner is lost: rejected where that is true, else failed."""
         self.planner_notified = False
-        # Withdrawn first: an attempt of which nothing has left never ran, so a rejection is always true then
+        # Withdrawn first: an attempt of which nothing has left never ran, so it does not rule out a rejection
         self.withdraw()
         may_be_rejected = self.may_be_rejected  # judged while the attempt is in flight, as it may run
         self.abort_attempt(OutcomeCode.CANCELLED)
--- a/query_gateway/planner/planner.py
+++ b/query_gateway/planner/planner.py
@@ -11,7 +11,7 @@
 
 
 class Planner:
-    """Collects events for the decision module and asks it for actions; the module's timers are kept here."""
+    """Collects events for the decision module, gets its actions, and keeps its timers."""
 
     def __init__(self, settings: Settings, seed: int, clock: Callable[[], int], call_at: CallAt) -> None:
         """Create the first instance of the module; `clock` gives nanoseconds, `call_at` takes its times."""
--- a/query_gateway/planner/process.py
+++ b/query_gateway/planner/process.py
@@ -121,7 +121,7 @@
         return self.loop.call_at(self.loop.now() + delay_s, callback)
 
     def _on_accepted(self, sock: socket.socket, peer: str) -> None:
-        if len(self.sessions) >= MAX_FORWARDERS:  # guards the table against whoever else connects
+        if len(self.sessions) >= MAX_FORWARDERS:  # guards the table against other programs that connect
             Stream(self.loop, sock, f"forwarder {peer}").close(Reason.TOO_MANY)
             return
         session = PlannerSession(self, sock, peer)
--- a/query_gateway/planner/supervisor.py
+++ b/query_gateway/planner/supervisor.py
@@ -13,7 +13,7 @@
 WORKER_POLL_INTERVAL_S = 0.1  # how often the supervisor looks whether its workers run
 RESTART_INTERVAL_S = 0.5  # at least, between two starts of the same worker
 SUPERVISOR_POLL_INTERVAL_S = 1.0  # how often a worker looks whether its supervisor runs
-PART_VARIABLE = "QUERY_GATEWAY_PART"  # tells a worker process which one it is: "planner 0", "forwarder 1"
+PART_VARIABLE = "QUERY_GATEWAY_PART"  # names the part of a worker process: "planner 0", "forwarder 1"
 
 
 def stop_with_supervisor(loop: Loop, stop: Callable[[], None]) -> None:
@@ -59,7 +59,7 @@
 
 
 class Supervisor:
-    """Runs a process for each planner and each forwarder until it is told to stop."""
+    """Runs a process for each planner and each forwarder until a signal stops it."""
 
     def __init__(self, planner_count: int, forwarder_count: int) -> None:
         """Nothing is started before `run`."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -164,7 +164,7 @@
         gate = Gateway(told, OperatorSettings(planner_addresses=(process.listener.address,)), signals=False)
         thread = threading.Thread(target=gate.loop.run, daemon=True)
         thread.start()
-        until(lambda: gate.forwarder.any_planner_connected)
+        until(lambda: [planner.connected for planner in gate.forwarder.planners] == [True])
         yield gate, process
         gate.loop.stop()
         thread.join(10)
--- a/tests/test_local.py
+++ b/tests/test_local.py
@@ -1,4 +1,4 @@
-"""The local link: its codec cut and garbled, a planner that dies, and all parts as processes."""
+"""The IPC: its codec cut and garbled, a planner that dies, and all parts as processes."""
 
 import json
 import os
@@ -8,7 +8,7 @@
 import sys
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from pathlib import Path
 from types import SimpleNamespace
@@ -38,7 +38,7 @@
 from tests.test_web import LOAD, ROWS, SQL
 
 steady = settings(derandomize=True, deadline=None, max_examples=150)
-KINDS: dict[str, Any] = {**codec.EVENT_TYPES, **codec.ACTION_TYPES}
+MESSAGE_TYPES: dict[str, Any] = {**codec.EVENT_TYPES, **codec.ACTION_TYPES}
 MESSAGES = (
     Request(2**40, 2, 10**18, 0, 7.0, "7f3a9c21e0b4d655", None, 96.5, True),
     AttemptOutcome(1, False, OutcomeCode.ERROR, 5, 0, "s-1", None, None, ()),
@@ -53,31 +53,33 @@
 
 @steady
 @given(st.lists(st.sampled_from(MESSAGES), max_size=8), st.lists(st.integers(1, 40), max_size=40))
-def test_cut_messages_come_out_as_they_went_in(told: list[Any], cuts: list[int]) -> None:
-    data, decoder, got = b"".join(codec.encode(m) for m in told), codec.Decoder(KINDS), []
+def test_messages_cut_anywhere_are_decoded_as_they_were_encoded(messages: list[Any], cuts: list[int]) -> None:
+    data = b"".join(codec.encode(message) for message in messages)
+    decoder, decoded = codec.Decoder(MESSAGE_TYPES), []
     for cut in [*cuts, len(data)]:
-        got += decoder.feed(data[:cut])
+        decoded += decoder.feed(data[:cut])
         data = data[cut:]
-    assert got == told
+    assert decoded == messages
 
 
 @steady
 @given(st.binary(max_size=80), st.sampled_from(MESSAGES), st.integers(0, 60))
-def test_garbage_is_refused(noise: bytes, message: Any, at: int) -> None:
+def test_garbage_is_rejected(noise: bytes, message: Any, position: int) -> None:
     data = codec.encode(message)
-    at %= len(data) - 1
+    position %= len(data) - 1
+    garbage = b"\0" + noise.replace(b"\n", b"")
     with pytest.raises(codec.IpcMessageError):
-        codec.Decoder(KINDS).feed(data[:at] + b"\0" + noise.replace(b"\n", b"") + data[at:])
+        codec.Decoder(MESSAGE_TYPES).feed(data[:position] + garbage + data[position:])
 
 
-def test_the_build_leaves_the_messages_their_types() -> None:
-    """Guards the link where the module is compiled: a message with an optional field was refused there."""
-    told = subprocess.run(
+def test_the_build_does_not_compile_the_message_types() -> None:
+    """Guards the IPC where the module is compiled: a message with an optional field was rejected there."""
+    build = subprocess.run(
         ["make", "-nB", "query_gateway/.compiled"], capture_output=True, text=True, check=True
     )
     assert (
-        "query_gateway/policy/scheduler.py" in told.stdout
-        and "query_gateway/model/events.py" not in told.stdout
+        "query_gateway/policy/scheduler.py" in build.stdout
+        and "query_gateway/model/events.py" not in build.stdout
     )
 
 
@@ -94,21 +96,25 @@
         process.loop.close()
 
 
-def until(what: Any) -> None:
-    end = time.monotonic() + 10
-    while not what():
-        assert time.monotonic() < end
+def until(condition: Callable[[], object]) -> None:
+    deadline = time.monotonic() + 10
+    while not condition():
+        assert time.monotonic() < deadline
         time.sleep(0.01)
 
 
-def test_a_planner_that_dies_is_settled_and_the_next_one_takes_over() -> None:
+def connected_planners(gateway: Gateway) -> list[bool]:
+    return [planner.connected for planner in gateway.forwarder.planners]
+
+
+def test_a_lost_planner_s_requests_are_settled_and_the_next_planner_takes_over() -> None:
     engine = Engine(script={SQL: ["mute"]})
     with planner() as first:
         address = first.listener.address
         gate = Gateway(config([host(engine)]), OperatorSettings(planner_addresses=(address,)), signals=False)
         thread = threading.Thread(target=gate.loop.run, daemon=True)
         thread.start()
-        until(lambda: gate.forwarder.any_planner_connected)
+        until(lambda: connected_planners(gate) == [True])
         assert post(gate, "load", LOAD)[1] == {"rows": ROWS}
         until(lambda: not first.owners)  # what is answered is forgotten there
         answers: list[int] = []
@@ -117,11 +123,11 @@
         assert engine.wait("REQ", 2)
     waiting.join(10)
     assert answers == [429]
-    until(lambda: not gate.forwarder.any_planner_connected)
+    until(lambda: connected_planners(gate) == [False])
     status, _, headers = post(gate, "load", LOAD)
     assert status == 429 and int(headers["x-throttle-ms"]) > 0
     with planner(address[1]):
-        until(lambda: gate.forwarder.any_planner_connected)
+        until(lambda: connected_planners(gate) == [True])
         assert post(gate, "load", LOAD)[0] == 200
         assert post(gate, "lookup", SQL)[0] == 200
     gate.loop.stop()
@@ -131,7 +137,7 @@
     engine.close()
 
 
-def test_a_forwarder_that_ends_leaves_nothing_behind_at_its_planner() -> None:
+def test_a_planner_forgets_all_requests_of_a_forwarder_that_ends() -> None:
     engine = Engine(script={SQL: ["mute"]})
     with planner() as process:
         gate = Gateway(
@@ -141,7 +147,7 @@
         )
         thread = threading.Thread(target=gate.loop.run, daemon=True)
         thread.start()
-        until(lambda: gate.forwarder.any_planner_connected)
+        until(lambda: connected_planners(gate) == [True])
         with socket.create_connection(gate.http_server.listener.address) as sock:
             head = f"POST /svc/lookup HTTP/1.1\r\nHost: x\r\nX-Txn: {'a' * 16}\r\nX-Ttl-Ms: 5000\r\n"
             sock.sendall(f"{head}Content-Length: {len(SQL)}\r\n\r\n{SQL}".encode())
@@ -156,7 +162,7 @@
     engine.close()
 
 
-def test_a_module_that_breaks_ends_its_process() -> None:
+def test_a_decision_module_that_breaks_ends_its_planner_process() -> None:
     process = PlannerProcess(config([]).settings, 7, ("127.0.0.1", 0))
 
     class Broken:
