--- a/query_gateway/admin/gateway_figures.py
+++ b/query_gateway/admin/gateway_figures.py
@@ -4,7 +4,7 @@
 from typing import TYPE_CHECKING
 
 from query_gateway.admin.figures import rendered
-from query_gateway.forwarder.exchange import Forwarder
+from query_gateway.forwarder.forwarder import Forwarder
 
 if TYPE_CHECKING:
     from query_gateway.parsing.service import Statements
--- a/query_gateway/composition.py
+++ b/query_gateway/composition.py
@@ -8,7 +8,7 @@
 
 from query_gateway.configuration.platform import idempotent_classes
 from query_gateway.engine_protocol.client import ConnectionPool
-from query_gateway.forwarder.exchange import Forwarder
+from query_gateway.forwarder.forwarder import Forwarder
 from query_gateway.forwarder.readiness import Readiness
 from query_gateway.http.server import Server as HttpServer
 from query_gateway.lifecycle.active_configuration import (
@@ -18,12 +18,12 @@
 )
 from query_gateway.lifecycle.client_fronts import max_connections_per_front
 from query_gateway.lifecycle.overlap import FLIGHT_FRONT, HTTP_FRONT
+from query_gateway.lifecycle.planner_links import PlannerLinks
 from query_gateway.lifecycle.planner_settings import planner_settings
 from query_gateway.lifecycle.reload import ConfigurationSources
 from query_gateway.lifecycle.upgrade_socket import InheritedState
 from query_gateway.net.loop import Loop, Timer
 from query_gateway.planner.planner import Planner
-from query_gateway.planner.planner_links import PlannerLinks
 
 if TYPE_CHECKING:
     from query_gateway.flight.engines import FlightConnectionPool
--- a/query_gateway/discovery/endpoint_feed.py
+++ b/query_gateway/discovery/endpoint_feed.py
@@ -11,7 +11,7 @@
 )
 from query_gateway.discovery.reconciliation import SequenceAnomaly, reconcile
 from query_gateway.discovery.tombstones import EndpointTombstones
-from query_gateway.forwarder.exchange import Forwarder
+from query_gateway.forwarder.forwarder import Forwarder
 from query_gateway.forwarder.messages import Endpoint
 from query_gateway.net.log import log
 
--- a/query_gateway/flight/server.py
+++ b/query_gateway/flight/server.py
@@ -6,8 +6,8 @@
 
 from query_gateway.flight.client_call import FlightCall
 from query_gateway.flight.requests import FlightClass
-from query_gateway.forwarder.exchange import Forwarder
-from query_gateway.forwarder.readiness import STILL_COME, Phase, Readiness
+from query_gateway.forwarder.forwarder import Forwarder
+from query_gateway.forwarder.readiness import DRAIN_CLOSE_IDLE_AFTER_S, Phase, Readiness
 from query_gateway.net.loop import Loop
 from query_gateway.net.stream import Listener, Reason, Stream
 from query_gateway.rpc.connection import GrpcConnection
@@ -69,11 +69,11 @@
     def _on_phase_change(self) -> None:
         if self.readiness.phase is Phase.DRAINING:
             self.draining_since = self.loop.now()
-            self.loop.call_at(self.draining_since + STILL_COME, self._drain_connections)
+            self.loop.call_at(self.draining_since + DRAIN_CLOSE_IDLE_AFTER_S, self._drain_connections)
 
     def _drain_connections(self) -> None:
         """Send clients away once the platform has had its time to stop sending new ones."""
-        is_due = self.loop.now() >= self.draining_since + STILL_COME
+        is_due = self.loop.now() >= self.draining_since + DRAIN_CLOSE_IDLE_AFTER_S
         if self.readiness.phase is Phase.DRAINING and is_due:
             for connection in self.connections:
                 connection.send_goaway()
--- a/query_gateway/lifecycle/client_fronts.py
+++ b/query_gateway/lifecycle/client_fronts.py
@@ -5,7 +5,7 @@
 from query_gateway.admin.server import ROOM
 from query_gateway.configuration.operator_file import OperatorSettings
 from query_gateway.configuration.platform import Configuration
-from query_gateway.forwarder.exchange import Forwarder
+from query_gateway.forwarder.forwarder import Forwarder
 from query_gateway.forwarder.messages import RequestClasses
 from query_gateway.http.server import Server as HttpServer
 from query_gateway.model.settings import Idempotency
--- a/query_gateway/lifecycle/overlap.py
+++ b/query_gateway/lifecycle/overlap.py
@@ -9,6 +9,7 @@
 
 from query_gateway.lifecycle.active_configuration import ActiveConfiguration
 from query_gateway.lifecycle.client_fronts import ClientFronts
+from query_gateway.lifecycle.planner_links import PlannerLinks
 from query_gateway.lifecycle.route_announcer import RouteAnnouncer
 from query_gateway.lifecycle.shutdown import Shutdown, ShutdownState
 from query_gateway.lifecycle.slow_start_share import (
@@ -21,7 +22,6 @@
 from query_gateway.lifecycle.upgrade_messages import Offer
 from query_gateway.net.log import log
 from query_gateway.planner.learned_state import adopt, learned
-from query_gateway.planner.planner_links import PlannerLinks
 
 DESCRIPTOR_SHARE = 0.5  # of each process during the overlap
 MAX_OFFERED_SHAPES = 256  # of statements, whose costs a successor inherits
--- a/query_gateway/planner/planner_links.py
+++ b/query_gateway/lifecycle/planner_links.py
@@ -3,13 +3,13 @@
 from collections.abc import Callable
 from typing import Any
 
-from query_gateway.forwarder.exchange import Forwarder
-from query_gateway.forwarder.messages import EjectedEndpoints
+from query_gateway.forwarder.forwarder import Forwarder
 from query_gateway.forwarder.readiness import Readiness
 from query_gateway.model.settings import Settings
 from query_gateway.net.log import log
 from query_gateway.net.loop import Loop
 from query_gateway.planner.ipc import PlannerClient
+from query_gateway.planner.ipc_codec import EjectedEndpoints
 from query_gateway.planner.planner import Planner
 
 LOCAL_PLANNER_INDEX = 0
@@ -39,7 +39,7 @@
         try:
             actions = self.planner.decide()
         except Exception as error:
-            log("planner", f"a planner broke and is begun anew: {error!r}")
+            log("planner", f"a planner broke and is restarted: {error!r}")
             self._restart_local()
             return True
         for action in actions:
@@ -91,7 +91,7 @@
 
     def update_readiness(self) -> None:
         """Without any planner the gateway is not ready."""
-        self.readiness.set_planner_available(any(self.forwarder.planner_connected))
+        self.readiness.set_planner_available(self.forwarder.any_planner_connected)
 
     def ejected_endpoints(self) -> set[str]:
         """The engines that at least one planner gives nothing for now."""
--- a/query_gateway/lifecycle/planner_settings.py
+++ b/query_gateway/lifecycle/planner_settings.py
@@ -4,7 +4,7 @@
 
 from query_gateway.configuration.operator_file import OperatorSettings
 from query_gateway.configuration.platform import Configuration
-from query_gateway.forwarder.exchange import Forwarder
+from query_gateway.forwarder.forwarder import Forwarder
 from query_gateway.lifecycle.active_configuration import ActiveConfiguration
 from query_gateway.model.settings import Settings
 
@@ -45,7 +45,7 @@
                 planner_settings(config, self.active.operator, planner_index),
                 slow_start_share=self.slow_start_share,
             )
-            for planner_index in range(len(self.forwarder.notify_planners))
+            for planner_index in range(len(self.forwarder.planners))
         ]
         self.forwarder.update_settings(settings, by_planner, new_classes)
 
--- a/query_gateway/lifecycle/process.py
+++ b/query_gateway/lifecycle/process.py
@@ -18,7 +18,9 @@
 )
 
 EXIT_CANNOT_START = 2
-PART_VARIABLE = "MOTHKNOT_PART"  # what the parent of several processes names: "planner N" or "forwarder N"
+PART_VARIABLE = (
+    "QUERY_GATEWAY_PART"  # what the parent of several processes names: "planner N" or "forwarder N"
+)
 
 
 def serve() -> None:
@@ -65,14 +67,14 @@
 
 def _run_planner(config: Configuration, operator: OperatorSettings, planner_index: int) -> int:
     from query_gateway.planner.process import PlannerProcess
-    from query_gateway.planner.supervisor import with_parent
+    from query_gateway.planner.supervisor import stop_with_supervisor
 
     process = PlannerProcess(
         planner_settings(config, operator, planner_index),
         config.seed + planner_index,
         operator.planner_addresses[planner_index],
     )
-    with_parent(process.loop, process.loop.stop)
+    stop_with_supervisor(process.loop, process.loop.stop)
     process.run()
     return 0
 
@@ -86,9 +88,9 @@
     options = GatewayOptions(number=number, upgrade_path=path, inherited=inherited)
     gateway = Gateway(config, operator, options=options)
     if part:
-        from query_gateway.planner.supervisor import with_parent
+        from query_gateway.planner.supervisor import stop_with_supervisor
 
-        with_parent(gateway.loop, gateway.begin_shutdown)
+        stop_with_supervisor(gateway.loop, gateway.begin_shutdown)
     if hangups:
         gateway.loop.call_soon(gateway.reload)
     gc.freeze()  # what the start made stays; later collections pass it over
--- a/query_gateway/lifecycle/reload.py
+++ b/query_gateway/lifecycle/reload.py
@@ -15,7 +15,7 @@
 )
 from query_gateway.discovery.watch_client import EndpointWatchClient
 from query_gateway.engine_protocol.client import ConnectionPool
-from query_gateway.forwarder.exchange import Forwarder
+from query_gateway.forwarder.forwarder import Forwarder
 from query_gateway.lifecycle.active_configuration import (
     ActiveConfiguration,
     max_exchanges,
--- a/query_gateway/lifecycle/request_classes.py
+++ b/query_gateway/lifecycle/request_classes.py
@@ -3,8 +3,8 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from query_gateway.forwarder.class_numbers import laid_out, numbered
-from query_gateway.forwarder.exchange import Forwarder
+from query_gateway.forwarder.class_numbers import assign_class_numbers, class_settings_by_number
+from query_gateway.forwarder.forwarder import Forwarder
 from query_gateway.forwarder.messages import RequestClass
 from query_gateway.lifecycle.active_configuration import ActiveConfiguration
 from query_gateway.lifecycle.client_fronts import ClientFronts
@@ -41,7 +41,7 @@
         """
         config, old_classes = self.active.config, self.active.classes
         old_numbers = {name: request_class.index for name, request_class in old_classes.items()}
-        numbers = numbered(config.classes, old_numbers, self._numbers_in_use())
+        numbers = assign_class_numbers(config.classes, old_numbers, self._numbers_in_use())
         self.active.classes = {
             name: replace(request_class, index=numbers[name])
             for name, request_class in config.classes.items()
@@ -50,7 +50,7 @@
             numbers[name]: config.settings.classes[request_class.index]
             for name, request_class in config.classes.items()
         }
-        classes = laid_out(self.forwarder.settings.classes, by_number)
+        classes = class_settings_by_number(self.forwarder.settings.classes, by_number)
         for name in config.classes:
             self.forwarder.counters.add_class(name)
         # Forwarder and planners first: they must know a number before a front takes requests under it
--- a/query_gateway/lifecycle/shutdown.py
+++ b/query_gateway/lifecycle/shutdown.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from query_gateway.forwarder.exchange import Forwarder
+from query_gateway.forwarder.forwarder import Forwarder
 from query_gateway.forwarder.readiness import Readiness
 from query_gateway.lifecycle.active_configuration import ActiveConfiguration
 from query_gateway.lifecycle.client_fronts import ClientFronts
