Document the event loop, the connections and the log; give listeners a module

Cause: turn() ran six phases inline and could not be followed, and a connection's flags and end codes had no explanation. Change: one method for each phase of a turn, in the same order; Reason explains each code; Mark is WriteMark; Listener moves to net/listener.py; the half close with reading on is Stream.close_gracefully.

--- a/query_gateway/admin/server.py
+++ b/query_gateway/admin/server.py
@@ -4,9 +4,10 @@
 from collections.abc import Callable, Generator
 
 from query_gateway.forwarder.readiness import Readiness
+from query_gateway.net.listener import Listener
 from query_gateway.net.log import log
 from query_gateway.net.loop import Loop
-from query_gateway.net.stream import Listener, Reason, Stream
+from query_gateway.net.stream import Reason, Stream
 
 CALLERS = 16  # connections at most
 ROOM = CALLERS + 1  # descriptors kept for them and the listener
--- a/query_gateway/engine_protocol/client.py
+++ b/query_gateway/engine_protocol/client.py
@@ -8,7 +8,7 @@
 from query_gateway.model.endpoints import EndpointState
 from query_gateway.model.events import OutcomeCode, ProgressKind
 from query_gateway.net.loop import Loop, Task
-from query_gateway.net.stream import Mark, Reason, Stream, address_of
+from query_gateway.net.stream import Reason, Stream, WriteMark, address_of
 
 MS = 1_000_000
 NOTES = {"share": ProgressKind.PROGRESS, "short": ProgressKind.SPILLING, "held": ProgressKind.WAITING}
@@ -33,7 +33,7 @@
 
     def __init__(self, attempt: AttemptHandle, at: float) -> None:
         self.attempt, self.at = attempt, at
-        self.mark: Mark | None = None  # its request, where it waits for the engine to read
+        self.mark: WriteMark | None = None  # its request, where it waits for the engine to read
         self.left = False  # the request has, to the last byte
         self.pages = 0
         self.got: dict[int, bytes] = {}
--- a/query_gateway/flight/server.py
+++ b/query_gateway/flight/server.py
@@ -14,8 +14,9 @@
 from query_gateway.forwarder.table_group import table_group
 from query_gateway.http.server import BadCall, hex_header, real_header
 from query_gateway.model.settings import Idempotency, Settings
+from query_gateway.net.listener import Listener
 from query_gateway.net.loop import Loop
-from query_gateway.net.stream import Listener, Reason, Stream
+from query_gateway.net.stream import Reason, Stream
 from query_gateway.rpc import grpc
 
 if TYPE_CHECKING:
--- a/query_gateway/gateway.py
+++ b/query_gateway/gateway.py
@@ -37,9 +37,9 @@
 from query_gateway.http.server import Server
 from query_gateway.lifecycle.hot_upgrade import HotUpgrade, InheritedState
 from query_gateway.model.settings import Idempotency, Settings
+from query_gateway.net.listener import Listener
 from query_gateway.net.log import log
 from query_gateway.net.loop import Loop, Timer
-from query_gateway.net.stream import Listener
 from query_gateway.planner.ipc import PlannerClient
 from query_gateway.planner.learned_state import adopt, learned
 from query_gateway.planner.planner import Planner
--- a/query_gateway/http/server.py
+++ b/query_gateway/http/server.py
@@ -15,8 +15,9 @@
 from query_gateway.forwarder.messages import Answer, ClientRequest, RequestClasses, Verdict
 from query_gateway.forwarder.readiness import LAST_TAKEN, STILL_COME, Phase, Readiness
 from query_gateway.forwarder.table_group import table_group
+from query_gateway.net.listener import Listener
 from query_gateway.net.loop import Loop, Task
-from query_gateway.net.stream import Listener, Reason, Stream
+from query_gateway.net.stream import Reason, Stream
 
 if TYPE_CHECKING:
     from query_gateway.parsing.service import Classification, Statements
--- a/query_gateway/net/log.py
+++ b/query_gateway/net/log.py
@@ -1,32 +1,37 @@
-"""The log: plain lines on standard error, so many a second of each kind and no more."""
+"""The log: plain lines on standard error, rate-limited for each kind of line."""
 
 import contextlib
 import sys
 import time
 
-BURST = 20  # lines of one kind that may come at once
-RATE = 5.0  # and so many a second after that
-KINDS = 256  # kinds kept apart; guards against a table that grows with what others send
+BURST_LINES = 20  # lines of one kind that may come at once
+LINES_PER_SECOND = 5.0  # lines of one kind after that
+MAX_KINDS = 256  # kinds limited separately; bounds the table, since some kinds name what others send
+OTHER_KIND = "other"
 
 
 class Log:
+    """Prints `KIND TEXT` lines; a token bucket for each kind bounds how many."""
+
     def __init__(self) -> None:
-        self._kinds: dict[str, tuple[float, float, int]] = {}  # tokens, when, lines left out
+        """Start with a full bucket for every kind."""
+        # By kind: tokens left, when they were counted (seconds), lines suppressed since the last one printed
+        self._kinds: dict[str, tuple[float, float, int]] = {}
 
     def __call__(self, kind: str, text: str) -> None:
-        """Print `kind text`; what exceeds the rate is counted and told with the next line of its kind."""
+        """Print `KIND TEXT`; lines above the rate are counted and reported with the next of that kind."""
         now = time.monotonic()
-        if kind not in self._kinds and len(self._kinds) >= KINDS:
-            kind = "other"
-        tokens, at, left_out = self._kinds.get(kind, (float(BURST), now, 0))
-        tokens = min(float(BURST), tokens + (now - at) * RATE)
+        if kind not in self._kinds and len(self._kinds) >= MAX_KINDS:
+            kind = OTHER_KIND
+        tokens, counted_at, suppressed = self._kinds.get(kind, (float(BURST_LINES), now, 0))
+        tokens = min(float(BURST_LINES), tokens + (now - counted_at) * LINES_PER_SECOND)
         if tokens < 1:
-            self._kinds[kind] = tokens, now, left_out + 1
+            self._kinds[kind] = tokens, now, suppressed + 1
             return
         self._kinds[kind] = tokens - 1, now, 0
-        more = f" (+{left_out} lines like it left out)" if left_out else ""
-        with contextlib.suppress(OSError):  # guards against a log reader that has gone
-            print(f"{kind} {text}{more}", file=sys.stderr, flush=True)
+        suffix = f" (+{suppressed} lines like it left out)" if suppressed else ""
+        with contextlib.suppress(OSError):  # the log's reader may have closed its end
+            print(f"{kind} {text}{suffix}", file=sys.stderr, flush=True)
 
 
 log = Log()
--- a/query_gateway/net/loop.py
+++ b/query_gateway/net/loop.py
@@ -1,8 +1,8 @@
-"""The loop: one epoll, timers, and generators as coroutines.
+"""The event loop: one epoll, timers, and coroutines written as generators.
 
-A coroutine yields the time until which it sleeps at most (loop time in seconds, or None) and is resumed when
-it is woken or that time has come; whatever it waits for it checks anew. What is shared with a coroutine calls
-its `wake`.
+A coroutine yields the loop time (seconds) until which it sleeps at most, or None to sleep without a limit. It
+is resumed when it is woken or when that time has come, and must check again whatever it waits for. Whoever
+changes what a coroutine waits for calls `Task.wake`.
 """
 
 import contextlib
@@ -18,110 +18,128 @@
 
 Steps = Generator[float | None, None, None]
 IN, OUT = select.EPOLLIN, select.EPOLLOUT
-MANY = 512  # events taken at once
-PASSES = 3  # rounds of coroutines in a turn: what one wakes, and what that wakes
-TIMERS = 256  # and this many timers more than twice those in use before the cancelled ones are cleared away
+MAX_EVENTS_PER_POLL = 512
+TASK_ROUNDS = 3  # rounds of ready tasks in a turn: what was woken, what that wakes, and once more
+MAX_HOOK_ROUNDS = 16  # rounds of turn hooks in a turn, so that hooks which keep asking do not starve sockets
+# Cancelled timers are swept once the heap exceeds twice what the last sweep left, plus this many
+TIMER_SWEEP_SLACK = 256
 
 
 class Timer:
+    """A callback due at a loop time; cancelled or not, it stays in the heap until due or swept."""
+
     __slots__ = ("callback", "due_at")
 
-    def __init__(self, call: Callable[[], None], when: float = 0.0) -> None:
-        self.callback: Callable[[], None] | None = call
-        self.due_at = when
+    def __init__(self, callback: Callable[[], None], due_at: float = 0.0) -> None:
+        """`due_at` in loop seconds; the loop's heap is what schedules it."""
+        self.callback: Callable[[], None] | None = callback
+        self.due_at = due_at
 
     def cancel(self) -> None:
+        """Never call the callback; harmless if it has run already."""
         self.callback = None
 
 
 class Task:
     """A coroutine on the loop."""
 
-    def __init__(self, loop: "Loop", steps: Steps) -> None:
-        self.loop, self.coroutine = loop, steps
+    def __init__(self, loop: "Loop", coroutine: Steps) -> None:
+        """Make a task that does not run before it is woken; see `Loop.spawn`."""
+        self.loop, self.coroutine = loop, coroutine
         self.queued = self.done = False
         self.timer: Timer | None = None
 
     def wake(self) -> None:
+        """Resume the coroutine in this turn's next round of ready tasks."""
         if not self.queued and not self.done:
             self.queued = True
             self.loop.ready.append(self)
 
     def step(self) -> None:
+        """Run the coroutine to its next yield and set the timer that it asks for."""
         self.queued = False
-        until = None
+        wake_at = None
         try:
-            until = next(self.coroutine)
+            wake_at = next(self.coroutine)
         except StopIteration:
             self.done = True
-        except Exception as fault:  # guards the others: one connection's fault ends that connection alone
+        except Exception as error:  # a fault ends its own connection and leaves the others running
             self.done = True
-            log("fault", f"a coroutine broke: {fault!r}")
+            log("fault", f"a coroutine broke: {error!r}")
             self.loop.faults += 1
-        # Guards the heap against a cancelled timer for every step: one that is due before does as well
-        if self.timer and (until is None or self.timer.due_at > until):
+        # A timer due earlier is kept: it wakes the coroutine early, while a new timer for every step would
+        # fill the heap with cancelled ones
+        if self.timer and (wake_at is None or self.timer.due_at > wake_at):
             self.timer.cancel()
             self.timer = None
-        if until is not None and self.timer is None:
-            self.timer = self.loop.call_at(until, self._due)
+        if wake_at is not None and self.timer is None:
+            self.timer = self.loop.call_at(wake_at, self._on_timer)
 
-    def _due(self) -> None:
+    def _on_timer(self) -> None:
         self.timer = None
         self.wake()
 
 
 class Loop:
+    """One thread's event loop; only `call_soon` and `stop` may be called from other threads."""
+
     def __init__(self) -> None:
+        """Open the epoll descriptor and the socket pair that wakes it from other threads."""
         self.epoll = select.epoll()
-        self.handlers: dict[int, Callable[[], None]] = {}
-        self.sockets: dict[int, socket.socket] = {}
+        self.handlers: dict[int, Callable[[], None]] = {}  # by descriptor
+        self.sockets: dict[int, socket.socket] = {}  # by descriptor
         self.ready: deque[Task] = deque()
-        self.timers: list[tuple[float, int, Timer]] = []
+        self.timers: list[tuple[float, int, Timer]] = []  # heap: due time, sequence number, timer
         self.timer_sequence = count()
-        self.timers_after_sweep = 0  # timers that were left when the cancelled ones were last cleared away
-        self.turn_hooks: list[
-            Callable[[], bool]
-        ] = []  # run at the end of each turn; True: turn again at once
+        self.timers_after_sweep = 0  # timers that were left when the cancelled ones were last swept
+        # Run at the end of each turn; a hook returns True to have all run again at once
+        self.turn_hooks: list[Callable[[], bool]] = []
         self.closing_sockets: list[socket.socket] = []
         self.running = True
-        self.faults = 0
-        self.turn_started_at, self.last_turn_time = (
-            self.now(),
-            0.0,
-        )  # when this turn began, and how long the one before took
+        self.faults = 0  # exceptions that escaped a coroutine or a handler
+        self.turn_started_at = self.now()
+        self.last_turn_time = 0.0  # seconds that the turn before took; 0 if the loop slept in between
         self.soon_callbacks: deque[Callable[[], object]] = deque()
         self.wake_reader, self.wake_writer = socket.socketpair()
         self.wake_reader.setblocking(False)
         self.wake_writer.setblocking(False)
-        self.watch(self.wake_reader, IN, self._soon)
+        self.watch(self.wake_reader, IN, self._run_soon_callbacks)
 
     @staticmethod
     def now() -> float:
+        """Loop time in seconds: the monotonic clock."""
         return time.monotonic()
 
     def lag(self) -> float:
-        """How long what has just been taken up may have waited for us, in seconds."""
+        """Seconds that an event handled now may have waited for the loop."""
         return max(self.last_turn_time, self.now() - self.turn_started_at)
 
-    def call_at(self, when: float, call: Callable[[], None]) -> Timer:
-        timer = Timer(call, when)
+    def call_at(self, when: float, callback: Callable[[], None]) -> Timer:
+        """Call at a loop time (seconds), unless the timer that is returned is cancelled."""
+        timer = Timer(callback, when)
         heapq.heappush(self.timers, (when, next(self.timer_sequence), timer))
-        if (
-            len(self.timers) > 2 * self.timers_after_sweep + TIMERS
-        ):  # guards the heap against what is cancelled before due
-            self.timers = [entry for entry in self.timers if entry[2].callback]
-            heapq.heapify(self.timers)
-            self.timers_after_sweep = len(self.timers)
+        if len(self.timers) > 2 * self.timers_after_sweep + TIMER_SWEEP_SLACK:
+            self._sweep_cancelled_timers()
         return timer
 
-    def spawn(self, steps: Steps) -> Task:
-        task = Task(self, steps)
+    def _sweep_cancelled_timers(self) -> None:
+        """Bound the heap: a timer cancelled long before it is due would stay until then."""
+        self.timers = [entry for entry in self.timers if entry[2].callback]
+        heapq.heapify(self.timers)
+        self.timers_after_sweep = len(self.timers)
+
+    def spawn(self, coroutine: Steps) -> Task:
+        """Start a coroutine; it first runs in the next round of ready tasks."""
+        task = Task(self, coroutine)
         task.wake()
         return task
 
     def watch(self, sock: socket.socket, mask: int, handler: Callable[[], None]) -> None:
-        """Call `handler` when the socket is ready; it must look for itself what has come."""
-        if sock.fileno() < 0:  # closed with the loop
+        """Call `handler` whenever the socket is ready; it must find out itself for what.
+
+        A second call for a socket replaces its mask and handler.
+        """
+        if sock.fileno() < 0:  # already closed together with the loop
             return
         if sock.fileno() in self.handlers:
             self.epoll.modify(sock, mask)
@@ -131,82 +149,105 @@
         self.sockets[sock.fileno()] = sock
 
     def dispose(self, sock: socket.socket) -> None:
-        """Close a socket once this turn's events are through, lest another gets its number among them."""
+        """Stop watching a socket and close it at the end of the turn.
+
+        Closed earlier, its descriptor could be reused while events for the old one are still pending.
+        """
         self.sockets.pop(sock.fileno(), None)
         if self.handlers.pop(sock.fileno(), None):
             with contextlib.suppress(OSError):
                 self.epoll.unregister(sock)
         self.closing_sockets.append(sock)
 
-    def call_soon(self, call: Callable[[], object]) -> None:
-        """Call on the loop what another thread wants done."""
-        self.soon_callbacks.append(call)
-        with contextlib.suppress(BlockingIOError):  # then it is poked already
+    def call_soon(self, callback: Callable[[], object]) -> None:
+        """Call on the loop's thread; may be called from any thread or a signal handler."""
+        self.soon_callbacks.append(callback)
+        with contextlib.suppress(BlockingIOError):  # a full buffer wakes the loop as well
             self.wake_writer.send(b".")
 
-    def _soon(self) -> None:
+    def _run_soon_callbacks(self) -> None:
         self.wake_reader.recv(4096)
         while self.soon_callbacks:
-            self._call(self.soon_callbacks.popleft())  # one that breaks keeps no other from its turn
+            self._call(self.soon_callbacks.popleft())
 
     def stop(self) -> None:
+        """End `run` after the current turn; may be called from any thread."""
         self.running = False
         self.call_soon(lambda: None)
 
     def run(self) -> None:
+        """Turn until `stop` is called."""
         while self.running:
             self.turn()
 
     def close(self) -> None:
-        """Close what is still open, once the loop has ended."""
+        """Close every socket that is still open; call only once the loop has ended."""
         for sock in (*self.sockets.values(), *self.closing_sockets, self.wake_writer):
             sock.close()
         self.epoll.close()
 
     def turn(self) -> None:
-        wait = -1.0
+        """Run one iteration: sockets, timers, tasks, turn hooks, then the closing of sockets.
+
+        Tasks run before the hooks because the planner is a hook: an answer that an engine's coroutine has
+        just settled must leave before the planner sends the next request of the same key.
+        """
+        self._handle_socket_events()
+        now = self.now()
+        self._run_due_timers(now)
+        for _ in range(TASK_ROUNDS):
+            self._run_ready()
+        if not self._run_turn_hooks():
+            self.call_at(now, lambda: None)  # work is left: the next poll must not block
+        self._close_disposed_sockets()
+
+    def _handle_socket_events(self) -> None:
+        """Wait for events as long as nothing else is due, and call their handlers."""
+        timeout = -1.0
         if self.ready:
-            wait = 0.0
+            timeout = 0.0
         elif self.timers:
-            wait = max(0.0, self.timers[0][0] - self.now())
-        events = self.epoll.poll(wait, MANY)
-        self.turn_started_at, self.last_turn_time = (
-            self.now(),
-            self.now() - self.turn_started_at if wait == 0.0 else 0.0,
-        )
-        for fd, _ in events:
-            if handler := self.handlers.get(fd):
-                self._call(handler)
+            timeout = max(0.0, self.timers[0][0] - self.now())
+        events = self.epoll.poll(timeout, MAX_EVENTS_PER_POLL)
         now = self.now()
+        self.last_turn_time = self.now() - self.turn_started_at if timeout == 0.0 else 0.0
+        self.turn_started_at = now
+        for descriptor, _ in events:
+            if handler := self.handlers.get(descriptor):
+                self._call(handler)
+
+    def _run_due_timers(self, now: float) -> None:
         while self.timers and self.timers[0][0] <= now:
             timer = heapq.heappop(self.timers)[2]
             if timer.callback:
                 self._call(timer.callback)
-        # Guards the order of a key: an answer that an engine's coroutine has just settled leaves before the
-        # planner, which comes after, sends the next request of that key
-        for _ in range(PASSES):
-            self._run_ready()
-        for _ in range(16):  # guards the sockets against events that beget events without end
+
+    def _run_turn_hooks(self) -> bool:
+        """Run the hooks until none asks for another round; False if the rounds ran out first."""
+        for _ in range(MAX_HOOK_ROUNDS):
             again = False
-            for call in self.turn_hooks:
-                again |= self._call(call) is True
+            for hook in self.turn_hooks:
+                again |= self._call(hook) is True
             self._run_ready()
             if not again:
-                break
-        else:
-            self.call_at(now, lambda: None)
+                return True
+        return False
+
+    def _close_disposed_sockets(self) -> None:
         for sock in self.closing_sockets:
             sock.close()
         self.closing_sockets.clear()
 
     def _run_ready(self) -> None:
+        """Run the tasks that are ready now; what they wake runs in the next round."""
         for _ in range(len(self.ready)):
             self.ready.popleft().step()
 
-    def _call(self, call: Callable[[], object]) -> object:
+    def _call(self, callback: Callable[[], object]) -> object:
+        """Call, and log what it raises: a fault in one callback must not stop the loop."""
         try:
-            return call()
-        except Exception as fault:  # guards the others: one connection's fault ends no gateway
-            log("fault", f"a handler broke: {fault!r}")
+            return callback()
+        except Exception as error:
+            log("fault", f"a handler broke: {error!r}")
             self.faults += 1
             return None
--- a/query_gateway/net/stream.py
+++ b/query_gateway/net/stream.py
@@ -1,84 +1,106 @@
-"""Connections: non-blocking TCP with bounded buffers; each that ends leaves one line with a code."""
+"""Connections: non-blocking TCP with bounded buffers; each that ends leaves one log line with a code."""
 
 import errno
 import socket
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Generator
 from enum import Enum
 from ipaddress import IPv4Address
 
 from query_gateway.net.log import log
 from query_gateway.net.loop import IN, OUT, Loop
 
-CHUNK = 65_536
-INBOX = 262_144  # bytes read ahead of who takes them; then reading rests
-ACCEPTS = 32  # connections taken in one turn of the loop, whose end frees the descriptors of what was closed
-FULL_REST = 0.1  # seconds that the listener rests when descriptors are out
+READ_SIZE_BYTES = 65_536
+MAX_INBOX_BYTES = 262_144  # read ahead of the consumer; beyond it reading pauses
 
 
 class Reason(Enum):
-    """Why a connection ended; the on-call page explains each code."""
-
-    PEER_CLOSED = "peer-closed"
-    RESET = "reset"
-    IDLE = "idle"
-    DONE = "done"
-    BAD_REQUEST = "bad-request"
-    SLOW_REQUEST = "slow-request"
-    SLOW_READER = "slow-reader"
-    ABANDONED = "abandoned"
-    TOO_MANY = "too-many"
-    STOPPING = "stopping"
-    DRAINED = "drained"
-    TRANSFERRED = "transferred"
-    DIAL_REFUSED = "dial-refused"
-    DIAL_TIMEOUT = "dial-timeout"
-    MALFORMED_RESPONSE = "malformed-response"
-    UNRESPONSIVE = "unresponsive"
-    REPLACED = "replaced"
-    RESYNC = "resync"
-    HOLD_EXPIRED = "hold-expired"
-    NOTIFIED = "notified"
-    FAULT = "fault"
+    """Why a connection ended; `docs/on-call.md` says what to do about each code."""
+
+    PEER_CLOSED = "peer-closed"  # the peer closed; normal between requests
+    RESET = "reset"  # the peer reset the connection, as a process that dies does
+    IDLE = "idle"  # we closed a connection that was unused for its idle timeout
+    DONE = "done"  # we closed after the last answer, as the protocol asked
+    BAD_REQUEST = "bad-request"  # a client sent what cannot be accepted, or too much ahead of its answer
+    SLOW_REQUEST = "slow-request"  # a request was not complete within its timeout
+    SLOW_READER = "slow-reader"  # a client did not read its answer within the timeout
+    ABANDONED = "abandoned"  # the client left before its answer, or nothing waited for the dial any longer
+    TOO_MANY = "too-many"  # evicted, or not accepted, at the limit on connections
+    STOPPING = "stopping"  # graceful shutdown: no request was open here any more
+    DRAINED = "drained"  # draining: the client was sent to another gateway
+    TRANSFERRED = "transferred"  # hot upgrade: the successor goes on with the connection
+    DIAL_REFUSED = "dial-refused"  # the peer refused our connection
+    DIAL_TIMEOUT = "dial-timeout"  # our connection did not come up within the dial timeout
+    MALFORMED_RESPONSE = "malformed-response"  # a peer that we dialled broke its protocol
+    UNRESPONSIVE = "unresponsive"  # the peer sent nothing when something was due
+    REPLACED = "replaced"  # the peer is draining, restarted, or was replaced by another address
+    RESYNC = "resync"  # the endpoint list has to be fetched from its start
+    HOLD_EXPIRED = "hold-expired"  # a BGP peer's hold timer expired
+    NOTIFIED = "notified"  # a BGP NOTIFICATION was sent or received
+    FAULT = "fault"  # an error in our own code
 
 
 def address_of(text: str) -> tuple[str, int]:
-    """An IPv4 address and a port: guards the loop, as a name would have to be looked up."""
+    """Decode `ADDRESS:PORT`; raises ValueError for anything but an IPv4 address and a port.
+
+    Host names are not accepted: looking them up would block the loop.
+    """
     host, mark, port = text.rpartition(":")
     if not mark or not port.isdigit() or len(port) > 5 or int(port) > 65_535:
         raise ValueError(f"{text!r} is not ADDRESS:PORT")
     return str(IPv4Address(host)), int(port)
 
 
-class Mark:
-    """Bytes put behind others in an outbox: where they end, and who is called once they have left."""
+class WriteMark:
+    """The last `size` bytes that were queued when it was set, with a callback for when they have left."""
 
     __slots__ = ("end", "size", "callback")
 
-    def __init__(self, end: int, size: int, call: Callable[[], None]) -> None:
-        self.end, self.size, self.callback = end, size, call
+    def __init__(self, end: int, size: int, callback: Callable[[], None]) -> None:
+        """`end` counts bytes queued on the connection since it began, see `Stream.bytes_queued`."""
+        self.end, self.size, self.callback = end, size, callback
 
 
 class Stream:
-    """One connection. `woken` is called whenever something came, went out, or ended."""
+    """One TCP connection with an inbox and an outbox.
+
+    Each of its state flags changes once at most: `connected` when the dial succeeded (accepted connections
+    start so); `eof` when nothing more will be read, with `reset` if the connection broke, `dial_refused` if
+    it never came up; `closed` when we closed it. Owns its socket from the start to `close`.
+    """
 
     def __init__(
-        self, loop: Loop, sock: socket.socket, what: str, woken: Callable[[], None] = lambda: None
+        self,
+        loop: Loop,
+        sock: socket.socket,
+        description: str,
+        on_activity: Callable[[], None] = lambda: None,
     ) -> None:
-        self.loop, self.sock, self.description, self.on_activity = loop, sock, what, woken
+        """`on_activity` is called whenever something was read or sent, or the connection ended.
+
+        `description` names the peer in the log: its kind, perhaps its name, its address.
+        """
+        self.loop, self.sock, self.description, self.on_activity = loop, sock, description, on_activity
         self.inbox, self.outbox = bytearray(), bytearray()
-        self.bytes_queued = 0  # bytes ever put in the outbox
-        self.marks: deque[Mark] = deque()
+        self.bytes_queued = 0  # bytes ever put in the outbox, less those withdrawn or dropped
+        self.marks: deque[WriteMark] = deque()
         self.connected = True
-        self.eof = self.reset = self.closed = self.read_paused = False
+        self.eof = self.reset = self.closed = False
         self.dial_refused = False
+        self.read_paused = False  # the inbox is full
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.mask = IN
 
     @classmethod
-    def dial(cls, loop: Loop, address: tuple[str, int], what: str, woken: Callable[[], None]) -> "Stream":
-        stream = cls(loop, socket.socket(), what, woken)
+    def dial(
+        cls, loop: Loop, address: tuple[str, int], description: str, on_activity: Callable[[], None]
+    ) -> "Stream":
+        """Begin to connect; raises OSError when no descriptor is left.
+
+        The caller bounds the time until `connected`. What is written before is sent once connected.
+        """
+        stream = cls(loop, socket.socket(), description, on_activity)
         stream.connected = False
         code = stream.sock.connect_ex(address)
         if code not in (0, errno.EINPROGRESS):
@@ -89,10 +111,12 @@
         return stream
 
     def start(self) -> None:
+        """Begin to read an accepted connection."""
         self.loop.watch(self.sock, self.mask, self._ready)
 
     @property
     def is_over(self) -> bool:
+        """Whether nothing more will be read, whoever ended it."""
         return self.closed or self.eof
 
     def _ready(self) -> None:
@@ -121,9 +145,9 @@
         return True
 
     def _read(self) -> bool:
-        """Whether anything was there, be it the end."""
+        """Read once; whether anything was there, be it the end of the connection."""
         try:
-            data = self.sock.recv(CHUNK)
+            data = self.sock.recv(READ_SIZE_BYTES)
         except BlockingIOError:
             return False
         except OSError:
@@ -132,20 +156,20 @@
         if not data:
             self.eof = True
         self.inbox += data
-        self.read_paused = len(self.inbox) >= INBOX
+        self.read_paused = len(self.inbox) >= MAX_INBOX_BYTES
         return True
 
     def read_available(self) -> None:
-        """Take in what has come since the loop last asked, before a decision that it would change."""
-        had, was = len(self.inbox), self.eof
+        """Read what has arrived since the last poll, before a decision that depends on it."""
+        size_before, eof_before = len(self.inbox), self.eof
         while self.connected and not (self.eof or self.closed or self.read_paused) and self._read():
-            pass  # on to the end behind the bytes, if that has come, too
-        if self.eof is not was or len(self.inbox) > had:
+            pass  # until nothing is left, so that an end behind the bytes is found, too
+        if self.eof is not eof_before or len(self.inbox) > size_before:
             self._update_mask()
             self.on_activity()
 
     def _update_mask(self) -> None:
-        """Ask epoll for what can still happen, so that a level held does not spin the loop."""
+        """Ask epoll only for what can still happen: it is level-triggered and would wake the loop again."""
         if self.closed:
             return
         mask = (0 if self.eof or self.read_paused else IN) | (OUT if self.outbox or not self.connected else 0)
@@ -156,6 +180,7 @@
             self.loop.watch(self.sock, mask, self._ready)
 
     def take_inbox(self) -> bytes:
+        """Remove and return what was read; reading goes on if it was paused."""
         data = bytes(self.inbox)
         self.inbox.clear()
         if self.read_paused:
@@ -164,6 +189,7 @@
         return data
 
     def write(self, data: bytes) -> None:
+        """Send now what the machine takes and queue the rest; dropped once the connection has ended."""
         if self.closed or self.reset:
             return
         if self.outbox or not self.connected:
@@ -186,24 +212,24 @@
         self.outbox += data
         self.bytes_queued += len(data)
 
-    def call_when_sent(self, call: Callable[[], None], size: int = 0) -> Mark | None:
-        """Call once all that was written so far is with the machine; never, if the connection ends first.
+    def call_when_sent(self, callback: Callable[[], None], size: int = 0) -> WriteMark | None:
+        """Call once the machine has taken all that was written so far; never, if the connection ends first.
 
-        What is returned takes the last `size` bytes back, as long as none of them has left.
+        Until then the mark that is returned can withdraw the last `size` bytes; None if the call was at once.
         """
         if self.outbox or not self.connected:
-            self.marks.append(mark := Mark(self.bytes_queued, size, call))
+            self.marks.append(mark := WriteMark(self.bytes_queued, size, callback))
             return mark
         if not self.reset and not self.closed:
-            call()
+            callback()
         return None
 
-    def withdraw(self, mark: Mark) -> bool:
-        """Whether the bytes under a mark were all still here; then they never leave."""
-        at = mark.end - mark.size - (self.bytes_queued - len(self.outbox))
-        if at < 0 or mark not in self.marks:
+    def withdraw(self, mark: WriteMark) -> bool:
+        """Remove a mark's bytes from the outbox, if none of them has left; whether that was so."""
+        start = mark.end - mark.size - (self.bytes_queued - len(self.outbox))
+        if start < 0 or mark not in self.marks:
             return False
-        del self.outbox[at : at + mark.size]
+        del self.outbox[start : start + mark.size]
         self.bytes_queued -= mark.size
         self.marks.remove(mark)
         for other in self.marks:
@@ -228,91 +254,28 @@
             self.marks.popleft().callback()
 
     def half_close(self) -> None:
-        """Nothing more is sent; what the peer still sends is read, lest it destroys our last bytes."""
+        """Send no more, but keep reading: see `close_gracefully`."""
         try:
             self.sock.shutdown(socket.SHUT_WR)
         except OSError:
             self.eof = self.reset = True
 
-    def close(self, reason: Reason, more: str = "") -> None:
-        if self.closed:
-            return
-        self.closed = True
-        self.loop.dispose(self.sock)
-        log("end", f"{self.description} {reason.value}{' ' + more if more else ''}")
-
-
-class Listener:
-    """Accepts all that has come, in order, and hands each connection on."""
-
-    def __init__(
-        self,
-        loop: Loop,
-        address: tuple[str, int],
-        taken: Callable[[socket.socket, str], None],
-        shared: bool = False,
-        given: socket.socket | None = None,
-    ) -> None:
-        """`given`: a listener that another process of ours has; nothing is accepted there before `begin`."""
-        self.loop, self.on_accept, self.closed, self.paused = loop, taken, False, False
-        self.socket = given or socket.socket()
-        if not given:
-            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            if shared:  # with other processes of ours
-                self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-            self.socket.bind(address)
-            self.socket.listen(1024)
-            self.socket.setblocking(False)
-        self.address: tuple[str, int] = self.socket.getsockname()
-        if not given:
-            self.resume()
-
-    def resume(self) -> None:
-        self.paused = False
-        self._listen()
-
-    def pause(self) -> None:
-        """Accept nothing for now, yet keep what waits there alive."""
-        self.paused = True
-        if not self.closed:
-            self.loop.watch(self.socket, 0, self._ready)
-
-    def _ready(self) -> None:
-        for _ in range(ACCEPTS):
-            if not self._accept():
-                return
-
-    def _accept(self) -> bool:
-        """Take one; False if none is there or can be taken now."""
-        try:
-            sock, (host, port) = self.socket.accept()
-        except BlockingIOError:
-            return False
-        except OSError as fault:
-            if fault.errno in (errno.ECONNABORTED, errno.EINTR, errno.EPROTO):
-                return True
-            # Out of descriptors: what waits is taken when some are free; guards against a loop that spins
-            log("accept", f"cannot accept: {fault.strerror}")
-            self.loop.watch(self.socket, 0, self._ready)
-            self.loop.call_at(self.loop.now() + FULL_REST, self._listen)
-            return False
-        self.on_accept(sock, f"{host}:{port}")
-        return True
-
-    def _listen(self) -> None:
-        if not self.closed and not self.paused:
-            self.loop.watch(self.socket, IN, self._ready)
-
-    def release(self) -> None:
-        """Accept nothing more: what waits is for the other process that has this listener."""
-        if not self.closed:
-            self.closed = True
-            self.loop.dispose(self.socket)
+    def close_gracefully(self, seconds: float) -> Generator[float | None, None, None]:
+        """Send no more, and discard what the peer still sends until it closes or the time is over.
 
-    def close(self) -> None:
-        while not self.closed and self._accept():
-            pass
+        For coroutines, ahead of `close`: a close with unread input would be a reset, which can destroy our
+        last bytes before the peer has read them.
+        """
+        self.half_close()
+        deadline = self.loop.now() + seconds
+        while not self.eof and self.loop.now() < deadline:
+            self.take_inbox()
+            yield deadline
+
+    def close(self, reason: Reason, details: str = "") -> None:
+        """Close at the end of the loop's turn and log the reason; later calls change nothing."""
         if self.closed:
             return
         self.closed = True
-        self.loop.dispose(self.socket)
+        self.loop.dispose(self.sock)
+        log("end", f"{self.description} {reason.value}{' ' + details if details else ''}")
--- a/query_gateway/planner/process.py
+++ b/query_gateway/planner/process.py
@@ -12,9 +12,10 @@
 from query_gateway.model.actions import Action, Cancel, Fail, Forward, Reject, SetTerms
 from query_gateway.model.events import AttemptOutcome, Event, OutcomeCode, Request, RequestAbandoned
 from query_gateway.model.settings import Settings
+from query_gateway.net.listener import Listener
 from query_gateway.net.log import log
 from query_gateway.net.loop import Loop
-from query_gateway.net.stream import Listener, Reason, Stream
+from query_gateway.net.stream import Reason, Stream
 from query_gateway.planner.ipc import IpcConnection
 from query_gateway.planner.ipc_codec import EVENTS
 from query_gateway.planner.planner import Planner
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -27,8 +27,8 @@
 from query_gateway.gateway import Gateway
 from query_gateway.http.server import Held, plain_call, query_of
 from query_gateway.model.events import TimerFired
+from query_gateway.net.listener import Listener
 from query_gateway.net.loop import IN, Loop
-from query_gateway.net.stream import Listener
 from tests.stand_ins import SETTINGS, Engine, config, host, post
 
 SQL = "SELECT a FROM lending_7.loans"
