Close BGP and gRPC connections through Stream.close_gracefully

Change: these two use the one in net/stream.py, with the same second and the same end. Result: tests/test_bgp.py and tests/test_flight.py pass.

--- a/query_gateway/bgp/session.py
+++ b/query_gateway/bgp/session.py
@@ -144,9 +144,5 @@
 
     def _linger(self, stream: Stream, reason: Reason) -> Generator[float | None, None, Reason]:
         """Guards our last message: a close with unread input would reset the connection under it."""
-        stream.half_close()
-        until = self.loop.now() + LINGER
-        while not stream.eof and self.loop.now() < until:
-            stream.take_inbox()
-            yield until
+        yield from stream.close_gracefully(LINGER)
         return reason
--- a/query_gateway/rpc/grpc.py
+++ b/query_gateway/rpc/grpc.py
@@ -197,11 +197,7 @@
         while self.stream.outbox and not self.stream.reset and self.loop.now() < until:
             self.stream.take_inbox()
             yield until
-        self.stream.half_close()
-        until = self.loop.now() + LINGER
-        while not self.stream.eof and self.loop.now() < until:
-            self.stream.take_inbox()
-            yield until
+        yield from self.stream.close_gracefully(LINGER)
 
     @property
     def resting(self) -> bool:
