Split the HTTP front into decoding, fast parser, handler, responses, connection and server

Cause: one file of 540 lines held the decoding of requests, the fast parser, the connection, the forwarding and the server, with calls three levels deep in one method. Change: one module for each; Server, Connection, Held and BadCall are HttpServer, HttpConnection, PendingAnswer and RequestError; the server's arguments are HttpServerOptions; timeouts and sizes carry their unit. The order of checks, the timeouts and the end codes stay. The Flight front imports RequestError under its old name until it is renamed there.

--- a/query_gateway/flight/server.py
+++ b/query_gateway/flight/server.py
@@ -12,7 +12,8 @@
 from query_gateway.forwarder.messages import Answer, ClientRequest, RequestClasses, Verdict
 from query_gateway.forwarder.readiness import STILL_COME, Phase, Readiness
 from query_gateway.forwarder.table_group import table_group
-from query_gateway.http.server import BadCall, hex_header, real_header
+from query_gateway.http.request_decoding import RequestError as BadCall
+from query_gateway.http.request_decoding import hex_header, real_header
 from query_gateway.model.settings import Idempotency, Settings
 from query_gateway.net.listener import Listener
 from query_gateway.net.loop import Loop
--- a/query_gateway/gateway.py
+++ b/query_gateway/gateway.py
@@ -34,7 +34,7 @@
 from query_gateway.forwarder.exchange import Forwarder
 from query_gateway.forwarder.messages import EjectedEndpoints, RequestClass, RequestClasses, Verdict
 from query_gateway.forwarder.readiness import Readiness
-from query_gateway.http.server import Server
+from query_gateway.http.server import HttpServer, HttpServerOptions
 from query_gateway.lifecycle.hot_upgrade import HotUpgrade, InheritedState
 from query_gateway.model.settings import Idempotency, Settings
 from query_gateway.net.listener import Listener
@@ -150,8 +150,10 @@
         shared = operator.forwarder_count > 1 or alone
         self.statements = self._statements(legacy.statement_costs if legacy else None)
         reads = self.statements if operator.statements and operator.statements.covers_http else None
-        web = config.listen_address, config.classes, most, self.readiness, shared, given.get("web"), reads
-        self.http_server = Server(loop, self.forwarder, *web)
+        web = HttpServerOptions(
+            config.listen_address, config.classes, most, self.readiness, shared, given.get("web"), reads
+        )
+        self.http_server = HttpServer(loop, self.forwarder, web)
         caught_up = self._begin if legacy else None
         self.watch_client = EndpointWatchClient(
             loop, config.discovery_address, self.position, self.take_list, caught_up, config.seed
@@ -522,7 +524,7 @@
         self._take_share(1.0 - REST_SHARE, True)
 
     def receive_connection(self, sock: socket.socket, peer: str, asked: bool) -> None:
-        self.http_server.take(sock, peer, asked)
+        self.http_server.add_connection(sock, peer, asked)
 
     def on_successor_ready(self) -> None:
         self._take_share(PAIR_SHARE)
@@ -549,7 +551,7 @@
 
     def _give_up(self) -> None:
         """Guards clients of what is still open: they hear of it before we are killed, and may ask again."""
-        self.given_up = self.http_server.refuses = True
+        self.given_up = self.http_server.rejects_all = True
         for exchange in list(self.forwarder.exchanges.values()):
             exchange.end_without_planner()
         if not (self.hot_upgrade and self.hot_upgrade.successor_ready):
--- a/query_gateway/http/__init__.py
+++ b/query_gateway/http/__init__.py
@@ -0,0 +1,6 @@
+"""The platform's HTTP/1.1 protocol: one request at a time on a connection, complete results in one response.
+
+Decides how requests are decoded and rejected before the forwarder knows them, which client connection is
+evicted at the limit, and when connections close. Owns the client connections and their listener. Imported by
+the composition root; the Flight front shares the decoding of headers (`request_decoding`).
+"""
--- /dev/null
+++ b/query_gateway/http/h11_request.py
@@ -0,0 +1,87 @@
+"""Reads one request of any form with h11, within limits on its size and time."""
+
+from collections.abc import Generator
+from dataclasses import dataclass
+
+import h11
+
+from query_gateway.http.request_decoding import RequestError
+from query_gateway.net.stream import Reason, Stream
+
+MAX_BODY_BYTES = 262_144
+MAX_HEADER_BYTES = 16_384
+
+
+@dataclass(slots=True, frozen=True)
+class HttpRequest:
+    """One complete request; the path has no query string, header names are in lower case."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+
+def read_request(
+    connection: h11.Connection, stream: Stream, deadline: float
+) -> Generator[float | None, None, HttpRequest | Reason]:
+    """Read one complete request, or say why there is none.
+
+    Raises RequestError for one that is too large or not complete at the deadline (loop time), and h11's
+    RemoteProtocolError for bytes that are no HTTP.
+    """
+    request: h11.Request | None = None
+    body = bytearray()
+    while True:
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            if ended := (yield from _receive_data(connection, stream, deadline)):
+                return ended
+        elif isinstance(event, h11.Request):
+            request = event
+            _check_body_length(event)
+        elif isinstance(event, h11.Data):
+            body += event.data
+            if len(body) > MAX_BODY_BYTES:
+                raise RequestError(413, "the statement is too long")
+        elif isinstance(event, h11.EndOfMessage) and request:
+            return _complete_request(request, bytes(body))
+        else:
+            return Reason.PEER_CLOSED
+
+
+def _receive_data(
+    connection: h11.Connection, stream: Stream, deadline: float
+) -> Generator[float | None, None, Reason | None]:
+    """Pass on what was read, or wait for more; raises RequestError when the deadline is over."""
+    if stream.inbox:
+        connection.receive_data(stream.take_inbox())
+    elif stream.is_over:
+        return Reason.ABANDONED
+    elif stream.loop.now() >= deadline:
+        raise RequestError(408, "the request did not come whole in time")
+    else:
+        if connection.they_are_waiting_for_100_continue:
+            proceed = h11.InformationalResponse(status_code=100, headers=[])
+            stream.write(connection.send(proceed) or b"")
+        yield deadline
+    return None
+
+
+def _check_body_length(request: h11.Request) -> None:
+    names = {name for name, _ in request.headers}
+    if b"content-length" in names and b"transfer-encoding" in names:
+        # Such a body could hide a second request from one of two parsers
+        raise RequestError(400, "the body has two lengths")
+    for name, value in request.headers:
+        if name == b"content-length" and int(value) > MAX_BODY_BYTES:  # h11 has checked that it is a number
+            raise RequestError(413, "the statement is too long")
+
+
+def _complete_request(request: h11.Request, body: bytes) -> HttpRequest:
+    return HttpRequest(
+        method=request.method.decode("latin-1"),
+        path=request.target.decode("latin-1").partition("?")[0],
+        headers={name.decode("latin-1"): value.decode("latin-1") for name, value in request.headers},
+        body=body,
+    )
--- /dev/null
+++ b/query_gateway/http/request_decoding.py
@@ -0,0 +1,108 @@
+"""Decodes a POST's class, headers and body into a `ClientRequest`; knows no connection."""
+
+import re
+
+from query_gateway.forwarder.messages import ClientRequest, RequestClasses
+from query_gateway.forwarder.table_group import table_group
+
+NANOSECONDS_PER_MS = 1_000_000
+RESPONSE_TRAVEL_NS = 15 * NANOSECONDS_PER_MS  # of the client's time, kept for the way here and back
+MAX_TTL_MS = 3_600_000
+MAX_TTL_DIGITS = 9
+MAX_CPU_HINT_MS = 1e8
+MAX_MEMORY_MB = 1e7
+HEX_DIGITS = frozenset("0123456789abcdef")
+REAL_NUMBER = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?")
+
+# Header names of the platform's protocol, in lower case
+CLIENT_ID_HEADER = "x-txn"
+TTL_HEADER = "x-ttl-ms"
+IDEMPOTENCY_KEY_HEADER = "x-txn-key"
+ORDERING_KEY_HEADER = "x-row"
+CPU_HINT_HEADER = "x-cpu-hint"
+MEMORY_HEADER = "x-memory"
+RETRY_HEADER = "x-second-try"
+
+
+class RequestError(Exception):
+    """A request that cannot be accepted: the HTTP status, and as its text what is wrong."""
+
+    def __init__(self, status: int, text: str) -> None:
+        """`text` is sent to the client."""
+        super().__init__(text)
+        self.status = status
+
+
+def hex_header(headers: dict[str, str], name: str, digits: int, required: bool) -> str | None:
+    """A header of exactly so many lower-case hex digits; raises RequestError for anything else."""
+    value = headers.get(name)
+    if value is None and not required:
+        return None
+    if value is None:
+        raise RequestError(400, f"header {name} is missing")
+    if len(value) != digits or not HEX_DIGITS.issuperset(value):
+        raise RequestError(400, f"header {name} is not {digits} hex digits")
+    return value
+
+
+def real_header(headers: dict[str, str], name: str, maximum: float) -> float | None:
+    """A header with a number from 0 to `maximum`, None if it is absent; raises RequestError."""
+    if (value := headers.get(name)) is None:
+        return None
+    if not REAL_NUMBER.fullmatch(value):
+        raise RequestError(400, f"header {name} is not a number")
+    number = float(value)
+    if number > maximum:
+        raise RequestError(400, f"header {name} is out of range")
+    return number
+
+
+def _ttl_ns(headers: dict[str, str]) -> int:
+    """The time that the client waits, in nanoseconds."""
+    ttl = headers.get(TTL_HEADER, "")
+    if not ttl.isascii() or not ttl.isdigit() or len(ttl) > MAX_TTL_DIGITS or int(ttl) > MAX_TTL_MS:
+        raise RequestError(400, f"header {TTL_HEADER} is missing or not a number of milliseconds")
+    return int(ttl) * NANOSECONDS_PER_MS
+
+
+def _statement_text(body: bytes) -> str:
+    if not body:
+        raise RequestError(400, "the statement is missing")
+    try:
+        return body.decode()
+    except UnicodeDecodeError:
+        raise RequestError(400, "the statement is not UTF-8") from None
+
+
+def decode_request(
+    class_name: str, classes: RequestClasses, headers: dict[str, str], body: bytes, now: int
+) -> ClientRequest:
+    """Decode one POST at clock time `now` (nanoseconds); raises RequestError.
+
+    `classes` are those that requests may name; header names are in lower case.
+    """
+    if class_name not in classes:
+        raise RequestError(404, f"class {class_name!r} is unknown")
+    request_class = classes[class_name]
+    client_id = hex_header(headers, CLIENT_ID_HEADER, 16, True) or ""
+    ttl = _ttl_ns(headers)
+    idempotency_key = hex_header(headers, IDEMPOTENCY_KEY_HEADER, 32, request_class.needs_idempotency_key)
+    ordering_key = hex_header(headers, ORDERING_KEY_HEADER, 16, request_class.ordered_by_key)
+    cpu_hint_ms = real_header(headers, CPU_HINT_HEADER, MAX_CPU_HINT_MS)
+    memory_mb = real_header(headers, MEMORY_HEADER, MAX_MEMORY_MB)
+    if headers.get(RETRY_HEADER, "1") != "1":
+        raise RequestError(400, f"header {RETRY_HEADER} is not 1")
+    group = table_group(_statement_text(body))
+    return ClientRequest(
+        client_id=client_id,
+        class_index=request_class.index,
+        class_name=class_name,
+        statement=body,
+        deadline=now + max(ttl // 2, ttl - RESPONSE_TRAVEL_NS),
+        is_retry=headers.get(RETRY_HEADER) == "1",
+        key=ordering_key if request_class.ordered_by_key else None,
+        idempotency_key=idempotency_key,
+        estimated_work=int(cpu_hint_ms * NANOSECONDS_PER_MS) if cpu_hint_ms else None,
+        memory_mb=memory_mb or 0.0,
+        table_group=None if group is None else float(group),
+    )
--- /dev/null
+++ b/query_gateway/http/request_handler.py
@@ -0,0 +1,135 @@
+"""One decoded request: checked, classified where statements are read, forwarded, and its answer awaited."""
+
+from collections.abc import Callable, Generator
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from query_gateway.forwarder.exchange import Exchange
+from query_gateway.forwarder.messages import Answer, ClientRequest, Verdict
+from query_gateway.forwarder.readiness import LAST_TAKEN
+from query_gateway.http.request_decoding import RequestError
+from query_gateway.http.responses import Response, response_to
+from query_gateway.net.stream import Reason, Stream
+
+if TYPE_CHECKING:
+    from query_gateway.http.server import HttpServer
+    from query_gateway.parsing.service import Classification, Statements
+
+MAX_LOOP_LAG_SECONDS = 0.25  # above it new requests are rejected before the forwarder spends time on them
+MAX_DISCARDED_BYTES = 1_048_576  # beyond a full inbox that a client may send ahead of its answer
+
+
+class PendingAnswer:
+    """The client's side of an exchange: holds the answer once it is there."""
+
+    def __init__(self, wake: Callable[[], None]) -> None:
+        """`wake` is called when the answer has come."""
+        self.wake = wake
+        self.answer: Answer | None = None
+
+    def send_page(self, page: bytes, left: Callable[[], None]) -> None:
+        """Never called: this front takes complete results."""
+        raise NotImplementedError("this front takes complete results")
+
+    def send_answer(self, answer: Answer) -> None:
+        """Hold the answer and wake the connection that sends it."""
+        self.answer = answer
+        self.wake()
+
+
+class RequestHandler:
+    """Handles the requests of one connection, one after another."""
+
+    def __init__(self, server: "HttpServer", stream: Stream, wake: Callable[[], None]) -> None:
+        """`wake` resumes the coroutine of the connection.
+
+        While it waits the handler reads ahead on `stream`; it neither writes to it nor closes it.
+        """
+        self.server, self.stream, self.wake = server, stream, wake
+        self.discarded_bytes = 0  # sent ahead of an answer, beyond what the inbox holds
+
+    def handle(self, request: ClientRequest) -> Generator[float | None, None, Response | Reason]:
+        """The response, or why the connection ends without one; raises RequestError."""
+        self._check_id_is_free(request)
+        pending = PendingAnswer(self.wake)
+        # A client that waited long to be accepted may have left already: then no engine is given its request
+        self.stream.read_available()
+        if self._must_reject_all():
+            self._reject(request, pending)
+        if self.server.statements and pending.answer is None:
+            request = yield from self._classify(request, pending, self.server.statements)
+            self._check_id_is_free(request)  # another request may have come with its id meanwhile
+        exchange = self.server.forwarder.accept(request, pending, "web") if pending.answer is None else None
+        return (yield from self._await_answer(exchange, pending))
+
+    def _check_id_is_free(self, request: ClientRequest) -> None:
+        if request.client_id in self.server.forwarder.open_client_ids:
+            raise RequestError(409, "a request with this id is open")
+
+    def _must_reject_all(self) -> bool:
+        """Whether every new request is rejected at once.
+
+        A loop that lags would answer all requests late if it accepted more. Clients that keep sending while
+        they are drained, or to the end of the process, would never let their connections become idle.
+        """
+        server = self.server
+        return (
+            server.loop.lag() > MAX_LOOP_LAG_SECONDS or server.draining_for(LAST_TAKEN) or server.rejects_all
+        )
+
+    def _reject(self, request: ClientRequest, pending: PendingAnswer) -> None:
+        """Reject before the forwarder knows of the request."""
+        forwarder = self.server.forwarder
+        pending.send_answer(Answer(Verdict.REJECTED, retry_after_ns=forwarder.settings.max_retry_after))
+        forwarder.counters.count_answer(request.class_name, Verdict.REJECTED)
+
+    def _classify(
+        self, request: ClientRequest, pending: PendingAnswer, statements: "Statements"
+    ) -> Generator[float | None, None, ClientRequest]:
+        """Raise RequestError for a write under a class whose requests may run twice.
+
+        Otherwise the class and the key stay as the request names them; the shape of the statement is added.
+        """
+        if request.class_name not in statements.classifier.safe:
+            return request
+        results: list[Classification] = []
+
+        def on_classified(result: "Classification") -> None:
+            """Keep the result and resume; it may come at once or after a full parse."""
+            results.append(result)
+            self.wake()
+
+        statements.classify(request.statement.decode(), request.class_name, request.key, on_classified)
+        while not results and not self.stream.is_over:
+            yield None
+        if not results or results[0].judgement is None:
+            self._reject(request, pending)
+            return request
+        judgement, digest = results[0].judgement, results[0].digest
+        if judgement.writes:
+            reason = judgement.reason or f"it writes, so it cannot run as {request.class_name}"
+            raise RequestError(400, reason)
+        if statements.may_run(digest, self.server.forwarder.clock()):
+            self._reject(request, pending)
+        return replace(request, shape=digest)
+
+    def _await_answer(
+        self, exchange: Exchange | None, pending: PendingAnswer
+    ) -> Generator[float | None, None, Response | Reason]:
+        while pending.answer is None:
+            sent_too_much = self._discard_excess_input()
+            if self.stream.is_over or sent_too_much:
+                if exchange:
+                    exchange.abandon()
+                return Reason.BAD_REQUEST if sent_too_much else Reason.ABANDONED
+            yield None
+        return response_to(pending.answer)
+
+    def _discard_excess_input(self) -> bool:
+        """Empty a full inbox, as nothing is read behind it and a client that left would not be noticed.
+
+        The connection then ends with its answer, or at once if the client has sent too much: True.
+        """
+        if self.stream.read_paused:
+            self.discarded_bytes += len(self.stream.take_inbox())
+        return self.discarded_bytes > MAX_DISCARDED_BYTES
--- /dev/null
+++ b/query_gateway/http/responses.py
@@ -0,0 +1,84 @@
+"""Responses as status, JSON body and headers, and their encoding with and without h11."""
+
+import http
+import json
+from dataclasses import dataclass
+
+import h11
+
+from query_gateway.forwarder.messages import Answer, Verdict
+
+NANOSECONDS_PER_MS = 1_000_000
+COLUMN_SEPARATOR = "\t"
+ROW_END = "\n"
+JSON_HEADER = ("Content-Type", "application/json")
+CLOSE_HEADER = ("Connection", "close")
+
+Headers = list[tuple[str, str]]
+
+
+@dataclass(slots=True, frozen=True)
+class Response:
+    """What is sent for one request; `body` is encoded as JSON."""
+
+    status: int
+    body: object
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+def failure_response(status: int, failure: str) -> Response:
+    """A response without a result: the platform's JSON names the failure."""
+    return Response(status, {"failure": failure})
+
+
+def decode_rows(pages: tuple[bytes, ...]) -> list[list[str]]:
+    """Rows of an engine's pages: columns separated by tabs, each row ended by a line feed.
+
+    Raises ValueError where a page ends within a row or is not UTF-8.
+    """
+    rows: list[list[str]] = []
+    for page in pages:
+        text = page.decode()
+        if text and not text.endswith(ROW_END):
+            raise ValueError("a page ends within a row")
+        rows.extend(line.split(COLUMN_SEPARATOR) for line in text.split(ROW_END)[:-1])
+    return rows
+
+
+def response_to(answer: Answer) -> Response:
+    """The response that tells a client the forwarder's final answer."""
+    if answer.verdict is Verdict.REJECTED:
+        retry_after_ms = -(-answer.retry_after_ns // NANOSECONDS_PER_MS)  # rounded up
+        return Response(429, {"failure": "Overloaded"}, (("X-Throttle-Ms", str(retry_after_ms)),))
+    if answer.verdict is Verdict.FAILED:
+        return failure_response(500, "Internal")
+    try:
+        rows = decode_rows(answer.pages)
+    except ValueError:
+        return failure_response(500, "Internal")
+    return Response(200, {"rows": rows})
+
+
+def _headers_and_body(response: Response, closing: bool) -> tuple[Headers, bytes]:
+    body = json.dumps(response.body, ensure_ascii=False, separators=(",", ":")).encode()
+    headers = [JSON_HEADER, ("Content-Length", str(len(body))), *response.headers]
+    if closing:
+        headers.append(CLOSE_HEADER)
+    return headers, body
+
+
+def encode_plain_response(response: Response, closing: bool) -> bytes:
+    """The response to a request that h11 did not read; `closing`: the connection ends with it."""
+    headers, body = _headers_and_body(response, closing)
+    lines = "".join(f"{name}: {value}\r\n" for name, value in headers)
+    phrase = http.HTTPStatus(response.status).phrase
+    return f"HTTP/1.1 {response.status} {phrase}\r\n{lines}\r\n".encode() + body
+
+
+def encode_h11_response(connection: h11.Connection, response: Response, closing: bool) -> bytes:
+    """The response to the request that the h11 connection has read; its state moves on with it."""
+    headers, body = _headers_and_body(response, closing)
+    data = connection.send(h11.Response(status_code=response.status, headers=headers)) or b""
+    data += connection.send(h11.Data(data=body)) or b""
+    data += connection.send(h11.EndOfMessage()) or b""
+    return data
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -34,7 +34,8 @@
 from query_gateway.forwarder.exchange import Exchange
 from query_gateway.forwarder.messages import Endpoint
 from query_gateway.gateway import CROSSING, KILLED_AT, Gateway
-from query_gateway.http.server import Held, query_of
+from query_gateway.http.request_decoding import decode_request
+from query_gateway.http.request_handler import PendingAnswer
 from query_gateway.lifecycle.hot_upgrade import FDS, PACKET, VERSION, meet
 from query_gateway.model.endpoints import EndpointInfo, EndpointState
 from query_gateway.net.log import log
@@ -334,8 +335,8 @@
 
 def _take_flight(gate: Gateway, statement: str) -> Exchange:
     headers = {"x-txn": uuid4().hex[:16], "x-ttl-ms": "600000"}
-    query = query_of("lookup", gate.config.classes, headers, statement.encode(), gate.forwarder.clock())
-    exchange = gate.forwarder.accept(query, Held(lambda: None), "flight")
+    query = decode_request("lookup", gate.config.classes, headers, statement.encode(), gate.forwarder.clock())
+    exchange = gate.forwarder.accept(query, PendingAnswer(lambda: None), "flight")
     gate.turn()
     return exchange
 
@@ -404,7 +405,7 @@
         with ask(gate, GONE) as client:
             until(lambda: engine.statements)
             client.sendall(b"x" * 300_000)
-            until(lambda: any(c.ahead for c in gate.http_server.connections))
+            until(lambda: any(c.handler.discarded_bytes for c in gate.http_server.connections))
             gate.loop.call_soon(lambda: next(iter(gate.forwarder.exchanges.values())).end_without_planner())
             answer = b""
             while data := client.recv(65_536):
@@ -757,7 +758,7 @@
 ) -> None:
     """Guards the request: closed over it in the machine's buffer, its connection was reset."""
     engine = Engine()
-    monkeypatch.setattr("query_gateway.http.server.IDLE_TIME", 0.3 if why == "idle" else 6.0)
+    monkeypatch.setattr("query_gateway.http.connection.IDLE_TIMEOUT_SECONDS", 0.3 if why == "idle" else 6.0)
     with running(engine, settings=tuned()) as gate:
         gate.loop.lag = lambda: 0.0  # type: ignore[method-assign]
         kept = http.client.HTTPConnection(*gate.http_server.listener.address, timeout=10)
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -163,7 +163,7 @@
             assert sock.recv(1) == b""
             sock.close()
         assert 0.4 < time.monotonic() - began < 2.0
-        until(lambda: gate.http_server.away(1.5))
+        until(lambda: gate.http_server.draining_for(1.5))
         status, _, headers = post(gate, "lookup", "SELECT 3")
         assert status == 429 and headers["connection"] == "close"
         assert waiting.result()[2]["connection"] == "close"
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -25,7 +25,9 @@
 from query_gateway.forwarder.messages import Verdict
 from query_gateway.forwarder.table_group import table_group
 from query_gateway.gateway import Gateway
-from query_gateway.http.server import Held, plain_call, query_of
+from query_gateway.http.plain_request import PlainRequest, parse_plain_request
+from query_gateway.http.request_decoding import decode_request
+from query_gateway.http.request_handler import PendingAnswer
 from query_gateway.model.events import TimerFired
 from query_gateway.net.listener import Listener
 from query_gateway.net.loop import IN, Loop
@@ -144,8 +146,8 @@
     for name, statement in (("1" * 16, SQL), ("2" * 16, LOAD)):
         headers = {"x-txn": name, "x-ttl-ms": "5000", "x-txn-key": "a" * 32, "x-row": "b" * 16}
         cls = "lookup" if statement == SQL else "load"
-        query = query_of(cls, gate.config.classes, headers, statement.encode(), gate.forwarder.clock())
-        gate.forwarder.accept(query, Held(lambda: None), "web")
+        query = decode_request(cls, gate.config.classes, headers, statement.encode(), gate.forwarder.clock())
+        gate.forwarder.accept(query, PendingAnswer(lambda: None), "web")
         gate.turn()
         stream = gate.engine_pool.connections["e0"][0].stream
         while not stream.connected:
@@ -268,7 +270,7 @@
 
 
 def test_silent_and_half_calls_end_soon(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("query_gateway.http.server.HELLO_TIME", 0.1)
+    monkeypatch.setattr("query_gateway.http.connection.FIRST_REQUEST_TIMEOUT_SECONDS", 0.1)
     with running(Engine()) as gate:
         for said, answer in ((b"", b""), (HEAD.encode(), b"HTTP/1.1 408 ")):
             with socket.create_connection(gate.http_server.listener.address) as sock:
@@ -398,19 +400,21 @@
 def test_nearly_all_of_a_short_time_is_the_querys() -> None:
     """Guards clients who wait for little: half their time was kept back, so they were refused."""
     classes = config([]).classes
-    query = query_of("lookup", classes, {"x-txn": "a" * 16, "x-ttl-ms": "250"}, SQL.encode(), 0)
+    query = decode_request("lookup", classes, {"x-txn": "a" * 16, "x-ttl-ms": "250"}, SQL.encode(), 0)
     assert 220_000_000 <= query.deadline < 250_000_000
 
 
 def test_only_the_plain_form_passes_by_h11() -> None:
     call = b"POST /svc/lookup HTTP/1.1\r\nHost: x\r\nX-A: 1\r\nContent-Length: 2\r\n\r\nab"
-    assert plain_call(call) == ("/svc/lookup", {"host": "x", "x-a": "1", "content-length": "2"}, b"ab")
+    assert parse_plain_request(call) == PlainRequest(
+        "/svc/lookup", {"host": "x", "x-a": "1", "content-length": "2"}, b"ab"
+    )
     for odd in (
         call[:-1], call + b"P", call.replace(b"X-A", b"Host"), call.replace(b"X-A", b"Expect"),
         call.replace(b"Host", b"Ghost"), call.replace(b"Content-Length: 2", b"Transfer-Encoding: chunked"),
         call.replace(b"1.1", b"1.0"), call.replace(b": 2", b": +2"), b"",
     ):  # fmt: skip
-        assert plain_call(odd) is None
+        assert parse_plain_request(odd) is None
 
 
 FRAMES = (b"a1 ok sheets=2 3\r\nx\ty\r\n", b"a2 progress detail=share,val=0.5 0\r\n\r\n", b"a3 error - 0\r\n",
