Split the engine client into pool, connection, open attempt, frames and responses

Cause: one file held the pool, a connection of 220 lines and the reading of results, with the protocol's words spread over it. Change: one module for each; Connection, Open and BadFrame are EngineConnection, OpenAttempt and FrameError; the protocol's words stand in frames.py alone; the pool takes ConnectionLimits. Timeouts, limits, the order of checks and the end codes stay. A test that set ENDLESS even where it did not exist now fails if the constant is missing.

--- /dev/null
+++ b/query_gateway/engine_protocol/connection.py
@@ -0,0 +1,224 @@
+"""One connection to an engine: dialled on demand, many attempts in flight at once."""
+
+import math
+from collections.abc import Generator
+from typing import TYPE_CHECKING
+
+from query_gateway.engine_protocol import frames
+from query_gateway.engine_protocol.open_attempt import OpenAttempt, encode_attempt
+from query_gateway.engine_protocol.response_handler import ResponseHandler
+from query_gateway.forwarder.messages import AttemptHandle, Endpoint
+from query_gateway.model.events import OutcomeCode
+from query_gateway.net.loop import Task
+from query_gateway.net.stream import Reason, Stream, address_of
+
+if TYPE_CHECKING:
+    from query_gateway.engine_protocol.pool import ConnectionPool
+
+MAX_CANCELLED_IDS = 4_096  # ids of attempts whose late responses may still come; then the connection retires
+MAX_OUTBOX_BYTES = 4_194_304  # that an engine may leave unread before it gets no more
+# Progress intervals without a byte, though an attempt is in flight: first nothing new is sent, then the
+# connection is given up
+SUSPECT_INTERVALS = 1.2
+UNRESPONSIVE_INTERVALS = 1.6
+STALL_TIMEOUT_SECONDS = 0.3  # without a byte within a response, or while a page is due
+RESPONSE_TIMEOUT_SECONDS = 2.0  # until a response that began is complete, whatever else comes meanwhile
+
+
+class EngineConnection:
+    """One connection and the attempts in flight on it; owns its stream.
+
+    It is dialling until `established`, then takes attempts until it is `retired` or its stream is over.
+    Every attempt it was given ends once, by `finish` or with the connection, unless it is withdrawn or
+    cancelled before. Times are loop times in seconds.
+    """
+
+    def __init__(self, pool: "ConnectionPool", engine: str, endpoint: Endpoint) -> None:
+        """Begin to dial; raises OSError when no descriptor is left."""
+        self.pool, self.loop, self.engine = pool, pool.loop, engine
+        self.open: dict[str, OpenAttempt] = {}  # by client id, oldest first
+        self.cancelled_ids: dict[str, None] = {}
+        self.retired = False  # takes no more attempts, closes after the last
+        # Whether requests are written as they are given. It follows the stream's `connected`: in between,
+        # requests still queue for the coroutine, so that each is written only once
+        self.established = False
+        self.last_heard_at = self.last_used_at = self.loop.now()
+        self.last_frame_end_at = self.last_heard_at  # when no response was incomplete, or one was completed
+        self.decoder = frames.FrameDecoder()
+        self.responses = ResponseHandler(self)
+        self.dial_deadline = self.loop.now() + pool.dial_timeout
+        address = endpoint.addresses["web"]
+        description = f"engine {engine} {address}"
+        self.stream = Stream.dial(self.loop, address_of(address), description, lambda: self.task.wake())
+        self.task: Task = self.loop.spawn(self._run())
+
+    def can_take(self, client_id: str) -> bool:
+        """Whether one more attempt fits, and no response to an earlier one of its request can reach it."""
+        now = self.loop.now()
+        if self.established:
+            # A request that is written behind the engine's close would count as possibly executed
+            self.stream.read_available()
+        stale = not self.open and now - self.last_used_at > self.pool.idle_timeout
+        if self.retired or self.stream.is_over or stale or len(self.stream.outbox) > MAX_OUTBOX_BYTES:
+            return False
+        if self.established and now >= (self._response_deadline(SUSPECT_INTERVALS) or math.inf):
+            return False
+        if self.decoder.partial and not self.open:
+            return False  # its response would be appended to half a line that belongs to nothing
+        return (
+            len(self.open) < self.pool.streams_per_connection
+            and client_id not in self.open
+            and client_id not in self.cancelled_ids
+        )
+
+    def send(self, attempt: AttemptHandle) -> None:
+        """Start an attempt, at once or when the connection is established."""
+        self.last_used_at = self.loop.now()
+        entry = self.open[attempt.request.client_id] = OpenAttempt(attempt, self.last_used_at)
+        if self.established:
+            self._write_request(entry)
+        self.task.wake()  # its response deadline runs from now
+
+    def _write_request(self, entry: OpenAttempt) -> None:
+        data = encode_attempt(entry.attempt, self.pool.clock())
+        self.stream.write(data)
+        entry.write_mark = self.stream.call_when_sent(entry.on_request_sent, len(data))
+
+    def withdraw(self, client_id: str) -> bool:
+        """Remove an attempt if not a byte of it has left; whether that was so."""
+        entry = self.open.get(client_id)
+        if entry is None:
+            return False
+        if self.established and not (entry.write_mark and self.stream.withdraw(entry.write_mark)):
+            return False
+        del self.open[client_id]
+        self.task.wake()
+        return True
+
+    def cancel(self, client_id: str) -> None:
+        """Stop an attempt; its late responses change nothing."""
+        if self.open.pop(client_id, None) is None:
+            return
+        if self.established:
+            self._remember_cancelled(client_id)
+            self.stream.write(frames.encode_stop(client_id))
+        self.task.wake()
+
+    def _remember_cancelled(self, client_id: str) -> None:
+        self.cancelled_ids[client_id] = None
+        self.retired |= len(self.cancelled_ids) > MAX_CANCELLED_IDS
+
+    def set_priority(self, client_id: str, priority: int) -> None:
+        """Change an attempt's priority at the engine, if it is there already."""
+        if client_id in self.open and self.established:
+            self.stream.write(frames.encode_priority(client_id, priority))
+
+    def finish(self, client_id: str, outcome: OutcomeCode) -> None:
+        """End an attempt with its outcome."""
+        entry = self.open.pop(client_id)
+        if outcome is not OutcomeCode.OK:
+            self._remember_cancelled(client_id)  # a second copy of this end must not reach the next attempt
+        self.pool.by_client_id.pop(client_id, None)
+        self.last_used_at = self.loop.now()
+        entry.attempt.on_ended(outcome)
+
+    def fail_malformed(self, client_id: str) -> None:
+        """End an attempt whose response cannot be read, and retire: the next one may be as unreadable."""
+        self.retired = True
+        self.finish(client_id, OutcomeCode.ERROR)
+
+    # ---- the coroutine
+
+    def _run(self) -> Generator[float | None, None, None]:
+        reason, outcome = Reason.FAULT, OutcomeCode.RESET
+        try:
+            failure = yield from self._connect()
+            if failure:
+                reason, outcome = failure, OutcomeCode.CONNECT_FAILED
+            else:
+                reason = yield from self._serve()
+        finally:
+            self.stream.close(reason)
+            self.pool.forget(self)
+            for entry in list(self.open.values()):
+                # A request that had not been sent completely never ran, and the engine is not at fault for it
+                sent_or_dialling = entry.request_sent or not self.established
+                entry.attempt.on_ended(outcome if sent_or_dialling else OutcomeCode.NOT_SENT)
+            self.open.clear()
+
+    def _connect(self) -> Generator[float | None, None, Reason | None]:
+        """Wait for the dial and write what waits for it; a reason if the dial failed or is not needed."""
+        while not self.stream.connected:
+            if self.stream.dial_refused or self.stream.eof:
+                return Reason.DIAL_REFUSED
+            if self.loop.now() >= self.dial_deadline:
+                return Reason.DIAL_TIMEOUT
+            if not self.open:
+                return Reason.ABANDONED
+            yield self.dial_deadline
+        self.established = True
+        for entry in self.open.values():
+            self._write_request(entry)
+        self.last_heard_at = self.loop.now()
+        return None
+
+    def _serve(self) -> Generator[float | None, None, Reason]:
+        """Handle responses until the connection ends; the reason."""
+        while True:
+            if self.stream.inbox and not self._read_responses():
+                return Reason.MALFORMED_RESPONSE
+            if self.stream.eof:
+                return Reason.RESET if self.stream.reset else Reason.PEER_CLOSED
+            deadline = self._response_deadline(UNRESPONSIVE_INTERVALS)
+            if deadline and self.loop.now() >= deadline:
+                return Reason.UNRESPONSIVE
+            if not self.open:
+                if self.retired:
+                    return Reason.REPLACED
+                deadline = self.last_used_at + self.pool.idle_timeout
+                if self.loop.now() >= deadline:
+                    return Reason.IDLE
+            yield deadline
+
+    def _read_responses(self) -> bool:
+        """Handle what was read; False if the connection is of no more use."""
+        self.last_heard_at = self.loop.now()
+        if not self.decoder.partial:
+            self.last_frame_end_at = self.last_heard_at
+        try:
+            received = self.decoder.feed(self.stream.take_inbox())
+        except frames.FrameError:
+            return False
+        for frame in received:
+            self.responses.handle(frame)
+        if received:
+            self.last_frame_end_at = self.last_heard_at
+        return self._end_overlong_responses()
+
+    def _response_deadline(self, progress_intervals: float) -> float | None:
+        """Until when a byte must come; None if none is due.
+
+        Finds a connection that stays open and is of no use: within a response or with a page due something
+        comes at once, and while an attempt is in flight the engine reports its progress now and then.
+        """
+        if self.decoder.partial:
+            return self.last_heard_at + STALL_TIMEOUT_SECONDS
+        entries = self.open.values()
+        page_times = [entry.last_page_at for entry in entries if entry.last_page_at is not None]
+        deadlines = [max(self.last_heard_at, min(page_times)) + STALL_TIMEOUT_SECONDS] if page_times else []
+        interval = self.pool.progress_interval
+        if self.open and interval:
+            oldest = next(iter(entries)).assigned_at
+            deadlines.append(max(self.last_heard_at, oldest) + interval * progress_intervals)
+        return min(deadlines, default=None)
+
+    def _end_overlong_responses(self) -> bool:
+        """End attempts whose response began too long ago; False if an incomplete frame did.
+
+        While bytes keep coming no response deadline passes, so a response without an end would not be found.
+        """
+        latest_start = self.last_heard_at - RESPONSE_TIMEOUT_SECONDS
+        for client_id, entry in list(self.open.items()):
+            if entry.last_page_at is not None and entry.response_started_at <= latest_start:
+                self.fail_malformed(client_id)
+        return not (self.decoder.partial and self.last_frame_end_at <= latest_start)
--- a/query_gateway/engine_protocol/frames.py
+++ b/query_gateway/engine_protocol/frames.py
@@ -1,108 +1,170 @@
-"""The engines' wire: lines of words ended by CR LF, some followed by so many bytes."""
-
-from dataclasses import dataclass, field
-
-LINE = 4_096  # bytes of one line
-BODY = 1_048_576  # bytes that may follow one
-WORDS = frozenset(("ok", "refused", "error", "stale", "progress", "batch", "yes", "no"))
+"""The engines' line protocol: lines of words ended by CR LF, some followed by a body of so many bytes.
 
+Bytes in, frames out; knows no connection. The words of the protocol are named here and nowhere else.
+"""
 
-class BadFrame(Exception):
-    """Bytes that are no answer of an engine."""
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+MAX_LINE_BYTES = 4_096
+MAX_BODY_BYTES = 1_048_576
+MAX_LENGTH_DIGITS = 7
+LINE_END = b"\r\n"
+NO_FIELDS = "-"
+
+# Words that begin our lines
+REQUEST = "REQ"
+STOP = "STOP"
+SET_PRIORITY = "NICE"
+FETCH_PAGE = "FETCH"
+END_RESULT = "END"
+
+# Second words of an engine's lines
+OK = "ok"
+REFUSED = "refused"
+ERROR = "error"
+STALE = "stale"
+PROGRESS = "progress"
+PAGE = "batch"
+YES = "yes"
+NO = "no"
+RESPONSE_WORDS = frozenset((OK, REFUSED, ERROR, STALE, PROGRESS, PAGE, YES, NO))
+
+# Fields of a request, in the order in which they are sent
+CLASS_FIELD = "queue"
+BUDGET_MS_FIELD = "budget"
+IDEMPOTENCY_KEY_FIELD = "uniq"
+MEMORY_MB_FIELD = "allot"
+PRIORITY_FIELD = "urgency"
+
+# Fields of an engine's lines
+PAGE_COUNT_FIELD = "sheets"
+PAGE_NUMBER_FIELD = "sheet"
+PROGRESS_KIND_FIELD = "detail"
+PROGRESS_LEVEL_FIELD = "val"
+
+
+class FrameError(Exception):
+    """Bytes that are no response of an engine; the text says what is wrong with them."""
 
 
 @dataclass(slots=True, frozen=True)
 class Frame:
-    name: str
+    """One response line with its body. `client_id` names the request that it belongs to."""
+
+    client_id: str
     word: str
     fields: dict[str, str] = field(default_factory=dict)
     data: bytes = b""
 
 
-def _fields(text: str) -> dict[str, str]:
-    if text == "-":
-        return {}
-    out = {}
-    for pair in text.split(","):
-        name, mark, value = pair.partition("=")
-        if not mark or not name:
-            raise BadFrame(f"{pair[:40]!r} is not name=value")
-        out[name] = value
-    return out
+class _FrameHead(NamedTuple):
+    client_id: str
+    word: str
+    fields: dict[str, str]
+    body_length: int
 
 
-def request(name: str, fields: dict[str, str], statement: bytes) -> bytes:
-    told = ",".join(f"{k}={v}" for k, v in fields.items()) or "-"
-    return b"REQ %b %b %d\r\n%b\r\n" % (name.encode(), told.encode(), len(statement), statement)
+def encode_request(client_id: str, fields: dict[str, str], statement: bytes) -> bytes:
+    """Start a request; the fields say how it is to run."""
+    pairs = ",".join(f"{name}={value}" for name, value in fields.items()) or NO_FIELDS
+    head = f"{REQUEST} {client_id} {pairs} {len(statement)}".encode()
+    return b"%b\r\n%b\r\n" % (head, statement)
 
 
-def stop(name: str) -> bytes:
-    return f"STOP {name}\r\n".encode()
+def encode_stop(client_id: str) -> bytes:
+    """Stop a request that runs or waits."""
+    return f"{STOP} {client_id}\r\n".encode()
 
 
-def nice(name: str, priority: int) -> bytes:
-    return f"NICE {name} {priority}\r\n".encode()
+def encode_priority(client_id: str, priority: int) -> bytes:
+    """Change the priority of a request that runs or waits."""
+    return f"{SET_PRIORITY} {client_id} {priority}\r\n".encode()
 
 
-def fetch(name: str, page: int) -> bytes:
-    return f"FETCH {name} {page}\r\n".encode()
+def encode_fetch(client_id: str, page_number: int) -> bytes:
+    """Fetch one page of a result; page 0 comes with the first response."""
+    return f"{FETCH_PAGE} {client_id} {page_number}\r\n".encode()
 
 
-def end(name: str) -> bytes:
-    return f"END {name}\r\n".encode()
+def encode_end(client_id: str) -> bytes:
+    """Release a result of several pages, all of which have come."""
+    return f"{END_RESULT} {client_id}\r\n".encode()
 
 
-class Decoder:
-    """Bytes in, whole frames out; what is not yet whole is kept, and no more than one frame of it."""
+class FrameDecoder:
+    """Bytes in, complete frames out; buffers no more than one incomplete frame."""
 
     def __init__(self) -> None:
+        """Begin at the start of a line."""
         self.buffer = bytearray()
-        self.head: tuple[str, str, dict[str, str], int] | None = None
+        self._head: _FrameHead | None = None  # of the frame whose body is incomplete
 
     @property
     def partial(self) -> bool:
-        return self.head is not None or bool(self.buffer)
+        """Whether a frame has begun and is not complete."""
+        return self._head is not None or bool(self.buffer)
 
     def feed(self, data: bytes) -> list[Frame]:
+        """All frames that are complete now; raises FrameError, after which the decoder is of no more use."""
         self.buffer += data
-        out: list[Frame] = []
-        while (frame := self._next()) is not None:
-            out.append(frame)
-        return out
-
-    def _next(self) -> Frame | None:
-        while self.head is None:
-            at = self.buffer.find(b"\n")
-            if at < 0 or at > LINE:
-                if at > LINE or len(self.buffer) > LINE:
-                    raise BadFrame("a line is too long")
+        frames: list[Frame] = []
+        while (frame := self._next_frame()) is not None:
+            frames.append(frame)
+        return frames
+
+    def _next_frame(self) -> Frame | None:
+        while self._head is None:
+            line = self._next_line()
+            if line is None:
                 return None
-            line = bytes(self.buffer[:at])
-            del self.buffer[: at + 1]
             if line not in (b"", b"\r"):
-                self.head = self._head(line)
-        name, word, fields, length = self.head
-        if length and len(self.buffer) < length + 2:
+                self._head = _decode_head(line)
+        client_id, word, fields, length = self._head
+        if length and len(self.buffer) < length + len(LINE_END):
             return None
-        data = bytes(self.buffer[:length])
+        body = bytes(self.buffer[:length])
         if length:
-            if self.buffer[length : length + 2] != b"\r\n":
-                raise BadFrame("no CR LF behind the bytes")
-            del self.buffer[: length + 2]
-        self.head = None
-        return Frame(name, word, fields, data)
-
-    @staticmethod
-    def _head(line: bytes) -> tuple[str, str, dict[str, str], int]:
-        if not line.endswith(b"\r"):
-            raise BadFrame("a line ends without CR")
-        try:
-            words = line[:-1].decode("ascii").split(" ")
-        except UnicodeDecodeError:
-            raise BadFrame("a line is not ASCII") from None
-        if len(words) != 4 or words[1] not in WORDS:
-            raise BadFrame(f"{line[:60]!r} is no answer")
-        length = words[3]
-        if not length.isdigit() or len(length) > 7 or int(length) > BODY:
-            raise BadFrame("the length is no number or too long")
-        return words[0], words[1], _fields(words[2]), int(length)
+            if self.buffer[length : length + len(LINE_END)] != LINE_END:
+                raise FrameError("no CR LF behind the body")
+            del self.buffer[: length + len(LINE_END)]
+        self._head = None
+        return Frame(client_id, word, fields, body)
+
+    def _next_line(self) -> bytes | None:
+        """The next line without its line feed, None if it is not complete."""
+        length = self.buffer.find(b"\n")
+        if length > MAX_LINE_BYTES or (length < 0 and len(self.buffer) > MAX_LINE_BYTES):
+            raise FrameError("a line is too long")
+        if length < 0:
+            return None
+        line = bytes(self.buffer[:length])
+        del self.buffer[: length + 1]
+        return line
+
+
+def _decode_head(line: bytes) -> _FrameHead:
+    if not line.endswith(b"\r"):
+        raise FrameError("a line ends without CR")
+    try:
+        words = line[:-1].decode("ascii").split(" ")
+    except UnicodeDecodeError:
+        raise FrameError("a line is not ASCII") from None
+    if len(words) != 4 or words[1] not in RESPONSE_WORDS:
+        raise FrameError(f"{line[:60]!r} is no response")
+    client_id, word, fields, length = words
+    if not length.isdigit() or len(length) > MAX_LENGTH_DIGITS or int(length) > MAX_BODY_BYTES:
+        raise FrameError("the length is no number or too large")
+    return _FrameHead(client_id, word, _decode_fields(fields), int(length))
+
+
+def _decode_fields(text: str) -> dict[str, str]:
+    if text == NO_FIELDS:
+        return {}
+    fields = {}
+    for pair in text.split(","):
+        name, separator, value = pair.partition("=")
+        if not separator or not name:
+            raise FrameError(f"{pair[:40]!r} is not name=value")
+        fields[name] = value
+    return fields
--- /dev/null
+++ b/query_gateway/engine_protocol/open_attempt.py
@@ -0,0 +1,60 @@
+"""An attempt that is in flight on an engine's connection, and its request as the engine reads it."""
+
+from query_gateway.engine_protocol import frames
+from query_gateway.engine_protocol.results import MAX_RESULT_BYTES
+from query_gateway.forwarder.messages import AttemptHandle
+from query_gateway.net.stream import WriteMark
+
+NANOSECONDS_PER_MS = 1_000_000
+
+
+class OpenAttempt:
+    """An attempt in flight, with the pages that have come. Times are loop times in seconds."""
+
+    __slots__ = (
+        "attempt", "assigned_at", "write_mark", "request_sent", "page_count", "pages", "response_started_at",
+        "last_page_at",
+    )  # fmt: skip
+
+    def __init__(self, attempt: AttemptHandle, assigned_at: float) -> None:
+        """`assigned_at`: when the attempt was given to the connection, which may still be dialling."""
+        self.attempt, self.assigned_at = attempt, assigned_at
+        self.write_mark: WriteMark | None = None  # of the request, while it is queued here
+        self.request_sent = False  # to the last byte
+        self.page_count = 0
+        self.pages: dict[int, bytes] = {}  # by number
+        self.response_started_at = 0.0
+        self.last_page_at: float | None = None  # the first page comes with the response itself
+
+    def on_request_sent(self) -> None:
+        """The machine has taken the request to its last byte."""
+        self.request_sent, self.write_mark = True, None
+        self.attempt.on_written()
+
+    def add_page(self, number: int, page: bytes, now: float) -> None:
+        """Keep a page; a repeated one changes nothing but the time of the last page."""
+        self.pages.setdefault(number, page)
+        self.last_page_at = now
+
+    @property
+    def has_all_pages(self) -> bool:
+        """Whether the result is complete."""
+        return len(self.pages) >= self.page_count
+
+    @property
+    def is_too_large(self) -> bool:
+        """Whether the pages together exceed what a result may have."""
+        return sum(len(page) for page in self.pages.values()) > MAX_RESULT_BYTES
+
+
+def encode_attempt(attempt: AttemptHandle, now: int) -> bytes:
+    """The request that starts an attempt at clock time `now` (nanoseconds)."""
+    request = attempt.request
+    budget_ms = max(1, (request.deadline - now) // NANOSECONDS_PER_MS)
+    fields = {frames.CLASS_FIELD: request.class_name, frames.BUDGET_MS_FIELD: str(budget_ms)}
+    if request.idempotency_key:
+        fields[frames.IDEMPOTENCY_KEY_FIELD] = request.idempotency_key
+    if attempt.memory_mb > 0:
+        fields[frames.MEMORY_MB_FIELD] = f"{attempt.memory_mb:g}"
+    fields[frames.PRIORITY_FIELD] = str(attempt.priority)
+    return frames.encode_request(request.client_id, fields, request.statement)
--- /dev/null
+++ b/query_gateway/engine_protocol/pool.py
@@ -0,0 +1,131 @@
+"""The connections to every engine, and which of them an attempt uses."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from query_gateway.engine_protocol.connection import EngineConnection
+from query_gateway.forwarder.messages import AttemptHandle, Endpoint
+from query_gateway.model.endpoints import EndpointState
+from query_gateway.model.events import OutcomeCode
+from query_gateway.net.loop import Loop
+
+# Of the engines' idle timeout, after which we close first, so that no request crosses an engine's close
+IDLE_TIMEOUT_SHARE = 0.8
+
+
+@dataclass(slots=True, frozen=True)
+class ConnectionLimits:
+    """What the platform says of connections to engines. Times are in seconds."""
+
+    streams_per_connection: int
+    dial_timeout: float
+    idle_timeout: float  # after which engines close
+    progress_interval: float  # of engines' progress reports; 0: they report none
+
+
+class ConnectionPool:
+    """Every engine's connections. Owns them; the attempts belong to the forwarder."""
+
+    streams_results = False
+
+    def __init__(self, loop: Loop, clock: Callable[[], int], limits: ConnectionLimits) -> None:
+        """`clock` tells the time in nanoseconds, as the requests' deadlines do."""
+        self.loop, self.clock = loop, clock
+        self.update_limits(limits)
+        self.endpoints: dict[str, Endpoint] = {}  # by engine
+        self.connections: dict[str, list[EngineConnection]] = {}  # by engine
+        self.by_client_id: dict[str, EngineConnection] = {}  # connections of the attempts in flight
+
+    def update_limits(self, limits: ConnectionLimits) -> None:
+        """Apply new limits, to open connections as well."""
+        self.streams_per_connection = limits.streams_per_connection
+        self.dial_timeout = limits.dial_timeout
+        self.idle_timeout = limits.idle_timeout * IDLE_TIMEOUT_SHARE  # after which we close
+        self.progress_interval = limits.progress_interval
+
+    def start(self, attempt: AttemptHandle) -> None:
+        """Send an attempt; it ends as not sent if the engine is unknown or no connection can be made."""
+        engine, client_id = attempt.endpoint, attempt.request.client_id
+        endpoint = self.endpoints.get(engine)
+        if endpoint is None or "web" not in endpoint.addresses or client_id in self.by_client_id:
+            attempt.on_ended(OutcomeCode.NOT_SENT)
+            return
+        connections = self.connections.setdefault(engine, [])
+        connection = next((candidate for candidate in connections if candidate.can_take(client_id)), None)
+        if connection is None:
+            try:
+                connection = EngineConnection(self, engine, endpoint)
+            except OSError:  # out of descriptors
+                attempt.on_ended(OutcomeCode.NOT_SENT)
+                return
+            connections.append(connection)
+        self.by_client_id[client_id] = connection
+        connection.send(attempt)
+
+    def withdraw(self, attempt: AttemptHandle) -> bool:
+        """Take an attempt back if nothing of it has left; whether that was so."""
+        client_id = attempt.request.client_id
+        connection = self.by_client_id.get(client_id)
+        if connection is None or not connection.withdraw(client_id):
+            return False
+        del self.by_client_id[client_id]
+        return True
+
+    def cancel(self, attempt: AttemptHandle) -> None:
+        """Stop an attempt that is in flight; it will not be ended here."""
+        if connection := self.by_client_id.pop(attempt.request.client_id, None):
+            connection.cancel(attempt.request.client_id)
+
+    def set_priority(self, attempt: AttemptHandle) -> None:
+        """Pass on an attempt's changed priority."""
+        if connection := self.by_client_id.get(attempt.request.client_id):
+            connection.set_priority(attempt.request.client_id, attempt.priority)
+
+    def forget(self, connection: EngineConnection) -> None:
+        """Drop a connection that has ended; engines without one leave the table."""
+        connections = self.connections.get(connection.engine, [])
+        if connection in connections:
+            connections.remove(connection)
+        if not connections:
+            self.connections.pop(connection.engine, None)
+        ended = [client_id for client_id, used in self.by_client_id.items() if used is connection]
+        for client_id in ended:
+            del self.by_client_id[client_id]
+
+    def update_endpoints(self, endpoints: list[Endpoint], is_snapshot: bool) -> None:
+        """Apply a change of the endpoint list; engines that a snapshot lacks are retired."""
+        if is_snapshot:
+            listed = {endpoint.info.name for endpoint in endpoints}
+            for engine in [engine for engine in self.endpoints if engine not in listed]:
+                self._retire(engine)
+        for endpoint in endpoints:
+            self._update_endpoint(endpoint)
+
+    def _update_endpoint(self, endpoint: Endpoint) -> None:
+        engine = endpoint.info.name
+        known = self.endpoints.get(engine)
+        restarted_or_moved = (
+            known is None
+            or known.info.started_at != endpoint.info.started_at
+            or known.addresses != endpoint.addresses
+        )
+        if endpoint.info.state is not EndpointState.UP or restarted_or_moved:
+            # Its connections may lead to a process that has ended, and what waits for a dial must not be sent
+            # to an engine that is draining
+            self._retire(engine)
+        if endpoint.info.state is EndpointState.REMOVED:
+            self.endpoints.pop(engine, None)
+        else:
+            self.endpoints[engine] = endpoint
+
+    def _retire(self, engine: str) -> None:
+        """Send nothing more on an engine's connections, and take back what has not left yet."""
+        self.endpoints.pop(engine, None)
+        for connection in list(self.connections.get(engine, [])):
+            connection.retired = True
+            for entry in list(connection.open.values()):
+                if self.withdraw(entry.attempt):
+                    entry.attempt.on_ended(OutcomeCode.CONNECT_FAILED)
+            connection.task.wake()
+        if not self.connections.get(engine):
+            self.connections.pop(engine, None)
--- a/query_gateway/gateway.py
+++ b/query_gateway/gateway.py
@@ -29,7 +29,7 @@
     follow,
 )
 from query_gateway.discovery.watch_client import EndpointWatchClient
-from query_gateway.engine_protocol.client import ConnectionPool
+from query_gateway.engine_protocol.pool import ConnectionLimits, ConnectionPool
 from query_gateway.forwarder.class_numbers import laid_out, numbered
 from query_gateway.forwarder.exchange import Forwarder
 from query_gateway.forwarder.messages import EjectedEndpoints, RequestClass, RequestClasses, Verdict
@@ -124,8 +124,10 @@
         for name in config.classes:
             self.forwarder.counters.add_class(name)
         period = config.settings.progress_interval / 1e9
-        limits = config.streams_per_connection, config.dial_timeout, config.connection_idle_timeout
-        self.engine_pool = ConnectionPool(loop, time.time_ns, *limits, period)
+        limits = ConnectionLimits(
+            config.streams_per_connection, config.dial_timeout, config.connection_idle_timeout, period
+        )
+        self.engine_pool = ConnectionPool(loop, time.time_ns, limits)
         self.forwarder.engine_clients["web"] = self.engine_pool
         self.avoided: dict[int, tuple[str, ...]] = {}  # by planner, where they are processes of their own
         self.planner_clients = [self._remote(link, at) for link, at in enumerate(operator.planner_addresses)]
@@ -371,9 +373,10 @@
         config = self.config
         self.forwarder.max_exchanges = min(config.max_open_requests, MOST_OPEN)
         progress = config.settings.progress_interval / 1e9
-        self.engine_pool.update_limits(
+        limits = ConnectionLimits(
             config.streams_per_connection, config.dial_timeout, config.connection_idle_timeout, progress
         )
+        self.engine_pool.update_limits(limits)
         if self.flight_pool:
             self.flight_pool.dial_timeout = config.dial_timeout
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -211,7 +211,8 @@
         engine.let_up()
         until(
             lambda: (
-                not gate.engine_pool.connections or all(c.live for c in gate.engine_pool.connections["e0"])
+                not gate.engine_pool.connections
+                or all(c.established for c in gate.engine_pool.connections["e0"])
             )
         )
         go.set()
@@ -253,9 +254,9 @@
         stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
         while not stream.outbox:
             open_.append(ask(gate, big))
-            until(lambda: len(gate.engine_pool.where) == len(open_))
+            until(lambda: len(gate.engine_pool.by_client_id) == len(open_))
         victim = ask(gate, GONE)
-        until(lambda: len(gate.engine_pool.where) == len(open_) + 1)
+        until(lambda: len(gate.engine_pool.by_client_id) == len(open_) + 1)
         leave(gate, victim)
         engine.reads.set()
         assert open_[-1].recv(65_536).startswith(b"HTTP/1.1 200")
@@ -507,7 +508,7 @@
 
 def test_half_a_line_on_a_resting_connection_spoils_no_answer(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards a class that may not be repeated: its answer was glued to what was no answer."""
-    monkeypatch.setattr("query_gateway.engine_protocol.client.STALLED", 600.0)
+    monkeypatch.setattr("query_gateway.engine_protocol.connection.STALL_TIMEOUT_SECONDS", 600.0)
     engine = Engine()
     with running(engine, settings=unsafe()) as gate:
         assert post(gate, "lookup", SQL, ttl=600_000)[0] == 200
@@ -523,8 +524,8 @@
     how: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards the client: with each byte the patience began anew, to the end of its time."""
-    monkeypatch.setattr("query_gateway.engine_protocol.client.ENDLESS", 0.2, raising=False)
-    monkeypatch.setattr("query_gateway.engine_protocol.client.STALLED", 600.0)
+    monkeypatch.setattr("query_gateway.engine_protocol.connection.RESPONSE_TIMEOUT_SECONDS", 0.2)
+    monkeypatch.setattr("query_gateway.engine_protocol.connection.STALL_TIMEOUT_SECONDS", 600.0)
     engine = Endless(how)
     with running(engine, settings=tuned()) as gate:
         assert post(gate, "lookup", SQL, ttl=600_000)[1] == {"rows": ROWS}
@@ -543,9 +544,9 @@
         stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
         while not stream.outbox:
             open_.append(ask(gate, big))
-            until(lambda: len(gate.engine_pool.where) == len(open_))
+            until(lambda: len(gate.engine_pool.by_client_id) == len(open_))
         report = beside.submit(post, gate, "report", SQL, ttl=600_000)
-        until(lambda: len(gate.engine_pool.where) == len(open_) + 1)
+        until(lambda: len(gate.engine_pool.by_client_id) == len(open_) + 1)
         engine.hang_up()
         engine.reads.set()
         assert report.result()[1] == {"rows": ROWS}
@@ -580,9 +581,9 @@
         stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
         while not stream.outbox:
             open_.append(ask(gate, big))
-            until(lambda: len(gate.engine_pool.where) == len(open_))
+            until(lambda: len(gate.engine_pool.by_client_id) == len(open_))
         waiting = beside.submit(post, gate, "lookup", SQL, ttl=600_000)
-        until(lambda: len(gate.engine_pool.where) == len(open_) + 1)
+        until(lambda: len(gate.engine_pool.by_client_id) == len(open_) + 1)
         news = [host(engine, "e0", "draining"), host(other, "e1")]
         raw = {"pos": 2, "entries": [{"pos": 2, "hosts": {"seq": 2, "whole": False, "hosts": news}}]}
         gate.loop.call_soon(lambda: gate.take_list(raw))
@@ -1040,7 +1041,7 @@
             assert resting.recv(65_536) == b""
         resting.close()
         until(lambda: gate.hot_upgrade and not gate.hot_upgrade.successor)
-        engine._say(engine.socks[0], f"{next(iter(gate.engine_pool.where))} ok sheets=1", "0\tx\ty\n")
+        engine._say(engine.socks[0], f"{next(iter(gate.engine_pool.by_client_id))} ok sheets=1", "0\tx\ty\n")
         assert waiting.result()[1] == {"rows": ROWS[:1]}
 
 
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -424,20 +424,20 @@
 @steady
 @given(st.lists(st.sampled_from(FRAMES), max_size=8), st.lists(st.integers(1, 9), max_size=40))
 def test_cut_frames_decode_the_same(parts: list[bytes], cuts: list[int]) -> None:
-    data, decoder, got = b"".join(parts), frames.Decoder(), []
+    data, decoder, got = b"".join(parts), frames.FrameDecoder(), []
     for cut in [*cuts, len(data)]:
         got += decoder.feed(data[:cut])
         data = data[cut:]
-    assert got == [frame for part in parts for frame in frames.Decoder().feed(part)]
+    assert got == [frame for part in parts for frame in frames.FrameDecoder().feed(part)]
 
 
 @steady
 @given(st.binary(max_size=200))
 def test_garbage_frames_are_refused_or_wait(noise: bytes) -> None:
-    decoder = frames.Decoder()
+    decoder = frames.FrameDecoder()
     try:
         decoder.feed(noise)
-    except frames.BadFrame:
+    except frames.FrameError:
         return
     assert len(decoder.buffer) <= len(noise)
 
