Name the second address's server, connections and figures after what they are

Cause: Server, Caller, ROOM and the log kind ops said nothing of the admin address. The text of answers and figures stays.

--- a/query_gateway/gateway.py
+++ b/query_gateway/gateway.py
@@ -8,9 +8,8 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
-from query_gateway.admin.figures import rendered
-from query_gateway.admin.server import ROOM
-from query_gateway.admin.server import Server as OpsServer
+from query_gateway.admin.figures import render_figures
+from query_gateway.admin.server import RESERVED_DESCRIPTORS, AdminServer
 from query_gateway.bgp.session import Session as BgpSession
 from query_gateway.configuration.platform import (
     Configuration,
@@ -144,7 +143,11 @@
         self._hold(last, changes)  # as the configuration says: the service is asked for what comes after
         # Engines, the journal and the loop keep a part of the descriptors; a second front halves the rest
         sockets = config.max_descriptors // max(1, operator.forwarder_count)
-        clients = sockets - min(sockets // 2, max(64, sockets // 4)) - (ROOM if config.admin_address else 0)
+        clients = (
+            sockets
+            - min(sockets // 2, max(64, sockets // 4))
+            - (RESERVED_DESCRIPTORS if config.admin_address else 0)
+        )
         fronts = 2 if operator.flight_address else 1
         most = self.most = max(1, clients // fronts)
         # Where a successor cannot be given our listener, it must be able to listen beside it
@@ -168,7 +171,7 @@
         self.bgp = None if legacy else self._bgp()
         self.readiness.watchers.append(self._announce)
         self.admin_server = (
-            OpsServer(loop, config.admin_address, self.readiness, self.figures)
+            AdminServer(loop, config.admin_address, self.readiness, self.figures)
             if config.admin_address
             else None
         )
@@ -236,7 +239,9 @@
             avoided |= set(self.planner.ejected_endpoints())
         listed = self.forwarder.endpoints
         ejected = sum(name in listed for name in avoided)
-        told = rendered(self.forwarder.counters, self.forwarder.open_request_count, len(listed), ejected)
+        told = render_figures(
+            self.forwarder.counters, self.forwarder.open_request_count, len(listed), ejected
+        )
         return told + (self.statements.figures() if self.statements else [])
 
     def alarm(self, when: int, call: Any) -> Timer:
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from query_gateway.admin.server import CALLERS, Server
+from query_gateway.admin.server import MAX_CONNECTIONS, AdminServer
 from query_gateway.configuration.platform import ConfigurationError, OperatorSettings, config_of, operator_of
 from query_gateway.forwarder.readiness import Phase, Readiness
 from query_gateway.gateway import Gateway
@@ -32,7 +32,7 @@
     return {name: int(value) for name, value in (line.rsplit(" ", 1) for line in lines[1:-1])}
 
 
-def ops(gate: Gateway) -> Server:
+def ops(gate: Gateway) -> AdminServer:
     assert gate.admin_server
     return gate.admin_server
 
@@ -48,9 +48,9 @@
 
 def test_callers_who_finish_no_call_keep_nobody_out() -> None:
     with running(Engine(), **OPS) as gate:
-        crowd = [socket.create_connection(ops(gate).listener.address) for _ in range(CALLERS + 4)]
+        crowd = [socket.create_connection(ops(gate).listener.address) for _ in range(MAX_CONNECTIONS + 4)]
         assert ask(gate, b"READY\n") == "200 ready\n"
-        assert len(ops(gate).callers) <= CALLERS
+        assert len(ops(gate).connections) <= MAX_CONNECTIONS
         for sock in crowd:
             sock.close()
 
