--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -1,4 +1,4 @@
-"""Stand-ins on loopback for the platform's parties: an engine that answers at once, and a client's call."""
+"""Stand-ins on loopback for the platform's processes: an engine that answers at once, a client's request."""
 
 import contextlib
 import http.client
@@ -50,8 +50,10 @@
 
 
 class Engine:
-    """Speaks the engines' lines. `script` says how each REQ of a statement goes: ok, error, refused, reset,
-    mute, torn, spoilt, pageless (no page after the first), or twice (with a word under an unknown id ahead).
+    """Speaks the engines' line protocol. `script` says how each REQ of a statement goes.
+
+    Steps: ok, error, refused, reset, mute, torn, spoilt, pageless (no page after the first), or twice (with a
+    response under an unknown id ahead).
     """
 
     def __init__(self, pages: int = 3, script: dict[str, list[str]] | None = None) -> None:
@@ -96,8 +98,8 @@
     def _request(self, sock: socket.socket, words: list[str], statement: str) -> None:
         self.statements.append(statement)
         self.fields.append(words[2])
-        how = self.script.get(statement, [])
-        step = how.pop(0) if how else "ok"
+        steps = self.script.get(statement, [])
+        step = steps.pop(0) if steps else "ok"
         if step in ("ok", "twice", "pageless"):
             if step == "twice":
                 self._say(sock, f"{'f' * 16} ok sheets=1", "9\tx\ty\n")
@@ -122,7 +124,7 @@
             return self.heard.wait_for(lambda: self.words.count(word) >= times, 10)
 
     def hang_up(self) -> None:
-        """Close every connection at once, as the machine does: what is unread there makes it a reset."""
+        """Close every connection at once, as the kernel does when a process dies."""
         for sock in self.socks:
             sock.shutdown(socket.SHUT_RDWR)
         self.socks.clear()
@@ -134,11 +136,17 @@
 def post(
     gate: Any, cls: str, statement: str, row: str = "7f3a9c21e0b4d655", ttl: int = 5_000, **headers: str
 ) -> tuple[int, Any, dict[str, str]]:
-    """One call as a client makes it: the status, the answer and its headers."""
+    """One request as a client sends it: the status, the decoded body and the headers."""
     host, port = gate.http_server.listener.address
     connection = http.client.HTTPConnection(host, port, timeout=20)
-    told = {"X-Txn": uuid4().hex[:16], "X-Ttl-Ms": str(ttl), "X-Txn-Key": uuid4().hex, "X-Row": row} | headers
-    connection.request("POST", f"/svc/{cls}", statement, {k.replace("_", "-"): v for k, v in told.items()})
+    named = {
+        "X-Txn": uuid4().hex[:16],
+        "X-Ttl-Ms": str(ttl),
+        "X-Txn-Key": uuid4().hex,
+        "X-Row": row,
+    } | headers
+    sent = {name.replace("_", "-"): value for name, value in named.items()}
+    connection.request("POST", f"/svc/{cls}", statement, sent)
     answer = connection.getresponse()
     body = answer.read()
     connection.close()
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -1,4 +1,4 @@
-"""The second address: its calls, its bounds, and figures that are true."""
+"""The admin server at the second address: its calls, its limits, and figures that are true."""
 
 import socket
 import time
@@ -17,7 +17,7 @@
 from tests.test_local import until
 from tests.test_web import SQL, running
 
-OPS = {"ops": "127.0.0.1:0"}
+WITH_ADMIN = {"ops": "127.0.0.1:0"}
 
 
 def ask(gate: Any, line: bytes) -> str:
@@ -32,13 +32,13 @@
     return {name: int(value) for name, value in (line.rsplit(" ", 1) for line in lines[1:-1])}
 
 
-def ops(gate: Gateway) -> AdminServer:
+def admin_server(gate: Gateway) -> AdminServer:
     assert gate.admin_server
     return gate.admin_server
 
 
-def test_calls_are_known_or_refused() -> None:
-    with running(Engine(), **OPS) as gate:
+def test_known_calls_are_answered_and_others_refused() -> None:
+    with running(Engine(), **WITH_ADMIN) as gate:
         assert ask(gate, b"READY\r\n") == "200 ready\n"
         for line in (b"ready\n", b"\n", b"READY now\n", b"x" * 300, b"\xff\n"):
             assert ask(gate, line).startswith("400 ")
@@ -46,19 +46,21 @@
         assert ask(gate, b"UNDRAIN\n") == "200 ready\n"
 
 
-def test_callers_who_finish_no_call_keep_nobody_out() -> None:
-    with running(Engine(), **OPS) as gate:
-        crowd = [socket.create_connection(ops(gate).listener.address) for _ in range(MAX_CONNECTIONS + 4)]
+def test_connections_that_finish_no_call_are_evicted_at_the_limit() -> None:
+    with running(Engine(), **WITH_ADMIN) as gate:
+        crowd = [
+            socket.create_connection(admin_server(gate).listener.address) for _ in range(MAX_CONNECTIONS + 4)
+        ]
         assert ask(gate, b"READY\n") == "200 ready\n"
-        assert len(ops(gate).connections) <= MAX_CONNECTIONS
+        assert len(admin_server(gate).connections) <= MAX_CONNECTIONS
         for sock in crowd:
             sock.close()
 
 
-def test_the_figures_tell_what_was_answered_sent_and_is_open() -> None:
+def test_the_figures_count_answers_forwards_and_open_requests() -> None:
     refusing, other = "SELECT b FROM lending_7.loans", "SELECT c FROM lending_7.loans"
     engine = Engine(script={refusing: ["error"] * 3, SQL: ["mute"]})
-    with running(engine, **OPS) as gate:
+    with running(engine, **WITH_ADMIN) as gate:
         before = figures(gate)
         assert set(before.values()) == {0, 1} and before["svc_discovered"] == 1
         assert before['svc_succeeded_total{service="report"}'] == 0
@@ -77,8 +79,8 @@
         assert sum(now[f'svc_{end}_total{{service="lookup"}}'] for end in ends) == 5
 
 
-def test_an_attempt_counts_once_its_last_byte_has_left() -> None:
-    """Guards the figure of attempts: what is only queued is not written, and may never be."""
+def test_bytes_count_as_sent_once_the_last_has_left() -> None:
+    """The figure of forwards depends on it: bytes that are only queued may never be sent."""
     loop, said = Loop(), list[int]()
     with socket.create_server(("127.0.0.1", 0)) as listener:
         far = socket.create_connection(listener.getsockname())
@@ -95,7 +97,7 @@
     loop.close()
 
 
-def test_a_stopping_process_is_not_revived() -> None:
+def test_a_stopping_process_never_becomes_ready_again() -> None:
     state, seen = Readiness(), list[Phase]()
     state.watchers.append(lambda: seen.append(state.phase))
     state.start()
@@ -107,29 +109,29 @@
     assert seen == [Phase.READY, Phase.DRAINING, Phase.READY, Phase.STARTING, Phase.READY, Phase.STOPPING]
 
 
-def test_a_call_is_answered_in_time_while_clients_keep_the_loop_busy() -> None:
-    with running(Engine(), **OPS) as gate, ThreadPoolExecutor(9) as beside:
+def test_a_call_is_answered_within_a_second_under_load() -> None:
+    with running(Engine(), **WITH_ADMIN) as gate, ThreadPoolExecutor(9) as beside:
         busy = [beside.submit(lambda: [post(gate, "lookup", SQL)[0] for _ in range(20)]) for _ in range(8)]
         while not all(f.done() for f in busy):
             began = time.monotonic()
             assert ask(gate, b"READY\n") == "200 ready\n" and time.monotonic() - began < 1.0
 
 
-def test_the_second_address_is_its_own_and_needs_one_forwarder() -> None:
+def test_the_admin_address_must_be_distinct_and_needs_one_forwarder() -> None:
     raw = {"listen": "127.0.0.1:9", "journal": "127.0.0.1:1", "known": {"pos": 0, "entries": []}}
     with pytest.raises(ConfigurationError):
         config_of(raw | {"settings": SETTINGS, "ops": "127.0.0.1:9"}, {})
-    told = config_of(raw | {"settings": SETTINGS}, {"ROUTER_OPS": "127.0.0.1:8"})
+    configuration = config_of(raw | {"settings": SETTINGS}, {"ROUTER_OPS": "127.0.0.1:8"})
     assert (
-        told.admin_address == ("127.0.0.1", 8)
+        configuration.admin_address == ("127.0.0.1", 8)
         and config_of(raw | {"settings": SETTINGS}, {}).admin_address is None
     )
     planners = {"planners": ["127.0.0.1:1", "127.0.0.1:2"], "forwarders": 2}
     with pytest.raises(ConfigurationError):
-        operator_of({"processes": planners}, told)
+        operator_of({"processes": planners}, configuration)
 
 
-def test_without_a_second_address_nothing_listens_there() -> None:
+def test_without_an_admin_address_there_is_no_admin_server() -> None:
     gate = Gateway(config([host(Engine())]), OperatorSettings(), signals=False)
     assert gate.admin_server is None
     gate.loop.close()
@@ -141,10 +143,10 @@
     return sock.recv(65_536)
 
 
-def test_a_drain_sends_clients_away_and_its_end_takes_them_again() -> None:
-    """Guards requests that cross: idle connections end in a half-close only once the front sends no more."""
+def test_draining_closes_client_connections_and_undrain_serves_again() -> None:
+    """Idle connections are half-closed only once the load balancer sends no more, so no request is lost."""
     engine = Engine(script={SQL: ["mute"]})
-    with running(engine, **OPS) as gate, ThreadPoolExecutor() as beside:
+    with running(engine, **WITH_ADMIN) as gate, ThreadPoolExecutor() as beside:
         address = gate.http_server.listener.address
         idle, silent, used = (socket.create_connection(address) for _ in range(3))
         assert live(idle).startswith(b"HTTP/1.1 200") and live(used).startswith(b"HTTP/1.1 200")
@@ -152,8 +154,10 @@
         assert engine.wait("REQ")
         ask(gate, b"DRAIN\n")
         began = time.monotonic()
-        told = live(used)
-        assert told.startswith(b"HTTP/1.1 503") and b"Connection: close" in told and used.recv(1) == b""
+        response = live(used)
+        assert (
+            response.startswith(b"HTTP/1.1 503") and b"Connection: close" in response and used.recv(1) == b""
+        )
         with socket.create_connection(address) as fresh:  # what the front still sends is served
             assert live(fresh).startswith(b"HTTP/1.1 503")
         assert post(gate, "lookup", "SELECT 2")[0] == 200
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -1,4 +1,4 @@
-"""The platform's front and engine client: a whole gateway on loopback, its parsers cut and garbled."""
+"""The HTTP front and the engine client: a complete gateway on loopback, parsers fed pieces and garbage."""
 
 import errno
 import http.client
@@ -57,7 +57,7 @@
         assert faults == 0 and not thread.is_alive()
 
 
-def test_a_result_of_several_pages_comes_whole_and_is_let_go() -> None:
+def test_a_result_of_several_pages_is_returned_complete_and_released_at_the_engine() -> None:
     engine = Engine()
     with running(engine) as gate:
         status, body, _ = post(gate, "lookup", SQL, X_Memory="96", X_Cpu_Hint="20.5")
@@ -68,7 +68,7 @@
 
 
 @pytest.mark.parametrize("how", ["error", "reset", "refused"])
-def test_a_safe_class_is_tried_again(how: str) -> None:
+def test_an_idempotent_class_is_retried(how: str) -> None:
     engines = Engine(script={SQL: [how]}), Engine()
     engines[1].script = engines[0].script
     with running(*engines) as gate:
@@ -77,8 +77,8 @@
 
 
 @pytest.mark.parametrize("how", ["torn", "spoilt", "pageless", "mute"])
-def test_what_breaks_off_or_cannot_be_read_is_no_answer(how: str) -> None:
-    """Guards a load, too: none of these ends by itself, and its client waited for it to the last."""
+def test_an_incomplete_or_malformed_response_is_retried(how: str) -> None:
+    """None of these ends by itself: without a retry the client, also of a load, waits to its deadline."""
     engines = Engine(script={LOAD: [how]}), Engine()
     engines[1].script = engines[0].script
     with running(*engines) as gate:
@@ -86,8 +86,8 @@
     assert sum(len(e.statements) for e in engines) == 2
 
 
-def test_more_than_belongs_to_an_answer_changes_nothing() -> None:
-    """Guards what else is open on that connection: a second copy ended it all."""
+def test_repeated_responses_change_nothing_else_on_the_connection() -> None:
+    """A second copy once ended everything in flight on that connection."""
     engine = Engine(script={SQL: ["twice"], LOAD: ["mute", "ok"]})
     with running(engine) as gate:
         with ThreadPoolExecutor() as beside:
@@ -98,7 +98,7 @@
         assert waiting.result()[1] == {"rows": ROWS} and engine.statements == [LOAD, SQL, LOAD]
 
 
-def test_an_engine_that_is_not_there_costs_nothing() -> None:
+def test_requests_succeed_while_one_engine_refuses_connections() -> None:
     gone, engine = Engine(), Engine()
     gone.close()
     with running(gone, engine) as gate:
@@ -106,13 +106,13 @@
             assert post(gate, "lookup", SQL)[0] == 200
 
 
-def test_no_engine_is_a_refusal_that_says_when_to_return() -> None:
+def test_a_request_without_any_engine_is_rejected_with_a_retry_time() -> None:
     with running() as gate:
         status, body, headers = post(gate, "lookup", SQL, ttl=400)
         assert (status, body) == (429, {"failure": "Overloaded"}) and int(headers["x-throttle-ms"]) > 0
 
 
-def test_a_mute_engine_is_stopped_at_the_deadline() -> None:
+def test_an_attempt_on_an_unresponsive_engine_is_stopped_at_the_deadline() -> None:
     engine = Engine(script={SQL: ["mute"] * 3})
     with running(engine) as gate:
         status, _, _ = post(gate, "lookup", SQL, ttl=1_000)
@@ -120,7 +120,7 @@
         assert gate.forwarder.counters.total(Verdict.SERVED) == 0
 
 
-def test_a_client_that_leaves_stops_its_query() -> None:
+def test_a_client_that_disconnects_stops_its_attempt() -> None:
     engine = Engine(script={SQL: ["mute"]})
     with running(engine) as gate:
         sock = socket.create_connection(gate.http_server.listener.address)
@@ -131,16 +131,16 @@
         assert engine.wait("STOP")
 
 
-def test_a_second_attempt_uses_no_connection_that_a_late_answer_may_reach() -> None:
-    """Guards against the answer to a stopped attempt being taken for that of the next one."""
+def test_a_retry_uses_no_connection_that_a_late_response_may_reach() -> None:
+    """Else the response to a stopped attempt would be taken for that of the next one."""
     engine = Engine(script={SQL: ["mute", "ok"]})
     with running(engine) as gate:
         assert post(gate, "lookup", SQL)[1] == {"rows": ROWS}
         assert engine.statements == [SQL, SQL] and engine.connections == 2
 
 
-def test_a_request_that_meets_its_connection_just_up_is_written_once() -> None:
-    """Guards against a doubled load: found on a fast day, where one came between the dial and its task."""
+def test_a_request_given_to_a_connection_just_established_is_written_once() -> None:
+    """Else it ran twice: found under load, where it came between the dial and the connection's coroutine."""
     engine = Engine(script={SQL: ["mute"], LOAD: ["mute"]})
     gate = Gateway(config([host(engine)]), OperatorSettings(), signals=False)
     for name, statement in (("1" * 16, SQL), ("2" * 16, LOAD)):
@@ -160,7 +160,7 @@
     engine.close()
 
 
-def test_a_loop_far_behind_refuses_unseen() -> None:
+def test_a_lagging_loop_rejects_requests_before_forwarding() -> None:
     engine = Engine()
     with running(engine) as gate:
         gate.loop.lag = lambda: 1.0  # type: ignore[method-assign]
@@ -168,26 +168,26 @@
         assert (status, headers["x-throttle-ms"]) == (429, "500") and not engine.statements
 
 
-def test_a_draining_engine_gets_nothing_new() -> None:
+def test_a_draining_engine_gets_no_new_requests() -> None:
     old, new = Engine(), Engine()
     with running(old) as gate:
         assert post(gate, "lookup", SQL)[0] == 200
         news = [host(old, "e0", "draining"), host(new, "e1")]
-        told = threading.Event()
+        applied = threading.Event()
         raw = {"pos": 2, "entries": [{"pos": 2, "hosts": {"seq": 2, "whole": False, "hosts": news}}]}
 
-        def tell() -> None:
+        def apply_endpoint_list() -> None:
             gate.take_list(raw)
-            told.set()
+            applied.set()
 
-        gate.loop.call_soon(tell)
-        assert told.wait(10)
+        gate.loop.call_soon(apply_endpoint_list)
+        assert applied.wait(10)
         assert post(gate, "lookup", SQL)[0] == 200
     assert len(old.statements) == len(new.statements) == 1
     new.close()
 
 
-def test_a_planner_that_breaks_settles_what_it_held_and_another_goes_on() -> None:
+def test_a_planner_fault_rejects_its_queued_requests_and_a_new_planner_serves() -> None:
     engine = Engine(script={SQL: ["mute"]})
     with running(engine) as gate:
         answers: list[int] = []
@@ -222,7 +222,7 @@
         (b"POST /svc/lookup HTTP/1.1\r\nHost: x\r\nContent-Length: x\r\n\r\n", 400),
     ],
 )
-def test_bad_calls_get_a_prompt_answer(data: bytes, status: int) -> None:
+def test_invalid_requests_get_a_prompt_error_response(data: bytes, status: int) -> None:
     with running(Engine()) as gate, socket.create_connection(gate.http_server.listener.address) as sock:
         sock.settimeout(10)
         sock.sendall(data)
@@ -234,20 +234,20 @@
 
 
 @pytest.mark.parametrize(
-    ("told", "status"),
+    ("header_lines", "status"),
     [("Content-Length: 4\r\nTransfer-Encoding: chunked", 400), ("Content-Length: 60000000", 413),
      ("X-Cpu-Hint: nan\r\nContent-Length: 0", 400), ("X-Memory: 1_0\r\nContent-Length: 0", 400)],
 )  # fmt: skip
-def test_a_call_that_cannot_be_taken_is_refused_before_its_body(told: str, status: int) -> None:
+def test_a_request_with_invalid_headers_is_rejected_before_its_body(header_lines: str, status: int) -> None:
     engine = Engine()
     with running(engine) as gate, socket.create_connection(gate.http_server.listener.address) as sock:
         sock.settimeout(10)
-        sock.sendall(f"{HEAD}{told}\r\n\r\n0\r\n\r\n".encode())
+        sock.sendall(f"{HEAD}{header_lines}\r\n\r\n0\r\n\r\n".encode())
         assert sock.recv(65_536).startswith(b"HTTP/1.1 %d " % status)
         assert not engine.statements
 
 
-def test_the_id_of_an_open_request_is_refused_and_no_engine_is_blamed() -> None:
+def test_a_duplicate_id_of_an_open_request_is_rejected_and_ejects_no_engine() -> None:
     engine = Engine(script={SQL: ["mute"]})
     with running(engine) as gate, socket.create_connection(gate.http_server.listener.address) as sock:
         call = f"{HEAD}Content-Length: {len(SQL)}\r\n\r\n{SQL}".encode()
@@ -258,7 +258,7 @@
         assert len(engine.statements) == 2 and not gate.planner.scheduler.engines["e0"].ejected_until
 
 
-def test_calls_sent_at_once_are_answered_in_turn() -> None:
+def test_pipelined_requests_are_answered_in_order() -> None:
     with running(Engine()) as gate, socket.create_connection(gate.http_server.listener.address) as sock:
         sock.settimeout(10)
         live = b"GET /status/live HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -269,7 +269,7 @@
             assert got
 
 
-def test_silent_and_half_calls_end_soon(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_connections_without_a_complete_first_request_are_closed(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr("query_gateway.http.connection.FIRST_REQUEST_TIMEOUT_SECONDS", 0.1)
     with running(Engine()) as gate:
         for said, answer in ((b"", b""), (HEAD.encode(), b"HTTP/1.1 408 ")):
@@ -279,8 +279,8 @@
                 assert sock.recv(65_536).startswith(answer)
 
 
-def test_a_crowd_that_says_nothing_keeps_nobody_out() -> None:
-    """Guards usual clients: the crowd held every place for a minute, and they were turned away."""
+def test_connections_without_a_request_are_evicted_at_the_limit() -> None:
+    """Such connections once held every place for a minute, and other clients were rejected."""
     with running(Engine()) as gate:
         gate.http_server.max_connections = 4
         crowd = [socket.create_connection(gate.http_server.listener.address) for _ in range(8)]
@@ -290,7 +290,7 @@
             sock.close()
 
 
-def test_timers_cancelled_long_before_due_do_not_pile_up() -> None:
+def test_timers_cancelled_long_before_due_are_swept() -> None:
     loop = Loop()
     for _ in range(5_000):
         loop.call_at(loop.now() + 3_600, lambda: None).cancel()
@@ -301,8 +301,8 @@
     loop.close()
 
 
-def test_what_a_coroutine_wakes_runs_before_the_planner() -> None:
-    """Guards the order of a key: the next load was sent before the answer to the one before had left."""
+def test_a_coroutine_woken_by_another_runs_before_the_planner() -> None:
+    """Else the next load of a key is sent before the answer to the one before has left."""
     loop, ran = Loop(), list[str]()
 
     def client() -> Iterator[None]:
@@ -327,7 +327,7 @@
     loop.close()
 
 
-def test_a_listener_out_of_descriptors_rests() -> None:
+def test_a_listener_out_of_descriptors_pauses() -> None:
     class Full(socket.socket):
         calls = 0
 
@@ -351,7 +351,7 @@
 
 @steady
 @given(st.lists(st.integers(1, 60), max_size=12), st.booleans())
-def test_cut_requests_are_answered_the_same(cuts: list[int], garbled: bool) -> None:
+def test_requests_received_in_pieces_are_answered_the_same(cuts: list[int], garbled: bool) -> None:
     gate, _ = _shared()
     head = f"POST /svc/lookup HTTP/1.1\r\nHost: x\r\nX-Txn: {'b' * 16}\r\nX-Ttl-Ms: 5000\r\n"
     data = f"{head}Content-Length: {len(SQL)}\r\n\r\n{SQL}".encode()
@@ -379,7 +379,7 @@
     return _kept[0]
 
 
-def test_a_planned_stop_takes_what_still_comes_and_then_ends() -> None:
+def test_a_graceful_shutdown_serves_late_requests_and_then_exits() -> None:
     engine = Engine()
     gate = Gateway(config([host(engine)]), OperatorSettings(), signals=False)
     thread = threading.Thread(target=gate.run)
@@ -397,14 +397,14 @@
     engine.close()
 
 
-def test_nearly_all_of_a_short_time_is_the_querys() -> None:
-    """Guards clients who wait for little: half their time was kept back, so they were refused."""
+def test_nearly_all_of_a_short_ttl_is_left_for_the_query() -> None:
+    """Half of a short time was once kept back for the way, so such clients were rejected."""
     classes = config([]).classes
     query = decode_request("lookup", classes, {"x-txn": "a" * 16, "x-ttl-ms": "250"}, SQL.encode(), 0)
     assert 220_000_000 <= query.deadline < 250_000_000
 
 
-def test_only_the_plain_form_passes_by_h11() -> None:
+def test_only_the_plain_form_bypasses_h11() -> None:
     call = b"POST /svc/lookup HTTP/1.1\r\nHost: x\r\nX-A: 1\r\nContent-Length: 2\r\n\r\nab"
     assert parse_plain_request(call) == PlainRequest(
         "/svc/lookup", {"host": "x", "x-a": "1", "content-length": "2"}, b"ab"
@@ -423,7 +423,7 @@
 
 @steady
 @given(st.lists(st.sampled_from(FRAMES), max_size=8), st.lists(st.integers(1, 9), max_size=40))
-def test_cut_frames_decode_the_same(parts: list[bytes], cuts: list[int]) -> None:
+def test_frames_received_in_pieces_decode_the_same(parts: list[bytes], cuts: list[int]) -> None:
     data, decoder, got = b"".join(parts), frames.FrameDecoder(), []
     for cut in [*cuts, len(data)]:
         got += decoder.feed(data[:cut])
@@ -433,7 +433,7 @@
 
 @steady
 @given(st.binary(max_size=200))
-def test_garbage_frames_are_refused_or_wait(noise: bytes) -> None:
+def test_garbage_frames_raise_or_stay_incomplete(noise: bytes) -> None:
     decoder = frames.FrameDecoder()
     try:
         decoder.feed(noise)
@@ -463,13 +463,13 @@
         ("SELECT a FROM staging.orders_5", None),
     ],
 )
-def test_the_table_group_is_found_by_reading_sql(statement: str, group: int | None) -> None:
+def test_the_table_group_is_found_in_sql(statement: str, group: int | None) -> None:
     assert table_group(statement) == group
 
 
 @steady
 @given(st.text(max_size=80))
-def test_any_text_has_a_group_or_none(text: str) -> None:
+def test_any_text_has_a_table_group_or_none(text: str) -> None:
     group = table_group(text)
     assert group is None or group >= 0
 
@@ -479,7 +479,7 @@
     [{"journal": "nowhere"}, {"settings": {}}, {"listen": 3}, {"known": {"entries": [{}]}},
      {"limits": {"sockets": 1}}, {"seed": "zz"}, {"settings": SETTINGS | {"services": "x"}}],
 )  # fmt: skip
-def test_bad_configuration_is_named(broken: dict[str, Any]) -> None:
+def test_an_invalid_configuration_raises(broken: dict[str, Any]) -> None:
     raw = {"listen": "127.0.0.1:0", "journal": "127.0.0.1:1", "known": {"pos": 0, "entries": []}}
     with pytest.raises(ConfigurationError):
         config_of(raw | {"settings": SETTINGS} | broken, {})
@@ -487,7 +487,7 @@
 
 @pytest.mark.parametrize("raw", [{"flight": {}, "bgp": {}}, {"flight": {"listen": "x"}}, {"flight": 3},
                                  {"flight": {"listen": "127.0.0.1:0", "query_class": "none"}}])  # fmt: skip
-def test_a_bad_operator_file_is_named(raw: dict[str, Any]) -> None:
+def test_an_invalid_operator_file_raises(raw: dict[str, Any]) -> None:
     with pytest.raises(ConfigurationError):
         operator_of(raw, config([]))
 
@@ -529,8 +529,8 @@
     return json.dumps({"pos": position, "entries": [{"pos": position, "hosts": hosts}]}).encode()
 
 
-def test_the_journal_is_followed_from_the_last_position() -> None:
-    """A stand-in journal: odd answers that must not end the feed, news, and a call from the new position."""
+def test_the_endpoint_list_is_followed_from_the_last_position() -> None:
+    """Invalid answers of a stand-in discovery service must not end the watch; then events and a new poll."""
     journal, engine = JournalStandIn(), Engine()
     odd = (b"[]", b"3", b'{"pos":null,"entries":[]}', b'{"pos":Infinity,"entries":[]}', b"[" * 9_000)
     gate = Gateway(config([], journal=journal.address), OperatorSettings(), signals=False)
@@ -546,8 +546,8 @@
     engine.close()
 
 
-def test_sighup_moves_the_journal_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
-    """Guards the process against ending on SIGHUP, and the feed against a file that cannot be used."""
+def test_sighup_changes_the_discovery_address_and_an_invalid_file_changes_nothing(tmp_path: Path) -> None:
+    """SIGHUP does not end the process, and a file that cannot be used leaves the watch as it is."""
     old, new, file = JournalStandIn(), JournalStandIn(), tmp_path / "config.json"
     known = {"pos": 7, "entries": []}
     raw = {"listen": "127.0.0.1:0", "journal": old.address, "known": known, "settings": SETTINGS}
