--- a/query_gateway/admin/gateway_figures.py
+++ b/query_gateway/admin/gateway_figures.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Collection
 from typing import TYPE_CHECKING
 
-from query_gateway.admin.figures import rendered
+from query_gateway.admin.figures import render_figures
 from query_gateway.forwarder.forwarder import Forwarder
 
 if TYPE_CHECKING:
@@ -31,7 +31,7 @@
         """The figures as they are now, one a line."""
         endpoints = self.forwarder.endpoints
         ejected_count = sum(name in endpoints for name in self.ejected_endpoints())
-        lines = rendered(
+        lines = render_figures(
             self.forwarder.counters, self.forwarder.open_request_count, len(endpoints), ejected_count
         )
         return lines + (self.statements.figures() if self.statements else [])
--- a/query_gateway/bgp/session.py
+++ b/query_gateway/bgp/session.py
@@ -222,9 +222,5 @@
 
     def _linger(self, stream: Stream, reason: Reason) -> Generator[float | None, None, Reason]:
         """Guard our last message: a close with unread input would reset the connection under it."""
-        stream.half_close()
-        until = self.loop.now() + LINGER_TIME
-        while not stream.eof and self.loop.now() < until:
-            stream.take_inbox()
-            yield until
+        yield from stream.close_gracefully(LINGER_TIME)
         return reason
--- a/query_gateway/composition.py
+++ b/query_gateway/composition.py
@@ -7,14 +7,14 @@
 from typing import TYPE_CHECKING
 
 from query_gateway.configuration.platform import idempotent_classes
-from query_gateway.engine_protocol.client import ConnectionPool
+from query_gateway.engine_protocol.pool import ConnectionPool
 from query_gateway.forwarder.forwarder import Forwarder
 from query_gateway.forwarder.readiness import Readiness
-from query_gateway.http.server import Server as HttpServer
+from query_gateway.http.server import HttpServer, HttpServerOptions
 from query_gateway.lifecycle.active_configuration import (
     ActiveConfiguration,
+    connection_limits,
     max_exchanges,
-    progress_interval_seconds,
 )
 from query_gateway.lifecycle.client_fronts import max_connections_per_front
 from query_gateway.lifecycle.overlap import FLIGHT_FRONT, HTTP_FRONT
@@ -104,14 +104,7 @@
 def build_engine_pool(core: Core) -> ConnectionPool:
     """The connections to engines on the platform's wire."""
     config = core.active.config
-    pool = ConnectionPool(
-        core.loop,
-        time.time_ns,
-        config.streams_per_connection,
-        config.dial_timeout,
-        config.connection_idle_timeout,
-        progress_interval_seconds(config),
-    )
+    pool = ConnectionPool(core.loop, time.time_ns, connection_limits(config))
     core.forwarder.engine_clients[HTTP_WIRE] = pool
     return pool
 
@@ -152,17 +145,16 @@
 def build_http_server(core: Core, options: FrontOptions) -> HttpServer:
     """The platform's front; it reads statements only where the operator's file says so."""
     config, settings = core.active.config, core.active.operator.statements
-    return HttpServer(
-        core.loop,
-        core.forwarder,
-        config.listen_address,
-        config.classes,
-        options.max_connections,
-        core.readiness,
-        options.shares_port,
-        options.inherited_listeners.get(HTTP_FRONT),
-        options.statements if settings and settings.covers_http else None,
+    server_options = HttpServerOptions(
+        address=config.listen_address,
+        classes=config.classes,
+        max_connections=options.max_connections,
+        readiness=core.readiness,
+        shared=options.shares_port,
+        inherited_socket=options.inherited_listeners.get(HTTP_FRONT),
+        statements=options.statements if settings and settings.covers_http else None,
     )
+    return HttpServer(core.loop, core.forwarder, server_options)
 
 
 def build_flight_pool(core: Core) -> "FlightConnectionPool | None":
--- a/query_gateway/flight/client_call.py
+++ b/query_gateway/flight/client_call.py
@@ -15,7 +15,7 @@
 )
 from query_gateway.forwarder.exchange import Exchange
 from query_gateway.forwarder.messages import Answer, Verdict
-from query_gateway.http.server import BadCall, hex_header
+from query_gateway.http.request_decoding import RequestError, hex_header
 from query_gateway.rpc.call import Call, CallHandler, Headers
 from query_gateway.rpc.connection import SLOW_READER_TIMEOUT_S
 from query_gateway.rpc.status import GrpcStatus
@@ -65,7 +65,7 @@
             return
         try:
             self._handle_message(data)
-        except (FlightMessageError, BadCall) as error:
+        except (FlightMessageError, RequestError) as error:
             self._finish(GrpcStatus.INVALID_ARGUMENT, str(error))
 
     def _handle_message(self, data: bytes) -> None:
@@ -132,7 +132,7 @@
         else:
             try:
                 self._forward(statement, judgement.cls, classification)
-            except BadCall as error:
+            except RequestError as error:
                 self._finish(GrpcStatus.INVALID_ARGUMENT, str(error))
 
     def _shape_quarantine(self, statement: FlightStatement, classification: "Classification") -> str | None:
@@ -143,7 +143,7 @@
     def _forward(
         self, statement: FlightStatement, class_name: str, classification: "Classification | None" = None
     ) -> None:
-        """Give the request to the forwarder; raises BadCall if its class or a header is unusable."""
+        """Give the request to the forwarder; raises RequestError if its class or a header is unusable."""
         flight_class = self.server.classes.get(class_name)
         if flight_class is None:
             raise _unknown_class(class_name)
@@ -202,8 +202,8 @@
             self._finish(FAILED_STATUS, "Internal")
 
 
-def _unknown_class(class_name: str) -> BadCall:
-    return BadCall(404, f"class {class_name[:MAX_NAME_IN_ERROR]!r} is unknown")
+def _unknown_class(class_name: str) -> RequestError:
+    return RequestError(404, f"class {class_name[:MAX_NAME_IN_ERROR]!r} is unknown")
 
 
 def _printable(text: str) -> str:
--- a/query_gateway/flight/requests.py
+++ b/query_gateway/flight/requests.py
@@ -7,7 +7,7 @@
 
 from query_gateway.forwarder.messages import ClientRequest, RequestClasses
 from query_gateway.forwarder.table_group import table_group
-from query_gateway.http.server import BadCall, hex_header, real_header
+from query_gateway.http.request_decoding import RequestError, hex_header, real_header
 from query_gateway.model.settings import Idempotency, Settings
 
 if TYPE_CHECKING:
@@ -61,13 +61,13 @@
 def parse_grpc_timeout(text: str | None, default_ns: int) -> int:
     """Return the nanoseconds of a `grpc-timeout` header, an hour at most; without one, the default.
 
-    Raises BadCall if the header is not a number with a unit.
+    Raises RequestError if the header is not a number with a unit.
     """
     if text is None:
         return default_ns
     match = GRPC_TIMEOUT.fullmatch(text)
     if not match:
-        raise BadCall(400, "grpc-timeout is unusable")
+        raise RequestError(400, "grpc-timeout is unusable")
     return min(int(match[1]) * GRPC_TIMEOUT_UNITS_NS[match[2]], MAX_TIMEOUT_NS)
 
 
@@ -78,17 +78,17 @@
     headers: dict[str, str],
     classification: "Classification | None" = None,
 ) -> ClientRequest:
-    """Return the request of a statement with its call's headers; raises BadCall if one of these is unusable.
+    """Return the request of a statement with its call's headers; raises RequestError if one of them is invalid.
 
     `classification` is what parsing the statement found, where statements are parsed.
     """
     timeout_ns = parse_grpc_timeout(headers.get("grpc-timeout"), flight_class.timeout_ns)
     if not statement.text:
-        raise BadCall(400, "the statement is missing")
+        raise RequestError(400, "the statement is missing")
     if statement.is_update and flight_class.is_idempotent:
         # Guards the rule on effects: what says itself that it changes something is never run twice
         name = class_name[:MAX_NAME_IN_ERROR]
-        raise BadCall(400, f"an update cannot run as {name}, whose queries may run twice")
+        raise RequestError(400, f"an update cannot run as {name}, whose queries may run twice")
     group = classification.table_group if classification else table_group(statement.text)
     work_hint_ms = real_header(headers, "x-cpu-hint", MAX_WORK_HINT_MS)
     key = _ordering_key(flight_class, headers, classification)
--- a/query_gateway/flight/server.py
+++ b/query_gateway/flight/server.py
@@ -8,8 +8,9 @@
 from query_gateway.flight.requests import FlightClass
 from query_gateway.forwarder.forwarder import Forwarder
 from query_gateway.forwarder.readiness import DRAIN_CLOSE_IDLE_AFTER_S, Phase, Readiness
+from query_gateway.net.listener import Listener
 from query_gateway.net.loop import Loop
-from query_gateway.net.stream import Listener, Reason, Stream
+from query_gateway.net.stream import Reason, Stream
 from query_gateway.rpc.connection import GrpcConnection
 
 if TYPE_CHECKING:
--- a/query_gateway/gateway.py
+++ b/query_gateway/gateway.py
@@ -4,7 +4,7 @@
 from typing import TYPE_CHECKING
 
 from query_gateway.admin.gateway_figures import GatewayFigures
-from query_gateway.admin.server import Server as AdminServer
+from query_gateway.admin.server import AdminServer
 from query_gateway.composition import (
     Core,
     FrontOptions,
--- a/query_gateway/lifecycle/active_configuration.py
+++ b/query_gateway/lifecycle/active_configuration.py
@@ -4,6 +4,7 @@
 
 from query_gateway.configuration.operator_file import OperatorSettings
 from query_gateway.configuration.platform import Configuration
+from query_gateway.engine_protocol.pool import ConnectionLimits
 from query_gateway.forwarder.messages import RequestClasses
 
 MAX_OPEN_REQUESTS = 4_000  # whatever the settings allow: what the memory bears
@@ -32,6 +33,11 @@
     return min(config.max_open_requests, MAX_OPEN_REQUESTS)
 
 
-def progress_interval_seconds(config: Configuration) -> float:
-    """How often an engine reports progress of an attempt; 0 if it does not."""
-    return config.settings.progress_interval / 1e9
+def connection_limits(config: Configuration) -> ConnectionLimits:
+    """What the configuration says of connections to engines."""
+    return ConnectionLimits(
+        streams_per_connection=config.streams_per_connection,
+        dial_timeout=config.dial_timeout,
+        idle_timeout=config.connection_idle_timeout,
+        progress_interval=config.settings.progress_interval / 1e9,
+    )
--- a/query_gateway/lifecycle/client_fronts.py
+++ b/query_gateway/lifecycle/client_fronts.py
@@ -2,14 +2,14 @@
 
 from typing import TYPE_CHECKING
 
-from query_gateway.admin.server import ROOM
+from query_gateway.admin.server import RESERVED_DESCRIPTORS
 from query_gateway.configuration.operator_file import OperatorSettings
 from query_gateway.configuration.platform import Configuration
 from query_gateway.forwarder.forwarder import Forwarder
 from query_gateway.forwarder.messages import RequestClasses
-from query_gateway.http.server import Server as HttpServer
+from query_gateway.http.server import HttpServer
 from query_gateway.model.settings import Idempotency
-from query_gateway.net.stream import Listener
+from query_gateway.net.listener import Listener
 
 if TYPE_CHECKING:
     from query_gateway.flight.server import FlightServer
@@ -26,7 +26,7 @@
     """
     descriptors = config.max_descriptors // max(1, operator.forwarder_count)
     reserved = min(descriptors // 2, max(MIN_OTHER_DESCRIPTORS, descriptors // 4))
-    reserved += ROOM if config.admin_address else 0
+    reserved += RESERVED_DESCRIPTORS if config.admin_address else 0
     front_count = 2 if operator.flight_address else 1
     return max(1, (descriptors - reserved) // front_count)
 
--- a/query_gateway/lifecycle/overlap.py
+++ b/query_gateway/lifecycle/overlap.py
@@ -74,7 +74,7 @@
 
     def receive_connection(self, sock: socket.socket, peer: str, has_sent_request: bool) -> None:
         """Serve a client whose idle connection the predecessor has passed on."""
-        self.parts.fronts.http_server.take(sock, peer, has_sent_request)
+        self.parts.fronts.http_server.add_connection(sock, peer, has_sent_request)
 
     # ---- who takes what
 
--- a/query_gateway/lifecycle/reload.py
+++ b/query_gateway/lifecycle/reload.py
@@ -14,12 +14,12 @@
     read_configuration,
 )
 from query_gateway.discovery.watch_client import EndpointWatchClient
-from query_gateway.engine_protocol.client import ConnectionPool
+from query_gateway.engine_protocol.pool import ConnectionPool
 from query_gateway.forwarder.forwarder import Forwarder
 from query_gateway.lifecycle.active_configuration import (
     ActiveConfiguration,
+    connection_limits,
     max_exchanges,
-    progress_interval_seconds,
 )
 from query_gateway.lifecycle.client_fronts import ClientFronts
 from query_gateway.lifecycle.request_classes import RequestClassRegistry
@@ -142,12 +142,7 @@
         """The limits that the forwarder and the engine clients keep, not the scheduler."""
         config = self.parts.active.config
         self.parts.forwarder.max_exchanges = max_exchanges(config)
-        self.parts.engine_pool.update_limits(
-            config.streams_per_connection,
-            config.dial_timeout,
-            config.connection_idle_timeout,
-            progress_interval_seconds(config),
-        )
+        self.parts.engine_pool.update_limits(connection_limits(config))
         if self.parts.flight_pool:
             self.parts.flight_pool.dial_timeout = config.dial_timeout
 
--- a/query_gateway/lifecycle/shutdown.py
+++ b/query_gateway/lifecycle/shutdown.py
@@ -125,7 +125,7 @@
         Guards clients of what is still open: they get an answer while there is time, and may retry.
         """
         self.state = ShutdownState.GIVEN_UP
-        self.parts.fronts.http_server.refuses = True
+        self.parts.fronts.http_server.rejects_all = True
         for exchange in list(self.parts.forwarder.exchanges.values()):
             exchange.end_without_planner()
         if not self._successor_ready:
--- a/query_gateway/lifecycle/startup.py
+++ b/query_gateway/lifecycle/startup.py
@@ -4,8 +4,8 @@
 
 from query_gateway.forwarder.readiness import Readiness
 from query_gateway.lifecycle.hot_upgrade import HotUpgrade
+from query_gateway.net.listener import Listener
 from query_gateway.net.loop import Loop
-from query_gateway.net.stream import Listener
 
 CATCH_UP_SECONDS = 2.5  # a successor begins then, though the discovery service has not answered
 
--- a/query_gateway/planner/process.py
+++ b/query_gateway/planner/process.py
@@ -16,9 +16,10 @@
     RequestAbandoned,
 )
 from query_gateway.model.settings import Settings
+from query_gateway.net.listener import Listener
 from query_gateway.net.log import log
 from query_gateway.net.loop import Loop, Timer
-from query_gateway.net.stream import Listener, Reason, Stream
+from query_gateway.net.stream import Reason, Stream
 from query_gateway.planner.ipc import IpcConnection, Steps
 from query_gateway.planner.ipc_codec import EVENT_TYPES, EjectedEndpoints
 from query_gateway.planner.planner import Planner
--- a/query_gateway/rpc/connection.py
+++ b/query_gateway/rpc/connection.py
@@ -190,11 +190,7 @@
 
     def _half_close(self) -> Steps:
         """Close our side and read on until the client has closed its own."""
-        self.stream.half_close()
-        deadline = self.loop.now() + HALF_CLOSE_TIMEOUT_S
-        while not self.stream.eof and self.loop.now() < deadline:
-            self.stream.take_inbox()
-            yield deadline
+        yield from self.stream.close_gracefully(HALF_CLOSE_TIMEOUT_S)
 
     def _abort_calls(self) -> None:
         calls, self.calls = list(self.calls.values()), {}
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -36,7 +36,8 @@
 from query_gateway.forwarder.exchange import Exchange
 from query_gateway.forwarder.messages import Endpoint
 from query_gateway.gateway import Gateway
-from query_gateway.http.server import Held, query_of
+from query_gateway.http.request_decoding import decode_request
+from query_gateway.http.request_handler import PendingAnswer
 from query_gateway.lifecycle.reload import ConfigurationSources
 from query_gateway.lifecycle.request_classes import GRACE_PERIOD_SECONDS
 from query_gateway.lifecycle.shutdown import ANSWER_SECONDS
@@ -218,7 +219,8 @@
         engine.let_up()
         until(
             lambda: (
-                not gate.engine_pool.connections or all(c.live for c in gate.engine_pool.connections["e0"])
+                not gate.engine_pool.connections
+                or all(c.established for c in gate.engine_pool.connections["e0"])
             )
         )
         go.set()
@@ -260,9 +262,9 @@
         stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
         while not stream.outbox:
             open_.append(ask(gate, big))
-            until(lambda: len(gate.engine_pool.where) == len(open_))
+            until(lambda: len(gate.engine_pool.by_client_id) == len(open_))
         victim = ask(gate, GONE)
-        until(lambda: len(gate.engine_pool.where) == len(open_) + 1)
+        until(lambda: len(gate.engine_pool.by_client_id) == len(open_) + 1)
         leave(gate, victim)
         engine.reads.set()
         assert open_[-1].recv(65_536).startswith(b"HTTP/1.1 200")
@@ -342,8 +344,8 @@
 
 def _take_flight(gate: Gateway, statement: str) -> Exchange:
     headers = {"x-txn": uuid4().hex[:16], "x-ttl-ms": "600000"}
-    query = query_of("lookup", gate.config.classes, headers, statement.encode(), gate.forwarder.clock())
-    exchange = gate.forwarder.accept(query, Held(lambda: None), "flight")
+    query = decode_request("lookup", gate.config.classes, headers, statement.encode(), gate.forwarder.clock())
+    exchange = gate.forwarder.accept(query, PendingAnswer(lambda: None), "flight")
     gate.planner_links.run_local()
     return exchange
 
@@ -412,7 +414,7 @@
         with ask(gate, GONE) as client:
             until(lambda: engine.statements)
             client.sendall(b"x" * 300_000)
-            until(lambda: any(c.ahead for c in gate.http_server.connections))
+            until(lambda: any(c.handler.discarded_bytes for c in gate.http_server.connections))
             gate.loop.call_soon(lambda: next(iter(gate.forwarder.exchanges.values())).end_without_planner())
             answer = b""
             while data := client.recv(65_536):
@@ -522,7 +524,7 @@
 
 def test_half_a_line_on_a_resting_connection_spoils_no_answer(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards a class that may not be repeated: its answer was glued to what was no answer."""
-    monkeypatch.setattr("query_gateway.engine_protocol.client.STALLED", 600.0)
+    monkeypatch.setattr("query_gateway.engine_protocol.connection.STALL_TIMEOUT_SECONDS", 600.0)
     engine = Engine()
     with running(engine, settings=unsafe()) as gate:
         assert post(gate, "lookup", SQL, ttl=600_000)[0] == 200
@@ -538,8 +540,8 @@
     how: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards the client: with each byte the patience began anew, to the end of its time."""
-    monkeypatch.setattr("query_gateway.engine_protocol.client.ENDLESS", 0.2, raising=False)
-    monkeypatch.setattr("query_gateway.engine_protocol.client.STALLED", 600.0)
+    monkeypatch.setattr("query_gateway.engine_protocol.connection.RESPONSE_TIMEOUT_SECONDS", 0.2)
+    monkeypatch.setattr("query_gateway.engine_protocol.connection.STALL_TIMEOUT_SECONDS", 600.0)
     engine = Endless(how)
     with running(engine, settings=tuned()) as gate:
         assert post(gate, "lookup", SQL, ttl=600_000)[1] == {"rows": ROWS}
@@ -558,9 +560,9 @@
         stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
         while not stream.outbox:
             open_.append(ask(gate, big))
-            until(lambda: len(gate.engine_pool.where) == len(open_))
+            until(lambda: len(gate.engine_pool.by_client_id) == len(open_))
         report = beside.submit(post, gate, "report", SQL, ttl=600_000)
-        until(lambda: len(gate.engine_pool.where) == len(open_) + 1)
+        until(lambda: len(gate.engine_pool.by_client_id) == len(open_) + 1)
         engine.hang_up()
         engine.reads.set()
         assert report.result()[1] == {"rows": ROWS}
@@ -595,9 +597,9 @@
         stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
         while not stream.outbox:
             open_.append(ask(gate, big))
-            until(lambda: len(gate.engine_pool.where) == len(open_))
+            until(lambda: len(gate.engine_pool.by_client_id) == len(open_))
         waiting = beside.submit(post, gate, "lookup", SQL, ttl=600_000)
-        until(lambda: len(gate.engine_pool.where) == len(open_) + 1)
+        until(lambda: len(gate.engine_pool.by_client_id) == len(open_) + 1)
         news = [host(engine, "e0", "draining"), host(other, "e1")]
         raw = {"pos": 2, "entries": [{"pos": 2, "hosts": {"seq": 2, "whole": False, "hosts": news}}]}
         gate.loop.call_soon(lambda: gate.endpoint_feed.take_answer(raw))
@@ -775,7 +777,7 @@
 ) -> None:
     """Guards the request: closed over it in the machine's buffer, its connection was reset."""
     engine = Engine()
-    monkeypatch.setattr("query_gateway.http.server.IDLE_TIME", 0.3 if why == "idle" else 6.0)
+    monkeypatch.setattr("query_gateway.http.connection.IDLE_TIMEOUT_SECONDS", 0.3 if why == "idle" else 6.0)
     with running(engine, settings=tuned()) as gate:
         gate.loop.lag = lambda: 0.0  # type: ignore[method-assign]
         kept = http.client.HTTPConnection(*gate.http_server.listener.address, timeout=10)
@@ -1066,7 +1068,7 @@
             assert resting.recv(65_536) == b""
         resting.close()
         until(lambda: gate.hot_upgrade and not gate.hot_upgrade.successor)
-        engine._say(engine.socks[0], f"{next(iter(gate.engine_pool.where))} ok sheets=1", "0\tx\ty\n")
+        engine._say(engine.socks[0], f"{next(iter(gate.engine_pool.by_client_id))} ok sheets=1", "0\tx\ty\n")
         assert waiting.result()[1] == {"rows": ROWS[:1]}
 
 
