--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 	touch $@
 
 # Statements are read a third faster with their inner parts compiled as well; off on the platform, so not in build
-STATEMENTS = $(addprefix query_gateway/statements/,shape.py lexer.py sketch.py cache.py)
+STATEMENTS = $(addprefix query_gateway/statements/,normalizer.py lexer.py sketch.py cache.py)
 fast: build
 	MYPYC_OPT_LEVEL=2 .venv/bin/mypyc $(STATEMENTS) >.venv/mypyc.log 2>&1
 	rm -rf build
--- a/bench/statements.py
+++ b/bench/statements.py
@@ -29,10 +29,10 @@
 
 from query_gateway.statements.cache import Cache
 from query_gateway.statements.classifier import Classifier
-from query_gateway.statements.costs import Costs
+from query_gateway.statements.costs import CostEstimates
 from query_gateway.statements.messages import KeyRule, Rules
+from query_gateway.statements.normalizer import normalize
 from query_gateway.statements.reader import Reader
-from query_gateway.statements.shape import shape_of
 
 ROOT = Path(__file__).parent.parent
 KEYS = (KeyRule("lending_*.loans", "member"),)
@@ -81,39 +81,39 @@
     for n in range(500):
         sql = statement(random, n)
         begun = time.perf_counter()
-        shape = whole.shape(sql)
-        if whole.known(shape) is None:
+        shape = whole.normalize(sql)
+        if whole.cached(shape) is None:
             middle = time.perf_counter()
             plan = reader.read(shape)
             parses.append((time.perf_counter() - middle) * 1e6)
-            whole.judge(whole.learn(shape, plan), shape)
+            whole.decide(whole.learn(shape, plan), shape)
             misses.append((time.perf_counter() - begun) * 1e6)
     lengths = 0
     for _ in range(20_000):
         sql = statement(random, skewed(random, 500))
         lengths += len(sql)
         begun = time.perf_counter()
-        shape = whole.shape(sql)
-        known = whole.known(shape)
+        shape = whole.normalize(sql)
+        known = whole.cached(shape)
         if known is not None:
-            whole.judge(known, shape)
+            whole.decide(known, shape)
             hits.append((time.perf_counter() - begun) * 1e6)
     texts = [statement(random, skewed(random, 500)) for _ in range(2_000)]
     for _ in range(2):  # the second time: a loop that does nothing else, over texts just read
         begun = time.perf_counter()
         for sql in texts:
-            shape = whole.shape(sql)
-            if (known := whole.known(shape)) is not None:
-                whole.judge(known, shape)
+            shape = whole.normalize(sql)
+            if (known := whole.cached(shape)) is not None:
+                whole.decide(known, shape)
         again = (time.perf_counter() - begun) / len(texts) * 1e6
     tracemalloc.start()
     before = tracemalloc.get_traced_memory()[0]
     full: Classifier = Classifier(Rules(keys=KEYS))
     for n in range(14_000):  # more than it holds, each used twice
-        shape = full.shape(f"SELECT c{n} FROM lending_{n % 40}.loans WHERE member = 1")
-        known = full.known(shape) or full.learn(shape, reader.read(shape) if n < 50 else plan)
-        full.known(shape)
-        full.costs.ran(shape.digest, "lookup", n % 40, 10_000_000)
+        shape = full.normalize(f"SELECT c{n} FROM lending_{n % 40}.loans WHERE member = 1")
+        known = full.cached(shape) or full.learn(shape, reader.read(shape) if n < 50 else plan)
+        full.cached(shape)
+        full.costs.observe(shape.fingerprint, "lookup", n % 40, 10_000_000)
     memory = (tracemalloc.get_traced_memory()[0] - before) / 2**20
     tracemalloc.stop()
     return {
@@ -125,7 +125,7 @@
 
 
 def slowest(reader: Reader) -> dict[str, float]:
-    """Statements built to be slow, within the lexer's bounds."""
+    """StatementService built to be slow, within the lexer's bounds."""
     built = {
         "nested parentheses": "SELECT " + "(" * 31 + "1" + ")" * 31,
         "nested cases": "SELECT " + "CASE WHEN 1 = 1 THEN " * 30 + "1" + " END" * 30,
@@ -141,10 +141,10 @@
     lexed = {"by": "by " * 1_900, "lists": "in (1, " * 30 + ")" * 30, "strings": "'a' " * 1_900}
     for name, sql in lexed.items():  # what the loop itself does
         begun = time.perf_counter()
-        shape_of(sql)
+        normalize(sql)
         told[f"lexing {name}"] = round((time.perf_counter() - begun) * 1e3, 1)
     for name, sql in built.items():
-        shape = shape_of(sql)
+        shape = normalize(sql)
         begun = time.perf_counter()
         reader.read(shape)
         told[name] = round((time.perf_counter() - begun) * 1e3, 1)
@@ -206,10 +206,10 @@
     random = Random(seed)
     usual = {n: random.lognormvariate(5.5, 1.5) for n in range(100)}
 
-    learned = Costs()
+    learned = CostEstimates()
     for _ in range(200):
         for n in usual:
-            learned.ran(spread(n), "lookup", n % 5, int(run_time(random, usual[n]) * 1e6))
+            learned.observe(spread(n), "lookup", n % 5, int(run_time(random, usual[n]) * 1e6))
     told = {n: (learned.cost_ns(spread(n), "lookup", n % 5) or 0) / 1e6 for n in usual}
     asked = [(told[n], run_time(random, usual[n])) for n in usual for _ in range(50)]
     near = sum(0.5 <= cost / real <= 2 for cost, real in asked) / len(asked)
@@ -217,7 +217,7 @@
     for n in range(20):
         runs = 0
         while (learned.cost_ns(spread(n), "lookup", n % 5) or 0) < 2.5e6 * usual[n] and runs < 500:
-            learned.ran(spread(n), "lookup", n % 5, int(5e6 * usual[n] * random.lognormvariate(0, 0.25)))
+            learned.observe(spread(n), "lookup", n % 5, int(5e6 * usual[n] * random.lognormvariate(0, 0.25)))
             runs += 1
         followed.append(runs)
     mean = sum(followed) / len(followed)
@@ -227,7 +227,7 @@
 # ---- estimates over real sockets
 
 
-def played(folder: Path, engine: int, jobs: list[str], clients: int, seed: int) -> tuple[Costs, int]:
+def played(folder: Path, engine: int, jobs: list[str], clients: int, seed: int) -> tuple[CostEstimates, int]:
     """What a gateway has learned by its end once these have run, with what the one before it left; how many
     were lost.
     """
@@ -260,8 +260,8 @@
         until = time.monotonic() + 10
         while time.monotonic() < until and not (snapshot.exists() and snapshot.stat().st_mtime_ns > before):
             time.sleep(0.05)
-    learned = Costs()
-    if not learned.adopt(SnapshotStore(str(snapshot)).load()):
+    learned = CostEstimates()
+    if not learned.restore(SnapshotStore(str(snapshot)).load()):
         raise click.ClickException("the gateway left no snapshot")
     return learned, sum(lost)
 
@@ -292,7 +292,7 @@
         learned, lost = played(Path(folder), node.port, jobs, clients, seed)
         after, _ = played(Path(folder), node.port, later, 1, seed)
     node.shutdown()
-    shape = {n: shape_of(text.format(n, 1)).digest for n in usual}
+    shape = {n: normalize(text.format(n, 1)).fingerprint for n in usual}
     expected = {n: (learned.cost_ns(shape[n], "lookup", 7) or 0) / 1e9 for n in usual}
     asked = [(expected[n], run_time(random, usual[n])) for n in usual for _ in range(50)]
     near = sum(0.5 <= told / real <= 2 for told, real in asked) / len(asked)
--- a/query_gateway/cli.py
+++ b/query_gateway/cli.py
@@ -22,7 +22,7 @@
 )
 
 if TYPE_CHECKING:
-    from query_gateway.parsing.service import Classification, Statements
+    from query_gateway.parsing.service import Classification, StatementService
 
 PATIENCE = 30.0  # seconds that one statement may wait for a parser process
 
@@ -107,7 +107,7 @@
     """
     from query_gateway.configuration.platform import reading_of
     from query_gateway.net.loop import Loop
-    from query_gateway.parsing.service import Statements
+    from query_gateway.parsing.service import StatementService
 
     try:
         raw = raw_of_operator(rules)
@@ -121,7 +121,7 @@
         click.echo(f"query-gateway: configuration: {bad}", err=True)
         sys.exit(2)
     safe = (reading.rules.lookup, reading.rules.report)
-    service = Statements(Loop(), reading.rules, safe, reading.parser_count, reading.max_shapes)
+    service = StatementService(Loop(), reading.rules, safe, reading.parser_count, reading.max_shapes)
     if reading.snapshot_path and Path(reading.snapshot_path).exists():
         service.restore(reading.snapshot_path)
         service.snapshot_store = None  # read, never written from here
@@ -133,9 +133,9 @@
         service.stop()
 
 
-def _classified(service: "Statements", line: str) -> dict[str, Any]:
-    from query_gateway.statements.classifier import as_line, turned_down
-    from query_gateway.statements.lexer import Unclear
+def _classified(service: "StatementService", line: str) -> dict[str, Any]:
+    from query_gateway.statements.classifier import classification_line, rejected_decision
+    from query_gateway.statements.lexer import UnsupportedStatementError
 
     classifier = service.classifier
     try:
@@ -145,21 +145,21 @@
         if not plain or not isinstance(params or [], list):
             raise ValueError
     except (ValueError, AttributeError, RecursionError):
-        bad = turned_down(Unclear('not a line {"sql": "..."}'))
-        return as_line(bad, None, None, classifier.costs, False)
+        bad = rejected_decision(UnsupportedStatementError('not a line {"sql": "..."}'))
+        return classification_line(bad, None, None, classifier.costs, False)
     try:
-        shape = classifier.shape(sql)
-    except Unclear as why:
-        return as_line(turned_down(why), None, None, classifier.costs, False)
-    hit = classifier.shapes.peek(shape.digest) is not None
-    judged = next(one for one in _asked(service, sql, named, key, params or ()) if one.judgement is not None)
-    known = classifier.shapes.peek(shape.digest)
-    assert judged.judgement
-    return as_line(judged.judgement, shape, known, classifier.costs, hit)
+        shape = classifier.normalize(sql)
+    except UnsupportedStatementError as why:
+        return classification_line(rejected_decision(why), None, None, classifier.costs, False)
+    hit = classifier.shapes.peek(shape.fingerprint) is not None
+    judged = next(one for one in _asked(service, sql, named, key, params or ()) if one.decision is not None)
+    known = classifier.shapes.peek(shape.fingerprint)
+    assert judged.decision
+    return classification_line(judged.decision, shape, known, classifier.costs, hit)
 
 
 def _asked(
-    service: "Statements", sql: str, named: str | None, key: str | None, params: Any
+    service: "StatementService", sql: str, named: str | None, key: str | None, params: Any
 ) -> Iterator["Classification"]:
     """Answers until one is no `come back`."""
     loop = service.loop
--- a/query_gateway/flight/server.py
+++ b/query_gateway/flight/server.py
@@ -19,7 +19,7 @@
 from query_gateway.rpc import grpc
 
 if TYPE_CHECKING:
-    from query_gateway.parsing.service import Classification, Statements
+    from query_gateway.parsing.service import Classification, StatementService
 
 MS = 1_000_000
 WAY_BACK = 25 * MS  # of the client's time, kept for the way here and the last bytes' way back
@@ -62,7 +62,7 @@
         raise BadCall(400, f"an update cannot run as {class_name[:80]}, whose queries may run twice")
     group = judged.table_group if judged else table_group(statement)
     cost = real_header(headers, "x-cpu-hint", 1e8)
-    told = judged.judgement if judged else None
+    told = judged.decision if judged else None
     key = told.key if told and told.key else hex_header(headers, "x-row", 16, c.in_turn)
     idempotency = hex_header(headers, "x-txn-key", 32, c.keyed and not told)
     if idempotency is None and c.keyed:
@@ -80,7 +80,7 @@
         memory_mb=real_header(headers, "x-memory", 1e7) or (judged.memory_mb if judged else 0.0),
         table_group=None if group is None else float(group),
         is_update=update,
-        shape=judged.digest if judged else b"",
+        shape=judged.fingerprint if judged else b"",
     )
 
 
@@ -164,18 +164,18 @@
     def _judged(self, statement: str, update: bool, now: int, judged: "Classification") -> None:
         if self.done:
             return
-        server, told = self.server, judged.judgement
+        server, told = self.server, judged.decision
         if told is None:
             self._refuse()
             return
-        if not told.taken or told.cls is None:
+        if not told.is_accepted or told.class_name is None:
             self._finish(grpc.INVALID, told.reason)
             return
-        if server.statements and (why := server.statements.may_run(judged.digest, now)):
+        if server.statements and (why := server.statements.may_run(judged.fingerprint, now)):
             self._refuse(why)
             return
         try:
-            self._take(statement, told.cls, update, now, judged)
+            self._take(statement, told.class_name, update, now, judged)
         except BadCall as bad:
             self._finish(grpc.INVALID, str(bad))
 
@@ -236,7 +236,7 @@
     def __init__(
         self, loop: Loop, desk: Forwarder, address: tuple[str, int], classes: dict[str, FlightClass],
         query_class: str, update_class: str, most: int, readiness: Readiness, shared: bool = False,
-        given: socket.socket | None = None, statements: "Statements | None" = None,
+        given: socket.socket | None = None, statements: "StatementService | None" = None,
     ) -> None:  # fmt: skip
         self.statements = statements
         self.loop, self.forwarder, self.classes, self.max_connections = loop, desk, classes, most
--- a/query_gateway/gateway.py
+++ b/query_gateway/gateway.py
@@ -47,7 +47,7 @@
 if TYPE_CHECKING:
     from query_gateway.flight.engines import Pool as FlightPool
     from query_gateway.flight.server import Server as FlightServer
-    from query_gateway.parsing.service import Statements
+    from query_gateway.parsing.service import StatementService
     from query_gateway.statements.messages import Rules
 
 ACCEPTING = 0.8  # seconds after SIGTERM in which requests still come: 0.4 s, 0.2 s more, and slack
@@ -296,15 +296,17 @@
             self.statements,
         )  # fmt: skip
 
-    def _statements(self, legacy: Any) -> "Statements | None":
+    def _statements(self, legacy: Any) -> "StatementService | None":
         """What reads bare SQL; not even loaded where it is off."""
         reading = self.operator.statements
         if reading is None:
             return None
-        from query_gateway.parsing.service import Statements
+        from query_gateway.parsing.service import StatementService
 
         safe = safe_classes(self.config)
-        statements = Statements(self.loop, reading.rules, safe, reading.parser_count, reading.max_shapes)
+        statements = StatementService(
+            self.loop, reading.rules, safe, reading.parser_count, reading.max_shapes
+        )
         path = reading.snapshot_path
         if path and self.operator.forwarder_count > 1:
             path = f"{path}.{self.number}"
@@ -417,7 +419,7 @@
         self._tell_rules(settings, tuple(n for name, n in numbers.items() if name not in old))
         # Guards requests that cross: a class that was dropped is taken for a while, under its old rules
         if self.statements and reading:
-            self.statements.update_rules(reading, self.statements.classifier.safe)
+            self.statements.update_rules(reading, self.statements.classifier.idempotent_classes)
         until = self.loop.now() + CROSSING
         self.leaving |= {name: (told, until) for name, told in old.items()}
         self._cross()
@@ -479,7 +481,7 @@
         known = learned(self.planner.scheduler, numbers)
         told = {"fronts": list(fronts), "learned": known}
         if self.statements:
-            told["statements"] = self.statements.classifier.costs.snapshot(most=256)
+            told["statements"] = self.statements.classifier.costs.snapshot(max_entries=256)
         return told, list(fronts.values())
 
     def _adopt(self, raw: Any) -> bool:
--- a/query_gateway/http/server.py
+++ b/query_gateway/http/server.py
@@ -19,7 +19,7 @@
 from query_gateway.net.stream import Listener, Reason, Stream
 
 if TYPE_CHECKING:
-    from query_gateway.parsing.service import Classification, Statements
+    from query_gateway.parsing.service import Classification, StatementService
 
 MS = 1_000_000
 WAY_BACK = 15 * MS  # of the client's time, kept for the way here and the way back
@@ -357,7 +357,7 @@
         self.server.forwarder.counters.count_answer(query.class_name, Verdict.REJECTED)
 
     def _read(
-        self, query: ClientRequest, held: Held, statements: "Statements"
+        self, query: ClientRequest, held: Held, statements: "StatementService"
     ) -> Generator[float | None, None, ClientRequest]:
         """Guards against a write under a class that may run twice; class and key stay as the call names
         them.
@@ -368,17 +368,17 @@
             told.append(one)
             self.task.wake()
 
-        safe = query.class_name in statements.classifier.safe
+        safe = query.class_name in statements.classifier.idempotent_classes
         if not safe:
             return query
         statements.classify(query.statement.decode(), query.class_name, query.key, judged)
         while not told and not self.stream.is_over:
             yield None
-        if not told or told[0].judgement is None:
+        if not told or told[0].decision is None:
             self._refuse(query, held)
             return query
-        judgement, digest = told[0].judgement, told[0].digest
-        if judgement.writes:
+        judgement, digest = told[0].decision, told[0].fingerprint
+        if judgement.is_write:
             raise BadCall(400, judgement.reason or f"it writes, so it cannot run as {query.class_name}")
         if statements.may_run(digest, self.server.forwarder.clock()):
             self._refuse(query, held)
@@ -473,7 +473,7 @@
         readiness: Readiness,
         shared: bool = False,
         given: socket.socket | None = None,
-        statements: "Statements | None" = None,
+        statements: "StatementService | None" = None,
     ) -> None:
         self.statements = statements  # where writes under a class that may run twice are turned down
         self.loop, self.forwarder, self.classes, self.max_connections = loop, desk, classes, most
--- a/query_gateway/parsing/frames.py
+++ b/query_gateway/parsing/frames.py
@@ -5,41 +5,41 @@
 
 import msgspec
 
-from query_gateway.statements.messages import Plan, Rules
-from query_gateway.statements.shape import Shape
+from query_gateway.statements.messages import ParseResult, Rules
+from query_gateway.statements.normalizer import NormalizedStatement
 
 LENGTH = struct.Struct("!I")
 MOST = 1 << 20  # bytes of a frame
 
 
-class Ask(msgspec.Struct, frozen=True, array_like=True):
+class ParseRequest(msgspec.Struct, frozen=True, array_like=True):
     """Parse this shape; its literals stay with the gateway."""
 
-    number: int
-    folded: list[str]
-    slots: int
+    request_number: int
+    tokens: list[str]
+    literal_count: int
 
-    def shape(self) -> Shape:
-        return Shape(b"", self.folded, [""] * self.slots)
+    def shape(self) -> NormalizedStatement:
+        return NormalizedStatement(b"", self.tokens, [""] * self.literal_count)
 
 
-class Told(msgspec.Struct, frozen=True, array_like=True):
-    number: int  # 0: ready
-    plan: Plan | None = None
+class ParseResponse(msgspec.Struct, frozen=True, array_like=True):
+    request_number: int  # 0: ready
+    parse_result: ParseResult | None = None
 
 
 _encoder = msgspec.msgpack.Encoder()
-decode_ask = msgspec.msgpack.Decoder(Ask).decode
-decode_told = msgspec.msgpack.Decoder(Told).decode
+decode_request = msgspec.msgpack.Decoder(ParseRequest).decode
+decode_response = msgspec.msgpack.Decoder(ParseResponse).decode
 decode_rules = msgspec.msgpack.Decoder(Rules).decode
 
 
-def framed(value: Any) -> bytes:
+def encode_frame(value: Any) -> bytes:
     data = _encoder.encode(value)
     return LENGTH.pack(len(data)) + data
 
 
-def cut(buffer: bytearray) -> bytes | None:
+def take_frame(buffer: bytearray) -> bytes | None:
     """The first whole frame, taken off the buffer. Raises ValueError at one that is too long."""
     if len(buffer) < LENGTH.size:
         return None
--- a/query_gateway/parsing/worker.py
+++ b/query_gateway/parsing/worker.py
@@ -5,10 +5,10 @@
 import socket
 import sys
 
-from query_gateway.parsing.frames import LENGTH, Told, decode_ask, decode_rules, framed
-from query_gateway.statements.messages import Plan
+from query_gateway.parsing.frames import LENGTH, ParseResponse, decode_request, decode_rules, encode_frame
+from query_gateway.statements.messages import ParseResult
+from query_gateway.statements.normalizer import normalize
 from query_gateway.statements.reader import Reader
-from query_gateway.statements.shape import shape_of
 
 WARM = ("SELECT a, count(*) FROM b WHERE c = 1 GROUP BY a ORDER BY 1", "DELETE FROM a WHERE b = 1")
 MEMORY = 1 << 30  # bytes of address space: guards the machine against a parse that never stops growing
@@ -35,17 +35,19 @@
     sock.setblocking(True)
     reader = Reader(decode_rules(_frame(sock)))
     for text in WARM:  # guards the first statements' time against what the parser builds at its first use
-        reader.read(shape_of(text))
-    sock.sendall(framed(Told(0)))
+        reader.read(normalize(text))
+    sock.sendall(encode_frame(ParseResponse(0)))
     while True:
-        ask = decode_ask(_frame(sock))
+        ask = decode_request(_frame(sock))
         try:
             plan = reader.read(ask.shape())
         except (RecursionError, MemoryError):
-            plan = Plan(True, reason="it nests too deep", parsed=False)
+            plan = ParseResult(True, reason="it nests too deep", is_parsed=False)
         except Exception as fault:  # guards the others: a parser's own fault turns down one statement
-            plan = Plan(True, reason=f"the parser broke on it: {type(fault).__name__}", parsed=False)
-        sock.sendall(framed(Told(ask.number, plan)))
+            plan = ParseResult(
+                True, reason=f"the parser broke on it: {type(fault).__name__}", is_parsed=False
+            )
+        sock.sendall(encode_frame(ParseResponse(ask.request_number, plan)))
 
 
 if __name__ == "__main__":
--- a/query_gateway/statements/cache.py
+++ b/query_gateway/statements/cache.py
@@ -9,35 +9,42 @@
 
 from query_gateway.statements.sketch import CountMin
 
+MIN_CAPACITY = 4
 V = TypeVar("V")
 
 
 class Cache(Generic[V]):
-    """`room` entries by digest. Dicts keep their order, so the first key of each is the least recent one."""
+    """At most `capacity` entries by digest.
 
-    def __init__(self, room: int, window: float = 0.01, protected: float = 0.8) -> None:
-        if room < 4:
-            raise ValueError("a cache has room for 4 at least")
-        self.room = room
-        self.window_room = max(1, int(room * window))
-        self.main_room = room - self.window_room
-        self.protected_room = int(self.main_room * protected)
+    Dicts keep their order, so the first key of each segment is the least recently used one.
+    """
+
+    def __init__(self, capacity: int, window_share: float = 0.01, protected_share: float = 0.8) -> None:
+        """Shares are of the whole and of the main part. Raises ValueError below MIN_CAPACITY."""
+        if capacity < MIN_CAPACITY:
+            raise ValueError(f"a cache needs a capacity of {MIN_CAPACITY} at least, not {capacity}")
+        self.capacity = capacity
+        self.window_capacity = max(1, int(capacity * window_share))
+        self.main_capacity = capacity - self.window_capacity
+        self.protected_capacity = int(self.main_capacity * protected_share)
         self.window: dict[bytes, V] = {}
         self.probation: dict[bytes, V] = {}
         self.protected: dict[bytes, V] = {}
-        self.sketch = CountMin(room)
+        self.sketch = CountMin(capacity)
         self.hits = self.misses = 0
 
     def __len__(self) -> int:
+        """The number of entries in all segments."""
         return len(self.window) + len(self.probation) + len(self.protected)
 
     def get(self, digest: bytes) -> V | None:
+        """The entry, which counts as a use; None if there is none."""
         self.sketch.add(digest)
         if (found := self.protected.pop(digest, None)) is not None:
             self.protected[digest] = found
         elif (found := self.probation.pop(digest, None)) is not None:
             self.protected[digest] = found
-            if len(self.protected) > self.protected_room:
+            if len(self.protected) > self.protected_capacity:
                 oldest = next(iter(self.protected))
                 self.probation[oldest] = self.protected.pop(oldest)
         elif (found := self.window.pop(digest, None)) is not None:
@@ -49,31 +56,36 @@
         return found
 
     def peek(self, digest: bytes) -> V | None:
-        """Without counting it as a use."""
-        for part in (self.protected, self.probation, self.window):
-            if (found := part.get(digest)) is not None:
+        """The entry without counting it as a use; None if there is none."""
+        for segment in (self.protected, self.probation, self.window):
+            if (found := segment.get(digest)) is not None:
                 return found
         return None
 
     def put(self, digest: bytes, value: V) -> bytes | None:
-        """Take in what was not there; returns the digest that left for it, if one did."""
-        for part in (self.protected, self.probation, self.window):
-            if digest in part:
-                part[digest] = value
+        """Add or replace an entry; returns the digest that was evicted for it, if one was."""
+        for segment in (self.protected, self.probation, self.window):
+            if digest in segment:
+                segment[digest] = value
                 return None
         self.window[digest] = value
-        if len(self.window) <= self.window_room:
+        if len(self.window) <= self.window_capacity:
             return None
+        return self._leave_window()
+
+    def _leave_window(self) -> bytes | None:
+        """The least recent entry of the window goes into the main part or out; returns what was evicted."""
         candidate = next(iter(self.window))
-        told = self.window.pop(candidate)
-        if len(self.probation) + len(self.protected) < self.main_room:
-            self.probation[candidate] = told
+        value = self.window.pop(candidate)
+        if len(self.probation) + len(self.protected) < self.main_capacity:
+            self.probation[candidate] = value
             return None
-        victim = next(iter(self.probation or self.protected))
+        segment = self.probation or self.protected
+        victim = next(iter(segment))
         if self.sketch.count(candidate) <= self.sketch.count(victim):
             return candidate
-        (self.probation if self.probation else self.protected).pop(victim)
-        self.probation[candidate] = told
+        del segment[victim]
+        self.probation[candidate] = value
         return victim
 
     def clear(self) -> None:
--- a/query_gateway/statements/classifier.py
+++ b/query_gateway/statements/classifier.py
@@ -1,5 +1,5 @@
-"""From a statement to what becomes of it: shapes known by cache, everything else by a parse that is asked
-for.
+"""From a statement to what is decided about it: normalized statements seen before by cache, all others by a
+parse that the caller runs.
 """
 
 from collections.abc import Collection, Sequence
@@ -8,122 +8,166 @@
 
 from query_gateway.forwarder.table_group import table_group
 from query_gateway.statements.cache import Cache
-from query_gateway.statements.costs import Costs
-from query_gateway.statements.lexer import Unclear
+from query_gateway.statements.costs import CostEstimates
+from query_gateway.statements.lexer import UnsupportedStatementError
 from query_gateway.statements.limits import ShapeLimits
-from query_gateway.statements.messages import Judgement, Plan, Rules
-from query_gateway.statements.shape import Shape, shape_of
+from query_gateway.statements.messages import Decision, ParseResult, Rules
+from query_gateway.statements.normalizer import NormalizedStatement, normalize
 
-SHAPES = 10_000  # kept at most
+MAX_SHAPES = 10_000  # cached
+MAX_DISTINCT_RESULTS = 1_024  # kept apart from the cache
 
 
 @dataclass(slots=True, frozen=True)
-class Known:
-    """What is kept of a shape."""
+class CachedStatement:
+    """What is cached of a normalized statement."""
 
-    plan: Plan
-    group: int | None  # of tables
+    parse_result: ParseResult
+    table_group: int | None
 
 
 class Classifier:
-    """Knows the rules and the shapes seen. `safe`: names of classes whose requests may be run twice."""
+    """Owns the rules, the shapes seen, their costs and their limits."""
 
-    def __init__(self, rules: Rules, safe: Collection[str] | None = None, room: int = SHAPES) -> None:
+    def __init__(
+        self, rules: Rules, idempotent_classes: Collection[str] | None = None, capacity: int = MAX_SHAPES
+    ) -> None:
+        """`idempotent_classes`: names of classes whose requests may be run twice; None: those of reads.
+
+        `capacity`: shapes that are cached.
+        """
         self.rules = rules
-        self.safe = frozenset(safe if safe is not None else (rules.lookup, rules.report))
-        self.shapes: Cache[Known] = Cache(room)
-        self.costs = Costs(room)
+        if idempotent_classes is None:
+            idempotent_classes = (rules.lookup, rules.report)
+        self.idempotent_classes = frozenset(idempotent_classes)
+        self.shapes: Cache[CachedStatement] = Cache(capacity)
+        self.costs = CostEstimates(capacity)
         self.limits = ShapeLimits()
-        self._plans: dict[Plan, Plan] = {}  # guards the memory: thousands of shapes share few plans
-
-    def shape(self, text: str) -> Shape:
-        """Raises Unclear."""
-        return shape_of(text, self.rules.sort_rows, self.rules.most_length)
-
-    def known(self, shape: Shape) -> Known | None:
-        return self.shapes.get(shape.digest)
-
-    def learn(self, shape: Shape, plan: Plan) -> Known:
-        """Keep what the parse of a shape found."""
-        if len(self._plans) > 1_024:
-            self._plans.clear()
-        known = Known(self._plans.setdefault(plan, plan), table_group(" ".join(shape.folded)))
-        self.shapes.put(shape.digest, known)
-        return known
-
-    def judge(
-        self, known: Known, shape: Shape, named: str | None = None, key: str | None = None,
-        bound: Sequence[object] = (),
-    ) -> Judgement:  # fmt: skip
-        """`named`: the class that the client names, `key` the key it names, `bound` parameters' values."""
-        plan, rules = known.plan, self.rules
-        if not plan.writes:
-            read = named or (rules.report if plan.report else rules.lookup)
-            return Judgement(read, False, read in self.safe, key if named else None, "", True)
-        if not plan.parsed:
-            return _down(plan.reason)
-        cls: str | None = rules.load
-        if named in self.safe:
+        # Guards the memory: thousands of shapes share few results
+        self._distinct_results: dict[ParseResult, ParseResult] = {}
+
+    def normalize(self, text: str) -> NormalizedStatement:
+        """Raises UnsupportedStatementError."""
+        return normalize(text, self.rules.sort_rows, self.rules.most_length)
+
+    def cached(self, statement: NormalizedStatement) -> CachedStatement | None:
+        """What is known of it, which counts as a use; None: it has to be parsed."""
+        return self.shapes.get(statement.fingerprint)
+
+    def learn(self, statement: NormalizedStatement, parse_result: ParseResult) -> CachedStatement:
+        """Cache what the parse found."""
+        if len(self._distinct_results) > MAX_DISTINCT_RESULTS:
+            self._distinct_results.clear()
+        shared = self._distinct_results.setdefault(parse_result, parse_result)
+        cached = CachedStatement(shared, table_group(" ".join(statement.tokens)))
+        self.shapes.put(statement.fingerprint, cached)
+        return cached
+
+    def decide(
+        self,
+        cached: CachedStatement,
+        statement: NormalizedStatement,
+        requested_class: str | None = None,
+        requested_key: str | None = None,
+        parameters: Sequence[object] = (),
+    ) -> Decision:
+        """The decision about one text. Class and key are those that its client names, if any."""
+        parse_result, rules = cached.parse_result, self.rules
+        if not parse_result.is_write:
+            name = requested_class or (rules.report if parse_result.is_report else rules.lookup)
+            key = requested_key if requested_class else None
+            return Decision(name, False, name in self.idempotent_classes, key, "", True)
+        if not parse_result.is_parsed:
+            return _rejected(parse_result.reason)
+        return self._decide_write(parse_result, statement, requested_class, requested_key, parameters)
+
+    def _decide_write(
+        self,
+        parse_result: ParseResult,
+        statement: NormalizedStatement,
+        requested_class: str | None,
+        requested_key: str | None,
+        parameters: Sequence[object],
+    ) -> Decision:
+        rules, description = self.rules, parse_result.reason or parse_result.verb
+        class_name = rules.load
+        if requested_class in self.idempotent_classes:
             if rules.mismatch != "load":
-                return _down(f"it writes, so it cannot run as {named}: {plan.reason or plan.verb}")
-        elif named is not None:
-            cls = named
-        if cls is None or cls in self.safe:
-            return _down(f"no class is set for writes: {plan.reason or plan.verb}")
-        if plan.rule < 0:
-            if named and named == cls and key and (plan.uncovered or not rules.keys):
-                return Judgement(cls, True, False, key, plan.reason, True)
-            return _down(plan.reason or "no key can be found")
-        from query_gateway.statements.values import NoKey, key_of
-
+                return _rejected(f"it writes, so it cannot run as {requested_class}: {description}")
+        elif requested_class is not None:
+            class_name = requested_class
+        if class_name is None or class_name in self.idempotent_classes:
+            return _rejected(f"no class is set for writes: {description}")
+        if parse_result.key_rule_index < 0:
+            key_counts = parse_result.lacks_key_rule or not rules.keys
+            if requested_class and requested_class == class_name and requested_key and key_counts:
+                return Decision(class_name, True, False, requested_key, parse_result.reason, True)
+            return _rejected(parse_result.reason or "no key can be found")
+        return self._decide_keyed_write(parse_result, statement, class_name, parameters)
+
+    def _decide_keyed_write(
+        self,
+        parse_result: ParseResult,
+        statement: NormalizedStatement,
+        class_name: str,
+        parameters: Sequence[object],
+    ) -> Decision:
+        from query_gateway.statements.values import UndeterminedKeyError, key_of
+
+        key_rule = self.rules.keys[parse_result.key_rule_index]
         try:
-            found = key_of(rules.keys[plan.rule], plan.refs, shape.literals, bound)
-        except NoKey as why:
-            return _down(str(why))
-        return Judgement(cls, True, False, found, plan.verb, True)
-
-    def retune(self, rules: Rules, safe: Collection[str]) -> None:
-        """New rules: what was judged by the old ones is forgotten; what was learned of costs stays."""
-        self.safe = frozenset(safe)
+            key = key_of(key_rule, parse_result.key_references, statement.literals, parameters)
+        except UndeterminedKeyError as error:
+            return _rejected(str(error))
+        return Decision(class_name, True, False, key, parse_result.verb, True)
+
+    def update_rules(self, rules: Rules, idempotent_classes: Collection[str]) -> None:
+        """New rules: what was parsed by the old ones is forgotten; what was learned of costs stays."""
+        self.idempotent_classes = frozenset(idempotent_classes)
         if rules != self.rules:
             self.rules = rules
             self.shapes.clear()
-            self._plans.clear()
+            self._distinct_results.clear()
 
     def figures(self) -> dict[str, float]:
+        """Figures of the second address, by their names there without the prefix."""
         return {
             "statement_hits_total": self.shapes.hits,
             "statement_misses_total": self.shapes.misses,
             "statement_shapes": len(self.shapes),
-            "statement_shapes_held": self.limits.held,
-            "statement_held_back_total": self.limits.turned_down,
+            "statement_shapes_held": self.limits.limited_count,
+            "statement_held_back_total": self.limits.rejected_count,
         }
 
 
-def _down(reason: str) -> Judgement:
-    return Judgement(None, True, False, None, reason, False)
+def _rejected(reason: str) -> Decision:
+    return Decision(None, True, False, None, reason, False)
 
 
-def turned_down(why: Unclear) -> Judgement:
-    """Of a text that is not even cut into tokens with certainty."""
-    return _down(str(why))
+def rejected_decision(error: UnsupportedStatementError) -> Decision:
+    """The decision about a text that cannot even be split into tokens with certainty."""
+    return _rejected(str(error))
 
 
-def as_line(
-    judged: Judgement, shape: Shape | None, known: Known | None, costs: Costs, hit: bool
+def classification_line(
+    decision: Decision,
+    statement: NormalizedStatement | None,
+    cached: CachedStatement | None,
+    costs: CostEstimates,
+    was_cached: bool,
 ) -> dict[str, Any]:
-    """What `query-gateway statements classify` prints of one."""
-    cost = None
-    if known and shape and judged.cls:
-        cost = costs.cost_ns(shape.digest, judged.cls, known.group)
+    """What `query-gateway statements classify` prints of one statement."""
+    cost_ns = None
+    if cached and statement and decision.class_name:
+        cost_ns = costs.cost_ns(statement.fingerprint, decision.class_name, cached.table_group)
     return {
-        "class": judged.cls,
-        "writes": judged.writes,
-        "repeatable": judged.repeatable,
-        "key": judged.key,
-        "group": known.group if known else None,
-        "cost_ms": round(cost / 1e6, 3) if cost is not None else None,
-        "shape": shape.name if shape else None,
-        "cached": hit,
-        "reason": judged.reason,
+        "class": decision.class_name,
+        "writes": decision.is_write,
+        "repeatable": decision.is_idempotent,
+        "key": decision.key,
+        "group": cached.table_group if cached else None,
+        "cost_ms": round(cost_ns / 1e6, 3) if cost_ns is not None else None,
+        "shape": statement.name if statement else None,
+        "cached": was_cached,
+        "reason": decision.reason,
     }
--- a/query_gateway/statements/costs.py
+++ b/query_gateway/statements/costs.py
@@ -1,7 +1,7 @@
-"""What statements cost, learned from outcomes: by shape, else by table group and class, else by class.
+"""Cost estimates, learned from outcomes: by shape, else by table group and class, else by class.
 
 Each is a histogram of few bytes with buckets in equal ratios, whose counts halve when they pass a bound: so
-old outcomes fade by what came since, and a shape that turns slow is followed within that bound's number of
+old outcomes fade as new ones come, and a shape that turns slow is followed within that bound's number of
 outcomes.
 """
 
@@ -11,16 +11,25 @@
 
 from query_gateway.statements.sketch import CountMin
 
+BUCKET_RATIO = 1.35  # between the bounds of a bucket: an estimate is off by its root at most, within a bucket
+FIRST_BOUND_NS = 1e5  # lower bound of the first bucket
+BUCKETS = 64  # the upper bound of the last one is 6 hours
+MAX_TOTAL = 48  # outcomes after which the counts halve
+MIN_OUTCOMES = 5  # that make a histogram worth using
+JUMP_LENGTH = 6  # outcomes in a row on one side, far from the estimate: what was learned before is forgotten
+JUMP_FACTOR = 2.0  # times the estimate, or its inverse: what counts as far
+JUMP_DIVISOR = 8  # of the counts, when it jumps
+MEMORY_QUANTILE = 0.8  # memory is estimated on the high side
+FINGERPRINT_BYTES = 16
+MAX_SNAPSHOT_ENTRIES = 2_048  # of each table
+MAX_CLASS_NAME_LENGTH = 200  # characters that are kept of a name from a snapshot
+_LOG_RATIO = math.log(BUCKET_RATIO)
+_LOG_FIRST = math.log(FIRST_BOUND_NS)
+_halved = bytes(count >> 1 for count in range(256))
+
+# The words of the stored snapshot, which other versions read and write as well
 VERSION = 1
-RATIO = 1.35  # between the bounds of a bucket: an estimate is off by its root at most, within a bucket
-LEAST, BUCKETS = 1e5, 64  # nanoseconds of the first bucket's lower bound; the last's upper one is 6 hours
-FULL = 48  # outcomes after which the counts halve
-ENOUGH = 5  # outcomes that make a histogram worth asking
-JUMP = 6  # outcomes in a row on one side, far from the estimate: what was learned before them is forgotten
-FAR = 2.0
-_STEP = math.log(RATIO)
-_FIRST = math.log(LEAST)
-_halved = bytes(n >> 1 for n in range(256))
+VERSION_KEY, SHAPES_KEY, MEMORY_KEY, FALLBACKS_KEY = "version", "shapes", "needs", "coarse"
 
 
 class Histogram:
@@ -29,138 +38,177 @@
     __slots__ = ("counts", "total", "streak")
 
     def __init__(self, counts: bytes = bytes(BUCKETS)) -> None:
+        """`counts`: one byte a bucket."""
         self.counts = bytearray(counts)
         self.total = sum(counts)
-        self.streak = 0  # outcomes in a row above (+) or below (-) the estimate by FAR
+        self.streak = 0  # outcomes in a row above (+) or below (-) the estimate by JUMP_FACTOR
 
     def add(self, value: float) -> None:
-        """`value`: a positive number in the sketch's unit (nanoseconds, or MB times LEAST)."""
+        """Count a positive number in the histogram's unit (nanoseconds, or MB times FIRST_BOUND_NS)."""
+        bucket = int((math.log(max(value, 1.0)) - _LOG_FIRST) / _LOG_RATIO)
+        self._follow_jump(value)
+        self.counts[min(BUCKETS - 1, max(0, bucket))] += 1
+        self.total += 1
+        if self.total >= MAX_TOTAL:
+            self.counts = self.counts.translate(_halved)
+            self.total = sum(self.counts)
+
+    def _follow_jump(self, value: float) -> None:
+        """Forget most of what was learned once the values have moved far away and stay there."""
         usual = self.quantile(0.5)
-        at = min(BUCKETS - 1, max(0, int((math.log(max(value, 1.0)) - _FIRST) / _STEP)))
-        if usual and value > usual * FAR:
+        if usual and value > usual * JUMP_FACTOR:
             self.streak = max(1, self.streak + 1)
-        elif usual and value * FAR < usual:
+        elif usual and value * JUMP_FACTOR < usual:
             self.streak = min(-1, self.streak - 1)
         else:
             self.streak = 0
-        if abs(self.streak) >= JUMP:  # no mix of slow and fast ones would be so long on one side by chance
-            self.counts = bytearray(n // 8 for n in self.counts)
+        if abs(self.streak) >= JUMP_LENGTH:  # a mix of slow and fast ones is hardly so long on one side
+            self.counts = bytearray(count // JUMP_DIVISOR for count in self.counts)
             self.total = sum(self.counts)
             self.streak = 0
-        self.counts[at] += 1
-        self.total += 1
-        if self.total >= FULL:
-            self.counts = self.counts.translate(_halved)
-            self.total = sum(self.counts)
 
     def quantile(self, share: float) -> float:
-        """The value below which that share lies, at its bucket's middle; 0 if nothing is known."""
+        """The value below which that share lies, interpolated within its bucket; 0 if nothing is known."""
         if not self.total:
             return 0.0
         left = share * self.total
-        for at, n in enumerate(self.counts):
-            if n and left < n:
-                return math.exp(_FIRST + _STEP * (at + left / n))
-            left -= n
-        return math.exp(_FIRST + _STEP * BUCKETS)
+        for bucket, count in enumerate(self.counts):
+            if count and left < count:
+                return math.exp(_LOG_FIRST + _LOG_RATIO * (bucket + left / count))
+            left -= count
+        return math.exp(_LOG_FIRST + _LOG_RATIO * BUCKETS)
 
 
-Key = bytes | tuple[str, int | None]
+FallbackKey = tuple[str, int | None]  # class name; table group, None: of the whole class
 
 
-class Costs:
-    """Estimates of run time and memory. Holds `room` shapes and as many groups as `groups`.
+class CostEstimates:
+    """Estimates of run time and memory, for `capacity` shapes and as many groups as `max_groups`.
 
     When it is full, the shape that goes is the one used longest ago, unless the new one is rarer yet.
     """
 
-    def __init__(self, room: int = 10_000, groups: int = 1_024) -> None:
-        self.room, self.groups = room, groups
+    def __init__(self, capacity: int = 10_000, max_groups: int = 1_024) -> None:
+        """`capacity`: shapes; `max_groups`: pairs of class and table group."""
+        self.capacity, self.max_groups = capacity, max_groups
         self.shapes: dict[bytes, Histogram] = {}
-        self.needs: dict[bytes, Histogram] = {}
-        self.coarse: dict[tuple[str, int | None], Histogram] = {}
-        self.seen = CountMin(room)
-
-    def ran(self, digest: bytes, cls: str, group: int | None, took_ns: int, need_mb: float = 0.0) -> None:
-        """An attempt has ended well after `took_ns` of work."""
-        self.seen.add(digest)
-        if found := self._at(self.shapes, digest):
-            found.add(took_ns)
-        if need_mb > 0 and (found := self._at(self.needs, digest)):
-            found.add(need_mb * LEAST)
-        for key in ((cls, group), (cls, None)):
-            coarse = self.coarse.pop(key, None) or Histogram()
-            self.coarse[key] = coarse
-            coarse.add(took_ns)
-        while len(self.coarse) > self.groups:
-            del self.coarse[next(iter(self.coarse))]
-
-    def _at(self, table: dict[bytes, Histogram], digest: bytes) -> Histogram | None:
-        if found := table.pop(digest, None):
-            table[digest] = found
-            return found
-        if len(table) >= self.room:
+        self.memory: dict[bytes, Histogram] = {}
+        self.fallbacks: dict[FallbackKey, Histogram] = {}
+        self.seen = CountMin(capacity)
+
+    def observe(
+        self,
+        fingerprint: bytes,
+        class_name: str,
+        table_group: int | None,
+        run_time_ns: int,
+        memory_mb: float = 0.0,
+    ) -> None:
+        """An attempt has succeeded after `run_time_ns` of work."""
+        self.seen.add(fingerprint)
+        if histogram := self._histogram_of(self.shapes, fingerprint):
+            histogram.add(run_time_ns)
+        if memory_mb > 0 and (histogram := self._histogram_of(self.memory, fingerprint)):
+            histogram.add(memory_mb * FIRST_BOUND_NS)
+        for key in ((class_name, table_group), (class_name, None)):
+            fallback = self.fallbacks.pop(key, None) or Histogram()
+            self.fallbacks[key] = fallback
+            fallback.add(run_time_ns)
+        while len(self.fallbacks) > self.max_groups:
+            del self.fallbacks[next(iter(self.fallbacks))]
+
+    def _histogram_of(self, table: dict[bytes, Histogram], fingerprint: bytes) -> Histogram | None:
+        """The shape's histogram, new if need be; None if the table is full of shapes that are used more."""
+        if histogram := table.pop(fingerprint, None):
+            table[fingerprint] = histogram
+            return histogram
+        if len(table) >= self.capacity:
             oldest = next(iter(table))
-            if self.seen.count(oldest) > self.seen.count(digest):
-                table[oldest] = table.pop(oldest)  # its turn comes again: what is next is weighed then
+            if self.seen.count(oldest) > self.seen.count(fingerprint):
+                table[oldest] = table.pop(oldest)  # moved to the end: the next one is compared then
                 return None
             del table[oldest]
-        table[digest] = Histogram()
-        return table[digest]
+        table[fingerprint] = Histogram()
+        return table[fingerprint]
 
-    def cost_ns(self, digest: bytes, cls: str, group: int | None) -> int | None:
+    def cost_ns(self, fingerprint: bytes, class_name: str, table_group: int | None) -> int | None:
         """The usual run time; None if nothing like it has run."""
-        for found in (self.shapes.get(digest), self.coarse.get((cls, group)), self.coarse.get((cls, None))):
-            if found and found.total >= ENOUGH:
-                return int(found.quantile(0.5))
+        candidates = (
+            self.shapes.get(fingerprint),
+            self.fallbacks.get((class_name, table_group)),
+            self.fallbacks.get((class_name, None)),
+        )
+        for histogram in candidates:
+            if histogram and histogram.total >= MIN_OUTCOMES:
+                return int(histogram.quantile(0.5))
         return None
 
-    def need_mb(self, digest: bytes) -> float:
+    def memory_mb(self, fingerprint: bytes) -> float:
         """Memory that most of its queries needed; 0 if nothing is known."""
-        found = self.needs.get(digest)
-        return found.quantile(0.8) / LEAST if found and found.total >= ENOUGH else 0.0
+        histogram = self.memory.get(fingerprint)
+        if histogram is None or histogram.total < MIN_OUTCOMES:
+            return 0.0
+        return histogram.quantile(MEMORY_QUANTILE) / FIRST_BOUND_NS
 
     # ---- for a restart or a successor
 
-    def snapshot(self, most: int = 2_048) -> dict[str, Any]:
-        """The shapes used last, as plain values."""
-
-        def told(table: dict[bytes, Histogram]) -> dict[str, str]:
-            return {d.hex(): bytes(h.counts).hex() for d, h in list(table.items())[-most:]}
-
-        coarse = [[c, g, bytes(h.counts).hex()] for (c, g), h in list(self.coarse.items())[-most:]]
-        return {"version": VERSION, "shapes": told(self.shapes), "needs": told(self.needs), "coarse": coarse}
-
-    def adopt(self, raw: Any) -> bool:
+    def snapshot(self, max_entries: int = MAX_SNAPSHOT_ENTRIES) -> dict[str, Any]:
+        """The shapes used last, as plain values; `max_entries` of each table."""
+        fallbacks = [
+            [class_name, table_group, bytes(histogram.counts).hex()]
+            for (class_name, table_group), histogram in list(self.fallbacks.items())[-max_entries:]
+        ]
+        return {
+            VERSION_KEY: VERSION,
+            SHAPES_KEY: _encode_table(self.shapes, max_entries),
+            MEMORY_KEY: _encode_table(self.memory, max_entries),
+            FALLBACKS_KEY: fallbacks,
+        }
+
+    def restore(self, raw: Any) -> bool:
         """Take over a snapshot, all of it or, if anything in it is unusable, nothing."""
         try:
-            if raw["version"] != VERSION:
+            if raw[VERSION_KEY] != VERSION:
                 return False
-            shapes, needs = self._told(raw["shapes"]), self._told(raw["needs"])
-            coarse: dict[tuple[str, int | None], Histogram] = {}
-            for cls, group, counts in raw["coarse"][-self.groups :]:
-                if not isinstance(cls, str) or not (group is None or type(group) is int):
-                    return False
-                coarse[cls[:200], group] = _histogram(counts)
+            shapes = _decode_table(raw[SHAPES_KEY], self.capacity)
+            memory = _decode_table(raw[MEMORY_KEY], self.capacity)
+            fallbacks = _decode_fallbacks(raw[FALLBACKS_KEY][-self.max_groups :])
         except (KeyError, TypeError, ValueError, AttributeError):
             return False
-        self.shapes, self.needs, self.coarse = shapes, needs, coarse
-        for digest in shapes:
-            self.seen.add(digest)
+        self.shapes, self.memory, self.fallbacks = shapes, memory, fallbacks
+        for fingerprint in shapes:
+            self.seen.add(fingerprint)
         return True
 
-    def _told(self, raw: Mapping[str, str]) -> dict[bytes, Histogram]:
-        found = {}
-        for name, counts in list(raw.items())[-self.room :]:
-            digest = bytes.fromhex(name)
-            if len(digest) != 16:
-                raise ValueError("a shape's name has 32 digits")
-            found[digest] = _histogram(counts)
-        return found
+
+def _encode_table(table: dict[bytes, Histogram], max_entries: int) -> dict[str, str]:
+    latest = list(table.items())[-max_entries:]
+    return {fingerprint.hex(): bytes(histogram.counts).hex() for fingerprint, histogram in latest}
+
+
+def _decode_table(raw: Mapping[str, str], max_entries: int) -> dict[bytes, Histogram]:
+    table = {}
+    for name, counts in list(raw.items())[-max_entries:]:
+        fingerprint = bytes.fromhex(name)
+        if len(fingerprint) != FINGERPRINT_BYTES:
+            raise ValueError(f"a fingerprint has {FINGERPRINT_BYTES} bytes, not {len(fingerprint)}")
+        table[fingerprint] = _decode_histogram(counts)
+    return table
+
+
+def _decode_fallbacks(raw: list[Any]) -> dict[FallbackKey, Histogram]:
+    fallbacks: dict[FallbackKey, Histogram] = {}
+    for class_name, table_group, counts in raw:
+        if not isinstance(class_name, str):
+            raise ValueError(f"a class name is a text, not {class_name!r}")
+        if table_group is not None and type(table_group) is not int:
+            raise ValueError(f"a table group is a whole number, not {table_group!r}")
+        fallbacks[class_name[:MAX_CLASS_NAME_LENGTH], table_group] = _decode_histogram(counts)
+    return fallbacks
 
 
-def _histogram(raw: str) -> Histogram:
+def _decode_histogram(raw: str) -> Histogram:
     counts = bytes.fromhex(raw)
-    if len(counts) != BUCKETS or sum(counts) > FULL:
-        raise ValueError("no histogram of ours")
+    if len(counts) != BUCKETS or sum(counts) > MAX_TOTAL:
+        raise ValueError(f"a histogram has {BUCKETS} counts of {MAX_TOTAL} in all at most")
     return Histogram(counts)
--- a/query_gateway/statements/keys.py
+++ b/query_gateway/statements/keys.py
@@ -1,63 +1,68 @@
 """Which rows a load may touch: where the value of its key stands in the tree.
 
 Only what is certain counts: a load is keyed if every row it may insert, change or remove carries one value
-in the rule's column. What is not certain raises NoKey with the reason.
+in the rule's column. What is not certain raises UndeterminedKeyError with the reason, which reaches the
+client. Trees are those of sqlglot.
 """
 
 import re
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from fnmatch import fnmatchcase
 from typing import Any, NamedTuple
 
 from sqlglot import expressions as exp
 
-from query_gateway.statements.messages import KeyRule, Ref
-from query_gateway.statements.shape import FIRST_NUMBER
-from query_gateway.statements.values import NoKey
+from query_gateway.statements.messages import KeyRule, LiteralReference
+from query_gateway.statements.normalizer import FIRST_NUMBER
+from query_gateway.statements.values import UndeterminedKeyError
 
 INTEGERS, TEXTS = ("INT", "BIGINT"), ("TEXT", "VARCHAR")
+MAX_SHOWN_NAME = 80  # characters of a table's name in a reason
+STRING_SLOT, PARAMETER_SLOT = re.compile(r"s(\d+)"), re.compile(r"p(\d+)")
+SourceColumns = dict[str, list[LiteralReference]]  # by qualified name, those that hold literals alone
 
 
-class NotCovered(NoKey):
-    """No rule speaks of the table that is written."""
+class NoKeyRuleError(UndeterminedKeyError):
+    """No rule covers the table that is written."""
 
 
 # ---- rules by table
 
 
-def parts_of(table: Any) -> tuple[str, ...]:
+def qualified_name(table: Any) -> tuple[str, ...]:
     """A table's name with what qualifies it, without case; quoted and plain names are one here."""
     parts = [table.args.get("catalog"), table.args.get("db"), table.this]
     return tuple(part.name.casefold() for part in parts if part)
 
 
-def rule_of(table: Any, rules: Sequence[KeyRule]) -> int:
+def key_rule_index(table: Any, rules: Sequence[KeyRule]) -> int:
     """The rule of a table. Parts that either side leaves out match: a bare name may be any schema's.
 
-    Raises NoKey if none or several match; one for whole tables goes before those by column.
+    One for whole tables takes precedence over those by column. Raises NoKeyRuleError if none matches and
+    UndeterminedKeyError if several do.
     """
-    name = parts_of(table)
-    matching = []
-    for at, rule in enumerate(rules):
-        pattern = rule.table.casefold().split(".")
-        if all(fnmatchcase(a, b) for a, b in zip(reversed(name), reversed(pattern), strict=False)):
-            matching.append(at)
-    whole = [at for at in matching if rules[at].whole]
-    if whole:
-        matching = whole
+    name = qualified_name(table)
+    matching = [index for index, rule in enumerate(rules) if _matches(name, rule)]
+    matching = [index for index in matching if rules[index].covers_whole_table] or matching
     if len(matching) == 1:
         return matching[0]
-    shown = ".".join(name)[:80]
+    shown = ".".join(name)[:MAX_SHOWN_NAME]
     if not matching:
-        raise NotCovered(f"no key rule covers {shown}")
-    raise NoKey(f"several key rules cover {shown}")
+        raise NoKeyRuleError(f"no key rule covers {shown}")
+    raise UndeterminedKeyError(f"several key rules cover {shown}")
+
+
+def _matches(name: tuple[str, ...], rule: KeyRule) -> bool:
+    patterns = rule.table.casefold().split(".")
+    pairs = zip(reversed(name), reversed(patterns), strict=False)
+    return all(fnmatchcase(part, pattern) for part, pattern in pairs)
 
 
 # ---- places in the tree
 
 
-def ref_of(node: Any) -> Ref | None:
-    """The place of a literal, signed or cast in a way that keeps its value."""
+def literal_reference(node: Any) -> LiteralReference | None:
+    """The place of a literal, signed or cast in a way that keeps its value; None if it is none."""
     negative, cast = False, ""
     while True:
         if isinstance(node, (exp.Paren, exp.Alias)):
@@ -66,29 +71,37 @@
             negative = not negative
             node = node.this
         elif isinstance(node, exp.Cast) and not node.args.get("format"):
-            kind = node.to
-            if not isinstance(kind, exp.DataType) or kind.expressions or negative:
+            kind = _cast_kind(node.to)
+            if not kind or negative or (cast and cast != kind):
                 return None
-            name = kind.this.name if hasattr(kind.this, "name") else str(kind.this)
-            told = "integer" if name in INTEGERS else "text" if name in TEXTS else ""
-            if not told or (cast and cast != told):
-                return None
-            cast = told
+            cast = kind
             node = node.this
         else:
             break
+    slot = _slot_of(node)
+    return LiteralReference(slot, negative, cast) if slot >= 0 else None  # type: ignore[arg-type]
+
+
+def _cast_kind(data_type: Any) -> str:
+    """`integer` or `text`; empty for a type that may change the value."""
+    if not isinstance(data_type, exp.DataType) or data_type.expressions:
+        return ""
+    name = data_type.this.name if hasattr(data_type.this, "name") else str(data_type.this)
+    if name in INTEGERS:
+        return "integer"
+    return "text" if name in TEXTS else ""
+
+
+def _slot_of(node: Any) -> int:
+    """The slot that a literal of the canonical text tells; -1 if it tells none."""
+    if isinstance(node, exp.Literal) and not node.is_string:
+        return int(node.this) - FIRST_NUMBER if node.this.isdigit() else -1
+    found = None
     if isinstance(node, exp.Literal):
-        if node.is_string:
-            found = re.fullmatch(r"s(\d+)", node.this)
-            slot = int(found[1]) if found else -1
-        else:
-            slot = int(node.this) - FIRST_NUMBER if node.this.isdigit() else -1
+        found = STRING_SLOT.fullmatch(node.this)
     elif isinstance(node, exp.Placeholder):
-        found = re.fullmatch(r"p(\d+)", node.name)
-        slot = int(found[1]) if found else -1
-    else:
-        return None
-    return Ref(slot, negative, cast) if slot >= 0 else None  # type: ignore[arg-type]
+        found = PARAMETER_SLOT.fullmatch(node.name)
+    return int(found[1]) if found else -1
 
 
 def is_column(node: Any, column: str) -> bool:
@@ -96,215 +109,281 @@
     return isinstance(node, (exp.Column, exp.Identifier)) and node.name.casefold() == column.casefold()
 
 
-def _surely(node: Any, column: str, owner: "Owner") -> bool:
+class TargetScope(NamedTuple):
+    """What may stand before the target's columns: its alias, which hides its name, or its name."""
+
+    name: str
+    schema: str  # empty behind an alias
+    others: frozenset[str]  # names of what else its predicates may refer to
+
+
+def _target_scope(tree: Any, target: Any) -> TargetScope:
+    others: set[str] = set()
+    for argument in ("from_", "from", "using"):
+        sources = tree.args.get(argument)
+        for source in sources if isinstance(sources, list) else [sources]:
+            if isinstance(source, exp.Expression):
+                tables = source.find_all(exp.Table, exp.Subquery)
+                others |= {table.alias_or_name.casefold() for table in tables}
+                others.add(source.alias_or_name.casefold())  # VALUES and the like, named or not
+    schema = "" if target.alias else target.db.casefold()
+    return TargetScope((target.alias or target.name).casefold(), schema, frozenset(others))
+
+
+def _is_certainly_column(node: Any, column: str, scope: TargetScope) -> bool:
     """Whether it is certainly that column of the target."""
     if not isinstance(node, exp.Column):
         return False
     name = node.this
     if not isinstance(name, exp.Identifier):
         return False
-    same = name.name == column if name.quoted else name.name.casefold() == column.casefold()
+    is_same = name.name == column if name.quoted else name.name.casefold() == column.casefold()
     if not node.table:
-        return same and not owner.others
+        return is_same and not scope.others
     schema = node.args.get("db")
-    if schema is not None and schema.name.casefold() != owner.schema:
+    if schema is not None and schema.name.casefold() != scope.schema:
         return False
-    return same and node.table.casefold() == owner.name and owner.name not in owner.others
+    return is_same and node.table.casefold() == scope.name and scope.name not in scope.others
 
 
-def conjuncts(node: Any) -> Iterable[Any]:
+def conjuncts(node: Any) -> Iterator[Any]:
+    """The predicates that must all hold, from the last to the first."""
     stack = [node]
     while stack:
-        one = stack.pop()
-        if isinstance(one, exp.And):
-            stack += [one.this, one.expression]
-        elif isinstance(one, exp.Paren):
-            stack.append(one.this)
-        elif one is not None:
-            yield one
+        part = stack.pop()
+        if isinstance(part, exp.And):
+            stack += [part.this, part.expression]
+        elif isinstance(part, exp.Paren):
+            stack.append(part.this)
+        elif part is not None:
+            yield part
 
 
-class Owner(NamedTuple):
-    """What may stand before the target's columns: its alias, which hides its name, or its name."""
+def _selected(where: Any, column: str, scope: TargetScope, source: SourceColumns) -> list[LiteralReference]:
+    """The references of one conjunct that fixes the column; conjuncts beside it only narrow the rows."""
+    for part in conjuncts(where):
+        references: list[LiteralReference] = []
+        if isinstance(part, exp.EQ):
+            references = _equated(part, column, scope, source)
+        elif isinstance(part, exp.In) and _is_certainly_column(part.this, column, scope):
+            references = _listed(part)
+        if references:
+            return references
+    raise UndeterminedKeyError(f"no predicate gives {column} one value")
+
+
+def _equated(equality: Any, column: str, scope: TargetScope, source: SourceColumns) -> list[LiteralReference]:
+    sides = (equality.this, equality.expression)
+    for one, other in (sides, sides[::-1]):
+        if _is_certainly_column(one, column, scope) and (references := _values(other, source)):
+            return references
+    return []
 
-    name: str
-    schema: str  # empty behind an alias
-    others: frozenset[str]  # names of what else its predicates may speak of
 
+def _listed(membership: Any) -> list[LiteralReference]:
+    """The literals of an IN; empty if it holds anything else."""
+    if membership.args.get("query") or membership.args.get("unnest"):
+        return []
+    return _all_literals(membership.expressions)
 
-def _owner(tree: Any, target: Any) -> Owner:
-    beside = [tree.args.get(part) for part in ("from_", "from", "using")]
-    others: set[str] = set()
-    for part in beside:
-        for one in part if isinstance(part, list) else [part]:
-            if isinstance(one, exp.Expression):
-                others |= {table.alias_or_name.casefold() for table in one.find_all(exp.Table, exp.Subquery)}
-                others.add(one.alias_or_name.casefold())  # VALUES and the like, named or not
-    schema = "" if target.alias else target.db.casefold()
-    return Owner((target.alias or target.name).casefold(), schema, frozenset(others))
 
+def _all_literals(nodes: Iterable[Any]) -> list[LiteralReference]:
+    """The references of all nodes; empty if one of them is no literal."""
+    references = []
+    for node in nodes:
+        reference = literal_reference(node)
+        if reference is None:
+            return []
+        references.append(reference)
+    return references
 
-def _picked(where: Any, column: str, owner: Owner, source: dict[str, Any]) -> list[Ref]:
-    """The refs of one conjunct that pins the column; conjuncts beside it only narrow the rows."""
-    for part in conjuncts(where):
-        if isinstance(part, exp.EQ):
-            for one, other in ((part.this, part.expression), (part.expression, part.this)):
-                if _surely(one, column, owner) and (refs := _values(other, source)):
-                    return refs
-        elif isinstance(part, exp.In) and _surely(part.this, column, owner):
-            told = [ref_of(node) for node in part.expressions]
-            if told and all(told) and not part.args.get("query") and not part.args.get("unnest"):
-                return [ref for ref in told if ref]
-    raise NoKey(f"no predicate gives {column} one value")
-
-
-def _values(node: Any, source: dict[str, Any]) -> list[Ref]:
-    """The values of an expression: a literal, or a column of the source whose every row tells one."""
-    if ref := ref_of(node):
-        return [ref]
+
+def _values(node: Any, source: SourceColumns) -> list[LiteralReference]:
+    """The values of an expression: a literal, or a column of the source whose every row holds one."""
+    if reference := literal_reference(node):
+        return [reference]
     if isinstance(node, exp.Column) and node.table:
         return list(source.get(f"{node.table.casefold()}.{node.name.casefold()}", ()))
     return []
 
 
-def _source_columns(source: Any) -> dict[str, list[Ref]]:
+def _source_columns(source: Any) -> SourceColumns:
     """Of a MERGE's source, the columns that hold literals alone, by qualified name."""
     alias = source.args.get("alias")
     if alias is None or not alias.name:
         return {}
+    names, rows = _source_rows(source, [column.name for column in alias.args.get("columns") or ()])
+    folded = [name.casefold() for name in names]
+    columns: SourceColumns = {}
+    for index, name in enumerate(folded):
+        references = _all_literals(row[index] if index < len(row) else None for row in rows)
+        if references and folded.count(name) == 1:
+            columns[f"{alias.name.casefold()}.{name}"] = references
+    return columns
+
+
+def _source_rows(source: Any, names: list[str]) -> tuple[list[str], list[list[Any]]]:
+    """The columns' names and the rows of VALUES or of a plain SELECT; none of what is neither."""
     if isinstance(source, exp.Subquery):
         source = source.this
-    rows: list[list[Any]] = []
-    names = [column.name for column in alias.args.get("columns") or ()]
     if isinstance(source, exp.Values):
         rows = [list(row.expressions) for row in source.expressions if isinstance(row, exp.Tuple)]
-        if len(rows) != len(source.expressions):
-            return {}
-    elif isinstance(source, exp.Select) and not source.args.get("with_"):
-        rows = [list(source.expressions)]
+        return names, rows if len(rows) == len(source.expressions) else []
+    if isinstance(source, exp.Select) and not source.args.get("with_"):
         names = names or [node.alias_or_name for node in source.expressions]
-    found: dict[str, list[Ref]] = {}
-    for at, name in enumerate(names):
-        refs = [ref_of(row[at]) if at < len(row) else None for row in rows]
-        qualified = f"{alias.name.casefold()}.{name.casefold()}"
-        alone = [n.casefold() for n in names].count(name.casefold()) == 1
-        if refs and all(refs) and alone:
-            found[qualified] = [ref for ref in refs if ref]
-    return found
-
-
-def _assigned(assignments: Iterable[Any], column: str, source: dict[str, Any]) -> list[Ref]:
-    """The refs of what is assigned to the column; whatever else it is given makes it unknown."""
-    refs: list[Ref] = []
-    for one in assignments:
-        if not isinstance(one, exp.EQ) or not isinstance(one.this, (exp.Column, exp.Identifier)):
-            raise NoKey("an assignment that is no plain column = value")
-        if is_column(one.this, column):
-            told = _values(one.expression, source)
-            if not told:
-                raise NoKey(f"{column} is set to what the text does not tell")
-            refs += told
-    return refs
-
-
-def _inserted(tree: Any, column: str) -> list[Ref]:
+        return names, [list(source.expressions)]
+    return names, []
+
+
+def _assigned(assignments: Iterable[Any], column: str, source: SourceColumns) -> list[LiteralReference]:
+    """The references of what is assigned to the column; whatever else it is given makes it unknown."""
+    references: list[LiteralReference] = []
+    for assignment in assignments:
+        is_plain = isinstance(assignment, exp.EQ)
+        if not is_plain or not isinstance(assignment.this, (exp.Column, exp.Identifier)):
+            raise UndeterminedKeyError("an assignment that is no plain column = value")
+        if is_column(assignment.this, column):
+            values = _values(assignment.expression, source)
+            if not values:
+                raise UndeterminedKeyError(f"{column} is set to what the text does not tell")
+            references += values
+    return references
+
+
+# ---- inserts
+
+
+def _inserted(tree: Any, column: str) -> list[LiteralReference]:
     schema = tree.this
     if not isinstance(schema, exp.Schema) or not schema.expressions:
-        raise NoKey("an insert without its list of columns")
+        raise UndeterminedKeyError("an insert without its list of columns")
+    index = _inserted_index(schema, column)
+    references = [
+        _inserted_value(row, index, len(schema.expressions), column)
+        for row in _inserted_rows(tree.expression)
+    ]
+    conflict = tree.args.get("conflict")
+    if conflict is not None:
+        references += _on_conflict(conflict, column)
+    return references
+
+
+def _inserted_index(schema: Any, column: str) -> int:
+    """The place of the column among those that are inserted."""
     names = [node.name.casefold() for node in schema.expressions]
     if names.count(column.casefold()) != 1:
-        raise NoKey(f"the insert does not give {column}")
-    at = names.index(column.casefold())
-    written = schema.expressions[at]
+        raise UndeterminedKeyError(f"the insert does not give {column}")
+    index = names.index(column.casefold())
+    written = schema.expressions[index]
     if isinstance(written, exp.Identifier) and written.quoted and written.name != column:
-        raise NoKey(f"the insert does not give {column}")
-    refs: list[Ref] = []
-    selects = [tree.expression]
-    while selects:
-        one = selects.pop()
-        if isinstance(one, (exp.Paren, exp.Subquery)) and not one.args.get("alias"):
-            selects.append(one.this)
-            continue
-        if isinstance(one, exp.Union):
-            selects += [one.this, one.expression]
-            continue
-        if isinstance(one, exp.Values):
-            rows = [row.expressions if isinstance(row, exp.Tuple) else [row] for row in one.expressions]
-        elif isinstance(one, exp.Select):
-            rows = [one.expressions]
+        raise UndeterminedKeyError(f"the insert does not give {column}")
+    return index
+
+
+def _inserted_rows(query: Any) -> Iterator[list[Any]]:
+    """The rows of VALUES and of SELECTs, also of a UNION of them."""
+    stack = [query]
+    while stack:
+        part = stack.pop()
+        if isinstance(part, (exp.Paren, exp.Subquery)) and not part.args.get("alias"):
+            stack.append(part.this)
+        elif isinstance(part, exp.Union):
+            stack += [part.this, part.expression]
+        elif isinstance(part, exp.Values):
+            yield from (row.expressions if isinstance(row, exp.Tuple) else [row] for row in part.expressions)
+        elif isinstance(part, exp.Select):
+            yield part.expressions
         else:
-            raise NoKey("an insert of rows that the text does not tell")
-        for row in rows:
-            told = ref_of(row[at]) if len(row) == len(names) else None
-            if any(isinstance(node, exp.Star) or node.find(exp.Star) for node in row[: at + 1] if node):
-                told = None
-            if told is None:
-                raise NoKey(f"the insert gives {column} a value that the text does not tell")
-            refs.append(told)
-    conflict = tree.args.get("conflict")
-    if conflict is not None:
-        action = conflict.args.get("action")
-        nothing = action is not None and "NOTHING" in action.name.upper() and not conflict.expressions
-        if not nothing:
-            # Guards rows of other keys: a conflict on another column changes a row whose key we do not know
-            given = conflict.args.get("conflict_keys") or ()
-            on = [one.this if isinstance(one, exp.Ordered) else one for one in given]
-            if conflict.args.get("duplicate") or not any(is_column(node, column) for node in on):
-                raise NoKey(f"a conflict on something other than {column} may change any row")
-            refs += _assigned(conflict.expressions, column, {})
-    return refs
-
-
-def _merged(tree: Any, column: str) -> list[Ref]:
+            raise UndeterminedKeyError("an insert of rows that the text does not tell")
+
+
+def _inserted_value(row: list[Any], index: int, width: int, column: str) -> LiteralReference:
+    reference = literal_reference(row[index]) if len(row) == width else None
+    # Guards against a star before the value, which moves it to another column
+    if any(isinstance(node, exp.Star) or node.find(exp.Star) for node in row[: index + 1] if node):
+        reference = None
+    if reference is None:
+        raise UndeterminedKeyError(f"the insert gives {column} a value that the text does not tell")
+    return reference
+
+
+def _on_conflict(conflict: Any, column: str) -> list[LiteralReference]:
+    action = conflict.args.get("action")
+    if action is not None and "NOTHING" in action.name.upper() and not conflict.expressions:
+        return []
+    # Guards rows of other keys: a conflict on another column changes a row whose key we do not know
+    conflict_keys = conflict.args.get("conflict_keys") or ()
+    columns = [node.this if isinstance(node, exp.Ordered) else node for node in conflict_keys]
+    if conflict.args.get("duplicate") or not any(is_column(node, column) for node in columns):
+        raise UndeterminedKeyError(f"a conflict on something other than {column} may change any row")
+    return _assigned(conflict.expressions, column, {})
+
+
+# ---- merges
+
+
+def _merged(tree: Any, column: str) -> list[LiteralReference]:
     source = _source_columns(tree.args["using"])
-    refs = _picked(tree.args.get("on"), column, _owner(tree, target_of(tree)), source)
+    references = _selected(tree.args.get("on"), column, _target_scope(tree, target_of(tree)), source)
     whens = tree.args.get("whens")
     for when in whens.expressions if whens else ():
-        then = when.args.get("then")
-        if when.args.get("source") and not when.args.get("matched"):
-            raise NoKey("WHEN NOT MATCHED BY SOURCE touches rows that no predicate picks")
-        if isinstance(then, exp.Update):
-            refs += _assigned(then.expressions, column, source)
-        elif isinstance(then, exp.Insert):
-            names = [node.name.casefold() for node in then.this.expressions] if then.this else []
-            values = then.expression.expressions if then.expression else []
-            if names.count(column.casefold()) != 1 or len(values) != len(names):
-                raise NoKey(f"the merge inserts rows without telling {column}")
-            told = _values(values[names.index(column.casefold())], source)
-            if not told:
-                raise NoKey(f"the merge gives {column} a value that the text does not tell")
-            refs += told
-        elif not (isinstance(then, exp.Var) and then.name.upper() in ("DELETE", "DO NOTHING")):
-            raise NoKey("a merge with a branch that is not known")
-    return refs
+        references += _merge_branch(when, column, source)
+    return references
+
+
+def _merge_branch(when: Any, column: str, source: SourceColumns) -> list[LiteralReference]:
+    then = when.args.get("then")
+    if when.args.get("source") and not when.args.get("matched"):
+        raise UndeterminedKeyError("WHEN NOT MATCHED BY SOURCE touches rows that no predicate picks")
+    if isinstance(then, exp.Update):
+        return _assigned(then.expressions, column, source)
+    if isinstance(then, exp.Insert):
+        return _merge_insert(then, column, source)
+    if isinstance(then, exp.Var) and then.name.upper() in ("DELETE", "DO NOTHING"):
+        return []
+    raise UndeterminedKeyError("a merge with a branch that is not known")
+
+
+def _merge_insert(insert: Any, column: str, source: SourceColumns) -> list[LiteralReference]:
+    names = [node.name.casefold() for node in insert.this.expressions] if insert.this else []
+    values = insert.expression.expressions if insert.expression else []
+    if names.count(column.casefold()) != 1 or len(values) != len(names):
+        raise UndeterminedKeyError(f"the merge inserts rows without telling {column}")
+    references = _values(values[names.index(column.casefold())], source)
+    if not references:
+        raise UndeterminedKeyError(f"the merge gives {column} a value that the text does not tell")
+    return references
+
+
+# ---- a load as a whole
 
 
 def target_of(tree: Any) -> Any:
-    """The one table that a load writes. Raises NoKey."""
+    """The one table that a load writes. Raises UndeterminedKeyError."""
     target = tree.this
     if isinstance(target, exp.Schema):
         target = target.this
     if not isinstance(target, exp.Table) or not isinstance(target.this, exp.Identifier):
-        raise NoKey("the table that is written is not plain")
+        raise UndeterminedKeyError("the table that is written is not plain")
     if target.args.get("joins") or tree.args.get("tables"):
-        raise NoKey("several tables may be written")
+        raise UndeterminedKeyError("several tables may be written")
     return target
 
 
-def refs_of(tree: Any, rule: KeyRule) -> tuple[Ref, ...]:
-    """Where the key's values stand in a load. Raises NoKey."""
-    if rule.whole:
+def key_references(tree: Any, rule: KeyRule) -> tuple[LiteralReference, ...]:
+    """Where the key's values stand in a load. Raises UndeterminedKeyError."""
+    if rule.covers_whole_table:
         return ()
     target, column = target_of(tree), rule.column
     if isinstance(tree, exp.Insert):
-        refs = _inserted(tree, column)
+        references = _inserted(tree, column)
     elif isinstance(tree, exp.Merge):
-        refs = _merged(tree, column)
+        references = _merged(tree, column)
     else:
         where = tree.args.get("where")
         if where is None:
-            raise NoKey("all rows of the table are touched")
-        refs = _picked(where.this, column, _owner(tree, target), {})
+            raise UndeterminedKeyError("all rows of the table are touched")
+        references = _selected(where.this, column, _target_scope(tree, target), {})
         if isinstance(tree, exp.Update):
-            refs += _assigned(tree.expressions, column, {})
-    return tuple(dict.fromkeys(refs))
+            references += _assigned(tree.expressions, column, {})
+    return tuple(dict.fromkeys(references))
--- a/query_gateway/statements/limits.py
+++ b/query_gateway/statements/limits.py
@@ -1,111 +1,126 @@
-"""How many of a shape may run at once, once it has done harm; which engine runs them stays the module's to
-say.
+"""How many queries of a shape may run at once, once it has done harm; which engine runs them stays the
+scheduler's to decide.
 
-A shape is free until it does harm: it spilled, ran many times longer than it is used to, or failed on
-several engines in a row. Then it is held: few at once, fewer each time harm comes again, and one more as
-runs end well. Harm that one engine alone does is not the shape's, so failures count once for an engine.
+A shape is unlimited until it does harm: an attempt spilled, ran many times longer than usual, or failed on
+several engines in a row. Then it is limited: few at once, fewer each time harm comes again, and one more as
+attempts succeed. Harm that one engine alone does is not the shape's, so failures count once for an engine.
 """
 
 from dataclasses import dataclass, field
 
-SEC = 1_000_000_000
-ENGINES = 3  # that a shape fails on in a row, before it is held
-RUNAWAY = 8.0  # times its usual time
-HELD = 4  # at once, at first
-WELL = 5  # runs in a row that end well, for one more at once
-FREE = 16  # at once: from here on it is free again
-FORGET = 300 * SEC  # without harm, after which nothing is held against it
-MOST = 512  # shapes held or watched
+SECOND_NS = 1_000_000_000
+ENGINES = 3  # that a shape fails on in a row, before it is limited
+RUNAWAY_FACTOR = 8.0  # times its usual run time
+MIN_RUNAWAY_NS = SECOND_NS  # a shorter attempt is no runaway
+INITIAL_LIMIT = 4  # at once, at first
+SUCCESSES_PER_STEP = 5  # attempts in a row that succeed, for one more at once
+UNLIMITED_FROM = 16  # at once: from here on it is unlimited again
+FORGET_AFTER_NS = 300 * SECOND_NS  # without harm, after which the limit is lifted
+MAX_RECORDS = 512  # shapes limited or watched
 
 
 @dataclass(slots=True)
 class Record:
-    failed: set[str] = field(default_factory=set)  # engines it failed on since it last ran well
-    most: int = 0  # at once; 0: free
-    well: int = 0
-    harm_at: int = 0
-    why: str = ""
+    """What is remembered of a shape that failed or did harm."""
+
+    failed_engines: set[str] = field(default_factory=set)  # since its last success
+    max_concurrent: int = 0  # 0: unlimited
+    successes: int = 0  # in a row
+    last_harm_at: int = 0  # clock time in nanoseconds
+    reason: str = ""
 
 
 class ShapeLimits:
-    """Bounded by what is open, and by `most` records; the one that goes is of the shape whose harm is
-    oldest.
+    """Limits by fingerprint. Bounded by the open queries, and by `capacity` records.
+
+    When it is full, the record that goes is of the shape whose harm is oldest. Times are clock times in
+    nanoseconds.
     """
 
-    def __init__(self, most: int = MOST) -> None:
-        self.room = most
+    def __init__(self, capacity: int = MAX_RECORDS) -> None:
+        """`capacity`: records at most."""
+        self.capacity = capacity
         self.records: dict[bytes, Record] = {}
-        self.running: dict[bytes, int] = {}  # requests open, by shape
-        self.turned_down = 0
+        self.running: dict[bytes, int] = {}  # open queries by fingerprint
+        self.rejected_count = 0
 
-    def may_run(self, digest: bytes, now: int) -> str:
-        """Empty if one more may be taken, else why not. `now`: clock time in nanoseconds."""
-        record = self.records.get(digest)
-        if record is None or not record.most:
+    def rejection_reason(self, fingerprint: bytes, now: int) -> str:
+        """Why one more may not be accepted; empty if it may."""
+        record = self.records.get(fingerprint)
+        if record is None or not record.max_concurrent:
             return ""
-        if now - record.harm_at > FORGET:
-            del self.records[digest]
+        if now - record.last_harm_at > FORGET_AFTER_NS:
+            del self.records[fingerprint]
             return ""
-        if self.running.get(digest, 0) < record.most:
+        if self.running.get(fingerprint, 0) < record.max_concurrent:
             return ""
-        self.turned_down += 1
-        return f"{record.most} of this shape run already: {record.why}"
+        self.rejected_count += 1
+        return f"{record.max_concurrent} of this shape run already: {record.reason}"
 
-    def begun(self, digest: bytes) -> None:
-        self.running[digest] = self.running.get(digest, 0) + 1
+    def query_started(self, fingerprint: bytes) -> None:
+        """A query was accepted."""
+        self.running[fingerprint] = self.running.get(fingerprint, 0) + 1
 
-    def ended(self, digest: bytes) -> None:
-        """One that begun was told of has its answer."""
-        left = self.running.get(digest, 0) - 1
+    def query_ended(self, fingerprint: bytes) -> None:
+        """A query that was started has its answer."""
+        left = self.running.get(fingerprint, 0) - 1
         if left > 0:
-            self.running[digest] = left
+            self.running[fingerprint] = left
         else:
-            self.running.pop(digest, None)
+            self.running.pop(fingerprint, None)
 
     # ---- what its attempts did
 
-    def ran_well(self, digest: bytes, took_ns: int, usual_ns: int | None, now: int) -> None:
-        if usual_ns and took_ns > RUNAWAY * usual_ns and took_ns > SEC:
-            self._harm(digest, now, f"one ran {took_ns / usual_ns:.0f} times as long as usual")
+    def attempt_succeeded(self, fingerprint: bytes, run_time_ns: int, usual_ns: int | None, now: int) -> None:
+        """`usual_ns`: the estimate before this attempt; None if there was none."""
+        if usual_ns and run_time_ns > RUNAWAY_FACTOR * usual_ns and run_time_ns > MIN_RUNAWAY_NS:
+            self._harm(fingerprint, now, f"one ran {run_time_ns / usual_ns:.0f} times as long as usual")
             return
-        record = self.records.get(digest)
+        record = self.records.get(fingerprint)
         if record is None:
             return
-        record.failed.clear()
-        if record.most:
-            record.well += 1
-            if record.well >= WELL:
-                record.well = 0
-                record.most += 1
-        if not record.most or record.most >= FREE:
-            del self.records[digest]
-
-    def spilled(self, digest: bytes, now: int) -> None:
-        self._harm(digest, now, "one spilled")
-
-    def failed(self, digest: bytes, engine: str, now: int) -> None:
-        record = self._record(digest)
-        record.failed.add(engine)
-        record.well = 0
-        if len(record.failed) >= ENGINES:
-            engines = len(record.failed)
-            record.failed.clear()
-            self._harm(digest, now, f"failed on {engines} engines in a row")
-
-    def _harm(self, digest: bytes, now: int, why: str) -> None:
-        record = self._record(digest)
-        record.most = max(1, record.most // 2) if record.most else HELD
-        record.well, record.harm_at, record.why = 0, now, why
-
-    def _record(self, digest: bytes) -> Record:
-        record = self.records.get(digest)
+        record.failed_engines.clear()
+        if record.max_concurrent:
+            record.successes += 1
+            if record.successes >= SUCCESSES_PER_STEP:
+                record.successes = 0
+                record.max_concurrent += 1
+        if not record.max_concurrent or record.max_concurrent >= UNLIMITED_FROM:
+            del self.records[fingerprint]
+
+    def attempt_spilled(self, fingerprint: bytes, now: int) -> None:
+        """An attempt needed more memory than its engine had."""
+        self._harm(fingerprint, now, "one spilled")
+
+    def attempt_failed(self, fingerprint: bytes, engine: str, now: int) -> None:
+        """An attempt failed in a way that may be the statement's own doing."""
+        record = self._record(fingerprint)
+        record.failed_engines.add(engine)
+        record.successes = 0
+        if len(record.failed_engines) >= ENGINES:
+            engines = len(record.failed_engines)
+            record.failed_engines.clear()
+            self._harm(fingerprint, now, f"failed on {engines} engines in a row")
+
+    def _harm(self, fingerprint: bytes, now: int, reason: str) -> None:
+        record = self._record(fingerprint)
+        record.max_concurrent = max(1, record.max_concurrent // 2) if record.max_concurrent else INITIAL_LIMIT
+        record.successes, record.last_harm_at, record.reason = 0, now, reason
+
+    def _record(self, fingerprint: bytes) -> Record:
+        record = self.records.get(fingerprint)
         if record is None:
-            if len(self.records) >= self.room:
-                held = min(self.records, key=lambda d: (self.records[d].most > 0, self.records[d].harm_at))
-                del self.records[held]
-            record = self.records[digest] = Record()
+            if len(self.records) >= self.capacity:
+                del self.records[min(self.records, key=self._eviction_order)]
+            record = self.records[fingerprint] = Record()
         return record
 
+    def _eviction_order(self, fingerprint: bytes) -> tuple[bool, int]:
+        """Shapes that are only watched go first, then by the age of their harm."""
+        record = self.records[fingerprint]
+        return record.max_concurrent > 0, record.last_harm_at
+
     @property
-    def held(self) -> int:
-        return sum(1 for record in self.records.values() if record.most)
+    def limited_count(self) -> int:
+        """How many shapes are limited now."""
+        return sum(1 for record in self.records.values() if record.max_concurrent)
--- a/query_gateway/statements/messages.py
+++ b/query_gateway/statements/messages.py
@@ -1,4 +1,4 @@
-"""The values of this package: what the rules say, what a parse found, what becomes of a statement."""
+"""The values of this package: what the rules say, what a parse found, what is decided about a statement."""
 
 from typing import Literal
 
@@ -13,58 +13,61 @@
     type: Literal["any", "integer", "text"] = "any"
 
     @property
-    def whole(self) -> bool:
+    def covers_whole_table(self) -> bool:
+        """Whether all loads of these tables share one key."""
         return not self.column
 
     @property
-    def domain(self) -> str:
-        """What parts its keys from those of other rules; the same on every gateway."""
+    def key_namespace(self) -> str:
+        """What separates its keys from those of other rules; the same on every gateway."""
         return f"{self.table.casefold()}\0{self.column.casefold()}"
 
 
 class Rules(msgspec.Struct, frozen=True):
+    """How statements are classified. Class names are those of the platform's configuration."""
+
     dialect: str = "postgres"
     lookup: str = "lookup"  # class names
     report: str = "report"
-    load: str | None = "load"  # None: writes are turned down
+    load: str | None = "load"  # None: writes are rejected
     aggregates: bool = True  # a read with one is a report
     windows: bool = True
-    unselective: bool = True  # and one whose predicates pick no rows by equality or IN
+    unselective: bool = True  # and one whose predicates select no rows by equality or IN
     sort_rows: int = 1_000  # a sort of no more rows, by its LIMIT, makes no report
     joins: int = 3  # nor do so many joins
     pure: tuple[str, ...] = ()  # functions known to write nothing, beside the built-in ones
     keys: tuple[KeyRule, ...] = ()
     mismatch: Literal["refuse", "load"] = "refuse"  # of a write that its client calls a read
-    most_length: int = 16_384
+    most_length: int = 16_384  # characters of a statement
 
 
-class Ref(msgspec.Struct, frozen=True, array_like=True):
+class LiteralReference(msgspec.Struct, frozen=True, array_like=True):
     """Where a value of the key stands: the slot of its literal, its sign, and what it is cast to."""
 
-    slot: int
+    slot: int  # index into the literals of the normalized statement
     negative: bool = False
     cast: Literal["", "integer", "text"] = ""
 
 
-class Plan(msgspec.Struct, frozen=True, array_like=True):
-    """What a full parse found of a shape; it holds for every text of that shape."""
+class ParseResult(msgspec.Struct, frozen=True, array_like=True):
+    """What a full parse found of a normalized statement; it holds for every text that normalizes to it."""
 
-    writes: bool
-    report: bool = False
-    reason: str = ""  # why it counts as a write, or why it is turned down
-    rule: int = -1  # of a load: the place of its key rule
-    refs: tuple[Ref, ...] = ()  # all must have one value
-    parsed: bool = True  # False: turned down whatever its class
+    is_write: bool
+    is_report: bool = False
+    reason: str = ""  # why it counts as a write, or why it is rejected
+    key_rule_index: int = -1  # of a load: its key rule in `Rules.keys`; -1: no key can be found
+    key_references: tuple[LiteralReference, ...] = ()  # all must have one value
+    is_parsed: bool = True  # False: rejected whatever its class
     verb: str = ""  # of a write of known kind: insert, update, delete, merge
-    uncovered: bool = False  # such a write, of a table that no key rule speaks of
+    lacks_key_rule: bool = False  # such a write, of a table that no key rule covers
 
 
-class Judgement(msgspec.Struct, frozen=True):
-    """What becomes of one statement. `reason` says why it is turned down or counts as a write."""
+class Decision(msgspec.Struct, frozen=True):
+    """What is decided about one statement. `reason` says why it is rejected or counts as a write."""
 
-    cls: str | None
-    writes: bool
-    repeatable: bool
+    class_name: str | None  # None: it is rejected
+    is_write: bool
+    is_idempotent: bool  # whether it may be retried
     key: str | None
     reason: str
-    taken: bool
+    is_accepted: bool
--- a/query_gateway/statements/purity.py
+++ b/query_gateway/statements/purity.py
@@ -7,6 +7,7 @@
 
 
 def words(text: str) -> frozenset[str]:
+    """The words of a text, separated by white space."""
     return frozenset(text.split())
 
 
@@ -79,8 +80,7 @@
 """)
 
 # Names that write wherever they stand, even without parentheses or as a row's attribute, and words of
-# statements
-# that write. A second lock beside the tree: a parser that overlooks one does not make it a read
+# statements that write. A second check beside the tree: a parser that overlooks one does not make it a read
 HARMFUL_NAMES = words("""
     nextval setval currval lastval pg_sleep dblink dblink_exec lo_import lo_export lo_unlink pg_notify
     set_config pg_terminate_backend pg_cancel_backend pg_reload_conf query_to_xml sleep benchmark
--- a/query_gateway/statements/reader.py
+++ b/query_gateway/statements/reader.py
@@ -1,7 +1,9 @@
-"""The full parse of a shape: a read only where every node of its tree is known to write nothing.
+"""The full parse of a normalized statement: a read only where every node of its tree is known to write
+nothing.
 
-Three locks, each enough by itself to make a statement a write: words and names that write, wherever they
-stand; functions called, by name; and the kinds of the tree's nodes. What does not parse is turned down.
+Three checks, each enough by itself to make a statement a write: words and names that write, wherever they
+stand; functions called, by name; and the kinds of the tree's nodes. What does not parse is rejected. Reasons
+reach the client.
 """
 
 import logging
@@ -12,206 +14,193 @@
 from sqlglot.errors import SqlglotError
 
 from query_gateway.statements import keys, purity
-from query_gateway.statements.messages import Plan, Rules
-from query_gateway.statements.shape import SLOTS, Shape
-from query_gateway.statements.values import NoKey
+from query_gateway.statements.messages import ParseResult, Rules
+from query_gateway.statements.normalizer import SLOTS, NormalizedStatement
+from query_gateway.statements.values import UndeterminedKeyError
 
-logging.getLogger("sqlglot").setLevel(logging.CRITICAL)  # it tells of each statement that it falls back on
+logging.getLogger("sqlglot").setLevel(logging.CRITICAL)  # it logs each statement that it falls back on
 
 DIALECTS = ("postgres", "mysql", "duckdb", "sqlite", "trino", "ansi")
-EXPLAINS = purity.words("""
+EXPLAIN_OPTIONS = purity.words("""
     analyze verbose extended formatted costs buffers timing summary format json text off on true false ,
     ( )
 """)
 DML = ("Insert", "Update", "Delete", "Merge")
-READS = frozenset(("select", "with", "values", "from", "("))
-ROOTS = (exp.Select, exp.SetOperation, exp.Subquery, exp.Values)
+READ_STARTS = frozenset(("select", "with", "values", "from", "("))
+QUERIES = (exp.Select, exp.SetOperation, exp.Subquery, exp.Values)
 QUOTES = '"`'
+MAX_SHOWN_NAME = 60  # characters of a function's name in a reason
+MAX_SHOWN_WORD = 20
 
 
-class Unproven(Exception):
-    """Why a statement cannot be shown to write nothing."""
+class NotReadOnlyError(Exception):
+    """A statement cannot be shown to write nothing; the message says why, in words."""
+
+
+class UnparsedStatementError(Exception):
+    """A statement cannot be parsed as one; the message says why, in words."""
 
 
 class Reader:
-    """Reads shapes by one set of rules. Holds no state between shapes."""
+    """Parses normalized statements by one set of rules. Holds no state between statements."""
 
     def __init__(self, rules: Rules) -> None:
+        """Takes the dialect, the further pure functions, the key rules and the bounds of reports."""
         self.rules = rules
         self.dialect = "" if rules.dialect == "ansi" else rules.dialect
-        self.pure = purity.FUNCTIONS | {name.casefold() for name in rules.pure if "." not in name}
-        self.qualified = {name.casefold() for name in rules.pure if "." in name}
-
-    def read(self, shape: Shape, text: str | None = None) -> Plan:
-        """`text`: what is parsed in place of the shape's canonical text, to compare the two."""
-        folded = shape.folded
-        if folded[0] == "explain":
-            return self._explained(shape)
+        pure = {name.casefold() for name in rules.pure}
+        self.pure = purity.FUNCTIONS | {name for name in pure if "." not in name}
+        self.pure_in_loads = self.pure | purity.LOAD_FUNCTIONS
+        self.qualified = {name for name in pure if "." in name}
+
+    def read(self, statement: NormalizedStatement, text: str | None = None) -> ParseResult:
+        """`text`: what is parsed in place of the statement's canonical text, to compare the two."""
+        tokens = statement.tokens
         try:
-            trees = sqlglot.parse(shape.canonical() if text is None else text, read=self.dialect)
+            if tokens[0] == "explain":
+                return self._read_explain(statement)
+            tree = self._parse(statement.canonical() if text is None else text)
+            return self._read_tree(tree, tokens)
+        except UnparsedStatementError as error:
+            return ParseResult(True, reason=str(error), is_parsed=False)
+        except NotReadOnlyError as error:
+            return ParseResult(True, reason=str(error))
+
+    def _parse(self, text: str) -> Any:
+        """The one tree of the text. Raises UnparsedStatementError."""
+        try:
+            trees = sqlglot.parse(text, read=self.dialect)
         except SqlglotError:
-            return Plan(True, reason="it does not parse", parsed=False)
+            raise UnparsedStatementError("it does not parse") from None
         except RecursionError:
-            return Plan(True, reason="it nests too deep", parsed=False)
+            raise UnparsedStatementError("it nests too deep") from None
         if len(trees) != 1 or trees[0] is None:
-            return Plan(True, reason="more than one statement", parsed=False)
-        tree = trees[0]
+            raise UnparsedStatementError("more than one statement")
+        return trees[0]
+
+    def _read_tree(self, tree: Any, tokens: list[str]) -> ParseResult:
+        """Raises NotReadOnlyError."""
         kind = type(tree).__name__
-        try:
-            if kind in DML:
-                return self._load(tree, kind.lower(), folded)
-            # Guards against words that the parser takes for an expression: DO 'x' is one to it
-            if folded[0] not in READS or not isinstance(tree, ROOTS):
-                raise Unproven(f"{folded[0].strip(QUOTES)[:20].upper()} begins no known read")
-            self._prove(tree, folded, False)
-        except Unproven as why:
-            return Plan(True, reason=str(why))
-        return Plan(False, self._is_report(tree))
-
-    def _explained(self, shape: Shape) -> Plan:
-        """EXPLAIN of a write counts as that write: with ANALYZE it runs. The parser takes no EXPLAIN
-        apart.
+        if kind in DML:
+            return self._read_load(tree, kind.lower(), tokens)
+        # Guards against words that the parser takes for an expression: DO 'x' is one to it
+        if tokens[0] not in READ_STARTS or not isinstance(tree, QUERIES):
+            word = tokens[0].strip(QUOTES)[:MAX_SHOWN_WORD].upper()
+            raise NotReadOnlyError(f"{word} begins no known read")
+        self._prove(tree, tokens, False)
+        return ParseResult(False, self._is_report(tree))
+
+    def _read_explain(self, statement: NormalizedStatement) -> ParseResult:
+        """EXPLAIN of a write counts as that write: with ANALYZE it runs.
+
+        The parser does not take an EXPLAIN apart, so its options are skipped here. Raises
+        UnparsedStatementError.
         """
-        folded, at = shape.folded, 1
-        while at < len(folded) and folded[at] in EXPLAINS and folded[at] != "(":
-            at += 1
-        if at < len(folded) and folded[at] == "(" and folded[at + 1 : at + 2] != ["select"]:
-            end = folded.index(")", at) if ")" in folded[at:] else at
-            if all(word in EXPLAINS for word in folded[at:end]):
-                at = end + 1
-        rest = folded[at:]
-        if not rest or rest[0] in ("explain", *SLOTS) or any(token in SLOTS for token in folded[:at]):
-            return Plan(True, reason="an EXPLAIN of nothing known", parsed=False)
-        plan = self.read(Shape(shape.digest, rest, shape.literals))
-        if plan.writes:
-            return Plan(True, reason=f"an EXPLAIN of a write: {plan.reason or plan.verb}", parsed=False)
-        return plan
-
-    # ---- proof
-
-    def _prove(self, tree: Any, folded: list[str], load: bool) -> None:
-        self._check_words(tree, folded, load)
-        written = {token.strip(QUOTES).casefold() for token in folded}
+        tokens = statement.tokens
+        start = _end_of_explain_options(tokens)
+        rest = tokens[start:]
+        has_literals = any(token in SLOTS for token in tokens[:start])
+        if not rest or rest[0] in ("explain", *SLOTS) or has_literals:
+            raise UnparsedStatementError("an EXPLAIN of nothing known")
+        result = self.read(NormalizedStatement(statement.fingerprint, rest, statement.literals))
+        if result.is_write:
+            raise UnparsedStatementError(f"an EXPLAIN of a write: {result.reason or result.verb}")
+        return result
+
+    # ---- proof that nothing is written
+
+    def _prove(self, tree: Any, tokens: list[str], is_load: bool) -> None:
+        """Raises NotReadOnlyError. Of a load, what it may do beside its own write is proven."""
+        self._check_words(tree, tokens, is_load)
+        written = {token.strip(QUOTES).casefold() for token in tokens}
         for table in tree.find_all(exp.Table):
             # Guards against a text that the parser takes for a name: some engines read the file of that name
             if isinstance(table.this, exp.Identifier) and table.name.casefold() not in written:
-                raise Unproven("a table that is no name")
+                raise NotReadOnlyError("a table that is no name")
         for node in tree.walk():
-            name = type(node).__name__
-            if isinstance(node, exp.Anonymous):
-                if not isinstance(node.this, str) and not isinstance(node.this, exp.Identifier):
-                    raise Unproven("a function whose name is not plain")
-                self._check_function(node)
-            elif name in purity.NODES or (load and name in purity.WRITE_NODES):
-                self._check_node(node)
-            elif isinstance(node, exp.Func):
-                if not any(told.casefold() in self.pure for told in node.sql_names()):
-                    raise Unproven(f"function {node.sql_name()} is not known to write nothing")
-            else:
-                raise Unproven(f"{name.upper()} is not known to write nothing")
-
-    def _check_node(self, node: Any) -> None:
-        if isinstance(node, exp.Select) and (node.args.get("into") or node.args.get("locks")):
-            raise Unproven("SELECT INTO or a locking clause")
-        if isinstance(node, exp.Select) and not node.expressions:
-            raise Unproven("a SELECT of nothing")
-        inner = isinstance(node, (exp.CTE, exp.Exists, exp.Subquery))
-        joined = inner and isinstance(node.this, exp.Table) and node.this.args.get("joins")
-        if inner and not joined and not isinstance(node.this, ROOTS):
-            # Guards against words that the parser takes for an expression there: (SAVEPOINT a) is one to it
-            raise Unproven("something in parentheses that is no query")
-        if isinstance(node, exp.Table) and not isinstance(node.this, (exp.Identifier, exp.Func)):
-            raise Unproven("a table that is no name")
-        if isinstance(node, exp.Tuple) and not node.expressions and not node.find_ancestor(exp.Group):
-            raise Unproven("empty parentheses")
-        if isinstance(node, exp.DataType) and node.this == exp.DataType.Type.USERDEFINED:
-            raise Unproven("a cast to a type of somebody's own")
-        dotted = (exp.Identifier, exp.Func, exp.Star)
-        if isinstance(node, exp.Dot) and not isinstance(node.expression, dotted):
-            raise Unproven("a dotted name that is not plain")
-
-    def _check_function(self, node: Any) -> None:
-        told, parent = node.name.casefold(), node.parent
+            self._check_kind(node, is_load)
+
+    def _check_kind(self, node: Any, is_load: bool) -> None:
+        name = type(node).__name__
+        if isinstance(node, exp.Anonymous):
+            if not isinstance(node.this, str) and not isinstance(node.this, exp.Identifier):
+                raise NotReadOnlyError("a function whose name is not plain")
+            self._check_function(node, is_load)
+        elif name in purity.NODES or (is_load and name in purity.WRITE_NODES):
+            _check_query_node(node)
+            _check_plain_node(node)
+        elif not isinstance(node, exp.Func):
+            raise NotReadOnlyError(f"{name.upper()} is not known to write nothing")
+        elif not any(sql_name.casefold() in self._pure_functions(is_load) for sql_name in node.sql_names()):
+            raise NotReadOnlyError(f"function {node.sql_name()} is not known to write nothing")
+
+    def _check_function(self, node: Any, is_load: bool) -> None:
+        name, parent = node.name.casefold(), node.parent
         if isinstance(parent, exp.Dot) and parent.expression is node:
             owner = parent.this
-            told = f"{owner.name.casefold()}.{told}" if isinstance(owner, exp.Identifier) else f"?.{told}"
+            name = f"{owner.name.casefold()}.{name}" if isinstance(owner, exp.Identifier) else f"?.{name}"
         elif isinstance(parent, exp.Table) and parent.args.get("db"):
-            told = f"{parent.args['db'].name.casefold()}.{told}"
-        if not self._known(told):
-            raise Unproven(f"function {told[:60]} is not known to write nothing")
+            name = f"{parent.args['db'].name.casefold()}.{name}"
+        if not self._is_pure(name, is_load):
+            raise NotReadOnlyError(f"function {name[:MAX_SHOWN_NAME]} is not known to write nothing")
 
-    def _known(self, name: str) -> bool:
+    def _is_pure(self, name: str, is_load: bool) -> bool:
         """A qualified name counts only by its own entry, but for those of the databases themselves."""
         owner, _, plain = name.rpartition(".")
         if not owner or owner == "pg_catalog":
-            return plain in self.pure or name in self.qualified
+            return plain in self._pure_functions(is_load) or name in self.qualified
         return name in self.qualified
 
-    def _check_words(self, tree: Any, folded: list[str], load: bool) -> None:
+    def _pure_functions(self, is_load: bool) -> frozenset[str]:
+        return self.pure_in_loads if is_load else self.pure
+
+    def _check_words(self, tree: Any, tokens: list[str], is_load: bool) -> None:
         """The tokens alone: words that write, and each name before a parenthesis."""
-        listed = {
-            name.name.casefold()
-            for alias in tree.find_all(exp.TableAlias) if alias.args.get("columns")
-            for name in (alias.this,) if name
-        }  # fmt: skip
-        if load:
-            listed |= {schema.this.name.casefold() for schema in tree.find_all(exp.Schema)}
-            listed |= {"using", "values", "update", "insert", "conflict"}
-        harmful = frozenset() if load else purity.HARMFUL_WORDS
-        for at, token in enumerate(folded):
+        column_owners = _names_with_columns(tree, is_load)
+        for position, token in enumerate(tokens):
             first = token[0]
-            if first in '"`':
-                name, quoted = token[1:-1].replace(first * 2, first).casefold(), True
+            is_quoted = first in QUOTES
+            if is_quoted:
+                name = token[1:-1].replace(first * 2, first).casefold()
             elif first.isalpha() or first == "_":
-                name, quoted = token, False
+                name = token
             else:
                 continue
-            if name in purity.HARMFUL_NAMES and not (load and name in purity.LOAD_FUNCTIONS):
-                raise Unproven(f"{name} may write")
-            before = folded[at - 1] if at else ""
-            if not quoted and name in harmful and before != "." and folded[at + 1 : at + 2] != ["."]:
-                raise Unproven(f"{name.upper()} writes")
-            behind = folded[at + 1] if at + 1 < len(folded) else ""
-            if not quoted and before == "(" and name in purity.STARTERS and behind[:1].isalpha():
-                raise Unproven(f"{name.upper()} begins no known read")
-            if folded[at + 1 : at + 2] != ["("] or name in listed or (not quoted and name in purity.NO_CALLS):
-                continue
-            if before == "." and at >= 2:
-                owner = folded[at - 2]
-                owner = owner[1:-1] if owner[0] in '"`' else owner
-                name = f"{owner.casefold()}.{name}"
-            if not self._known(name) and not (load and name in purity.LOAD_FUNCTIONS):
-                raise Unproven(f"function {name[:60]} is not known to write nothing")
+            if name in purity.HARMFUL_NAMES and not (is_load and name in purity.LOAD_FUNCTIONS):
+                raise NotReadOnlyError(f"{name} may write")
+            if not is_quoted:
+                _check_unquoted_word(tokens, position, is_load)
+            is_call = tokens[position + 1 : position + 2] == ["("] and name not in column_owners
+            if is_call and (is_quoted or name not in purity.NO_CALLS):
+                self._check_call(tokens, position, name, is_load)
+
+    def _check_call(self, tokens: list[str], position: int, name: str, is_load: bool) -> None:
+        """A name before a parenthesis has to be that of a pure function."""
+        if position >= 2 and tokens[position - 1] == ".":
+            owner = tokens[position - 2]
+            owner = owner[1:-1] if owner[0] in QUOTES else owner
+            name = f"{owner.casefold()}.{name}"
+        if not self._is_pure(name, is_load):
+            raise NotReadOnlyError(f"function {name[:MAX_SHOWN_NAME]} is not known to write nothing")
 
     # ---- loads
 
-    def _load(self, tree: Any, verb: str, folded: list[str]) -> Plan:
+    def _read_load(self, tree: Any, verb: str, tokens: list[str]) -> ParseResult:
         rules = self.rules.keys
-        known = False
+        is_proven = False
         try:
             target = keys.target_of(tree)
-            nested = (n for n in tree.walk() if n is not tree and type(n).__name__ in DML)
-            if any(not isinstance(node.parent, exp.When) for node in nested):
-                raise NoKey("it writes more than one table")
-            if verb == "insert" and (tree.args.get("overwrite") or tree.args.get("alternative")):
-                raise NoKey("it replaces rows that it does not name")
-            self._prove_load(tree, folded)
-            known = True
-            found = keys.rule_of(target, rules)
-            return Plan(True, rule=found, refs=keys.refs_of(tree, rules[found]), verb=verb)
-        except keys.NotCovered as why:
-            return Plan(True, reason=str(why), verb=verb, uncovered=known)
-        except (NoKey, Unproven) as why:
-            return Plan(True, reason=str(why), verb=verb)
-
-    def _prove_load(self, tree: Any, folded: list[str]) -> None:
-        """Guards the key: a function that is not known may touch rows of any key."""
-        pure = self.pure
-        self.pure = pure | purity.LOAD_FUNCTIONS
-        try:
-            self._prove(tree, folded, True)
-        finally:
-            self.pure = pure
+            _check_single_write(tree, verb)
+            # Guards the key: a function that is not known may touch rows of any key
+            self._prove(tree, tokens, True)
+            is_proven = True
+            index = keys.key_rule_index(target, rules)
+            references = keys.key_references(tree, rules[index])
+            return ParseResult(True, key_rule_index=index, key_references=references, verb=verb)
+        except keys.NoKeyRuleError as error:
+            return ParseResult(True, reason=str(error), verb=verb, lacks_key_rule=is_proven)
+        except (UndeterminedKeyError, NotReadOnlyError) as error:
+            return ParseResult(True, reason=str(error), verb=verb)
 
     # ---- reads: lookup or report
 
@@ -220,47 +209,135 @@
             tree = tree.this
         if isinstance(tree, exp.SetOperation) and not tree.args.get("with_"):
             return self._is_report(tree.this) or self._is_report(tree.expression)
+        if self._is_complex(tree):
+            return True
+        if not _reads_tables(tree) or any(_is_selective(where.this) for where in tree.find_all(exp.Where)):
+            return False
+        sorts, is_bounded = _sorts(tree), _is_bounded(tree, self.rules.sort_rows)
+        return (sorts and not is_bounded) or (self.rules.unselective and (sorts or not is_bounded))
+
+    def _is_complex(self, tree: Any) -> bool:
+        """Whether its windows, aggregates or joins make it a report, whatever rows it selects."""
         rules = self.rules
         if rules.windows and tree.find(exp.Window):
             return True
-        aggregates = any(not _within(node, exp.Window) for node in tree.find_all(exp.AggFunc))
-        if rules.aggregates and (aggregates or tree.find(exp.Group)):
+        if rules.aggregates and (_aggregates(tree) or tree.find(exp.Group)):
             return True
-        if sum(1 for _ in tree.find_all(exp.Join)) > rules.joins:
-            return True
-        named = {cte.alias.casefold() for cte in tree.find_all(exp.CTE)}
-        tables = [table for table in tree.find_all(exp.Table) if isinstance(table.this, exp.Identifier)]
-        if all(table.name.casefold() in named and not table.args.get("db") for table in tables):
-            return False
-        if any(_selects(where.this) for where in tree.find_all(exp.Where)):
-            return False
-        sorts, bounded = self._sorts(tree), _bounded(tree, rules.sort_rows)
-        return (sorts and not bounded) or (rules.unselective and (sorts or not bounded))
+        return sum(1 for _ in tree.find_all(exp.Join)) > rules.joins
 
-    def _sorts(self, tree: Any) -> bool:
-        return any(not _within(order, exp.Window) for order in tree.find_all(exp.Order, exp.Distinct))
 
+def _end_of_explain_options(tokens: list[str]) -> int:
+    """The position behind EXPLAIN and its options, in parentheses or without."""
+    start = 1
+    while start < len(tokens) and tokens[start] in EXPLAIN_OPTIONS and tokens[start] != "(":
+        start += 1
+    is_list = tokens[start : start + 1] == ["("] and tokens[start + 1 : start + 2] != ["select"]
+    if not is_list:
+        return start
+    end = tokens.index(")", start) if ")" in tokens[start:] else start
+    if all(word in EXPLAIN_OPTIONS for word in tokens[start:end]):
+        return end + 1
+    return start
 
-def _within(node: Any, kind: type) -> bool:
+
+def _check_query_node(node: Any) -> None:
+    """Raises NotReadOnlyError at a query that locks or stores, or at parentheses that hold none."""
+    if isinstance(node, exp.Select) and (node.args.get("into") or node.args.get("locks")):
+        raise NotReadOnlyError("SELECT INTO or a locking clause")
+    if isinstance(node, exp.Select) and not node.expressions:
+        raise NotReadOnlyError("a SELECT of nothing")
+    if not isinstance(node, (exp.CTE, exp.Exists, exp.Subquery)):
+        return
+    is_join = isinstance(node.this, exp.Table) and node.this.args.get("joins")
+    if not is_join and not isinstance(node.this, QUERIES):
+        # Guards against words that the parser takes for an expression there: (SAVEPOINT a) is one to it
+        raise NotReadOnlyError("something in parentheses that is no query")
+
+
+def _check_plain_node(node: Any) -> None:
+    """Raises NotReadOnlyError at names, types and tuples that may be more than they look."""
+    if isinstance(node, exp.Table) and not isinstance(node.this, (exp.Identifier, exp.Func)):
+        raise NotReadOnlyError("a table that is no name")
+    if isinstance(node, exp.Tuple) and not node.expressions and not node.find_ancestor(exp.Group):
+        raise NotReadOnlyError("empty parentheses")
+    if isinstance(node, exp.DataType) and node.this == exp.DataType.Type.USERDEFINED:
+        raise NotReadOnlyError("a cast to a type of somebody's own")
+    plain = (exp.Identifier, exp.Func, exp.Star)
+    if isinstance(node, exp.Dot) and not isinstance(node.expression, plain):
+        raise NotReadOnlyError("a dotted name that is not plain")
+
+
+def _names_with_columns(tree: Any, is_load: bool) -> set[str]:
+    """Names that a list of columns follows in parentheses, so that they call nothing."""
+    names = set()
+    for alias in tree.find_all(exp.TableAlias):
+        if alias.args.get("columns") and alias.this:
+            names.add(alias.this.name.casefold())
+    if is_load:
+        names |= {schema.this.name.casefold() for schema in tree.find_all(exp.Schema)}
+        names |= {"using", "values", "update", "insert", "conflict"}
+    return names
+
+
+def _check_unquoted_word(tokens: list[str], position: int, is_load: bool) -> None:
+    """Raises NotReadOnlyError at a word that writes, or that begins a statement of another kind."""
+    word = tokens[position]
+    before = tokens[position - 1] if position else ""
+    behind = tokens[position + 1] if position + 1 < len(tokens) else ""
+    if not is_load and word in purity.HARMFUL_WORDS and before != "." and behind != ".":
+        raise NotReadOnlyError(f"{word.upper()} writes")
+    if before == "(" and word in purity.STARTERS and behind[:1].isalpha():
+        raise NotReadOnlyError(f"{word.upper()} begins no known read")
+
+
+def _check_single_write(tree: Any, verb: str) -> None:
+    """Raises UndeterminedKeyError at a load that changes more than the rows that it names."""
+    nested = (node for node in tree.walk() if node is not tree and type(node).__name__ in DML)
+    if any(not isinstance(node.parent, exp.When) for node in nested):
+        raise UndeterminedKeyError("it writes more than one table")
+    if verb == "insert" and (tree.args.get("overwrite") or tree.args.get("alternative")):
+        raise UndeterminedKeyError("it replaces rows that it does not name")
+
+
+def _aggregates(tree: Any) -> bool:
+    """Whether it aggregates outside of windows."""
+    return any(not _is_within(node, exp.Window) for node in tree.find_all(exp.AggFunc))
+
+
+def _sorts(tree: Any) -> bool:
+    """Whether it sorts outside of windows."""
+    return any(not _is_within(node, exp.Window) for node in tree.find_all(exp.Order, exp.Distinct))
+
+
+def _is_within(node: Any, kind: type) -> bool:
     return node.find_ancestor(kind) is not None
 
 
-def _bounded(tree: Any, rows: int) -> bool:
-    """Whether its result is held down by a LIMIT within the rules' bound, which a shape shows as 1."""
+def _reads_tables(tree: Any) -> bool:
+    """Whether it reads a table that is not one of its own common table expressions."""
+    common = {cte.alias.casefold() for cte in tree.find_all(exp.CTE)}
+    tables = [table for table in tree.find_all(exp.Table) if isinstance(table.this, exp.Identifier)]
+    return any(table.name.casefold() not in common or table.args.get("db") for table in tables)
+
+
+def _is_bounded(tree: Any, max_rows: int) -> bool:
+    """Whether a LIMIT within the rules' bound, which normalizing writes as 1, bounds its result."""
     limit = tree.args.get("limit")
-    told = (limit.args.get("count") or limit.args.get("expression")) if limit is not None else None
-    return isinstance(told, exp.Literal) and told.is_number and float(told.this) <= rows
-
-
-def _selects(where: Any) -> bool:
-    """Whether a predicate picks rows: a column that equals one value, or is one of a list."""
-    for part in keys.conjuncts(where):
-        if isinstance(part, exp.EQ):
-            sides = (part.this, part.expression)
-            if any(isinstance(a, exp.Column) and not b.find(exp.Column) for a, b in (sides, sides[::-1])):
-                return True
-        if isinstance(part, exp.In) and isinstance(part.this, exp.Column):
-            return True
-        if isinstance(part, exp.Or) and _selects(part.this) and _selects(part.expression):
-            return True
-    return False
+    if limit is None:
+        return False
+    count = limit.args.get("count") or limit.args.get("expression")
+    return isinstance(count, exp.Literal) and count.is_number and float(count.this) <= max_rows
+
+
+def _is_selective(where: Any) -> bool:
+    """Whether a predicate selects rows: a column that equals one value, or is one of a list."""
+    return any(_is_selective_part(part) for part in keys.conjuncts(where))
+
+
+def _is_selective_part(part: Any) -> bool:
+    if isinstance(part, exp.EQ):
+        sides = (part.this, part.expression)
+        return any(isinstance(a, exp.Column) and not b.find(exp.Column) for a, b in (sides, sides[::-1]))
+    if isinstance(part, exp.In):
+        return isinstance(part.this, exp.Column)
+    return isinstance(part, exp.Or) and _is_selective(part.this) and _is_selective(part.expression)
--- a/query_gateway/statements/sketch.py
+++ b/query_gateway/statements/sketch.py
@@ -1,47 +1,54 @@
 """How often something was seen lately: a count-min sketch of small counters that halve as they fill."""
 
+ROWS = 4
+MAX_COUNT = 15  # of a counter
+SAMPLE_PER_ITEM = 10  # additions for each item of the capacity, after which every counter is halved
+
 
 class CountMin:
-    """Four rows of one-byte counters up to 15; after `sample` additions every counter is halved.
+    """Four rows of one-byte counters up to MAX_COUNT; after `sample` additions every counter is halved.
 
     Takes 4 bytes a slot, however many things it counts. An estimate is never too low but for the halving.
-    Keys are digests, whose bytes are evenly spread already, so they serve as the rows' hashes.
+    Keys are digests of 16 bytes, which are evenly spread already, so their parts serve as the rows' hashes.
     """
 
-    TOP = 15
-    _halved = bytes(n >> 1 for n in range(256))
+    _halved = bytes(count >> 1 for count in range(256))
 
-    def __init__(self, room: int) -> None:
-        self.width = 1 << max(4, (room - 1).bit_length())
+    def __init__(self, capacity: int) -> None:
+        """`capacity`: how many different keys it is to tell apart."""
+        self.width = 1 << max(4, (capacity - 1).bit_length())
         self.mask = self.width - 1
-        self.rows = [bytearray(self.width) for _ in range(4)]
-        self.sample = 10 * room
+        self.rows = [bytearray(self.width) for _ in range(ROWS)]
+        self.sample = SAMPLE_PER_ITEM * capacity
         self.added = 0
 
-    def add(self, digest: bytes) -> None:
+    def add(self, key: bytes) -> None:
+        """Count the key once more. Unrolled over the rows: it runs for every statement."""
         mask = self.mask
-        spread = int.from_bytes(digest, "little")
-        a, b, c, d = self.rows
-        i, j, k, m = spread & mask, (spread >> 32) & mask, (spread >> 64) & mask, (spread >> 96) & mask
-        least = min(a[i], b[j], c[k], d[m])
-        if least < self.TOP:  # only the least are raised, so that others' counts are spoilt less
-            if a[i] == least:
-                a[i] += 1
-            if b[j] == least:
-                b[j] += 1
-            if c[k] == least:
-                c[k] += 1
-            if d[m] == least:
-                d[m] += 1
+        bits = int.from_bytes(key, "little")
+        row0, row1, row2, row3 = self.rows
+        slot0, slot1 = bits & mask, (bits >> 32) & mask
+        slot2, slot3 = (bits >> 64) & mask, (bits >> 96) & mask
+        least = min(row0[slot0], row1[slot1], row2[slot2], row3[slot3])
+        if least < MAX_COUNT:  # only the least are raised, so that others' counts are distorted less
+            if row0[slot0] == least:
+                row0[slot0] += 1
+            if row1[slot1] == least:
+                row1[slot1] += 1
+            if row2[slot2] == least:
+                row2[slot2] += 1
+            if row3[slot3] == least:
+                row3[slot3] += 1
         self.added += 1
         if self.added >= self.sample:
             self.added >>= 1
             self.rows = [row.translate(self._halved) for row in self.rows]
 
-    def count(self, digest: bytes) -> int:
+    def count(self, key: bytes) -> int:
+        """How often the key was seen lately, MAX_COUNT at most."""
         mask = self.mask
-        spread = int.from_bytes(digest, "little")
-        a, b, c, d = self.rows
+        bits = int.from_bytes(key, "little")
+        row0, row1, row2, row3 = self.rows
         return min(
-            a[spread & mask], b[(spread >> 32) & mask], c[(spread >> 64) & mask], d[(spread >> 96) & mask]
-        )
+            row0[bits & mask], row1[(bits >> 32) & mask], row2[(bits >> 64) & mask], row3[(bits >> 96) & mask]
+        )  # fmt: skip
--- a/query_gateway/statements/values.py
+++ b/query_gateway/statements/values.py
@@ -1,8 +1,8 @@
-"""The key of a load from the literals that its plan points at.
+"""The key of a load from the literals that its parse result refers to.
 
 Two texts that mean one value get one key, so comparison is coarse: 42, '42', 042 and 42.0 are one, and so
-are two spellings that some collation holds to be equal. Where an engine might read another value raises
-NoKey.
+are two spellings that some collation holds to be equal. Where an engine might read another value,
+UndeterminedKeyError is raised; its messages reach the client.
 """
 
 import re
@@ -11,77 +11,106 @@
 from decimal import Decimal
 from hashlib import blake2b
 
-from query_gateway.statements.messages import KeyRule, Ref
-from query_gateway.statements.shape import Literal
+from query_gateway.statements.messages import KeyRule, LiteralReference
+from query_gateway.statements.normalizer import Literal
 
 DECIMAL = re.compile(r"[+-]?(\d{1,40}(\.\d*)?|\.\d{1,40})([eE][+-]?\d{1,2})?", re.ASCII)
-ODD_NUMBER = re.compile(r"[+-]?0[xXoObB][0-9a-fA-F_]+|[+-]?\d[\d_]*_[\d_]*", re.ASCII)
-
-
-class NoKey(Exception):
-    """Why no key can be given, in words."""
-
-
-def normal(raw: str, ref: Ref, kind: str) -> str:
-    """A literal's value in one spelling. Raises NoKey where an engine might read another value in it."""
-    text = raw.startswith("'")
-    told = raw[1:-1].replace("''", "'") if text else raw
-    if ref.negative and (text or ref.cast == "text"):
-        raise NoKey("a sign before a text")
-    if ref.cast == "text" and kind == "integer":
-        kind = "any"
-    told = unicodedata.normalize("NFKC", told).strip()
-    number = DECIMAL.fullmatch(told)
-    if kind == "text":
-        if ref.cast == "integer" or not (text or ref.cast == "text"):
-            raise NoKey("a number where the key is a text")
-        if not text:
-            if not number or Decimal(told) != Decimal(told).to_integral_value():
-                raise NoKey("a key that is no whole number may be rounded")
-            told = str(int(Decimal(told)))
-        return "t" + _coarse(told)
-    if number:
-        value = Decimal(told)
-        if value != value.to_integral_value():
-            raise NoKey("a key that is no whole number may be rounded")
-        return f"i{-int(value) if ref.negative else int(value)}"
-    if kind == "integer" or ref.cast == "integer" or ref.negative or not text:
-        raise NoKey("a key that is no whole number")
-    if ODD_NUMBER.fullmatch(told):
-        raise NoKey("a number in a spelling that engines read differently")
-    return "t" + _coarse(told)
-
-
-def _coarse(text: str) -> str:
+AMBIGUOUS_NUMBER = re.compile(r"[+-]?0[xXoObB][0-9a-fA-F_]+|[+-]?\d[\d_]*_[\d_]*", re.ASCII)
+KEY_BYTES = 8  # printed as twice as many hexadecimal digits
+INVISIBLE = "Cf"  # the Unicode category of format characters
+NOT_WHOLE = "a key that is no whole number may be rounded"
+
+
+class UndeterminedKeyError(Exception):
+    """No key can be given; the message says why, in words."""
+
+
+def normalize_value(raw: str, reference: LiteralReference, key_type: str) -> str:
+    """A literal's value in one spelling, for a key of `key_type` as in `KeyRule.type`.
+
+    Raises UndeterminedKeyError where an engine might read another value in it.
+    """
+    is_text = raw.startswith("'")
+    if reference.negative and (is_text or reference.cast == "text"):
+        raise UndeterminedKeyError("a sign before a text")
+    if reference.cast == "text" and key_type == "integer":
+        key_type = "any"
+    content = raw[1:-1].replace("''", "'") if is_text else raw
+    content = unicodedata.normalize("NFKC", content).strip()
+    if key_type == "text":
+        return _text_value(content, is_text, reference)
+    return _number_or_text_value(content, is_text, reference, key_type)
+
+
+def _text_value(content: str, is_text: bool, reference: LiteralReference) -> str:
+    if reference.cast == "integer" or not (is_text or reference.cast == "text"):
+        raise UndeterminedKeyError("a number where the key is a text")
+    if not is_text:
+        if not DECIMAL.fullmatch(content):
+            raise UndeterminedKeyError(NOT_WHOLE)
+        content = str(_whole_number(content))
+    return "t" + _without_collation(content)
+
+
+def _number_or_text_value(content: str, is_text: bool, reference: LiteralReference, key_type: str) -> str:
+    if DECIMAL.fullmatch(content):
+        number = _whole_number(content)
+        return f"i{-number if reference.negative else number}"
+    if key_type == "integer" or reference.cast == "integer" or reference.negative or not is_text:
+        raise UndeterminedKeyError("a key that is no whole number")
+    if AMBIGUOUS_NUMBER.fullmatch(content):
+        raise UndeterminedKeyError("a number in a spelling that engines read differently")
+    return "t" + _without_collation(content)
+
+
+def _whole_number(content: str) -> int:
+    value = Decimal(content)
+    if value != value.to_integral_value():
+        raise UndeterminedKeyError(NOT_WHOLE)
+    return int(value)
+
+
+def _without_collation(text: str) -> str:
     """One spelling for all that some collation holds to be equal: case and accents go, and space around."""
-    apart = unicodedata.normalize("NFKD", text.casefold())
-    plain = "".join(c for c in apart if not unicodedata.combining(c) and unicodedata.category(c) != "Cf")
+    decomposed = unicodedata.normalize("NFKD", text.casefold())
+    plain = "".join(character for character in decomposed if _is_significant(character))
     return unicodedata.normalize("NFKC", plain).casefold().strip()
 
 
+def _is_significant(character: str) -> bool:
+    return not unicodedata.combining(character) and unicodedata.category(character) != INVISIBLE
+
+
 def key_of(
-    rule: KeyRule, refs: Sequence[Ref], literals: Sequence[Literal], bound: Sequence[object] = ()
+    rule: KeyRule,
+    references: Sequence[LiteralReference],
+    literals: Sequence[Literal],
+    parameters: Sequence[object] = (),
 ) -> str:
-    """The key, 16 hex digits, of one text of a shape. `bound`: the parameters' values. Raises NoKey."""
-    value = ""
-    for ref in refs:
-        told = literals[ref.slot]
-        for raw in told if isinstance(told, list) else (told,):
-            one = normal(_bound(raw, bound), ref, rule.type)
-            if value and one != value:
-                raise NoKey("the load touches several keys")
-            value = one
-    return blake2b(f"{rule.domain}\0{value}".encode(), digest_size=8).hexdigest()
-
-
-def _bound(raw: str, bound: Sequence[object]) -> str:
+    """The key, 16 hexadecimal digits, of one text of a shape. `parameters`: the values bound to them.
+
+    Raises UndeterminedKeyError.
+    """
+    key_value = ""
+    for reference in references:
+        literal = literals[reference.slot]
+        for raw in literal if isinstance(literal, list) else (literal,):
+            value = normalize_value(_resolve_parameter(raw, parameters), reference, rule.type)
+            if key_value and value != key_value:
+                raise UndeterminedKeyError("the load touches several keys")
+            key_value = value
+    return blake2b(f"{rule.key_namespace}\0{key_value}".encode(), digest_size=KEY_BYTES).hexdigest()
+
+
+def _resolve_parameter(raw: str, parameters: Sequence[object]) -> str:
     """A literal, or the value bound to a parameter, written as a literal."""
     if raw[0] not in "?$:":
         return raw
-    at = int(raw[1:]) - (raw[0] == "$") if raw[1:].isdigit() else -1
-    if not 0 <= at < len(bound):
-        raise NoKey("the key is a parameter whose value is not told")
-    value = bound[at]
+    first_number = 1 if raw[0] == "$" else 0
+    position = int(raw[1:]) - first_number if raw[1:].isdigit() else -1
+    if not 0 <= position < len(parameters):
+        raise UndeterminedKeyError("the key is a parameter whose value is not told")
+    value = parameters[position]
     if isinstance(value, bool) or not isinstance(value, (int, str)):
-        raise NoKey("the key is a parameter of a kind that no key has")
+        raise UndeterminedKeyError("the key is a parameter of a kind that no key has")
     return str(value) if isinstance(value, int) else "'" + value.replace("'", "''") + "'"
--- a/tests/statements.py
+++ b/tests/statements.py
@@ -3,33 +3,33 @@
 from collections.abc import Iterator
 from pathlib import Path
 
-from query_gateway.statements.classifier import Classifier, turned_down
-from query_gateway.statements.lexer import Unclear
-from query_gateway.statements.messages import Judgement, KeyRule, Rules
+from query_gateway.statements.classifier import Classifier, rejected_decision
+from query_gateway.statements.lexer import UnsupportedStatementError
+from query_gateway.statements.messages import Decision, KeyRule, Rules
 from query_gateway.statements.reader import DIALECTS, Reader
 
 CORPUS = Path(__file__).parent / "corpus"
 KEYS = (KeyRule("lending_*.loans", "member"),)
 
 
-class Whole:
+class LocalClassifier:
     """A classifier with its reader beside it, for one dialect."""
 
-    def __init__(self, rules: Rules, room: int = 10_000) -> None:
-        self.classifier = Classifier(rules, room=room)
+    def __init__(self, rules: Rules, capacity: int = 10_000) -> None:
+        self.classifier = Classifier(rules, capacity=capacity)
         self.reader = Reader(rules)
 
-    def judge(self, sql: str, named: str | None = None, key: str | None = None, *bound: object) -> Judgement:
+    def judge(self, sql: str, named: str | None = None, key: str | None = None, *bound: object) -> Decision:
         try:
-            shape = self.classifier.shape(sql)
-        except Unclear as why:
-            return turned_down(why)
-        known = self.classifier.known(shape) or self.classifier.learn(shape, self.reader.read(shape))
-        return self.classifier.judge(known, shape, named, key, bound)
+            shape = self.classifier.normalize(sql)
+        except UnsupportedStatementError as why:
+            return rejected_decision(why)
+        known = self.classifier.cached(shape) or self.classifier.learn(shape, self.reader.read(shape))
+        return self.classifier.decide(known, shape, named, key, bound)
 
 
-def in_dialects(**more: object) -> dict[str, Whole]:
-    return {d: Whole(Rules(dialect=d, keys=KEYS, **more)) for d in DIALECTS}  # type: ignore[arg-type]
+def in_dialects(**more: object) -> dict[str, LocalClassifier]:
+    return {d: LocalClassifier(Rules(dialect=d, keys=KEYS, **more)) for d in DIALECTS}  # type: ignore[arg-type]
 
 
 def corpus(name: str) -> Iterator[tuple[str, str]]:
--- a/tests/test_flight_statements.py
+++ b/tests/test_flight_statements.py
@@ -23,8 +23,8 @@
 from query_gateway.forwarder.messages import Verdict
 from query_gateway.gateway import Gateway
 from query_gateway.net.loop import Loop
-from query_gateway.parsing.service import Classification, Statements
-from query_gateway.statements.messages import Judgement, Rules
+from query_gateway.parsing.service import Classification, StatementService
+from query_gateway.statements.messages import Decision, Rules
 from tests.stand_ins import Engine, config, post
 from tests.statements import KEYS
 from tests.test_flight import Node, ask, client, command, gateway, load, options
@@ -185,13 +185,13 @@
         broken = "SELECT broken FROM lending_7.loans WHERE member = {}"
         limits = gate.statements.classifier.limits
         for n in range(6):  # three attempts each, at engines that the module picks
-            if not limits.held:
+            if not limits.limited_count:
                 with pytest.raises(pa.ArrowInvalid, match="Overloaded"):
                     ask(gate, broken.format(n)).read_all()
-        assert limits.held == 1
+        assert limits.limited_count == 1
         [digest] = limits.records
         for _ in range(20):  # as many as are let in run already
-            limits.begun(digest)
+            limits.query_started(digest)
         with pytest.raises(pa.ArrowInvalid, match="run already"):
             ask(gate, broken.format(2)).read_all()
         assert ask(gate, READ).read_all().num_rows == 3
@@ -231,7 +231,7 @@
         costs = gate.statements.classifier.costs
         [digest] = costs.shapes
         assert 500_000_000 < (costs.cost_ns(digest, "lookup", 7) or 0) < 1_000_000_000
-        assert 70 < costs.need_mb(digest) < 140
+        assert 70 < costs.memory_mb(digest) < 140
     node.shutdown()
 
 
@@ -244,7 +244,7 @@
         costs = gate.statements.classifier.costs
     legacy = told["statements"]
     loop = Loop()
-    successor = Statements(loop, RULES, ("lookup", "report"), parsers=1)
+    successor = StatementService(loop, RULES, ("lookup", "report"), parsers=1)
     successor.restore("", legacy)
     [digest] = costs.shapes
     usual = successor.classifier.costs.cost_ns(digest, "lookup", 7)
@@ -269,7 +269,7 @@
                     assert ask(gate, fresh).read_all().num_rows == 3
                     break
                 except pa.ArrowInvalid:  # refused while no parser is up, or lost with one
-                    gate.loop.call_soon(gate.statements.parsers.poison.clear)
+                    gate.loop.call_soon(gate.statements.parsers.quarantine.clear)
             else:
                 raise AssertionError("no parser came back")
 
@@ -282,11 +282,11 @@
         reader = client(gate)
         told = command("CommandStatementQuery", "SELECT c FROM t WHERE a = 1")
         info = reader.get_flight_info(told, options())
-        original = statements.parsers.next
-        statements.parsers.next = lambda now: []  # type: ignore[method-assign]  # nothing is read for now
+        original = statements.parsers.assign
+        statements.parsers.assign = lambda now: []  # type: ignore[method-assign]  # nothing is read for now
         with pytest.raises(fl.FlightTimedOutError):
             reader.do_get(info.endpoints[0].ticket, options(seconds=0.2)).read_all()
-        statements.parsers.next = original  # type: ignore[method-assign]
+        statements.parsers.assign = original  # type: ignore[method-assign]
         gate.loop.call_soon(statements._go_on)
         assert ask(gate, READ).read_all().num_rows == 3
         assert not gate.forwarder.exchanges
@@ -295,7 +295,7 @@
 
 def test_a_key_made_by_the_gateway_belongs_to_one_request() -> None:
     c = FlightClass(2, True, True, 10**10, False)
-    judged = Classification(Judgement("load", True, False, "0" * 16, "insert", True))
+    judged = Classification(Decision("load", True, False, "0" * 16, "insert", True))
     sql = "INSERT INTO a (b) VALUES (1)"
     queries = [query_of(sql, "load", c, {}, 0, True, judged) for _ in range(2)]
     assert {q.key for q in queries} == {"0" * 16}
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -14,7 +14,7 @@
 )  # fmt: skip
 
 STATEMENTS = (
-    "cache", "classifier", "costs", "lexer", "limits", "messages", "purity", "shape", "sketch", "values",
+    "cache", "classifier", "costs", "lexer", "limits", "messages", "normalizer", "purity", "sketch", "values",
 )  # fmt: skip
 
 
--- a/tests/test_reading.py
+++ b/tests/test_parsing.py
@@ -8,26 +8,33 @@
 import pytest
 
 from query_gateway.net.loop import Loop
-from query_gateway.parsing.frames import Ask, Told, cut, decode_ask, decode_told, framed
-from query_gateway.parsing.parsers import BUDGET, PATIENCE, POISON, TRIES, WAITING, Parsers
-from query_gateway.parsing.service import Classification, Statements
+from query_gateway.parsing.frames import (
+    ParseRequest,
+    ParseResponse,
+    decode_request,
+    decode_response,
+    encode_frame,
+    take_frame,
+)
+from query_gateway.parsing.parsers import BUDGET, PATIENCE, POISON, TRIES, WAITING, ParserPool
+from query_gateway.parsing.service import Classification, StatementService
 from query_gateway.parsing.snapshot_store import SnapshotStore
-from query_gateway.statements.messages import Plan, Rules
-from query_gateway.statements.shape import Shape, shape_of
+from query_gateway.statements.messages import ParseResult, Rules
+from query_gateway.statements.normalizer import NormalizedStatement, normalize
 from tests.statements import KEYS
 
 RULES = Rules(keys=KEYS)
 
 
-def shape(n: int = 0) -> Shape:
-    return shape_of(f"SELECT a{n} FROM lending_7.loans WHERE member = 1")
+def shape(n: int = 0) -> NormalizedStatement:
+    return normalize(f"SELECT a{n} FROM lending_7.loans WHERE member = 1")
 
 
-def ready(seats: int = 1) -> Parsers:
-    parsers = Parsers(seats)
-    for seat in parsers.seats:
-        parsers.started(seat, 0.0)
-        parsers.is_ready(seat)
+def ready(seats: int = 1) -> ParserPool:
+    parsers = ParserPool(seats)
+    for seat in parsers.slots:
+        parsers.starting(seat, 0.0)
+        parsers.ready(seat)
     return parsers
 
 
@@ -35,11 +42,11 @@
 
 
 def test_who_asks_for_a_shape_that_is_being_read_joins() -> None:
-    parsers, told = ready(), list[Plan | None]()
+    parsers, told = ready(), list[ParseResult | None]()
     assert all(parsers.add(shape(), 0.0, told.append) for _ in range(3))
-    [(seat, job)] = parsers.next(0.0)
-    assert parsers.add(shape(), 0.1, told.append) and parsers.next(0.1) == []
-    assert parsers.told(seat) is job and len(job.thens) == 4 and not parsers.jobs
+    [(seat, job)] = parsers.assign(0.0)
+    assert parsers.add(shape(), 0.1, told.append) and parsers.assign(0.1) == []
+    assert parsers.completed(seat) is job and len(job.callbacks) == 4 and not parsers.requests
 
 
 def test_a_parse_beyond_its_budget_is_killed_and_rests_for_longer_each_time() -> None:
@@ -47,88 +54,93 @@
     now, spans = 0.0, []
     for _ in range(3):
         parsers.add(shape(), now, lambda plan: None)
-        [(seat, job)] = parsers.next(now)
+        [(seat, job)] = parsers.assign(now)
         assert parsers.overdue(now + BUDGET - 0.01) == [] and parsers.overdue(now + BUDGET + 0.01) == [seat]
-        assert parsers.ended(seat, "it takes too long to parse", now) is job
-        told = parsers.poisoned(shape(), now)
-        assert told and not told.parsed and told.writes
-        span = parsers.poison[shape().digest][1]
-        assert parsers.poisoned(shape(), now + span + 0.01) is None
+        assert parsers.lost(seat, "it takes too long to parse", now) is job
+        told = parsers.quarantined(shape(), now)
+        assert told and not told.is_parsed and told.is_write
+        span = parsers.quarantine[shape().fingerprint][1]
+        assert parsers.quarantined(shape(), now + span + 0.01) is None
         spans.append(span)
         now += span + 1
-        parsers.started(seat, now)
-        parsers.is_ready(seat)
+        parsers.starting(seat, now)
+        parsers.ready(seat)
     assert spans == [POISON, 2 * POISON, 4 * POISON]
 
 
 def test_what_waits_is_bounded_and_told_to_come_back_in_time() -> None:
-    parsers = Parsers(1)  # not ready yet
-    parsers.started(parsers.seats[0], 0.0)
+    parsers = ParserPool(1)  # not ready yet
+    parsers.starting(parsers.slots[0], 0.0)
     taken = [parsers.add(shape(n), 0.0, lambda plan: None) for n in range(WAITING + 10)]
     assert sum(taken) == WAITING
-    due = parsers.due()
+    due = parsers.next_deadline()
     assert due is not None and due <= PATIENCE
-    assert len(parsers.stale(PATIENCE + 0.01)) == WAITING and not parsers.jobs
+    assert len(parsers.expire(PATIENCE + 0.01)) == WAITING and not parsers.requests
 
 
 def test_a_parser_that_never_comes_up_is_started_now_and_then_only() -> None:
-    parsers = Parsers(1)
+    parsers = ParserPool(1)
     for _ in range(TRIES):
-        assert parsers.rest == 0.0
-        parsers.started(parsers.seats[0], 0.0)
-        parsers.ended(parsers.seats[0], "a parser ended", 0.0)
-    assert parsers.rest > 0
-    parsers.is_ready(parsers.seats[0])
-    assert parsers.rest == 0.0
+        assert parsers.restart_delay == 0.0
+        parsers.starting(parsers.slots[0], 0.0)
+        parsers.lost(parsers.slots[0], "a parser ended", 0.0)
+    assert parsers.restart_delay > 0
+    parsers.ready(parsers.slots[0])
+    assert parsers.restart_delay == 0.0
 
 
 def test_frames_survive_any_cut() -> None:
-    sent = framed(Ask(1, ["select", "#"], 1)) + framed(Told(2, Plan(True, reason="é")))
+    sent = encode_frame(ParseRequest(1, ["select", "#"], 1)) + encode_frame(
+        ParseResponse(2, ParseResult(True, reason="é"))
+    )
     for at in range(len(sent) + 1):
         buffer, frames = bytearray(), []
         for part in (sent[:at], sent[at:]):
             buffer += part
-            while frame := cut(buffer):
+            while frame := take_frame(buffer):
                 frames.append(frame)
-        assert decode_ask(frames[0]).folded == ["select", "#"] and decode_told(frames[1]).number == 2
+        assert (
+            decode_request(frames[0]).tokens == ["select", "#"]
+            and decode_response(frames[1]).request_number == 2
+        )
     with pytest.raises(ValueError):
-        cut(bytearray(b"\xff\xff\xff\xff"))
+        take_frame(bytearray(b"\xff\xff\xff\xff"))
 
 
 # ---- with processes
 
 
 @pytest.fixture
-def service() -> Iterator[Statements]:
+def service() -> Iterator[StatementService]:
     loop = Loop()
-    told = Statements(loop, RULES, ("lookup", "report"), parsers=1)
+    told = StatementService(loop, RULES, ("lookup", "report"), parsers=1)
     yield told
     told.stop()
     loop.close()
     assert loop.faults == 0
 
 
-def ask(service: Statements, sql: str, named: str | None = None) -> Classification:
+def ask(service: StatementService, sql: str, named: str | None = None) -> Classification:
     """One answer; a `come back` is followed, as a client would."""
     for _ in range(100):
         told: list[Classification] = []
         service.classify(sql, named, None, told.append)
         while not told:
             service.loop.turn()
-        if told[0].judgement is not None:
+        if told[0].decision is not None:
             return told[0]
     raise AssertionError("no answer")
 
 
 def cls(judged: Classification) -> str | None:
-    assert judged.judgement
-    return judged.judgement.cls
+    assert judged.decision
+    return judged.decision.class_name
 
 
 READ = "SELECT due FROM lending_7.loans WHERE member = 42"
 
 
-def test_a_miss_is_read_elsewhere_and_a_hit_at_once(service: Statements) -> None:
+def test_a_miss_is_read_elsewhere_and_a_hit_at_once(service: StatementService) -> None:
     assert cls(ask(service, READ)) == "lookup"
     told: list[Classification] = []
     service.classify(READ.replace("42", "43"), None, None, told.append)
@@ -136,45 +148,45 @@
     assert service.classifier.shapes.hits >= 1
 
 
-def test_a_parser_that_is_killed_costs_its_own_shape_a_while_and_no_other(service: Statements) -> None:
+def test_a_parser_that_is_killed_costs_its_own_shape_a_while_and_no_other(service: StatementService) -> None:
     assert cls(ask(service, READ)) == "lookup"
     process = service.processes[0]
     os.kill(process.child.pid, signal.SIGSTOP)  # as a parse without end would
     slow = ask(service, "SELECT title FROM lending_7.loans WHERE member = 42")
-    assert slow.judgement and not slow.judgement.taken and "too long" in slow.judgement.reason
-    assert service.parsers.too_slow == 1
+    assert slow.decision and not slow.decision.is_accepted and "too long" in slow.decision.reason
+    assert service.parsers.timed_out_count == 1
     assert cls(ask(service, "SELECT copy FROM lending_7.loans WHERE member = 42")) == "lookup"
     assert cls(ask(service, READ)) == "lookup"
     again = ask(service, "SELECT title FROM lending_7.loans WHERE member = 42")
-    assert again.judgement and not again.judgement.taken
-    service.parsers.poison.clear()  # as its time does
+    assert again.decision and not again.decision.is_accepted
+    service.parsers.quarantine.clear()  # as its time does
     assert cls(ask(service, "SELECT title FROM lending_7.loans WHERE member = 42")) == "lookup"
 
 
-def test_a_parser_that_dies_is_replaced(service: Statements) -> None:
+def test_a_parser_that_dies_is_replaced(service: StatementService) -> None:
     assert cls(ask(service, READ)) == "lookup"
     service.processes[0].child.kill()
     assert cls(ask(service, "SELECT copy FROM lending_7.loans WHERE member = 42")) in ("lookup", None)
     assert cls(ask(service, "SELECT title FROM lending_7.loans WHERE member = 42")) == "lookup"
 
 
-def test_a_crowd_that_asks_for_one_shape_is_told_together(service: Statements) -> None:
+def test_a_crowd_that_asks_for_one_shape_is_told_together(service: StatementService) -> None:
     ask(service, READ)
     told: list[Classification] = []
     for n in range(50):
         service.classify(f"SELECT copy FROM lending_7.loans WHERE member = {n}", None, None, told.append)
     while len(told) < 50:
         service.loop.turn()
-    assert {cls(one) for one in told} == {"lookup"} and len({one.digest for one in told}) == 1
+    assert {cls(one) for one in told} == {"lookup"} and len({one.fingerprint for one in told}) == 1
 
 
-def test_new_rules_are_read_by_from_then_on(service: Statements) -> None:
+def test_new_rules_are_read_by_from_then_on(service: StatementService) -> None:
     assert cls(ask(service, READ)) == "lookup"
     service.update_rules(Rules(keys=KEYS, lookup="quick"), ("quick", "report"))
     assert cls(ask(service, READ)) == "quick"
     service.update_rules(service.classifier.rules, ("report",))
     told = ask(service, READ)
-    assert told.judgement and not told.judgement.repeatable
+    assert told.decision and not told.decision.is_idempotent
 
 
 HOSTILE = [
@@ -198,8 +210,10 @@
 
 
 @pytest.mark.parametrize("at", range(len(HOSTILE)))
-def test_a_statement_built_to_be_slow_is_answered_and_the_next_one_too(service: Statements, at: int) -> None:
-    assert ask(service, HOSTILE[at]).judgement is not None
+def test_a_statement_built_to_be_slow_is_answered_and_the_next_one_too(
+    service: StatementService, at: int
+) -> None:
+    assert ask(service, HOSTILE[at]).decision is not None
     assert cls(ask(service, READ)) == "lookup"
 
 
@@ -228,11 +242,11 @@
     path, costs = str(tmp_path / "costs"), []
     for _ in range(2):
         loop = Loop()
-        service = Statements(loop, RULES, ("lookup", "report"), parsers=1)
+        service = StatementService(loop, RULES, ("lookup", "report"), parsers=1)
         service.restore(path)
-        costs.append(service.classifier.costs.cost_ns(shape().digest, "lookup", 7))
+        costs.append(service.classifier.costs.cost_ns(shape().fingerprint, "lookup", 7))
         for _ in range(10):
-            service.classifier.costs.ran(shape().digest, "lookup", 7, 50_000_000)
+            service.classifier.costs.observe(shape().fingerprint, "lookup", 7, 50_000_000)
         service.stop()
         loop.close()
     assert costs[0] is None and costs[1] and 30_000_000 < costs[1] < 80_000_000
--- a/tests/test_statements_cache.py
+++ b/tests/test_statements_cache.py
@@ -11,7 +11,7 @@
 from query_gateway.statements.cache import Cache
 from query_gateway.statements.messages import Rules
 from query_gateway.statements.sketch import CountMin
-from tests.statements import KEYS, Whole
+from tests.statements import KEYS, LocalClassifier
 
 
 def digest(n: int | str) -> bytes:
@@ -103,7 +103,7 @@
 
 def test_a_replayed_trace_of_statements_hits_its_shapes() -> None:
     """100,000 statements of 500 shapes, one in a hundred of a shape never seen again."""
-    random, whole = Random(3), Whole(Rules(keys=KEYS))
+    random, whole = Random(3), LocalClassifier(Rules(keys=KEYS))
     for at in range(100_000):
         shape = 10**6 + at if random.random() < 0.01 else skewed(random, 500)
         whole.judge(statement(random, shape))
--- a/tests/test_statements_corpus.py
+++ b/tests/test_statements_corpus.py
@@ -6,9 +6,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from query_gateway.statements.lexer import Unclear, tokens
-from query_gateway.statements.shape import shape_of
-from tests.statements import Whole, corpus, in_dialects
+from query_gateway.statements.lexer import UnsupportedStatementError, tokenize
+from query_gateway.statements.normalizer import normalize
+from tests.statements import LocalClassifier, corpus, in_dialects
 
 WHOLE = in_dialects()
 WRITES = [*corpus("writes"), *((d, rest.split("|", 1)[1]) for d, rest in corpus("loads"))]
@@ -22,17 +22,17 @@
     assert len(set(WRITES)) + len(READS) >= 400
     for dialect, sql in WRITES:
         told = WHOLE[dialect].judge(sql)
-        assert told.writes and not told.repeatable, (dialect, sql, told)
+        assert told.is_write and not told.is_idempotent, (dialect, sql, told)
 
 
 def test_what_is_turned_down_says_why() -> None:
     for dialect, sql in corpus("writes"):
         told = WHOLE[dialect].judge(sql)
-        assert not told.taken and told.cls is None and told.reason, (dialect, sql, told)
+        assert not told.is_accepted and told.class_name is None and told.reason, (dialect, sql, told)
 
 
 def test_reads_come_into_their_class() -> None:
-    wrong = [(d, sql) for d, sql, cls in READS if WHOLE[d].judge(sql).cls != cls]
+    wrong = [(d, sql) for d, sql, cls in READS if WHOLE[d].judge(sql).class_name != cls]
     assert len(wrong) <= 0.03 * len(READS), wrong
 
 
@@ -41,7 +41,7 @@
         value, _, sql = line.partition("|")
         told = WHOLE[dialect].judge(sql)
         plain = WHOLE[dialect].judge(f"DELETE FROM lending_1.loans WHERE member = '{value}'")
-        assert told.cls == "load" and told.key == plain.key and told.key, (dialect, sql, told)
+        assert told.class_name == "load" and told.key == plain.key and told.key, (dialect, sql, told)
 
 
 # ---- mutations
@@ -49,8 +49,8 @@
 
 def pieces(sql: str) -> list[str] | None:
     try:
-        return tokens(sql)
-    except Unclear:
+        return tokenize(sql)
+    except UnsupportedStatementError:
         return None
 
 
@@ -89,7 +89,7 @@
 def test_no_mutation_of_a_write_may_run_twice(case: tuple[str, str]) -> None:
     dialect, sql = case
     told = WHOLE[dialect].judge(sql)
-    assert not told.repeatable, (sql, told)
+    assert not told.is_idempotent, (sql, told)
 
 
 @st.composite
@@ -105,17 +105,17 @@
 def test_reads_keep_their_class_and_shape_however_they_are_spelt(case: tuple[str, str, str, str]) -> None:
     dialect, plain, cls, sql = case
     told = WHOLE[dialect].judge(sql)
-    assert told.cls == cls, (sql, told)
-    assert shape_of(sql).digest == shape_of(plain).digest
+    assert told.class_name == cls, (sql, told)
+    assert normalize(sql).fingerprint == normalize(plain).fingerprint
 
 
 # ---- a hit never says what a full parse would not
 
 
-def full_parse(whole: Whole, sql: str) -> tuple[bool, bool, bool, str]:
+def full_parse(whole: LocalClassifier, sql: str) -> tuple[bool, bool, bool, str]:
     """What the text's own tree says; only where its key stands is told by slots, which it has none of."""
-    plan = whole.reader.read(whole.classifier.shape(sql), sql)
-    return plan.writes, plan.report, plan.parsed, plan.verb
+    plan = whole.reader.read(whole.classifier.normalize(sql), sql)
+    return plan.is_write, plan.is_report, plan.is_parsed, plan.verb
 
 
 @st.composite
@@ -136,11 +136,13 @@
     if pieces(sql) is None or re.match(r"\W*explain", sql, re.I):
         return
     try:
-        shape = whole.classifier.shape(sql)
-    except Unclear:
+        shape = whole.classifier.normalize(sql)
+    except UnsupportedStatementError:
         return
-    plan = (whole.classifier.known(shape) or whole.classifier.learn(shape, whole.reader.read(shape))).plan
-    told = plan.writes, plan.report, plan.parsed, plan.verb
+    plan = (
+        whole.classifier.cached(shape) or whole.classifier.learn(shape, whole.reader.read(shape))
+    ).parse_result
+    told = plan.is_write, plan.is_report, plan.is_parsed, plan.verb
     assert told == full_parse(whole, sql), sql
 
 
@@ -185,7 +187,7 @@
 @settings(derandomize=True, deadline=None, max_examples=1_500)
 def test_sqlite_writes_nothing_for_what_counts_as_a_read(sql: str) -> None:
     told = WHOLE["sqlite"].judge(sql)
-    if told.writes:
+    if told.is_write:
         return
     db = engine()
     asked: list[int] = []
--- a/tests/test_statements_costs.py
+++ b/tests/test_statements_costs.py
@@ -1,4 +1,4 @@
-"""Costs by shape, as learned from outcomes, and limits on shapes that did harm."""
+"""CostEstimates by shape, as learned from outcomes, and limits on shapes that did harm."""
 
 import json
 from random import Random
@@ -6,8 +6,15 @@
 import pytest
 
 from bench.statements import run_time
-from query_gateway.statements.costs import BUCKETS, ENOUGH, FULL, Costs, Histogram
-from query_gateway.statements.limits import ENGINES, FORGET, FREE, HELD, WELL, ShapeLimits
+from query_gateway.statements.costs import BUCKETS, MAX_TOTAL, MIN_OUTCOMES, CostEstimates, Histogram
+from query_gateway.statements.limits import (
+    ENGINES,
+    FORGET_AFTER_NS,
+    INITIAL_LIMIT,
+    SUCCESSES_PER_STEP,
+    UNLIMITED_FROM,
+    ShapeLimits,
+)
 from tests.test_statements_cache import digest
 
 MS, SEC = 1_000_000, 1_000_000_000
@@ -19,10 +26,10 @@
     random = Random(seed)
     usual = {n: random.lognormvariate(5.5, 1.5) for n in range(60)}
 
-    costs = Costs()
+    costs = CostEstimates()
     for _ in range(200):
         for n in usual:
-            costs.ran(digest(n), "lookup", n % 5, int(run_time(random, usual[n]) * MS))
+            costs.observe(digest(n), "lookup", n % 5, int(run_time(random, usual[n]) * MS))
     told = {n: costs.cost_ns(digest(n), "lookup", n % 5) for n in usual}
     asked = [(told[n], run_time(random, usual[n]) * MS) for n in usual for _ in range(20)]
     near = sum(cost is not None and 0.5 <= cost / real <= 2 for cost, real in asked)
@@ -31,24 +38,24 @@
 
 def test_a_shape_that_turns_five_times_slower_is_followed_soon() -> None:
     random = Random(3)
-    costs = Costs()
+    costs = CostEstimates()
     for _ in range(200):
-        costs.ran(digest(1), "lookup", 1, int(100 * MS * random.lognormvariate(0, 0.25)))
+        costs.observe(digest(1), "lookup", 1, int(100 * MS * random.lognormvariate(0, 0.25)))
     runs = 0
     while runs < 100:
         runs += 1
-        costs.ran(digest(1), "lookup", 1, int(500 * MS * random.lognormvariate(0, 0.25)))
+        costs.observe(digest(1), "lookup", 1, int(500 * MS * random.lognormvariate(0, 0.25)))
         if (costs.cost_ns(digest(1), "lookup", 1) or 0) > 250 * MS:
             break
     assert runs <= 15
 
 
 def test_what_was_never_seen_falls_back_to_its_group_and_then_its_class() -> None:
-    costs = Costs()
+    costs = CostEstimates()
     assert costs.cost_ns(digest(1), "lookup", 1) is None
-    for _ in range(ENOUGH):
-        costs.ran(digest(1), "lookup", 1, 100 * MS)
-        costs.ran(digest(2), "lookup", 2, 900 * MS)
+    for _ in range(MIN_OUTCOMES):
+        costs.observe(digest(1), "lookup", 1, 100 * MS)
+        costs.observe(digest(2), "lookup", 2, 900 * MS)
     shape, group = costs.cost_ns(digest(1), "lookup", 1), costs.cost_ns(digest(9), "lookup", 1)
     assert shape == group and 80 * MS < (shape or 0) < 130 * MS
     other = costs.cost_ns(digest(9), "lookup", 7)
@@ -57,34 +64,34 @@
 
 
 def test_memory_is_told_by_the_shape_alone_and_on_the_high_side() -> None:
-    costs = Costs()
+    costs = CostEstimates()
     for mb in (10, 20, 30, 40, 200):
-        costs.ran(digest(1), "report", 1, SEC, mb)
-    assert 30 < costs.need_mb(digest(1)) < 250 and costs.need_mb(digest(2)) == 0.0
+        costs.observe(digest(1), "report", 1, SEC, mb)
+    assert 30 < costs.memory_mb(digest(1)) < 250 and costs.memory_mb(digest(2)) == 0.0
 
 
 def test_the_tables_are_bounded_and_keep_what_is_used() -> None:
-    costs = Costs(room=50, groups=10)
+    costs = CostEstimates(capacity=50, max_groups=10)
     for _ in range(8):
-        costs.ran(digest("kept"), "lookup", 0, 100 * MS)
+        costs.observe(digest("kept"), "lookup", 0, 100 * MS)
     for n in range(3_000):
-        costs.ran(digest(n), "lookup", n, 100 * MS)
+        costs.observe(digest(n), "lookup", n, 100 * MS)
         if n % 20 == 0:
-            costs.ran(digest("kept"), "lookup", 0, 100 * MS)
-    assert len(costs.shapes) <= 50 and len(costs.coarse) <= 10
+            costs.observe(digest("kept"), "lookup", 0, 100 * MS)
+    assert len(costs.shapes) <= 50 and len(costs.fallbacks) <= 10
     assert digest("kept") in costs.shapes
 
 
 def test_a_snapshot_carries_the_estimates_over() -> None:
-    costs, fresh = Costs(), Costs()
+    costs, fresh = CostEstimates(), CostEstimates()
     for n in range(30):
         for _ in range(20):
-            costs.ran(digest(n), "lookup", n, (n + 1) * 10 * MS, n + 1.0)
-    assert fresh.adopt(json.loads(json.dumps(costs.snapshot())))
+            costs.observe(digest(n), "lookup", n, (n + 1) * 10 * MS, n + 1.0)
+    assert fresh.restore(json.loads(json.dumps(costs.snapshot())))
     for n in range(30):
         assert fresh.cost_ns(digest(n), "lookup", n) == costs.cost_ns(digest(n), "lookup", n)
-        assert fresh.need_mb(digest(n)) == costs.need_mb(digest(n))
-    assert len(json.dumps(costs.snapshot(most=5))) < len(json.dumps(costs.snapshot()))
+        assert fresh.memory_mb(digest(n)) == costs.memory_mb(digest(n))
+    assert len(json.dumps(costs.snapshot(max_entries=5))) < len(json.dumps(costs.snapshot()))
 
 
 GOOD = {"version": 1, "shapes": {}, "needs": {}, "coarse": []}
@@ -97,18 +104,18 @@
     GOOD | {"coarse": [["a", "b", "00" * BUCKETS]]}, GOOD | {"coarse": [[1, 2]]}, GOOD | {"needs": []},
 ])  # fmt: skip
 def test_a_snapshot_that_cannot_be_used_changes_nothing(raw: object) -> None:
-    costs = Costs()
-    for _ in range(ENOUGH):
-        costs.ran(digest(1), "lookup", 1, 100 * MS)
+    costs = CostEstimates()
+    for _ in range(MIN_OUTCOMES):
+        costs.observe(digest(1), "lookup", 1, 100 * MS)
     before = costs.snapshot()
-    assert not costs.adopt(raw) and costs.snapshot() == before
+    assert not costs.restore(raw) and costs.snapshot() == before
 
 
 def test_counts_stay_small_however_much_is_added() -> None:
     histogram = Histogram()
     for n in range(10_000):
         histogram.add(10.0 ** (n % 20))
-    assert histogram.total < FULL and sum(histogram.counts) == histogram.total
+    assert histogram.total < MAX_TOTAL and sum(histogram.counts) == histogram.total
 
 
 # ---- limits
@@ -118,69 +125,69 @@
     """How many of a shape are let in when a crowd comes."""
     got = 0
     for _ in range(n):
-        if not limits.may_run(digest(1), now):
-            limits.begun(digest(1))
+        if not limits.rejection_reason(digest(1), now):
+            limits.query_started(digest(1))
             got += 1
     for _ in range(got):
-        limits.ended(digest(1))
+        limits.query_ended(digest(1))
     return got
 
 
 def test_a_shape_is_free_until_it_does_harm() -> None:
     limits = ShapeLimits()
     assert taken(limits, 100) == 100 and not limits.records
-    limits.spilled(digest(1), 0)
-    assert taken(limits, 100) == HELD
-    limits.spilled(digest(1), 0)
-    limits.spilled(digest(1), 0)
-    limits.spilled(digest(1), 0)
+    limits.attempt_spilled(digest(1), 0)
+    assert taken(limits, 100) == INITIAL_LIMIT
+    limits.attempt_spilled(digest(1), 0)
+    limits.attempt_spilled(digest(1), 0)
+    limits.attempt_spilled(digest(1), 0)
     assert taken(limits, 100) == 1
-    assert "spilled" in ("" if not limits.records else limits.records[digest(1)].why)
+    assert "spilled" in ("" if not limits.records else limits.records[digest(1)].reason)
 
 
 def test_runs_that_end_well_set_it_free_again() -> None:
     limits = ShapeLimits()
-    limits.spilled(digest(1), 0)
-    for _ in range(WELL):
-        limits.ran_well(digest(1), MS, MS, 0)
-    assert taken(limits, 100) == HELD + 1
-    for _ in range(WELL * FREE):
-        limits.ran_well(digest(1), MS, MS, 0)
+    limits.attempt_spilled(digest(1), 0)
+    for _ in range(SUCCESSES_PER_STEP):
+        limits.attempt_succeeded(digest(1), MS, MS, 0)
+    assert taken(limits, 100) == INITIAL_LIMIT + 1
+    for _ in range(SUCCESSES_PER_STEP * UNLIMITED_FROM):
+        limits.attempt_succeeded(digest(1), MS, MS, 0)
     assert taken(limits, 100) == 100 and not limits.records
 
 
 def test_one_engine_s_failures_are_not_the_shape_s() -> None:
     limits = ShapeLimits()
     for _ in range(20):
-        limits.failed(digest(1), "e1", 0)
+        limits.attempt_failed(digest(1), "e1", 0)
     assert taken(limits, 50) == 50
     for engine in ("e2", "e3"):
-        limits.failed(digest(1), engine, 0)
-    assert taken(limits, 50) == HELD
-    assert f"failed on {ENGINES} engines" in limits.records[digest(1)].why
+        limits.attempt_failed(digest(1), engine, 0)
+    assert taken(limits, 50) == INITIAL_LIMIT
+    assert f"failed on {ENGINES} engines" in limits.records[digest(1)].reason
 
 
 def test_a_run_that_ends_well_between_failures_clears_them() -> None:
     limits = ShapeLimits()
     for engine in ("e1", "e2", "e3", "e4"):
-        limits.failed(digest(1), engine, 0)
-        limits.ran_well(digest(1), MS, MS, 0)
+        limits.attempt_failed(digest(1), engine, 0)
+        limits.attempt_succeeded(digest(1), MS, MS, 0)
     assert taken(limits, 50) == 50 and not limits.records
 
 
 def test_a_runaway_is_harm_and_a_slow_short_one_is_not() -> None:
     limits = ShapeLimits()
-    limits.ran_well(digest(1), 900 * MS, 10 * MS, 0)
+    limits.attempt_succeeded(digest(1), 900 * MS, 10 * MS, 0)
     assert taken(limits, 50) == 50
-    limits.ran_well(digest(1), 90 * SEC, 3 * SEC, 0)
-    assert taken(limits, 50) == HELD and "30 times" in limits.records[digest(1)].why
+    limits.attempt_succeeded(digest(1), 90 * SEC, 3 * SEC, 0)
+    assert taken(limits, 50) == INITIAL_LIMIT and "30 times" in limits.records[digest(1)].reason
 
 
 def test_harm_long_past_is_forgotten_and_the_table_is_bounded() -> None:
-    limits = ShapeLimits(most=8)
-    limits.spilled(digest(1), 0)
-    assert taken(limits, 50, FORGET + 1) == 50
+    limits = ShapeLimits(capacity=8)
+    limits.attempt_spilled(digest(1), 0)
+    assert taken(limits, 50, FORGET_AFTER_NS + 1) == 50
     for n in range(100):
-        limits.spilled(digest(n), n)
-        limits.failed(digest(f"x{n}"), "e1", n)
+        limits.attempt_spilled(digest(n), n)
+        limits.attempt_failed(digest(f"x{n}"), "e1", n)
     assert len(limits.records) <= 8
--- a/tests/test_statements_keys.py
+++ b/tests/test_statements_keys.py
@@ -7,14 +7,14 @@
 from hypothesis import strategies as st
 
 from query_gateway.statements.messages import KeyRule, Rules
-from tests.statements import KEYS, Whole, in_dialects
+from tests.statements import KEYS, LocalClassifier, in_dialects
 from tests.test_statements_corpus import engine
 
 WHOLE = in_dialects()
 POSTGRES = WHOLE["postgres"]
 
 
-def key(sql: str, whole: Whole = POSTGRES, *bound: object) -> str | None:
+def key(sql: str, whole: LocalClassifier = POSTGRES, *bound: object) -> str | None:
     return whole.judge(sql, None, None, *bound).key
 
 
@@ -49,8 +49,8 @@
 
 
 def test_a_rule_by_text_takes_no_numbers_and_one_by_integer_no_texts() -> None:
-    text = Whole(Rules(dialect="mysql", keys=(KeyRule("lending_*.loans", "member", "text"),)))
-    number = Whole(Rules(dialect="mysql", keys=(KeyRule("lending_*.loans", "member", "integer"),)))
+    text = LocalClassifier(Rules(dialect="mysql", keys=(KeyRule("lending_*.loans", "member", "text"),)))
+    number = LocalClassifier(Rules(dialect="mysql", keys=(KeyRule("lending_*.loans", "member", "integer"),)))
     assert key(DELETE + "'042'", text) != key(DELETE + "'42'", text)
     assert key(DELETE + "42", text) is None and key(DELETE + "'42x'", number) is None
     assert key(DELETE + "CAST(42 AS TEXT)", text) in (None, key(DELETE + "'42'", text))
@@ -59,7 +59,7 @@
 
 def test_a_whole_table_runs_under_one_key_without_exception() -> None:
     rules = (KeyRule("lending_*.titles"), KeyRule("lending_*.*", "member"))
-    whole = Whole(Rules(keys=rules))
+    whole = LocalClassifier(Rules(keys=rules))
     told = {
         key(sql, whole)
         for sql in (
@@ -73,7 +73,7 @@
 
 
 def test_a_table_under_two_rules_is_turned_down() -> None:
-    whole = Whole(Rules(keys=(KeyRule("lending_*.loans", "member"), KeyRule("*.loans", "title"))))
+    whole = LocalClassifier(Rules(keys=(KeyRule("lending_*.loans", "member"), KeyRule("*.loans", "title"))))
     assert "several key rules" in whole.judge(DELETE + "42").reason
 
 
@@ -91,17 +91,22 @@
     assert POSTGRES.judge("DELETE FROM lending_7.fines WHERE id = 1", "load", mine).key == mine
     unproven = "DELETE FROM lending_7.fines WHERE f(id) = 1"
     for sql in ("DELETE FROM lending_7.loans", "CALL close_day()", unproven):
-        assert not POSTGRES.judge(sql, "load", mine).taken
-    assert not POSTGRES.judge("DELETE FROM lending_7.fines WHERE id = 1", None, mine).taken
+        assert not POSTGRES.judge(sql, "load", mine).is_accepted
+    assert not POSTGRES.judge("DELETE FROM lending_7.fines WHERE id = 1", None, mine).is_accepted
 
 
 def test_a_write_under_a_safe_class_is_refused_or_runs_as_a_load() -> None:
     told = POSTGRES.judge(DELETE + "42", "lookup")
-    assert not told.taken and "lookup" in told.reason
-    kind = Whole(Rules(keys=KEYS, mismatch="load"))
+    assert not told.is_accepted and "lookup" in told.reason
+    kind = LocalClassifier(Rules(keys=KEYS, mismatch="load"))
     told = kind.judge(DELETE + "42", "lookup")
-    assert told.taken and told.cls == "load" and not told.repeatable and told.key == key(DELETE + "42")
-    assert not Whole(Rules(keys=KEYS, load=None)).judge(DELETE + "42").taken
+    assert (
+        told.is_accepted
+        and told.class_name == "load"
+        and not told.is_idempotent
+        and told.key == key(DELETE + "42")
+    )
+    assert not LocalClassifier(Rules(keys=KEYS, load=None)).judge(DELETE + "42").is_accepted
 
 
 # ---- what a statement touches in SQLite is what its key says
@@ -163,7 +168,7 @@
 def test_a_keyed_load_touches_rows_of_its_key_alone(sql: str) -> None:
     sqlite = WHOLE["sqlite"]
     told = sqlite.judge(sql)
-    members = touched(sql) if told.taken else None
+    members = touched(sql) if told.is_accepted else None
     for member in members or ():
         assert key(f"{DELETE}{member!r}", sqlite) == told.key, (sql, members, told)
 
@@ -175,7 +180,7 @@
     @given(LOADS)
     @settings(derandomize=True, deadline=None, max_examples=400, database=None)
     def collect(sql: str) -> None:
-        if WHOLE["sqlite"].judge(sql).taken and touched(sql):
+        if WHOLE["sqlite"].judge(sql).is_accepted and touched(sql):
             found.append(sql)
 
     collect()
--- a/tests/test_statements_postgres.py
+++ b/tests/test_statements_postgres.py
@@ -72,7 +72,7 @@
 
 def check(sql: str) -> bool:
     told = POSTGRES.judge(sql)
-    if told.writes:
+    if told.is_write:
         return False
     assert not effects(sql), (sql, effects(sql))
     return True
