--- a/query_gateway/parsing/frames.py
+++ b/query_gateway/parsing/frames.py
@@ -1,4 +1,8 @@
-"""Frames between a gateway and its parser processes: a length and a msgpack value each way."""
+"""Frames between a gateway and its parser processes: a length and a msgpack value each way.
+
+The first frame to a process holds the rules; each further one is a ParseRequest. The process answers with
+ParseResponses, the first of which says that it is ready.
+"""
 
 import struct
 from typing import Any
@@ -8,24 +12,32 @@
 from query_gateway.statements.messages import ParseResult, Rules
 from query_gateway.statements.normalizer import NormalizedStatement
 
-LENGTH = struct.Struct("!I")
-MOST = 1 << 20  # bytes of a frame
+LENGTH = struct.Struct("!I")  # of what follows, in bytes
+MAX_FRAME_BYTES = 1 << 20
+READY = 0  # the request number of the response that says that a process is ready
+
+
+class FrameTooLongError(ValueError):
+    """The peer announces a frame beyond MAX_FRAME_BYTES."""
 
 
 class ParseRequest(msgspec.Struct, frozen=True, array_like=True):
-    """Parse this shape; its literals stay with the gateway."""
+    """Parse this statement; its literals stay with the gateway."""
 
     request_number: int
     tokens: list[str]
     literal_count: int
 
-    def shape(self) -> NormalizedStatement:
+    def statement(self) -> NormalizedStatement:
+        """The statement as far as a parse needs it: without fingerprint and literals."""
         return NormalizedStatement(b"", self.tokens, [""] * self.literal_count)
 
 
 class ParseResponse(msgspec.Struct, frozen=True, array_like=True):
-    request_number: int  # 0: ready
-    parse_result: ParseResult | None = None
+    """What a parse found, or that the process is ready."""
+
+    request_number: int  # READY, or that of the request
+    parse_result: ParseResult | None = None  # None: the process is ready
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -35,17 +47,21 @@
 
 
 def encode_frame(value: Any) -> bytes:
+    """A message with its length before it."""
     data = _encoder.encode(value)
     return LENGTH.pack(len(data)) + data
 
 
 def take_frame(buffer: bytearray) -> bytes | None:
-    """The first whole frame, taken off the buffer. Raises ValueError at one that is too long."""
+    """The first complete frame, removed from the buffer; None until there is one.
+
+    Raises FrameTooLongError.
+    """
     if len(buffer) < LENGTH.size:
         return None
     (length,) = LENGTH.unpack_from(buffer)
-    if length > MOST:
-        raise ValueError("a frame is too long")
+    if length > MAX_FRAME_BYTES:
+        raise FrameTooLongError(f"a frame of {length} bytes is longer than {MAX_FRAME_BYTES}")
     end = LENGTH.size + length
     if len(buffer) < end:
         return None
--- a/query_gateway/parsing/snapshot_store.py
+++ b/query_gateway/parsing/snapshot_store.py
@@ -2,7 +2,7 @@
 
 The header is `mothknot-costs 1 DIGEST LENGTH`, DIGEST the blake2b (16 bytes, hex) of the LENGTH bytes that
 follow. A new value is written beside it, synced and put in its place by a rename, so there is always a
-whole one or none.
+complete one or none.
 """
 
 import json
@@ -13,47 +13,68 @@
 
 from query_gateway.net.log import log
 
-HEAD = "mothknot-costs 1"
-MOST = 16 << 20  # bytes of a file that is read
+HEADER = "mothknot-costs 1"  # name and version, which other versions read and write as well
+DIGEST_BYTES = 16
+MAX_FILE_BYTES = 16 << 20  # of a file that is read
+
+
+class SnapshotError(ValueError):
+    """A file that is not a complete snapshot; the message says what it is instead."""
 
 
 class SnapshotStore:
+    """The file at one path. Holds nothing open between calls."""
+
     def __init__(self, path: str) -> None:
+        """The file need not exist; its folder has to."""
         self.path = Path(path)
 
     def save(self, value: Any) -> bool:
-        """Replace what is there. A disk that fails costs the snapshot, never the gateway."""
-        data = json.dumps(value, separators=(",", ":")).encode()
-        head = f"{HEAD} {blake2b(data, digest_size=16).hexdigest()} {len(data)}\n".encode()
-        beside = self.path.with_name(f"{self.path.name}.{os.getpid()}")
+        """Replace what is there; whether that worked. A disk that fails costs the snapshot alone."""
+        content = _encode(value)
+        temporary = self.path.with_name(f"{self.path.name}.{os.getpid()}")
         try:
-            with beside.open("wb") as file:
-                file.write(head + data)
+            with temporary.open("wb") as file:
+                file.write(content)
                 file.flush()
                 os.fsync(file.fileno())
-            beside.replace(self.path)
-        except OSError as bad:
-            log("statements", f"{self.path} cannot be written: {bad.strerror}")
-            beside.unlink(missing_ok=True)
+            temporary.replace(self.path)
+        except OSError as error:
+            log("statements", f"{self.path} cannot be written: {error.strerror}")
+            temporary.unlink(missing_ok=True)
             return False
         return True
 
     def load(self) -> Any:
-        """The value; None if there is none or it is not whole."""
+        """The value; None if there is none or it is not complete, which is logged."""
         try:
-            if self.path.stat().st_size > MOST:
-                raise ValueError("too long")
-            head, mark, data = self.path.read_bytes().partition(b"\n")
-            name, version, digest, length = head.decode().split()
-            if not mark or f"{name} {version}" != HEAD or len(data) != int(length):
-                raise ValueError("not whole")
-            if blake2b(data, digest_size=16).hexdigest() != digest:
-                raise ValueError("spoilt")
-            return json.loads(data)
+            if self.path.stat().st_size > MAX_FILE_BYTES:
+                raise SnapshotError("too long")
+            return _decode(self.path.read_bytes())
         except FileNotFoundError:
             return None
-        except OSError as bad:
-            log("statements", f"{self.path} cannot be read: {bad.strerror}")
-        except (ValueError, RecursionError) as bad:
-            log("statements", f"{self.path} is {bad}; costs are learned afresh")
+        except OSError as error:
+            log("statements", f"{self.path} cannot be read: {error.strerror}")
+        except (ValueError, RecursionError) as error:
+            log("statements", f"{self.path} is {error}; costs are learned afresh")
         return None
+
+
+def _encode(value: Any) -> bytes:
+    data = json.dumps(value, separators=(",", ":")).encode()
+    return f"{HEADER} {_digest(data)} {len(data)}\n".encode() + data
+
+
+def _decode(content: bytes) -> Any:
+    """Raises ValueError, of which SnapshotError is one."""
+    header, newline, data = content.partition(b"\n")
+    name, version, digest, length = header.decode().split()
+    if not newline or f"{name} {version}" != HEADER or len(data) != int(length):
+        raise SnapshotError("not complete")
+    if _digest(data) != digest:
+        raise SnapshotError("damaged")
+    return json.loads(data)
+
+
+def _digest(data: bytes) -> str:
+    return blake2b(data, digest_size=DIGEST_BYTES).hexdigest()
--- /dev/null
+++ b/query_gateway/parsing/supervisor.py
@@ -0,0 +1,195 @@
+"""The parser processes on the loop: starts, watches and kills them, and exchanges statements with them."""
+
+import os
+import socket
+import subprocess
+import sys
+
+from query_gateway.net.log import log
+from query_gateway.net.loop import IN, Loop, Timer
+from query_gateway.parsing.frames import ParseRequest, decode_response, encode_frame, take_frame
+from query_gateway.parsing.parsers import ParseCallback, ParserPool, ParserSlot, PendingParse
+from query_gateway.statements.messages import ParseResult, Rules
+from query_gateway.statements.normalizer import NormalizedStatement
+
+RECEIVE_BYTES = 65_536
+REQUEST_NUMBER = 1  # one request at a time is out at a process
+START_RETRY_S = 1.0  # after a process could not be started
+TIMER_SLACK_S = 0.001  # so that what is due has surely passed when the timer fires
+PROCESS_LOST = "the parser died on it"  # reasons, which reach the client
+TIMED_OUT = "it takes too long to parse"
+RULES_CHANGED = "the rules have changed"
+
+
+class ParserProcess:
+    """A parser process and our end of its socket, which the loop disposes of."""
+
+    def __init__(self, rules: Rules) -> None:
+        """Start it and send it the rules. Raises OSError."""
+        self.sock, child_end = socket.socketpair()
+        with child_end:
+            self.child = subprocess.Popen(
+                [sys.executable, "-m", "query_gateway.parsing.worker"],
+                stdin=child_end.fileno(),
+                stdout=subprocess.DEVNULL,
+                env={**os.environ, "PYTHONPATH": os.pathsep.join(path for path in sys.path if path)},
+            )
+        self.inbox = bytearray()
+        self.sock.sendall(encode_frame(rules))
+
+    def close(self) -> None:
+        """Kill the process and wait for its end."""
+        self.child.kill()
+        self.child.wait()
+
+
+class ParserSupervisor:
+    """Owns the parser processes. `close` ends them."""
+
+    def __init__(self, loop: Loop, rules: Rules, process_count: int) -> None:
+        """Start the processes."""
+        self.loop = loop
+        self.rules = rules
+        self.pool = ParserPool(process_count)
+        self.processes: dict[int, ParserProcess] = {}  # by number of their slot
+        self.timer: Timer | None = None
+        self.timer_at = 0.0
+        self.closed = False
+        for slot in self.pool.slots:
+            self._start(slot)
+
+    def submit(self, statement: NormalizedStatement, now: float, callback: ParseCallback) -> bool:
+        """Whether it is taken on; `callback` is called once, later."""
+        if self.closed or not self.pool.add(statement, now, callback):
+            return False
+        self._dispatch()
+        return True
+
+    def quarantined(self, statement: NormalizedStatement) -> ParseResult | None:
+        """The result of a statement that a parser was lost over; None if it may be parsed."""
+        return self.pool.quarantined(statement, self.loop.now())
+
+    def update_rules(self, rules: Rules) -> None:
+        """Replace the processes by some that parse by the new rules."""
+        self.rules = rules
+        for slot in self.pool.slots:
+            if slot.number in self.processes:
+                self._replace(slot)
+
+    def close(self) -> None:
+        """End the parser processes; nothing is parsed any more."""
+        self.closed = True
+        for process in self.processes.values():
+            self.loop.dispose(process.sock)
+            process.close()
+        self.processes.clear()
+
+    # ---- processes that start and end
+
+    def _start(self, slot: ParserSlot) -> None:
+        if self.closed:
+            return
+        self.pool.starting(slot, self.loop.now())
+        try:
+            process = ParserProcess(self.rules)
+        except OSError as error:
+            log("parser", f"cannot be started: {error.strerror}")
+            self.pool.start_failed()
+            delay = max(START_RETRY_S, self.pool.restart_delay)
+            self.loop.call_at(self.loop.now() + delay, lambda: self._start(slot))
+            return
+        process.sock.setblocking(False)
+        self.processes[slot.number] = process
+        self.loop.watch(process.sock, IN, lambda: self._receive(slot, process))
+        self._dispatch()
+
+    def _lose(self, slot: ParserSlot, reason: str) -> None:
+        """The process has died or is killed; what it worked on is rejected."""
+        self._end_process(slot, reason)
+        pending = self.pool.lost(slot, reason, self.loop.now())
+        self._restart(slot)
+        _notify(pending, ParseResult(True, reason=reason, is_parsed=False))
+
+    def _replace(self, slot: ParserSlot) -> None:
+        """The process parses by old rules; the client of what it worked on has to retry."""
+        self._end_process(slot, RULES_CHANGED)
+        pending = self.pool.replaced(slot, self.loop.now())
+        self._restart(slot)
+        _notify(pending, None)
+
+    def _end_process(self, slot: ParserSlot, reason: str) -> None:
+        process = self.processes.pop(slot.number)
+        self.loop.dispose(process.sock)
+        process.close()
+        log("parser", f"parser {slot.number} is restarted: {reason}")
+
+    def _restart(self, slot: ParserSlot) -> None:
+        delay = self.pool.restart_delay
+        if not delay:
+            self._start(slot)
+            return
+        start_at = self.loop.now() + delay
+        self.pool.starting(slot, start_at)
+        self.loop.call_at(start_at, lambda: self._start(slot))
+
+    # ---- statements to and from them
+
+    def _receive(self, slot: ParserSlot, process: ParserProcess) -> None:
+        if self.processes.get(slot.number) is not process:
+            return
+        try:
+            data = process.sock.recv(RECEIVE_BYTES)
+        except BlockingIOError:
+            return
+        except OSError:
+            data = b""
+        if not data:
+            self._lose(slot, PROCESS_LOST)
+            return
+        process.inbox += data
+        while frame := take_frame(process.inbox):
+            self._handle_response(slot, frame)
+        self._dispatch()
+
+    def _handle_response(self, slot: ParserSlot, frame: bytes) -> None:
+        response = decode_response(frame)
+        if response.parse_result is None:
+            self.pool.ready(slot)
+        else:
+            _notify(self.pool.completed(slot), response.parse_result)
+
+    def _dispatch(self) -> None:
+        """Send what waits to idle processes, and look again when something is overdue."""
+        for slot, pending in self.pool.assign(self.loop.now()):
+            statement = pending.statement
+            request = ParseRequest(REQUEST_NUMBER, statement.tokens, len(statement.literals))
+            try:
+                self.processes[slot.number].sock.sendall(encode_frame(request))
+            except OSError:  # its end is noticed as such; until then the parse is overdue at worst
+                continue
+        self._schedule()
+
+    def _schedule(self) -> None:
+        deadline = self.pool.next_deadline()
+        if deadline is None or (self.timer is not None and deadline >= self.timer_at):
+            return
+        if self.timer:
+            self.timer.cancel()
+        self.timer_at = deadline + TIMER_SLACK_S
+        self.timer = self.loop.call_at(self.timer_at, self._check_deadlines)
+
+    def _check_deadlines(self) -> None:
+        self.timer = None
+        now = self.loop.now()
+        for slot in self.pool.overdue(now):
+            if slot.number in self.processes:
+                self._lose(slot, TIMED_OUT)
+        for pending in self.pool.expire(now):
+            _notify(pending, None)
+        self._dispatch()
+
+
+def _notify(pending: PendingParse | None, result: ParseResult | None) -> None:
+    """Call who waits for the statement; without a result they have to retry."""
+    for callback in pending.callbacks if pending else ():
+        callback(result)
--- a/query_gateway/statements/cache.py
+++ b/query_gateway/statements/cache.py
@@ -10,10 +10,10 @@
 from query_gateway.statements.sketch import CountMin
 
 MIN_CAPACITY = 4
-V = TypeVar("V")
+Value = TypeVar("Value")
 
 
-class Cache(Generic[V]):
+class Cache(Generic[Value]):
     """At most `capacity` entries by digest.
 
     Dicts keep their order, so the first key of each segment is the least recently used one.
@@ -27,9 +27,9 @@
         self.window_capacity = max(1, int(capacity * window_share))
         self.main_capacity = capacity - self.window_capacity
         self.protected_capacity = int(self.main_capacity * protected_share)
-        self.window: dict[bytes, V] = {}
-        self.probation: dict[bytes, V] = {}
-        self.protected: dict[bytes, V] = {}
+        self.window: dict[bytes, Value] = {}
+        self.probation: dict[bytes, Value] = {}
+        self.protected: dict[bytes, Value] = {}
         self.sketch = CountMin(capacity)
         self.hits = self.misses = 0
 
@@ -37,7 +37,7 @@
         """The number of entries in all segments."""
         return len(self.window) + len(self.probation) + len(self.protected)
 
-    def get(self, digest: bytes) -> V | None:
+    def get(self, digest: bytes) -> Value | None:
         """The entry, which counts as a use; None if there is none."""
         self.sketch.add(digest)
         if (found := self.protected.pop(digest, None)) is not None:
@@ -55,14 +55,14 @@
         self.hits += 1
         return found
 
-    def peek(self, digest: bytes) -> V | None:
+    def peek(self, digest: bytes) -> Value | None:
         """The entry without counting it as a use; None if there is none."""
         for segment in (self.protected, self.probation, self.window):
             if (found := segment.get(digest)) is not None:
                 return found
         return None
 
-    def put(self, digest: bytes, value: V) -> bytes | None:
+    def put(self, digest: bytes, value: Value) -> bytes | None:
         """Add or replace an entry; returns the digest that was evicted for it, if one was."""
         for segment in (self.protected, self.probation, self.window):
             if digest in segment:
@@ -71,9 +71,9 @@
         self.window[digest] = value
         if len(self.window) <= self.window_capacity:
             return None
-        return self._leave_window()
+        return self._evict_from_window()
 
-    def _leave_window(self) -> bytes | None:
+    def _evict_from_window(self) -> bytes | None:
         """The least recent entry of the window goes into the main part or out; returns what was evicted."""
         candidate = next(iter(self.window))
         value = self.window.pop(candidate)
--- a/query_gateway/statements/keys.py
+++ b/query_gateway/statements/keys.py
@@ -43,7 +43,7 @@
     """
     name = qualified_name(table)
     matching = [index for index, rule in enumerate(rules) if _matches(name, rule)]
-    matching = [index for index in matching if rules[index].covers_whole_table] or matching
+    matching = [index for index in matching if rules[index].has_single_key] or matching
     if len(matching) == 1:
         return matching[0]
     shown = ".".join(name)[:MAX_SHOWN_NAME]
@@ -372,7 +372,7 @@
 
 def key_references(tree: Any, rule: KeyRule) -> tuple[LiteralReference, ...]:
     """Where the key's values stand in a load. Raises UndeterminedKeyError."""
-    if rule.covers_whole_table:
+    if rule.has_single_key:
         return ()
     target, column = target_of(tree), rule.column
     if isinstance(tree, exp.Insert):
--- a/query_gateway/statements/lexer.py
+++ b/query_gateway/statements/lexer.py
@@ -41,7 +41,9 @@
 _EVERYWHERE = "= < > <= >= <> != || :: -> ->> + - * / % ^ & | ~ << >> => :"
 _BEFORE_PARAMETER = "= < > <= >= <> != + - * / || =>"
 OPERATORS: dict[str, tuple[str, ...]] = {op: (op,) for op in _EVERYWHERE.split()}
-OPERATORS |= {f"{op}{sign}": (op, sign) for op in ["=", "<", ">", "<=", ">=", "<>", "!="] for sign in "+-"}
+OPERATORS |= {
+    f"{op}{prefix}": (op, prefix) for op in ["=", "<", ">", "<=", ">=", "<>", "!="] for prefix in "+-"
+}
 OPERATORS |= {f"{op}{mark}": (op, mark) for op in _BEFORE_PARAMETER.split() for mark in "?:"}
 OPERATORS |= {"?": ("?",), "*-": ("*", "-"), "/-": ("/", "-"), "+-": ("+", "-"), "?::": ("?", "::")}
 OPERATORS |= {"-?": ("-", "?"), "-:": ("-", ":"), "!~": ("!~",), "<=>": ("<=>",)}
@@ -99,13 +101,13 @@
 )
 
 
-def unsupported_reason(rest: str) -> str:
+def unsupported_reason(remainder: str) -> str:
     """In words, for the rest of a text from the first token on that is not supported."""
     for starts, reason in _REASONS_BY_START:
-        if rest.startswith(starts):
+        if remainder.startswith(starts):
             return reason
-    if not rest[0].isascii():
+    if not remainder[0].isascii():
         return "a letter outside ASCII that is not quoted"
-    if not rest[0].isprintable():
+    if not remainder[0].isprintable():
         return "a control character"
-    return f"{rest[:20]!r} can be read in more than one way"
+    return f"{remainder[:20]!r} can be read in more than one way"
--- a/query_gateway/statements/messages.py
+++ b/query_gateway/statements/messages.py
@@ -13,7 +13,7 @@
     type: Literal["any", "integer", "text"] = "any"
 
     @property
-    def covers_whole_table(self) -> bool:
+    def has_single_key(self) -> bool:
         """Whether all loads of these tables share one key."""
         return not self.column
 
--- a/query_gateway/statements/normalizer.py
+++ b/query_gateway/statements/normalizer.py
@@ -27,7 +27,7 @@
 SLOTS = frozenset((NUMBER, STRING, PARAMETER))
 FIRST_NUMBER = 7_000_000  # the literal of slot n is written as the number n above this, for the parser
 ROW_LIMIT_WORDS = frozenset(("limit", "first", "next", "top"))  # before a number of rows
-BY_LIST_ENDS = frozenset((
+BY_LIST_TERMINATORS = frozenset((
     "by", "having", "limit", "offset", "fetch", "order", "group", "window", "union", "except", "intersect",
     "select", "qualify", "rows", "range", "for", "from", "where",
 ))  # fmt: skip
@@ -212,7 +212,7 @@
             if token[0].isdigit():
                 if previous in ("by", ","):
                     out[position] = token
-            elif token.lower() in BY_LIST_ENDS:
+            elif token.lower() in BY_LIST_TERMINATORS:
                 return
         previous = token
 
--- a/query_gateway/statements/reader.py
+++ b/query_gateway/statements/reader.py
@@ -98,11 +98,11 @@
         """
         tokens = statement.tokens
         start = _end_of_explain_options(tokens)
-        rest = tokens[start:]
+        explained = tokens[start:]
         has_literals = any(token in SLOTS for token in tokens[:start])
-        if not rest or rest[0] in ("explain", *SLOTS) or has_literals:
+        if not explained or explained[0] in ("explain", *SLOTS) or has_literals:
             raise UnparsedStatementError("an EXPLAIN of nothing known")
-        result = self.read(NormalizedStatement(statement.fingerprint, rest, statement.literals))
+        result = self.read(NormalizedStatement(statement.fingerprint, explained, statement.literals))
         if result.is_write:
             raise UnparsedStatementError(f"an EXPLAIN of a write: {result.reason or result.verb}")
         return result
@@ -337,7 +337,9 @@
 def _is_selective_part(part: Any) -> bool:
     if isinstance(part, exp.EQ):
         sides = (part.this, part.expression)
-        return any(isinstance(a, exp.Column) and not b.find(exp.Column) for a, b in (sides, sides[::-1]))
+        return any(
+            isinstance(one, exp.Column) and not other.find(exp.Column) for one, other in (sides, sides[::-1])
+        )
     if isinstance(part, exp.In):
         return isinstance(part.this, exp.Column)
     return isinstance(part, exp.Or) and _is_selective(part.this) and _is_selective(part.expression)
--- a/query_gateway/statements/values.py
+++ b/query_gateway/statements/values.py
@@ -18,7 +18,7 @@
 AMBIGUOUS_NUMBER = re.compile(r"[+-]?0[xXoObB][0-9a-fA-F_]+|[+-]?\d[\d_]*_[\d_]*", re.ASCII)
 KEY_BYTES = 8  # printed as twice as many hexadecimal digits
 INVISIBLE = "Cf"  # the Unicode category of format characters
-NOT_WHOLE = "a key that is no whole number may be rounded"
+NOT_AN_INTEGER = "a key that is no whole number may be rounded"
 
 
 class UndeterminedKeyError(Exception):
@@ -47,14 +47,14 @@
         raise UndeterminedKeyError("a number where the key is a text")
     if not is_text:
         if not DECIMAL.fullmatch(content):
-            raise UndeterminedKeyError(NOT_WHOLE)
-        content = str(_whole_number(content))
+            raise UndeterminedKeyError(NOT_AN_INTEGER)
+        content = str(_integer(content))
     return "t" + _without_collation(content)
 
 
 def _number_or_text_value(content: str, is_text: bool, reference: LiteralReference, key_type: str) -> str:
     if DECIMAL.fullmatch(content):
-        number = _whole_number(content)
+        number = _integer(content)
         return f"i{-number if reference.negative else number}"
     if key_type == "integer" or reference.cast == "integer" or reference.negative or not is_text:
         raise UndeterminedKeyError("a key that is no whole number")
@@ -63,10 +63,10 @@
     return "t" + _without_collation(content)
 
 
-def _whole_number(content: str) -> int:
+def _integer(content: str) -> int:
     value = Decimal(content)
     if value != value.to_integral_value():
-        raise UndeterminedKeyError(NOT_WHOLE)
+        raise UndeterminedKeyError(NOT_AN_INTEGER)
     return int(value)
 
 
--- a/tests/test_flight_statements.py
+++ b/tests/test_flight_statements.py
@@ -258,7 +258,7 @@
         assert gate.statements
         assert ask(gate, READ).read_all().num_rows == 3
         for n in range(3):
-            for process in list(gate.statements.processes.values()):
+            for process in list(gate.statements.supervisor.processes.values()):
                 process.child.kill()
             known = READ.replace("42", str(n))  # its shape is: no parser is needed
             assert ask(gate, known).read_all().num_rows == 3
@@ -269,7 +269,7 @@
                     assert ask(gate, fresh).read_all().num_rows == 3
                     break
                 except pa.ArrowInvalid:  # refused while no parser is up, or lost with one
-                    gate.loop.call_soon(gate.statements.parsers.quarantine.clear)
+                    gate.loop.call_soon(gate.statements.supervisor.pool.quarantine.clear)
             else:
                 raise AssertionError("no parser came back")
 
@@ -282,12 +282,12 @@
         reader = client(gate)
         told = command("CommandStatementQuery", "SELECT c FROM t WHERE a = 1")
         info = reader.get_flight_info(told, options())
-        original = statements.parsers.assign
-        statements.parsers.assign = lambda now: []  # type: ignore[method-assign]  # nothing is read for now
+        original = statements.supervisor.pool.assign
+        statements.supervisor.pool.assign = lambda now: []  # type: ignore[method-assign]  # nothing is read for now
         with pytest.raises(fl.FlightTimedOutError):
             reader.do_get(info.endpoints[0].ticket, options(seconds=0.2)).read_all()
-        statements.parsers.assign = original  # type: ignore[method-assign]
-        gate.loop.call_soon(statements._go_on)
+        statements.supervisor.pool.assign = original  # type: ignore[method-assign]
+        gate.loop.call_soon(statements.supervisor._dispatch)
         assert ask(gate, READ).read_all().num_rows == 3
         assert not gate.forwarder.exchanges
     assert "SELECT c FROM t WHERE a = 1" not in ran(*nodes)
--- a/tests/test_parsing.py
+++ b/tests/test_parsing.py
@@ -1,9 +1,11 @@
 """Parser processes: slow, dead and killed ones, floods, and the file that keeps what was learned."""
 
+import json
 import os
 import signal
 from collections.abc import Iterator
 from pathlib import Path
+from random import Random
 
 import pytest
 
@@ -16,12 +18,21 @@
     encode_frame,
     take_frame,
 )
-from query_gateway.parsing.parsers import BUDGET, PATIENCE, POISON, TRIES, WAITING, ParserPool
+from query_gateway.parsing.parsers import (
+    MAX_FAILED_STARTS,
+    MAX_WAIT_S,
+    MAX_WAITING,
+    PARSE_TIMEOUT_S,
+    QUARANTINE_S,
+    ParserPool,
+)
 from query_gateway.parsing.service import Classification, StatementService
 from query_gateway.parsing.snapshot_store import SnapshotStore
+from query_gateway.statements.costs import CostEstimates
 from query_gateway.statements.messages import ParseResult, Rules
 from query_gateway.statements.normalizer import NormalizedStatement, normalize
 from tests.statements import KEYS
+from tests.test_statements_cache import digest
 
 RULES = Rules(keys=KEYS)
 
@@ -30,11 +41,11 @@
     return normalize(f"SELECT a{n} FROM lending_7.loans WHERE member = 1")
 
 
-def ready(seats: int = 1) -> ParserPool:
-    parsers = ParserPool(seats)
-    for seat in parsers.slots:
-        parsers.starting(seat, 0.0)
-        parsers.ready(seat)
+def ready(slot_count: int = 1) -> ParserPool:
+    parsers = ParserPool(slot_count)
+    for slot in parsers.slots:
+        parsers.starting(slot, 0.0)
+        parsers.ready(slot)
     return parsers
 
 
@@ -44,9 +55,9 @@
 def test_who_asks_for_a_shape_that_is_being_read_joins() -> None:
     parsers, told = ready(), list[ParseResult | None]()
     assert all(parsers.add(shape(), 0.0, told.append) for _ in range(3))
-    [(seat, job)] = parsers.assign(0.0)
+    [(slot, pending)] = parsers.assign(0.0)
     assert parsers.add(shape(), 0.1, told.append) and parsers.assign(0.1) == []
-    assert parsers.completed(seat) is job and len(job.callbacks) == 4 and not parsers.requests
+    assert parsers.completed(slot) is pending and len(pending.callbacks) == 4 and not parsers.pending
 
 
 def test_a_parse_beyond_its_budget_is_killed_and_rests_for_longer_each_time() -> None:
@@ -54,33 +65,35 @@
     now, spans = 0.0, []
     for _ in range(3):
         parsers.add(shape(), now, lambda plan: None)
-        [(seat, job)] = parsers.assign(now)
-        assert parsers.overdue(now + BUDGET - 0.01) == [] and parsers.overdue(now + BUDGET + 0.01) == [seat]
-        assert parsers.lost(seat, "it takes too long to parse", now) is job
+        [(slot, pending)] = parsers.assign(now)
+        assert parsers.overdue(now + PARSE_TIMEOUT_S - 0.01) == [] and parsers.overdue(
+            now + PARSE_TIMEOUT_S + 0.01
+        ) == [slot]
+        assert parsers.lost(slot, "it takes too long to parse", now) is pending
         told = parsers.quarantined(shape(), now)
         assert told and not told.is_parsed and told.is_write
-        span = parsers.quarantine[shape().fingerprint][1]
+        span = parsers.quarantine[shape().fingerprint].duration
         assert parsers.quarantined(shape(), now + span + 0.01) is None
         spans.append(span)
         now += span + 1
-        parsers.starting(seat, now)
-        parsers.ready(seat)
-    assert spans == [POISON, 2 * POISON, 4 * POISON]
+        parsers.starting(slot, now)
+        parsers.ready(slot)
+    assert spans == [QUARANTINE_S, 2 * QUARANTINE_S, 4 * QUARANTINE_S]
 
 
 def test_what_waits_is_bounded_and_told_to_come_back_in_time() -> None:
     parsers = ParserPool(1)  # not ready yet
     parsers.starting(parsers.slots[0], 0.0)
-    taken = [parsers.add(shape(n), 0.0, lambda plan: None) for n in range(WAITING + 10)]
-    assert sum(taken) == WAITING
+    taken = [parsers.add(shape(n), 0.0, lambda plan: None) for n in range(MAX_WAITING + 10)]
+    assert sum(taken) == MAX_WAITING
     due = parsers.next_deadline()
-    assert due is not None and due <= PATIENCE
-    assert len(parsers.expire(PATIENCE + 0.01)) == WAITING and not parsers.requests
+    assert due is not None and due <= MAX_WAIT_S
+    assert len(parsers.expire(MAX_WAIT_S + 0.01)) == MAX_WAITING and not parsers.pending
 
 
 def test_a_parser_that_never_comes_up_is_started_now_and_then_only() -> None:
     parsers = ParserPool(1)
-    for _ in range(TRIES):
+    for _ in range(MAX_FAILED_STARTS):
         assert parsers.restart_delay == 0.0
         parsers.starting(parsers.slots[0], 0.0)
         parsers.lost(parsers.slots[0], "a parser ended", 0.0)
@@ -150,22 +163,22 @@
 
 def test_a_parser_that_is_killed_costs_its_own_shape_a_while_and_no_other(service: StatementService) -> None:
     assert cls(ask(service, READ)) == "lookup"
-    process = service.processes[0]
+    process = service.supervisor.processes[0]
     os.kill(process.child.pid, signal.SIGSTOP)  # as a parse without end would
     slow = ask(service, "SELECT title FROM lending_7.loans WHERE member = 42")
     assert slow.decision and not slow.decision.is_accepted and "too long" in slow.decision.reason
-    assert service.parsers.timed_out_count == 1
+    assert service.supervisor.pool.timed_out_count == 1
     assert cls(ask(service, "SELECT copy FROM lending_7.loans WHERE member = 42")) == "lookup"
     assert cls(ask(service, READ)) == "lookup"
     again = ask(service, "SELECT title FROM lending_7.loans WHERE member = 42")
     assert again.decision and not again.decision.is_accepted
-    service.parsers.quarantine.clear()  # as its time does
+    service.supervisor.pool.quarantine.clear()  # as its time does
     assert cls(ask(service, "SELECT title FROM lending_7.loans WHERE member = 42")) == "lookup"
 
 
 def test_a_parser_that_dies_is_replaced(service: StatementService) -> None:
     assert cls(ask(service, READ)) == "lookup"
-    service.processes[0].child.kill()
+    service.supervisor.processes[0].child.kill()
     assert cls(ask(service, "SELECT copy FROM lending_7.loans WHERE member = 42")) in ("lookup", None)
     assert cls(ask(service, "SELECT title FROM lending_7.loans WHERE member = 42")) == "lookup"
 
@@ -220,18 +233,52 @@
 # ---- the file
 
 
+FIXTURES = Path(__file__).parent / "fixtures"  # its README says how the files were made
+STORED = FIXTURES / "statement-costs.snapshot"
+
+
+def test_a_snapshot_of_the_version_before_gives_the_same_estimates() -> None:
+    expected = json.loads((FIXTURES / "statement-costs.estimates.json").read_text())
+    costs = CostEstimates()
+    assert costs.restore(SnapshotStore(str(STORED)).load())
+    assert len(expected["costs"]) == 210 and len(expected["needs"]) == 14
+    for number, class_name, table_group, cost_ns in expected["costs"]:
+        assert costs.cost_ns(digest(number), class_name, table_group) == cost_ns
+    for number, memory_mb in expected["needs"]:
+        assert costs.memory_mb(digest(number)) == memory_mb
+
+
+def test_the_same_contents_are_written_as_the_version_before_wrote_them(tmp_path: Path) -> None:
+    costs = CostEstimates()
+    assert costs.restore(SnapshotStore(str(STORED)).load())
+    rewritten = SnapshotStore(str(tmp_path / "costs"))
+    assert rewritten.save(costs.snapshot())
+    assert rewritten.path.read_bytes() == STORED.read_bytes()
+
+
+def test_the_same_outcomes_are_stored_as_the_version_before_stored_them(tmp_path: Path) -> None:
+    random, costs = Random(20), CostEstimates()
+    for n in range(12):
+        for _ in range(3 + 3 * n):
+            run_time_ns = int((n + 1) * 8_000_000 * random.lognormvariate(0, 0.3))
+            class_name, group = "report" if n % 4 == 0 else "lookup", None if n % 5 == 0 else n % 3
+            costs.observe(digest(n), class_name, group, run_time_ns, 1.5 * n)
+    store = SnapshotStore(str(tmp_path / "costs"))
+    assert store.save(costs.snapshot()) and store.path.read_bytes() == STORED.read_bytes()
+
+
 def test_a_file_is_whole_or_counts_as_none(tmp_path: Path) -> None:
-    keeper = SnapshotStore(str(tmp_path / "costs"))
-    assert keeper.load() is None
-    assert keeper.save({"a": 1}) and keeper.load() == {"a": 1}
-    whole = keeper.path.read_bytes()
+    store = SnapshotStore(str(tmp_path / "costs"))
+    assert store.load() is None
+    assert store.save({"a": 1}) and store.load() == {"a": 1}
+    whole = store.path.read_bytes()
     for at in range(len(whole)):
-        keeper.path.write_bytes(whole[:at])
-        assert keeper.load() is None
-        keeper.path.write_bytes(whole[:at] + bytes([whole[at] ^ 1]) + whole[at + 1 :])
-        assert keeper.load() in (None, {"a": 1})
-    assert keeper.save({"a": 2}) and keeper.load() == {"a": 2}
-    assert list(tmp_path.iterdir()) == [keeper.path]
+        store.path.write_bytes(whole[:at])
+        assert store.load() is None
+        store.path.write_bytes(whole[:at] + bytes([whole[at] ^ 1]) + whole[at + 1 :])
+        assert store.load() in (None, {"a": 1})
+    assert store.save({"a": 2}) and store.load() == {"a": 2}
+    assert list(tmp_path.iterdir()) == [store.path]
 
 
 def test_a_disk_that_fails_costs_the_snapshot_alone(tmp_path: Path) -> None:
