Split the bench of statements into short functions, its gateway parts into a file of their own

Change: the parts that need a gateway stand in bench/statements_gateway.py; the command, its parts and the keys of its output stay. The toy engine has docstrings and the words of the code.

--- /dev/null
+++ b/bench/statements_gateway.py
@@ -0,0 +1,275 @@
+"""Statements through a gateway in a process of its own, with engine and clients in this one.
+
+The parts `loopback` and `front` of `python -m bench.statements`. Needs the packages of the tests.
+"""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import click
+
+from bench.statements import run_time, share_within_twice, slow_run_time
+from query_gateway.parsing.snapshot_store import SnapshotStore
+from query_gateway.statements.costs import CostEstimates
+from query_gateway.statements.normalizer import normalize
+
+ROOT = Path(__file__).parent.parent
+CLIENTS = 8
+WARM_UP_S = 1.5  # until a gateway is up and has parsed its first statement
+TURN_S = 0.25  # that each gateway is called for in turn
+EXIT_TIMEOUT_S = 10  # for the snapshot of a gateway that ends
+TEXT = "SELECT c{} FROM lending_7.t WHERE id = {}"  # a shape, and microseconds that its run takes
+TABLE_GROUP = 7  # of that table
+KEY_RULES = '[[statements.keys]]\ntable = "lending_*.loans"\ncolumn = "member"\n'
+
+
+@dataclass(frozen=True)
+class GatewayProcess:
+    """A gateway that runs, and where its Flight SQL front listens."""
+
+    pid: int
+    address: str
+
+
+# ---- estimates over real sockets
+
+
+def loopback(
+    seed: int, shapes: int = 12, runs_each: int = 200, clients: int = CLIENTS, slow_runs: int = 10
+) -> dict[str, Any]:
+    """A mix through the Flight SQL front to an engine that takes each statement's drawn time.
+
+    `runs_each` runs of a shape; what the gateway has learned by its end is compared with 50 further draws of
+    each. Then another gateway takes that over, and one shape runs `slow_runs` times, 5 times slower.
+    """
+    random = Random(seed)
+    usual = {n: 0.03 * random.lognormvariate(0, 0.8) for n in range(shapes)}
+    mix = [_text(n, run_time(random, usual[n])) for n in usual for _ in range(runs_each)]
+    random.shuffle(mix)
+    later = [_text(0, slow_run_time(random, usual[0])) for _ in range(slow_runs)]
+    engine = _slow_engine()
+    with tempfile.TemporaryDirectory() as folder:
+        learned, lost = _run_through_gateway(Path(folder), engine.port, mix, clients, seed)
+        after, _ = _run_through_gateway(Path(folder), engine.port, later, 1, seed)
+    engine.shutdown()
+    expected = {n: _expected_seconds(learned, n) for n in usual}
+    return {
+        "runs": shapes * runs_each,
+        "lost": lost,
+        "compared": 50 * shapes,
+        "within_twice": round(share_within_twice(expected, usual, random), 4),
+        "times_as_long_after_slow_runs": round(_expected_seconds(after, 0) / expected[0], 2),
+        "slow_runs": slow_runs,
+    }
+
+
+def _text(shape: int, seconds: float) -> str:
+    return TEXT.format(shape, int(seconds * 1e6))
+
+
+def _expected_seconds(learned: CostEstimates, shape: int) -> float:
+    fingerprint = normalize(_text(shape, 1e-6)).fingerprint
+    return (learned.cost_ns(fingerprint, "lookup", TABLE_GROUP) or 0) / 1e9
+
+
+def _slow_engine() -> Any:
+    """An engine that takes as long for a statement as its text says. The caller shuts it down."""
+    from tests.test_flight import Node
+
+    class SlowEngine(Node):
+        def get_flight_info(self, context: Any, descriptor: Any) -> Any:
+            """Plan the statement after its time."""
+            time.sleep(int(descriptor.command.rpartition(b"= ")[2]) / 1e6)
+            return super().get_flight_info(context, descriptor)
+
+    return SlowEngine()
+
+
+def _run_through_gateway(
+    folder: Path, engine_port: int, statements: list[str], clients: int, seed: int
+) -> tuple[CostEstimates, int]:
+    """What a gateway has learned by its end once these have run, with what the one before it left.
+
+    Also how many were lost.
+    """
+    snapshot = folder / "costs"
+    before = _modified_at(snapshot)
+    with started(folder, engine_port, True, f'snapshot = "{snapshot}"\n') as gateway:
+        calls("hits", gateway.address, seed, WARM_UP_S)
+        lost = _run_all(gateway.address, statements, clients)
+        os.kill(gateway.pid, signal.SIGTERM)
+        until = time.monotonic() + EXIT_TIMEOUT_S
+        while time.monotonic() < until and _modified_at(snapshot) <= before:
+            time.sleep(0.05)
+    learned = CostEstimates()
+    if not learned.restore(SnapshotStore(str(snapshot)).load()):
+        raise click.ClickException("the gateway left no snapshot")
+    return learned, lost
+
+
+def _modified_at(path: Path) -> int:
+    """In nanoseconds; 0 if there is no such file."""
+    return path.stat().st_mtime_ns if path.exists() else 0
+
+
+def _run_all(address: str, statements: list[str], clients: int) -> int:
+    """Run the statements from the last to the first; returns how many were lost."""
+    import pyarrow.flight as fl
+
+    lost = [0] * clients
+
+    def run(client: int) -> None:
+        peer = fl.connect(address)
+        while statements:
+            try:
+                _fetch(peer, statements.pop())
+            except Exception:
+                lost[client] += 1
+
+    _in_threads(run, clients)
+    return sum(lost)
+
+
+# ---- requests per second of CPU
+
+
+def front(seed: int, seconds: float) -> dict[str, Any]:
+    """Three gateways at once, called in turn for a quarter of a second each.
+
+    So what else the machine does falls on all of them alike.
+    """
+    from tests.test_flight import Node
+
+    engine, modes = Node(), ("off", "hits", "flood")
+    served, cpu_seconds = dict.fromkeys(modes, 0), dict.fromkeys(modes, 0.0)
+    with ExitStack() as stack:
+        gateways = {}
+        for mode in modes:
+            folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+            gateways[mode] = stack.enter_context(started(folder, engine.port, mode != "off"))
+            calls(mode, gateways[mode].address, seed, WARM_UP_S)
+        for turn in range(max(1, int(seconds / TURN_S))):
+            for mode in modes if turn % 2 else modes[::-1]:
+                before = cpu_of(gateways[mode].pid)
+                served[mode] += calls(mode, gateways[mode].address, seed + CLIENTS * turn, TURN_S)
+                cpu_seconds[mode] += cpu_of(gateways[mode].pid) - before
+    engine.shutdown()
+    rates = {mode: round(served[mode] / cpu_seconds[mode], 1) for mode in modes}
+    return {
+        "served": served,
+        "per_cpu_second": rates,
+        "cost_of_hits": round(1 - rates["hits"] / rates["off"], 4),
+        "cost_of_flood": round(1 - rates["flood"] / rates["off"], 4),
+    }
+
+
+def cpu_of(pid: int) -> float:
+    """Seconds of CPU that a process has used; its parser processes have their own."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    user, system = int(fields[11]), int(fields[12])
+    return (user + system) / os.sysconf("SC_CLK_TCK")
+
+
+def calls(mode: str, address: str, seed: int, seconds: float) -> int:
+    """How many requests of 8 clients are served in that time."""
+    import pyarrow.flight as fl
+
+    served = [0] * CLIENTS
+    until = time.monotonic() + seconds
+
+    def run(client: int) -> None:
+        random, peer = Random(seed + client), fl.connect(address)
+        while time.monotonic() < until:
+            try:
+                _fetch(peer, _draw(mode, random))
+                served[client] += 1
+            except Exception:  # not up yet, or rejected: it does not count
+                time.sleep(0.01)
+
+    _in_threads(run, CLIENTS)
+    return sum(served)
+
+
+def _draw(mode: str, random: Random) -> str:
+    is_one_off = mode == "flood" and random.random() < 0.5
+    column = f"c{random.randint(0, 10**9)}" if is_one_off else "a"
+    return f"SELECT {column} FROM lending_7.loans WHERE member = {random.randint(1, 999)}"
+
+
+def _fetch(peer: Any, sql: str) -> None:
+    """Run one statement and read its result."""
+    from tests.test_flight import command, options
+
+    info = peer.get_flight_info(command("CommandStatementQuery", sql), options())
+    peer.do_get(info.endpoints[0].ticket, options(x_class="lookup")).read_all()
+
+
+def _in_threads(run: Callable[[int], None], count: int) -> None:
+    threads = [threading.Thread(target=run, args=(number,)) for number in range(count)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+# ---- a gateway in a process of its own
+
+
+@contextmanager
+def started(folder: Path, engine_port: int, is_on: bool, keys: str = "") -> Iterator[GatewayProcess]:
+    """A gateway with one engine, killed at the end; `is_on`: whether it classifies statements.
+
+    `keys`: further lines of the table `statements`.
+    """
+    http_port, flight_port = _free_ports()
+    config, operator = folder / "config.json", folder / "operator.toml"
+    config.write_text(json.dumps(_configuration(http_port, engine_port)))
+    table = f"[statements]\n{keys}{KEY_RULES}" if is_on else ""
+    operator.write_text(f'[flight]\nlisten = "127.0.0.1:{flight_port}"\n{table}')
+    process = subprocess.Popen(
+        [sys.executable, "-m", "query_gateway"],
+        env={**os.environ, "ROUTER_CONFIG": str(config), "MOTHKNOT_OPERATOR": str(operator)},
+        cwd=ROOT,
+        stderr=subprocess.DEVNULL,
+    )
+    try:
+        yield GatewayProcess(process.pid, f"grpc://127.0.0.1:{flight_port}")
+    finally:
+        process.kill()
+        process.wait()
+
+
+def _free_ports() -> tuple[int, int]:
+    with socket.create_server(("127.0.0.1", 0)) as one, socket.create_server(("127.0.0.1", 0)) as other:
+        return one.getsockname()[1], other.getsockname()[1]
+
+
+def _configuration(http_port: int, engine_port: int) -> dict[str, Any]:
+    """The platform's configuration, in its words."""
+    from tests.stand_ins import SETTINGS
+
+    host = {
+        "host": "e0", "site": "hall-a", "class": "std-16", "health": "up", "share": 1, "born_ms": 0,
+        "dial": "127.0.0.1:1", "flight": f"127.0.0.1:{engine_port}",
+    }  # fmt: skip
+    hosts = {"seq": 1, "whole": True, "hosts": [host]}
+    return {
+        "name": "bench",
+        "listen": f"127.0.0.1:{http_port}",
+        "journal": "127.0.0.1:1",
+        "known": {"pos": 1, "entries": [{"pos": 1, "hosts": hosts}]},
+        "settings": SETTINGS,
+    }
