--- a/example/toy.py
+++ b/example/toy.py
@@ -13,7 +13,7 @@
     """Answers every request with two pages of one row."""
 
     def handle(self) -> None:
-        """Serve one connection until its end: `REQ id attempt length` with a statement, `FETCH id page`."""
+        """Serve one connection until its end: `REQ id fields length` with a statement, `FETCH id page`."""
         while line := self.rfile.readline():
             words = line.decode().split()
             if words[:1] == ["REQ"]:
--- a/tests/test_parsing.py
+++ b/tests/test_parsing.py
@@ -52,17 +52,17 @@
 # ---- the state, without processes
 
 
-def test_who_asks_for_a_shape_that_is_being_read_joins() -> None:
-    parsers, told = ready(), list[ParseResult | None]()
-    assert all(parsers.add(shape(), 0.0, told.append) for _ in range(3))
+def test_a_request_for_a_shape_that_is_being_read_joins() -> None:
+    parsers, results = ready(), list[ParseResult | None]()
+    assert all(parsers.add(shape(), 0.0, results.append) for _ in range(3))
     [(slot, pending)] = parsers.assign(0.0)
-    assert parsers.add(shape(), 0.1, told.append) and parsers.assign(0.1) == []
+    assert parsers.add(shape(), 0.1, results.append) and parsers.assign(0.1) == []
     assert parsers.completed(slot) is pending and len(pending.callbacks) == 4 and not parsers.pending
 
 
 def test_a_parse_beyond_its_budget_is_killed_and_rests_for_longer_each_time() -> None:
     parsers = ready()
-    now, spans = 0.0, []
+    now, durations = 0.0, []
     for _ in range(3):
         parsers.add(shape(), now, lambda plan: None)
         [(slot, pending)] = parsers.assign(now)
@@ -70,18 +70,18 @@
             now + PARSE_TIMEOUT_S + 0.01
         ) == [slot]
         assert parsers.lost(slot, "it takes too long to parse", now) is pending
-        told = parsers.quarantined(shape(), now)
-        assert told and not told.is_parsed and told.is_write
-        span = parsers.quarantine[shape().fingerprint].duration
-        assert parsers.quarantined(shape(), now + span + 0.01) is None
-        spans.append(span)
-        now += span + 1
+        rejected = parsers.quarantined(shape(), now)
+        assert rejected and not rejected.is_parsed and rejected.is_write
+        duration = parsers.quarantine[shape().fingerprint].duration
+        assert parsers.quarantined(shape(), now + duration + 0.01) is None
+        durations.append(duration)
+        now += duration + 1
         parsers.starting(slot, now)
         parsers.ready(slot)
-    assert spans == [QUARANTINE_S, 2 * QUARANTINE_S, 4 * QUARANTINE_S]
+    assert durations == [QUARANTINE_S, 2 * QUARANTINE_S, 4 * QUARANTINE_S]
 
 
-def test_what_waits_is_bounded_and_told_to_come_back_in_time() -> None:
+def test_what_waits_is_bounded_and_rejected_in_time() -> None:
     parsers = ParserPool(1)  # not ready yet
     parsers.starting(parsers.slots[0], 0.0)
     taken = [parsers.add(shape(n), 0.0, lambda plan: None) for n in range(MAX_WAITING + 10)]
@@ -126,22 +126,22 @@
 @pytest.fixture
 def service() -> Iterator[StatementService]:
     loop = Loop()
-    told = StatementService(loop, RULES, ("lookup", "report"), parsers=1)
-    yield told
-    told.stop()
+    service = StatementService(loop, RULES, ("lookup", "report"), parsers=1)
+    yield service
+    service.stop()
     loop.close()
     assert loop.faults == 0
 
 
-def ask(service: StatementService, sql: str, named: str | None = None) -> Classification:
+def classify(service: StatementService, sql: str, named: str | None = None) -> Classification:
     """One answer; a `come back` is followed, as a client would."""
     for _ in range(100):
-        told: list[Classification] = []
-        service.classify(sql, named, None, told.append)
-        while not told:
+        answers: list[Classification] = []
+        service.classify(sql, named, None, answers.append)
+        while not answers:
             service.loop.turn()
-        if told[0].decision is not None:
-            return told[0]
+        if answers[0].decision is not None:
+            return answers[0]
     raise AssertionError("no answer")
 
 
@@ -154,52 +154,52 @@
 
 
 def test_a_miss_is_read_elsewhere_and_a_hit_at_once(service: StatementService) -> None:
-    assert cls(ask(service, READ)) == "lookup"
-    told: list[Classification] = []
-    service.classify(READ.replace("42", "43"), None, None, told.append)
-    assert told and cls(told[0]) == "lookup"
+    assert cls(classify(service, READ)) == "lookup"
+    answers: list[Classification] = []
+    service.classify(READ.replace("42", "43"), None, None, answers.append)
+    assert answers and cls(answers[0]) == "lookup"
     assert service.classifier.shapes.hits >= 1
 
 
 def test_a_parser_that_is_killed_costs_its_own_shape_a_while_and_no_other(service: StatementService) -> None:
-    assert cls(ask(service, READ)) == "lookup"
+    assert cls(classify(service, READ)) == "lookup"
     process = service.supervisor.processes[0]
     os.kill(process.child.pid, signal.SIGSTOP)  # as a parse without end would
-    slow = ask(service, "SELECT title FROM lending_7.loans WHERE member = 42")
+    slow = classify(service, "SELECT title FROM lending_7.loans WHERE member = 42")
     assert slow.decision and not slow.decision.is_accepted and "too long" in slow.decision.reason
     assert service.supervisor.pool.timed_out_count == 1
-    assert cls(ask(service, "SELECT copy FROM lending_7.loans WHERE member = 42")) == "lookup"
-    assert cls(ask(service, READ)) == "lookup"
-    again = ask(service, "SELECT title FROM lending_7.loans WHERE member = 42")
+    assert cls(classify(service, "SELECT copy FROM lending_7.loans WHERE member = 42")) == "lookup"
+    assert cls(classify(service, READ)) == "lookup"
+    again = classify(service, "SELECT title FROM lending_7.loans WHERE member = 42")
     assert again.decision and not again.decision.is_accepted
     service.supervisor.pool.quarantine.clear()  # as its time does
-    assert cls(ask(service, "SELECT title FROM lending_7.loans WHERE member = 42")) == "lookup"
+    assert cls(classify(service, "SELECT title FROM lending_7.loans WHERE member = 42")) == "lookup"
 
 
 def test_a_parser_that_dies_is_replaced(service: StatementService) -> None:
-    assert cls(ask(service, READ)) == "lookup"
+    assert cls(classify(service, READ)) == "lookup"
     service.supervisor.processes[0].child.kill()
-    assert cls(ask(service, "SELECT copy FROM lending_7.loans WHERE member = 42")) in ("lookup", None)
-    assert cls(ask(service, "SELECT title FROM lending_7.loans WHERE member = 42")) == "lookup"
+    assert cls(classify(service, "SELECT copy FROM lending_7.loans WHERE member = 42")) in ("lookup", None)
+    assert cls(classify(service, "SELECT title FROM lending_7.loans WHERE member = 42")) == "lookup"
 
 
-def test_a_crowd_that_asks_for_one_shape_is_told_together(service: StatementService) -> None:
-    ask(service, READ)
-    told: list[Classification] = []
+def test_a_crowd_that_asks_for_one_shape_is_answered_together(service: StatementService) -> None:
+    classify(service, READ)
+    answers: list[Classification] = []
     for n in range(50):
-        service.classify(f"SELECT copy FROM lending_7.loans WHERE member = {n}", None, None, told.append)
-    while len(told) < 50:
+        service.classify(f"SELECT copy FROM lending_7.loans WHERE member = {n}", None, None, answers.append)
+    while len(answers) < 50:
         service.loop.turn()
-    assert {cls(one) for one in told} == {"lookup"} and len({one.fingerprint for one in told}) == 1
+    assert {cls(one) for one in answers} == {"lookup"} and len({one.fingerprint for one in answers}) == 1
 
 
 def test_new_rules_are_read_by_from_then_on(service: StatementService) -> None:
-    assert cls(ask(service, READ)) == "lookup"
+    assert cls(classify(service, READ)) == "lookup"
     service.update_rules(Rules(keys=KEYS, lookup="quick"), ("quick", "report"))
-    assert cls(ask(service, READ)) == "quick"
+    assert cls(classify(service, READ)) == "quick"
     service.update_rules(service.classifier.rules, ("report",))
-    told = ask(service, READ)
-    assert told.decision and not told.decision.is_idempotent
+    answers = classify(service, READ)
+    assert answers.decision and not answers.decision.is_idempotent
 
 
 HOSTILE = [
@@ -226,8 +226,8 @@
 def test_a_statement_built_to_be_slow_is_answered_and_the_next_one_too(
     service: StatementService, at: int
 ) -> None:
-    assert ask(service, HOSTILE[at]).decision is not None
-    assert cls(ask(service, READ)) == "lookup"
+    assert classify(service, HOSTILE[at]).decision is not None
+    assert cls(classify(service, READ)) == "lookup"
 
 
 # ---- the file
--- a/tests/test_statements_costs.py
+++ b/tests/test_statements_costs.py
@@ -30,10 +30,10 @@
     for _ in range(200):
         for n in usual:
             costs.observe(digest(n), "lookup", n % 5, int(run_time(random, usual[n]) * MS))
-    told = {n: costs.cost_ns(digest(n), "lookup", n % 5) for n in usual}
-    asked = [(told[n], run_time(random, usual[n]) * MS) for n in usual for _ in range(20)]
-    near = sum(cost is not None and 0.5 <= cost / real <= 2 for cost, real in asked)
-    assert near >= 0.9 * len(asked)
+    expected = {n: costs.cost_ns(digest(n), "lookup", n % 5) for n in usual}
+    pairs = [(expected[n], run_time(random, usual[n]) * MS) for n in usual for _ in range(20)]
+    near = sum(cost is not None and 0.5 <= cost / real <= 2 for cost, real in pairs)
+    assert near >= 0.9 * len(pairs)
 
 
 def test_a_shape_that_turns_five_times_slower_is_followed_soon() -> None:
@@ -63,7 +63,7 @@
     assert costs.cost_ns(digest(9), "report", 1) is None
 
 
-def test_memory_is_told_by_the_shape_alone_and_on_the_high_side() -> None:
+def test_memory_is_estimated_by_the_shape_alone_and_on_the_high_side() -> None:
     costs = CostEstimates()
     for mb in (10, 20, 30, 40, 200):
         costs.observe(digest(1), "report", 1, SEC, mb)
