--- a/query_gateway/admin/gateway_figures.py
+++ b/query_gateway/admin/gateway_figures.py
@@ -7,7 +7,7 @@
 from query_gateway.forwarder.forwarder import Forwarder
 
 if TYPE_CHECKING:
-    from query_gateway.parsing.service import Statements
+    from query_gateway.parsing.service import StatementService
 
 
 class GatewayFigures:
@@ -17,7 +17,7 @@
         self,
         forwarder: Forwarder,
         ejected_endpoints: Callable[[], Collection[str]],
-        statements: "Statements | None",
+        statements: "StatementService | None",
     ) -> None:
         """Nothing is counted here.
 
--- a/query_gateway/cli.py
+++ b/query_gateway/cli.py
@@ -28,7 +28,7 @@
 )
 
 if TYPE_CHECKING:
-    from query_gateway.parsing.service import Classification, Statements
+    from query_gateway.parsing.service import Classification, StatementService
 
 CONFIGURATION_VARIABLE = "ROUTER_CONFIG"
 OPERATOR_FILE_VARIABLE = "QUERY_GATEWAY_OPERATOR_FILE"
@@ -166,14 +166,14 @@
     return settings
 
 
-def _start_statements(settings: StatementSettings) -> "Statements":
+def _start_statements(settings: StatementSettings) -> "StatementService":
     """A reader of statements on a loop of its own, with what a gateway has learned of costs."""
     from query_gateway.net.loop import Loop
-    from query_gateway.parsing.service import Statements
+    from query_gateway.parsing.service import StatementService
 
     rules = settings.rules
     idempotent = (rules.lookup, rules.report)
-    service = Statements(Loop(), rules, idempotent, settings.parser_count, settings.max_shapes)
+    service = StatementService(Loop(), rules, idempotent, settings.parser_count, settings.max_shapes)
     if settings.snapshot_path and Path(settings.snapshot_path).exists():
         service.restore(settings.snapshot_path)
         service.snapshot_store = None  # read, never written from here
@@ -193,30 +193,32 @@
     return StatementLine(sql, class_name, key, parameters or [])
 
 
-def _classify_line(service: "Statements", text: str) -> dict[str, Any]:
+def _classify_line(service: "StatementService", text: str) -> dict[str, Any]:
     """What becomes of one line of input, as it is printed."""
-    from query_gateway.statements.classifier import as_line, turned_down
-    from query_gateway.statements.lexer import Unclear
+    from query_gateway.statements.classifier import classification_line, rejected_decision
+    from query_gateway.statements.lexer import UnsupportedStatementError
 
     classifier = service.classifier
     try:
         line = _parse_line(text)
-        shape = classifier.shape(line.sql)
+        shape = classifier.normalize(line.sql)
     except StatementLineError as error:
-        return as_line(turned_down(Unclear(str(error))), None, None, classifier.costs, False)
-    except Unclear as error:
-        return as_line(turned_down(error), None, None, classifier.costs, False)
-    was_cached = classifier.shapes.peek(shape.digest) is not None
+        return classification_line(
+            rejected_decision(UnsupportedStatementError(str(error))), None, None, classifier.costs, False
+        )
+    except UnsupportedStatementError as error:
+        return classification_line(rejected_decision(error), None, None, classifier.costs, False)
+    was_cached = classifier.shapes.peek(shape.fingerprint) is not None
     judgement = next(
-        classification.judgement
+        classification.decision
         for classification in _classifications(service, line)
-        if classification.judgement is not None
+        if classification.decision is not None
     )
-    known = classifier.shapes.peek(shape.digest)
-    return as_line(judgement, shape, known, classifier.costs, was_cached)
+    known = classifier.shapes.peek(shape.fingerprint)
+    return classification_line(judgement, shape, known, classifier.costs, was_cached)
 
 
-def _classifications(service: "Statements", line: StatementLine) -> Iterator["Classification"]:
+def _classifications(service: "StatementService", line: StatementLine) -> Iterator["Classification"]:
     """Ask until an answer is more than "come back": a parser process may just have died."""
     loop = service.loop
     deadline = loop.now() + PARSER_TIMEOUT
--- a/query_gateway/composition.py
+++ b/query_gateway/composition.py
@@ -28,7 +28,7 @@
 if TYPE_CHECKING:
     from query_gateway.flight.engines import FlightConnectionPool
     from query_gateway.flight.server import FlightServer
-    from query_gateway.parsing.service import Statements
+    from query_gateway.parsing.service import StatementService
 
 
 HTTP_WIRE, FLIGHT_WIRE = "web", "flight"  # as exchanges and endpoints name the wires to the engines
@@ -62,10 +62,10 @@
     max_connections: int
     shares_port: bool  # with other processes, which listen at the same address
     inherited_listeners: dict[str, socket.socket]  # by front
-    statements: "Statements | None"
+    statements: "StatementService | None"
 
     @staticmethod
-    def of(core: Core, takes_signals: bool, statements: "Statements | None") -> "FrontOptions":
+    def of(core: Core, takes_signals: bool, statements: "StatementService | None") -> "FrontOptions":
         """Derive them from the configuration; `takes_signals`: whether the gateway is a whole process."""
         active, options = core.active, core.options
         # Where a successor cannot be given our listeners, it must be able to listen beside them
@@ -124,16 +124,18 @@
     return links
 
 
-def build_statements(core: Core) -> "Statements | None":
+def build_statements(core: Core) -> "StatementService | None":
     """What reads bare SQL; not even imported where it is off."""
     operator, inherited = core.active.operator, core.options.inherited
     settings = operator.statements
     if settings is None:
         return None
-    from query_gateway.parsing.service import Statements
+    from query_gateway.parsing.service import StatementService
 
     idempotent = idempotent_classes(core.active.config)
-    statements = Statements(core.loop, settings.rules, idempotent, settings.parser_count, settings.max_shapes)
+    statements = StatementService(
+        core.loop, settings.rules, idempotent, settings.parser_count, settings.max_shapes
+    )
     path = settings.snapshot_path
     if path and operator.forwarder_count > 1:
         path = f"{path}.{core.options.number}"
--- a/query_gateway/flight/client_call.py
+++ b/query_gateway/flight/client_call.py
@@ -122,23 +122,25 @@
     def _on_classified(self, statement: FlightStatement, classification: "Classification") -> None:
         if self.state is FlightCallState.DONE:
             return
-        judgement = classification.judgement
+        judgement = classification.decision
         if judgement is None:
             self._reject_unforwarded("Overloaded")
-        elif not judgement.taken or judgement.cls is None:
+        elif not judgement.is_accepted or judgement.class_name is None:
             self._finish(GrpcStatus.INVALID_ARGUMENT, judgement.reason)
         elif quarantine := self._shape_quarantine(statement, classification):
             self._reject_unforwarded(quarantine)
         else:
             try:
-                self._forward(statement, judgement.cls, classification)
+                self._forward(statement, judgement.class_name, classification)
             except RequestError as error:
                 self._finish(GrpcStatus.INVALID_ARGUMENT, str(error))
 
     def _shape_quarantine(self, statement: FlightStatement, classification: "Classification") -> str | None:
         """Return why statements of this shape do not run for now, if so."""
         statements = self.server.statements
-        return statements.may_run(classification.digest, statement.received_at_ns) if statements else None
+        return (
+            statements.may_run(classification.fingerprint, statement.received_at_ns) if statements else None
+        )
 
     def _forward(
         self, statement: FlightStatement, class_name: str, classification: "Classification | None" = None
--- a/query_gateway/flight/requests.py
+++ b/query_gateway/flight/requests.py
@@ -78,7 +78,7 @@
     headers: dict[str, str],
     classification: "Classification | None" = None,
 ) -> ClientRequest:
-    """Return the request of a statement with its call's headers; raises RequestError if one of them is invalid.
+    """Return the request of a statement with its call's headers; raises RequestError if one is invalid.
 
     `classification` is what parsing the statement found, where statements are parsed.
     """
@@ -106,7 +106,7 @@
         memory_mb=_memory_mb(headers, classification),
         table_group=None if group is None else float(group),
         is_update=statement.is_update,
-        shape=classification.digest if classification else b"",
+        shape=classification.fingerprint if classification else b"",
     )
 
 
@@ -114,7 +114,7 @@
     flight_class: FlightClass, headers: dict[str, str], classification: "Classification | None"
 ) -> str | None:
     """Return the key that the statement itself holds, else the header's."""
-    judgement = classification.judgement if classification else None
+    judgement = classification.decision if classification else None
     if judgement and judgement.key:
         return judgement.key
     return hex_header(headers, "x-row", KEY_DIGITS, flight_class.ordered_by_key)
@@ -124,7 +124,7 @@
     flight_class: FlightClass, headers: dict[str, str], classification: "Classification | None"
 ) -> str | None:
     """Return the header's key; where the statement was parsed, one made here stands in for a missing one."""
-    was_parsed = bool(classification and classification.judgement)
+    was_parsed = bool(classification and classification.decision)
     must_be_sent = flight_class.needs_idempotency_key and not was_parsed
     idempotency_key = hex_header(headers, "x-txn-key", IDEMPOTENCY_KEY_DIGITS, must_be_sent)
     if idempotency_key is None and flight_class.needs_idempotency_key:
--- a/query_gateway/flight/server.py
+++ b/query_gateway/flight/server.py
@@ -14,7 +14,7 @@
 from query_gateway.rpc.connection import GrpcConnection
 
 if TYPE_CHECKING:
-    from query_gateway.parsing.service import Statements
+    from query_gateway.parsing.service import StatementService
 
 
 @dataclass(slots=True, frozen=True)
@@ -39,7 +39,7 @@
         forwarder: Forwarder,
         readiness: Readiness,
         settings: FlightServerSettings,
-        statements: "Statements | None" = None,
+        statements: "StatementService | None" = None,
     ) -> None:
         """Listen at once; on an inherited socket nothing is accepted before the listener is resumed.
 
--- a/query_gateway/http/request_handler.py
+++ b/query_gateway/http/request_handler.py
@@ -13,7 +13,7 @@
 
 if TYPE_CHECKING:
     from query_gateway.http.server import HttpServer
-    from query_gateway.parsing.service import Classification, Statements
+    from query_gateway.parsing.service import Classification, StatementService
 
 MAX_LOOP_LAG_SECONDS = 0.25  # above it new requests are rejected before the forwarder spends time on them
 MAX_DISCARDED_BYTES = 1_048_576  # beyond a full inbox that a client may send ahead of its answer
@@ -86,13 +86,13 @@
         forwarder.counters.count_answer(request.class_name, Verdict.REJECTED)
 
     def _classify(
-        self, request: ClientRequest, pending: PendingAnswer, statements: "Statements"
+        self, request: ClientRequest, pending: PendingAnswer, statements: "StatementService"
     ) -> Generator[float | None, None, ClientRequest]:
         """Raise RequestError for a write under a class whose requests may run twice.
 
         Otherwise the class and the key stay as the request names them; the shape of the statement is added.
         """
-        if request.class_name not in statements.classifier.safe:
+        if request.class_name not in statements.classifier.idempotent_classes:
             return request
         results: list[Classification] = []
 
@@ -104,11 +104,11 @@
         statements.classify(request.statement.decode(), request.class_name, request.key, on_classified)
         while not results and not self.stream.is_over:
             yield None
-        if not results or results[0].judgement is None:
+        if not results or results[0].decision is None:
             self._reject(request, pending)
             return request
-        judgement, digest = results[0].judgement, results[0].digest
-        if judgement.writes:
+        judgement, digest = results[0].decision, results[0].fingerprint
+        if judgement.is_write:
             reason = judgement.reason or f"it writes, so it cannot run as {request.class_name}"
             raise RequestError(400, reason)
         if statements.may_run(digest, self.server.forwarder.clock()):
--- a/query_gateway/http/server.py
+++ b/query_gateway/http/server.py
@@ -15,7 +15,7 @@
 from query_gateway.net.stream import Reason, Stream
 
 if TYPE_CHECKING:
-    from query_gateway.parsing.service import Statements
+    from query_gateway.parsing.service import StatementService
 
 MAX_EVICTION_CANDIDATES = 8  # connections of a table that are examined to find one to evict
 
@@ -33,7 +33,7 @@
     readiness: Readiness
     shared: bool = False  # other processes may listen at the same address
     inherited_socket: socket.socket | None = None  # the predecessor's listening socket
-    statements: "Statements | None" = None  # rejects writes under classes whose requests may run twice
+    statements: "StatementService | None" = None  # rejects writes under classes whose requests may run twice
 
 
 class HttpServer:
--- a/query_gateway/lifecycle/client_fronts.py
+++ b/query_gateway/lifecycle/client_fronts.py
@@ -13,7 +13,7 @@
 
 if TYPE_CHECKING:
     from query_gateway.flight.server import FlightServer
-    from query_gateway.parsing.service import Statements
+    from query_gateway.parsing.service import StatementService
 
 MIN_OTHER_DESCRIPTORS = 64  # kept for engines, the discovery service and the loop, if there are twice as many
 
@@ -39,7 +39,7 @@
         forwarder: Forwarder,
         http_server: HttpServer,
         flight_server: "FlightServer | None",
-        statements: "Statements | None",
+        statements: "StatementService | None",
     ) -> None:
         """`flight_server` and `statements` are None where they are off."""
         self.forwarder, self.http_server = forwarder, http_server
--- a/query_gateway/lifecycle/overlap.py
+++ b/query_gateway/lifecycle/overlap.py
@@ -58,7 +58,7 @@
             listeners[FLIGHT_FRONT] = fronts.flight_server.listener.socket
         statement_costs = None
         if fronts.statements:
-            statement_costs = fronts.statements.classifier.costs.snapshot(most=MAX_OFFERED_SHAPES)
+            statement_costs = fronts.statements.classifier.costs.snapshot(max_entries=MAX_OFFERED_SHAPES)
         scheduler_state = learned(self.parts.planners.planner.scheduler, self._class_numbers())
         return Offer(tuple(listeners), scheduler_state, statement_costs), list(listeners.values())
 
--- a/query_gateway/lifecycle/request_classes.py
+++ b/query_gateway/lifecycle/request_classes.py
@@ -58,7 +58,7 @@
         self.publisher.publish(replace(config.settings, classes=classes), new_numbers)
         statements = self.fronts.statements
         if statements and rules:
-            statements.update_rules(rules, statements.classifier.safe)
+            statements.update_rules(rules, statements.classifier.idempotent_classes)
         self._retire(old_classes)
 
     def _numbers_in_use(self) -> set[int]:
--- a/tests/test_flight_statements.py
+++ b/tests/test_flight_statements.py
@@ -24,8 +24,8 @@
 from query_gateway.gateway import Gateway
 from query_gateway.lifecycle.upgrade_messages import encode
 from query_gateway.net.loop import Loop
-from query_gateway.parsing.service import Classification, Statements
-from query_gateway.statements.messages import Judgement, Rules
+from query_gateway.parsing.service import Classification, StatementService
+from query_gateway.statements.messages import Decision, Rules
 from tests.stand_ins import Engine, config, post
 from tests.statements import KEYS
 from tests.test_flight import FlightEngine, client, command, gateway, options, run_query, run_update
@@ -208,13 +208,13 @@
         broken = "SELECT broken FROM lending_7.loans WHERE member = {}"
         limits = gate.statements.classifier.limits
         for n in range(6):  # three attempts each, at engines that the scheduler picks
-            if not limits.held:
+            if not limits.limited_count:
                 with pytest.raises(pa.ArrowInvalid, match="Overloaded"):
                     run_query(gate, broken.format(n)).read_all()
-        assert limits.held == 1
+        assert limits.limited_count == 1
         [digest] = limits.records
         for _ in range(20):  # as many as are admitted already run
-            limits.begun(digest)
+            limits.query_started(digest)
         with pytest.raises(pa.ArrowInvalid, match="run already"):
             run_query(gate, broken.format(2)).read_all()
         assert run_query(gate, READ).read_all().num_rows == 3
@@ -254,7 +254,7 @@
         costs = gate.statements.classifier.costs
         [digest] = costs.shapes
         assert 500_000_000 < (costs.cost_ns(digest, "lookup", 7) or 0) < 1_000_000_000
-        assert 70 < costs.need_mb(digest) < 140
+        assert 70 < costs.memory_mb(digest) < 140
     engine.shutdown()
 
 
@@ -266,7 +266,7 @@
         assert gate.statements
         costs = gate.statements.classifier.costs
     loop = Loop()
-    successor = Statements(loop, RULES, ("lookup", "report"), parsers=1)
+    successor = StatementService(loop, RULES, ("lookup", "report"), parsers=1)
     successor.restore("", transferred["statements"])
     [digest] = costs.shapes
     usual = successor.classifier.costs.cost_ns(digest, "lookup", 7)
@@ -282,7 +282,7 @@
         assert gate.statements
         assert run_query(gate, READ).read_all().num_rows == 3
         for n in range(3):
-            for process in list(gate.statements.processes.values()):
+            for process in list(gate.statements.supervisor.processes.values()):
                 process.child.kill()
             known = READ.replace("42", str(n))  # its shape is known: no parser is needed
             assert run_query(gate, known).read_all().num_rows == 3
@@ -293,7 +293,7 @@
                     assert run_query(gate, fresh).read_all().num_rows == 3
                     break
                 except pa.ArrowInvalid:  # rejected while no parser is up, or lost with one
-                    gate.loop.call_soon(gate.statements.parsers.poison.clear)
+                    gate.loop.call_soon(gate.statements.supervisor.pool.quarantine.clear)
             else:
                 raise AssertionError("no parser came back")
 
@@ -308,12 +308,12 @@
         reader = client(gate)
         descriptor = command("CommandStatementQuery", "SELECT c FROM t WHERE a = 1")
         info = reader.get_flight_info(descriptor, options())
-        original = statements.parsers.next
-        statements.parsers.next = lambda now: []  # type: ignore[method-assign]  # nothing is read for now
+        original = statements.supervisor.pool.assign
+        statements.supervisor.pool.assign = lambda now: []  # type: ignore[method-assign]  # nothing is parsed for now
         with pytest.raises(fl.FlightTimedOutError):
             reader.do_get(info.endpoints[0].ticket, options(seconds=0.2)).read_all()
-        statements.parsers.next = original  # type: ignore[method-assign]
-        gate.loop.call_soon(statements._go_on)
+        statements.supervisor.pool.assign = original  # type: ignore[method-assign]
+        gate.loop.call_soon(statements.supervisor._dispatch)
         assert run_query(gate, READ).read_all().num_rows == 3
         assert not gate.forwarder.exchanges
     assert "SELECT c FROM t WHERE a = 1" not in statements_run(*flight_engines)
@@ -321,7 +321,7 @@
 
 def test_idempotency_key_made_by_the_gateway_belongs_to_one_request() -> None:
     load_class = FlightClass(2, True, True, 10**10, False)
-    classification = Classification(Judgement("load", True, False, "0" * 16, "insert", True))
+    classification = Classification(Decision("load", True, False, "0" * 16, "insert", True))
     insert = FlightStatement("INSERT INTO a (b) VALUES (1)", is_update=True, received_at_ns=0)
     queries = [decode_request(insert, "load", load_class, {}, classification) for _ in range(2)]
     assert {q.key for q in queries} == {"0" * 16}
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -37,7 +37,7 @@
 FORBIDDEN = (*FORBIDDEN_LIBRARIES, *WIRES, *ABOVE_THE_CORE)
 
 STATEMENTS = (
-    "cache", "classifier", "costs", "lexer", "limits", "messages", "purity", "shape", "sketch", "values",
+    "cache", "classifier", "costs", "lexer", "limits", "messages", "normalizer", "purity", "sketch", "values",
 )  # fmt: skip
 
 
--- /dev/null
+++ b/tests/test_parsing.py
@@ -0,0 +1,299 @@
+"""Parser processes: slow, dead and killed ones, floods, and the file that keeps what was learned."""
+
+import json
+import os
+import signal
+from collections.abc import Iterator
+from pathlib import Path
+from random import Random
+
+import pytest
+
+from query_gateway.net.loop import Loop
+from query_gateway.parsing.frames import (
+    ParseRequest,
+    ParseResponse,
+    decode_request,
+    decode_response,
+    encode_frame,
+    take_frame,
+)
+from query_gateway.parsing.parsers import (
+    MAX_FAILED_STARTS,
+    MAX_WAIT_S,
+    MAX_WAITING,
+    PARSE_TIMEOUT_S,
+    QUARANTINE_S,
+    ParserPool,
+)
+from query_gateway.parsing.service import Classification, StatementService
+from query_gateway.parsing.snapshot_store import SnapshotStore
+from query_gateway.statements.costs import CostEstimates
+from query_gateway.statements.messages import ParseResult, Rules
+from query_gateway.statements.normalizer import NormalizedStatement, normalize
+from tests.statements import KEYS
+from tests.test_statements_cache import digest
+
+RULES = Rules(keys=KEYS)
+
+
+def shape(n: int = 0) -> NormalizedStatement:
+    return normalize(f"SELECT a{n} FROM lending_7.loans WHERE member = 1")
+
+
+def ready(slot_count: int = 1) -> ParserPool:
+    parsers = ParserPool(slot_count)
+    for slot in parsers.slots:
+        parsers.starting(slot, 0.0)
+        parsers.ready(slot)
+    return parsers
+
+
+# ---- the state, without processes
+
+
+def test_a_request_for_a_shape_that_is_being_read_joins() -> None:
+    parsers, results = ready(), list[ParseResult | None]()
+    assert all(parsers.add(shape(), 0.0, results.append) for _ in range(3))
+    [(slot, pending)] = parsers.assign(0.0)
+    assert parsers.add(shape(), 0.1, results.append) and parsers.assign(0.1) == []
+    assert parsers.completed(slot) is pending and len(pending.callbacks) == 4 and not parsers.pending
+
+
+def test_a_parse_beyond_its_budget_is_killed_and_rests_for_longer_each_time() -> None:
+    parsers = ready()
+    now, durations = 0.0, []
+    for _ in range(3):
+        parsers.add(shape(), now, lambda plan: None)
+        [(slot, pending)] = parsers.assign(now)
+        assert parsers.overdue(now + PARSE_TIMEOUT_S - 0.01) == [] and parsers.overdue(
+            now + PARSE_TIMEOUT_S + 0.01
+        ) == [slot]
+        assert parsers.lost(slot, "it takes too long to parse", now) is pending
+        rejected = parsers.quarantined(shape(), now)
+        assert rejected and not rejected.is_parsed and rejected.is_write
+        duration = parsers.quarantine[shape().fingerprint].duration
+        assert parsers.quarantined(shape(), now + duration + 0.01) is None
+        durations.append(duration)
+        now += duration + 1
+        parsers.starting(slot, now)
+        parsers.ready(slot)
+    assert durations == [QUARANTINE_S, 2 * QUARANTINE_S, 4 * QUARANTINE_S]
+
+
+def test_what_waits_is_bounded_and_rejected_in_time() -> None:
+    parsers = ParserPool(1)  # not ready yet
+    parsers.starting(parsers.slots[0], 0.0)
+    taken = [parsers.add(shape(n), 0.0, lambda plan: None) for n in range(MAX_WAITING + 10)]
+    assert sum(taken) == MAX_WAITING
+    due = parsers.next_deadline()
+    assert due is not None and due <= MAX_WAIT_S
+    assert len(parsers.expire(MAX_WAIT_S + 0.01)) == MAX_WAITING and not parsers.pending
+
+
+def test_a_parser_that_never_comes_up_is_started_now_and_then_only() -> None:
+    parsers = ParserPool(1)
+    for _ in range(MAX_FAILED_STARTS):
+        assert parsers.restart_delay == 0.0
+        parsers.starting(parsers.slots[0], 0.0)
+        parsers.lost(parsers.slots[0], "a parser ended", 0.0)
+    assert parsers.restart_delay > 0
+    parsers.ready(parsers.slots[0])
+    assert parsers.restart_delay == 0.0
+
+
+def test_frames_survive_any_cut() -> None:
+    sent = encode_frame(ParseRequest(1, ["select", "#"], 1)) + encode_frame(
+        ParseResponse(2, ParseResult(True, reason="é"))
+    )
+    for at in range(len(sent) + 1):
+        buffer, frames = bytearray(), []
+        for part in (sent[:at], sent[at:]):
+            buffer += part
+            while frame := take_frame(buffer):
+                frames.append(frame)
+        assert (
+            decode_request(frames[0]).tokens == ["select", "#"]
+            and decode_response(frames[1]).request_number == 2
+        )
+    with pytest.raises(ValueError):
+        take_frame(bytearray(b"\xff\xff\xff\xff"))
+
+
+# ---- with processes
+
+
+@pytest.fixture
+def service() -> Iterator[StatementService]:
+    loop = Loop()
+    service = StatementService(loop, RULES, ("lookup", "report"), parsers=1)
+    yield service
+    service.stop()
+    loop.close()
+    assert loop.faults == 0
+
+
+def classify(service: StatementService, sql: str, named: str | None = None) -> Classification:
+    """One answer; a `come back` is followed, as a client would."""
+    for _ in range(100):
+        answers: list[Classification] = []
+        service.classify(sql, named, None, answers.append)
+        while not answers:
+            service.loop.turn()
+        if answers[0].decision is not None:
+            return answers[0]
+    raise AssertionError("no answer")
+
+
+def cls(judged: Classification) -> str | None:
+    assert judged.decision
+    return judged.decision.class_name
+
+
+READ = "SELECT due FROM lending_7.loans WHERE member = 42"
+
+
+def test_a_miss_is_read_elsewhere_and_a_hit_at_once(service: StatementService) -> None:
+    assert cls(classify(service, READ)) == "lookup"
+    answers: list[Classification] = []
+    service.classify(READ.replace("42", "43"), None, None, answers.append)
+    assert answers and cls(answers[0]) == "lookup"
+    assert service.classifier.shapes.hits >= 1
+
+
+def test_a_parser_that_is_killed_costs_its_own_shape_a_while_and_no_other(service: StatementService) -> None:
+    assert cls(classify(service, READ)) == "lookup"
+    process = service.supervisor.processes[0]
+    os.kill(process.child.pid, signal.SIGSTOP)  # as a parse without end would
+    slow = classify(service, "SELECT title FROM lending_7.loans WHERE member = 42")
+    assert slow.decision and not slow.decision.is_accepted and "too long" in slow.decision.reason
+    assert service.supervisor.pool.timed_out_count == 1
+    assert cls(classify(service, "SELECT copy FROM lending_7.loans WHERE member = 42")) == "lookup"
+    assert cls(classify(service, READ)) == "lookup"
+    again = classify(service, "SELECT title FROM lending_7.loans WHERE member = 42")
+    assert again.decision and not again.decision.is_accepted
+    service.supervisor.pool.quarantine.clear()  # as its time does
+    assert cls(classify(service, "SELECT title FROM lending_7.loans WHERE member = 42")) == "lookup"
+
+
+def test_a_parser_that_dies_is_replaced(service: StatementService) -> None:
+    assert cls(classify(service, READ)) == "lookup"
+    service.supervisor.processes[0].child.kill()
+    assert cls(classify(service, "SELECT copy FROM lending_7.loans WHERE member = 42")) in ("lookup", None)
+    assert cls(classify(service, "SELECT title FROM lending_7.loans WHERE member = 42")) == "lookup"
+
+
+def test_a_crowd_that_asks_for_one_shape_is_answered_together(service: StatementService) -> None:
+    classify(service, READ)
+    answers: list[Classification] = []
+    for n in range(50):
+        service.classify(f"SELECT copy FROM lending_7.loans WHERE member = {n}", None, None, answers.append)
+    while len(answers) < 50:
+        service.loop.turn()
+    assert {cls(one) for one in answers} == {"lookup"} and len({one.fingerprint for one in answers}) == 1
+
+
+def test_new_rules_are_read_by_from_then_on(service: StatementService) -> None:
+    assert cls(classify(service, READ)) == "lookup"
+    service.update_rules(Rules(keys=KEYS, lookup="quick"), ("quick", "report"))
+    assert cls(classify(service, READ)) == "quick"
+    service.update_rules(service.classifier.rules, ("report",))
+    answers = classify(service, READ)
+    assert answers.decision and not answers.decision.is_idempotent
+
+
+HOSTILE = [
+    "SELECT " + "(" * 31 + "1" + ")" * 31,
+    "SELECT " + "CASE WHEN 1 = 1 THEN " * 30 + "1" + " END" * 30,
+    "SELECT " + " + ".join("a" for _ in range(900)),
+    "SELECT " + " AND ".join(f"a = {n}" for n in range(450)) + " FROM lending_7.loans",
+    "SELECT " + "NOT " * 1_900 + "a",
+    "SELECT " + "- " * 1_900 + "1",
+    "SELECT * FROM " + ", ".join(f"t{n}" for n in range(900)),
+    "SELECT 1 " + "UNION ALL SELECT 1 " * 600,
+    "SELECT a FROM t WHERE x IN (" + ", ".join(f"{n}, b" for n in range(480)) + ")",
+    "WITH " + ", ".join(f"c{n} AS (SELECT 1)" for n in range(250)) + " SELECT 1",
+    "SELECT " + "f(a, " * 30 + "1" + ")" * 30,
+    "SELECT a" + "::int" * 900,
+    "SELECT a" + " -> 'b'" * 900,
+    "SELECT a" + "[1]" * 480,
+    "SELECT '" + "x" * 16_000 + "'",
+    "SELECT " + "a." * 900 + "a",
+]
+
+
+@pytest.mark.parametrize("at", range(len(HOSTILE)))
+def test_a_statement_built_to_be_slow_is_answered_and_the_next_one_too(
+    service: StatementService, at: int
+) -> None:
+    assert classify(service, HOSTILE[at]).decision is not None
+    assert cls(classify(service, READ)) == "lookup"
+
+
+# ---- the file
+
+
+FIXTURES = Path(__file__).parent / "fixtures"  # its README says how the files were made
+STORED = FIXTURES / "statement-costs.snapshot"
+
+
+def test_a_snapshot_of_the_version_before_gives_the_same_estimates() -> None:
+    expected = json.loads((FIXTURES / "statement-costs.estimates.json").read_text())
+    costs = CostEstimates()
+    assert costs.restore(SnapshotStore(str(STORED)).load())
+    assert len(expected["costs"]) == 210 and len(expected["needs"]) == 14
+    for number, class_name, table_group, cost_ns in expected["costs"]:
+        assert costs.cost_ns(digest(number), class_name, table_group) == cost_ns
+    for number, memory_mb in expected["needs"]:
+        assert costs.memory_mb(digest(number)) == memory_mb
+
+
+def test_the_same_contents_are_written_as_the_version_before_wrote_them(tmp_path: Path) -> None:
+    costs = CostEstimates()
+    assert costs.restore(SnapshotStore(str(STORED)).load())
+    rewritten = SnapshotStore(str(tmp_path / "costs"))
+    assert rewritten.save(costs.snapshot())
+    assert rewritten.path.read_bytes() == STORED.read_bytes()
+
+
+def test_the_same_outcomes_are_stored_as_the_version_before_stored_them(tmp_path: Path) -> None:
+    random, costs = Random(20), CostEstimates()
+    for n in range(12):
+        for _ in range(3 + 3 * n):
+            run_time_ns = int((n + 1) * 8_000_000 * random.lognormvariate(0, 0.3))
+            class_name, group = "report" if n % 4 == 0 else "lookup", None if n % 5 == 0 else n % 3
+            costs.observe(digest(n), class_name, group, run_time_ns, 1.5 * n)
+    store = SnapshotStore(str(tmp_path / "costs"))
+    assert store.save(costs.snapshot()) and store.path.read_bytes() == STORED.read_bytes()
+
+
+def test_a_file_is_whole_or_counts_as_none(tmp_path: Path) -> None:
+    store = SnapshotStore(str(tmp_path / "costs"))
+    assert store.load() is None
+    assert store.save({"a": 1}) and store.load() == {"a": 1}
+    whole = store.path.read_bytes()
+    for at in range(len(whole)):
+        store.path.write_bytes(whole[:at])
+        assert store.load() is None
+        store.path.write_bytes(whole[:at] + bytes([whole[at] ^ 1]) + whole[at + 1 :])
+        assert store.load() in (None, {"a": 1})
+    assert store.save({"a": 2}) and store.load() == {"a": 2}
+    assert list(tmp_path.iterdir()) == [store.path]
+
+
+def test_a_disk_that_fails_costs_the_snapshot_alone(tmp_path: Path) -> None:
+    assert not SnapshotStore(str(tmp_path / "missing" / "costs")).save({"a": 1})
+
+
+def test_what_was_learned_outlives_a_restart(tmp_path: Path) -> None:
+    path, costs = str(tmp_path / "costs"), []
+    for _ in range(2):
+        loop = Loop()
+        service = StatementService(loop, RULES, ("lookup", "report"), parsers=1)
+        service.restore(path)
+        costs.append(service.classifier.costs.cost_ns(shape().fingerprint, "lookup", 7))
+        for _ in range(10):
+            service.classifier.costs.observe(shape().fingerprint, "lookup", 7, 50_000_000)
+        service.stop()
+        loop.close()
+    assert costs[0] is None and costs[1] and 30_000_000 < costs[1] < 80_000_000
