--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -25,25 +25,34 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from query_gateway.configuration.platform import OperatorSettings, operator_of
-from query_gateway.discovery.endpoint_list import EndpointListEvent, EndpointTombstones, follow
-from query_gateway.discovery.watch_client import AGAIN
+from query_gateway.composition import GatewayOptions
+from query_gateway.configuration.operator_file import OperatorSettings, parse_operator_settings
+from query_gateway.discovery.endpoint_list import EndpointListAnswer, EndpointListEvent
+from query_gateway.discovery.reconciliation import reconcile
+from query_gateway.discovery.tombstones import EndpointTombstones
+from query_gateway.discovery.watch_client import MIN_BACKOFF_SECONDS
 from query_gateway.flight import messages
-from query_gateway.flight.engines import Link
-from query_gateway.flight.server import SERVICE
+from query_gateway.flight.engines import FlightConnection
 from query_gateway.forwarder.exchange import Exchange
 from query_gateway.forwarder.messages import Endpoint
-from query_gateway.gateway import CROSSING, KILLED_AT, Gateway
-from query_gateway.http.server import Held, query_of
-from query_gateway.lifecycle.hot_upgrade import FDS, PACKET, VERSION, meet
+from query_gateway.gateway import Gateway
+from query_gateway.http.request_decoding import decode_request
+from query_gateway.http.request_handler import PendingAnswer
+from query_gateway.lifecycle.reload import ConfigurationSources
+from query_gateway.lifecycle.request_classes import GRACE_PERIOD_SECONDS
+from query_gateway.lifecycle.shutdown import ANSWER_SECONDS
+from query_gateway.lifecycle.upgrade_messages import MAX_DESCRIPTORS, MAX_PACKET_BYTES, PROTOCOL_VERSION
+from query_gateway.lifecycle.upgrade_socket import request_inherited_state
 from query_gateway.model.endpoints import EndpointInfo, EndpointState
 from query_gateway.net.log import log
 from query_gateway.net.loop import Loop
 from query_gateway.net.stream import Reason, Stream
 from query_gateway.planner.process import PlannerProcess
-from query_gateway.rpc.grpc import Call, Handler, Wire, framed
+from query_gateway.rpc.call import Call, CallHandler
+from query_gateway.rpc.connection import GrpcConnection
+from query_gateway.rpc.framing import encode_message
 from tests.stand_ins import SETTINGS, Engine, config, host, post
-from tests.test_handover import Site, site
+from tests.test_hot_upgrade import Site, site
 from tests.test_local import planner, until
 from tests.test_web import LOAD, ROWS, SQL, JournalStandIn, news_of, running, steady
 
@@ -164,7 +173,7 @@
         gate = Gateway(told, OperatorSettings(planner_addresses=(process.listener.address,)), signals=False)
         thread = threading.Thread(target=gate.loop.run, daemon=True)
         thread.start()
-        until(lambda: gate.forwarder.planner_connected == [True])
+        until(lambda: [planner.connected for planner in gate.forwarder.planners] == [True])
         yield gate, process
         gate.loop.stop()
         thread.join(10)
@@ -210,7 +219,8 @@
         engine.let_up()
         until(
             lambda: (
-                not gate.engine_pool.connections or all(c.live for c in gate.engine_pool.connections["e0"])
+                not gate.engine_pool.connections
+                or all(c.established for c in gate.engine_pool.connections["e0"])
             )
         )
         go.set()
@@ -252,9 +262,9 @@
         stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
         while not stream.outbox:
             open_.append(ask(gate, big))
-            until(lambda: len(gate.engine_pool.where) == len(open_))
+            until(lambda: len(gate.engine_pool.by_client_id) == len(open_))
         victim = ask(gate, GONE)
-        until(lambda: len(gate.engine_pool.where) == len(open_) + 1)
+        until(lambda: len(gate.engine_pool.by_client_id) == len(open_) + 1)
         leave(gate, victim)
         engine.reads.set()
         assert open_[-1].recv(65_536).startswith(b"HTTP/1.1 200")
@@ -290,21 +300,21 @@
     gate = _flight_gate(engine)
     assert gate.flight_server
     pool: Any = gate.forwarder.engine_clients["flight"]
-    link = pool.links["e0"] = Link(pool, "e0", pool.dials["e0"])
+    connection = pool.connections["e0"] = FlightConnection(pool, "e0", pool.addresses["e0"])
     peer = engine.accept()[0]
-    _turns(gate, lambda: link.wire.stream.connected)
+    _turns(gate, lambda: connection.grpc.stream.connected)
     wire = H2Connection(H2Configuration(client_side=True))
     wire.initiate_connection()
-    told = {":method": "POST", ":scheme": "http", ":path": SERVICE + "DoPut", ":authority": "x",
+    told = {":method": "POST", ":scheme": "http", ":path": messages.SERVICE_PATH + "DoPut", ":authority": "x",
             "x-class": "load", "x-row": "7f3a9c21e0b4d655", "x-txn-key": uuid4().hex}  # fmt: skip
     wire.send_headers(1, list(told.items()))
-    wire.send_data(1, framed(messages.update(LOAD)), end_stream=True)
+    wire.send_data(1, encode_message(messages.encode_update(LOAD)), end_stream=True)
     first = gate.forwarder.next_request_id
     with socket.create_connection(gate.flight_server.listener.address) as client:
         client.sendall(wire.data_to_send())
-    _turns(gate, lambda: gate.flight_server and gate.flight_server.wires and gate.flight_server.is_idle)
+    _turns(gate, lambda: gate.flight_server and gate.flight_server.connections and gate.flight_server.is_idle)
     assert gate.forwarder.next_request_id == first + 1 and not gate.forwarder.exchanges  # it was taken
-    assert pool.links == {"e0": link} and link.wire.h2.get_next_available_stream_id() == 1
+    assert pool.connections == {"e0": connection} and connection.grpc.h2.get_next_available_stream_id() == 1
     gate.loop.close()
     for sock in (peer, engine):
         sock.close()
@@ -328,15 +338,15 @@
 
 def _flight_gate(engine: socket.socket, settings: dict[str, Any] | None = None) -> Gateway:
     """A gateway with the Flight front, whose loop the test turns, and one engine on that wire."""
-    flight = operator_of({"flight": {"listen": "127.0.0.1:0"}}, config([]))
+    flight = parse_operator_settings({"flight": {"listen": "127.0.0.1:0"}}, config([]))
     return Gateway(config([host_of(engine)], settings=settings or tuned()), flight, signals=False)
 
 
 def _take_flight(gate: Gateway, statement: str) -> Exchange:
     headers = {"x-txn": uuid4().hex[:16], "x-ttl-ms": "600000"}
-    query = query_of("lookup", gate.config.classes, headers, statement.encode(), gate.forwarder.clock())
-    exchange = gate.forwarder.accept(query, Held(lambda: None), "flight")
-    gate.turn()
+    query = decode_request("lookup", gate.config.classes, headers, statement.encode(), gate.forwarder.clock())
+    exchange = gate.forwarder.accept(query, PendingAnswer(lambda: None), "flight")
+    gate.planner_links.run_local()
     return exchange
 
 
@@ -404,7 +414,7 @@
         with ask(gate, GONE) as client:
             until(lambda: engine.statements)
             client.sendall(b"x" * 300_000)
-            until(lambda: any(c.ahead for c in gate.http_server.connections))
+            until(lambda: any(c.handler.discarded_bytes for c in gate.http_server.connections))
             gate.loop.call_soon(lambda: next(iter(gate.forwarder.exchanges.values())).end_without_planner())
             answer = b""
             while data := client.recv(65_536):
@@ -439,10 +449,16 @@
             """The planner has decided; before its word is read here, the list tells of a drain."""
             if gate.forwarder.open_request_count and not held:
                 held.append(True)
-                until(lambda: any(seat.attempt_numbers for seat in process.sessions))
+                until(
+                    lambda: any(
+                        request.attempt_count
+                        for session in list(process.sessions)
+                        for request in list(session.open_requests.values())
+                    )
+                )
                 news = [host(engine, "e0", "draining"), host(other, "e1")]
                 hosts = {"seq": 2, "whole": False, "hosts": news}
-                gate.take_list({"pos": 2, "entries": [{"pos": 2, "hosts": hosts}]})
+                gate.endpoint_feed.take_answer({"pos": 2, "entries": [{"pos": 2, "hosts": hosts}]})
             return False
 
         gate.loop.call_soon(lambda: gate.loop.turn_hooks.insert(0, hold))
@@ -465,7 +481,9 @@
         assert engine.wait("REQ")
         news = [host(engine, "e0", "draining"), host(other, "e1")]
         hosts = {"seq": 2, "whole": False, "hosts": news}
-        gate.loop.call_soon(lambda: gate.take_list({"pos": 2, "entries": [{"pos": 2, "hosts": hosts}]}))
+        gate.loop.call_soon(
+            lambda: gate.endpoint_feed.take_answer({"pos": 2, "entries": [{"pos": 2, "hosts": hosts}]})
+        )
         until(lambda: "e1" in gate.forwarder.endpoints)
         engine.hang_up()
         until(lambda: "e1" in gate.engine_pool.connections)  # it waits for its dial
@@ -506,7 +524,7 @@
 
 def test_half_a_line_on_a_resting_connection_spoils_no_answer(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards a class that may not be repeated: its answer was glued to what was no answer."""
-    monkeypatch.setattr("query_gateway.engine_protocol.client.STALLED", 600.0)
+    monkeypatch.setattr("query_gateway.engine_protocol.connection.STALL_TIMEOUT_SECONDS", 600.0)
     engine = Engine()
     with running(engine, settings=unsafe()) as gate:
         assert post(gate, "lookup", SQL, ttl=600_000)[0] == 200
@@ -522,8 +540,8 @@
     how: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards the client: with each byte the patience began anew, to the end of its time."""
-    monkeypatch.setattr("query_gateway.engine_protocol.client.ENDLESS", 0.2, raising=False)
-    monkeypatch.setattr("query_gateway.engine_protocol.client.STALLED", 600.0)
+    monkeypatch.setattr("query_gateway.engine_protocol.connection.RESPONSE_TIMEOUT_SECONDS", 0.2)
+    monkeypatch.setattr("query_gateway.engine_protocol.connection.STALL_TIMEOUT_SECONDS", 600.0)
     engine = Endless(how)
     with running(engine, settings=tuned()) as gate:
         assert post(gate, "lookup", SQL, ttl=600_000)[1] == {"rows": ROWS}
@@ -542,9 +560,9 @@
         stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
         while not stream.outbox:
             open_.append(ask(gate, big))
-            until(lambda: len(gate.engine_pool.where) == len(open_))
+            until(lambda: len(gate.engine_pool.by_client_id) == len(open_))
         report = beside.submit(post, gate, "report", SQL, ttl=600_000)
-        until(lambda: len(gate.engine_pool.where) == len(open_) + 1)
+        until(lambda: len(gate.engine_pool.by_client_id) == len(open_) + 1)
         engine.hang_up()
         engine.reads.set()
         assert report.result()[1] == {"rows": ROWS}
@@ -560,7 +578,7 @@
         until(lambda: gate.engine_pool.connections)
         news = [host(engine, "e0", "draining"), host(other, "e1")]
         raw = {"pos": 2, "entries": [{"pos": 2, "hosts": {"seq": 2, "whole": False, "hosts": news}}]}
-        gate.loop.call_soon(lambda: gate.take_list(raw))
+        gate.loop.call_soon(lambda: gate.endpoint_feed.take_answer(raw))
         assert waiting.result()[1] == {"rows": ROWS}
         engine.let_up()
         until(lambda: "e0" not in gate.engine_pool.connections)
@@ -579,12 +597,12 @@
         stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
         while not stream.outbox:
             open_.append(ask(gate, big))
-            until(lambda: len(gate.engine_pool.where) == len(open_))
+            until(lambda: len(gate.engine_pool.by_client_id) == len(open_))
         waiting = beside.submit(post, gate, "lookup", SQL, ttl=600_000)
-        until(lambda: len(gate.engine_pool.where) == len(open_) + 1)
+        until(lambda: len(gate.engine_pool.by_client_id) == len(open_) + 1)
         news = [host(engine, "e0", "draining"), host(other, "e1")]
         raw = {"pos": 2, "entries": [{"pos": 2, "hosts": {"seq": 2, "whole": False, "hosts": news}}]}
-        gate.loop.call_soon(lambda: gate.take_list(raw))
+        gate.loop.call_soon(lambda: gate.endpoint_feed.take_answer(raw))
         assert waiting.result()[1] == {"rows": ROWS}
         engine.reads.set()
         for sock in open_:
@@ -604,17 +622,19 @@
     exchanges = [_take_flight(gate, statement) for statement in (big, GONE)]
     peer = engine.accept()[0]
     peer.settimeout(0.01)
-    wire = gate.forwarder.engine_clients["flight"].links["e0"].wire  # type: ignore[attr-defined]
-    while len(wire.calls) < 2 or wire.h2.outbound_flow_control_window:
+    grpc = gate.forwarder.engine_clients["flight"].connections["e0"].grpc  # type: ignore[attr-defined]
+    while len(grpc.calls) < 2 or grpc.h2.outbound_flow_control_window:
         gate.loop.turn()
     if how == "leaves":
         exchanges[1].abandon()
     elif how == "drains":
         news = host_of(engine) | {"health": "draining"}
-        gate.take_list({"pos": 2, "entries": [{"pos": 2, "hosts": {"whole": False, "hosts": [news]}}]})
+        gate.endpoint_feed.take_answer(
+            {"pos": 2, "entries": [{"pos": 2, "hosts": {"whole": False, "hosts": [news]}}]}
+        )
     else:
         peer.shutdown(socket.SHUT_RDWR)
-        _turns(gate, lambda: wire.stream.closed)
+        _turns(gate, lambda: grpc.stream.closed)
         assert not any(e.may_have_run for e in exchanges)
         exchanges = []
     # What has gone in part is not whole either, so it never ran; its client still waits for it
@@ -626,7 +646,7 @@
         own = WindowUpdateFrame(1, window_increment=1_000_000).serialize()
         peer.sendall(SettingsFrame(0).serialize() + window + own)
     got = b""
-    while got.count(b"x") < 200_000 and not wire.stream.closed:
+    while got.count(b"x") < 200_000 and not grpc.stream.closed:
         gate.loop.turn()
         with contextlib.suppress(TimeoutError):
             got += peer.recv(65_536)
@@ -641,26 +661,26 @@
     engine = socket.create_server(("127.0.0.1", 0))
     gate = _flight_gate(engine)
     pool: Any = gate.forwarder.engine_clients["flight"]
-    old = pool.links["e0"] = Link(pool, "e0", pool.dials["e0"])
+    old = pool.connections["e0"] = FlightConnection(pool, "e0", pool.addresses["e0"])
     peer = engine.accept()[0]
-    _turns(gate, lambda: old.wire.stream.connected)
+    _turns(gate, lambda: old.grpc.stream.connected)
     peer.shutdown(socket.SHUT_WR)
-    until(lambda: _state(old.wire.stream.sock) == CLOSE_WAIT)
+    until(lambda: _state(old.grpc.stream.sock) == CLOSE_WAIT)
     exchange = _take_flight(gate, SQL)
-    assert exchange.current_attempt and pool.links["e0"] is not old and not old.wire.calls
+    assert exchange.current_attempt and pool.connections["e0"] is not old and not old.grpc.calls
     gate.loop.close()
     for sock in (peer, engine):
         sock.close()
 
 
-class Answers(Handler):
+class Answers(CallHandler):
     """Answers its call at once, with much."""
 
     def __init__(self, call: Call) -> None:
         self.call = call
 
-    def message(self, data: bytes, size: int) -> None:
-        self.call.wire.headers(self.call, [(":status", "200")])
+    def on_message(self, data: bytes, flow_controlled_bytes: int) -> None:
+        self.call.send_headers([(":status", "200")])
         self.call.send(b"x" * 600_000)
         self.call.finish([("grpc-status", "0")])
 
@@ -684,18 +704,18 @@
     peer.increment_flow_control_window(1_000_000)
     told = [(":method", "POST"), (":scheme", "http"), (":path", "/x"), (":authority", "x")]
     peer.send_headers(1, told)
-    peer.send_data(1, framed(b"?"), end_stream=True)
+    peer.send_data(1, encode_message(b"?"), end_stream=True)
     client.sendall(peer.data_to_send())
     stream = Stream(loop, server.accept()[0], "client")
-    wire = Wire(loop, stream, client=False)
-    wire.taken = lambda _, call: Answers(call)
+    connection = GrpcConnection(loop, stream, is_client=False)
+    connection.on_call = lambda _, call: Answers(call)
     stream.start()
-    until(lambda: _turned(loop) and stream.outbox and not wire.calls)
+    until(lambda: _turned(loop) and stream.outbox and not connection.calls)
     if why == "stopping":
-        wire.go_away()
+        connection.send_goaway()
     else:
-        monkeypatch.setattr("query_gateway.rpc.grpc.IDLE_TIME", 0.0)
-        wire.task.wake()
+        monkeypatch.setattr("query_gateway.rpc.connection.IDLE_TIMEOUT_S", 0.0)
+        connection.wake()
     got, ended = 0, set[Any]()
     client.settimeout(0.01)
     while ConnectionTerminated not in ended or StreamEnded not in ended:
@@ -757,7 +777,7 @@
 ) -> None:
     """Guards the request: closed over it in the machine's buffer, its connection was reset."""
     engine = Engine()
-    monkeypatch.setattr("query_gateway.http.server.IDLE_TIME", 0.3 if why == "idle" else 6.0)
+    monkeypatch.setattr("query_gateway.http.connection.IDLE_TIMEOUT_SECONDS", 0.3 if why == "idle" else 6.0)
     with running(engine, settings=tuned()) as gate:
         gate.loop.lag = lambda: 0.0  # type: ignore[method-assign]
         kept = http.client.HTTPConnection(*gate.http_server.listener.address, timeout=10)
@@ -823,12 +843,14 @@
 
 def test_a_plain_stop_gives_up_what_is_open_before_the_kill() -> None:
     """Guards clients of long requests: the kill comes 0.7 s after the longest deadline, or after 3 s."""
-    for raw, longest in ((SETTINGS, KILLED_AT), (hurried(1.0), 1.0)):
+    for raw, longest in ((SETTINGS, ANSWER_SECONDS), (hurried(1.0), 1.0)):
         gate = Gateway(config([], settings=raw), OperatorSettings(), signals=False)
-        gate.drain()
-        gate.drain()  # a second SIGTERM begins nothing anew
+        gate.begin_shutdown()
+        gate.begin_shutdown()  # a second SIGTERM begins nothing anew
         due = [
-            when - gate.loop.now() for when, _, timer in gate.loop.timers if timer.callback == gate._give_up
+            when - gate.loop.now()
+            for when, _, timer in gate.loop.timers
+            if timer.callback == gate.shutdown.give_up
         ]
         assert len(due) == 1 and longest < due[0] < longest + 0.7
         gate.loop.close()
@@ -838,10 +860,15 @@
     """Guards clients of a class that was dropped: the kill no longer waits for its longer deadline."""
     raw = hurried(1.0)
     raw["services"][1] |= {"name": "audit"}
-    gate = Gateway(config([]), OperatorSettings(), signals=False, read_again=lambda: config([], settings=raw))
+    sources = ConfigurationSources(read_configuration=lambda: config([], settings=raw))
+    gate = Gateway(config([]), OperatorSettings(), signals=False, options=GatewayOptions(sources=sources))
     gate.reload()
-    gate.drain()
-    due = [when - gate.loop.now() for when, _, timer in gate.loop.timers if timer.callback == gate._give_up]
+    gate.begin_shutdown()
+    due = [
+        when - gate.loop.now()
+        for when, _, timer in gate.loop.timers
+        if timer.callback == gate.shutdown.give_up
+    ]
     assert len(due) == 1 and 1.0 < due[0] < 1.7
     gate.loop.close()
 
@@ -853,7 +880,7 @@
         with ThreadPoolExecutor() as beside:
             waiting = beside.submit(post, gate, "report", SQL, ttl=600_000)
             until(lambda: gate.engine_pool.connections)
-            gate.loop.call_soon(gate._give_up)
+            gate.loop.call_soon(gate.shutdown.give_up)
             assert waiting.result()[0] == 429
         engine.let_up()
     assert engine.statements == []
@@ -920,14 +947,15 @@
 def _followed(folder: Path, engine: Engine, *says: str) -> Iterator[tuple[Gateway, socket.socket]]:
     """A gateway, and a successor of which the test holds the link."""
     told = config([host(engine)], settings=tuned())
-    gate = Gateway(told, OperatorSettings(), signals=False, meeting=str(folder / "door"))
+    options = GatewayOptions(upgrade_path=str(folder / "door"))
+    gate = Gateway(told, OperatorSettings(), signals=False, options=options)
     thread = threading.Thread(target=gate.loop.run, daemon=True)
     thread.start()
     with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as link:
         link.settimeout(10)
         link.connect(str(folder / "door"))
-        link.send(json.dumps({"hello": VERSION}).encode())
-        _, fds, _, _ = socket.recv_fds(link, PACKET, FDS)
+        link.send(json.dumps({"hello": PROTOCOL_VERSION}).encode())
+        _, fds, _, _ = socket.recv_fds(link, MAX_PACKET_BYTES, MAX_DESCRIPTORS)
         for word in says:
             link.send(json.dumps({word: True}).encode())
         yield gate, link
@@ -944,14 +972,14 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards who still comes after SIGTERM: the elder closed its listener, and what rested, at that death."""
-    monkeypatch.setattr("query_gateway.gateway.ACCEPTING", 600.0)
+    monkeypatch.setattr("query_gateway.lifecycle.shutdown.LAST_CALL_SECONDS", 600.0)
     with _followed(tmp_path, Engine()) as (gate, link):
         assert gate.hot_upgrade
         kept = http.client.HTTPConnection(*gate.http_server.listener.address, timeout=10)
         told = {"X-Txn": "1" * 16, "X-Ttl-Ms": "600000"}
         kept.request("POST", "/svc/lookup", SQL, told)
         assert kept.getresponse().read()
-        gate.loop.call_soon(gate.drain)
+        gate.loop.call_soon(gate.begin_shutdown)
         until(lambda: gate.http_server.listener.paused)
         link.close()
         until(lambda: gate.hot_upgrade and not gate.hot_upgrade.successor)
@@ -979,9 +1007,9 @@
         assert post(gate, "lookup", SQL, ttl=600_000)[0] == 200
         with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as second:
             second.connect(str(tmp_path / "door"))
-            second.send(json.dumps({"hello": VERSION}).encode())
+            second.send(json.dumps({"hello": PROTOCOL_VERSION}).encode())
             second.settimeout(10)
-            data, fds, _, _ = socket.recv_fds(second, PACKET, FDS)
+            data, fds, _, _ = socket.recv_fds(second, MAX_PACKET_BYTES, MAX_DESCRIPTORS)
             assert json.loads(data)["fronts"] == ["web"] and len(fds) == 1
             os.close(fds[0])
 
@@ -994,21 +1022,22 @@
     with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as door, ThreadPoolExecutor() as beside:
         door.bind(path)
         door.listen()
-        met = beside.submit(meet, path)
+        met = beside.submit(request_inherited_state, path)
         link = door.accept()[0]
-        assert json.loads(link.recv(PACKET)) == {"hello": VERSION}
+        assert json.loads(link.recv(MAX_PACKET_BYTES)) == {"hello": PROTOCOL_VERSION}
         if step != "met":
             told = {"fronts": ["web"], "learned": None}
             socket.send_fds(link, [json.dumps(told).encode()], [front.fileno()])
         else:
             link.close()
-        legacy = met.result(10)
-        assert (legacy is None) is (step == "met")
-    gate = Gateway(config([host(engine)]), OperatorSettings(), signals=False, meeting=path, legacy=legacy)
+        inherited = met.result(10)
+        assert (inherited is None) is (step == "met")
+    options = GatewayOptions(upgrade_path=path, inherited=inherited)
+    gate = Gateway(config([host(engine)]), OperatorSettings(), signals=False, options=options)
     thread = threading.Thread(target=gate.loop.run, daemon=True)
     thread.start()
     if step in ("heard the yes", "leaving"):
-        assert json.loads(link.recv(PACKET)) == {"ready": True}
+        assert json.loads(link.recv(MAX_PACKET_BYTES)) == {"ready": True}
     if step == "leaving":
         link.send(json.dumps({"leaving": True}).encode())
     link.close()
@@ -1032,14 +1061,14 @@
         assert resting.recv(65_536).startswith(b"HTTP/1.1 200")
         waiting = beside.submit(post, gate, "load", LOAD, ttl=600_000)
         assert engine.wait("REQ", 2)
-        gate.loop.call_soon(gate.drain)
+        gate.loop.call_soon(gate.begin_shutdown)
         until(lambda: not gate.http_server.idle and len(gate.http_server.connections) == 1)
         link.close()  # with the connection in it, unread
         with contextlib.suppress(ConnectionResetError):
             assert resting.recv(65_536) == b""
         resting.close()
         until(lambda: gate.hot_upgrade and not gate.hot_upgrade.successor)
-        engine._say(engine.socks[0], f"{next(iter(gate.engine_pool.where))} ok sheets=1", "0\tx\ty\n")
+        engine._say(engine.socks[0], f"{next(iter(gate.engine_pool.by_client_id))} ok sheets=1", "0\tx\ty\n")
         assert waiting.result()[1] == {"rows": ROWS[:1]}
 
 
@@ -1069,7 +1098,9 @@
     gate.loop.close()
     assert (len(one.statements), len(two.statements), gate.loop.faults) == (0, 1, 0)
     said = capfd.readouterr().err
-    assert all(f"journal {reason}: " in said for reason in ("began-anew", "skipped", "repeated"))
+    assert all(
+        f"discovery {anomaly}: " in said for anomaly in ("sequence-reset", "sequence-gap", "duplicate")
+    )
     assert said.count(" resync\n") >= 3
     journal.close()
     for engine in (one, two):
@@ -1096,7 +1127,7 @@
     gate.loop.stop()
     thread.join(10)
     gate.loop.close()
-    assert capfd.readouterr().err.count("journal began-anew: ") == 1
+    assert capfd.readouterr().err.count("discovery sequence-reset: ") == 1
     journal.close()
     for engine in (one, two):
         engine.close()
@@ -1121,13 +1152,13 @@
         (told(1, e0="up", e1="up", e2="up"), 0),
     )  # fmt: skip
     assert [journal.answer(body) for body, _ in answers] == [f"/journal?tail={tail}" for _, tail in answers]
-    until(lambda: gate.position == 1)
+    until(lambda: gate.endpoint_feed.position == 1)
     states = {name: target.info.state for name, target in gate.forwarder.endpoints.items()}
     assert states == {"e0": EndpointState.DRAINING, "e1": EndpointState.UP}
     assert [post(gate, "lookup", SQL, ttl=600_000)[0] for _ in range(8)] == [200] * 8
     assert [len(engine.statements) for engine in engines] == [0, 8, 0]
     assert journal.answer(told(2, e0="up again")) == "/journal?tail=1"
-    until(lambda: gate.position == 2)
+    until(lambda: gate.endpoint_feed.position == 2)
     assert gate.forwarder.endpoints["e0"].info.state is EndpointState.UP
     gate.loop.stop()
     thread.join(10)
@@ -1166,8 +1197,8 @@
 def test_a_drain_told_while_the_watch_is_dead_is_heeded_with_the_next(
     how: str, monkeypatch: pytest.MonkeyPatch, capfd: Any
 ) -> None:
-    monkeypatch.setattr("query_gateway.discovery.watch_client.WAIT_MS", 100)
-    monkeypatch.setattr("query_gateway.discovery.watch_client.LATE", 0.1)
+    monkeypatch.setattr("query_gateway.discovery.watch_client.POLL_HOLD_MS", 100)
+    monkeypatch.setattr("query_gateway.discovery.watch_client.ANSWER_GRACE_SECONDS", 0.1)
     journal, engine = JournalStandIn(), Engine()
     gate = Gateway(config([host(engine)], journal=journal.address), OperatorSettings(), signals=False)
     thread = threading.Thread(target=gate.loop.run, daemon=True)
@@ -1186,7 +1217,7 @@
     thread.join(10)
     gate.loop.close()
     code = "unresponsive" if how == "silent" else "peer-closed"
-    assert f"end journal {journal.address} {code}" in capfd.readouterr().err
+    assert f"end discovery {journal.address} {code}" in capfd.readouterr().err
     dead.close()
     journal.close()
     engine.close()
@@ -1197,11 +1228,14 @@
     back: list[float] = []
     for seed in range(20):
         gate = Gateway(config([], seed=f"{seed:x}"), OperatorSettings(), signals=False)
-        while not (timer := gate.watch_client.task.timer) or timer.due_at - gate.loop.now() > 2 * AGAIN[0]:
+        while (
+            not (timer := gate.watch_client.task.timer)
+            or timer.due_at - gate.loop.now() > 2 * MIN_BACKOFF_SECONDS
+        ):
             gate.loop.turn()  # until the dial is refused and the rest before the next has begun
         back.append(timer.due_at - gate.loop.now())
         gate.loop.close()
-    assert max(back) - min(back) > AGAIN[0] / 2 and max(back) <= 1.5 * AGAIN[0]
+    assert max(back) - min(back) > MIN_BACKOFF_SECONDS / 2 and max(back) <= 1.5 * MIN_BACKOFF_SECONDS
 
 
 EVENTS = 12
@@ -1211,11 +1245,12 @@
 def _event(number: int) -> EndpointListEvent:
     """Each event starts one engine and drains an earlier one; the first holds the whole list."""
     names = [(number, EndpointState.UP)] + [(number // 2, EndpointState.DRAINING)] * (number > 1)
-    return number, number == 1, [Endpoint(EndpointInfo(str(n), s, 0, 0, 0, 0, 1.0), {}) for n, s in names]
+    endpoints = [Endpoint(EndpointInfo(str(n), s, 0, 0, 0, 0, 1.0), {}) for n, s in names]
+    return EndpointListEvent(number, number == 1, tuple(endpoints))
 
 
 def _list_at(last: int) -> dict[str, EndpointState]:
-    return {t.info.name: t.info.state for n in range(1, last + 1) for t in _event(n)[2]}
+    return {t.info.name: t.info.state for n in range(1, last + 1) for t in _event(n).endpoints}
 
 
 @steady
@@ -1227,7 +1262,7 @@
 
     def take(last: int, events: list[EndpointListEvent]) -> None:
         nonlocal held, known
-        news = follow(held, last, events)
+        news = reconcile(held, EndpointListAnswer(last, tuple(events)))
         known = {} if news.is_snapshot else known
         known |= {t.info.name: t.info.state for t in news.endpoints}
         held = news.position
@@ -1253,7 +1288,8 @@
         raw["services"][1] |= {"name": next(names)}  # type: ignore[index]
         return config([], settings=raw)
 
-    gate = Gateway(config([]), OperatorSettings(), signals=False, read_again=again)
+    options = GatewayOptions(sources=ConfigurationSources(read_configuration=again))
+    gate = Gateway(config([]), OperatorSettings(), signals=False, options=options)
     start = gate.loop.now()
     seen = []
     for at, reloads in ((0.0, True), (1.0, True), (1.2, False), (1.6, False), (2.6, False)):
@@ -1263,7 +1299,7 @@
         while gate.loop.timers and gate.loop.timers[0][0] <= start + at:
             gate.loop.turn()
         seen.append(set(gate.http_server.classes) - {"lookup", "load"})
-    assert CROSSING == 1.5
+    assert GRACE_PERIOD_SECONDS == 1.5
     assert seen == [{"report", "audit"}, {"report", "audit", "third"}, {"report", "audit", "third"},
                     {"audit", "third"}, {"third"}]  # fmt: skip
     gate.loop.close()
--- a/tests/test_retune.py
+++ b/tests/test_reload.py
@@ -1,4 +1,4 @@
-"""A new configuration under load: checked whole, then taken in one step; what is open keeps its rules."""
+"""A configuration reload under load: checked whole, applied in one step; open requests keep their rules."""
 
 import copy
 import json
@@ -11,16 +11,18 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from query_gateway.composition import GatewayOptions
+from query_gateway.configuration.operator_file import OperatorSettings
 from query_gateway.configuration.platform import (
     Configuration,
     ConfigurationError,
-    OperatorSettings,
-    check_kept,
-    config_of,
-    read,
+    check_no_key_dropped,
+    parse_configuration,
+    read_configuration,
 )
-from query_gateway.forwarder.class_numbers import numbered
+from query_gateway.forwarder.class_numbers import assign_class_numbers
 from query_gateway.gateway import Gateway
+from query_gateway.lifecycle.reload import ConfigurationSources
 from query_gateway.model.actions import Forward
 from query_gateway.model.events import AttemptOutcome, Event, Request, SettingsUpdate
 from query_gateway.model.events import OutcomeCode as C
@@ -74,17 +76,17 @@
        for bad in (0, -5, True, "7", None, float("nan"), float("inf"), [1])),
      put(2.5, *ATTEMPTS), put("report", "settings", "services", 0, "name"), put([], "settings", "services")],
 )  # fmt: skip
-def test_a_file_with_a_fault_is_turned_down(change: Any) -> None:
+def test_a_file_with_a_fault_is_rejected(change: Any) -> None:
     """Guards against defaults that stand in for a missing key, and against what only looks like a number."""
     with pytest.raises(ConfigurationError):
-        check_kept(config_of(RAW, {}), config_of(changed(change), {}))
+        check_no_key_dropped(parse_configuration(RAW, {}), parse_configuration(changed(change), {}))
 
 
 @pytest.mark.parametrize("text", ["", "[]", "{", "[" * 100_000, '{"settings": NaN}', json.dumps(RAW)[:-20]])
-def test_a_file_that_is_cut_off_is_turned_down(text: str, tmp_path: Any) -> None:
+def test_a_file_that_is_cut_off_is_rejected(text: str, tmp_path: Any) -> None:
     (tmp_path / "c.json").write_text(text)
     with pytest.raises(ConfigurationError):
-        read({"ROUTER_CONFIG": str(tmp_path / "c.json")})
+        read_configuration({"ROUTER_CONFIG": str(tmp_path / "c.json")})
 
 
 NAMES = st.lists(st.sampled_from("abcdef"), unique=True, max_size=6)
@@ -92,11 +94,11 @@
 
 @steady
 @given(NAMES, NAMES, st.sets(st.integers(0, 8)))
-def test_a_number_stands_for_one_class_and_is_not_reused_while_held(
+def test_a_number_stands_for_one_class_and_is_not_reused_while_in_use(
     old: list[str], new: list[str], held: set[int]
 ) -> None:
-    before = numbered(old, {}, ())
-    after = numbered(new, before, held)
+    before = assign_class_numbers(old, {}, ())
+    after = assign_class_numbers(new, before, held)
     assert len(set(after.values())) == len(new)
     assert all(after[name] == before[name] for name in new if name in before)
     assert not {after[name] for name in new if name not in before} & held
@@ -113,16 +115,16 @@
 
 
 def reload(gate: Gateway, new: Configuration) -> None:
-    gate.read_again = lambda: new
+    gate.configuration_reload.sources.read_configuration = lambda: new
     done = gate.forwarder.counters.reloads_applied + gate.forwarder.counters.reloads_rejected
     gate.loop.call_soon(gate.reload)
     until(lambda: gate.forwarder.counters.reloads_applied + gate.forwarder.counters.reloads_rejected > done)
 
 
-def test_classes_change_under_load_and_open_requests_keep_their_rules(
+def test_classes_change_under_load_and_open_requests_keep_their_settings(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr("query_gateway.gateway.CROSSING", 0.2)
+    monkeypatch.setattr("query_gateway.lifecycle.request_classes.GRACE_PERIOD_SECONDS", 0.2)
     old, once = "SELECT old FROM lending_7.loans", "SELECT once FROM lending_7.loans"
     engine = Engine(script={old: ["mute", "ok"], once: ["error", "ok"]})
     with running(engine, ops="127.0.0.1:0") as gate, ThreadPoolExecutor() as beside:
@@ -145,7 +147,7 @@
         assert post(gate, "report", SQL)[0] == 200 and post(gate, "load", LOAD)[0] == 200
 
 
-def test_the_module_keeps_what_it_learned_and_what_is_open_its_rules() -> None:
+def test_the_scheduler_keeps_what_it_learned_and_open_requests_their_settings() -> None:
     site = config([host(Engine())])
     module = Module(site.settings, 1)
     gate = Gateway(site, OperatorSettings(), signals=False)
@@ -166,17 +168,18 @@
     assert module.classes[0].work.count == 0 and module.classes[1].settings.timeout == rules[1].timeout
 
 
-def test_new_settings_cross_the_local_link_whole() -> None:
+def test_new_settings_pass_the_ipc_connection_complete() -> None:
     told = SettingsUpdate(config([]).settings, (1,))
-    assert codec.Decoder({**codec.EVENTS}).feed(codec.encode(told)) == [told]
+    assert codec.Decoder({**codec.EVENT_TYPES}).feed(codec.encode(told)) == [told]
 
 
-def test_limits_that_change_alone_are_heeded() -> None:
+def test_limits_that_change_alone_are_applied() -> None:
     """Guards a reload that says it is applied: limits outside the module's settings stayed as they were."""
     raw: dict[str, Any] = copy.deepcopy(SETTINGS)
     raw["limits"] |= {"most-held": 1, "dial-timeout": 600_000_000, "streams-per-conn": 5}
     operator = OperatorSettings(flight_address=("127.0.0.1", 0))
-    gate = Gateway(config([]), operator, signals=False, read_again=lambda: config([], settings=raw))
+    sources = ConfigurationSources(read_configuration=lambda: config([], settings=raw))
+    gate = Gateway(config([]), operator, signals=False, options=GatewayOptions(sources=sources))
     gate.reload()
     pools: list[Any] = list(gate.forwarder.engine_clients.values())
     assert [pool.dial_timeout for pool in pools] == [0.6, 0.6]
