Split the decision module by concern, with the estimators and records in model

Estimators, queues and budgets that take their figures as arguments stand in model/.

Learned state is exported and restored as typed records; its JSON keys and order are the same.

--- a/query_gateway/gateway.py
+++ b/query_gateway/gateway.py
@@ -41,7 +41,7 @@
 from query_gateway.net.loop import Loop, Timer
 from query_gateway.net.stream import Listener
 from query_gateway.planner.ipc import PlannerClient
-from query_gateway.planner.learned_state import adopt, learned
+from query_gateway.planner.learned_state import export_state, restore_state
 from query_gateway.planner.planner import Planner
 
 if TYPE_CHECKING:
@@ -476,14 +476,16 @@
         if self.flight_server:
             fronts["flight"] = self.flight_server.listener.socket
         numbers = {name: told.index for name, told in self.classes.items()}
-        known = learned(self.planner.scheduler, numbers)
+        known = export_state(self.planner.scheduler, numbers)
         told = {"fronts": list(fronts), "learned": known}
         if self.statements:
             told["statements"] = self.statements.classifier.costs.snapshot(most=256)
         return told, list(fronts.values())
 
     def _adopt(self, raw: Any) -> bool:
-        return adopt(self.planner.scheduler, {name: told.index for name, told in self.classes.items()}, raw)
+        return restore_state(
+            self.planner.scheduler, {name: told.index for name, told in self.classes.items()}, raw
+        )
 
     def set_overlapping(self, on: bool) -> None:
         """Two processes of one gateway share descriptors and what a cold engine may be sent."""
--- /dev/null
+++ b/query_gateway/model/gossip.py
@@ -0,0 +1,51 @@
+"""Request counts of each tenant, our own and those that other gateways report."""
+
+import math
+from dataclasses import dataclass, field
+
+from query_gateway.model.averages import DecayedAverage
+
+MAX_DIGITS = 9  # of one count in a message: bounds what a peer can claim
+
+
+@dataclass(slots=True, frozen=True)
+class PeerReport:
+    """What one gateway reported last."""
+
+    received_at: int  # clock time, nanoseconds
+    counts: list[int]  # requests by tenant
+
+
+@dataclass(slots=True)
+class TenantTraffic:
+    """Recent requests of each tenant here, and the last report of each peer by its number."""
+
+    counts: list[DecayedAverage] = field(default_factory=list)
+    reports: dict[int, PeerReport] = field(default_factory=dict)
+
+    def local_requests(self, tenant: int, now: int, lifetime: int, observed: int) -> float:
+        """Requests of a tenant here within `lifetime`, scaled up while less than that was observed."""
+        covered = 1 - math.exp(-observed / lifetime)
+        return self.counts[tenant].weight_at(now, lifetime) / covered
+
+    def peer_requests(self, tenant: int, now: int, lifetime: int) -> int:
+        """Requests of a tenant that peers reported within `lifetime` nanoseconds."""
+        fresh = (report for report in self.reports.values() if now - report.received_at < lifetime)
+        return sum(report.counts[tenant] for report in fresh)
+
+    def peer_requests_of_all(
+        self, tenant: int, now: int, lifetime: int, peers: int, reporting: float
+    ) -> float:
+        """The same of all peers, where no more than so many of them report within `lifetime`."""
+        return self.peer_requests(tenant, now, lifetime) * peers / max(1, min(peers, reporting))
+
+    def message(self, now: int, lifetime: int, observed: int) -> str:
+        """Our own report: counts by tenant, separated by commas."""
+        requests = (self.local_requests(t, now, lifetime, observed) for t in range(len(self.counts)))
+        return ",".join(str(round(count)) for count in requests)
+
+    def record_report(self, sender: int, data: str, now: int) -> None:
+        """Keep a peer's report, comma-separated counts by tenant; what is malformed is ignored."""
+        counts = data.split(",")
+        if len(counts) == len(self.counts) and all(c.isdigit() and len(c) <= MAX_DIGITS for c in counts):
+            self.reports[sender] = PeerReport(now, [int(c) for c in counts])
--- a/query_gateway/model/settings.py
+++ b/query_gateway/model/settings.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from query_gateway.model.endpoints import EndpointInfo
+
 
 class Idempotency(Enum):
     IDEMPOTENT = "safe"
@@ -43,6 +45,25 @@
     allowed_zones: tuple[int, ...] | None
     allowed_kinds: tuple[int, ...] | None
 
+    def allows_placement(self, zone: int, kind: int) -> bool:
+        """Whether the class may run in this zone and on this kind of engine."""
+        in_zone = self.allowed_zones is None or zone in self.allowed_zones
+        return in_zone and (self.allowed_kinds is None or kind in self.allowed_kinds)
+
+    def shares_deduplication(self, first: EndpointInfo, other: EndpointInfo) -> bool:
+        """Whether an engine recognises a key that the first one has seen."""
+        if self.deduplication_scope is DeduplicationScope.ZONE:
+            return other.zone == first.zone
+        return self.deduplication_scope is DeduplicationScope.ALL or other.group == first.group
+
+    @property
+    def client_may_repeat(self) -> bool:
+        """Whether a request that may have run may still be rejected, as its client can repeat it."""
+        keyed_everywhere = self.deduplication_scope is DeduplicationScope.ALL
+        return self.idempotency is Idempotency.IDEMPOTENT or (
+            self.idempotency is Idempotency.KEYED and keyed_everywhere
+        )
+
 
 @dataclass(slots=True, frozen=True)
 class Settings:
--- a/query_gateway/planner/learned_state.py
+++ b/query_gateway/planner/learned_state.py
@@ -1,17 +1,24 @@
-"""What a module has learned, as plain values for its successor: versioned, bounded, checked as a whole."""
+"""What a scheduler has learned, as JSON values for its successor: versioned, bounded, checked as a whole.
+
+The keys and the order of the values are a stored form that earlier and later versions read: they stay.
+"""
 
 import math
 from collections.abc import Mapping
+from dataclasses import dataclass
 from typing import Any
 
 from query_gateway.model.averages import DecayedAverage, RunningMean
+from query_gateway.model.costs import CostTotals
 from query_gateway.model.records import ClassState, EngineState
+from query_gateway.model.state import SchedulerState
 from query_gateway.policy.scheduler import Scheduler
 
 VERSION = 1
-ENGINES = 512  # told of at most
-GROUPS = 16  # of tables kept warm
-# The transferred key of each running mean and the attribute that holds it: the keys are a stored form
+MAX_ENGINES = 512  # engines written at most
+MAX_TABLE_GROUPS = 16  # warm table groups read of each engine
+MAX_LAG_RATIO = 1e3  # beyond any that a controller can reach
+# The stored key of each running mean and the attribute that holds it
 MEANS = {
     "work": "work",
     "log_work": "log_work",
@@ -21,100 +28,182 @@
 }
 
 
-def learned(module: Scheduler, numbers: Mapping[str, int]) -> dict[str, Any]:
+class LearnedStateError(ValueError):
+    """A stored value is missing, of the wrong type or out of range."""
+
+
+@dataclass(slots=True, frozen=True)
+class LearnedClass:
+    """What was learned of one class, whose record here it belongs to."""
+
+    state: ClassState
+    means: dict[str, RunningMean]  # by attribute
+    slowdown: DecayedAverage
+    longest_timeout: int  # nanoseconds
+
+    def restore(self) -> None:
+        """Put it into the record of the class."""
+        for attribute, mean in self.means.items():
+            setattr(self.state, attribute, mean)
+        self.state.slowdown = self.slowdown
+        self.state.longest_timeout = self.longest_timeout
+
+
+@dataclass(slots=True, frozen=True)
+class LearnedEngine:
+    """What was learned of one engine, whose record here it belongs to. Times are nanoseconds."""
+
+    state: EngineState
+    started_at: int
+    log_slowdown: DecayedAverage
+    fault_rate: float
+    last_heard_at: int
+    ejected_until: int
+    ejection_time: int
+    warm_table_groups: list[float]
+
+    def restore(self) -> None:
+        """Put it into the record of the engine."""
+        engine = self.state
+        engine.started_at, engine.log_slowdown = self.started_at, self.log_slowdown
+        engine.fault_rate, engine.last_heard_at = self.fault_rate, self.last_heard_at
+        engine.ejected_until, engine.ejection_time = self.ejected_until, self.ejection_time
+        engine.warm_table_groups = self.warm_table_groups
+        # Ejected and not heard since: one query at a time, as it was
+        engine.on_probation = self.ejected_until > self.last_heard_at
+
+
+@dataclass(slots=True, frozen=True)
+class LearnedState:
+    """All that was learned, checked against the classes and engines known here."""
+
+    lag_ratio: float
+    usual_threads: float
+    slowdown_samples: DecayedAverage
+    costs: CostTotals
+    classes: list[LearnedClass]
+    engines: list[LearnedEngine]
+
+    def restore(self, state: SchedulerState) -> None:
+        """Put all of it into a scheduler's state."""
+        state.lag_ratio, state.usual_threads = self.lag_ratio, self.usual_threads
+        state.slowdown_samples, state.costs = self.slowdown_samples, self.costs
+        for known in self.classes:
+            known.restore()
+        for engine in self.engines:
+            engine.restore()
+
+
+def export_state(scheduler: Scheduler, class_indexes: Mapping[str, int]) -> dict[str, Any]:
+    """What a scheduler has learned, its classes by their names."""
+    state = scheduler.state
+    costs = (state.costs.requested, state.costs.rejected, state.costs.late)
     return {
         "version": VERSION,
-        "lag": module.lag,
-        "paces": _fading(module.paces),
-        "costs": [_fading(cost) for cost in module.costs],
-        "usual": module.usual,
-        "classes": {name: _class(module.classes[number]) for name, number in numbers.items()},
-        "engines": {e.info.name: _engine(e) for e in module.up[:ENGINES]},
+        "lag": state.lag_ratio,
+        "paces": _encode_average(state.slowdown_samples),
+        "costs": [_encode_average(cost) for cost in costs],
+        "usual": state.usual_threads,
+        "classes": {name: _encode_class(state.classes[index]) for name, index in class_indexes.items()},
+        "engines": {engine.info.name: _encode_engine(engine) for engine in state.up[:MAX_ENGINES]},
     }
 
 
-def _fading(f: DecayedAverage) -> list[float]:
-    return [f.total, f.weight, f.updated_at]
+def restore_state(scheduler: Scheduler, class_indexes: Mapping[str, int], raw: Any) -> bool:
+    """Take over what a predecessor exported: all of it or, if anything in it is unusable, nothing."""
+    try:
+        learned = _decode(scheduler.state, class_indexes, raw)
+    except (KeyError, TypeError, ValueError, AttributeError):
+        return False
+    learned.restore(scheduler.state)
+    return True
+
+
+def _encode_average(average: DecayedAverage) -> list[float]:
+    return [average.total, average.weight, average.updated_at]
 
 
-def _mean(mean: RunningMean) -> list[float]:
+def _encode_mean(mean: RunningMean) -> list[float]:
     return [mean.value, mean.variance, mean.count]
 
 
-def _class(c: ClassState) -> dict[str, Any]:
-    means = {key: _mean(getattr(c, attribute)) for key, attribute in MEANS.items()}
-    return {**means, "rate": _fading(c.slowdown), "first_span": c.longest_timeout}
+def _encode_class(known: ClassState) -> dict[str, Any]:
+    means = {key: _encode_mean(getattr(known, attribute)) for key, attribute in MEANS.items()}
+    return {**means, "rate": _encode_average(known.slowdown), "first_span": known.longest_timeout}
 
 
-def _engine(e: EngineState) -> list[Any]:
+def _encode_engine(engine: EngineState) -> list[Any]:
     return [
-        e.info.started_at,
-        e.started_at,
-        _fading(e.log_slowdown),
-        e.fault_rate,
-        e.last_heard_at,
-        e.ejected_until,
-        e.ejection_time,
-        e.warm_table_groups,
+        engine.info.started_at,
+        engine.started_at,
+        _encode_average(engine.log_slowdown),
+        engine.fault_rate,
+        engine.last_heard_at,
+        engine.ejected_until,
+        engine.ejection_time,
+        engine.warm_table_groups,
     ]
 
 
+def _decode(state: SchedulerState, class_indexes: Mapping[str, int], raw: Any) -> LearnedState:
+    if raw["version"] != VERSION:
+        raise LearnedStateError(f"version {raw['version']!r:.40} is not {VERSION}")
+    costs = [_decode_average(cost) for cost in raw["costs"]]
+    lag_ratio = _number(raw["lag"])
+    if len(costs) != 3 or not 0 < lag_ratio < MAX_LAG_RATIO:
+        raise LearnedStateError(f"{len(costs)} costs or lag ratio {lag_ratio} out of range")
+    return LearnedState(
+        lag_ratio=lag_ratio,
+        usual_threads=_number(raw["usual"]),
+        slowdown_samples=_decode_average(raw["paces"]),
+        costs=CostTotals(*costs),
+        classes=[
+            _decode_class(state.classes[class_indexes[name]], known)
+            for name, known in raw["classes"].items()
+            if name in class_indexes
+        ],
+        engines=[
+            engine
+            for name, values in raw["engines"].items()
+            if (engine := _decode_engine(state.engines.get(name), values)) is not None
+        ],
+    )
+
+
+def _decode_class(known: ClassState, raw: Any) -> LearnedClass:
+    means = {attribute: _decode_mean(raw[key]) for key, attribute in MEANS.items()}
+    return LearnedClass(known, means, _decode_average(raw["rate"]), int(_number(raw["first_span"])))
+
+
+def _decode_engine(engine: EngineState | None, raw: Any) -> LearnedEngine | None:
+    """None for an engine that is unknown here or has started since: its past says nothing."""
+    listed_start, started_at, slowdown, *numbers, table_groups = raw
+    if engine is None or engine.info.started_at != listed_start:
+        return None
+    fault_rate, last_heard_at, ejected_until, ejection_time = (_number(value) for value in numbers)
+    return LearnedEngine(
+        state=engine,
+        started_at=int(_number(started_at)),
+        log_slowdown=_decode_average(slowdown),
+        fault_rate=fault_rate,
+        last_heard_at=int(last_heard_at),
+        ejected_until=int(ejected_until),
+        ejection_time=int(ejection_time),
+        warm_table_groups=[_number(group) for group in table_groups[:MAX_TABLE_GROUPS]],
+    )
+
+
+def _decode_average(raw: Any) -> DecayedAverage:
+    total, weight, updated_at = raw
+    return DecayedAverage(_number(total), max(0.0, _number(weight)), int(_number(updated_at)))
+
+
+def _decode_mean(raw: Any) -> RunningMean:
+    value, variance, count = raw
+    return RunningMean(_number(value), max(0.0, _number(variance)), max(0, int(_number(count))))
+
+
 def _number(raw: Any) -> float:
     if type(raw) not in (int, float) or not math.isfinite(raw):
-        raise ValueError(f"{raw!r:.40} is no number")
+        raise LearnedStateError(f"{raw!r:.40} is no number")
     return float(raw)
-
-
-def _to_fading(raw: Any) -> DecayedAverage:
-    total, n, at = raw
-    return DecayedAverage(_number(total), max(0.0, _number(n)), int(_number(at)))
-
-
-def _to_mean(raw: Any) -> RunningMean:
-    value, var, n = raw
-    return RunningMean(_number(value), max(0.0, _number(var)), max(0, int(_number(n))))
-
-
-def adopt(module: Scheduler, numbers: Mapping[str, int], raw: Any) -> bool:
-    """Take over what an elder tells, all of it or, if anything in it is unusable, nothing."""
-    try:
-        if raw["version"] != VERSION:
-            return False
-        lag, usual, paces = _number(raw["lag"]), _number(raw["usual"]), _to_fading(raw["paces"])
-        costs = tuple(_to_fading(cost) for cost in raw["costs"])
-        classes = [
-            (
-                module.classes[numbers[name]],
-                {MEANS[key]: _to_mean(told[key]) for key in MEANS} | {"slowdown": _to_fading(told["rate"])},
-                int(_number(told["first_span"])),
-            )
-            for name, told in raw["classes"].items()
-            if name in numbers
-        ]
-        engines = []
-        for name, (launched, launch, pace, *rest, warm) in raw["engines"].items():
-            engine = module.engines.get(name)
-            if engine and engine.info.started_at == launched:  # a restart since: its past says nothing
-                faults, sign, until, shun = (_number(value) for value in rest)
-                groups = [_number(group) for group in warm[:GROUPS]]
-                past = int(_number(launch)), _to_fading(pace), faults
-                engines.append((engine, (*past, int(sign), int(until), int(shun), groups)))
-        if len(costs) != 3 or not 0 < lag < 1e3:
-            return False
-    except (KeyError, TypeError, ValueError, AttributeError):
-        return False
-    module.lag, module.usual, module.paces, module.costs = lag, usual, paces, costs
-    for c, means, span in classes:
-        for name, mean in means.items():
-            setattr(c, name, mean)
-        c.longest_timeout = span
-    for engine, (launch, pace, faults, sign, until, shun, groups) in engines:
-        engine.started_at, engine.log_slowdown, engine.fault_rate, engine.last_heard_at = (
-            launch,
-            pace,
-            faults,
-            sign,
-        )
-        engine.ejected_until, engine.ejection_time, engine.warm_table_groups = until, shun, groups
-        engine.on_probation = until > sign  # rested and not heard since: one query at a time, as it was
-    return True
--- /dev/null
+++ b/query_gateway/policy/answers.py
@@ -0,0 +1,56 @@
+"""How a query ends: rejected where that is true, failed where it may have run, or by its client."""
+
+from query_gateway.model.actions import Cancel, Fail, Reject
+from query_gateway.model.events import RequestAbandoned
+from query_gateway.model.records import AttemptState, QueryState
+from query_gateway.model.state import SchedulerState
+from query_gateway.model.units import MS
+from query_gateway.policy.controller import record_cost
+
+MIN_RETRY_AFTER_NS = 100 * MS  # advice to a client; the period of the timer
+
+
+def give_up(state: SchedulerState, query: QueryState, start_delay: float = 0.0) -> None:
+    """Reject a query where that is true, else fail it; its client may come back after `start_delay`."""
+    if query.ended:
+        return
+    request_id, never_ran = query.request.request_id, not query.executed and not query.in_flight
+    if never_ran or query.settings.client_may_repeat:
+        wait = min(state.settings.max_retry_after, max(MIN_RETRY_AFTER_NS, int(start_delay)))
+        state.actions.append(Reject(request_id, wait if state.settings.allows_retry_after else 0))
+    else:
+        state.actions.append(Fail(request_id))
+    late = state.now >= query.due_at or not never_ran
+    if not query.request.is_retry:
+        record_cost(state, 0.0, 0.0 if late else query.weight, query.weight if late else 0.0)
+    query.ended = True
+    _cancel_attempts(state, query)
+
+
+def mark_answered(state: SchedulerState, query: QueryState) -> None:
+    """The request ended by an outcome or by its client."""
+    if not query.ended and state.now > query.due_at and not query.request.is_retry:
+        record_cost(state, 0.0, 0.0, query.weight)
+    query.ended = True
+
+
+def abandon(state: SchedulerState, event: RequestAbandoned) -> None:
+    """A client has left: nobody waits for its query."""
+    query = state.queries.get(event.request_id)
+    if query is not None and not query.ended:
+        mark_answered(state, query)
+        _cancel_attempts(state, query)
+
+
+def _cancel_attempts(state: SchedulerState, query: QueryState) -> None:
+    for attempt in query.in_flight:
+        cancel_attempt(state, query, attempt)
+    if not query.in_flight:
+        state.forget(query)
+
+
+def cancel_attempt(state: SchedulerState, query: QueryState, attempt: AttemptState) -> None:
+    """Cancel an attempt once, where the site allows it."""
+    if state.settings.allows_cancellation and not attempt.cancelled:
+        attempt.cancelled = True
+        state.actions.append(Cancel(query.request.request_id, attempt.number))
