Give the simulator adapter typed errors and decoders, document the model, test its parts

The adapter decoded each event in one long match with one-letter names; it now has a table of decoders by the wire's words.

--- a/query_gateway/model/actions.py
+++ b/query_gateway/model/actions.py
@@ -5,54 +5,70 @@
 
 @dataclass(slots=True, frozen=True)
 class Forward:
+    """Send an attempt of a request to an endpoint."""
+
     request_id: int
     endpoint: str
-    timeout: int  # 0: until the client gives up
+    timeout: int  # nanoseconds; 0: until the client gives up
 
 
 @dataclass(slots=True, frozen=True)
 class Reject:
+    """Answer a request at once: it did not run, or its client may repeat it."""
+
     request_id: int
-    retry_after: int  # 0: no advice
+    retry_after: int  # nanoseconds; 0: no advice
 
 
 @dataclass(slots=True, frozen=True)
 class Fail:
+    """Answer a request at once: it may have run."""
+
     request_id: int
 
 
 @dataclass(slots=True, frozen=True)
 class Cancel:
+    """Stop an attempt in flight."""
+
     request_id: int
     attempt_number: int
 
 
 @dataclass(slots=True, frozen=True)
 class SetTerms:
+    """Set what an attempt runs on; it precedes its `Forward`, or changes the priority of one in flight."""
+
     request_id: int
-    memory_mb: float
-    priority: int
+    memory_mb: float  # 0: no grant, or as it was
+    priority: int  # 0 is the lowest
 
 
 @dataclass(slots=True, frozen=True)
 class SetTimer:
-    delay: int
-    context: int
+    """Send a `TimerFired` after a delay."""
+
+    delay: int  # nanoseconds
+    context: int  # comes back with `TimerFired`
 
 
 @dataclass(slots=True, frozen=True)
 class HealthCheck:
+    """Check an endpoint."""
+
     endpoint: str
 
 
 @dataclass(slots=True, frozen=True)
 class WatchEndpoints:
+    """Watch the endpoint list, or stop that."""
+
     enabled: bool
 
 
 @dataclass(slots=True, frozen=True)
 class FetchEndpoints:
-    pass
+    """Fetch the endpoint list once."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -65,6 +81,8 @@
 
 @dataclass(slots=True, frozen=True)
 class Log:
+    """A line for the log."""
+
     text: str
 
 
--- a/query_gateway/model/endpoints.py
+++ b/query_gateway/model/endpoints.py
@@ -5,12 +5,16 @@
 
 
 class EndpointState(Enum):
+    """Whether an endpoint takes queries. The values are the wire's words."""
+
     UP = "up"
     DRAINING = "draining"
     REMOVED = "gone"
 
 
 class EndpointUpdateKind(Enum):
+    """What an update of the list holds. The values are the wire's words."""
+
     DELTA = "changes"
     SNAPSHOT = "full"
     CACHED = "cached"
@@ -19,10 +23,12 @@
 
 @dataclass(slots=True, frozen=True)
 class EndpointInfo:
+    """One endpoint of the list."""
+
     name: str
     state: EndpointState
     zone: int
-    kind: int
-    group: int
-    started_at: int
-    size: float
+    kind: int  # index into the sizes of `Settings`
+    group: int  # deduplication cell
+    started_at: int  # clock time, nanoseconds; 0: not known
+    size: float  # relative to others of its kind
--- a/query_gateway/model/events.py
+++ b/query_gateway/model/events.py
@@ -8,6 +8,8 @@
 
 
 class OutcomeCode(Enum):
+    """How an attempt ended."""
+
     OK = "ok"
     ERROR = "error"
     FULL = "full"
@@ -19,6 +21,8 @@
 
 
 class ProgressKind(Enum):
+    """What a progress note says."""
+
     PROGRESS = 1
     SPILLING = 2
     WAITING = 3
@@ -26,21 +30,25 @@
 
 @dataclass(slots=True, frozen=True)
 class EndpointUpdate:
+    """The endpoint list, or what has changed in it."""
+
     kind: EndpointUpdateKind
     endpoints: tuple[EndpointInfo, ...]
 
 
 @dataclass(slots=True, frozen=True)
 class Request:
+    """A client asks for the answer to a query."""
+
     request_id: int
     class_index: int
-    deadline: int
+    deadline: int  # clock time, nanoseconds: the client gives up
     tenant: int
     table_group: float | None
     key: str | None
-    estimated_work: int | None  # estimated work of all its threads
-    memory_mb: float
-    is_retry: bool
+    estimated_work: int | None  # nanoseconds, over all its threads
+    memory_mb: float  # estimated
+    is_retry: bool  # marked by the client
 
 
 @dataclass(slots=True, frozen=True)
@@ -62,38 +70,48 @@
 
 @dataclass(slots=True, frozen=True)
 class AttemptOutcome:
+    """An attempt has ended."""
+
     request_id: int
-    final: bool
+    final: bool  # the client has its answer
     code: OutcomeCode
-    duration: int
+    duration: int  # nanoseconds
     attempt_number: int
     endpoint: str
-    work: int | None  # true work, where told
-    memory_mb: float | None  # true memory, where told
-    load_report: tuple[float, ...]
+    work: int | None  # true work in nanoseconds over all threads, where reported
+    memory_mb: float | None  # true memory, where reported
+    load_report: tuple[float, ...]  # in the order of `Settings.load_report_fields`
 
 
 @dataclass(slots=True, frozen=True)
 class ProgressNote:
+    """An engine tells of an attempt in flight."""
+
     request_id: int
     attempt_number: int
     endpoint: str
     kind: ProgressKind
-    level: float
+    level: float  # share of the work done, or MB that spilled
 
 
 @dataclass(slots=True, frozen=True)
 class RequestAbandoned:
+    """The client of a request has left."""
+
     request_id: int
 
 
 @dataclass(slots=True, frozen=True)
 class TimerFired:
+    """The delay of a `SetTimer` is over."""
+
     context: int
 
 
 @dataclass(slots=True, frozen=True)
 class HealthCheckResult:
+    """A health check has ended."""
+
     endpoint: str
     ok: bool
     duration: int
@@ -102,6 +120,8 @@
 
 @dataclass(slots=True, frozen=True)
 class GossipMessage:
+    """A message of another gateway."""
+
     sender: int
     data: str
 
--- a/query_gateway/model/settings.py
+++ b/query_gateway/model/settings.py
@@ -9,12 +9,16 @@
 
 
 class Idempotency(Enum):
+    """Whether a query may run more than once. The values are the wire's words."""
+
     IDEMPOTENT = "safe"
     KEYED = "keyed"
     NON_IDEMPOTENT = "unsafe"
 
 
 class DeduplicationScope(Enum):
+    """Where engines recognise an idempotency key that was seen before."""
+
     ALL = "all"
     ZONE = "zone"
     CELL = "cell"
@@ -30,15 +34,17 @@
 
 @dataclass(slots=True, frozen=True)
 class ClassSettings:
-    latency_objective: int
-    objective_per_run_time: float
-    timeout: int
-    weight: float
-    late_weight: float
+    """The rules of one class of queries."""
+
+    latency_objective: int  # nanoseconds
+    objective_per_run_time: float  # added to the objective, in run times
+    timeout: int  # nanoseconds until clients give up
+    weight: float  # worth of an answer in time
+    late_weight: float  # share of it that a late answer is worth
     idempotency: Idempotency
     deduplication_scope: DeduplicationScope
-    deduplication_window: int
-    threads: int
+    deduplication_window: int  # nanoseconds
+    threads: int  # of one query
     locks_tables: bool
     waits_for_locks: bool
     ordered_by_key: bool
@@ -81,7 +87,7 @@
     memory_shortage: MemoryShortage
     takes_memory_grants: bool
     heeds_priorities: bool
-    progress_interval: int  # time between notes; 0: none
+    progress_interval: int  # nanoseconds between progress notes; 0: none
     reports_cost: bool
     load_report_fields: tuple[str, ...]
     polls_endpoint_list: bool
@@ -90,19 +96,19 @@
     allows_cancellation: bool
     allows_hedging: bool
     allows_retry_after: bool
-    max_retry_after: int
+    max_retry_after: int  # nanoseconds
     max_attempts: int
     marks_retry: bool
     cross_zone_cost: float
-    cold_capacity: float
-    slow_start_window: int
-    cold_overload_factor: float
-    cold_overload_window: int
-    key_quarantine: int
-    max_poll_interval: int
+    cold_capacity: float  # share of its capacity that an engine starts with
+    slow_start_window: int  # nanoseconds
+    cold_overload_factor: float  # over the capacity, within the window; 0: no slow start
+    cold_overload_window: int  # nanoseconds
+    key_quarantine: int  # nanoseconds
+    max_poll_interval: int  # nanoseconds
     retry_allowance: float | None
     retries_per_request: float
-    retry_window: int
+    retry_window: int  # nanoseconds
     slow_start_share: float = 1.0  # our part of what one instance may send to a cold engine
     max_client_connections: int = 0  # connections that clients may hold; 0: no such limit is known
     extra_run_time: int = (
--- a/query_gateway/simulator_adapter.py
+++ b/query_gateway/simulator_adapter.py
@@ -1,7 +1,11 @@
-"""Line adapter between the simulator's wire and one `Gateway` per instance: parse, hand over, format."""
+"""Line adapter between the simulator's wire and one `Scheduler` for each instance: parse, decide, format.
+
+A batch of lines comes between `sync` and `end` and is answered by the lines of all actions and `ok`.
+"""
 
 import base64
 import sys
+from collections.abc import Callable
 from typing import TextIO
 
 from query_gateway.configuration.settings_parser import SettingsError, settings_of
@@ -34,9 +38,11 @@
     RequestAbandoned,
     TimerFired,
 )
+from query_gateway.model.settings import Settings
 from query_gateway.policy.scheduler import Scheduler
 
-CODES = {
+# The wire's words
+OUTCOME_WORDS = {
     "pass": OutcomeCode.OK,
     "fault": OutcomeCode.ERROR,
     "no_room": OutcomeCode.FULL,
@@ -46,218 +52,285 @@
     "undone": OutcomeCode.CANCELLED,
     "stale_send": OutcomeCode.NOT_SENT,
 }
-STATES = {"U": EndpointState.UP, "L": EndpointState.DRAINING, "D": EndpointState.REMOVED}
-SCOPES = {
+STATE_LETTERS = {"U": EndpointState.UP, "L": EndpointState.DRAINING, "D": EndpointState.REMOVED}
+UPDATE_WORDS = {
     "update": EndpointUpdateKind.DELTA,
     "replace": EndpointUpdateKind.SNAPSHOT,
     "restored": EndpointUpdateKind.CACHED,
     "unavailable": EndpointUpdateKind.FAILED,
 }
-NOTES = {1: ProgressKind.PROGRESS, 2: ProgressKind.SPILLING, 3: ProgressKind.WAITING}
+PROGRESS_NUMBERS = {1: ProgressKind.PROGRESS, 2: ProgressKind.SPILLING, 3: ProgressKind.WAITING}
+HAS_ESTIMATE, IS_RETRY = 1, 2  # bits of an arrival's options
+# A completion's note holds work in milliseconds above and memory in units of 4 MB below
+NOTE_MEMORY_UNITS, NOTE_MEMORY_MB, NOTE_WORK_NS = 4096, 4.0, 1_000_000
+MAX_SHOWN = 200  # characters of a malformed line that are shown
+
+
+class AdapterError(ValueError):
+    """A line that cannot be used; the message says why."""
 
 
-def entry_of(f: list[str]) -> EndpointInfo:
-    """size availability group launched type executor zone"""
+def decode_endpoint(fields: list[str]) -> EndpointInfo:
+    """Decode an endpoint: size availability group launched type executor zone."""
     return EndpointInfo(
-        name=f[5],
-        state=STATES[f[1]],
-        zone=number(f, 6),
-        kind=number(f, 4),
-        group=number(f, 2),
-        started_at=number(f, 3),
-        size=1.0 if f[0] == "-" else float(f[0]),
+        name=fields[5],
+        state=STATE_LETTERS[fields[1]],
+        zone=whole_number(fields, 6),
+        kind=whole_number(fields, 4),
+        group=whole_number(fields, 2),
+        started_at=whole_number(fields, 3),
+        size=1.0 if fields[0] == "-" else float(fields[0]),
     )
 
 
-def number(f: list[str], at: int) -> int:
-    """A whole number that may be marked absent or left off the end."""
-    return int(f[at]) if len(f) > at and f[at] != "-" else 0
+def whole_number(fields: list[str], index: int) -> int:
+    """A whole number that may be marked absent or left off the end: 0 then."""
+    return int(fields[index]) if len(fields) > index and fields[index] != "-" else 0
 
 
-def real(f: list[str], at: int) -> float | None:
-    return float(f[at]) if len(f) > at and f[at] != "-" else None
+def real_number(fields: list[str], index: int) -> float | None:
+    """A number that may be absent in the same way."""
+    return float(fields[index]) if len(fields) > index and fields[index] != "-" else None
 
 
-def word(f: list[str], at: int) -> str | None:
-    return f[at] if len(f) > at and f[at] != "-" else None
+def word(fields: list[str], index: int) -> str | None:
+    """A word that may be absent in the same way."""
+    return fields[index] if len(fields) > index and fields[index] != "-" else None
 
 
-def report(f: list[str], at: int) -> tuple[float, ...]:
-    text = word(f, at)
+def load_report(fields: list[str], index: int) -> tuple[float, ...]:
+    """Numbers separated by commas; none if absent."""
+    text = word(fields, index)
     return tuple(float(part) for part in text.split(",")) if text else ()
 
 
-def event_of(name: str, f: list[str], tells_cost: bool) -> Event:
-    match name:
-        case "arrival":
-            options = number(f, 6)
-            cost = number(f, 2) if options & 1 and word(f, 2) else None
-            return Request(
-                request_id=int(f[1]),
-                class_index=int(f[5]),
-                deadline=int(f[7]),
-                tenant=number(f, 8),
-                table_group=real(f, 4),
-                key=word(f, 3),
-                estimated_work=cost,
-                memory_mb=real(f, 9) or 0.0,
-                is_retry=bool(options & 2),
-            )
-        case "completed":
-            note = number(f, 7)
-            told = tells_cost and note > 0 and f[3] == "pass"
-            return AttemptOutcome(
-                request_id=int(f[1]),
-                final=f[2] == "1",
-                code=CODES[f[3]],
-                duration=number(f, 4),
-                attempt_number=int(f[5]),
-                endpoint=f[6],
-                work=note // 4096 * 1_000_000 if told else None,
-                memory_mb=note % 4096 * 4.0 if told else None,
-                load_report=report(f, 8),
-            )
-        case "heartbeat":
-            return ProgressNote(int(f[1]), int(f[2]), f[3], NOTES[int(f[4])], float(f[5]))
-        case "under_way":
-            return AttemptStarted(int(f[1]), int(f[3]), f[2])
-        case "abandoned":
-            return RequestAbandoned(int(f[1]))
-        case "timeout_fired":
-            return TimerFired(int(f[1]))
-        case "probed":
-            return HealthCheckResult(f[1], f[2] == "pass", number(f, 3), report(f, 4))
-        case "message":
-            return GossipMessage(
-                int(f[1]), base64.b64decode(word(f, 2) or "", validate=True).decode("latin-1")
-            )
-    raise SettingsError("unknown event")
-
-
-def line_of(instance: int, action: Action) -> str:
+def _arrival(fields: list[str], _: bool) -> Event:
+    options = whole_number(fields, 6)
+    has_estimate = options & HAS_ESTIMATE and word(fields, 2)
+    return Request(
+        request_id=int(fields[1]),
+        class_index=int(fields[5]),
+        deadline=int(fields[7]),
+        tenant=whole_number(fields, 8),
+        table_group=real_number(fields, 4),
+        key=word(fields, 3),
+        estimated_work=whole_number(fields, 2) if has_estimate else None,
+        memory_mb=real_number(fields, 9) or 0.0,
+        is_retry=bool(options & IS_RETRY),
+    )
+
+
+def _completed(fields: list[str], reports_cost: bool) -> Event:
+    note = whole_number(fields, 7)
+    has_cost = reports_cost and note > 0 and fields[3] == "pass"
+    return AttemptOutcome(
+        request_id=int(fields[1]),
+        final=fields[2] == "1",
+        code=OUTCOME_WORDS[fields[3]],
+        duration=whole_number(fields, 4),
+        attempt_number=int(fields[5]),
+        endpoint=fields[6],
+        work=note // NOTE_MEMORY_UNITS * NOTE_WORK_NS if has_cost else None,
+        memory_mb=note % NOTE_MEMORY_UNITS * NOTE_MEMORY_MB if has_cost else None,
+        load_report=load_report(fields, 8),
+    )
+
+
+def _heartbeat(fields: list[str], _: bool) -> Event:
+    kind = PROGRESS_NUMBERS[int(fields[4])]
+    return ProgressNote(int(fields[1]), int(fields[2]), fields[3], kind, float(fields[5]))
+
+
+def _under_way(fields: list[str], _: bool) -> Event:
+    return AttemptStarted(int(fields[1]), int(fields[3]), fields[2])
+
+
+def _abandoned(fields: list[str], _: bool) -> Event:
+    return RequestAbandoned(int(fields[1]))
+
+
+def _timeout_fired(fields: list[str], _: bool) -> Event:
+    return TimerFired(int(fields[1]))
+
+
+def _probed(fields: list[str], _: bool) -> Event:
+    return HealthCheckResult(fields[1], fields[2] == "pass", whole_number(fields, 3), load_report(fields, 4))
+
+
+def _message(fields: list[str], _: bool) -> Event:
+    data = base64.b64decode(word(fields, 2) or "", validate=True)
+    return GossipMessage(int(fields[1]), data.decode("latin-1"))
+
+
+# By the first word of a line; each takes the other words and whether the site reports costs
+EVENT_DECODERS: dict[str, Callable[[list[str], bool], Event]] = {
+    "arrival": _arrival,
+    "completed": _completed,
+    "heartbeat": _heartbeat,
+    "under_way": _under_way,
+    "abandoned": _abandoned,
+    "timeout_fired": _timeout_fired,
+    "probed": _probed,
+    "message": _message,
+}
+
+
+def decode_event(name: str, fields: list[str], reports_cost: bool) -> Event:
+    """Decode an event line by its first word. Raises AdapterError if that is unknown."""
+    decoder = EVENT_DECODERS.get(name)
+    if decoder is None:
+        raise AdapterError("unknown event")
+    return decoder(fields, reports_cost)
+
+
+def _post(instance: int, action: SendGossip) -> str:
+    receiver = "all" if action.peer is None else action.peer
+    return f"post {instance} {receiver} {base64.b64encode(action.data.encode()).decode()}"
+
+
+def encode_action(instance: int, action: Action) -> str:  # noqa: C901, PLR0911, PLR0912 - a table of the wire
+    """The line of an action."""
     match action:
-        case Forward(xid, engine, within):
-            return f"place {instance} {xid} {within} {engine}"
-        case Reject(xid, wait):
-            return f"busy {instance} {xid} {wait}"
-        case Fail(xid):
-            return f"end_failed {instance} {xid}"
-        case Cancel(xid, copy):
-            return f"retract {instance} {xid} {copy}"
-        case SetTerms(xid, memory, priority):
-            return f"assign_terms {instance} {xid} {memory:g} {priority}"
-        case SetTimer(wait, context):
-            return f"timer {instance} {wait} {context}"
-        case HealthCheck(engine):
-            return f"ping {instance} {engine}"
-        case WatchEndpoints(on):
-            return f"listen {instance} {int(on)}"
+        case Forward(request_id, endpoint, timeout):
+            return f"place {instance} {request_id} {timeout} {endpoint}"
+        case Reject(request_id, retry_after):
+            return f"busy {instance} {request_id} {retry_after}"
+        case Fail(request_id):
+            return f"end_failed {instance} {request_id}"
+        case Cancel(request_id, attempt_number):
+            return f"retract {instance} {request_id} {attempt_number}"
+        case SetTerms(request_id, memory_mb, priority):
+            return f"assign_terms {instance} {request_id} {memory_mb:g} {priority}"
+        case SetTimer(delay, context):
+            return f"timer {instance} {delay} {context}"
+        case HealthCheck(endpoint):
+            return f"ping {instance} {endpoint}"
+        case WatchEndpoints(enabled):
+            return f"listen {instance} {int(enabled)}"
         case FetchEndpoints():
             return f"fetch {instance}"
-        case SendGossip(data, peer):
-            to = "all" if peer is None else peer
-            return f"post {instance} {to} {base64.b64encode(data.encode()).decode()}"
+        case SendGossip():
+            return _post(instance, action)
         case Log(text):
             return f"debug {instance} {text}"
 
 
-class Drill:
+class Instance:
+    """One gateway of the simulator: its scheduler, and whether its site reports costs."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        """Raises ValueError where the settings contradict themselves."""
+        self.scheduler = Scheduler(settings, seed)
+        self.reports_cost = settings.reports_cost
+
+
+class Adapter:
+    """The dialogue with the simulator: lines in, replies out; it holds one scheduler for each instance."""
+
     def __init__(self) -> None:
+        """Begin with no instance, no endpoint table and no open batch."""
         self.now = 0
-        self.gateways: dict[int, tuple[Scheduler, bool]] = {}
-        self.sheets: dict[int, tuple[EndpointInfo, ...]] = {}
-        self.sheet = -1
-        self.missing = 0
+        self.instances: dict[int, Instance] = {}
+        self.tables: dict[int, tuple[EndpointInfo, ...]] = {}
+        self.open_table = -1
+        self.missing_entries = 0
         self.batch: dict[int, list[Event]] = {}
-        self.open = False
-        self.out: list[str] = []
-
-    def flush(self, instance: int) -> None:
-        events = self.batch.pop(instance, [])
-        if events:
-            actions = self.gateways[instance][0].handle(self.now, events)
-            self.out.extend(line_of(instance, action) for action in actions)
-
-    def take(self, line: str) -> list[str] | None:
-        """One line in; the reply's lines at the end of a batch."""
-        f = line.split(" ")
-        name, f = f[0], f[1:]
-        if self.missing and name != "entry":
-            raise SettingsError(f"{self.missing} entry lines are missing")
+        self.batch_is_open = False
+
+    def take_line(self, line: str) -> list[str] | None:
+        """Take one line; the lines of the reply at the end of a batch, else None.
+
+        Raises AdapterError, SettingsError, ValueError, IndexError or KeyError for a malformed line.
+        """
+        name, *fields = line.split(" ")
+        if self.missing_entries and name != "entry":
+            raise AdapterError(f"{self.missing_entries} entry lines are missing")
         if name == "sync":
-            if self.open:
-                raise SettingsError("a batch is open already")
-            self.now, self.open = int(f[0]), True
-            return None
-        if not self.open:
-            raise SettingsError("no batch is open")
-        if name == "end":
-            for instance in list(self.batch):
-                self.flush(instance)
-            reply, self.out, self.open = [*self.out, "ok"], [], False
-            return reply
-        if name == "table":
-            self.sheet, self.missing = int(f[0]), int(f[1])
-            self.sheets[self.sheet] = ()
+            self._open_batch(fields)
+        elif not self.batch_is_open:
+            raise AdapterError("no batch is open")
+        elif name == "end":
+            return self._close_batch()
+        elif name == "table":
+            self.open_table, self.missing_entries = int(fields[0]), int(fields[1])
+            self.tables[self.open_table] = ()
         elif name == "entry":
-            if not self.missing:
-                raise SettingsError("entry outside a table")
-            self.sheets[self.sheet] += (entry_of(f),)
-            self.missing -= 1
+            self._add_entry(fields)
         else:
-            self.event(name, f)
+            self._take_event(name, int(fields[0]), fields)
         return None
 
-    def event(self, name: str, f: list[str]) -> None:
-        instance = int(f[0])
+    def _open_batch(self, fields: list[str]) -> None:
+        if self.batch_is_open:
+            raise AdapterError("a batch is open already")
+        self.now, self.batch_is_open = int(fields[0]), True
+
+    def _close_batch(self) -> list[str]:
+        reply: list[str] = []
+        for number, events in self.batch.items():
+            actions = self.instances[number].scheduler.handle(self.now, events)
+            reply.extend(encode_action(number, action) for action in actions)
+        self.batch, self.batch_is_open = {}, False
+        return [*reply, "ok"]
+
+    def _add_entry(self, fields: list[str]) -> None:
+        if not self.missing_entries:
+            raise AdapterError("entry outside a table")
+        self.tables[self.open_table] += (decode_endpoint(fields),)
+        self.missing_entries -= 1
+
+    def _take_event(self, name: str, number: int, fields: list[str]) -> None:
         if name == "configure":
-            self.batch.pop(instance, None)
-            settings = settings_of([part for part in f[2:] if part])
-            try:
-                self.gateways[instance] = Scheduler(settings, int(f[1])), settings.reports_cost
-            except ValueError as bad:
-                raise SettingsError(str(bad)) from None
-            return
-        if instance not in self.gateways:
-            raise SettingsError(f"instance {instance} was never configured")
-        if name == "killed":
-            self.batch.pop(instance, None)
-            del self.gateways[instance]
-            return
-        event: Event
-        if name == "targets":
-            scope = SCOPES[f[1]]
-            event = EndpointUpdate(
-                scope, () if scope is EndpointUpdateKind.FAILED else self.sheets[int(f[3])]
-            )
+            self._configure(number, fields)
+        elif number not in self.instances:
+            raise AdapterError(f"instance {number} was never configured")
+        elif name == "killed":
+            self.batch.pop(number, None)
+            del self.instances[number]
         else:
-            event = event_of(name, f, self.gateways[instance][1])
-        self.batch.setdefault(instance, []).append(event)
+            self.batch.setdefault(number, []).append(self._decode(name, number, fields))
+
+    def _configure(self, number: int, fields: list[str]) -> None:
+        self.batch.pop(number, None)
+        settings = settings_of([part for part in fields[2:] if part])
+        try:
+            self.instances[number] = Instance(settings, int(fields[1]))
+        except ValueError as error:
+            raise AdapterError(str(error)) from None
+
+    def _decode(self, name: str, number: int, fields: list[str]) -> Event:
+        if name != "targets":
+            return decode_event(name, fields, self.instances[number].reports_cost)
+        kind = UPDATE_WORDS[fields[1]]
+        failed = kind is EndpointUpdateKind.FAILED
+        return EndpointUpdate(kind, () if failed else self.tables[int(fields[3])])
 
 
 def run(source: TextIO, sink: TextIO, errors: TextIO) -> int:
-    drill = Drill()
-    for at, raw in enumerate(source, 1):
+    """Hold the dialogue until the end of input: 0, or 2 after a malformed line, named in `errors`."""
+    adapter = Adapter()
+    for line_number, raw in enumerate(source, 1):
         line = raw.rstrip("\n")
         if not line:
             continue
         try:
-            reply = drill.take(line)
-        except SettingsError as bad:
-            fault = str(bad)
-        except (ValueError, IndexError, KeyError) as bad:
-            fault = f"missing or malformed field ({bad})"
+            reply = adapter.take_line(line)
+        except (SettingsError, AdapterError) as error:
+            fault = str(error)
+        except (ValueError, IndexError, KeyError) as error:
+            fault = f"missing or malformed field ({error})"
         else:
             if reply is not None:
                 sink.write("\n".join(reply) + "\n")
                 sink.flush()
             continue
-        print(f"line {at}: {fault}: {line[:200]}", file=errors)
+        print(f"line {line_number}: {fault}: {line[:MAX_SHOWN]}", file=errors)
         return 2
     return 0
 
 
 def main() -> None:
+    """Hold the dialogue on standard input and output."""
     sys.stdin.reconfigure(encoding="utf-8")  # type: ignore[union-attr]
     sys.exit(run(sys.stdin, sys.stdout, sys.stderr))
 
--- /dev/null
+++ b/tests/test_model.py
@@ -0,0 +1,155 @@
+"""The parts of the model, each on its own: estimators, budgets, queues and forecasts."""
+
+import math
+from dataclasses import replace
+from random import Random
+
+import pytest
+
+from query_gateway.model.averages import DecayedAverage, RunningMean
+from query_gateway.model.budgets import RetryBudget, TokenBucket
+from query_gateway.model.costs import CostTotals
+from query_gateway.model.estimates import RemainingTimeEstimator
+from query_gateway.model.forecasts import forecast_completions, index_queued_threads
+from query_gateway.model.gossip import TenantTraffic
+from query_gateway.model.key_queues import KeyQueues
+from query_gateway.model.records import AttemptState, ClassState, DeadlineQueue, EngineState, QueryState
+from query_gateway.model.settings import ClassSettings
+from query_gateway.model.state import EndpointWatch, PeriodicFraction
+from tests.world import LOAD, MS, QUICK, SEC, SITE, World, engine
+
+NOW = 100 * SEC
+
+
+def query(
+    number: int, due: int = NOW + SEC, rules: ClassSettings = QUICK, key: str | None = None
+) -> QueryState:
+    request = World().request(key=key)
+    known = ClassState(rules, 0.0)
+    return QueryState(request, known, NOW, 1.0, 1.0 * SEC, 1.0 * SEC, due, (due, number), 4)
+
+
+def test_a_running_mean_is_plain_at_first_and_its_spread_is_drawn_to_the_prior() -> None:
+    mean = RunningMean()
+    assert mean.spread(0.7, 20) == pytest.approx(0.7)
+    for sample in (1.0, 3.0):
+        mean.add(sample, 0.01)
+    assert (mean.value, mean.variance, mean.count) == (2.0, 1.0, 2)
+    assert mean.spread(0.0, 2) == pytest.approx(0.5)
+
+
+def test_a_decayed_average_loses_weight_with_time_and_returns_to_the_prior() -> None:
+    average = DecayedAverage()
+    average.add(4.0, NOW, SEC)
+    assert average.mean(NOW, SEC, 0.0, 1.0) == pytest.approx(2.0)
+    assert average.weight_at(NOW + SEC, SEC) == pytest.approx(math.exp(-1))
+    assert average.mean(NOW + 60 * SEC, SEC, 7.0, 1.0) == pytest.approx(7.0)
+
+
+def test_a_token_bucket_starts_full_and_refills_at_its_rate() -> None:
+    bucket = TokenBucket()
+    assert [bucket.take(1.0, 2.0, NOW) for _ in range(3)] == [True, True, False]
+    assert not bucket.take(1.0, 2.0, NOW + 500 * MS)
+    assert bucket.take(1.0, 2.0, NOW + SEC)
+
+
+def test_a_retry_budget_counts_what_lies_within_its_window() -> None:
+    budget = RetryBudget()
+    assert budget.allows_retry(SITE, NOW)  # no limit at this site
+    site = replace(SITE, retry_allowance=0.0, retries_per_request=0.5, retry_window=SEC)
+    for _ in range(2):
+        budget.record_request(site, NOW)
+    assert budget.allows_retry(site, NOW)
+    budget.retries.append(NOW)
+    assert not budget.allows_retry(site, NOW)
+    assert not budget.allows_retry(site, NOW + SEC) and not budget.requests
+
+
+def test_costs_are_shares_of_the_weight_requested() -> None:
+    costs = CostTotals()
+    assert costs.shares() == (0.0, 0.0)
+    costs.add(10.0, 1.0, 2.0, NOW, SEC)
+    assert costs.shares() == pytest.approx((0.1, 0.2))
+
+
+def test_a_forecast_tells_when_enough_threads_are_free() -> None:
+    forecast = forecast_completions([(300.0, 2), (100.0, 1)], NOW, NOW + 1)
+    assert forecast.completes_at == [NOW + 100, NOW + 300] and forecast.freed_threads == [1, 3]
+    assert forecast.time_until_free(1, 3, 4.0, 50.0, NOW) == 100.0
+    assert forecast.time_until_free(2, 3, 4.0, 50.0, NOW) == 300.0
+    assert forecast.time_until_free(7, 3, 4.0, 50.0, NOW) == 300.0 + 4 / 4 * 50.0
+    assert forecast_completions([], NOW, NOW).time_until_free(4, 0, 4.0, 50.0, NOW) == 50.0
+
+
+def test_an_index_sums_threads_ahead_by_length_of_class() -> None:
+    index = index_queued_threads([((1, 1), 2, False), ((2, 2), 3, True), ((3, 3), 4, False)], NOW)
+    assert index.threads_ahead((3, 0), False) == 2 and index.threads_ahead((9, 0), False) == 6
+    assert index.threads_ahead((9, 0), True) == 3
+
+
+def test_a_deadline_queue_tells_the_same_whether_it_is_read_or_indexed() -> None:
+    queue, queries = DeadlineQueue(), [query(i, NOW + i * SEC) for i in (3, 1, 2)]
+    for each in queries:
+        queue.add(each)
+    assert [order[1] for order, _ in queue.entries] == [1, 2, 3]
+    for exact_length in (32, 0):
+        assert queue.threads_ahead(queries[0], NOW, exact_length, MS) == 2
+    queries[0].start_at = queries[0].due_at - queries[0].run_time - 5.0
+    assert queue.weight_made_late(queries[1], 5.0) == 1.0 and queue.weight_made_late(queries[1], 4.0) == 0.0
+    queue.remove(queries[1])
+    assert len(queue.entries) == 2
+
+
+def test_a_key_queue_lets_one_run_at_a_time_and_holds_a_key_in_quarantine() -> None:
+    rules = replace(LOAD, ordered_by_key=True)
+    queues, first, second = KeyQueues(), query(1, rules=rules, key="k"), query(2, rules=rules, key="k")
+    for each in (first, second):
+        queues.add("k", each)
+    assert queues.is_next(first, NOW) and not queues.is_next(second, NOW) and queues.is_next(query(3), NOW)
+    queues.quarantine(first, NOW + SEC)
+    queues.remove(first)
+    assert not queues.is_next(second, NOW) and queues.is_next(second, NOW + SEC)
+    queues.remove(second)
+    assert not queues.queues
+
+
+def test_traffic_counts_only_well_formed_reports_and_scales_up_what_was_observed_shortly() -> None:
+    traffic = TenantTraffic([DecayedAverage()])
+    for data in ("x", "1,2", "", "1234567890"):
+        traffic.record_report(1, data, NOW)
+    assert not traffic.reports
+    traffic.record_report(1, "5", NOW)
+    assert traffic.peer_requests(0, NOW, SEC) == 5 and traffic.peer_requests(0, NOW + SEC, SEC) == 0
+    assert traffic.peer_requests_of_all(0, NOW, SEC, 10, 2.0) == 25
+    traffic.counts[0].add(1.0, NOW, SEC)
+    assert traffic.local_requests(0, NOW, SEC, SEC) == pytest.approx(1 / (1 - math.exp(-1)))
+    assert traffic.message(NOW, SEC, SEC) == "2"
+
+
+def test_silence_counts_mean_runs_over_all_attempts_in_flight() -> None:
+    record, one = EngineState(engine("a"), 8, 0.0), query(1)
+    record.last_heard_at = NOW - 3 * SEC
+    record.in_flight[1, 0] = one, AttemptState(0, record, NOW - 2 * SEC, NOW, False)
+    assert record.silence_hazard(NOW) == (2.0, 2 * SEC)
+
+
+def test_remaining_time_follows_progress_or_else_age() -> None:
+    estimator = RemainingTimeEstimator(trusted_progress=0.1, mostly_done=0.5, overrun=0.25)
+    attempt = AttemptState(0, EngineState(engine("a"), 8, 0.0), NOW, NOW, False)
+    assert estimator.remaining_time(query(1), attempt, NOW + 400 * MS) == 600 * MS
+    assert estimator.remaining_time(query(1), attempt, NOW + 2 * SEC) == 500 * MS
+    attempt.progress, attempt.progress_at = 0.5, NOW + SEC
+    assert estimator.remaining_time(query(1), attempt, NOW + SEC) == SEC
+
+
+def test_a_watch_begins_once_and_again_only_after_its_backoff() -> None:
+    watch = EndpointWatch()
+    assert watch.begin(NOW) and not watch.begin(NOW)
+    watch.fail(NOW + SEC)
+    assert not watch.begin(NOW) and watch.begin(NOW + SEC)
+
+
+def test_a_periodic_fraction_is_drawn_once_a_period() -> None:
+    fraction, random = PeriodicFraction(), Random(1)
+    first = fraction.draw(1, random)
+    assert fraction.draw(1, random) == first != fraction.draw(2, random)
