--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -31,13 +31,13 @@
     assert done.stdout == "ok\nplace 0 42 0 engine.a\ntimer 0 100000000 0\nok\nok\n"
 
 
-def drill(text: str) -> tuple[int, str, str]:
+def hold_dialogue(text: str) -> tuple[int, str, str]:
     out, err = io.StringIO(), io.StringIO()
     return run(io.StringIO(text), out, err), out.getvalue(), err.getvalue()
 
 
 def test_end_of_input_is_a_clean_exit() -> None:
-    assert drill("") == (0, "", "")
+    assert hold_dialogue("") == (0, "", "")
 
 
 @pytest.mark.parametrize(
@@ -55,13 +55,13 @@
     ],
 )
 def test_a_malformed_line_is_named_on_standard_error(bad: str) -> None:
-    code, out, err = drill(START + f"sync 2000\n{bad}\nend\n")
+    code, out, err = hold_dialogue(START + f"sync 2000\n{bad}\nend\n")
     assert code != 0 and out == "ok\n"
     assert err.startswith("line 8: ") and bad in err and err.count("\n") == 1
 
 
 def test_contradicting_settings_are_named() -> None:
-    code, _, err = drill(START.replace("instances=1", "instances=0"))
+    code, _, err = hold_dialogue(START.replace("instances=1", "instances=0"))
     assert code != 0 and "instances" in err
 
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -28,7 +28,7 @@
 MANY = tuple(engine(name) for name in "abcdef")
 
 
-def _refused(w: World) -> list[int]:
+def _rejected(w: World) -> list[int]:
     return [a.request_id for a in w.last if isinstance(a, Reject)]
 
 
@@ -44,7 +44,7 @@
     assert sorted(s.endpoint for s in w.sent) == ["a", "a", "b", "b"]
 
 
-def test_overload_is_refused_early_with_advice_when_to_return() -> None:
+def test_overload_is_rejected_early_with_advice_when_to_return() -> None:
     w = World(engines=ONE)
     fill(w)
     assert len(w.sent) < 40
@@ -58,7 +58,7 @@
     assert [a.retry_after for a in w.last if isinstance(a, Reject)] == [0]
 
 
-def test_held_queries_leave_by_earliest_deadline() -> None:
+def test_queued_queries_leave_by_earliest_deadline() -> None:
     w = World(engines=ONE)
     while len(w.sent) == w.next:
         w.ask(1)
@@ -73,7 +73,7 @@
     assert w.sent[n].request_id == tight.request_id
 
 
-def test_a_query_that_endangers_more_worth_than_its_own_is_refused() -> None:
+def test_a_query_that_endangers_more_weight_than_its_own_is_rejected() -> None:
     w = World(replace(SITE, classes=(replace(QUICK, latency_objective=2 * SEC), REPORT)), ONE)
     scheduler = w.scheduler
     while len(w.sent) == w.next:
@@ -86,7 +86,7 @@
     assert Reject in {type(a) for a in w.last if getattr(a, "request_id", 0) == small.request_id}
 
 
-def test_nothing_more_is_held_once_clients_find_no_place() -> None:
+def test_nothing_more_is_queued_once_clients_find_no_place() -> None:
     """Guards clients at the door: at peak all their connections were held, and more were not let in."""
     told = {}
     for places in (0, 40):
@@ -99,7 +99,7 @@
     assert told[0][0] > 40 >= told[40][0] and told[40][1] > 0
 
 
-def test_controller_tightens_on_lateness_and_loosens_on_refusals() -> None:
+def test_controller_tightens_on_lateness_and_loosens_on_rejections() -> None:
     scheduler = Scheduler(SITE, 1)
     scheduler.state.now = 10 * SEC
     controller.record_cost(scheduler.state, 10.0, 0.0, 2.0)
@@ -111,7 +111,7 @@
     assert scheduler.state.lag_ratio == pytest.approx(1.0)
 
 
-def test_controller_rests_below_its_floor() -> None:
+def test_controller_is_idle_below_its_floor() -> None:
     scheduler = Scheduler(SITE, 1)
     scheduler.state.now = 10 * SEC
     controller.record_cost(scheduler.state, 1000.0, 1.0, 0.0)
@@ -119,13 +119,13 @@
     assert scheduler.state.lag_ratio == 1.0
 
 
-def test_marked_retries_do_not_swell_refusal_cost() -> None:
+def test_marked_retries_do_not_swell_rejection_cost() -> None:
     world = World(engines=())
     world.ask(left=1 * MS, retry=True)
     assert world.scheduler.state.costs.rejected.total == 0.0
 
 
-def test_a_retry_whose_aim_has_passed_is_refused_at_once() -> None:
+def test_a_retry_whose_objective_has_passed_is_rejected_at_once() -> None:
     w = World(engines=ONE)
     first = w.ask()
     w.end(first.request_id, OutcomeCode.OK)
@@ -133,14 +133,14 @@
     assert isinstance(w.last[0], Reject) and w.last[0].request_id == late.request_id
 
 
-def test_an_attempt_without_notes_is_begun_anew_elsewhere_and_takes_no_place() -> None:
+def test_an_attempt_without_notes_is_restarted_elsewhere_and_counts_no_threads() -> None:
     w = World(
         replace(SITE, classes=(replace(QUICK, latency_objective=60 * SEC, timeout=90 * SEC), REPORT)), TWO
     )
     r = w.ask()
     here = w.sent[-1].endpoint
     for _ in range(40):
-        w.tell(TimerFired(0), after=100 * MS)
+        w.notify(TimerFired(0), after=100 * MS)
         if cancels(w.last):
             break
     assert cancels(w.last) == [(r.request_id, 0)]
@@ -149,26 +149,26 @@
     assert w.scheduler.state.engines[here].threads_in_use == [0, 0]
 
 
-def test_a_wrong_plan_is_begun_anew_once_by_its_notes() -> None:
+def test_a_wrong_plan_is_restarted_once_by_its_notes() -> None:
     w = World(engines=TWO)
     for _ in range(20):
         r = w.ask(1)
         w.end(r.request_id, OutcomeCode.OK, took=SEC, after=SEC)
     r = w.ask(1)
-    w.tell(ProgressNote(r.request_id, 0, w.sent[-1].endpoint, ProgressKind.PROGRESS, 0.05), after=500 * MS)
-    w.tell(TimerFired(0), after=MS)
+    w.notify(ProgressNote(r.request_id, 0, w.sent[-1].endpoint, ProgressKind.PROGRESS, 0.05), after=500 * MS)
+    w.notify(TimerFired(0), after=MS)
     assert cancels(w.last) == [(r.request_id, 0)]
     w.end(r.request_id, OutcomeCode.CANCELLED)
-    w.tell(ProgressNote(r.request_id, 1, w.sent[-1].endpoint, ProgressKind.PROGRESS, 0.2), after=500 * MS)
-    w.tell(TimerFired(0), after=MS)
+    w.notify(ProgressNote(r.request_id, 1, w.sent[-1].endpoint, ProgressKind.PROGRESS, 0.2), after=500 * MS)
+    w.notify(TimerFired(0), after=MS)
     assert cancels(w.last) == []
 
 
-def test_a_steady_attempt_is_let_run() -> None:
+def test_a_steady_attempt_is_left_running() -> None:
     w = World(engines=TWO)
     r = w.ask(1)
-    w.tell(ProgressNote(r.request_id, 0, w.sent[-1].endpoint, ProgressKind.PROGRESS, 0.5), after=SEC)
-    w.tell(TimerFired(0), after=MS)
+    w.notify(ProgressNote(r.request_id, 0, w.sent[-1].endpoint, ProgressKind.PROGRESS, 0.5), after=SEC)
+    w.notify(TimerFired(0), after=MS)
     assert cancels(w.last) == []
 
 
@@ -180,14 +180,14 @@
     sent = len(w.sent)
     slow = [w.ask() for _ in range(60)]
     for _ in range(6):
-        w.tell(TimerFired(0), after=100 * MS)
+        w.notify(TimerFired(0), after=100 * MS)
     open_ = {s.request_id for s in w.sent[sent:]} & {r.request_id for r in slow}
     assert len(w.sent) - sent <= 1.2 * len(open_)
 
 
-def test_refused_connections_rest_an_engine_and_a_trial_brings_it_back_as_cold() -> None:
+def test_failed_connections_eject_an_engine_and_probation_brings_it_back_in_slow_start() -> None:
     w = World(engines=TWO)
-    w.tell(after=SEC)
+    w.notify(after=SEC)
     r = w.ask()
     dead = w.sent[-1].endpoint
     w.end(r.request_id, OutcomeCode.CONNECT_FAILED)
@@ -195,7 +195,7 @@
         w.ask()
     assert all(s.endpoint != dead for s in w.sent[1:])
     n = len(w.sent)
-    w.tell(after=SEC)
+    w.notify(after=SEC)
     for _ in range(5):
         w.ask()
     back = [s for s in w.sent[n:] if s.endpoint == dead]
@@ -204,7 +204,7 @@
     assert w.scheduler.state.engines[dead].started_at > 0
 
 
-def test_an_odd_connect_to_an_engine_just_heard_does_not_make_it_cold() -> None:
+def test_an_odd_connect_to_an_engine_just_heard_does_not_begin_slow_start() -> None:
     """Guards a sound engine: after one, it was held to a cold start's trickle for the whole span."""
     w = World(engines=TWO)
     r = w.ask()
@@ -216,14 +216,14 @@
             w.end(r.request_id, OutcomeCode.OK)
     for code in (OutcomeCode.CONNECT_FAILED, OutcomeCode.OK):
         w.end(r.request_id, code)
-    w.tell(after=SEC)
+    w.notify(after=SEC)
     while w.sent[-1].endpoint != odd:
         r = w.ask()
         w.end(r.request_id, OutcomeCode.OK)
     assert w.scheduler.state.engines[odd].started_at == 0
 
 
-def test_a_reset_rests_no_engine_but_asks_for_one_sign() -> None:
+def test_a_reset_ejects_no_engine_but_begins_probation() -> None:
     """Guards sound engines: each connection that broke took one out for half a second or more."""
     w = World(engines=TWO)
     r = w.ask()
@@ -258,26 +258,26 @@
     assert any(e.fault_rate > 0 for e in w.scheduler.state.engines.values()) is served
 
 
-def test_what_was_sent_to_a_resting_engine_is_not_begun_anew_for_that() -> None:
+def test_what_was_sent_to_a_ejected_engine_is_not_restarted_for_that() -> None:
     w = World(engines=(engine("a"),))
     outliers.eject(w.scheduler.state, w.scheduler.state.engines["a"])
     r = w.ask()
     assert w.sent[-1].request_id == r.request_id
-    assert not cancels(w.tell(TimerFired(0), after=100 * MS))
+    assert not cancels(w.notify(TimerFired(0), after=100 * MS))
 
 
-def test_an_engine_that_has_gone_is_forgotten_once_nothing_is_out_there() -> None:
+def test_an_engine_that_was_removed_is_forgotten_once_nothing_is_in_flight() -> None:
     w = World(engines=TWO)
     r = w.ask()
     name = w.sent[-1].endpoint
-    w.tell(EndpointUpdate(EndpointUpdateKind.DELTA, (engine(name, EndpointState.REMOVED),)))
+    w.notify(EndpointUpdate(EndpointUpdateKind.DELTA, (engine(name, EndpointState.REMOVED),)))
     assert name in w.scheduler.state.engines
     w.end(r.request_id, OutcomeCode.OK)
-    w.tell(after=SEC)
+    w.notify(after=SEC)
     assert name not in w.scheduler.state.engines
 
 
-def test_engines_are_not_all_shunned() -> None:
+def test_engines_are_not_all_ejected() -> None:
     w = World(engines=TWO)
     for _ in range(6):
         r = w.ask()
@@ -296,13 +296,13 @@
             FLEET_ESTIMATOR.record_slowdown(
                 scheduler.state, scheduler.state.engines[name], scheduler.state.classes[0], math.exp(x)
             )
-    w.tell(TimerFired(0), after=200 * MS)
+    w.notify(TimerFired(0), after=200 * MS)
     assert scheduler.state.engines["b"].penalty > 1.5 * scheduler.state.engines["a"].penalty
     for _ in range(60):
         FLEET_ESTIMATOR.record_slowdown(
             scheduler.state, scheduler.state.engines["a"], scheduler.state.classes[0], math.exp(1.5)
         )
-    w.tell(TimerFired(0), after=200 * MS)
+    w.notify(TimerFired(0), after=200 * MS)
     assert scheduler.state.engines["b"].penalty == pytest.approx(1.0, abs=0.1)
 
 
@@ -310,16 +310,16 @@
     for short in (MemoryShortage.WAIT, MemoryShortage.SHRINK):
         w = World(replace(SITE, memory_shortage=short), ONE)
         r = replace(w.request(1), memory_mb=1000.0)
-        first = next(a for a in w.tell(r) if isinstance(a, SetTerms))
+        first = next(a for a in w.notify(r) if isinstance(a, SetTerms))
         assert 1000 <= first.memory_mb < 1500
-        w.tell(ProgressNote(r.request_id, 0, "a", ProgressKind.SPILLING, 2000.0))
+        w.notify(ProgressNote(r.request_id, 0, "a", ProgressKind.SPILLING, 2000.0))
         again = replace(w.request(1), memory_mb=1000.0)
-        assert next(a for a in w.tell(again) if isinstance(a, SetTerms)).memory_mb > first.memory_mb
+        assert next(a for a in w.notify(again) if isinstance(a, SetTerms)).memory_mb > first.memory_mb
 
 
 def test_memory_where_only_use_counts_is_granted_in_full() -> None:
     w = World(replace(SITE, memory_shortage=MemoryShortage.PAGE), ONE)
-    terms = next(a for a in w.tell(w.request(1)) if isinstance(a, SetTerms))
+    terms = next(a for a in w.notify(w.request(1)) if isinstance(a, SetTerms))
     assert terms.memory_mb == pytest.approx(0.4 * 16384, abs=1)
 
 
@@ -329,7 +329,7 @@
     assert w.of(SetTerms) == [] and len(w.sent) == 1
 
 
-def test_traffic_beyond_a_tenants_share_is_worth_little() -> None:
+def test_traffic_beyond_a_tenants_quota_is_of_little_weight() -> None:
     w = World(replace(SITE, tenant_quotas=(5.0,)), MANY)
     worths = [w.scheduler.state.queries[w.ask().request_id].weight for _ in range(40)]
     assert worths[0] == 1.0 and worths[-1] == pytest.approx(0.1)
@@ -365,7 +365,7 @@
     for s in list(w.sent):
         w.end(s.request_id, OutcomeCode.OK, after=10 * MS)
     for _ in range(300):
-        w.tell(TimerFired(0), after=100 * MS)
+        w.notify(TimerFired(0), after=100 * MS)
         assert off.get("cancelling", True) or not w.of(Cancel)
         for s in w.sent:
             if (
@@ -377,21 +377,21 @@
     assert len(asked) == 30
 
 
-def test_a_list_that_must_be_asked_for_is_watched_and_asked_again_after_a_failure() -> None:
+def test_a_list_that_must_be_polled_is_watched_and_watched_again_after_a_failure() -> None:
     w = World(replace(SITE, polls_endpoint_list=True), TWO)
     assert w.of(WatchEndpoints) == [WatchEndpoints(True)]
-    w.tell(EndpointUpdate(EndpointUpdateKind.FAILED, ()))
+    w.notify(EndpointUpdate(EndpointUpdateKind.FAILED, ()))
     assert w.of(WatchEndpoints) == []
-    w.tell(TimerFired(0), after=2 * SEC)
+    w.notify(TimerFired(0), after=2 * SEC)
     assert w.of(WatchEndpoints) == [WatchEndpoints(True)]
 
 
-def test_without_engines_a_query_is_held_then_refused_not_kept_to_its_end() -> None:
+def test_without_engines_a_query_is_queued_then_rejected_not_kept_to_its_end() -> None:
     w = World()
     r = w.ask()
     assert not w.of(Reject)
     while not w.of(Reject):
-        w.tell(TimerFired(0), after=100 * MS)
+        w.notify(TimerFired(0), after=100 * MS)
         assert w.now < r.deadline - SEC
     assert not w.of(Fail) and not w.of(Forward)
 
@@ -399,7 +399,7 @@
 IN_TURN = replace(SITE, classes=(QUICK, REPORT, replace(LOAD, ordered_by_key=True)))
 
 
-def test_what_has_its_turn_is_not_held_by_a_class_bound() -> None:
+def test_what_has_its_turn_is_not_held_by_a_concurrency_limit() -> None:
     w = World(IN_TURN, ONE)
     while len(w.sent) == w.next:
         w.ask(1)
@@ -412,13 +412,13 @@
 )
 
 
-def _key_held_up(late_value: float = 0.5) -> World:
+def _with_key_held_up(late_value: float = 0.5) -> World:
     """Three loads of a key: the first runs for 10 s, the second is late by then, the third came after 6 s."""
     w = World(replace(SITE, classes=(QUICK, REPORT, replace(KEYED, late_weight=late_value))), TWO)
     w.ask(2, key="k")
     w.ask(2, key="k")
     for _ in range(100):
-        w.tell(TimerFired(0), after=100 * MS)
+        w.notify(TimerFired(0), after=100 * MS)
         if w.now == 106 * SEC:
             w.ask(2, key="k")
     return w
@@ -426,44 +426,44 @@
 
 def test_a_load_that_its_key_held_up_goes_late_where_nobody_behind_loses_by_it() -> None:
     """Guards keys with one long load: all that waited behind it were refused, and each client's retry too."""
-    w = _key_held_up()
+    w = _with_key_held_up()
     assert [s.request_id for s in w.sent] == [1] and w.now > w.scheduler.state.queries[2].due_at
-    w.tell(RequestAbandoned(3))
+    w.notify(RequestAbandoned(3))
     w.end(1, OutcomeCode.OK, took=10 * SEC)
     assert [s.request_id for s in w.sent] == [1, 2]
 
 
-def test_a_late_load_is_refused_as_its_turn_comes_where_one_behind_would_be_late_by_it() -> None:
-    w = _key_held_up()
+def test_a_late_load_is_rejected_as_its_turn_comes_where_one_behind_would_be_late_by_it() -> None:
+    w = _with_key_held_up()
     w.end(1, OutcomeCode.OK, took=10 * SEC)
-    assert _refused(w) == [2] and [s.request_id for s in w.sent] == [1, 3]
+    assert _rejected(w) == [2] and [s.request_id for s in w.sent] == [1, 3]
 
 
-def test_a_load_that_its_key_held_up_is_refused_at_once_where_late_is_worth_nothing() -> None:
-    w = _key_held_up(late_value=0.0)
+def test_a_load_that_its_key_held_up_is_rejected_at_once_where_late_is_without_value() -> None:
+    w = _with_key_held_up(late_value=0.0)
     assert 2 not in w.scheduler.state.queries
 
 
-def test_a_load_that_its_key_holds_up_is_refused_before_its_client_gives_up() -> None:
-    w = _key_held_up()
+def test_a_load_that_its_key_holds_up_is_rejected_before_its_client_gives_up() -> None:
+    w = _with_key_held_up()
     r = w.scheduler.state.queries[2].request
     while 2 in w.scheduler.state.queries:
-        w.tell(TimerFired(0), after=100 * MS)
-    assert _refused(w) == [2] and w.now < r.deadline
+        w.notify(TimerFired(0), after=100 * MS)
+    assert _rejected(w) == [2] and w.now < r.deadline
 
 
-def test_a_load_that_its_key_held_up_is_refused_where_an_engine_is_pressed() -> None:
+def test_a_load_that_its_key_held_up_is_rejected_where_an_engine_is_saturated() -> None:
     """Guards the others: late, it is worth less than what they would do in its place."""
-    w = _key_held_up()
+    w = _with_key_held_up()
     for _ in range(40):
         FLEET_ESTIMATOR.record_slowdown(
             w.scheduler.state, w.scheduler.state.engines["a"], w.scheduler.state.classes[0], 3.0
         )
-    w.tell(TimerFired(0), after=200 * MS)
-    assert _refused(w) == [2]
+    w.notify(TimerFired(0), after=200 * MS)
+    assert _rejected(w) == [2]
 
 
-def test_a_tenants_surplus_is_refused_where_the_engine_is_pressed_and_let_in_where_not() -> None:
+def test_a_tenants_surplus_is_rejected_where_the_engine_is_saturated_and_admitted_where_not() -> None:
     w = World(replace(SITE, tenant_quotas=(1.0,)), MANY)
     calm = [w.ask(tables=float(i)) for i in range(8)]
     assert w.scheduler.state.queries[calm[-1].request_id].weight == pytest.approx(0.1)
@@ -471,22 +471,22 @@
     for e in w.scheduler.state.engines.values():
         e.reported_load, e.reported_at = 1.0, w.now
     w.scheduler.state.load_reports.add(1.0, w.now, SEC)
-    w.tell(TimerFired(0), after=200 * MS)
+    w.notify(TimerFired(0), after=200 * MS)
     over = w.ask()
-    assert _refused(w) == [over.request_id]
+    assert _rejected(w) == [over.request_id]
 
 
-def test_peers_tell_their_part_of_a_tenants_traffic_and_fall_silent_when_down() -> None:
+def test_peers_gossip_their_share_of_a_tenants_traffic_and_fall_silent_when_down() -> None:
     w = World(replace(SITE, tenant_quotas=(40.0,), allows_gossip=True, instance_count=2), MANY)
     for i in range(6):
         w.ask(tables=float(i))
-    w.tell(TimerFired(0), after=SEC)
-    posts = [a for a in w.last if isinstance(a, SendGossip)] or w.tell(TimerFired(0), after=SEC)
+    w.notify(TimerFired(0), after=SEC)
+    posts = [a for a in w.last if isinstance(a, SendGossip)] or w.notify(TimerFired(0), after=SEC)
     assert any(isinstance(a, SendGossip) for a in posts)
     assert tenants.quota_share(w.scheduler.state, 0) == 1.0
-    w.tell(GossipMessage(1, "2"), GossipMessage(1, "not,ours"))
+    w.notify(GossipMessage(1, "2"), GossipMessage(1, "not,ours"))
     assert 0.5 < tenants.quota_share(w.scheduler.state, 0) < 1.0
-    w.tell(TimerFired(0), after=4 * SEC)
+    w.notify(TimerFired(0), after=4 * SEC)
     assert tenants.quota_share(w.scheduler.state, 0) == 1.0
 
 
@@ -516,4 +516,4 @@
         RequestAbandoned(999),
         TimerFired(77),
     ):
-        assert w.tell(event, after=MS) == []
+        assert w.notify(event, after=MS) == []
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -29,7 +29,7 @@
 
 
 @pytest.mark.parametrize("instances", [1, 2, 4, 20, 80, 280])
-def test_all_controllers_together_stay_under_the_cold_budget_and_use_it(instances: int) -> None:
+def test_all_controllers_together_stay_under_the_slow_start_budget_and_use_it(instances: int) -> None:
     """Many engines start at once; every controller asks for more than it is given."""
     works = (200 * MS, 2500 * MS)
     sent: dict[str, list[tuple[int, float]]] = {e.name: [] for e in TEN}
@@ -40,9 +40,9 @@
         w.scheduler = Scheduler(w.settings, 1000 + i)
         for c, work in zip(w.scheduler.state.classes, works, strict=True):
             c.work.add(float(work), 1.0)
-        w.tell(EndpointUpdate(EndpointUpdateKind.CACHED, TEN))
+        w.notify(EndpointUpdate(EndpointUpdateKind.CACHED, TEN))
         cold = tuple(replace(e, started_at=103 * SEC) for e in TEN)
-        w.tell(EndpointUpdate(EndpointUpdateKind.DELTA, cold), after=3 * SEC)
+        w.notify(EndpointUpdate(EndpointUpdateKind.DELTA, cold), after=3 * SEC)
         n = 0
         for step in range(40):
             for _ in range(max(2, 40 // instances)):
@@ -52,7 +52,7 @@
                 work = works[w.scheduler.state.queries[s.request_id].request.class_index]
                 sent[s.endpoint].append((w.now, work))
                 w.end(s.request_id, OutcomeCode.OK, took=work // (1 + (work > SEC)))
-            w.tell(TimerFired(0), after=150 * MS)
+            w.notify(TimerFired(0), after=150 * MS)
     rate, grows = 8 * 0.85, (1 - SITE.cold_capacity) / SITE.slow_start_window
 
     def bears(age: int) -> float:
@@ -70,16 +70,16 @@
         assert sum(first) >= 0.3 * bears(3 * SEC) * 6 * SEC
 
 
-def test_a_right_to_a_long_one_lasts_until_one_of_many_may_have_such_a_query() -> None:
+def test_a_credit_for_a_long_one_lasts_until_one_of_many_may_have_such_a_query() -> None:
     longest = [0, 0]
     for me in range(0, 200, 5):
         w = World(replace(SITE, instance_count=200, instance_index=me, classes=(QUICK, REPORT)), TWO)
         for c, work in zip(w.scheduler.state.classes, (200 * MS, 1000 * MS), strict=True):
             c.work.add(float(work), 1.0)
-        w.tell(EndpointUpdate(EndpointUpdateKind.DELTA, (engine("a", launched=101 * SEC),)), after=2 * SEC)
+        w.notify(EndpointUpdate(EndpointUpdateKind.DELTA, (engine("a", launched=101 * SEC),)), after=2 * SEC)
         span = [0, 0]
         for _ in range(40):
-            w.tell(TimerFired(0), after=200 * MS)
+            w.notify(TimerFired(0), after=200 * MS)
             for i, c in enumerate(w.scheduler.state.classes):
                 span[i] = (
                     span[i] + 200 * MS
@@ -99,12 +99,12 @@
         r = w.ask(1)
         sent = w.sent[-1]
         share = 0.02 if sent.endpoint == "a" else 0.9
-        w.tell(ProgressNote(r.request_id, 0, sent.endpoint, ProgressKind.PROGRESS, share), after=2 * SEC)
-    w.tell(TimerFired(0), after=SEC)
+        w.notify(ProgressNote(r.request_id, 0, sent.endpoint, ProgressKind.PROGRESS, share), after=2 * SEC)
+    w.notify(TimerFired(0), after=SEC)
     assert (w.scheduler.state.engines["b"].slowdown < slow.slowdown) == (instances == 200)
 
 
-def test_one_send_of_one_among_many_presses_no_engine() -> None:
+def test_one_send_of_one_among_many_saturates_no_engine() -> None:
     w = World(replace(SITE, instance_count=200, classes=(QUICK, REPORT)), TEN)
     w.ask(1)
     assert not any(e.is_saturated() for e in w.scheduler.state.engines.values())
@@ -121,25 +121,25 @@
 
 def _restart(w: World) -> None:
     """All but four engines start anew and are cold."""
-    w.tell(EndpointUpdate(EndpointUpdateKind.DELTA, tuple(replace(e, started_at=w.now) for e in TEN[4:])))
+    w.notify(EndpointUpdate(EndpointUpdateKind.DELTA, tuple(replace(e, started_at=w.now) for e in TEN[4:])))
 
 
-def test_under_pressure_one_among_many_holds_to_its_part_of_the_fleet_not_to_one_query_an_engine() -> None:
+def test_under_saturation_one_among_many_holds_to_its_share_of_the_fleet_not_to_one_query_an_engine() -> None:
     patient = replace(REPORT, latency_objective=80 * SEC, timeout=90 * SEC)
     w = World(
         replace(SITE, instance_count=200, classes=(QUICK, patient), memory_shortage=MemoryShortage.PAGE), TEN
     )
     _paced(w, 1.5)
-    w.tell(TimerFired(0), after=200 * MS)
+    w.notify(TimerFired(0), after=200 * MS)
     for _ in range(20):
         w.ask(1)
     assert len(w.sent) <= 2
     for _ in range(40):  # and what it holds leaves in its turn
-        w.tell(TimerFired(0), after=200 * MS)
+        w.notify(TimerFired(0), after=200 * MS)
     assert 1 <= len(w.sent) <= 2
 
 
-def test_under_pressure_what_cold_engines_cannot_take_does_not_crowd_onto_the_warm_ones() -> None:
+def test_under_saturation_what_slow_starting_engines_cannot_take_does_not_crowd_onto_the_others() -> None:
     """Guards against a jam of the few warm engines while the bound counts the cores of all."""
     patient = replace(REPORT, latency_objective=80 * SEC, timeout=90 * SEC)
     most = 0
@@ -149,10 +149,10 @@
             TEN,
         )
         w.scheduler = Scheduler(w.settings, seed)
-        w.tell(EndpointUpdate(EndpointUpdateKind.CACHED, TEN))
+        w.notify(EndpointUpdate(EndpointUpdateKind.CACHED, TEN))
         _restart(w)
         _paced(w, 0.6)  # just over what counts as pressed
-        w.tell(TimerFired(0), after=200 * MS)
+        w.notify(TimerFired(0), after=200 * MS)
         asked = len(w.sent)
         for _ in range(20):
             w.ask(1)
@@ -162,11 +162,11 @@
     assert 1 <= most <= 3
 
 
-def test_what_runs_at_cold_engines_is_no_sign_of_pressure_on_the_others() -> None:
+def test_what_runs_at_slow_starting_engines_is_no_sign_of_saturation_on_the_others() -> None:
     w = World(replace(SITE, instance_count=20), TEN)
     _restart(w)
     _paced(w, 1.2, TEN[4:])
-    w.tell(TimerFired(0), after=200 * MS)
+    w.notify(TimerFired(0), after=200 * MS)
     assert w.scheduler.state.fleet_slowdown < 0.1 and not w.scheduler.state.engines["a"].is_saturated()
 
 
@@ -182,7 +182,9 @@
 
 
 @pytest.mark.parametrize(("instances", "grows"), [(2, False), (20, True), (80, True)])
-def test_our_part_follows_the_pace_of_the_engines_where_no_load_is_told(instances: int, grows: bool) -> None:
+def test_our_share_follows_the_pace_of_the_engines_where_no_load_is_reported(
+    instances: int, grows: bool
+) -> None:
     """Among many, some see several times the mean: quick engines let them have more than an even part."""
     patient, parts = replace(QUICK, latency_objective=80 * SEC, timeout=90 * SEC), []
     for x in (0.0, 0.53, 1.5):
@@ -191,14 +193,14 @@
             TEN,
         )
         _paced(w, x)
-        w.tell(TimerFired(0), after=200 * MS)
+        w.notify(TimerFired(0), after=200 * MS)
         parts.append(_part(w))
     quick, pressed, jammed = parts
     assert jammed < pressed <= quick
     assert (quick > pressed) == grows
 
 
-def test_what_a_jam_taught_is_forgotten_when_nothing_more_is_told() -> None:
+def test_what_congestion_taught_is_forgotten_when_nothing_more_is_reported() -> None:
     w = World(replace(SITE, instance_count=200), TEN)
     c = w.scheduler.state.classes[0]
     c.work.add(200.0 * MS, 1.0)
@@ -206,7 +208,7 @@
         c.slowdown.add(20.0, w.now, 4 * SEC)
     w.ask()
     assert any(isinstance(a, Reject) for a in w.last)
-    w.tell(TimerFired(0), after=30 * SEC)
+    w.notify(TimerFired(0), after=30 * SEC)
     w.ask()
     assert any(isinstance(a, Forward) for a in w.last)
 
@@ -222,10 +224,10 @@
     assert len(first) > 5
 
 
-def test_few_peers_are_told_however_many_there_are() -> None:
+def test_few_peers_get_gossip_however_many_there_are() -> None:
     w = World(replace(SITE, tenant_quotas=(40.0,), allows_gossip=True, instance_count=280), TEN)
     w.ask()
-    posts = [a for a in w.last if isinstance(a, SendGossip)] or w.tell(TimerFired(0), after=SEC)
+    posts = [a for a in w.last if isinstance(a, SendGossip)] or w.notify(TimerFired(0), after=SEC)
     told = [a.peer for a in posts if isinstance(a, SendGossip)]
     assert len(told) == 2 and w.settings.instance_index not in told
 
@@ -233,13 +235,15 @@
 @pytest.mark.parametrize("data", ["", "x", "-1", "1,2", "9" * 300, "1;", "\x00\xff", " ", "1.5"])
 def test_a_message_that_says_nothing_right_is_ignored(data: str) -> None:
     w = World(replace(SITE, tenant_quotas=(40.0,), allows_gossip=True, instance_count=3), TEN)
-    assert w.tell(GossipMessage(1, data)) == []
+    assert w.notify(GossipMessage(1, data)) == []
     assert w.scheduler.state.traffic.reports == {}
 
 
-def test_a_probe_result_for_what_is_off_the_list_changes_nothing() -> None:
+def test_a_health_check_result_for_what_is_off_the_list_changes_nothing() -> None:
     w = World(replace(SITE, allows_health_checks=True), TWO)
-    assert w.tell(HealthCheckResult("nowhere", True, MS, (1.0,)), HealthCheckResult("a", False, MS, ())) == []
+    assert (
+        w.notify(HealthCheckResult("nowhere", True, MS, (1.0,)), HealthCheckResult("a", False, MS, ())) == []
+    )
 
 
 def test_after_a_stall_of_our_own_no_engine_is_blamed_and_answers_are_taken_in_first() -> None:
@@ -249,7 +253,7 @@
         w.end(r.request_id, OutcomeCode.OK, took=200 * MS, after=50 * MS)
     out = [w.ask() for _ in range(4)]
     done = next(s for s in w.sent if s.request_id == out[0].request_id)
-    w.tell(
+    w.notify(
         TimerFired(0),
         w.request(),
         AttemptOutcome(out[0].request_id, True, OutcomeCode.OK, 300 * MS, 0, done.endpoint, None, None, ()),
@@ -263,7 +267,7 @@
     w = World(engines=TWO)
     w.ask()
     drain = EndpointUpdate(EndpointUpdateKind.DELTA, (engine("a", EndpointState.DRAINING),))
-    w.tell(w.request(), w.request(), drain, after=3 * SEC)
+    w.notify(w.request(), w.request(), drain, after=3 * SEC)
     assert {s.endpoint for s in w.sent[1:]} <= {"b"}
 
 
@@ -271,15 +275,15 @@
     w = World(engines=TWO)
     asked = [w.ask() for _ in range(6)]
     for after in (0, 0, 7 * SEC, 0, 60 * SEC):
-        w.tell(TimerFired(0), after=after)
+        w.notify(TimerFired(0), after=after)
     for s in list(w.sent):
         if s.request_id in w.scheduler.state.queries:
-            w.tell(ProgressNote(s.request_id, 0, s.endpoint, ProgressKind.PROGRESS, 0.5))
+            w.notify(ProgressNote(s.request_id, 0, s.endpoint, ProgressKind.PROGRESS, 0.5))
             w.end(s.request_id, OutcomeCode.TIMEOUT)
     assert not w.scheduler.state.queries and len(asked) == 6
 
 
-def test_one_error_where_answers_are_few_rests_the_engine() -> None:
+def test_one_error_where_answers_are_few_ejects_the_engine() -> None:
     w = World(replace(SITE, instance_count=200), TWO)
     r = w.ask()
     bad = w.sent[-1].endpoint
@@ -287,7 +291,9 @@
     assert w.scheduler.state.engines[bad].ejected_until > w.now
 
 
-def test_little_time_left_is_refused_at_once_and_does_not_count_as_the_first_tries_usual_time() -> None:
+def test_little_time_left_is_rejected_at_once_and_does_not_count_as_the_first_requests_usual_timeout() -> (
+    None
+):
     w = World(engines=TWO)
     for _ in range(20):
         r = w.ask()
@@ -298,7 +304,7 @@
     assert w.sent[-1].request_id == again.request_id
 
 
-def test_a_shift_to_the_heaviest_class_is_held_or_refused_and_short_queries_still_leave() -> None:
+def test_a_shift_to_the_heaviest_class_is_queued_or_rejected_and_short_queries_still_leave() -> None:
     w = World(replace(SITE, classes=(QUICK, REPORT), memory_shortage=MemoryShortage.PAGE), TWO)
     for _ in range(60):
         w.ask(1)
@@ -307,11 +313,11 @@
     assert heavy < 60 and len(w.sent) == heavy + 1
 
 
-def test_a_controller_just_restarted_does_not_take_its_part_for_small() -> None:
+def test_a_controller_just_restarted_does_not_take_its_share_for_small() -> None:
     w = World(replace(SITE, tenant_quotas=(40.0,), allows_gossip=True, instance_count=2), TEN)
     for i in range(10):
-        w.tell(w.request(tables=float(i)), after=50 * MS)
-    w.tell(GossipMessage(1, "60"))  # the peer asks as much, and has counted for all the time of hearsay
+        w.notify(w.request(tables=float(i)), after=50 * MS)
+    w.notify(GossipMessage(1, "60"))  # the peer asks as much, and has counted for all the time of hearsay
     assert 0.35 < tenants.quota_share(w.scheduler.state, 0) < 0.65
 
 
@@ -321,7 +327,7 @@
     for me in range(30):
         w = World(replace(SITE, instance_count=30, instance_index=me, classes=(reader, REPORT, LOAD)))
         w.scheduler = Scheduler(w.settings, me)
-        w.tell(EndpointUpdate(EndpointUpdateKind.CACHED, TEN))
+        w.notify(EndpointUpdate(EndpointUpdateKind.CACHED, TEN))
         for cls in gone:
             w.ask(cls, tables=5.0)
             gone[cls].add(w.sent[-1].endpoint)
@@ -329,17 +335,17 @@
     assert not gone[0] & gone[2]
 
 
-def test_estimates_that_lie_too_low_by_class_are_no_pressure_where_true_work_is_not_told() -> None:
+def test_estimates_that_lie_too_low_by_class_are_no_saturation_where_true_work_is_not_reported() -> None:
     w = World(replace(SITE, reports_cost=False, instance_count=40), TEN)
     for _ in range(30):
         r = w.ask(cost=60 * MS)
         w.end(r.request_id, OutcomeCode.OK, took=180 * MS, after=60 * MS)
-    w.tell(TimerFired(0), after=250 * MS)
+    w.notify(TimerFired(0), after=250 * MS)
     assert not any(e.is_saturated() for e in w.scheduler.state.engines.values())
 
 
 @pytest.mark.parametrize("field, figure", [("active", 30.0), ("cpu", 1.0), ("x0", 1.0), ("x1", 1.0)])
-def test_any_figure_that_an_engine_tells_can_show_that_it_is_full(field: str, figure: float) -> None:
+def test_any_figure_that_an_engine_reports_can_show_that_it_is_full(field: str, figure: float) -> None:
     w = World(
         replace(SITE, instance_count=100, classes=(QUICK, REPORT), load_report_fields=("waiting", field)), TWO
     )
@@ -350,12 +356,12 @@
             done = AttemptOutcome(
                 r.request_id, True, OutcomeCode.OK, 200 * MS, 0, sent.endpoint, None, None, (0.0, told)
             )
-            w.tell(done, after=50 * MS)
-        w.tell(TimerFired(0), after=250 * MS)
+            w.notify(done, after=50 * MS)
+        w.notify(TimerFired(0), after=250 * MS)
         assert all(e.saturated is full for e in w.scheduler.state.engines.values())
 
 
-def test_where_engines_tell_that_they_are_overfull_all_together_hold_fewer_than_one_query_each() -> None:
+def test_where_engines_report_that_they_are_overfull_all_together_hold_fewer_than_one_query_each() -> None:
     out = 0
     patient = replace(REPORT, latency_objective=80 * SEC, timeout=90 * SEC)
     for me in range(60):
@@ -368,33 +374,33 @@
         )
         w = World(replace(s, memory_shortage=MemoryShortage.SHRINK), TEN)
         w.scheduler = Scheduler(w.settings, me)
-        w.tell(EndpointUpdate(EndpointUpdateKind.CACHED, TEN))
+        w.notify(EndpointUpdate(EndpointUpdateKind.CACHED, TEN))
         for e in w.scheduler.state.engines.values():
             w.scheduler.state.load_reports.add(
                 FLEET_ESTIMATOR.reported_load(w.scheduler.state, e, {"active": 40.0}), w.now, 2 * SEC
             )
-        w.tell(TimerFired(0), after=250 * MS)
+        w.notify(TimerFired(0), after=250 * MS)
         w.ask(1)
         out += bool(w.sent)
     assert 1 <= out <= 30
 
 
-def test_an_attempt_far_overdue_is_called_off_though_its_class_never_ended_a_run() -> None:
+def test_an_attempt_far_overdue_is_cancelled_though_its_class_never_ended_a_run() -> None:
     w = World(replace(SITE, classes=(QUICK, REPORT), progress_interval=0), TWO)
     r = w.ask(1, cost=400 * MS)
     called: list[int] = []
     while not called and w.now < r.deadline:
-        called = [a.request_id for a in w.tell(TimerFired(0), after=100 * MS) if isinstance(a, Cancel)]
+        called = [a.request_id for a in w.notify(TimerFired(0), after=100 * MS) if isinstance(a, Cancel)]
     assert called == [r.request_id] and w.now < r.deadline - 20 * SEC
 
 
-def test_with_patience_a_short_pause_is_no_sign_of_a_bad_run() -> None:
+def test_with_extra_run_time_a_short_pause_is_no_sign_of_a_bad_run() -> None:
     """After a run of 1 ms one of 60 ms was cancelled twice and refused: a connect alone takes as long."""
     w = World(replace(SITE, classes=(QUICK, REPORT), progress_interval=0, extra_run_time=500 * MS), TWO)
     w.end(w.ask().request_id, OutcomeCode.OK, took=1 * MS)
     r = w.ask()
     for _ in range(5):
-        w.tell(TimerFired(0), after=60 * MS)
+        w.notify(TimerFired(0), after=60 * MS)
         assert not w.of(Cancel) and not w.of(Reject)
-    told = [cancels(w.tell(TimerFired(0), after=100 * MS)) for _ in range(20)]
+    told = [cancels(w.notify(TimerFired(0), after=100 * MS)) for _ in range(20)]
     assert [(r.request_id, 0)] in told
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -34,11 +34,11 @@
     r = w.ask()
     assert [s.request_id for s in w.sent] == [r.request_id]
     assert w.end(r.request_id, OutcomeCode.OK) == []
-    w.tell(RequestAbandoned(r.request_id), TimerFired(0))
+    w.notify(RequestAbandoned(r.request_id), TimerFired(0))
     assert len(w.sent) == 1
 
 
-def test_unsafe_that_may_have_run_is_failed_not_refused_nor_sent_again() -> None:
+def test_non_idempotent_that_may_have_run_is_failed_not_rejected_nor_retried() -> None:
     w = World(engines=TWO)
     r = w.ask(2)
     acts = w.end(r.request_id, OutcomeCode.RESET)
@@ -47,7 +47,7 @@
 
 
 @pytest.mark.parametrize("code", [OutcomeCode.FULL, OutcomeCode.CONNECT_FAILED])
-def test_unsafe_that_never_ran_goes_elsewhere(code: OutcomeCode) -> None:
+def test_non_idempotent_that_never_ran_goes_elsewhere(code: OutcomeCode) -> None:
     w = World(engines=TWO)
     r = w.ask(2)
     w.end(r.request_id, code)
@@ -56,7 +56,7 @@
 
 
 @pytest.mark.parametrize("scope", [DeduplicationScope.ZONE, DeduplicationScope.CELL])
-def test_keyed_repeats_stay_in_group_and_span(scope: DeduplicationScope) -> None:
+def test_keyed_retries_stay_in_group_and_span(scope: DeduplicationScope) -> None:
     keyed = replace(
         QUICK,
         idempotency=Idempotency.KEYED,
@@ -79,50 +79,52 @@
 
 
 @pytest.mark.parametrize("state", [EndpointState.DRAINING, EndpointState.REMOVED])
-def test_nothing_goes_to_a_draining_or_gone_engine(state: EndpointState) -> None:
+def test_nothing_goes_to_a_draining_or_removed_engine(state: EndpointState) -> None:
     w = World(engines=TWO)
-    w.tell(EndpointUpdate(EndpointUpdateKind.DELTA, (engine("a", state),)))
+    w.notify(EndpointUpdate(EndpointUpdateKind.DELTA, (engine("a", state),)))
     for _ in range(9):
         w.ask()
     assert {s.endpoint for s in w.sent} == {"b"}
 
 
-def test_engine_left_out_of_a_full_list_is_gone() -> None:
+def test_engine_left_out_of_a_snapshot_is_gone() -> None:
     w = World(engines=TWO)
-    w.tell(EndpointUpdate(EndpointUpdateKind.SNAPSHOT, (engine("b"),)))
+    w.notify(EndpointUpdate(EndpointUpdateKind.SNAPSHOT, (engine("b"),)))
     for _ in range(9):
         w.ask()
     assert {s.endpoint for s in w.sent} == {"b"}
 
 
 @pytest.mark.parametrize("instances", [1, 3])
-def test_cold_engine_gets_its_budget_shared_among_instances(instances: int) -> None:
+def test_slow_starting_engine_gets_its_budget_shared_among_instances(instances: int) -> None:
     w = World(replace(SITE, instance_count=instances), (engine("a"),))
     for _ in range(200):
         w.scheduler.state.classes[0].work.add(200 * MS, 0.01)
-    w.tell(EndpointUpdate(EndpointUpdateKind.DELTA, (engine("a", launched=w.now + 3 * SEC),)), after=4 * SEC)
+    w.notify(
+        EndpointUpdate(EndpointUpdateKind.DELTA, (engine("a", launched=w.now + 3 * SEC),)), after=4 * SEC
+    )
     for _ in range(60):
         w.ask()
-        w.tell(TimerFired(0), after=30 * MS)
+        w.notify(TimerFired(0), after=30 * MS)
     assert len(w.sent) > 0
     assert len(w.sent) * 200 * MS <= 8 * 0.85 * 0.3 * 2.0 * 2 * SEC / instances
 
 
-def test_restarted_gateway_sends_nothing_to_a_cold_engine_while_its_own_sends_may_count() -> None:
+def test_restarted_gateway_sends_nothing_to_a_slow_starting_engine_while_its_own_sends_may_count() -> None:
     w = World(engines=(engine("a", launched=99 * SEC), engine("b")))
     for _ in range(5):
         w.ask()
     assert {s.endpoint for s in w.sent} == {"b"}
 
 
-def test_turns_of_a_key_come_one_at_a_time_and_rest_after_doubt() -> None:
+def test_turns_of_a_key_come_one_at_a_time_and_wait_in_quarantine_after_doubt() -> None:
     w = World(replace(SITE, classes=(QUICK, REPORT, replace(LOAD, ordered_by_key=True))), TWO)
     first, second, other = w.ask(2, key="k"), w.ask(2, key="k"), w.ask(2, key="other")
     assert [s.request_id for s in w.sent] == [first.request_id, other.request_id]
     w.end(first.request_id, OutcomeCode.RESET, after=SEC)
-    w.tell(TimerFired(0), after=SITE.key_quarantine - MS)
+    w.notify(TimerFired(0), after=SITE.key_quarantine - MS)
     assert second.request_id not in {s.request_id for s in w.sent}
-    w.tell(TimerFired(0), after=MS)
+    w.notify(TimerFired(0), after=MS)
     assert w.sent[-1].request_id == second.request_id
 
 
@@ -138,7 +140,7 @@
     assert {s.endpoint for s in w.sent} == {"b"}
 
 
-def test_further_attempts_stay_within_the_budget() -> None:
+def test_retries_stay_within_the_budget() -> None:
     w = World(replace(SITE, retry_allowance=1.0, retries_per_request=0.0, retry_window=10 * SEC), TWO)
     for _ in range(5):
         r = w.ask()
@@ -332,13 +334,13 @@
 
 
 @pytest.mark.parametrize("left", [120 * MS, 150 * MS, 294 * MS, 340 * MS])
-def test_a_held_query_of_an_impatient_client_is_answered_before_the_client_leaves(left: int) -> None:
+def test_a_queued_query_of_an_impatient_client_is_answered_before_the_client_leaves(left: int) -> None:
     w = World(replace(SITE, classes=(QUICK, REPORT)), (engine("a"),))
     w.scheduler.state.classes[0].work.add(15.0 * MS, 1.0)
-    w.tell(EndpointUpdate(EndpointUpdateKind.DELTA, (engine("a", EndpointState.DRAINING),)))
+    w.notify(EndpointUpdate(EndpointUpdateKind.DELTA, (engine("a", EndpointState.DRAINING),)))
     r = w.ask(left=left)
     answered = bool(w.of(Reject))
     while not answered and w.now < r.deadline:  # the clock of a busy controller: a look each 115 ms
-        w.tell(TimerFired(0), after=115 * MS)
+        w.notify(TimerFired(0), after=115 * MS)
         answered = bool(w.of(Reject))
     assert answered and w.now <= r.deadline and not w.sent
--- a/tests/world.py
+++ b/tests/world.py
@@ -1,4 +1,4 @@
-"""Scripted settings and events for the tests; it plays no engine, it only records what was told and sent."""
+"""Scripted settings and events for the tests; it plays no engine, it only records what was sent."""
 
 from dataclasses import replace
 
@@ -97,9 +97,9 @@
         self.sent: list[Forward] = []
         self.copies: dict[int, int] = {}
         self.last: list[Action] = []
-        self.tell(EndpointUpdate(EndpointUpdateKind.CACHED, engines))
+        self.notify(EndpointUpdate(EndpointUpdateKind.CACHED, engines))
 
-    def tell(self, *events: Event, after: int = 0) -> list[Action]:
+    def notify(self, *events: Event, after: int = 0) -> list[Action]:
         self.now += after
         self.last = self.scheduler.handle(self.now, list(events))
         for action in self.last:
@@ -123,7 +123,7 @@
 
     def ask(self, cls: int = 0, **more: object) -> Request:
         r = self.request(cls, **more)  # type: ignore[arg-type]
-        self.tell(r)
+        self.notify(r)
         return r
 
     def end(
@@ -132,7 +132,7 @@
         send = next(s for s in reversed(self.sent) if s.request_id == xid)
         done = code is OutcomeCode.OK if final is None else final
         o = AttemptOutcome(xid, done, code, took, self.copies[xid], send.endpoint, None, None, ())
-        return self.tell(o, after=after)
+        return self.notify(o, after=after)
 
     def of(self, kind: type) -> list[Action]:
         return [a for a in self.last if isinstance(a, kind)]
