--- a/query_gateway/model/gossip.py
+++ b/query_gateway/model/gossip.py
@@ -41,11 +41,13 @@
 
     def message(self, now: int, lifetime: int, observed: int) -> str:
         """Our own report: counts by tenant, separated by commas."""
-        requests = (self.local_requests(t, now, lifetime, observed) for t in range(len(self.counts)))
+        tenants = range(len(self.counts))
+        requests = (self.local_requests(tenant, now, lifetime, observed) for tenant in tenants)
         return ",".join(str(round(count)) for count in requests)
 
     def record_report(self, sender: int, data: str, now: int) -> None:
         """Keep a peer's report, comma-separated counts by tenant; what is malformed is ignored."""
         counts = data.split(",")
-        if len(counts) == len(self.counts) and all(c.isdigit() and len(c) <= MAX_DIGITS for c in counts):
-            self.reports[sender] = PeerReport(now, [int(c) for c in counts])
+        valid = all(count.isdigit() and len(count) <= MAX_DIGITS for count in counts)
+        if len(counts) == len(self.counts) and valid:
+            self.reports[sender] = PeerReport(now, [int(count) for count in counts])
--- a/query_gateway/model/settings.py
+++ b/query_gateway/model/settings.py
@@ -124,10 +124,10 @@
             "limits.max-attempts": self.max_attempts < 1,
             "rules.start-capacity": not 0 < self.cold_capacity <= 1,
             "rules.counted-over": self.retry_allowance is not None and self.retry_window <= 0,
-            "family-info.cpu-of-kind": any(c <= 0 for c in self.cores_by_kind),
+            "family-info.cpu-of-kind": any(cores <= 0 for cores in self.cores_by_kind),
             "family-info.memory-by-kind-mb": len(self.cores_by_kind) != len(self.memory_mb_by_kind),
-            "family-info.parallelism": any(c.threads < 1 for c in self.classes),
-            "services[].give-up": any(c.timeout <= 0 for c in self.classes),
+            "family-info.parallelism": any(rules.threads < 1 for rules in self.classes),
+            "services[].give-up": any(rules.timeout <= 0 for rules in self.classes),
         }
         for name, bad in faults.items():
             if bad:
--- a/query_gateway/policy/slow_start.py
+++ b/query_gateway/policy/slow_start.py
@@ -37,6 +37,7 @@
     position = (settings.instance_index + 0.5) / settings.instance_count + offset
 
     def credits_at(age: float) -> int:
+        """Credits that this gateway has earned by an age of the engine."""
         done = rate * age * (settings.cold_capacity + growth * age / 2) * request_class.work_share / work
         return math.floor(done * settings.slow_start_share / settings.instance_count + position)
 
