--- a/query_gateway/__init__.py
+++ b/query_gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway for query engines; `docs/architecture.md` tells what its packages hold."""
--- a/tests/test_local.py
+++ b/tests/test_local.py
@@ -156,7 +156,7 @@
             thread.join(10)
             gate.loop.close()
         until(lambda: not process.sessions)
-        module = process.planner.scheduler
+        module = process.planner.scheduler.state
         until(lambda: not process.owners and not module.queries)
         assert not any(e.in_flight for e in module.engines.values())
     engine.close()
