--- a/query_gateway/model/settings.py
+++ b/query_gateway/model/settings.py
@@ -5,14 +5,20 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from query_gateway.model.endpoints import EndpointInfo
+
 
 class Idempotency(Enum):
+    """Whether a query may run more than once. The values are the wire's words."""
+
     IDEMPOTENT = "safe"
     KEYED = "keyed"
     NON_IDEMPOTENT = "unsafe"
 
 
 class DeduplicationScope(Enum):
+    """Where engines recognise an idempotency key that was seen before."""
+
     ALL = "all"
     ZONE = "zone"
     CELL = "cell"
@@ -28,21 +34,42 @@
 
 @dataclass(slots=True, frozen=True)
 class ClassSettings:
-    latency_objective: int
-    objective_per_run_time: float
-    timeout: int
-    weight: float
-    late_weight: float
+    """The rules of one class of queries."""
+
+    latency_objective: int  # nanoseconds
+    objective_per_run_time: float  # added to the objective, in run times
+    timeout: int  # nanoseconds until clients give up
+    weight: float  # worth of an answer in time
+    late_weight: float  # share of it that a late answer is worth
     idempotency: Idempotency
     deduplication_scope: DeduplicationScope
-    deduplication_window: int
-    threads: int
+    deduplication_window: int  # nanoseconds
+    threads: int  # of one query
     locks_tables: bool
     waits_for_locks: bool
     ordered_by_key: bool
     allowed_zones: tuple[int, ...] | None
     allowed_kinds: tuple[int, ...] | None
 
+    def allows_placement(self, zone: int, kind: int) -> bool:
+        """Whether the class may run in this zone and on this kind of engine."""
+        in_zone = self.allowed_zones is None or zone in self.allowed_zones
+        return in_zone and (self.allowed_kinds is None or kind in self.allowed_kinds)
+
+    def shares_deduplication(self, first: EndpointInfo, other: EndpointInfo) -> bool:
+        """Whether an engine recognises a key that the first one has seen."""
+        if self.deduplication_scope is DeduplicationScope.ZONE:
+            return other.zone == first.zone
+        return self.deduplication_scope is DeduplicationScope.ALL or other.group == first.group
+
+    @property
+    def client_may_repeat(self) -> bool:
+        """Whether a request that may have run may still be rejected, as its client can repeat it."""
+        keyed_everywhere = self.deduplication_scope is DeduplicationScope.ALL
+        return self.idempotency is Idempotency.IDEMPOTENT or (
+            self.idempotency is Idempotency.KEYED and keyed_everywhere
+        )
+
 
 @dataclass(slots=True, frozen=True)
 class Settings:
@@ -60,7 +87,7 @@
     memory_shortage: MemoryShortage
     takes_memory_grants: bool
     heeds_priorities: bool
-    progress_interval: int  # time between notes; 0: none
+    progress_interval: int  # nanoseconds between progress notes; 0: none
     reports_cost: bool
     load_report_fields: tuple[str, ...]
     polls_endpoint_list: bool
@@ -69,19 +96,19 @@
     allows_cancellation: bool
     allows_hedging: bool
     allows_retry_after: bool
-    max_retry_after: int
+    max_retry_after: int  # nanoseconds
     max_attempts: int
     marks_retry: bool
     cross_zone_cost: float
-    cold_capacity: float
-    slow_start_window: int
-    cold_overload_factor: float
-    cold_overload_window: int
-    key_quarantine: int
-    max_poll_interval: int
+    cold_capacity: float  # share of its capacity that an engine starts with
+    slow_start_window: int  # nanoseconds
+    cold_overload_factor: float  # over the capacity, within the window; 0: no slow start
+    cold_overload_window: int  # nanoseconds
+    key_quarantine: int  # nanoseconds
+    max_poll_interval: int  # nanoseconds
     retry_allowance: float | None
     retries_per_request: float
-    retry_window: int
+    retry_window: int  # nanoseconds
     slow_start_share: float = 1.0  # our part of what one instance may send to a cold engine
     max_client_connections: int = 0  # connections that clients may hold; 0: no such limit is known
     extra_run_time: int = (
@@ -97,10 +124,10 @@
             "limits.max-attempts": self.max_attempts < 1,
             "rules.start-capacity": not 0 < self.cold_capacity <= 1,
             "rules.counted-over": self.retry_allowance is not None and self.retry_window <= 0,
-            "family-info.cpu-of-kind": any(c <= 0 for c in self.cores_by_kind),
+            "family-info.cpu-of-kind": any(cores <= 0 for cores in self.cores_by_kind),
             "family-info.memory-by-kind-mb": len(self.cores_by_kind) != len(self.memory_mb_by_kind),
-            "family-info.parallelism": any(c.threads < 1 for c in self.classes),
-            "services[].give-up": any(c.timeout <= 0 for c in self.classes),
+            "family-info.parallelism": any(rules.threads < 1 for rules in self.classes),
+            "services[].give-up": any(rules.timeout <= 0 for rules in self.classes),
         }
         for name, bad in faults.items():
             if bad:
