--- a/query_gateway/cli.py
+++ b/query_gateway/cli.py
@@ -32,7 +32,7 @@
 
 CONFIGURATION_VARIABLE = "ROUTER_CONFIG"
 OPERATOR_FILE_VARIABLE = "QUERY_GATEWAY_OPERATOR_FILE"
-DEVELOPMENT_VERSION = "0.2.0"  # of a program that is started from its folder, not installed
+DEVELOPMENT_VERSION = "0.3.0"  # of a program that is started from its folder, not installed
 EXIT_FAULT = 2
 EXIT_NO_PARSER = 1
 PARSER_TIMEOUT = 30.0  # seconds that one statement may wait for a parser process
@@ -209,13 +209,13 @@
     except UnsupportedStatementError as error:
         return classification_line(rejected_decision(error), None, None, classifier.costs, False)
     was_cached = classifier.shapes.peek(shape.fingerprint) is not None
-    judgement = next(
+    decision = next(
         classification.decision
         for classification in _classifications(service, line)
         if classification.decision is not None
     )
     known = classifier.shapes.peek(shape.fingerprint)
-    return classification_line(judgement, shape, known, classifier.costs, was_cached)
+    return classification_line(decision, shape, known, classifier.costs, was_cached)
 
 
 def _classifications(service: "StatementService", line: StatementLine) -> Iterator["Classification"]:
--- a/query_gateway/flight/client_call.py
+++ b/query_gateway/flight/client_call.py
@@ -122,16 +122,16 @@
     def _on_classified(self, statement: FlightStatement, classification: "Classification") -> None:
         if self.state is FlightCallState.DONE:
             return
-        judgement = classification.decision
-        if judgement is None:
+        decision = classification.decision
+        if decision is None:
             self._reject_unforwarded("Overloaded")
-        elif not judgement.is_accepted or judgement.class_name is None:
-            self._finish(GrpcStatus.INVALID_ARGUMENT, judgement.reason)
+        elif not decision.is_accepted or decision.class_name is None:
+            self._finish(GrpcStatus.INVALID_ARGUMENT, decision.reason)
         elif quarantine := self._shape_quarantine(statement, classification):
             self._reject_unforwarded(quarantine)
         else:
             try:
-                self._forward(statement, judgement.class_name, classification)
+                self._forward(statement, decision.class_name, classification)
             except RequestError as error:
                 self._finish(GrpcStatus.INVALID_ARGUMENT, str(error))
 
--- a/query_gateway/flight/requests.py
+++ b/query_gateway/flight/requests.py
@@ -114,9 +114,9 @@
     flight_class: FlightClass, headers: dict[str, str], classification: "Classification | None"
 ) -> str | None:
     """Return the key that the statement itself holds, else the header's."""
-    judgement = classification.decision if classification else None
-    if judgement and judgement.key:
-        return judgement.key
+    decision = classification.decision if classification else None
+    if decision and decision.key:
+        return decision.key
     return hex_header(headers, "x-row", KEY_DIGITS, flight_class.ordered_by_key)
 
 
--- a/query_gateway/forwarder/messages.py
+++ b/query_gateway/forwarder/messages.py
@@ -28,7 +28,7 @@
     """How a request ended for its client; the value is the word of the log."""
 
     SERVED = "served"
-    REJECTED = "refused"
+    REJECTED = "rejected"
     FAILED = "failed"
 
 
--- a/query_gateway/http/request_handler.py
+++ b/query_gateway/http/request_handler.py
@@ -107,13 +107,13 @@
         if not results or results[0].decision is None:
             self._reject(request, pending)
             return request
-        judgement, digest = results[0].decision, results[0].fingerprint
-        if judgement.is_write:
-            reason = judgement.reason or f"it writes, so it cannot run as {request.class_name}"
+        decision, fingerprint = results[0].decision, results[0].fingerprint
+        if decision.is_write:
+            reason = decision.reason or f"it writes, so it cannot run as {request.class_name}"
             raise RequestError(400, reason)
-        if statements.may_run(digest, self.server.forwarder.clock()):
+        if statements.may_run(fingerprint, self.server.forwarder.clock()):
             self._reject(request, pending)
-        return replace(request, shape=digest)
+        return replace(request, shape=fingerprint)
 
     def _await_answer(
         self, exchange: Exchange | None, pending: PendingAnswer
--- a/query_gateway/lifecycle/shutdown.py
+++ b/query_gateway/lifecycle/shutdown.py
@@ -76,7 +76,7 @@
         if self.state is not ShutdownState.SERVING:
             return
         self.state = ShutdownState.DRAINING
-        log("shutdown", f"told to stop with {self.parts.forwarder.open_request_count} requests open")
+        log("shutdown", f"stopping with {self.parts.forwarder.open_request_count} requests open")
         # First the addresses are withdrawn, so that clients go elsewhere; what still comes is served
         self.parts.readiness.stop()
         followed = self._is_followed
--- a/query_gateway/model/events.py
+++ b/query_gateway/model/events.py
@@ -1,4 +1,4 @@
-"""What the decision module is told. Times and durations are in nanoseconds."""
+"""The events that a scheduler takes in. Times and durations are in nanoseconds."""
 
 from dataclasses import dataclass
 from enum import Enum
--- a/query_gateway/model/state.py
+++ b/query_gateway/model/state.py
@@ -41,7 +41,7 @@
 
 @dataclass(slots=True)
 class PeriodicFraction:
-    """A random fraction of one, drawn anew in each period."""
+    """A random fraction of one, drawn once in each period."""
 
     period: int = -1
     fraction: float = 0.0
--- a/query_gateway/parsing/service.py
+++ b/query_gateway/parsing/service.py
@@ -170,7 +170,7 @@
         self.snapshot_store = SnapshotStore(path)
         stored = None if is_inherited else self.snapshot_store.load()
         if stored is not None and not costs.restore(stored):
-            log("statements", f"{path} holds nothing that can be used; costs are learned afresh")
+            log("statements", f"{path} holds nothing that can be used; costs are learned again")
         self._schedule_save()
 
     def _schedule_save(self) -> None:
--- a/query_gateway/parsing/snapshot_store.py
+++ b/query_gateway/parsing/snapshot_store.py
@@ -56,7 +56,7 @@
         except OSError as error:
             log("statements", f"{self.path} cannot be read: {error.strerror}")
         except (ValueError, RecursionError) as error:
-            log("statements", f"{self.path} is {error}; costs are learned afresh")
+            log("statements", f"{self.path} is {error}; costs are learned again")
         return None
 
 
--- a/query_gateway/planner/planner.py
+++ b/query_gateway/planner/planner.py
@@ -52,6 +52,7 @@
         incarnation = self.incarnation
 
         def on_due() -> None:
+            """Hand the timer to the instance that set it."""
             if incarnation == self.incarnation:  # an instance that was replaced gets no timers
                 self.notify(TimerFired(timer.context))
 
--- a/query_gateway/planner/supervisor.py
+++ b/query_gateway/planner/supervisor.py
@@ -24,6 +24,7 @@
     supervisor_pid = os.getppid()
 
     def poll() -> None:
+        """Compare the parent now with the one at the start; a killed supervisor leaves us another."""
         if os.getppid() != supervisor_pid:
             stop()
         else:
--- a/query_gateway/policy/outliers.py
+++ b/query_gateway/policy/outliers.py
@@ -10,6 +10,7 @@
 SILENT_MIN_NS = 700 * MS  # and never in less than this, so that short pauses are no fault
 FIRST_EJECTION_NS = 500 * MS
 MAX_EJECTION_NS = 4 * SEC  # longer if answers are few
+MIN_EJECTION_JITTER = 0.75  # factor on an ejection time, drawn from here to half more
 FAULT_RATE_LIMIT = 0.3  # share of recent attempts that ended in error from which an engine is ejected
 FAULT_WEIGHT = 0.15  # weight of a new outcome in that share
 
@@ -21,7 +22,8 @@
     longest = MAX_EJECTION_NS + state.answer_interval
     engine.ejection_time = int(min(max(FIRST_EJECTION_NS, engine.ejection_time * 2), longest))
     # Not all gateways come back at once
-    engine.ejected_until = state.now + int(engine.ejection_time * (0.75 + state.random.random() / 2))
+    jitter = MIN_EJECTION_JITTER + state.random.random() / 2
+    engine.ejected_until = state.now + int(engine.ejection_time * jitter)
     engine.begin_probation(state.now)
     survey_fleet(state, force=True)
 
--- a/query_gateway/policy/tenants.py
+++ b/query_gateway/policy/tenants.py
@@ -8,7 +8,7 @@
 from query_gateway.model.units import MS, SEC
 
 BURST_SECONDS = 4.0  # of a tenant's quota that it may draw at once: a restarted peer brings its clients
-GOSSIP_FANOUT = 2  # peers told each period: telling all grows with the square of their number
+GOSSIP_FANOUT = 2  # peers that get our counts each period: to all of them grows with the square
 GOSSIP_PERIOD_NS = 1 * SEC  # the period of the controller, which sends it
 GOSSIP_LIFETIME_NS = 3 * SEC  # how long a report counts: a lost one or two do no harm
 MIN_OBSERVED_NS = 100 * MS  # taken as observed by a gateway that has just started
--- a/tests/statements.py
+++ b/tests/statements.py
@@ -29,7 +29,10 @@
 
 
 def in_dialects(**more: object) -> dict[str, LocalClassifier]:
-    return {d: LocalClassifier(Rules(dialect=d, keys=KEYS, **more)) for d in DIALECTS}  # type: ignore[arg-type]
+    return {
+        dialect: LocalClassifier(Rules(dialect=dialect, keys=KEYS, **more))  # type: ignore[arg-type]
+        for dialect in DIALECTS
+    }
 
 
 def corpus(name: str) -> Iterator[tuple[str, str]]:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -914,7 +914,7 @@
         said += os.read(elder.process.stderr.fileno(), 4096)
     successor.process.send_signal(signal.SIGSTOP)
     elder.process.send_signal(signal.SIGTERM)
-    while b"told to stop" not in said:
+    while b"shutdown stopping with" not in said:
         said += os.read(elder.process.stderr.fileno(), 4096)
     with ThreadPoolExecutor() as beside:
         crossing = beside.submit(s.served)
--- a/tests/test_flight_statements.py
+++ b/tests/test_flight_statements.py
@@ -309,7 +309,8 @@
         descriptor = command("CommandStatementQuery", "SELECT c FROM t WHERE a = 1")
         info = reader.get_flight_info(descriptor, options())
         original = statements.supervisor.pool.assign
-        statements.supervisor.pool.assign = lambda now: []  # type: ignore[method-assign]  # nothing is parsed for now
+        # Nothing is parsed for now
+        statements.supervisor.pool.assign = lambda now: []  # type: ignore[method-assign]
         with pytest.raises(fl.FlightTimedOutError):
             reader.do_get(info.endpoints[0].ticket, options(seconds=0.2)).read_all()
         statements.supervisor.pool.assign = original  # type: ignore[method-assign]
