Leave the BGP speaker unloaded where it is off; correct docstrings that said too much

Change: BgpSettings has a module of its own, so that a start without BGP loads neither session nor messages (test_layers says so); a rejection is built only when it is needed; hold-expired, a reason that no connection ever ended with, is gone; docstrings corrected; two parameters have their protocol's names.

--- a/query_gateway/admin/__init__.py
+++ b/query_gateway/admin/__init__.py
@@ -1,5 +1,5 @@
 """The second address: readiness, draining and figures for operators, one line a call.
 
 Decides nothing but the text of its answers; owns its connections and listener. Imported by the composition
-root.
+root and by `lifecycle`.
 """
--- a/query_gateway/bgp/session.py
+++ b/query_gateway/bgp/session.py
@@ -1,9 +1,7 @@
 """One BGP session: connects, keeps itself up, announces our service addresses while we are ready."""
 
 from collections.abc import Generator
-from dataclasses import dataclass
 from enum import Enum
-from ipaddress import IPv4Address, IPv4Network
 
 from query_gateway.bgp.messages import (
     ADMINISTRATIVE_SHUTDOWN,
@@ -22,6 +20,7 @@
     encode_open,
     encode_withdrawal,
 )
+from query_gateway.bgp.settings import BgpSettings
 from query_gateway.net.log import log
 from query_gateway.net.loop import Loop, Task
 from query_gateway.net.stream import Reason, Stream
@@ -32,20 +31,6 @@
 KEEPALIVES_PER_HOLD_TIME = 3
 
 
-@dataclass(slots=True, frozen=True)
-class BgpSettings:
-    """Who we are, who the peer is, and what is announced to it."""
-
-    peer: tuple[str, int]
-    asn: int
-    peer_asn: int
-    identifier: IPv4Address
-    next_hop: IPv4Address
-    networks: tuple[IPv4Network, ...]
-    hold_time: int = 90  # seconds; 0: no keepalives
-    reconnect_delay: float = 5.0  # seconds before a new connection
-
-
 class SessionState(Enum):
     """The states of RFC 4271, 8.2.2. Active is not among them: we only connect, and never listen."""
 
--- a/query_gateway/configuration/operator_file.py
+++ b/query_gateway/configuration/operator_file.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
-from query_gateway.bgp.session import BgpSettings
+from query_gateway.bgp.settings import BgpSettings
 from query_gateway.configuration.platform import Configuration, ConfigurationError, idempotent_classes
 from query_gateway.net.log import log
 from query_gateway.net.stream import address_of
--- a/query_gateway/engine_protocol/frames.py
+++ b/query_gateway/engine_protocol/frames.py
@@ -1,6 +1,7 @@
 """The engines' line protocol: lines of words ended by CR LF, some followed by a body of so many bytes.
 
-Bytes in, frames out; knows no connection. The words of the protocol are named here and nowhere else.
+Bytes in, frames out; knows no connection. The words of the protocol are named here, except
+the kinds of progress notes, which `response_handler` names.
 """
 
 from dataclasses import dataclass, field
--- a/query_gateway/engine_protocol/pool.py
+++ b/query_gateway/engine_protocol/pool.py
@@ -44,7 +44,11 @@
         self.progress_interval = limits.progress_interval
 
     def start(self, attempt: AttemptHandle) -> None:
-        """Send an attempt; it ends as not sent if the engine is unknown or no connection can be made."""
+        """Send an attempt, over a new connection if need be.
+
+        It ends as not sent if the engine is unknown, if its client id is already in flight, or if descriptors
+        are out; as a failed connect if the dial fails.
+        """
         engine, client_id = attempt.endpoint, attempt.request.client_id
         endpoint = self.endpoints.get(engine)
         if endpoint is None or "web" not in endpoint.addresses or client_id in self.by_client_id:
--- a/query_gateway/flight/client_call.py
+++ b/query_gateway/flight/client_call.py
@@ -187,11 +187,11 @@
 
     # ---- the client's side of an exchange
 
-    def send_page(self, page: bytes, left: Callable[[], None]) -> None:
-        """Send one FlightData; `left` is called when flow control has let it go."""
+    def send_page(self, page: bytes, on_sent: Callable[[], None]) -> None:
+        """Send one FlightData; `on_sent` is called when flow control has let it go."""
         if self.state is not FlightCallState.DONE:
             self._send_headers()
-            self.call.send(page, left)
+            self.call.send(page, on_sent)
 
     def send_answer(self, answer: Answer) -> None:
         """Finish the call with the status of the answer's verdict."""
--- a/query_gateway/flight/engines.py
+++ b/query_gateway/flight/engines.py
@@ -306,17 +306,17 @@
     def set_priority(self, attempt: AttemptHandle) -> None:
         """Do nothing: a priority cannot be changed on this wire once the call is out."""
 
-    def update_endpoints(self, targets: list[Endpoint], full: bool) -> None:
-        """Take over the engines' addresses and states; `full`: those not named are gone.
+    def update_endpoints(self, endpoints: list[Endpoint], is_snapshot: bool) -> None:
+        """Take over the engines' addresses and states; `is_snapshot`: those not named are gone.
 
         Guards the drain of an engine: nothing new goes there, while results under way go on.
         """
-        if full:
+        if is_snapshot:
             self.addresses = {}
-        for target in targets:
-            engine = target.info.name
-            if target.info.state is EndpointState.UP and "flight" in target.addresses:
-                self.addresses[engine] = target.addresses["flight"]
+        for endpoint in endpoints:
+            engine = endpoint.info.name
+            if endpoint.info.state is EndpointState.UP and "flight" in endpoint.addresses:
+                self.addresses[engine] = endpoint.addresses["flight"]
             else:
                 self.addresses.pop(engine, None)
         for engine in [engine for engine in self.connections if engine not in self.addresses]:
--- a/query_gateway/forwarder/attempt.py
+++ b/query_gateway/forwarder/attempt.py
@@ -50,7 +50,8 @@
 class Attempt:
     """One attempt of an exchange; the engine client reports to it (see `AttemptHandle`).
 
-    Every report after its end is ignored. `number` is the planner's count of the attempts of the exchange.
+    After its end only `on_written` still counts, as a forwarded attempt. `number` is the planner's count
+    of the attempts of the exchange.
     """
 
     __slots__ = (
--- a/query_gateway/forwarder/exchange.py
+++ b/query_gateway/forwarder/exchange.py
@@ -220,7 +220,7 @@
             attempt.abort(code)
 
     def on_deadline(self) -> None:
-        """End the attempt; the planner is notified and has a grace period to end the exchange."""
+        """End the attempt in flight, if any; the planner has a grace period to end the exchange."""
         self.timer = self.forwarder.call_at(self.request.deadline + PLANNER_GRACE_NS, self.on_overdue)
         self.abort_attempt(OutcomeCode.TIMEOUT)
 
--- a/query_gateway/forwarder/forwarder.py
+++ b/query_gateway/forwarder/forwarder.py
@@ -98,16 +98,18 @@
 
     def _immediate_answer(self, exchange: Exchange) -> Answer | None:
         """The answer to a request that is not even passed to a planner."""
-        rejection = Answer(Verdict.REJECTED, retry_after_ns=self.settings.max_retry_after)
         if len(self.exchanges) >= self.max_exchanges:
-            return rejection  # guards the memory: more than could be served in time
+            return self._rejection()  # guards the memory: more than could be served in time
         if exchange.request.client_id in self.open_client_ids:
             # An id stands for one request at the engines, so a second one cannot be sent beside it
             return Answer(Verdict.FAILED)
         if not self.planners[exchange.planner_index].connected:
-            return rejection
+            return self._rejection()
         return None
 
+    def _rejection(self) -> Answer:
+        return Answer(Verdict.REJECTED, retry_after_ns=self.settings.max_retry_after)
+
     def _pass_to_planner(self, exchange: Exchange) -> None:
         if exchange.answered:
             return
@@ -146,7 +148,10 @@
     # ---- what planners decide
 
     def apply(self, action: Action, planner_index: int = 0) -> None:
-        """Carry out an action of a planner; one on an exchange that has ended changes nothing."""
+        """Carry out an action of a planner.
+
+        On an exchange that has ended it changes nothing; a `Forward` is answered as not sent.
+        """
         match action:
             case Forward(request_id, endpoint, _):
                 self._forward(request_id, endpoint, planner_index)
@@ -210,7 +215,7 @@
     # ---- planners
 
     def add_planner(self, notify: Notify, connected: bool, settings: Settings | None = None) -> None:
-        """Add a planner; `settings` are sent to it whenever it connects, if it has none of its own."""
+        """Add a planner; `settings`, if any, are sent to it whenever it connects."""
         self.planners.append(PlannerConnection(notify, connected, settings))
 
     def on_planner_lost(self, planner_index: int) -> None:
--- a/query_gateway/forwarder/messages.py
+++ b/query_gateway/forwarder/messages.py
@@ -104,7 +104,7 @@
 
     @property
     def in_flight(self) -> bool:
-        """Whether the attempt has not ended; an ended one ignores reports."""
+        """Whether the attempt has not ended; an ended one changes nothing by what is reported."""
 
     def on_written(self) -> None:
         """The request has left for the engine to its last byte."""
@@ -122,7 +122,7 @@
         """The work and the memory that the engine itself reports; 0: not reported."""
 
     def on_ended(self, code: OutcomeCode) -> None:
-        """The attempt has ended; any later report is ignored."""
+        """The attempt has ended; a second end is ignored."""
 
 
 class QueryObserver(Protocol):
--- a/query_gateway/forwarder/planner_routing.py
+++ b/query_gateway/forwarder/planner_routing.py
@@ -13,7 +13,7 @@
 
     notify: Notify
     connected: bool  # whether events reach it
-    settings: Settings | None  # what it is sent when it connects; None: it has settings of its own
+    settings: Settings | None  # sent when it connects; None until a reload: it keeps those it started with
 
 
 class PlannerRouter:
--- a/query_gateway/http/request_handler.py
+++ b/query_gateway/http/request_handler.py
@@ -27,7 +27,7 @@
         self.wake = wake
         self.answer: Answer | None = None
 
-    def send_page(self, page: bytes, left: Callable[[], None]) -> None:
+    def send_page(self, page: bytes, on_sent: Callable[[], None]) -> None:
         """Never called: this front takes complete results."""
         raise NotImplementedError("this front takes complete results")
 
--- a/query_gateway/lifecycle/hot_upgrade.py
+++ b/query_gateway/lifecycle/hot_upgrade.py
@@ -3,7 +3,7 @@
 Both run side by side for a while. The order of the steps keeps every client served:
 
 1. The successor says hello; the predecessor answers with its listeners and its learned state, and both share
-   the budgets of one gateway from then on.
+   the descriptors of one gateway from then on, and the slow-start budget once the successor is ready.
 2. The successor says ready once it takes requests, and listens for a successor of its own.
 3. The predecessor, at SIGTERM, says that it leaves, transfers every idle connection, and answers what is
    open. If either process dies, the other end of the connection shows it, and the survivor goes on alone.
--- a/query_gateway/lifecycle/process.py
+++ b/query_gateway/lifecycle/process.py
@@ -18,9 +18,7 @@
 )
 
 EXIT_CANNOT_START = 2
-PART_VARIABLE = (
-    "QUERY_GATEWAY_PART"  # what the parent of several processes names: "planner N" or "forwarder N"
-)
+PART_VARIABLE = "QUERY_GATEWAY_PART"  # what the supervisor names: "planner N" or "forwarder N"
 
 
 def serve() -> None:
--- a/query_gateway/lifecycle/route_announcer.py
+++ b/query_gateway/lifecycle/route_announcer.py
@@ -1,10 +1,15 @@
 """When the gateway's addresses are announced over BGP."""
 
-from query_gateway.bgp.session import BgpSession, BgpSettings
+from typing import TYPE_CHECKING
+
+from query_gateway.bgp.settings import BgpSettings
 from query_gateway.forwarder.readiness import Readiness
 from query_gateway.lifecycle.hot_upgrade import HotUpgrade
 from query_gateway.net.loop import Loop
 
+if TYPE_CHECKING:
+    from query_gateway.bgp.session import BgpSession
+
 
 class RouteAnnouncer:
     """Owns the BGP session, if there is to be one, and announces while the gateway takes requests."""
@@ -28,6 +33,8 @@
         and the router would drop both.
         """
         if self.session is None and self.settings is not None:
+            from query_gateway.bgp.session import BgpSession
+
             self.session = BgpSession(self.loop, self.settings)
 
     def start_and_update(self) -> None:
--- a/query_gateway/lifecycle/shutdown.py
+++ b/query_gateway/lifecycle/shutdown.py
@@ -3,9 +3,9 @@
 Whoever sent SIGTERM kills the process some time later, and clients and routers notice the stop only after a
 while. So the steps come in this order:
 
-1. `begin`: the readiness says no and the addresses are withdrawn, so that clients go elsewhere. What still
-   comes is served.
-2. After the last call nothing more is accepted; with a successor that is ready, at once.
+1. `begin`: the readiness says no and the addresses are withdrawn, so that clients go elsewhere (a ready
+   successor keeps them announced). What still comes is served.
+2. After the last call nothing more is accepted; with a successor at once: what comes waits for it.
 3. `give_up`, before the kill: what is still open is answered without a planner.
 4. The loop stops once no request and no connection is open and the router has been notified.
 """
@@ -62,7 +62,7 @@
 
     @property
     def _is_followed(self) -> bool:
-        """Whether a successor has been given our listeners, whether or not it is ready yet."""
+        """Whether a successor has connected, whether or not it has our listeners or is ready yet."""
         hot_upgrade = self.parts.hot_upgrade
         return hot_upgrade is not None and hot_upgrade.successor is not None
 
--- a/query_gateway/net/log.py
+++ b/query_gateway/net/log.py
@@ -6,7 +6,7 @@
 
 BURST_LINES = 20  # lines of one kind that may come at once
 LINES_PER_SECOND = 5.0  # lines of one kind after that
-MAX_KINDS = 256  # kinds limited separately; bounds the table, since some kinds name what others send
+MAX_KINDS = 256  # kinds limited separately; bounds the table, whatever kinds there will be
 OTHER_KIND = "other"
 
 
--- a/query_gateway/net/loop.py
+++ b/query_gateway/net/loop.py
@@ -50,7 +50,7 @@
         self.timer: Timer | None = None
 
     def wake(self) -> None:
-        """Resume the coroutine in this turn's next round of ready tasks."""
+        """Resume the coroutine in the next round of ready tasks: of this turn, or of the next one."""
         if not self.queued and not self.done:
             self.queued = True
             self.loop.ready.append(self)
--- a/query_gateway/net/stream.py
+++ b/query_gateway/net/stream.py
@@ -26,17 +26,16 @@
     SLOW_READER = "slow-reader"  # a client did not read its answer within the timeout
     ABANDONED = "abandoned"  # the client left before its answer, or nothing waited for the dial any longer
     TOO_MANY = "too-many"  # evicted, or not accepted, at the limit on connections
-    STOPPING = "stopping"  # graceful shutdown: no request was open here any more
+    STOPPING = "stopping"  # one side ends gracefully and nothing is open here: a shutdown, or a GOAWAY
     DRAINED = "drained"  # draining: the client was sent to another gateway
     TRANSFERRED = "transferred"  # hot upgrade: the successor goes on with the connection
     DIAL_REFUSED = "dial-refused"  # the peer refused our connection
     DIAL_TIMEOUT = "dial-timeout"  # our connection did not come up within the dial timeout
     MALFORMED_RESPONSE = "malformed-response"  # a peer that we dialled broke its protocol
     UNRESPONSIVE = "unresponsive"  # the peer sent nothing when something was due
-    REPLACED = "replaced"  # the peer is draining, restarted, or was replaced by another address
-    RESYNC = "resync"  # the endpoint list has to be fetched from its start
-    HOLD_EXPIRED = "hold-expired"  # a BGP peer's hold timer expired
-    NOTIFIED = "notified"  # a BGP NOTIFICATION was sent or received
+    REPLACED = "replaced"  # the peer drains, restarted or moved, or the connection was retired
+    RESYNC = "resync"  # the endpoint list is fetched from its start, or answers bring nothing new at once
+    NOTIFIED = "notified"  # a BGP NOTIFICATION was sent (also as the hold timer expired) or received
     FAULT = "fault"  # an error in our own code
 
 
@@ -215,7 +214,8 @@
     def call_when_sent(self, callback: Callable[[], None], size: int = 0) -> WriteMark | None:
         """Call once the machine has taken all that was written so far; never, if the connection ends first.
 
-        Until then the mark that is returned can withdraw the last `size` bytes; None if the call was at once.
+        Until then the mark that is returned can withdraw the last `size` bytes. None if there is no mark: the
+        call was at once, or the connection has ended.
         """
         if self.outbox or not self.connected:
             self.marks.append(mark := WriteMark(self.bytes_queued, size, callback))
--- a/query_gateway/parsing/service.py
+++ b/query_gateway/parsing/service.py
@@ -136,7 +136,7 @@
         self.classifier.limits.query_started(query.shape)
 
     def on_settled(self, query: ClientRequest) -> None:
-        """A query that was accepted has its answer."""
+        """A query that was accepted has its answer, and no attempt in flight."""
         self.classifier.limits.query_ended(query.shape)
 
     def on_spilled(self, query: ClientRequest, now: int) -> None:
--- a/query_gateway/planner/__init__.py
+++ b/query_gateway/planner/__init__.py
@@ -4,5 +4,5 @@
 forwarders and planner processes with its codec, the planner process, and the supervisor of all processes.
 
 `planner`, `learned_state` and `ipc_codec` know no socket and no clock; `ipc`, `process` and `supervisor` use
-`query_gateway.net`. The composition root and the platform's start import it; it imports no forwarder.
+`query_gateway.net`. The composition root and `lifecycle` import it; it imports no forwarder.
 """
--- a/query_gateway/rpc/call.py
+++ b/query_gateway/rpc/call.py
@@ -67,7 +67,7 @@
 
     @property
     def is_closed(self) -> bool:
-        """Whether the call is over: nothing more is sent and its handler hears nothing more."""
+        """Whether the call is over: nothing is sent, and its handler hears at most that it was aborted."""
         return self.state is CallState.CLOSED
 
     def send_headers(self, headers: Headers, end_stream: bool = False) -> None:
@@ -102,7 +102,7 @@
             self.send_queued()
 
     def reset(self) -> None:
-        """Close the call at once with RST_STREAM; its handler hears nothing more of it."""
+        """Close the call at once with RST_STREAM."""
         if not self.is_closed:
             self.connection.reset(self)
 
--- a/tests/test_bgp.py
+++ b/tests/test_bgp.py
@@ -9,7 +9,8 @@
 from hypothesis import strategies as st
 
 from query_gateway.bgp import messages as m
-from query_gateway.bgp.session import BgpSession, BgpSettings
+from query_gateway.bgp.session import BgpSession
+from query_gateway.bgp.settings import BgpSettings
 from query_gateway.net.loop import Loop
 
 NETWORKS = (IPv4Network("10.9.0.1/32"), IPv4Network("10.8.0.0/15"))
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -172,7 +172,16 @@
 def test_what_is_off_is_not_loaded() -> None:
     off = tuple(
         f"query_gateway.{part}"
-        for part in ("statements", "parsing", "configuration.schema", "cli", "flight", "rpc")
+        for part in (
+            "statements",
+            "parsing",
+            "configuration.schema",
+            "cli",
+            "flight",
+            "rpc",
+            "bgp.session",
+            "bgp.messages",
+        )
     )
     found = loaded("query_gateway.__main__")
     assert "query_gateway.gateway" in found
