--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,6 +6,6 @@
 
 
 @pytest.fixture
-def all_lines(monkeypatch: pytest.MonkeyPatch) -> None:
-    """The log's rate is counted anew for each test, so that the lines it looks for are printed."""
+def reset_log_rate_limit(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Reset the log's rate limit, so that no earlier test suppresses the lines a test looks for."""
     monkeypatch.setattr(log, "_kinds", {})
--- a/tests/test_race_abandoned_requests.py
+++ b/tests/test_race_abandoned_requests.py
@@ -7,191 +7,206 @@
 
 import pytest
 
-from tests.race_helpers import GONE, SEC, Deaf, Late, ask, elsewhere, leave, tuned
+from tests.race_helpers import (
+    ABANDONED_SQL,
+    SEC,
+    PausedReaderEngine,
+    SlowToAcceptEngine,
+    abandon_request,
+    gateway_with_planner_process,
+    send_request,
+    settings_without_timeouts,
+)
 from tests.stand_ins import Engine, post
 from tests.test_local import until
 from tests.test_web import LOAD, ROWS, SQL, running
 
-pytestmark = pytest.mark.usefixtures("all_lines")
+pytestmark = pytest.mark.usefixtures("reset_log_rate_limit")
 
 
 @pytest.mark.parametrize("cancelling", [True, False])
-def test_who_leaves_while_the_dial_comes_up_is_not_sent_on(cancelling: bool) -> None:
-    """Guards against a request written for nobody: where no cancelling is allowed nothing took it back."""
-    engine = Late()
-    raw = tuned(cancelling=cancelling, dial_timeout=20 * SEC)
-    with running(engine, settings=raw) as gate:
-        client = ask(gate, GONE)
-        until(lambda: gate.engine_pool.connections)
-        leave(gate, client)
-        with ThreadPoolExecutor() as beside:
-            marker = beside.submit(post, gate, "lookup", SQL, ttl=600_000)
-            until(lambda: gate.forwarder.open_request_count)
-            engine.let_up()
+def test_request_abandoned_while_its_connection_is_being_opened_is_not_forwarded(cancelling: bool) -> None:
+    """Guards against a request written for nobody: with cancellation off nothing withdrew it."""
+    engine = SlowToAcceptEngine()
+    raw = settings_without_timeouts(cancelling=cancelling, dial_timeout=20 * SEC)
+    with running(engine, settings=raw) as gateway:
+        client = send_request(gateway, ABANDONED_SQL)
+        until(lambda: gateway.engine_pool.connections)
+        abandon_request(gateway, client)
+        with ThreadPoolExecutor() as executor:
+            marker = executor.submit(post, gateway, "lookup", SQL, ttl=600_000)
+            until(lambda: gateway.forwarder.open_request_count)
+            engine.accept_connections()
             assert marker.result()[1] == {"rows": ROWS}
     assert engine.statements == [SQL]
 
 
-def test_who_leaves_while_the_planner_elsewhere_stands_still_is_not_sent_on() -> None:
-    """Guards against waiting for a planner's word: its cancel never came, and the dial came up."""
-    engine = Late()
-    with elsewhere(engine, dial_timeout=20 * SEC) as (gate, process):
-        client = ask(gate, GONE)
-        until(lambda: gate.engine_pool.connections)
-        still, go = threading.Event(), threading.Event()
+def test_request_abandoned_while_the_planner_process_is_stalled_is_not_forwarded() -> None:
+    """Guards against waiting for the planner: its cancel never came, and the connection came up."""
+    engine = SlowToAcceptEngine()
+    with gateway_with_planner_process(engine, dial_timeout=20 * SEC) as (gateway, planner_process):
+        client = send_request(gateway, ABANDONED_SQL)
+        until(lambda: gateway.engine_pool.connections)
+        stalled, resume = threading.Event(), threading.Event()
 
-        def stand_still() -> None:
-            still.set()
-            assert go.wait(30)
+        def stall_planner() -> None:
+            stalled.set()
+            assert resume.wait(30)
 
-        process.loop.call_soon(stand_still)
-        assert still.wait(10)
-        leave(gate, client)
-        engine.let_up()
+        planner_process.loop.call_soon(stall_planner)
+        assert stalled.wait(10)
+        abandon_request(gateway, client)
+        engine.accept_connections()
         until(
             lambda: (
-                not gate.engine_pool.connections
-                or all(c.established for c in gate.engine_pool.connections["e0"])
+                not gateway.engine_pool.connections
+                or all(connection.established for connection in gateway.engine_pool.connections["e0"])
             )
         )
-        go.set()
-        assert post(gate, "lookup", SQL, ttl=600_000)[1] == {"rows": ROWS}
+        resume.set()
+        assert post(gateway, "lookup", SQL, ttl=600_000)[1] == {"rows": ROWS}
     assert engine.statements == [SQL]
     engine.close()
 
 
-def test_who_leaves_before_the_planner_elsewhere_decides_is_not_sent_on() -> None:
+def test_request_abandoned_before_the_planner_process_decides_is_not_forwarded() -> None:
     engine = Engine()
-    with elsewhere(engine) as (gate, process):
-        still, go = threading.Event(), threading.Event()
-
-        def stand_still() -> None:
-            still.set()
-            assert go.wait(30)
-
-        process.loop.call_soon(stand_still)
-        assert still.wait(10)
-        client = ask(gate, GONE)
-        until(lambda: gate.forwarder.open_request_count)
-        leave(gate, client)
-        go.set()
-        assert post(gate, "lookup", SQL, ttl=600_000)[1] == {"rows": ROWS}
-        until(lambda: not process.owners)
+    with gateway_with_planner_process(engine) as (gateway, planner_process):
+        stalled, resume = threading.Event(), threading.Event()
+
+        def stall_planner() -> None:
+            stalled.set()
+            assert resume.wait(30)
+
+        planner_process.loop.call_soon(stall_planner)
+        assert stalled.wait(10)
+        client = send_request(gateway, ABANDONED_SQL)
+        until(lambda: gateway.forwarder.open_request_count)
+        abandon_request(gateway, client)
+        resume.set()
+        assert post(gateway, "lookup", SQL, ttl=600_000)[1] == {"rows": ROWS}
+        until(lambda: not planner_process.owners)
     assert engine.statements == [SQL]
     engine.close()
 
 
 @pytest.mark.parametrize("cancelling", [True, False])
-def test_who_leaves_while_its_request_is_unwritten_is_not_sent_on(cancelling: bool) -> None:
-    """Guards against a request that went out of the buffer with its own STOP behind it, or with none."""
-    first, big = "SELECT 1 FROM lending_7.loans", "SELECT '" + "x" * 200_000 + "' FROM lending_7.loans"
-    engine = Deaf(script={first: ["mute"]})
-    with running(engine, settings=tuned(cancelling=cancelling)) as gate:
-        open_ = [ask(gate, first)]
+def test_request_abandoned_while_it_is_unwritten_is_not_forwarded(cancelling: bool) -> None:
+    """Guards against a buffered request that was still sent, followed by its own STOP or by none."""
+    unanswered, large = "SELECT 1 FROM lending_7.loans", "SELECT '" + "x" * 200_000 + "' FROM lending_7.loans"
+    engine = PausedReaderEngine(script={unanswered: ["mute"]})
+    with running(engine, settings=settings_without_timeouts(cancelling=cancelling)) as gateway:
+        open_clients = [send_request(gateway, unanswered)]
         until(lambda: engine.statements)
-        stream = gate.engine_pool.connections["e0"][0].stream
+        stream = gateway.engine_pool.connections["e0"][0].stream
         stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
         while not stream.outbox:
-            open_.append(ask(gate, big))
-            until(lambda: len(gate.engine_pool.by_client_id) == len(open_))
-        victim = ask(gate, GONE)
-        until(lambda: len(gate.engine_pool.by_client_id) == len(open_) + 1)
-        leave(gate, victim)
-        engine.reads.set()
-        assert open_[-1].recv(65_536).startswith(b"HTTP/1.1 200")
-        assert post(gate, "lookup", SQL, ttl=600_000)[1] == {"rows": ROWS}
-        for sock in open_:
+            open_clients.append(send_request(gateway, large))
+            until(lambda: len(gateway.engine_pool.by_client_id) == len(open_clients))
+        abandoned_client = send_request(gateway, ABANDONED_SQL)
+        until(lambda: len(gateway.engine_pool.by_client_id) == len(open_clients) + 1)
+        abandon_request(gateway, abandoned_client)
+        engine.may_read.set()
+        assert open_clients[-1].recv(65_536).startswith(b"HTTP/1.1 200")
+        assert post(gateway, "lookup", SQL, ttl=600_000)[1] == {"rows": ROWS}
+        for sock in open_clients:
             sock.close()
-    assert GONE not in engine.statements and engine.statements[-1] == SQL
+    assert ABANDONED_SQL not in engine.statements and engine.statements[-1] == SQL
 
 
-def test_who_leaves_while_it_waits_to_be_accepted_is_not_sent_on() -> None:
-    """Guards engines: the call was read and sent on before the end behind it was seen."""
+def test_request_abandoned_before_its_connection_is_accepted_is_not_forwarded() -> None:
+    """Guards engines: the request was read and forwarded before the end of its connection was seen."""
     engine = Engine()
-    with running(engine, settings=tuned()) as gate:
-        gate.loop.lag = lambda: 0.0  # type: ignore[method-assign]
-        assert post(gate, "lookup", SQL, ttl=600_000)[0] == 200  # from now on a connection is up
-        there, go = threading.Event(), threading.Event()
-
-        def hold() -> None:
-            there.set()
-            assert go.wait(30)
-
-        gate.loop.call_soon(hold)
-        assert there.wait(10)
-        ask(gate, GONE).close()
-        go.set()
-        assert post(gate, "lookup", SQL, ttl=600_000)[1] == {"rows": ROWS}
-        until(lambda: not gate.forwarder.exchanges)
+    with running(engine, settings=settings_without_timeouts()) as gateway:
+        gateway.loop.lag = lambda: 0.0  # type: ignore[method-assign]
+        assert post(gateway, "lookup", SQL, ttl=600_000)[0] == 200  # from now on a connection is established
+        blocked, resume = threading.Event(), threading.Event()
+
+        def block_loop() -> None:
+            blocked.set()
+            assert resume.wait(30)
+
+        gateway.loop.call_soon(block_loop)
+        assert blocked.wait(10)
+        send_request(gateway, ABANDONED_SQL).close()
+        resume.set()
+        assert post(gateway, "lookup", SQL, ttl=600_000)[1] == {"rows": ROWS}
+        until(lambda: not gateway.forwarder.exchanges)
     assert engine.statements == [SQL, SQL]
 
 
-def test_who_leaves_behind_its_key_is_not_sent_on() -> None:
-    engine = Deaf(script={LOAD: ["mute"]})
-    engine.reads.set()
+def test_request_abandoned_while_its_key_is_in_use_is_not_forwarded() -> None:
+    engine = PausedReaderEngine(script={LOAD: ["mute"]})
+    engine.may_read.set()
     second, third = (f"INSERT INTO lending_7.loans VALUES ({n})" for n in (2, 3))
-    with running(engine, settings=tuned()) as gate, ThreadPoolExecutor() as beside:
-        holder = ask(gate, LOAD, "load")
+    with running(engine, settings=settings_without_timeouts()) as gateway, ThreadPoolExecutor() as executor:
+        key_holder = send_request(gateway, LOAD, "load")
         until(lambda: engine.statements)
-        victim = ask(gate, second, "load")
-        until(lambda: gate.forwarder.open_request_count == 2)
-        waiting = beside.submit(post, gate, "load", third, ttl=600_000)
-        until(lambda: gate.forwarder.open_request_count == 3)
-        leave(gate, victim)
-        holder.close()
+        abandoned_client = send_request(gateway, second, "load")
+        until(lambda: gateway.forwarder.open_request_count == 2)
+        waiting = executor.submit(post, gateway, "load", third, ttl=600_000)
+        until(lambda: gateway.forwarder.open_request_count == 3)
+        abandon_request(gateway, abandoned_client)
+        key_holder.close()
         assert waiting.result()[1] == {"rows": ROWS}
     assert engine.statements == [LOAD, third]
 
 
-def test_who_leaves_between_two_attempts_is_not_sent_on() -> None:
-    """Where no cancelling is allowed the attempt stays out; its reset must begin no other."""
-    engine = Engine(script={GONE: ["mute"]})
-    with running(engine, settings=tuned(cancelling=False)) as gate:
-        client = ask(gate, GONE)
+def test_request_abandoned_before_its_attempt_is_reset_is_not_retried() -> None:
+    """With cancellation off the attempt stays in flight; its reset must start no other."""
+    engine = Engine(script={ABANDONED_SQL: ["mute"]})
+    with running(engine, settings=settings_without_timeouts(cancelling=False)) as gateway:
+        client = send_request(gateway, ABANDONED_SQL)
         until(lambda: engine.statements)
-        leave(gate, client)
-        gate.loop.call_soon(
-            lambda: gate.engine_pool.connections["e0"][0].stream.sock.shutdown(socket.SHUT_RD)
+        abandon_request(gateway, client)
+        gateway.loop.call_soon(
+            lambda: gateway.engine_pool.connections["e0"][0].stream.sock.shutdown(socket.SHUT_RD)
         )
-        until(lambda: not gate.forwarder.exchanges)
-        assert post(gate, "lookup", SQL, ttl=600_000)[1] == {"rows": ROWS}
-    assert engine.statements == [GONE, SQL]
+        until(lambda: not gateway.forwarder.exchanges)
+        assert post(gateway, "lookup", SQL, ttl=600_000)[1] == {"rows": ROWS}
+    assert engine.statements == [ABANDONED_SQL, SQL]
 
 
-@pytest.mark.parametrize("more", [300_000, 900_000])
-def test_who_leaves_behind_a_full_inbox_is_seen(more: int) -> None:
-    """Guards the engine: with the inbox full nothing was read, so the end behind it was not found."""
-    engine = Engine(script={GONE: ["mute"]})
-    with running(engine, settings=tuned()) as gate:
-        client = ask(gate, GONE)
+@pytest.mark.parametrize("extra_bytes", [300_000, 900_000])
+def test_client_that_leaves_behind_a_full_receive_buffer_is_noticed(extra_bytes: int) -> None:
+    """Guards the engine: with a full receive buffer nothing was read, so the end behind it was not found."""
+    engine = Engine(script={ABANDONED_SQL: ["mute"]})
+    with running(engine, settings=settings_without_timeouts()) as gateway:
+        client = send_request(gateway, ABANDONED_SQL)
         until(lambda: engine.statements)
-        client.sendall(b"x" * more)
+        client.sendall(b"x" * extra_bytes)
         client.close()
         assert engine.wait("STOP")
-        until(lambda: not gate.http_server.connections)
+        until(lambda: not gateway.http_server.connections)
 
 
-def test_who_sends_far_too_much_ahead_is_ended_and_its_neighbour_served(capfd: Any) -> None:
-    engine = Engine(script={GONE: ["mute"]})
-    with running(engine, settings=tuned()) as gate:
-        with ask(gate, GONE) as client:
+def test_client_that_sends_too_much_ahead_is_disconnected_and_others_are_served(capfd: Any) -> None:
+    engine = Engine(script={ABANDONED_SQL: ["mute"]})
+    with running(engine, settings=settings_without_timeouts()) as gateway:
+        with send_request(gateway, ABANDONED_SQL) as client:
             until(lambda: engine.statements)
             with pytest.raises(OSError):
                 for _ in range(100):
                     client.sendall(b"x" * 65_536)
-        assert engine.wait("STOP") and post(gate, "lookup", SQL, ttl=600_000)[0] == 200
+        assert engine.wait("STOP") and post(gateway, "lookup", SQL, ttl=600_000)[0] == 200
     assert "bad-request" in capfd.readouterr().err
 
 
-def test_what_came_ahead_beyond_the_inbox_ends_the_connection_with_the_answer() -> None:
-    engine = Deaf(script={GONE: ["mute"]})
-    engine.reads.set()
-    with running(engine, settings=tuned()) as gate:
-        with ask(gate, GONE) as client:
+def test_bytes_sent_ahead_beyond_the_receive_buffer_close_the_connection_after_the_answer() -> None:
+    engine = PausedReaderEngine(script={ABANDONED_SQL: ["mute"]})
+    engine.may_read.set()
+    with running(engine, settings=settings_without_timeouts()) as gateway:
+        with send_request(gateway, ABANDONED_SQL) as client:
             until(lambda: engine.statements)
             client.sendall(b"x" * 300_000)
-            until(lambda: any(c.handler.discarded_bytes for c in gate.http_server.connections))
-            gate.loop.call_soon(lambda: next(iter(gate.forwarder.exchanges.values())).end_without_planner())
+            until(
+                lambda: any(
+                    connection.handler.discarded_bytes for connection in gateway.http_server.connections
+                )
+            )
+            gateway.loop.call_soon(
+                lambda: next(iter(gateway.forwarder.exchanges.values())).end_without_planner()
+            )
             answer = b""
             while data := client.recv(65_536):
                 answer += data
--- a/tests/test_race_endpoint_list.py
+++ b/tests/test_race_endpoint_list.py
@@ -20,170 +20,208 @@
 from tests.test_local import until
 from tests.test_web import SQL, JournalStandIn, news_of, steady
 
-pytestmark = pytest.mark.usefixtures("all_lines")
+pytestmark = pytest.mark.usefixtures("reset_log_rate_limit")
 
 
-def test_a_watch_that_counts_anew_or_leaves_out_is_asked_for_all(capfd: Any) -> None:
-    """Guards the list: it kept the highest number, and stood still for good without a line."""
-    journal, one, two = JournalStandIn(), Engine(), Engine()
-    gate = Gateway(config([], journal=journal.address), OperatorSettings(), signals=False)
-    thread = threading.Thread(target=gate.loop.run, daemon=True)
+def test_sequence_reset_gap_or_duplicate_in_the_watch_causes_a_resync(capfd: Any) -> None:
+    """Guards the list: it kept the highest position and ignored all later answers, without a log line."""
+    journal, first_engine, second_engine = JournalStandIn(), Engine(), Engine()
+    gateway = Gateway(config([], journal=journal.address), OperatorSettings(), signals=False)
+    thread = threading.Thread(target=gateway.loop.run, daemon=True)
     thread.start()
-    whole = {"seq": 1, "whole": True, "hosts": [host(two, "e2")]}
-    anew = json.dumps({"pos": 1, "entries": [{"pos": 1, "hosts": whole}]}).encode()
-    later = json.dumps({"pos": 9, "entries": [{"pos": 9, "hosts": whole | {"whole": False}}]}).encode()
+    snapshot = {"seq": 1, "whole": True, "hosts": [host(second_engine, "e2")]}
+    reset_answer = json.dumps({"pos": 1, "entries": [{"pos": 1, "hosts": snapshot}]}).encode()
+    gap_answer = json.dumps(
+        {"pos": 9, "entries": [{"pos": 9, "hosts": snapshot | {"whole": False}}]}
+    ).encode()
     answers = (
-        (news_of(one), 1), (b'{"pos":1,"entries":[]}', 2), (anew, 0),  # lower numbers
-        (b'{"pos":6,"entries":[]}', 1), (anew, 0),  # its end beyond what it told
-        (later, 1), (anew, 0),  # left out
-        (anew, 1),  # told twice; then the new connection asks for the event held once more
-        (anew, 0), (b'{"pos":1,"entries":[]}', 1), (anew, 0),  # nothing at once, as if it had news
+        (news_of(first_engine), 1), (b'{"pos":1,"entries":[]}', 2), (reset_answer, 0),  # lower positions
+        (b'{"pos":6,"entries":[]}', 1), (reset_answer, 0),  # a position beyond its events
+        (gap_answer, 1), (reset_answer, 0),  # events left out
+        (reset_answer, 1),  # a duplicate; then the new connection polls for the last event once more
+        (reset_answer, 0), (b'{"pos":1,"entries":[]}', 1), (reset_answer, 0),  # empty, but at once
     )  # fmt: skip
     assert [journal.answer(body) for body, _ in answers] == [f"/journal?tail={tail}" for _, tail in answers]
-    assert list(gate.forwarder.endpoints) == ["e2"] and post(gate, "lookup", SQL, ttl=600_000)[0] == 200
-    gate.loop.stop()
+    assert list(gateway.forwarder.endpoints) == ["e2"] and post(gateway, "lookup", SQL, ttl=600_000)[0] == 200
+    gateway.loop.stop()
     thread.join(10)
-    gate.loop.close()
-    assert (len(one.statements), len(two.statements), gate.loop.faults) == (0, 1, 0)
-    said = capfd.readouterr().err
+    gateway.loop.close()
+    assert (len(first_engine.statements), len(second_engine.statements), gateway.loop.faults) == (0, 1, 0)
+    log_output = capfd.readouterr().err
     assert all(
-        f"discovery {anomaly}: " in said for anomaly in ("sequence-reset", "sequence-gap", "duplicate")
+        f"discovery {anomaly}: " in log_output for anomaly in ("sequence-reset", "sequence-gap", "duplicate")
     )
-    assert said.count(" resync\n") >= 3
+    assert log_output.count(" resync\n") >= 3
     journal.close()
-    for engine in (one, two):
+    for engine in (first_engine, second_engine):
         engine.close()
 
 
-def test_a_service_that_began_anew_and_passed_our_number_is_asked_for_all(capfd: Any) -> None:
-    """Guards the list: lower numbers would show it, but there are none left when we ask again."""
-    journal, one, two = JournalStandIn(), Engine(), Engine()
-    gate = Gateway(config([], journal=journal.address), OperatorSettings(), signals=False)
-    thread = threading.Thread(target=gate.loop.run, daemon=True)
+def test_restarted_service_that_has_passed_our_position_causes_a_resync(capfd: Any) -> None:
+    """Guards the list: lower positions would show the restart, but there are none left at the next poll."""
+    journal, first_engine, second_engine = JournalStandIn(), Engine(), Engine()
+    gateway = Gateway(config([], journal=journal.address), OperatorSettings(), signals=False)
+    thread = threading.Thread(target=gateway.loop.run, daemon=True)
     thread.start()
-    assert journal.answer(news_of(one)) == "/journal?tail=1"
+    assert journal.answer(news_of(first_engine)) == "/journal?tail=1"
     journal.breaks()
-    assert journal.answer(news_of(one)) == "/journal?tail=1"  # the same as before: nothing is asked anew
+    assert journal.answer(news_of(first_engine)) == "/journal?tail=1"  # the same as before: no resync
     journal.breaks()
-    whole = {"pos": 1, "hosts": {"seq": 1, "whole": True, "hosts": [host(two, "e2", "draining")]}}
-    later = [{"pos": n, "hosts": {"seq": n, "whole": False, "hosts": [host(two, f"e{n}")]}} for n in (2, 3)]
-    assert journal.answer(json.dumps({"pos": 3, "entries": later}).encode()) == "/journal?tail=1"
-    assert journal.answer(json.dumps({"pos": 3, "entries": [whole, *later]}).encode()) == "/journal?tail=0"
+    snapshot = {
+        "pos": 1,
+        "hosts": {"seq": 1, "whole": True, "hosts": [host(second_engine, "e2", "draining")]},
+    }
+    deltas = [
+        {
+            "pos": number,
+            "hosts": {"seq": number, "whole": False, "hosts": [host(second_engine, f"e{number}")]},
+        }
+        for number in (2, 3)
+    ]
+    assert journal.answer(json.dumps({"pos": 3, "entries": deltas}).encode()) == "/journal?tail=1"
+    assert (
+        journal.answer(json.dumps({"pos": 3, "entries": [snapshot, *deltas]}).encode()) == "/journal?tail=0"
+    )
     assert journal.answer(b'{"pos":3,"entries":[]}') == "/journal?tail=3"
-    assert {n: t.info.state for n, t in gate.forwarder.endpoints.items()} == {
+    assert {name: endpoint.info.state for name, endpoint in gateway.forwarder.endpoints.items()} == {
         "e2": EndpointState.UP, "e3": EndpointState.UP}  # fmt: skip
-    gate.loop.stop()
+    gateway.loop.stop()
     thread.join(10)
-    gate.loop.close()
+    gateway.loop.close()
     assert capfd.readouterr().err.count("discovery sequence-reset: ") == 1
     journal.close()
-    for engine in (one, two):
+    for engine in (first_engine, second_engine):
         engine.close()
 
 
-def test_a_service_that_counts_anew_calls_no_engine_back() -> None:
-    """Guards the drain: a service that knows less than we have heard called up what drains or is gone."""
+def test_restarted_service_does_not_revive_draining_or_removed_engines() -> None:
+    """Guards the drain: a service behind our position revived engines that were draining or removed."""
     journal, engines = JournalStandIn(), [Engine() for _ in range(3)]
 
-    def told(pos: int, **states: str) -> bytes:
-        """Every engine named; `up` a second time is one that has started since."""
-        hosts = [host(engines[int(n[1])], n, s.split()[0], 5 if " " in s else 0) for n, s in states.items()]
+    def answer_with(pos: int, **states: str) -> bytes:
+        """An answer with these engines; a state of two words is one of an engine that has restarted since."""
+        hosts = [
+            host(engines[int(name[1])], name, state.split()[0], 5 if " " in state else 0)
+            for name, state in states.items()
+        ]
         event = {"pos": pos, "hosts": {"seq": pos, "whole": pos == 1, "hosts": hosts}}
         return json.dumps({"pos": pos, "entries": [event]}).encode()
 
-    known = json.loads(told(1, e0="up", e1="up", e2="up"))
-    gate = Gateway(config([], journal=journal.address, known=known), OperatorSettings(), signals=False)
-    thread = threading.Thread(target=gate.loop.run, daemon=True)
+    cached_list = json.loads(answer_with(1, e0="up", e1="up", e2="up"))
+    gateway = Gateway(
+        config([], journal=journal.address, known=cached_list), OperatorSettings(), signals=False
+    )
+    thread = threading.Thread(target=gateway.loop.run, daemon=True)
     thread.start()
     answers = (
-        (told(2, e0="draining", e2="removed"), 1), (b'{"pos":1,"entries":[]}', 2),
-        (told(1, e0="up", e1="up", e2="up"), 0),
+        (answer_with(2, e0="draining", e2="removed"), 1), (b'{"pos":1,"entries":[]}', 2),
+        (answer_with(1, e0="up", e1="up", e2="up"), 0),
     )  # fmt: skip
     assert [journal.answer(body) for body, _ in answers] == [f"/journal?tail={tail}" for _, tail in answers]
-    until(lambda: gate.endpoint_feed.position == 1)
-    states = {name: target.info.state for name, target in gate.forwarder.endpoints.items()}
+    until(lambda: gateway.endpoint_feed.position == 1)
+    states = {name: endpoint.info.state for name, endpoint in gateway.forwarder.endpoints.items()}
     assert states == {"e0": EndpointState.DRAINING, "e1": EndpointState.UP}
-    assert [post(gate, "lookup", SQL, ttl=600_000)[0] for _ in range(8)] == [200] * 8
+    assert [post(gateway, "lookup", SQL, ttl=600_000)[0] for _ in range(8)] == [200] * 8
     assert [len(engine.statements) for engine in engines] == [0, 8, 0]
-    assert journal.answer(told(2, e0="up again")) == "/journal?tail=1"
-    until(lambda: gate.endpoint_feed.position == 2)
-    assert gate.forwarder.endpoints["e0"].info.state is EndpointState.UP
-    gate.loop.stop()
+    assert journal.answer(answer_with(2, e0="up again")) == "/journal?tail=1"
+    until(lambda: gateway.endpoint_feed.position == 2)
+    assert gateway.forwarder.endpoints["e0"].info.state is EndpointState.UP
+    gateway.loop.stop()
     thread.join(10)
-    gate.loop.close()
+    gateway.loop.close()
     journal.close()
     for engine in engines:
         engine.close()
 
 
-def test_a_drain_stands_whatever_a_service_that_counts_anew_says() -> None:
-    """Any order of news, free of sockets: only a later start or the service's own next word ends a drain."""
+def test_draining_survives_stale_lists_of_a_restarted_service() -> None:
+    """Without sockets: only a later start or the service's own next event ends a drain."""
 
-    def target(name: str, state: EndpointState, launched: int = 0) -> Endpoint:
+    def make_endpoint(name: str, state: EndpointState, launched: int = 0) -> Endpoint:
         return Endpoint(EndpointInfo(name, state, 0, 0, 0, launched, 1.0), {})
 
-    up = [target(name, EndpointState.UP, 7) for name in "abcd"]
-    ends = EndpointTombstones()
-    ends.record(up, True, {})
-    known = {t.info.name: t for t in up}
-    ends.record([target("a", EndpointState.DRAINING, 7), target("b", EndpointState.REMOVED)], False, known)
-    ends.record([t for t in up if t.info.name != "c"], True, known)  # a and b up again, c left out
-    ends.record([target("a", EndpointState.DRAINING, 7), target("b", EndpointState.REMOVED)], False, known)
-    kept = {t.info.name: t.info.state for t in ends.apply([*up, target("e", EndpointState.UP, 7)])}
-    assert kept == {"a": EndpointState.DRAINING, "d": EndpointState.UP, "e": EndpointState.UP}
-    again = ends.apply(
+    up = [make_endpoint(name, EndpointState.UP, 7) for name in "abcd"]
+    tombstones = EndpointTombstones()
+    tombstones.record(up, True, {})
+    known = {endpoint.info.name: endpoint for endpoint in up}
+    tombstones.record(
+        [make_endpoint("a", EndpointState.DRAINING, 7), make_endpoint("b", EndpointState.REMOVED)],
+        False,
+        known,
+    )
+    tombstones.record(
+        [endpoint for endpoint in up if endpoint.info.name != "c"], True, known
+    )  # a and b are up again, c is left out
+    tombstones.record(
+        [make_endpoint("a", EndpointState.DRAINING, 7), make_endpoint("b", EndpointState.REMOVED)],
+        False,
+        known,
+    )
+    states = {
+        endpoint.info.name: endpoint.info.state
+        for endpoint in tombstones.apply([*up, make_endpoint("e", EndpointState.UP, 7)])
+    }
+    assert states == {"a": EndpointState.DRAINING, "d": EndpointState.UP, "e": EndpointState.UP}
+    restarted = tombstones.apply(
         [
-            target("a", EndpointState.UP, 8),
-            target("b", EndpointState.UP, 8),
-            target("d", EndpointState.DRAINING),
+            make_endpoint("a", EndpointState.UP, 8),
+            make_endpoint("b", EndpointState.UP, 8),
+            make_endpoint("d", EndpointState.DRAINING),
         ]
     )
-    assert [t.info.state for t in again] == [EndpointState.UP, EndpointState.UP, EndpointState.DRAINING]
+    assert [endpoint.info.state for endpoint in restarted] == [
+        EndpointState.UP,
+        EndpointState.UP,
+        EndpointState.DRAINING,
+    ]
 
 
-@pytest.mark.parametrize("how", ["silent", "breaks"])
-def test_a_drain_told_while_the_watch_is_dead_is_heeded_with_the_next(
-    how: str, monkeypatch: pytest.MonkeyPatch, capfd: Any
+@pytest.mark.parametrize("failure", ["unresponsive", "breaks"])
+def test_drain_announced_while_the_watch_is_down_is_applied_with_the_next_poll(
+    failure: str, monkeypatch: pytest.MonkeyPatch, capfd: Any
 ) -> None:
     monkeypatch.setattr("query_gateway.discovery.watch_client.POLL_HOLD_MS", 100)
     monkeypatch.setattr("query_gateway.discovery.watch_client.ANSWER_GRACE_SECONDS", 0.1)
     journal, engine = JournalStandIn(), Engine()
-    gate = Gateway(config([host(engine)], journal=journal.address), OperatorSettings(), signals=False)
-    thread = threading.Thread(target=gate.loop.run, daemon=True)
+    gateway = Gateway(config([host(engine)], journal=journal.address), OperatorSettings(), signals=False)
+    thread = threading.Thread(target=gateway.loop.run, daemon=True)
     thread.start()
-    dead = journal.server.accept()[0]
-    if how == "breaks":
-        assert dead.recv(4096)
-        dead.close()
+    broken_watch = journal.server.accept()[0]
+    if failure == "breaks":
+        assert broken_watch.recv(4096)
+        broken_watch.close()
     hosts = {"seq": 2, "whole": False, "hosts": [host(engine, "e0", "draining")]}
-    drains = json.dumps({"pos": 2, "entries": [{"pos": 2, "hosts": hosts}]}).encode()
-    assert [journal.answer(body) for body in (drains, b'{"pos":2,"entries":[]}')] == [
+    drain_answer = json.dumps({"pos": 2, "entries": [{"pos": 2, "hosts": hosts}]}).encode()
+    assert [journal.answer(body) for body in (drain_answer, b'{"pos":2,"entries":[]}')] == [
         "/journal?tail=1", "/journal?tail=2"]  # fmt: skip
-    assert gate.forwarder.endpoints["e0"].info.state is EndpointState.DRAINING
-    assert post(gate, "lookup", SQL, ttl=400)[0] == 429 and not engine.statements
-    gate.loop.stop()
+    assert gateway.forwarder.endpoints["e0"].info.state is EndpointState.DRAINING
+    assert post(gateway, "lookup", SQL, ttl=400)[0] == 429 and not engine.statements
+    gateway.loop.stop()
     thread.join(10)
-    gate.loop.close()
-    code = "unresponsive" if how == "silent" else "peer-closed"
+    gateway.loop.close()
+    code = "unresponsive" if failure == "unresponsive" else "peer-closed"
     assert f"end discovery {journal.address} {code}" in capfd.readouterr().err
-    dead.close()
+    broken_watch.close()
     journal.close()
     engine.close()
 
 
-def test_watches_that_break_together_come_back_apart() -> None:
-    """Guards the service: all gateways came back in the same moment, each 0.1 s."""
-    back: list[float] = []
+def test_watches_that_break_together_reconnect_at_different_times() -> None:
+    """Guards the service: all gateways reconnected at the same moment, every 0.1 s."""
+    reconnect_delays: list[float] = []
     for seed in range(20):
-        gate = Gateway(config([], seed=f"{seed:x}"), OperatorSettings(), signals=False)
+        gateway = Gateway(config([], seed=f"{seed:x}"), OperatorSettings(), signals=False)
         while (
-            not (timer := gate.watch_client.task.timer)
-            or timer.due_at - gate.loop.now() > 2 * MIN_BACKOFF_SECONDS
+            not (timer := gateway.watch_client.task.timer)
+            or timer.due_at - gateway.loop.now() > 2 * MIN_BACKOFF_SECONDS
         ):
-            gate.loop.turn()  # until the dial is refused and the rest before the next has begun
-        back.append(timer.due_at - gate.loop.now())
-        gate.loop.close()
-    assert max(back) - min(back) > MIN_BACKOFF_SECONDS / 2 and max(back) <= 1.5 * MIN_BACKOFF_SECONDS
+            gateway.loop.turn()  # until the connection is refused and the backoff has begun
+        reconnect_delays.append(timer.due_at - gateway.loop.now())
+        gateway.loop.close()
+    assert (
+        max(reconnect_delays) - min(reconnect_delays) > MIN_BACKOFF_SECONDS / 2
+        and max(reconnect_delays) <= 1.5 * MIN_BACKOFF_SECONDS
+    )
 
 
 EVENTS = 12
--- a/tests/test_race_engine_connections.py
+++ b/tests/test_race_engine_connections.py
@@ -9,223 +9,250 @@
 
 from query_gateway.net.loop import Loop
 from query_gateway.net.stream import Reason, Stream
-from tests.race_helpers import CLOSE_WAIT, GONE, SEC, Deaf, Late, _state, ask, elsewhere, tuned, unsafe
+from tests.race_helpers import (
+    ABANDONED_SQL,
+    CLOSE_WAIT,
+    SEC,
+    PausedReaderEngine,
+    SlowToAcceptEngine,
+    gateway_with_planner_process,
+    send_request,
+    settings_with_non_idempotent_reports,
+    settings_without_timeouts,
+    tcp_state,
+)
 from tests.stand_ins import Engine, host, post
 from tests.test_local import until
 from tests.test_web import LOAD, ROWS, SQL, running
 
-pytestmark = pytest.mark.usefixtures("all_lines")
+pytestmark = pytest.mark.usefixtures("reset_log_rate_limit")
 
 
-class Endless(Engine):
-    """Its first answer never ends: byte by byte, or with the same page over and over."""
+class EndlessAnswerEngine(Engine):
+    """Its first answer never ends: it comes byte by byte, or repeats one page."""
 
     def __init__(self, how: str) -> None:
-        self.how, self.over = how, threading.Event()
+        self.how, self.stopped = how, threading.Event()
         super().__init__(script={SQL: ["mute"]})
 
     def _request(self, sock: socket.socket, words: list[str], statement: str) -> None:
         self.pageless.clear()
         super()._request(sock, words, statement)
         if len(self.statements) == 1:
-            threading.Thread(target=self._go_on, args=(sock, words[1]), daemon=True).start()
+            threading.Thread(target=self._send_endlessly, args=(sock, words[1]), daemon=True).start()
 
-    def _go_on(self, sock: socket.socket, name: str) -> None:
+    def _send_endlessly(self, sock: socket.socket, name: str) -> None:
         head, more = f"{name} ok sheets=1 5000\r\n", "x"
         if self.how == "repeating":
-            self.pageless.add(name)  # what is asked for never comes
+            self.pageless.add(name)  # the page that is polled for never comes
             head, more = f"{name} ok sheets=3 6\r\n0\tx\ty\n\r\n", f"{name} batch sheet=1 6\r\n1\tx\ty\n\r\n"
         with contextlib.suppress(OSError):
             sock.sendall(head.encode())
-            while not self.over.wait(0.01):
+            while not self.stopped.wait(0.01):
                 sock.sendall(more.encode())
 
 
-def test_a_reset_behind_a_request_that_left_is_no_leave_to_repeat_it() -> None:
+def test_non_idempotent_request_that_was_sent_is_not_retried_after_a_reset() -> None:
     engine = Engine(script={SQL: ["reset"]})
-    with running(engine, settings=unsafe()) as gate:
-        assert post(gate, "report", SQL, ttl=600_000)[:2] == (500, {"failure": "Internal"})
-        assert post(gate, "lookup", GONE, ttl=600_000)[0] == 200
-    assert engine.statements == [SQL, GONE]
+    with running(engine, settings=settings_with_non_idempotent_reports()) as gateway:
+        assert post(gateway, "report", SQL, ttl=600_000)[:2] == (500, {"failure": "Internal"})
+        assert post(gateway, "lookup", ABANDONED_SQL, ttl=600_000)[0] == 200
+    assert engine.statements == [SQL, ABANDONED_SQL]
 
 
-def test_a_send_that_a_drain_overtook_counts_at_the_planner_elsewhere() -> None:
-    """Guards the planner's view of engines: the next attempt had its number, so its end was not heeded, and
+def test_attempt_not_sent_because_of_a_drain_is_ended_at_the_planner_process() -> None:
+    """Guards the planner's view of engines: the next attempt had the same number, so its end was ignored and
     the engine counted as in use for good.
     """
-    engine, other = Engine(), Engine()
-    with elsewhere(engine) as (gate, process):
-        held = list[bool]()
-
-        def hold() -> bool:
-            """The planner has decided; before its word is read here, the list tells of a drain."""
-            if gate.forwarder.open_request_count and not held:
-                held.append(True)
+    engine, other_engine = Engine(), Engine()
+    with gateway_with_planner_process(engine) as (gateway, planner_process):
+        announced = list[bool]()
+
+        def announce_drain() -> bool:
+            """Announce a drain when the planner has decided, before its decision is read here."""
+            if gateway.forwarder.open_request_count and not announced:
+                announced.append(True)
                 until(
                     lambda: any(
                         request.attempt_count
-                        for session in list(process.sessions)
+                        for session in list(planner_process.sessions)
                         for request in list(session.open_requests.values())
                     )
                 )
-                news = [host(engine, "e0", "draining"), host(other, "e1")]
-                hosts = {"seq": 2, "whole": False, "hosts": news}
-                gate.endpoint_feed.take_answer({"pos": 2, "entries": [{"pos": 2, "hosts": hosts}]})
+                changed_hosts = [host(engine, "e0", "draining"), host(other_engine, "e1")]
+                hosts = {"seq": 2, "whole": False, "hosts": changed_hosts}
+                gateway.endpoint_feed.take_answer({"pos": 2, "entries": [{"pos": 2, "hosts": hosts}]})
             return False
 
-        gate.loop.call_soon(lambda: gate.loop.turn_hooks.insert(0, hold))
-        assert post(gate, "lookup", SQL, ttl=600_000)[1] == {"rows": ROWS}
-        module = process.planner.scheduler.state
-        until(lambda: not process.owners and not module.queries)
-        assert held and not any(e.in_flight for e in module.engines.values())
-    assert (engine.statements, other.statements) == ([], [SQL])
-    for one in (engine, other):
-        one.close()
+        gateway.loop.call_soon(lambda: gateway.loop.turn_hooks.insert(0, announce_drain))
+        assert post(gateway, "lookup", SQL, ttl=600_000)[1] == {"rows": ROWS}
+        planner_state = planner_process.planner.scheduler.state
+        until(lambda: not planner_process.owners and not planner_state.queries)
+        assert announced and not any(
+            engine_state.in_flight for engine_state in planner_state.engines.values()
+        )
+    assert (engine.statements, other_engine.statements) == ([], [SQL])
+    for stand_in in (engine, other_engine):
+        stand_in.close()
 
 
-def test_a_repeat_whose_dial_outlasts_what_engines_remember_does_not_leave() -> None:
-    """Guards against doubled effects: engines drop a repeat only so long, and the dial came up later."""
-    engine, other = Engine(script={LOAD: ["mute"]}), Late()
-    raw = tuned(dial_timeout=600 * SEC)
+def test_retry_is_not_sent_when_its_connection_comes_up_after_the_deduplication_window() -> None:
+    """Guards against a doubled load: engines deduplicate only so long, and the connection came up later."""
+    engine, other_engine = Engine(script={LOAD: ["mute"]}), SlowToAcceptEngine()
+    raw = settings_without_timeouts(dial_timeout=600 * SEC)
     raw["services"][2] |= {"memory-span": 3 * SEC}
-    with running(engine, settings=raw) as gate, ThreadPoolExecutor() as beside:
-        waiting = beside.submit(post, gate, "load", LOAD, ttl=600_000)
+    with running(engine, settings=raw) as gateway, ThreadPoolExecutor() as executor:
+        waiting = executor.submit(post, gateway, "load", LOAD, ttl=600_000)
         assert engine.wait("REQ")
-        news = [host(engine, "e0", "draining"), host(other, "e1")]
-        hosts = {"seq": 2, "whole": False, "hosts": news}
-        gate.loop.call_soon(
-            lambda: gate.endpoint_feed.take_answer({"pos": 2, "entries": [{"pos": 2, "hosts": hosts}]})
+        changed_hosts = [host(engine, "e0", "draining"), host(other_engine, "e1")]
+        hosts = {"seq": 2, "whole": False, "hosts": changed_hosts}
+        gateway.loop.call_soon(
+            lambda: gateway.endpoint_feed.take_answer({"pos": 2, "entries": [{"pos": 2, "hosts": hosts}]})
         )
-        until(lambda: "e1" in gate.forwarder.endpoints)
+        until(lambda: "e1" in gateway.forwarder.endpoints)
         engine.hang_up()
-        until(lambda: "e1" in gate.engine_pool.connections)  # it waits for its dial
+        until(lambda: "e1" in gateway.engine_pool.connections)  # the retry waits for its connection
         assert waiting.result(20)[0] == 429
-        other.let_up()
-        assert post(gate, "lookup", SQL, ttl=600_000)[0] == 200
-    assert other.statements == [SQL]
-    other.close()
-
-
-@pytest.mark.parametrize("last", [b"", b"ffffffffffffffff progress detail=share,val=0.1 0\r\n", b"ffff"])
-def test_a_close_that_crosses_a_request_is_found_before_it_is_written(last: bytes) -> None:
-    """Guards a class that may not be repeated: written behind the engine's close it counts as run. The close
-    may stand behind late words of the engine, or half a line.
+        other_engine.accept_connections()
+        assert post(gateway, "lookup", SQL, ttl=600_000)[0] == 200
+    assert other_engine.statements == [SQL]
+    other_engine.close()
+
+
+@pytest.mark.parametrize(
+    "last_bytes", [b"", b"ffffffffffffffff progress detail=share,val=0.1 0\r\n", b"ffff"]
+)
+def test_close_by_the_engine_is_found_before_a_request_is_written(last_bytes: bytes) -> None:
+    """Guards a non-idempotent class: written after the engine's close a request counts as executed. The close
+    may follow a late progress note, or a partial line.
     """
     engine = Engine()
-    with running(engine, settings=unsafe()) as gate:
-        assert post(gate, "lookup", SQL, ttl=600_000)[0] == 200
-        old = gate.engine_pool.connections["e0"][0]
-        held = list[bool]()
-
-        def hold() -> bool:
-            """Behind the loop's look at its sockets, ahead of the planner that sends the request on."""
-            if gate.forwarder.open_request_count and not held:
-                engine.socks[0].sendall(last)
+    with running(engine, settings=settings_with_non_idempotent_reports()) as gateway:
+        assert post(gateway, "lookup", SQL, ttl=600_000)[0] == 200
+        closed_connection = gateway.engine_pool.connections["e0"][0]
+        closed = list[bool]()
+
+        def close_engine_side() -> bool:
+            """Close after the loop has polled its sockets, before the planner forwards the request."""
+            if gateway.forwarder.open_request_count and not closed:
+                engine.socks[0].sendall(last_bytes)
                 engine.hang_up()
-                held.append(True)
-                until(lambda: _state(old.stream.sock) == CLOSE_WAIT)
+                closed.append(True)
+                until(lambda: tcp_state(closed_connection.stream.sock) == CLOSE_WAIT)
             return False
 
-        gate.loop.call_soon(lambda: gate.loop.turn_hooks.insert(0, hold))
-        assert post(gate, "report", SQL, ttl=600_000)[1] == {"rows": ROWS}
-        assert held and old.stream.closed and engine.statements == [SQL, SQL]
+        gateway.loop.call_soon(lambda: gateway.loop.turn_hooks.insert(0, close_engine_side))
+        assert post(gateway, "report", SQL, ttl=600_000)[1] == {"rows": ROWS}
+        assert closed and closed_connection.stream.closed and engine.statements == [SQL, SQL]
 
 
-def test_half_a_line_on_a_resting_connection_spoils_no_answer(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Guards a class that may not be repeated: its answer was glued to what was no answer."""
+def test_partial_line_on_an_idle_connection_corrupts_no_answer(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards a non-idempotent class: its answer was appended to the partial line."""
     monkeypatch.setattr("query_gateway.engine_protocol.connection.STALL_TIMEOUT_SECONDS", 600.0)
     engine = Engine()
-    with running(engine, settings=unsafe()) as gate:
-        assert post(gate, "lookup", SQL, ttl=600_000)[0] == 200
-        old = gate.engine_pool.connections["e0"][0]
+    with running(engine, settings=settings_with_non_idempotent_reports()) as gateway:
+        assert post(gateway, "lookup", SQL, ttl=600_000)[0] == 200
+        idle_connection = gateway.engine_pool.connections["e0"][0]
         engine.socks[0].sendall(b"ffff")
-        until(lambda: old.decoder.partial)
-        assert post(gate, "report", SQL, ttl=600_000)[1] == {"rows": ROWS}
+        until(lambda: idle_connection.decoder.partial)
+        assert post(gateway, "report", SQL, ttl=600_000)[1] == {"rows": ROWS}
     assert engine.connections == 2
 
 
 @pytest.mark.parametrize("how", ["dripping", "repeating"])
-def test_an_answer_that_never_ends_while_bytes_come_is_none(
+def test_answer_that_never_ends_while_bytes_arrive_is_retried(
     how: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """Guards the client: with each byte the patience began anew, to the end of its time."""
+    """Guards the client: each byte restarted the timeout, up to its deadline."""
     monkeypatch.setattr("query_gateway.engine_protocol.connection.RESPONSE_TIMEOUT_SECONDS", 0.2)
     monkeypatch.setattr("query_gateway.engine_protocol.connection.STALL_TIMEOUT_SECONDS", 600.0)
-    engine = Endless(how)
-    with running(engine, settings=tuned()) as gate:
-        assert post(gate, "lookup", SQL, ttl=600_000)[1] == {"rows": ROWS}
-        engine.over.set()
+    engine = EndlessAnswerEngine(how)
+    with running(engine, settings=settings_without_timeouts()) as gateway:
+        assert post(gateway, "lookup", SQL, ttl=600_000)[1] == {"rows": ROWS}
+        engine.stopped.set()
     assert engine.statements == [SQL, SQL]
 
 
-def test_what_had_not_left_whole_never_ran() -> None:
-    """Guards a class that may not be repeated: its connection broke with the request still in the buffer."""
-    first, big = "SELECT 1 FROM lending_7.loans", "SELECT '" + "x" * 200_000 + "' FROM lending_7.loans"
-    engine = Deaf(script={first: ["mute"]})
-    with running(engine, settings=unsafe()) as gate, ThreadPoolExecutor() as beside:
-        open_ = [ask(gate, first)]
+def test_non_idempotent_request_not_sent_in_full_is_retried_when_its_connection_breaks() -> None:
+    """Guards a non-idempotent class: its connection broke with the request still in the buffer."""
+    unanswered, large = "SELECT 1 FROM lending_7.loans", "SELECT '" + "x" * 200_000 + "' FROM lending_7.loans"
+    engine = PausedReaderEngine(script={unanswered: ["mute"]})
+    with (
+        running(engine, settings=settings_with_non_idempotent_reports()) as gateway,
+        ThreadPoolExecutor() as executor,
+    ):
+        open_clients = [send_request(gateway, unanswered)]
         until(lambda: engine.statements)
-        stream = gate.engine_pool.connections["e0"][0].stream
+        stream = gateway.engine_pool.connections["e0"][0].stream
         stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
         while not stream.outbox:
-            open_.append(ask(gate, big))
-            until(lambda: len(gate.engine_pool.by_client_id) == len(open_))
-        report = beside.submit(post, gate, "report", SQL, ttl=600_000)
-        until(lambda: len(gate.engine_pool.by_client_id) == len(open_) + 1)
+            open_clients.append(send_request(gateway, large))
+            until(lambda: len(gateway.engine_pool.by_client_id) == len(open_clients))
+        report = executor.submit(post, gateway, "report", SQL, ttl=600_000)
+        until(lambda: len(gateway.engine_pool.by_client_id) == len(open_clients) + 1)
         engine.hang_up()
-        engine.reads.set()
+        engine.may_read.set()
         assert report.result()[1] == {"rows": ROWS}
-        for sock in open_:
+        for sock in open_clients:
             sock.close()
     assert engine.statements.count(SQL) == 1
 
 
-def test_what_waits_for_its_dial_does_not_go_to_an_engine_that_drains() -> None:
-    engine, other = Late(), Engine()
-    with running(engine, settings=tuned(dial_timeout=20 * SEC)) as gate, ThreadPoolExecutor() as beside:
-        waiting = beside.submit(post, gate, "lookup", SQL, ttl=600_000)
-        until(lambda: gate.engine_pool.connections)
-        news = [host(engine, "e0", "draining"), host(other, "e1")]
-        raw = {"pos": 2, "entries": [{"pos": 2, "hosts": {"seq": 2, "whole": False, "hosts": news}}]}
-        gate.loop.call_soon(lambda: gate.endpoint_feed.take_answer(raw))
+def test_request_waiting_for_its_connection_is_not_sent_to_a_draining_engine() -> None:
+    engine, other_engine = SlowToAcceptEngine(), Engine()
+    with (
+        running(engine, settings=settings_without_timeouts(dial_timeout=20 * SEC)) as gateway,
+        ThreadPoolExecutor() as executor,
+    ):
+        waiting = executor.submit(post, gateway, "lookup", SQL, ttl=600_000)
+        until(lambda: gateway.engine_pool.connections)
+        changed_hosts = [host(engine, "e0", "draining"), host(other_engine, "e1")]
+        answer = {
+            "pos": 2,
+            "entries": [{"pos": 2, "hosts": {"seq": 2, "whole": False, "hosts": changed_hosts}}],
+        }
+        gateway.loop.call_soon(lambda: gateway.endpoint_feed.take_answer(answer))
         assert waiting.result()[1] == {"rows": ROWS}
-        engine.let_up()
-        until(lambda: "e0" not in gate.engine_pool.connections)
-    assert (engine.statements, other.statements) == ([], [SQL])
-    other.close()
-
-
-def test_what_waits_to_be_written_does_not_go_to_an_engine_that_drains() -> None:
-    """Guards the drain: what an engine had not yet read went to it whenever it read on."""
-    first, big = "SELECT 1 FROM lending_7.loans", "SELECT '" + "x" * 200_000 + "' FROM lending_7.loans"
-    engine, other = Deaf(script={first: ["mute"]}), Engine()
-    with running(engine, settings=tuned()) as gate, ThreadPoolExecutor() as beside:
-        open_ = [ask(gate, first)]
+        engine.accept_connections()
+        until(lambda: "e0" not in gateway.engine_pool.connections)
+    assert (engine.statements, other_engine.statements) == ([], [SQL])
+    other_engine.close()
+
+
+def test_unwritten_request_is_not_sent_to_a_draining_engine() -> None:
+    """Guards the drain: what an engine had not read yet was sent whenever it read on."""
+    unanswered, large = "SELECT 1 FROM lending_7.loans", "SELECT '" + "x" * 200_000 + "' FROM lending_7.loans"
+    engine, other_engine = PausedReaderEngine(script={unanswered: ["mute"]}), Engine()
+    with running(engine, settings=settings_without_timeouts()) as gateway, ThreadPoolExecutor() as executor:
+        open_clients = [send_request(gateway, unanswered)]
         until(lambda: engine.statements)
-        stream = gate.engine_pool.connections["e0"][0].stream
+        stream = gateway.engine_pool.connections["e0"][0].stream
         stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
         while not stream.outbox:
-            open_.append(ask(gate, big))
-            until(lambda: len(gate.engine_pool.by_client_id) == len(open_))
-        waiting = beside.submit(post, gate, "lookup", SQL, ttl=600_000)
-        until(lambda: len(gate.engine_pool.by_client_id) == len(open_) + 1)
-        news = [host(engine, "e0", "draining"), host(other, "e1")]
-        raw = {"pos": 2, "entries": [{"pos": 2, "hosts": {"seq": 2, "whole": False, "hosts": news}}]}
-        gate.loop.call_soon(lambda: gate.endpoint_feed.take_answer(raw))
+            open_clients.append(send_request(gateway, large))
+            until(lambda: len(gateway.engine_pool.by_client_id) == len(open_clients))
+        waiting = executor.submit(post, gateway, "lookup", SQL, ttl=600_000)
+        until(lambda: len(gateway.engine_pool.by_client_id) == len(open_clients) + 1)
+        changed_hosts = [host(engine, "e0", "draining"), host(other_engine, "e1")]
+        answer = {
+            "pos": 2,
+            "entries": [{"pos": 2, "hosts": {"seq": 2, "whole": False, "hosts": changed_hosts}}],
+        }
+        gateway.loop.call_soon(lambda: gateway.endpoint_feed.take_answer(answer))
         assert waiting.result()[1] == {"rows": ROWS}
-        engine.reads.set()
-        for sock in open_:
+        engine.may_read.set()
+        for sock in open_clients:
             sock.close()
-    assert other.statements == [SQL] and SQL not in engine.statements
-    other.close()
+    assert other_engine.statements == [SQL] and SQL not in engine.statements
+    other_engine.close()
 
 
-def test_bytes_are_taken_back_only_whole() -> None:
-    loop, server = Loop(), socket.create_server(("127.0.0.1", 0))
-    near = socket.create_connection(server.getsockname())
-    far, stream = server.accept()[0], Stream(loop, near, "here")
-    server.close()
-    near.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+def test_queued_bytes_are_withdrawn_only_whole() -> None:
+    loop, listener = Loop(), socket.create_server(("127.0.0.1", 0))
+    near_socket = socket.create_connection(listener.getsockname())
+    far_socket, stream = listener.accept()[0], Stream(loop, near_socket, "here")
+    listener.close()
+    near_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
     sent: list[str] = []
     stream.write(b"a" * 1_000_000)
     partly = stream.call_when_sent(lambda: sent.append("a"), 1_000_000)
@@ -235,13 +262,13 @@
     stream.call_when_sent(lambda: sent.append("c"), 5)
     assert partly and middle and not stream.withdraw(partly)
     assert stream.withdraw(middle) and not stream.withdraw(middle)
-    got = b""
-    far.settimeout(0.01)
-    while stream.outbox or len(got) < 1_000_005:
+    received = b""
+    far_socket.settimeout(0.01)
+    while stream.outbox or len(received) < 1_000_005:
         stream._flush()
         with contextlib.suppress(TimeoutError):
-            got += far.recv(65_536)
-    assert got == b"a" * 1_000_000 + b"c" * 5 and sent == ["a", "c"]
+            received += far_socket.recv(65_536)
+    assert received == b"a" * 1_000_000 + b"c" * 5 and sent == ["a", "c"]
     stream.close(Reason.DONE)
-    far.close()
+    far_socket.close()
     loop.close()
--- a/tests/test_race_flight.py
+++ b/tests/test_race_flight.py
@@ -25,133 +25,155 @@
 from query_gateway.rpc.call import Call, CallHandler
 from query_gateway.rpc.connection import GrpcConnection
 from query_gateway.rpc.framing import encode_message
-from tests.race_helpers import CLOSE_WAIT, GONE, _state, tuned
+from tests.race_helpers import ABANDONED_SQL, CLOSE_WAIT, settings_without_timeouts, tcp_state
 from tests.stand_ins import config
 from tests.test_local import until
 from tests.test_web import LOAD, SQL
 
-pytestmark = pytest.mark.usefixtures("all_lines")
+pytestmark = pytest.mark.usefixtures("reset_log_rate_limit")
 
 
-def _turns(gate: Gateway, what: Callable[[], Any]) -> None:
-    """The test turns the loop itself until something holds."""
+def turn_until(gateway: Gateway, condition: Callable[[], Any]) -> None:
+    """Turn the loop from the test until the condition holds."""
 
-    def turned() -> Any:
-        gate.loop.turn()
-        return what()
+    def turn_and_check() -> Any:
+        gateway.loop.turn()
+        return condition()
 
-    until(turned)
+    until(turn_and_check)
 
 
-def host_of(engine: socket.socket) -> dict[str, Any]:
-    address = f"127.0.0.1:{engine.getsockname()[1]}"
+def flight_host(listener: socket.socket) -> dict[str, Any]:
+    address = f"127.0.0.1:{listener.getsockname()[1]}"
     return {"host": "e0", "flight": address, "dial": "127.0.0.1:1", "site": "hall-a", "class": "std-16",
             "share": 1, "health": "up"}  # fmt: skip
 
 
-def _flight_gate(engine: socket.socket, settings: dict[str, Any] | None = None) -> Gateway:
-    """A gateway with the Flight front, whose loop the test turns, and one engine on that wire."""
-    flight = parse_operator_settings({"flight": {"listen": "127.0.0.1:0"}}, config([]))
-    return Gateway(config([host_of(engine)], settings=settings or tuned()), flight, signals=False)
+def flight_gateway(listener: socket.socket, settings: dict[str, Any] | None = None) -> Gateway:
+    """A gateway with a Flight listener and one Flight engine; the test turns its loop."""
+    operator_settings = parse_operator_settings({"flight": {"listen": "127.0.0.1:0"}}, config([]))
+    return Gateway(
+        config([flight_host(listener)], settings=settings or settings_without_timeouts()),
+        operator_settings,
+        signals=False,
+    )
 
 
-def _take_flight(gate: Gateway, statement: str) -> Exchange:
+def accept_flight_query(gateway: Gateway, statement: str) -> Exchange:
     headers = {"x-txn": uuid4().hex[:16], "x-ttl-ms": "600000"}
-    query = decode_request("lookup", gate.config.classes, headers, statement.encode(), gate.forwarder.clock())
-    exchange = gate.forwarder.accept(query, PendingAnswer(lambda: None), "flight")
-    gate.planner_links.run_local()
+    query = decode_request(
+        "lookup", gateway.config.classes, headers, statement.encode(), gateway.forwarder.clock()
+    )
+    exchange = gateway.forwarder.accept(query, PendingAnswer(lambda: None), "flight")
+    gateway.planner_links.run_local()
     return exchange
 
 
-def test_who_leaves_while_its_flight_call_waits_to_be_accepted_is_not_sent_on() -> None:
-    engine = socket.create_server(("127.0.0.1", 0))
-    gate = _flight_gate(engine)
-    assert gate.flight_server
-    pool: Any = gate.forwarder.engine_clients["flight"]
+def test_flight_call_abandoned_before_its_connection_is_accepted_is_not_forwarded() -> None:
+    listener = socket.create_server(("127.0.0.1", 0))
+    gateway = flight_gateway(listener)
+    assert gateway.flight_server
+    pool: Any = gateway.forwarder.engine_clients["flight"]
     connection = pool.connections["e0"] = FlightConnection(pool, "e0", pool.addresses["e0"])
-    peer = engine.accept()[0]
-    _turns(gate, lambda: connection.grpc.stream.connected)
-    wire = H2Connection(H2Configuration(client_side=True))
-    wire.initiate_connection()
-    told = {":method": "POST", ":scheme": "http", ":path": messages.SERVICE_PATH + "DoPut", ":authority": "x",
-            "x-class": "load", "x-row": "7f3a9c21e0b4d655", "x-txn-key": uuid4().hex}  # fmt: skip
-    wire.send_headers(1, list(told.items()))
-    wire.send_data(1, encode_message(messages.encode_update(LOAD)), end_stream=True)
-    first = gate.forwarder.next_request_id
-    with socket.create_connection(gate.flight_server.listener.address) as client:
-        client.sendall(wire.data_to_send())
-    _turns(gate, lambda: gate.flight_server and gate.flight_server.connections and gate.flight_server.is_idle)
-    assert gate.forwarder.next_request_id == first + 1 and not gate.forwarder.exchanges  # it was taken
+    engine_socket = listener.accept()[0]
+    turn_until(gateway, lambda: connection.grpc.stream.connected)
+    client_h2 = H2Connection(H2Configuration(client_side=True))
+    client_h2.initiate_connection()
+    headers = {
+        ":method": "POST",
+        ":scheme": "http",
+        ":path": messages.SERVICE_PATH + "DoPut",
+        ":authority": "x",
+        "x-class": "load",
+        "x-row": "7f3a9c21e0b4d655",
+        "x-txn-key": uuid4().hex,
+    }
+    client_h2.send_headers(1, list(headers.items()))
+    client_h2.send_data(1, encode_message(messages.encode_update(LOAD)), end_stream=True)
+    next_id_before = gateway.forwarder.next_request_id
+    with socket.create_connection(gateway.flight_server.listener.address) as client:
+        client.sendall(client_h2.data_to_send())
+    turn_until(
+        gateway,
+        lambda: gateway.flight_server and gateway.flight_server.connections and gateway.flight_server.is_idle,
+    )
+    assert (
+        gateway.forwarder.next_request_id == next_id_before + 1 and not gateway.forwarder.exchanges
+    )  # the call was read
     assert pool.connections == {"e0": connection} and connection.grpc.h2.get_next_available_stream_id() == 1
-    gate.loop.close()
-    for sock in (peer, engine):
+    gateway.loop.close()
+    for sock in (engine_socket, listener):
         sock.close()
 
 
-@pytest.mark.parametrize("how", ["leaves", "drains", "breaks"])
-def test_a_flight_call_whose_message_waits_is_taken_back(how: str) -> None:
-    """The client leaves, or the engine drains, or its connection breaks, while an engine's window keeps the
-    call's message here.
+@pytest.mark.parametrize("event", ["leaves", "drains", "breaks"])
+def test_flight_call_whose_message_is_unsent_is_withdrawn(event: str) -> None:
+    """The client leaves, the engine drains or its connection breaks while the engine's flow-control window
+    holds the call's message back.
     """
-    engine = socket.create_server(("127.0.0.1", 0))
-    gate = _flight_gate(engine, tuned(cancelling=False))
-    big = "SELECT '" + "x" * 200_000 + "' FROM lending_7.loans"
-    exchanges = [_take_flight(gate, statement) for statement in (big, GONE)]
-    peer = engine.accept()[0]
-    peer.settimeout(0.01)
-    grpc = gate.forwarder.engine_clients["flight"].connections["e0"].grpc  # type: ignore[attr-defined]
+    listener = socket.create_server(("127.0.0.1", 0))
+    gateway = flight_gateway(listener, settings_without_timeouts(cancelling=False))
+    large = "SELECT '" + "x" * 200_000 + "' FROM lending_7.loans"
+    exchanges = [accept_flight_query(gateway, statement) for statement in (large, ABANDONED_SQL)]
+    engine_socket = listener.accept()[0]
+    engine_socket.settimeout(0.01)
+    grpc = gateway.forwarder.engine_clients["flight"].connections["e0"].grpc  # type: ignore[attr-defined]
     while len(grpc.calls) < 2 or grpc.h2.outbound_flow_control_window:
-        gate.loop.turn()
-    if how == "leaves":
+        gateway.loop.turn()
+    if event == "leaves":
         exchanges[1].abandon()
-    elif how == "drains":
-        news = host_of(engine) | {"health": "draining"}
-        gate.endpoint_feed.take_answer(
-            {"pos": 2, "entries": [{"pos": 2, "hosts": {"whole": False, "hosts": [news]}}]}
+    elif event == "drains":
+        draining_host = flight_host(listener) | {"health": "draining"}
+        gateway.endpoint_feed.take_answer(
+            {"pos": 2, "entries": [{"pos": 2, "hosts": {"whole": False, "hosts": [draining_host]}}]}
         )
     else:
-        peer.shutdown(socket.SHUT_RDWR)
-        _turns(gate, lambda: grpc.stream.closed)
-        assert not any(e.may_have_run for e in exchanges)
+        engine_socket.shutdown(socket.SHUT_RDWR)
+        turn_until(gateway, lambda: grpc.stream.closed)
+        assert not any(exchange.may_have_run for exchange in exchanges)
         exchanges = []
-    # What has gone in part is not whole either, so it never ran; its client still waits for it
+    # A partly sent message is incomplete too, so it never ran; its client still waits for it
     if exchanges:
         assert exchanges[1].current_attempt is None and bool(exchanges[0].current_attempt) is (
-            how == "leaves"
+            event == "leaves"
         )
-        window = WindowUpdateFrame(0, window_increment=1_000_000).serialize()
-        own = WindowUpdateFrame(1, window_increment=1_000_000).serialize()
-        peer.sendall(SettingsFrame(0).serialize() + window + own)
-    got = b""
-    while got.count(b"x") < 200_000 and not grpc.stream.closed:
-        gate.loop.turn()
+        connection_window = WindowUpdateFrame(0, window_increment=1_000_000).serialize()
+        stream_window = WindowUpdateFrame(1, window_increment=1_000_000).serialize()
+        engine_socket.sendall(SettingsFrame(0).serialize() + connection_window + stream_window)
+    received = b""
+    while received.count(b"x") < 200_000 and not grpc.stream.closed:
+        gateway.loop.turn()
         with contextlib.suppress(TimeoutError):
-            got += peer.recv(65_536)
-    assert GONE.encode() not in got
-    gate.loop.close()
-    for sock in (peer, engine):
+            received += engine_socket.recv(65_536)
+    assert ABANDONED_SQL.encode() not in received
+    gateway.loop.close()
+    for sock in (engine_socket, listener):
         sock.close()
 
 
-def test_a_close_that_crosses_a_flight_call_is_found_before_it_is_written() -> None:
-    """Guards an update that may not be repeated: written behind the engine's close it counts as run."""
-    engine = socket.create_server(("127.0.0.1", 0))
-    gate = _flight_gate(engine)
-    pool: Any = gate.forwarder.engine_clients["flight"]
-    old = pool.connections["e0"] = FlightConnection(pool, "e0", pool.addresses["e0"])
-    peer = engine.accept()[0]
-    _turns(gate, lambda: old.grpc.stream.connected)
-    peer.shutdown(socket.SHUT_WR)
-    until(lambda: _state(old.grpc.stream.sock) == CLOSE_WAIT)
-    exchange = _take_flight(gate, SQL)
-    assert exchange.current_attempt and pool.connections["e0"] is not old and not old.grpc.calls
-    gate.loop.close()
-    for sock in (peer, engine):
+def test_close_by_the_engine_is_found_before_a_flight_call_is_written() -> None:
+    """Guards a non-idempotent update: written after the engine's close it counts as executed."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    gateway = flight_gateway(listener)
+    pool: Any = gateway.forwarder.engine_clients["flight"]
+    closed_connection = pool.connections["e0"] = FlightConnection(pool, "e0", pool.addresses["e0"])
+    engine_socket = listener.accept()[0]
+    turn_until(gateway, lambda: closed_connection.grpc.stream.connected)
+    engine_socket.shutdown(socket.SHUT_WR)
+    until(lambda: tcp_state(closed_connection.grpc.stream.sock) == CLOSE_WAIT)
+    exchange = accept_flight_query(gateway, SQL)
+    assert (
+        exchange.current_attempt
+        and pool.connections["e0"] is not closed_connection
+        and not closed_connection.grpc.calls
+    )
+    gateway.loop.close()
+    for sock in (engine_socket, listener):
         sock.close()
 
 
-class Answers(CallHandler):
-    """Answers its call at once, with much."""
+class LargeAnswerHandler(CallHandler):
+    """Answers its call at once, with a large message."""
 
     def __init__(self, call: Call) -> None:
         self.call = call
@@ -162,57 +184,57 @@
         self.call.finish([("grpc-status", "0")])
 
 
-@pytest.mark.parametrize("why", ["stopping", "idle"])
-def test_a_flight_answer_that_is_still_read_outlasts_the_end_of_its_connection(
-    why: str, monkeypatch: pytest.MonkeyPatch
+@pytest.mark.parametrize("reason", ["stopping", "idle"])
+def test_flight_answer_still_being_read_is_completed_before_its_connection_closes(
+    reason: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards the last answer: the connection was closed over what its client had not read yet. A call that
-    crosses the end hears that it never ran.
+    crosses the close is told that it was not executed.
     """
-    loop, server = Loop(), socket.create_server(("127.0.0.1", 0))
-    server.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+    loop, listener = Loop(), socket.create_server(("127.0.0.1", 0))
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
     client = socket.socket()
     client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
-    client.connect(server.getsockname())
+    client.connect(listener.getsockname())
     peer = H2Connection(H2Configuration(client_side=True))
     windows = {SettingCodes.INITIAL_WINDOW_SIZE: 1_000_000}
     peer.local_settings = Settings(client=True, initial_values=windows)
     peer.initiate_connection()
     peer.increment_flow_control_window(1_000_000)
-    told = [(":method", "POST"), (":scheme", "http"), (":path", "/x"), (":authority", "x")]
-    peer.send_headers(1, told)
+    headers = [(":method", "POST"), (":scheme", "http"), (":path", "/x"), (":authority", "x")]
+    peer.send_headers(1, headers)
     peer.send_data(1, encode_message(b"?"), end_stream=True)
     client.sendall(peer.data_to_send())
-    stream = Stream(loop, server.accept()[0], "client")
+    stream = Stream(loop, listener.accept()[0], "client")
     connection = GrpcConnection(loop, stream, is_client=False)
-    connection.on_call = lambda _, call: Answers(call)
+    connection.on_call = lambda _, call: LargeAnswerHandler(call)
     stream.start()
-    until(lambda: _turned(loop) and stream.outbox and not connection.calls)
-    if why == "stopping":
+    until(lambda: turn_once(loop) and stream.outbox and not connection.calls)
+    if reason == "stopping":
         connection.send_goaway()
     else:
         monkeypatch.setattr("query_gateway.rpc.connection.IDLE_TIMEOUT_S", 0.0)
         connection.wake()
-    got, ended = 0, set[Any]()
+    received_bytes, event_types = 0, set[Any]()
     client.settimeout(0.01)
-    while ConnectionTerminated not in ended or StreamEnded not in ended:
-        assert _turned(loop)
+    while ConnectionTerminated not in event_types or StreamEnded not in event_types:
+        assert turn_once(loop)
         with contextlib.suppress(TimeoutError):
             data = client.recv(65_536)
             assert data, "the end came before the answer's"
             for event in peer.receive_data(data):
-                ended.add(type(event))
+                event_types.add(type(event))
                 if isinstance(event, DataReceived) and event.data and event.flow_controlled_length:
-                    got += len(event.data)
-    assert got == 600_005
+                    received_bytes += len(event.data)
+    assert received_bytes == 600_005
     client.close()
-    until(lambda: _turned(loop) and stream.closed)
-    server.close()
+    until(lambda: turn_once(loop) and stream.closed)
+    listener.close()
     loop.close()
 
 
-def _turned(loop: Loop) -> bool:
-    """One turn, which waits for nothing long."""
+def turn_once(loop: Loop) -> bool:
+    """Turn the loop once, waiting for 10 ms at most."""
     loop.call_at(loop.now() + 0.01, lambda: None)
     loop.turn()
     return True
--- a/tests/test_race_reload.py
+++ b/tests/test_race_reload.py
@@ -19,64 +19,69 @@
 from query_gateway.net.loop import Loop
 from tests.stand_ins import SETTINGS, config
 
-pytestmark = pytest.mark.usefixtures("all_lines")
+pytestmark = pytest.mark.usefixtures("reset_log_rate_limit")
 
 
-def test_a_second_reload_leaves_each_dropped_class_its_own_time() -> None:
-    """Guards requests that cross: the first reload's timer ended the time of what the second dropped."""
+def test_second_reload_keeps_each_retired_class_for_its_own_grace_period() -> None:
+    """Guards late requests: the first reload's timer ended the grace period of the second's classes."""
     names = iter(("audit", "third"))
 
-    def again() -> Any:
+    def read_next() -> Any:
         raw = copy.deepcopy(SETTINGS)
         raw["services"][1] |= {"name": next(names)}  # type: ignore[index]
         return config([], settings=raw)
 
-    options = GatewayOptions(sources=ConfigurationSources(read_configuration=again))
-    gate = Gateway(config([]), OperatorSettings(), signals=False, options=options)
-    start = gate.loop.now()
-    seen = []
-    for at, reloads in ((0.0, True), (1.0, True), (1.2, False), (1.6, False), (2.6, False)):
-        gate.loop.now = lambda at=at: start + at  # type: ignore
-        if reloads:
-            gate.reload()
-        while gate.loop.timers and gate.loop.timers[0][0] <= start + at:
-            gate.loop.turn()
-        seen.append(set(gate.http_server.classes) - {"lookup", "load"})
+    options = GatewayOptions(sources=ConfigurationSources(read_configuration=read_next))
+    gateway = Gateway(config([]), OperatorSettings(), signals=False, options=options)
+    start = gateway.loop.now()
+    retained_classes = []
+    for elapsed, reload_now in ((0.0, True), (1.0, True), (1.2, False), (1.6, False), (2.6, False)):
+        gateway.loop.now = lambda elapsed=elapsed: start + elapsed  # type: ignore
+        if reload_now:
+            gateway.reload()
+        while gateway.loop.timers and gateway.loop.timers[0][0] <= start + elapsed:
+            gateway.loop.turn()
+        retained_classes.append(set(gateway.http_server.classes) - {"lookup", "load"})
     assert GRACE_PERIOD_SECONDS == 1.5
-    assert seen == [{"report", "audit"}, {"report", "audit", "third"}, {"report", "audit", "third"},
-                    {"audit", "third"}, {"third"}]  # fmt: skip
-    gate.loop.close()
+    assert retained_classes == [
+        {"report", "audit"},
+        {"report", "audit", "third"},
+        {"report", "audit", "third"},
+        {"audit", "third"},
+        {"third"},
+    ]
+    gateway.loop.close()
 
 
-def test_a_call_that_breaks_keeps_no_signal_behind_it_from_its_turn() -> None:
-    """Guards the stop: a SIGTERM behind a reload that broke waited for the next signal."""
-    loop, did = Loop(), list[str]()
+def test_callback_that_raises_does_not_delay_the_callbacks_behind_it() -> None:
+    """Guards the shutdown: a SIGTERM behind a reload that raised waited for the next signal."""
+    loop, ran = Loop(), list[str]()
     loop.call_soon(lambda: 1 / 0)
-    loop.call_soon(lambda: did.append("stop"))
+    loop.call_soon(lambda: ran.append("stop"))
     loop.turn()
-    assert did == ["stop"] and loop.faults == 1
+    assert ran == ["stop"] and loop.faults == 1
     loop.close()
 
 
-def test_a_sighup_while_it_starts_ends_no_gateway_and_is_heeded(tmp_path: Path) -> None:
-    """Guards the start: until its end SIGHUP had its usual effect, the process's death."""
+def test_sighup_during_the_start_is_applied_and_ends_no_gateway(tmp_path: Path) -> None:
+    """Guards the start: until it was complete, SIGHUP had its default effect and ended the process."""
     known = {"pos": 7, "entries": []}
-    raw = {"listen": "127.0.0.1:0", "journal": "127.0.0.1:1", "known": known, "settings": SETTINGS}
-    file = tmp_path / "config.json"
-    os.mkfifo(file)  # the start stands still where it reads its configuration
-    run = [sys.executable, "-m", "query_gateway"]
-    environ = os.environ | {"ROUTER_CONFIG": str(file)}
-    with subprocess.Popen(run, env=environ, stderr=subprocess.PIPE, text=True) as process:
-        with file.open("w") as first:  # it reads
+    platform = {"listen": "127.0.0.1:0", "journal": "127.0.0.1:1", "known": known, "settings": SETTINGS}
+    config_file = tmp_path / "config.json"
+    os.mkfifo(config_file)  # the start blocks where it reads its configuration
+    command = [sys.executable, "-m", "query_gateway"]
+    environ = os.environ | {"ROUTER_CONFIG": str(config_file)}
+    with subprocess.Popen(command, env=environ, stderr=subprocess.PIPE, text=True) as process:
+        with config_file.open("w") as config_writer:  # opens once the process reads
             process.send_signal(signal.SIGHUP)
-            (tmp_path / "next.json").write_text(json.dumps(raw | {"journal": "127.0.0.1:2"}))
-            os.replace(tmp_path / "next.json", file)
-            first.write(json.dumps(raw))
+            (tmp_path / "next.json").write_text(json.dumps(platform | {"journal": "127.0.0.1:2"}))
+            os.replace(tmp_path / "next.json", config_file)
+            config_writer.write(json.dumps(platform))
         assert process.stderr
-        said = ""
-        while "reload journal 127.0.0.1:2" not in said:
+        log_output = ""
+        while "reload journal 127.0.0.1:2" not in log_output:
             line = process.stderr.readline()
-            assert line, said
-            said += line
+            assert line, log_output
+            log_output += line
         process.terminate()
         assert process.wait(10) == 0
