--- /dev/null
+++ b/tests/test_race_flight.py
@@ -0,0 +1,240 @@
+"""Race conditions on Flight connections: calls that are abandoned, drained or cut off as they go out."""
+
+import contextlib
+import socket
+from collections.abc import Callable
+from typing import Any
+from uuid import uuid4
+
+import pytest
+from h2.config import H2Configuration
+from h2.connection import H2Connection
+from h2.events import ConnectionTerminated, DataReceived, StreamEnded
+from h2.settings import SettingCodes, Settings
+from hyperframe.frame import SettingsFrame, WindowUpdateFrame
+
+from query_gateway.configuration.operator_file import parse_operator_settings
+from query_gateway.flight import messages
+from query_gateway.flight.engines import FlightConnection
+from query_gateway.forwarder.exchange import Exchange
+from query_gateway.gateway import Gateway
+from query_gateway.http.request_decoding import decode_request
+from query_gateway.http.request_handler import PendingAnswer
+from query_gateway.net.loop import Loop
+from query_gateway.net.stream import Stream
+from query_gateway.rpc.call import Call, CallHandler
+from query_gateway.rpc.connection import GrpcConnection
+from query_gateway.rpc.framing import encode_message
+from tests.race_helpers import ABANDONED_SQL, CLOSE_WAIT, settings_without_timeouts, tcp_state
+from tests.stand_ins import config
+from tests.test_local import until
+from tests.test_web import LOAD, SQL
+
+pytestmark = pytest.mark.usefixtures("reset_log_rate_limit")
+
+
+def turn_until(gateway: Gateway, condition: Callable[[], Any]) -> None:
+    """Turn the loop from the test until the condition holds."""
+
+    def turn_and_check() -> Any:
+        gateway.loop.turn()
+        return condition()
+
+    until(turn_and_check)
+
+
+def flight_host(listener: socket.socket) -> dict[str, Any]:
+    address = f"127.0.0.1:{listener.getsockname()[1]}"
+    return {"host": "e0", "flight": address, "dial": "127.0.0.1:1", "site": "hall-a", "class": "std-16",
+            "share": 1, "health": "up"}  # fmt: skip
+
+
+def flight_gateway(listener: socket.socket, settings: dict[str, Any] | None = None) -> Gateway:
+    """A gateway with a Flight listener and one Flight engine; the test turns its loop."""
+    operator_settings = parse_operator_settings({"flight": {"listen": "127.0.0.1:0"}}, config([]))
+    return Gateway(
+        config([flight_host(listener)], settings=settings or settings_without_timeouts()),
+        operator_settings,
+        signals=False,
+    )
+
+
+def accept_flight_query(gateway: Gateway, statement: str) -> Exchange:
+    headers = {"x-txn": uuid4().hex[:16], "x-ttl-ms": "600000"}
+    query = decode_request(
+        "lookup", gateway.config.classes, headers, statement.encode(), gateway.forwarder.clock()
+    )
+    exchange = gateway.forwarder.accept(query, PendingAnswer(lambda: None), "flight")
+    gateway.planner_links.run_local()
+    return exchange
+
+
+def test_flight_call_abandoned_before_its_connection_is_accepted_is_not_forwarded() -> None:
+    listener = socket.create_server(("127.0.0.1", 0))
+    gateway = flight_gateway(listener)
+    assert gateway.flight_server
+    pool: Any = gateway.forwarder.engine_clients["flight"]
+    connection = pool.connections["e0"] = FlightConnection(pool, "e0", pool.addresses["e0"])
+    engine_socket = listener.accept()[0]
+    turn_until(gateway, lambda: connection.grpc.stream.connected)
+    client_h2 = H2Connection(H2Configuration(client_side=True))
+    client_h2.initiate_connection()
+    headers = {
+        ":method": "POST",
+        ":scheme": "http",
+        ":path": messages.SERVICE_PATH + "DoPut",
+        ":authority": "x",
+        "x-class": "load",
+        "x-row": "7f3a9c21e0b4d655",
+        "x-txn-key": uuid4().hex,
+    }
+    client_h2.send_headers(1, list(headers.items()))
+    client_h2.send_data(1, encode_message(messages.encode_update(LOAD)), end_stream=True)
+    next_id_before = gateway.forwarder.next_request_id
+    with socket.create_connection(gateway.flight_server.listener.address) as client:
+        client.sendall(client_h2.data_to_send())
+    turn_until(
+        gateway,
+        lambda: gateway.flight_server and gateway.flight_server.connections and gateway.flight_server.is_idle,
+    )
+    assert (
+        gateway.forwarder.next_request_id == next_id_before + 1 and not gateway.forwarder.exchanges
+    )  # the call was read
+    assert pool.connections == {"e0": connection} and connection.grpc.h2.get_next_available_stream_id() == 1
+    gateway.loop.close()
+    for sock in (engine_socket, listener):
+        sock.close()
+
+
+@pytest.mark.parametrize("event", ["leaves", "drains", "breaks"])
+def test_flight_call_whose_message_is_unsent_is_withdrawn(event: str) -> None:
+    """The client leaves, the engine drains or its connection breaks while the engine's flow-control window
+    holds the call's message back.
+    """
+    listener = socket.create_server(("127.0.0.1", 0))
+    gateway = flight_gateway(listener, settings_without_timeouts(cancelling=False))
+    large = "SELECT '" + "x" * 200_000 + "' FROM lending_7.loans"
+    exchanges = [accept_flight_query(gateway, statement) for statement in (large, ABANDONED_SQL)]
+    engine_socket = listener.accept()[0]
+    engine_socket.settimeout(0.01)
+    grpc = gateway.forwarder.engine_clients["flight"].connections["e0"].grpc  # type: ignore[attr-defined]
+    while len(grpc.calls) < 2 or grpc.h2.outbound_flow_control_window:
+        gateway.loop.turn()
+    if event == "leaves":
+        exchanges[1].abandon()
+    elif event == "drains":
+        draining_host = flight_host(listener) | {"health": "draining"}
+        gateway.endpoint_feed.take_answer(
+            {"pos": 2, "entries": [{"pos": 2, "hosts": {"whole": False, "hosts": [draining_host]}}]}
+        )
+    else:
+        engine_socket.shutdown(socket.SHUT_RDWR)
+        turn_until(gateway, lambda: grpc.stream.closed)
+        assert not any(exchange.may_have_run for exchange in exchanges)
+        exchanges = []
+    # A partly sent message is incomplete too, so it never ran; its client still waits for it
+    if exchanges:
+        assert exchanges[1].current_attempt is None and bool(exchanges[0].current_attempt) is (
+            event == "leaves"
+        )
+        connection_window = WindowUpdateFrame(0, window_increment=1_000_000).serialize()
+        stream_window = WindowUpdateFrame(1, window_increment=1_000_000).serialize()
+        engine_socket.sendall(SettingsFrame(0).serialize() + connection_window + stream_window)
+    received = b""
+    while received.count(b"x") < 200_000 and not grpc.stream.closed:
+        gateway.loop.turn()
+        with contextlib.suppress(TimeoutError):
+            received += engine_socket.recv(65_536)
+    assert ABANDONED_SQL.encode() not in received
+    gateway.loop.close()
+    for sock in (engine_socket, listener):
+        sock.close()
+
+
+def test_close_by_the_engine_is_found_before_a_flight_call_is_written() -> None:
+    """Guards a non-idempotent update: written after the engine's close it counts as executed."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    gateway = flight_gateway(listener)
+    pool: Any = gateway.forwarder.engine_clients["flight"]
+    closed_connection = pool.connections["e0"] = FlightConnection(pool, "e0", pool.addresses["e0"])
+    engine_socket = listener.accept()[0]
+    turn_until(gateway, lambda: closed_connection.grpc.stream.connected)
+    engine_socket.shutdown(socket.SHUT_WR)
+    until(lambda: tcp_state(closed_connection.grpc.stream.sock) == CLOSE_WAIT)
+    exchange = accept_flight_query(gateway, SQL)
+    assert (
+        exchange.current_attempt
+        and pool.connections["e0"] is not closed_connection
+        and not closed_connection.grpc.calls
+    )
+    gateway.loop.close()
+    for sock in (engine_socket, listener):
+        sock.close()
+
+
+class LargeAnswerHandler(CallHandler):
+    """Answers its call at once, with a large message."""
+
+    def __init__(self, call: Call) -> None:
+        self.call = call
+
+    def on_message(self, data: bytes, flow_controlled_bytes: int) -> None:
+        self.call.send_headers([(":status", "200")])
+        self.call.send(b"x" * 600_000)
+        self.call.finish([("grpc-status", "0")])
+
+
+@pytest.mark.parametrize("reason", ["stopping", "idle"])
+def test_flight_answer_still_being_read_is_completed_before_its_connection_closes(
+    reason: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards the last answer: the connection was closed over what its client had not read yet. A call that
+    crosses the close is told that it was not executed.
+    """
+    loop, listener = Loop(), socket.create_server(("127.0.0.1", 0))
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+    client = socket.socket()
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+    client.connect(listener.getsockname())
+    peer = H2Connection(H2Configuration(client_side=True))
+    windows = {SettingCodes.INITIAL_WINDOW_SIZE: 1_000_000}
+    peer.local_settings = Settings(client=True, initial_values=windows)
+    peer.initiate_connection()
+    peer.increment_flow_control_window(1_000_000)
+    headers = [(":method", "POST"), (":scheme", "http"), (":path", "/x"), (":authority", "x")]
+    peer.send_headers(1, headers)
+    peer.send_data(1, encode_message(b"?"), end_stream=True)
+    client.sendall(peer.data_to_send())
+    stream = Stream(loop, listener.accept()[0], "client")
+    connection = GrpcConnection(loop, stream, is_client=False)
+    connection.on_call = lambda _, call: LargeAnswerHandler(call)
+    stream.start()
+    until(lambda: turn_once(loop) and stream.outbox and not connection.calls)
+    if reason == "stopping":
+        connection.send_goaway()
+    else:
+        monkeypatch.setattr("query_gateway.rpc.connection.IDLE_TIMEOUT_S", 0.0)
+        connection.wake()
+    received_bytes, event_types = 0, set[Any]()
+    client.settimeout(0.01)
+    while ConnectionTerminated not in event_types or StreamEnded not in event_types:
+        assert turn_once(loop)
+        with contextlib.suppress(TimeoutError):
+            data = client.recv(65_536)
+            assert data, "the end came before the answer's"
+            for event in peer.receive_data(data):
+                event_types.add(type(event))
+                if isinstance(event, DataReceived) and event.data and event.flow_controlled_length:
+                    received_bytes += len(event.data)
+    assert received_bytes == 600_005
+    client.close()
+    until(lambda: turn_once(loop) and stream.closed)
+    listener.close()
+    loop.close()
+
+
+def turn_once(loop: Loop) -> bool:
+    """Turn the loop once, waiting for 10 ms at most."""
+    loop.call_at(loop.now() + 0.01, lambda: None)
+    loop.turn()
+    return True
--- /dev/null
+++ b/tests/test_race_shutdown.py
@@ -0,0 +1,283 @@
+"""Race conditions of the graceful shutdown and the hot upgrade: requests, deadlines and lost processes."""
+
+import contextlib
+import http.client
+import json
+import os
+import signal
+import socket
+import threading
+from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from query_gateway.composition import GatewayOptions
+from query_gateway.configuration.operator_file import OperatorSettings
+from query_gateway.gateway import Gateway
+from query_gateway.lifecycle.reload import ConfigurationSources
+from query_gateway.lifecycle.shutdown import ANSWER_SECONDS
+from query_gateway.lifecycle.upgrade_messages import MAX_DESCRIPTORS, MAX_PACKET_BYTES, PROTOCOL_VERSION
+from query_gateway.lifecycle.upgrade_socket import request_inherited_state
+from tests.race_helpers import (
+    SEC,
+    PausedReaderEngine,
+    SlowToAcceptEngine,
+    send_request,
+    settings_with_non_idempotent_reports,
+    settings_with_timeout,
+    settings_without_timeouts,
+)
+from tests.stand_ins import SETTINGS, Engine, config, host, post
+from tests.test_hot_upgrade import Site, site
+from tests.test_local import until
+from tests.test_web import LOAD, ROWS, SQL, running
+
+pytestmark = pytest.mark.usefixtures("reset_log_rate_limit")
+
+
+def test_shutdown_aborts_open_requests_before_the_process_is_killed() -> None:
+    """Guards clients of long requests: SIGKILL comes 0.7 s after the longest deadline, or after 3 s."""
+    for settings, longest_deadline in ((SETTINGS, ANSWER_SECONDS), (settings_with_timeout(1.0), 1.0)):
+        gateway = Gateway(config([], settings=settings), OperatorSettings(), signals=False)
+        gateway.begin_shutdown()
+        gateway.begin_shutdown()  # a second SIGTERM starts no second shutdown
+        abort_delays = [
+            when - gateway.loop.now()
+            for when, _, timer in gateway.loop.timers
+            if timer.callback == gateway.shutdown.give_up
+        ]
+        assert len(abort_delays) == 1 and longest_deadline < abort_delays[0] < longest_deadline + 0.7
+        gateway.loop.close()
+
+
+def test_shutdown_after_a_reload_uses_the_current_deadlines() -> None:
+    """Guards clients of a retired class: SIGKILL no longer waits for its longer deadline."""
+    settings = settings_with_timeout(1.0)
+    settings["services"][1] |= {"name": "audit"}
+    sources = ConfigurationSources(read_configuration=lambda: config([], settings=settings))
+    gateway = Gateway(config([]), OperatorSettings(), signals=False, options=GatewayOptions(sources=sources))
+    gateway.reload()
+    gateway.begin_shutdown()
+    abort_delays = [
+        when - gateway.loop.now()
+        for when, _, timer in gateway.loop.timers
+        if timer.callback == gateway.shutdown.give_up
+    ]
+    assert len(abort_delays) == 1 and 1.0 < abort_delays[0] < 1.7
+    gateway.loop.close()
+
+
+def test_request_aborted_while_its_connection_is_being_opened_is_rejected_in_every_class() -> None:
+    """Guards clients of a non-idempotent class: after a failure they may not retry."""
+    engine = SlowToAcceptEngine()
+    with running(
+        engine,
+        settings=settings_with_non_idempotent_reports()
+        | {"limits": settings_without_timeouts(dial_timeout=600 * SEC)["limits"]},
+    ) as gateway:
+        with ThreadPoolExecutor() as executor:
+            waiting = executor.submit(post, gateway, "report", SQL, ttl=600_000)
+            until(lambda: gateway.engine_pool.connections)
+            gateway.loop.call_soon(gateway.shutdown.give_up)
+            assert waiting.result()[0] == 429
+        engine.accept_connections()
+    assert engine.statements == []
+
+
+def test_shutdown_answers_a_long_request_and_exits(tmp_path: Path) -> None:
+    with site(tmp_path) as deployment, ThreadPoolExecutor() as executor:
+        settings = settings_with_timeout(1.0)
+        settings["family-info"]["progress"] = 0  # no progress note is expected of a long request
+        write_settings(deployment, settings)
+        deployment.engine.script[LOAD] = ["mute"] * 3
+        instance = deployment.start()
+        waiting = executor.submit(post, deployment.gate, "load", LOAD, ttl=600_000)
+        assert deployment.engine.wait("REQ")
+        instance.process.send_signal(signal.SIGTERM)
+        assert waiting.result(10)[0] in (429, 500) and instance.process.wait(10) == 0
+
+
+def write_settings(deployment: Site, settings: dict[str, Any]) -> None:
+    file = Path(deployment.environ["ROUTER_CONFIG"])
+    file.write_text(json.dumps(json.loads(file.read_text()) | {"settings": settings}))
+
+
+def stop_before_successor_is_ready(deployment: Site, end_successor: Callable[[Any], None]) -> int:
+    """Stop before the successor is ready, connect a client, end the successor; its status is returned."""
+    predecessor = deployment.start()
+    deployment.journal.silent = True
+    successor = deployment.start(ready=False)
+    log_output = b""
+    while b"a successor starts" not in log_output:
+        log_output += os.read(predecessor.process.stderr.fileno(), 4096)
+    successor.process.send_signal(signal.SIGSTOP)
+    predecessor.process.send_signal(signal.SIGTERM)
+    while b"shutdown stopping with" not in log_output:
+        log_output += os.read(predecessor.process.stderr.fileno(), 4096)
+    with ThreadPoolExecutor() as executor:
+        waiting = executor.submit(deployment.served)
+        until(lambda: has_established_connection(deployment.listen[1]))
+        end_successor(successor.process)
+        status = waiting.result(20)
+    assert predecessor.process.wait(20) == 0
+    return status
+
+
+def has_established_connection(port: int) -> bool:
+    """Whether a connection to the port is established."""
+    rows = [row.split() for row in Path("/proc/net/tcp").read_text().splitlines()[1:]]
+    return any(row[1].endswith(f":{port:04X}") and row[3] == "01" for row in rows)
+
+
+def test_predecessor_serves_waiting_clients_when_its_successor_dies_after_sigterm(tmp_path: Path) -> None:
+    """Guards clients not accepted yet: both processes had closed the shared listener, so they were reset."""
+    with site(tmp_path) as deployment:
+        assert stop_before_successor_is_ready(deployment, lambda process: process.kill()) == 200
+
+
+def test_waiting_clients_are_rejected_when_the_successor_never_becomes_ready(tmp_path: Path) -> None:
+    with site(tmp_path) as deployment:
+        write_settings(deployment, settings_with_timeout(1.0))
+        assert stop_before_successor_is_ready(deployment, lambda process: None) == 429
+
+
+@contextlib.contextmanager
+def gateway_with_successor(
+    folder: Path, engine: Engine, *messages: str
+) -> Iterator[tuple[Gateway, socket.socket]]:
+    """A gateway, and its link to a successor that the test plays."""
+    configuration = config([host(engine)], settings=settings_without_timeouts())
+    options = GatewayOptions(upgrade_path=str(folder / "upgrade.sock"))
+    gateway = Gateway(configuration, OperatorSettings(), signals=False, options=options)
+    thread = threading.Thread(target=gateway.loop.run, daemon=True)
+    thread.start()
+    with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as link:
+        link.settimeout(10)
+        link.connect(str(folder / "upgrade.sock"))
+        link.send(json.dumps({"hello": PROTOCOL_VERSION}).encode())
+        _, descriptors, _, _ = socket.recv_fds(link, MAX_PACKET_BYTES, MAX_DESCRIPTORS)
+        for message in messages:
+            link.send(json.dumps({message: True}).encode())
+        yield gateway, link
+        gateway.loop.stop()
+        thread.join(10)
+        assert gateway.loop.faults == 0
+        gateway.loop.close()
+    for descriptor in descriptors:
+        os.close(descriptor)
+    engine.close()
+
+
+def test_requests_after_the_death_of_the_successor_are_served_until_the_shutdown_ends(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards clients after SIGTERM: the predecessor then closed its listener and its idle connections."""
+    monkeypatch.setattr("query_gateway.lifecycle.shutdown.LAST_CALL_SECONDS", 600.0)
+    with gateway_with_successor(tmp_path, Engine()) as (gateway, link):
+        assert gateway.hot_upgrade
+        connection = http.client.HTTPConnection(*gateway.http_server.listener.address, timeout=10)
+        headers = {"X-Txn": "1" * 16, "X-Ttl-Ms": "600000"}
+        connection.request("POST", "/svc/lookup", SQL, headers)
+        assert connection.getresponse().read()
+        gateway.loop.call_soon(gateway.begin_shutdown)
+        until(lambda: gateway.http_server.listener.paused)
+        link.close()
+        until(lambda: gateway.hot_upgrade and not gateway.hot_upgrade.successor)
+        assert post(gateway, "lookup", SQL, ttl=600_000)[0] == 200
+        connection.request("POST", "/svc/lookup", SQL, headers | {"X-Txn": "2" * 16})
+        assert connection.getresponse().status == 200
+        connection.close()
+
+
+@pytest.mark.parametrize("step", ["connected", "hello", "ready"])
+def test_predecessor_keeps_serving_when_its_successor_dies_at_any_step(step: str, tmp_path: Path) -> None:
+    with gateway_with_successor(tmp_path, Engine(), *(["ready"] if step == "ready" else [])) as (
+        gateway,
+        first_link,
+    ):
+        assert gateway.hot_upgrade
+        link = first_link
+        if step == "connected":  # another connects once the first has ended, and sends nothing
+            first_link.close()
+            until(lambda: gateway.hot_upgrade and not gateway.hot_upgrade.successor)
+            link = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+            link.connect(str(tmp_path / "upgrade.sock"))
+            until(lambda: gateway.hot_upgrade and gateway.hot_upgrade.successor)
+        elif step != "hello":
+            until(lambda: gateway.hot_upgrade and gateway.hot_upgrade.successor_ready)
+        link.close()
+        until(lambda: gateway.hot_upgrade and not gateway.hot_upgrade.successor)
+        assert post(gateway, "lookup", SQL, ttl=600_000)[0] == 200
+        with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as second_link:
+            second_link.connect(str(tmp_path / "upgrade.sock"))
+            second_link.send(json.dumps({"hello": PROTOCOL_VERSION}).encode())
+            second_link.settimeout(10)
+            data, descriptors, _, _ = socket.recv_fds(second_link, MAX_PACKET_BYTES, MAX_DESCRIPTORS)
+            assert json.loads(data)["fronts"] == ["web"] and len(descriptors) == 1
+            os.close(descriptors[0])
+
+
+@pytest.mark.parametrize("step", ["connected", "offered", "ready", "leaving"])
+def test_successor_keeps_serving_when_its_predecessor_dies_at_any_step(step: str, tmp_path: Path) -> None:
+    """The successor is a gateway; the test plays the predecessor."""
+    path, engine = str(tmp_path / "upgrade.sock"), Engine()
+    http_listener = socket.create_server(("127.0.0.1", 0))
+    with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as listener, ThreadPoolExecutor() as executor:
+        listener.bind(path)
+        listener.listen()
+        inheriting = executor.submit(request_inherited_state, path)
+        link = listener.accept()[0]
+        assert json.loads(link.recv(MAX_PACKET_BYTES)) == {"hello": PROTOCOL_VERSION}
+        if step != "connected":
+            offer = {"fronts": ["web"], "learned": None}
+            socket.send_fds(link, [json.dumps(offer).encode()], [http_listener.fileno()])
+        else:
+            link.close()
+        inherited = inheriting.result(10)
+        assert (inherited is None) is (step == "connected")
+    options = GatewayOptions(upgrade_path=path, inherited=inherited)
+    gateway = Gateway(config([host(engine)]), OperatorSettings(), signals=False, options=options)
+    thread = threading.Thread(target=gateway.loop.run, daemon=True)
+    thread.start()
+    if step in ("ready", "leaving"):
+        assert json.loads(link.recv(MAX_PACKET_BYTES)) == {"ready": True}
+    if step == "leaving":
+        link.send(json.dumps({"leaving": True}).encode())
+    link.close()
+    until(lambda: gateway.hot_upgrade and not gateway.hot_upgrade.predecessor and gateway.readiness.ready)
+    assert post(gateway, "lookup", SQL, ttl=5_000)[0] == 200
+    gateway.loop.stop()
+    thread.join(10)
+    assert gateway.loop.faults == 0
+    gateway.loop.close()
+    http_listener.close()
+    engine.close()
+
+
+def test_connection_in_transfer_to_a_successor_that_dies_ends_with_no_open_request(tmp_path: Path) -> None:
+    """Its client retries; open requests stay with the predecessor and are answered there."""
+    engine = PausedReaderEngine(script={LOAD: ["mute"]})
+    engine.may_read.set()
+    with (
+        gateway_with_successor(tmp_path, engine, "ready") as (gateway, link),
+        ThreadPoolExecutor() as executor,
+    ):
+        until(lambda: gateway.hot_upgrade and gateway.hot_upgrade.successor_ready)
+        idle_client = send_request(gateway, SQL)
+        assert idle_client.recv(65_536).startswith(b"HTTP/1.1 200")
+        waiting = executor.submit(post, gateway, "load", LOAD, ttl=600_000)
+        assert engine.wait("REQ", 2)
+        gateway.loop.call_soon(gateway.begin_shutdown)
+        until(lambda: not gateway.http_server.idle and len(gateway.http_server.connections) == 1)
+        link.close()  # with the transferred connection unread in it
+        with contextlib.suppress(ConnectionResetError):
+            assert idle_client.recv(65_536) == b""
+        idle_client.close()
+        until(lambda: gateway.hot_upgrade and not gateway.hot_upgrade.successor)
+        engine._say(
+            engine.socks[0], f"{next(iter(gateway.engine_pool.by_client_id))} ok sheets=1", "0\tx\ty\n"
+        )
+        assert waiting.result()[1] == {"rows": ROWS[:1]}
