Add a random fault soak of real processes with an oracle of the promises

Change: bench/fault_soak starts gateways in three layouts (plain, Flight SQL with statements, supervisor with two forwarders and two planners), engines behind fault proxies, a discovery service and clients, all on loopback. A preloaded library of our own steps the wall clock, fails system calls and shortens reads and writes. Everything random follows from the seed. The oracle takes what proxies and clients saw and names each broken promise.

--- /dev/null
+++ b/bench/fault_soak/__main__.py
@@ -0,0 +1,81 @@
+"""The soak's command: python -m bench.fault_soak --seeds 1-20 [--root TREE] [--only clock,stop]."""
+
+import argparse
+import asyncio
+import shutil
+import sys
+import tempfile
+from pathlib import Path
+
+from bench.fault_soak.control import build_shim
+from bench.fault_soak.deployment import Layout
+from bench.fault_soak.run import Plan, Result, request_story, run
+from bench.fault_soak.troubles import TROUBLES
+
+MAX_SHOWN = 12  # violations of a run that are printed
+
+
+def _seeds(text: str) -> list[int]:
+    first, _, last = text.partition("-")
+    return list(range(int(first), int(last or first) + 1))
+
+
+def _arguments() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(prog="fault_soak", description=__doc__)
+    parser.add_argument("--seeds", type=_seeds, default=[1], help="one seed or a range: 3 or 1-20")
+    parser.add_argument("--root", type=Path, default=Path.cwd(), help="the tree whose built program is run")
+    parser.add_argument("--seconds", type=float, default=14.0, help="of load in each run")
+    parser.add_argument("--troubles", type=int, default=10, help="how many in each run")
+    parser.add_argument("--clients", type=int, default=40)
+    parser.add_argument("--only", default="", help=f"draw from these alone: {','.join(TROUBLES)}")
+    parser.add_argument("--layouts", default="plain,plain,flight,processes", help="of the gateways")
+    parser.add_argument(
+        "--keep", type=Path, help="where logs and events are kept; else only those of broken runs"
+    )
+    return parser.parse_args()
+
+
+def _print(result: Result, folder: Path) -> None:
+    print(result.summary(), flush=True)
+    if not result.violations:
+        return
+    print(f"  logs {folder}")
+    print("  troubles " + " ".join(f"{name}@{at:.1f}+{seconds:.1f}" for at, name, seconds in result.schedule))
+    for violation in result.violations[:MAX_SHOWN]:
+        print(f"  {violation.promise}: {violation.detail}")
+    for violation in result.violations[:2]:
+        for word in violation.detail.split():
+            if len(word) == 16 and word.isalnum():
+                print("    " + "\n    ".join(request_story(result, word)))
+                break
+    sys.stdout.flush()
+
+
+def main() -> int:
+    """Run the seeds one after the other; 1 if any of them broke a promise."""
+    arguments = _arguments()
+    base = arguments.keep or Path(tempfile.mkdtemp(prefix="fault-soak-"))
+    base.mkdir(parents=True, exist_ok=True)
+    library = build_shim(base)
+    layouts = tuple(Layout(name) for name in arguments.layouts.split(","))
+    only = tuple(name for name in arguments.only.split(",") if name)
+    broken = 0
+    for seed in arguments.seeds:
+        folder = base / f"seed-{seed}"
+        shutil.rmtree(folder, ignore_errors=True)
+        folder.mkdir()
+        plan = Plan(
+            seed, arguments.seconds, layouts, client_count=arguments.clients,
+            trouble_count=arguments.troubles, only=only,
+        )  # fmt: skip
+        result = asyncio.run(run(plan, arguments.root.resolve(), folder, library))
+        _print(result, folder)
+        broken += bool(result.violations)
+        if not result.violations and not arguments.keep:
+            shutil.rmtree(folder)
+    print(f"{len(arguments.seeds) - broken} passed, {broken} failed")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bench/fault_soak/discovery.py
@@ -0,0 +1,101 @@
+"""A stand-in discovery service: numbered events by long poll, one port for each gateway."""
+
+import asyncio
+import contextlib
+import json
+import time
+from typing import Any
+
+MAX_HOLD_S = 5.0
+
+
+class Discovery:
+    """The list of engines as events. `told` notes when each gateway was sent each event."""
+
+    def __init__(self) -> None:
+        """Begin without an event."""
+        self.events: list[dict[str, Any]] = []  # the event at index N has position N + 1
+        self.hosts: dict[str, dict[str, Any]] = {}
+        self.told: dict[tuple[str, int], float] = {}  # by gateway and position, the first time
+        self.servers: dict[str, asyncio.Server] = {}
+        self.ports: dict[str, int] = {}
+        self.changed = asyncio.Event()
+        self.silent = False  # polls are accepted and not answered
+        self.writers: set[asyncio.StreamWriter] = set()
+
+    @property
+    def position(self) -> int:
+        """The number of the last event."""
+        return len(self.events)
+
+    def publish(self, *hosts: dict[str, Any]) -> int:
+        """Add an event with the engines that changed and return its position."""
+        for host in hosts:
+            self.hosts[host["host"]] = host
+        self.events.append(self._event(len(self.events) + 1, not self.events, list(hosts)))
+        self.hosts = {name: host for name, host in self.hosts.items() if host["health"] != "removed"}
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return self.position
+
+    @staticmethod
+    def _event(position: int, whole: bool, hosts: list[dict[str, Any]]) -> dict[str, Any]:
+        return {"pos": position, "hosts": {"seq": position, "whole": whole, "hosts": hosts}}
+
+    def known(self, gateway: str) -> dict[str, Any]:
+        """The list as a gateway's configuration holds it at its start."""
+        self.told[gateway, self.position] = min(
+            self.told.get((gateway, self.position), time.monotonic()), time.monotonic()
+        )
+        return {
+            "pos": self.position,
+            "entries": [self._event(self.position, True, list(self.hosts.values()))],
+        }
+
+    async def listen(self, gateway: str) -> None:
+        """Serve a gateway, at its port of before if it had one."""
+        server = await asyncio.start_server(
+            lambda reader, writer: self._serve(gateway, reader, writer),
+            "127.0.0.1",
+            self.ports.get(gateway, 0),
+        )
+        self.servers[gateway] = server
+        self.ports[gateway] = server.sockets[0].getsockname()[1]
+
+    async def go_down(self) -> None:
+        """Refuse connections and break those that are open."""
+        for server in self.servers.values():
+            server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def come_back(self) -> None:
+        """Serve all gateways again."""
+        for gateway in list(self.servers):
+            await self.listen(gateway)
+
+    async def _serve(self, gateway: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.add(writer)
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                target = head.split(" ")[1]
+                query = dict(pair.split("=") for pair in target.partition("?")[2].split("&"))
+                await self._answer(gateway, writer, int(query["tail"]), float(query["max_wait"]) / 1000)
+        self.writers.discard(writer)
+        writer.close()
+
+    async def _answer(self, gateway: str, writer: asyncio.StreamWriter, tail: int, hold: float) -> None:
+        until = time.monotonic() + min(hold, MAX_HOLD_S)
+        while self.silent or (tail >= self.position and time.monotonic() < until):
+            changed = self.changed
+            with contextlib.suppress(asyncio.TimeoutError):
+                await asyncio.wait_for(changed.wait(), max(0.01, min(0.2, until - time.monotonic())))
+        entries = self.events[tail:]
+        if tail == 0 and self.events:
+            entries = [self._event(self.position, True, list(self.hosts.values()))]
+        body = json.dumps({"pos": self.position, "entries": entries}).encode()
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+        await writer.drain()
+        for position in range(tail + 1, self.position + 1):
+            self.told.setdefault((gateway, position), time.monotonic())
--- /dev/null
+++ b/bench/fault_soak/proxy.py
@@ -0,0 +1,227 @@
+"""The fault proxy in front of one engine, as a process: it relays, observes every request, and breaks things.
+
+    python -m bench.fault_soak.proxy PORT ENGINE_PORT ENGINE_NAME EVENT_FILE
+
+Orders come as lines on standard input: `pass`, `stall` (connections stay open and quiet), `unread` (nothing
+is read from the gateways), `late` (no connection comes up), `reset` (all connections break once),
+`idle-close` (idle connections are closed once). Events go to the file as JSON lines: `records.EngineEvent`.
+"""
+
+import asyncio
+import contextlib
+import json
+import socket
+import struct
+import sys
+import time
+from collections.abc import Callable
+from typing import TextIO
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER
+BACKLOG = 8
+BACKLOG_FILLERS = 12
+READ_SIZE = 65_536
+FINAL_WORDS = ("ok", "refused", "error", "stale")
+
+
+class FrameObserver:
+    """Follows the lines of one direction of a connection and calls `on_frame` for each with its begin."""
+
+    def __init__(self, on_frame: Callable[[list[str], float], None]) -> None:
+        """`on_frame(words, began_at)` is called when a line and its body are whole."""
+        self.on_frame = on_frame
+        self.buffer = bytearray()
+        self.began_at = 0.0
+
+    def feed(self, data: bytes) -> None:
+        """Take what was read just now."""
+        if not self.buffer:
+            self.began_at = time.monotonic()
+        self.buffer += data
+        while self._take_frame():
+            self.began_at = time.monotonic()
+
+    def _take_frame(self) -> bool:
+        end = self.buffer.find(b"\n")
+        if end < 0:
+            return False
+        words = self.buffer[:end].decode("ascii", "replace").split()
+        length = int(words[-1]) if words and words[-1].isdigit() and words[0] not in ("NICE", "FETCH") else 0
+        total = end + 1 + (length + 2 if length else 0)
+        if len(self.buffer) < total:
+            return False
+        del self.buffer[:total]
+        if words:
+            self.on_frame(words, self.began_at)
+        return True
+
+
+class Link:
+    """One relayed connection and the requests that are open on it."""
+
+    def __init__(self, proxy: "Proxy", gateway: asyncio.StreamWriter, engine: asyncio.StreamWriter) -> None:
+        """Relay between the two."""
+        self.proxy, self.gateway, self.engine = proxy, gateway, engine
+        self.open: set[str] = set()
+        self.closed = False
+
+    def on_request_frame(self, words: list[str], began_at: float) -> None:
+        """A line of the gateway."""
+        if words[0] == "REQ":
+            self.open.add(words[1])
+            fields = dict(pair.split("=") for pair in words[2].split(",") if "=" in pair)
+            self.proxy.note(
+                "request", words[1], budget=float(fields.get("budget", 0)) / 1000,
+                idempotency_key=fields.get("uniq", ""), began_at=began_at,
+            )  # fmt: skip
+        elif words[0] == "STOP" and words[1] in self.open:
+            self.open.discard(words[1])
+            self.proxy.note("stop", words[1])
+
+    def on_answer_frame(self, words: list[str], _: float) -> None:
+        """A line of the engine, which is relayed right after this."""
+        if len(words) > 1 and words[1] in FINAL_WORDS and words[0] in self.open:
+            self.open.discard(words[0])
+            self.proxy.note("end", words[0], word=words[1])
+
+    def close(self, reset: bool = False) -> None:
+        """End the connection on both sides; what was open on it is over."""
+        if self.closed:
+            return
+        self.closed = True
+        for client_id in self.open:
+            self.proxy.note("broken", client_id)
+        self.proxy.links.discard(self)
+        if reset:
+            sock = self.gateway.get_extra_info("socket")
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            self.gateway.transport.abort()
+        else:
+            self.gateway.close()
+        self.engine.transport.abort()
+
+
+class Proxy:
+    """Accepts the gateways' connections to one engine."""
+
+    def __init__(self, port: int, engine_port: int, engine: str, events: TextIO) -> None:
+        """Listen at once."""
+        self.engine_port, self.engine, self.events = engine_port, engine, events
+        self.links: set[Link] = set()
+        self.order = "pass"
+        self.passing, self.reading, self.accepting = asyncio.Event(), asyncio.Event(), asyncio.Event()
+        self.fillers: list[socket.socket] = []
+        self.listener = socket.socket()
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16_384)
+        self.listener.bind(("127.0.0.1", port))
+        self.listener.listen(BACKLOG)
+        self.listener.setblocking(False)
+        self.obey("pass")
+
+    def note(self, kind: str, client_id: str, **more: object) -> None:
+        """Write an event down."""
+        record = {"at": time.monotonic(), "kind": kind, "engine": self.engine, "client_id": client_id, **more}
+        self.events.write(json.dumps(record) + "\n")
+
+    def obey(self, order: str) -> None:
+        """Change how connections are relayed."""
+        if order in ("reset", "idle-close"):
+            for link in list(self.links):
+                if order == "reset" or not link.open:
+                    link.close(reset=order == "reset")
+            return
+        self.order = order
+        (self.passing.clear if order == "stall" else self.passing.set)()
+        (self.reading.clear if order == "unread" else self.reading.set)()
+        if order == "late":
+            self.accepting.clear()
+            self._fill_backlog()
+        else:
+            self.accepting.set()
+            for filler in self.fillers:
+                filler.close()
+            self.fillers.clear()
+
+    def _fill_backlog(self) -> None:
+        for _ in range(BACKLOG_FILLERS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(self.listener.getsockname())
+            self.fillers.append(filler)
+
+    async def accept(self) -> None:
+        """Accept for ever, except while connections are to come up late."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await self.accepting.wait()
+            sock, _ = await loop.sock_accept(self.listener)
+            asyncio.create_task(self.serve(sock))
+
+    async def serve(self, sock: socket.socket) -> None:
+        """Relay one connection."""
+        reader, writer = await asyncio.open_connection(sock=sock, limit=READ_SIZE)
+        try:
+            engine_reader, engine_writer = await asyncio.open_connection("127.0.0.1", self.engine_port)
+        except OSError:
+            writer.transport.abort()
+            return
+        link = Link(self, writer, engine_writer)
+        self.links.add(link)
+        await asyncio.gather(
+            self.relay(link, reader, engine_writer, FrameObserver(link.on_request_frame), True),
+            self.relay(link, engine_reader, writer, FrameObserver(link.on_answer_frame), False),
+        )
+
+    async def relay(
+        self, link: Link, reader: asyncio.StreamReader, writer: asyncio.StreamWriter,
+        observer: FrameObserver, from_gateway: bool,
+    ) -> None:  # fmt: skip
+        """Relay one direction until its end; what a gateway sends is observed when it comes."""
+        held: asyncio.Queue[bytes] = asyncio.Queue()
+
+        async def forward() -> None:
+            while True:
+                data = await held.get()
+                await self.passing.wait()
+                if not from_gateway:
+                    observer.feed(data)
+                with contextlib.suppress(OSError):
+                    writer.write(data)
+                    await writer.drain()
+
+        forwarding = asyncio.create_task(forward())
+        with contextlib.suppress(OSError):
+            while not link.closed:
+                if from_gateway:
+                    await self.reading.wait()
+                data = await reader.read(READ_SIZE)
+                if not data:
+                    break
+                if from_gateway:
+                    observer.feed(data)
+                held.put_nowait(data)
+        while not from_gateway and not held.empty() and not link.closed:
+            await asyncio.sleep(0.01)  # what the engine wrote before its end still arrives
+        forwarding.cancel()
+        link.close()
+
+
+async def main() -> None:
+    """Obey standard input until it ends."""
+    port, engine_port, engine, path = int(sys.argv[1]), int(sys.argv[2]), sys.argv[3], sys.argv[4]
+    with open(path, "a", buffering=1) as events:
+        proxy = Proxy(port, engine_port, engine, events)
+        accepting = asyncio.create_task(proxy.accept())
+        orders = asyncio.StreamReader()
+        await asyncio.get_running_loop().connect_read_pipe(
+            lambda: asyncio.StreamReaderProtocol(orders), sys.stdin
+        )
+        while line := await orders.readline():
+            proxy.obey(line.decode().strip())
+        accepting.cancel()
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
--- /dev/null
+++ b/bench/fault_soak/run.py
@@ -0,0 +1,143 @@
+"""One run of the soak: start everything, let clients and troubles loose, then ask the oracle."""
+
+import asyncio
+import json
+import random
+import re
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from bench.fault_soak.clients import Population
+from bench.fault_soak.deployment import Deployment, Layout
+from bench.fault_soak.oracle import Oracle, Violation
+from bench.fault_soak.records import ClientRecord, EngineEvent, EngineEventKind, Observations
+from bench.fault_soak.settings import ANSWER_SLACK_S, GIVE_UP_S
+from bench.fault_soak.troubles import TROUBLES, Stage, draw, play
+
+WATCH_INTERVAL_S = 0.02
+STALL_S = 0.15  # a wait that took so much longer: the soak itself hung
+FAULT_LINES = re.compile(r"^(fault |planner a planner broke|Traceback|.*Error: )")
+INVARIANT_LINES = re.compile(r"^invariant ")
+WARM_UP_S = 1.0
+
+
+@dataclass(slots=True, frozen=True)
+class Plan:
+    """What a run consists of; everything random follows from the seed."""
+
+    seed: int
+    seconds: float = 14.0
+    layouts: tuple[Layout, ...] = (Layout.PLAIN, Layout.PLAIN, Layout.FLIGHT, Layout.PROCESSES)
+    engine_count: int = 4
+    client_count: int = 40
+    trouble_count: int = 10
+    only: tuple[str, ...] = ()  # troubles to draw from; empty: all
+
+
+@dataclass(slots=True)
+class Result:
+    """What a run has shown."""
+
+    plan: Plan
+    schedule: list[tuple[float, str, float]]
+    observations: Observations
+    violations: list[Violation] = field(default_factory=list)
+
+    def summary(self) -> str:
+        """One line: how many requests, how they ended, what broke."""
+        endings: dict[str, int] = {}
+        for record in self.observations.clients:
+            endings[record.ending.value] = endings.get(record.ending.value, 0) + 1
+        promises: dict[str, int] = {}
+        for violation in self.violations:
+            promises[violation.promise] = promises.get(violation.promise, 0) + 1
+        verdict = "broken " + json.dumps(promises) if promises else "kept"
+        stalls = sum(ended - began for began, ended in self.observations.driver_stalls)
+        blind = f" blind {stalls:.1f} s" if stalls else ""
+        return f"seed {self.plan.seed} {json.dumps(endings)}{blind}: {verdict}"
+
+
+async def run(plan: Plan, root: Path, folder: Path, shim_library: Path) -> Result:
+    """Play one plan with the program in `root`; logs and events stay in `folder`."""
+    source = random.Random(plan.seed)
+    seen = Observations()
+    deployment = Deployment(root, folder, shim_library, seen)
+    try:
+        deployment.start_engines(plan.engine_count, plan.seed)
+        count = len(plan.layouts)
+        for number, layout in enumerate(plan.layouts):
+            await deployment.add_gateway(layout, number, count)
+        for gateway in deployment.gateways:
+            if not await deployment.wait_until_ready(gateway):
+                seen.crashes.append(f"{gateway.name}: not ready at the start")
+        schedule = draw(list(plan.only or TROUBLES), source, plan.trouble_count, plan.seconds)
+        await _play(plan, deployment, source, schedule)
+    finally:
+        deployment.close()
+    _collect(deployment)
+    return Result(plan, schedule, seen, Oracle(seen).violations())
+
+
+async def _play(
+    plan: Plan, deployment: Deployment, source: random.Random, schedule: list[tuple[float, str, float]]
+) -> None:
+    seen = deployment.observations
+    population = Population([gateway.gate for gateway in deployment.gateways], random.Random(source.random()))
+    clients = [asyncio.create_task(population.run_client()) for _ in range(plan.client_count)]
+    watching = asyncio.create_task(_watch(deployment))
+    stage = Stage(deployment, population, random.Random(source.random()))
+    await asyncio.sleep(WARM_UP_S)
+    ends_at = time.monotonic() + plan.seconds
+    await play(stage, schedule)
+    await asyncio.sleep(max(0.0, ends_at - time.monotonic()))
+    population.stopped = True
+    await asyncio.wait(clients, timeout=3 * (GIVE_UP_S + ANSWER_SLACK_S))
+    watching.cancel()
+    for client in clients:
+        client.cancel()
+    seen.clients = population.records
+
+
+async def _watch(deployment: Deployment) -> None:
+    """Note crashes, and spans in which this process itself hung."""
+    before = time.monotonic()
+    while True:
+        await asyncio.sleep(WATCH_INTERVAL_S)
+        now = time.monotonic()
+        if now - before > WATCH_INTERVAL_S + STALL_S:
+            deployment.observations.driver_stalls.append((before, now))
+        before = now
+        deployment.check_crashes()
+
+
+def _collect(deployment: Deployment) -> None:
+    """Read what the proxies and the gateways have written."""
+    seen = deployment.observations
+    for path in sorted(deployment.folder.glob("*.events")):
+        for line in path.read_text().splitlines():
+            raw = json.loads(line)
+            seen.engine_events.append(EngineEvent(kind=EngineEventKind(raw.pop("kind")), **raw))
+    for gateway in deployment.gateways:
+        for line in gateway.log_path.read_text(errors="replace").splitlines():
+            if FAULT_LINES.match(line):
+                seen.log_faults.append(f"{gateway.name}: {line[:300]}")
+            elif INVARIANT_LINES.match(line):
+                seen.invariant_lines.append(f"{gateway.name}: {line[:300]}")
+
+
+def request_story(result: Result, client_id: str) -> list[str]:
+    """Everything that is known of one request, in the order of time."""
+    records = [record for record in result.observations.clients if record.client_id == client_id]
+    began = records[0].sent_at if records else 0.0
+    lines = [_client_line(record) for record in records]
+    for event in sorted(result.observations.engine_events, key=lambda event: event.at):
+        if event.client_id == client_id:
+            lines.append(
+                f"{event.at - began:+.3f} {event.engine} {event.kind.value} {event.word} {event.budget}"
+            )
+    return lines
+
+
+def _client_line(record: ClientRecord) -> str:
+    return f"{record}"
--- /dev/null
+++ b/bench/fault_soak/settings.py
@@ -0,0 +1,68 @@
+"""The deployment that the soak runs: three classes, one for each effect, and short deadlines."""
+
+import math
+from typing import Any
+
+SECOND = 1_000_000_000
+LOOKUP, REPORT, LOAD = "lookup", "report", "load"
+CLASSES = (LOOKUP, REPORT, LOAD)
+CLASS_WEIGHTS = (70, 15, 15)
+GIVE_UP_S = 3.0
+DEDUPLICATION_WINDOW_S = 2.0
+DRAIN_GRACE_S = 0.5
+TOLD_AT_THE_LATEST_S = 7.0
+ANSWER_SLACK_S = 0.5
+CORES, MEAN_WORK_S = 16, 0.4
+COLD_S, START_CAPACITY, OVERLOAD_FACTOR, OVERLOAD_WINDOW_S = 6.0, 0.31, 2.5, 1.0
+
+
+def _service(name: str, repeat: str, **more: Any) -> dict[str, Any]:
+    base = {
+        "name": name,
+        "aim": int(GIVE_UP_S * SECOND / 2),
+        "give-up": int(GIVE_UP_S * SECOND),
+        "worth": 1.0,
+    }
+    return {**base, "repeat": repeat, **more}
+
+
+def settings(gateway_number: int, gateway_count: int) -> dict[str, Any]:
+    """The settings object of one gateway's configuration."""
+    return {
+        "instances": gateway_count,
+        "me": gateway_number,
+        "zones": ["hall-a", "hall-b"],
+        "flavors": ["std-16"],
+        "registry-mode": "push",
+        "family-info": {
+            "cpu-of-kind": [CORES], "memory-by-kind-mb": [32768.0], "parallelism": [1, 1, 1],
+            "takes-grants": True, "loads": [False, False, False], "waits-for-loads": [False, False, False],
+            "priorities": True, "progress": SECOND // 2, "out-of-memory": "shrink", "max-grant-share": 0.4,
+        },
+        "limits": {
+            "max-attempts": 3, "cancelling": True, "retry-after": True, "max-retry-after": SECOND // 2,
+            "streams-per-conn": 16, "dial-timeout": SECOND * 3 // 2, "conn-idle": 4 * SECOND,
+            "most-held": 1000, "second-copies": False,
+        },
+        "rules": {
+            "cold": int(COLD_S * SECOND), "start-capacity": START_CAPACITY,
+            "settle-after-doubt": 3 * SECOND // 10,
+            "overload-factor": OVERLOAD_FACTOR, "tip-after": int(OVERLOAD_WINDOW_S * SECOND),
+            "drain-grace": int(DRAIN_GRACE_S * SECOND), "answer-slack": SECOND // 50,
+        },
+        "services": [
+            _service(LOOKUP, "idempotent"),
+            _service(REPORT, "at_most_once"),
+            _service(LOAD, "deduplicated", **{
+                "in-turn": True, "memory-span": int(DEDUPLICATION_WINDOW_S * SECOND), "dedup-scope": "all",
+            }),
+        ],
+    }  # fmt: skip
+
+
+def rate_allowed_when_cold(age: float) -> float:
+    """Requests of mean work that an engine of this age (seconds) may get in one window, with the slack."""
+    capacity = START_CAPACITY + (1 - START_CAPACITY) * min(1.0, max(0.0, age) / COLD_S)
+    allowed = OVERLOAD_FACTOR * CORES * capacity * OVERLOAD_WINDOW_S / MEAN_WORK_S
+    root = math.sqrt(allowed)
+    return allowed + (2 * root + 2 if allowed >= 30 else 3 * root + 3)
