--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,9 +1,49 @@
-"""Fixtures that more than one test file asks for."""
+"""Fixtures that more than one test file asks for, and the list of tests that are known to fail."""
+
+from pathlib import Path
+from typing import NamedTuple
 
 import pytest
 
 from query_gateway.net.log import log
 
+KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
+MAX_KNOWN_RED = 3
+
+
+class KnownFailure(NamedTuple):
+    """A line of KNOWN-RED.txt: `TEST | CAUSE | ISSUE`."""
+
+    test: str  # its node id, without parameters
+    cause: str
+    issue: str
+
+
+def read_known_failures() -> list[KnownFailure]:
+    """The known failures; an absent file has none."""
+    if not KNOWN_RED.exists():
+        return []
+    lines = [line for line in KNOWN_RED.read_text().splitlines() if line.strip()]
+    return [KnownFailure(*(part.strip() for part in line.split("|"))) for line in lines]
+
+
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    """Expect the listed tests to fail; one that passes fails the run, so that it leaves the list."""
+    failures = read_known_failures()
+    assert len(failures) <= MAX_KNOWN_RED, (
+        f"KNOWN-RED.txt lists {len(failures)} tests; {MAX_KNOWN_RED} at most"
+    )
+    for item in items:
+        for failure in failures:
+            if item.nodeid.partition("[")[0] == failure.test:
+                item.add_marker(pytest.mark.xfail(reason=failure.cause, strict=True))
+
+
+def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
+    """Print what is known to fail, with every run."""
+    for failure in read_known_failures():
+        terminalreporter.write_line(f"known failure: {failure.test}: {failure.cause} (issue {failure.issue})")
+
 
 @pytest.fixture
 def reset_log_rate_limit(monkeypatch: pytest.MonkeyPatch) -> None:
--- /dev/null
+++ b/tests/test_clock_steps.py
@@ -0,0 +1,52 @@
+"""The machine's wall clock is stepped while requests are open: real time alone counts."""
+
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+import pytest
+
+from tests.stand_ins import Engine, post
+from tests.test_web import ROWS, SQL, running
+
+HOUR_NS = 3_600 * 10**9
+
+
+class SteppedClock:
+    """Stands in for the wall clock; the monotonic clock runs on."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.offset = 0
+        real = time.time_ns
+        monkeypatch.setattr(time, "time_ns", lambda: real() + self.offset)
+
+
+class HeldEngine(Engine):
+    """Answers nothing until `go_on` is set."""
+
+    def __init__(self) -> None:
+        self.go_on = threading.Event()
+        super().__init__()
+
+    def _request(self, sock: Any, words: list[str], statement: str) -> None:
+        self._note("REQ-begun")
+        assert self.go_on.wait(30)
+        super()._request(sock, words, statement)
+
+
+@pytest.mark.parametrize("step", [-HOUR_NS, HOUR_NS, -2 * 10**9, 2 * 10**9])
+def test_step_while_a_request_is_open_leaves_its_deadline_and_its_answer(
+    step: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards deadlines against the wall clock: set back by an hour, no timer came due for an hour."""
+    clock, engine = SteppedClock(monkeypatch), HeldEngine()
+    with running(engine) as gateway, ThreadPoolExecutor() as executor:
+        began_at = time.monotonic()
+        waiting = executor.submit(post, gateway, "lookup", SQL, ttl=1_500)
+        assert engine.wait("REQ-begun")
+        clock.offset = step
+        status, _, _ = waiting.result(10)
+        assert status in (429, 500) and 1.2 < time.monotonic() - began_at < 2.0
+        engine.go_on.set()
+        assert post(gateway, "lookup", SQL)[1] == {"rows": ROWS}
