Take deadlines, timers and the ages of engines from a clock that never steps

Cause: the core's clock was time.time_ns (composition, planner.process), and timers were set by its distance from now, so a step of the wall clock moved every open deadline: an hour back left requests without an answer and kept planners without a timer, an hour forward expired what was open and made engines in slow start count as warm.

Change: net/steady_clock reads the machine's monotonic clock, the same in all processes, and is the only clock of forwarders, planners and engine clients. discovery/start_times places each listed start on it once, by the youngest age that is plausible where our wall clock may be wrong, now or since before this process. The state that a hot upgrade passes on keeps its stored form: its times are converted on both sides.

--- a/query_gateway/composition.py
+++ b/query_gateway/composition.py
@@ -1,7 +1,6 @@
 """Builds those parts of a gateway that take much of the configuration; `gateway.py` joins them."""
 
 import socket
-import time
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
@@ -23,6 +22,7 @@
 from query_gateway.lifecycle.reload import ConfigurationSources
 from query_gateway.lifecycle.upgrade_socket import InheritedState
 from query_gateway.net.loop import Loop, Timer
+from query_gateway.net.steady_clock import loop_time_of, steady_now_ns
 from query_gateway.planner.planner import Planner
 
 if TYPE_CHECKING:
@@ -79,11 +79,11 @@
 
 
 def clock_alarm(loop: Loop) -> Callable[[int, Callable[[], None]], Timer]:
-    """Calls at a clock time, in nanoseconds, by the loop's own time."""
+    """Calls at a time of the steady clock, in nanoseconds, by the loop's own time."""
 
     def call_at(clock_time: int, callback: Callable[[], None]) -> Timer:
-        """Call once, at `clock_time` nanoseconds since the epoch; the timer can be cancelled."""
-        return loop.call_at(loop.now() + (clock_time - time.time_ns()) / 1e9, callback)
+        """Call once, at `clock_time` of the steady clock; the timer can be cancelled."""
+        return loop.call_at(loop_time_of(clock_time), callback)
 
     return call_at
 
@@ -92,9 +92,9 @@
     """The table of exchanges, with a line of figures for each class."""
     config = active.config
     # Request ids go on from the clock, so that no planner meets one twice after our restart
-    first_request_id = time.time_ns()
+    first_request_id = steady_now_ns()
     forwarder = Forwarder(
-        config.settings, time.time_ns, clock_alarm(loop), max_exchanges(config), first_request_id
+        config.settings, steady_now_ns, clock_alarm(loop), max_exchanges(config), first_request_id
     )
     for name in config.classes:
         forwarder.counters.add_class(name)
@@ -104,7 +104,7 @@
 def build_engine_pool(core: Core) -> ConnectionPool:
     """The connections to engines on the platform's wire."""
     config = core.active.config
-    pool = ConnectionPool(core.loop, time.time_ns, connection_limits(config))
+    pool = ConnectionPool(core.loop, steady_now_ns, connection_limits(config))
     core.forwarder.engine_clients[HTTP_WIRE] = pool
     return pool
 
@@ -120,7 +120,7 @@
         links.add_remote(address, settings if is_only_forwarder else None)
     if not operator.planner_addresses:
         settings = replace(planner_settings(config, operator), slow_start_share=slow_start_share)
-        links.add_local(Planner(settings, config.seed, time.time_ns, clock_alarm(core.loop)))
+        links.add_local(Planner(settings, config.seed, steady_now_ns, clock_alarm(core.loop)))
     return links
 
 
@@ -165,7 +165,7 @@
         return None
     from query_gateway.flight.engines import FlightConnectionPool
 
-    pool = FlightConnectionPool(core.loop, time.time_ns, core.active.config.dial_timeout)
+    pool = FlightConnectionPool(core.loop, steady_now_ns, core.active.config.dial_timeout)
     core.forwarder.engine_clients[FLIGHT_WIRE] = pool
     pool.update_endpoints(list(core.forwarder.endpoints.values()), True)
     return pool
--- a/query_gateway/gateway.py
+++ b/query_gateway/gateway.py
@@ -20,6 +20,7 @@
 from query_gateway.configuration.operator_file import OperatorSettings
 from query_gateway.configuration.platform import Configuration
 from query_gateway.discovery.endpoint_feed import EndpointFeed
+from query_gateway.discovery.start_times import StartTimes
 from query_gateway.discovery.watch_client import EndpointWatchClient
 from query_gateway.forwarder.messages import Verdict
 from query_gateway.forwarder.readiness import Readiness
@@ -36,6 +37,7 @@
 from query_gateway.lifecycle.startup import Startup
 from query_gateway.net.log import log
 from query_gateway.net.loop import Loop
+from query_gateway.net.steady_clock import steady_now_ns, wall_clock_offset_ns
 from query_gateway.planner.planner import Planner
 
 if TYPE_CHECKING:
@@ -88,7 +90,8 @@
         self.planner_clients = self.planner_links.clients
         # The list comes after the planners and before the fronts: no request is to find an empty list
         config = self.active.config
-        self.endpoint_feed = EndpointFeed(self.forwarder, config.zones_and_kinds)
+        start_times = StartTimes(steady_now_ns, wall_clock_offset_ns)
+        self.endpoint_feed = EndpointFeed(self.forwarder, config.zones_and_kinds, start_times)
         self.endpoint_feed.take_initial(config.initial_endpoints)
 
     def _join_fronts(self, core: Core, takes_signals: bool) -> None:
--- a/query_gateway/lifecycle/overlap.py
+++ b/query_gateway/lifecycle/overlap.py
@@ -21,6 +21,7 @@
 from query_gateway.lifecycle.startup import Startup
 from query_gateway.lifecycle.upgrade_messages import Offer
 from query_gateway.net.log import log
+from query_gateway.net.steady_clock import wall_clock_offset_ns
 from query_gateway.planner.learned_state import export_state, restore_state
 
 DESCRIPTOR_SHARE = 0.5  # of each process during the overlap
@@ -59,13 +60,18 @@
         statement_costs = None
         if fronts.statements:
             statement_costs = fronts.statements.classifier.costs.snapshot(max_entries=MAX_OFFERED_SHAPES)
-        scheduler_state = export_state(self.parts.planners.planner.scheduler, self._class_numbers())
+        scheduler_state = export_state(
+            self.parts.planners.planner.scheduler, self._class_numbers(), wall_clock_offset_ns()
+        )
         return Offer(tuple(listeners), scheduler_state, statement_costs), list(listeners.values())
 
     def restore_scheduler(self, scheduler_state: object) -> None:
         """Take over what the predecessor's scheduler learned, all of it or nothing; None: there is none."""
         if scheduler_state is not None and not restore_state(
-            self.parts.planners.planner.scheduler, self._class_numbers(), scheduler_state
+            self.parts.planners.planner.scheduler,
+            self._class_numbers(),
+            scheduler_state,
+            wall_clock_offset_ns(),
         ):
             log("upgrade", "what the predecessor's scheduler learned cannot be used here")
 
--- a/query_gateway/planner/learned_state.py
+++ b/query_gateway/planner/learned_state.py
@@ -1,6 +1,7 @@
 """What a scheduler has learned, as JSON values for its successor: versioned, bounded, checked as a whole.
 
-The keys and the order of the values are a stored form that earlier and later versions read: they stay.
+The keys and the order of the values are a stored form that earlier and later versions read: they stay. Times
+there are those of the wall clock, in nanoseconds; 0 stands for never.
 """
 
 import math
@@ -18,6 +19,7 @@
 MAX_ENGINES = 512  # engines written at most
 MAX_TABLE_GROUPS = 16  # warm table groups read of each engine
 MAX_LAG_RATIO = 1e3  # beyond any that a controller can reach
+START_TOLERANCE_NS = 1_000_000_000  # no engine starts twice within it
 # The stored key of each running mean and the attribute that holds it
 MEANS = {
     "work": "work",
@@ -94,110 +96,142 @@
             engine.restore()
 
 
-def export_state(scheduler: Scheduler, class_indexes: Mapping[str, int]) -> dict[str, Any]:
-    """What a scheduler has learned, its classes by their names."""
-    state = scheduler.state
-    costs = (state.costs.requested, state.costs.rejected, state.costs.late)
-    return {
-        "version": VERSION,
-        "lag": state.lag_ratio,
-        "paces": _encode_average(state.slowdown_samples),
-        "costs": [_encode_average(cost) for cost in costs],
-        "usual": state.usual_threads,
-        "classes": {name: _encode_class(state.classes[index]) for name, index in class_indexes.items()},
-        "engines": {engine.info.name: _encode_engine(engine) for engine in state.up[:MAX_ENGINES]},
-    }
+def export_state(
+    scheduler: Scheduler, class_indexes: Mapping[str, int], wall_clock_offset: int = 0
+) -> dict[str, Any]:
+    """What a scheduler has learned, its classes by their names.
 
+    `wall_clock_offset`: what the wall clock is ahead of the scheduler's, in nanoseconds.
+    """
+    return _Encoder(wall_clock_offset).encode(scheduler.state, class_indexes)
 
-def restore_state(scheduler: Scheduler, class_indexes: Mapping[str, int], raw: Any) -> bool:
+
+def restore_state(
+    scheduler: Scheduler, class_indexes: Mapping[str, int], raw: Any, wall_clock_offset: int = 0
+) -> bool:
     """Take over what a predecessor exported: all of it or, if anything in it is unusable, nothing."""
     try:
-        learned = _decode(scheduler.state, class_indexes, raw)
+        learned = _Decoder(wall_clock_offset).decode(scheduler.state, class_indexes, raw)
     except (KeyError, TypeError, ValueError, AttributeError):
         return False
     learned.restore(scheduler.state)
     return True
 
 
-def _encode_average(average: DecayedAverage) -> list[float]:
-    return [average.total, average.weight, average.updated_at]
+class _Encoder:
+    """Writes the stored form, with its times on the wall clock."""
+
+    def __init__(self, wall_clock_offset: int) -> None:
+        self.wall_clock_offset = wall_clock_offset
+
+    def encode(self, state: SchedulerState, class_indexes: Mapping[str, int]) -> dict[str, Any]:
+        """All that a scheduler has learned."""
+        costs = (state.costs.requested, state.costs.rejected, state.costs.late)
+        return {
+            "version": VERSION,
+            "lag": state.lag_ratio,
+            "paces": self._average(state.slowdown_samples),
+            "costs": [self._average(cost) for cost in costs],
+            "usual": state.usual_threads,
+            "classes": {name: self._class(state.classes[index]) for name, index in class_indexes.items()},
+            "engines": {engine.info.name: self._engine(engine) for engine in state.up[:MAX_ENGINES]},
+        }
+
+    def _time(self, time: int) -> int:
+        return time + self.wall_clock_offset if time else 0
+
+    def _average(self, average: DecayedAverage) -> list[float]:
+        return [average.total, average.weight, self._time(average.updated_at)]
+
+    def _class(self, known: ClassState) -> dict[str, Any]:
+        means = {key: _encode_mean(getattr(known, attribute)) for key, attribute in MEANS.items()}
+        return {**means, "rate": self._average(known.slowdown), "first_span": known.longest_timeout}
+
+    def _engine(self, engine: EngineState) -> list[Any]:
+        return [
+            self._time(engine.info.started_at),
+            self._time(engine.started_at),
+            self._average(engine.log_slowdown),
+            engine.fault_rate,
+            self._time(engine.last_heard_at),
+            self._time(engine.ejected_until),
+            engine.ejection_time,
+            engine.warm_table_groups,
+        ]
+
+
+class _Decoder:
+    """Reads the stored form, and checks every value of it."""
+
+    def __init__(self, wall_clock_offset: int) -> None:
+        self.wall_clock_offset = wall_clock_offset
+
+    def decode(self, state: SchedulerState, class_indexes: Mapping[str, int], raw: Any) -> LearnedState:
+        """Raises LearnedStateError, or what a value of a wrong type leads to."""
+        if raw["version"] != VERSION:
+            raise LearnedStateError(f"version {raw['version']!r:.40} is not {VERSION}")
+        costs = [self._average(cost) for cost in raw["costs"]]
+        lag_ratio = _number(raw["lag"])
+        if len(costs) != 3 or not 0 < lag_ratio < MAX_LAG_RATIO:
+            raise LearnedStateError(f"{len(costs)} costs or lag ratio {lag_ratio} out of range")
+        return LearnedState(
+            lag_ratio=lag_ratio,
+            usual_threads=_number(raw["usual"]),
+            slowdown_samples=self._average(raw["paces"]),
+            costs=CostTotals(*costs),
+            classes=[
+                self._class(state.classes[class_indexes[name]], known)
+                for name, known in raw["classes"].items()
+                if name in class_indexes
+            ],
+            engines=[
+                engine
+                for name, values in raw["engines"].items()
+                if (engine := self._engine(state.engines.get(name), values)) is not None
+            ],
+        )
+
+    def _time(self, raw: Any) -> int:
+        time = int(_number(raw))
+        return time - self.wall_clock_offset if time else 0
+
+    def _average(self, raw: Any) -> DecayedAverage:
+        total, weight, updated_at = raw
+        return DecayedAverage(_number(total), max(0.0, _number(weight)), self._time(updated_at))
+
+    def _class(self, known: ClassState, raw: Any) -> LearnedClass:
+        means = {attribute: _decode_mean(raw[key]) for key, attribute in MEANS.items()}
+        return LearnedClass(known, means, self._average(raw["rate"]), int(_number(raw["first_span"])))
+
+    def _engine(self, engine: EngineState | None, raw: Any) -> LearnedEngine | None:
+        """None for an engine that is unknown here or has started since: its past says nothing."""
+        listed_start, started_at, slowdown, fault_rate, *times, ejection_time, table_groups = raw
+        if engine is None or not _is_same_start(engine.info.started_at, self._time(listed_start)):
+            return None
+        last_heard_at, ejected_until = (self._time(time) for time in times)
+        return LearnedEngine(
+            state=engine,
+            started_at=self._time(started_at),
+            log_slowdown=self._average(slowdown),
+            fault_rate=_number(fault_rate),
+            last_heard_at=last_heard_at,
+            ejected_until=ejected_until,
+            ejection_time=int(_number(ejection_time)),
+            warm_table_groups=[_number(group) for group in table_groups[:MAX_TABLE_GROUPS]],
+        )
+
+
+def _is_same_start(ours: int, theirs: int) -> bool:
+    """Whether both processes mean one start; each has read its own clocks to place it on the steady clock."""
+    if not ours or not theirs:
+        return ours == theirs
+    return abs(ours - theirs) < START_TOLERANCE_NS
 
 
 def _encode_mean(mean: RunningMean) -> list[float]:
     return [mean.value, mean.variance, mean.count]
 
 
-def _encode_class(known: ClassState) -> dict[str, Any]:
-    means = {key: _encode_mean(getattr(known, attribute)) for key, attribute in MEANS.items()}
-    return {**means, "rate": _encode_average(known.slowdown), "first_span": known.longest_timeout}
-
-
-def _encode_engine(engine: EngineState) -> list[Any]:
-    return [
-        engine.info.started_at,
-        engine.started_at,
-        _encode_average(engine.log_slowdown),
-        engine.fault_rate,
-        engine.last_heard_at,
-        engine.ejected_until,
-        engine.ejection_time,
-        engine.warm_table_groups,
-    ]
-
-
-def _decode(state: SchedulerState, class_indexes: Mapping[str, int], raw: Any) -> LearnedState:
-    if raw["version"] != VERSION:
-        raise LearnedStateError(f"version {raw['version']!r:.40} is not {VERSION}")
-    costs = [_decode_average(cost) for cost in raw["costs"]]
-    lag_ratio = _number(raw["lag"])
-    if len(costs) != 3 or not 0 < lag_ratio < MAX_LAG_RATIO:
-        raise LearnedStateError(f"{len(costs)} costs or lag ratio {lag_ratio} out of range")
-    return LearnedState(
-        lag_ratio=lag_ratio,
-        usual_threads=_number(raw["usual"]),
-        slowdown_samples=_decode_average(raw["paces"]),
-        costs=CostTotals(*costs),
-        classes=[
-            _decode_class(state.classes[class_indexes[name]], known)
-            for name, known in raw["classes"].items()
-            if name in class_indexes
-        ],
-        engines=[
-            engine
-            for name, values in raw["engines"].items()
-            if (engine := _decode_engine(state.engines.get(name), values)) is not None
-        ],
-    )
-
-
-def _decode_class(known: ClassState, raw: Any) -> LearnedClass:
-    means = {attribute: _decode_mean(raw[key]) for key, attribute in MEANS.items()}
-    return LearnedClass(known, means, _decode_average(raw["rate"]), int(_number(raw["first_span"])))
-
-
-def _decode_engine(engine: EngineState | None, raw: Any) -> LearnedEngine | None:
-    """None for an engine that is unknown here or has started since: its past says nothing."""
-    listed_start, started_at, slowdown, *numbers, table_groups = raw
-    if engine is None or engine.info.started_at != listed_start:
-        return None
-    fault_rate, last_heard_at, ejected_until, ejection_time = (_number(value) for value in numbers)
-    return LearnedEngine(
-        state=engine,
-        started_at=int(_number(started_at)),
-        log_slowdown=_decode_average(slowdown),
-        fault_rate=fault_rate,
-        last_heard_at=int(last_heard_at),
-        ejected_until=int(ejected_until),
-        ejection_time=int(ejection_time),
-        warm_table_groups=[_number(group) for group in table_groups[:MAX_TABLE_GROUPS]],
-    )
-
-
-def _decode_average(raw: Any) -> DecayedAverage:
-    total, weight, updated_at = raw
-    return DecayedAverage(_number(total), max(0.0, _number(weight)), int(_number(updated_at)))
-
-
 def _decode_mean(raw: Any) -> RunningMean:
     value, variance, count = raw
     return RunningMean(_number(value), max(0.0, _number(variance)), max(0, int(_number(count))))
--- a/query_gateway/planner/planner.py
+++ b/query_gateway/planner/planner.py
@@ -35,7 +35,7 @@
         if not self.pending_events:
             return []
         events, self.pending_events = self.pending_events, []
-        self.now = max(self.now, self.clock())  # guards the module against a clock that is set back
+        self.now = max(self.now, self.clock())  # guards the module against a clock that goes back
         actions: list[Action] = []
         for action in self.scheduler.handle(self.now, events):
             if isinstance(action, SetTimer):
--- a/query_gateway/planner/process.py
+++ b/query_gateway/planner/process.py
@@ -2,7 +2,6 @@
 
 import signal
 import socket
-import time
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
@@ -19,6 +18,7 @@
 from query_gateway.net.listener import Listener
 from query_gateway.net.log import log
 from query_gateway.net.loop import Loop, Timer
+from query_gateway.net.steady_clock import loop_time_of, steady_now_ns
 from query_gateway.net.stream import Reason, Stream
 from query_gateway.planner.ipc import IpcConnection, Steps
 from query_gateway.planner.ipc_codec import EVENT_TYPES, EjectedEndpoints
@@ -109,7 +109,7 @@
     def __init__(self, settings: Settings, seed: int, address: tuple[str, int]) -> None:
         """Listen at `address`; raises OSError if that is not possible. `run` or the caller runs the loop."""
         self.loop = Loop()
-        self.planner = Planner(settings, seed, time.time_ns, self._call_at)
+        self.planner = Planner(settings, seed, steady_now_ns, self._call_at)
         self.owners: dict[int, PlannerSession] = {}  # by request id
         self.sessions: set[PlannerSession] = set()
         self.listener = Listener(self.loop, address, self._on_accepted)
@@ -118,8 +118,7 @@
         self._poll_ejected_endpoints()
 
     def _call_at(self, due_at_ns: int, callback: Callable[[], None]) -> Timer:
-        delay_s = (due_at_ns - time.time_ns()) / 1e9
-        return self.loop.call_at(self.loop.now() + delay_s, callback)
+        return self.loop.call_at(loop_time_of(due_at_ns), callback)
 
     def _on_accepted(self, sock: socket.socket, peer: str) -> None:
         if len(self.sessions) >= MAX_FORWARDERS:  # guards the table against other programs that connect
