--- a/query_gateway/composition.py
+++ b/query_gateway/composition.py
@@ -1,5 +1,6 @@
 """Builds those parts of a gateway that take much of the configuration; `gateway.py` joins them."""
 
+import os
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
@@ -20,7 +21,9 @@
 from query_gateway.lifecycle.planner_links import PlannerLinks
 from query_gateway.lifecycle.planner_settings import planner_settings
 from query_gateway.lifecycle.reload import ConfigurationSources
+from query_gateway.lifecycle.request_trace import open_request_trace
 from query_gateway.lifecycle.upgrade_socket import InheritedState
+from query_gateway.net.log import log
 from query_gateway.net.loop import Loop, Timer
 from query_gateway.net.steady_clock import loop_time_of, steady_now_ns
 from query_gateway.planner.planner import Planner
@@ -96,6 +99,11 @@
     forwarder = Forwarder(
         config.settings, steady_now_ns, clock_alarm(loop), max_exchanges(config), first_request_id
     )
+    forwarder.slow_start_budgets.process_count = active.operator.forwarder_count
+    forwarder.invariants.on_violation = lambda invariant, details: log(
+        "invariant", f"{invariant.value} is violated: {details}"
+    )
+    forwarder.request_trace = open_request_trace(os.environ)
     for name in config.classes:
         forwarder.counters.add_class(name)
     return forwarder
--- a/query_gateway/engine_protocol/connection.py
+++ b/query_gateway/engine_protocol/connection.py
@@ -1,5 +1,6 @@
 """One connection to an engine: dialled on demand, many attempts in flight at once."""
 
+import contextlib
 import math
 from collections.abc import Generator
 from typing import TYPE_CHECKING
@@ -21,6 +22,7 @@
 # connection is given up
 SUSPECT_INTERVALS = 1.2
 UNRESPONSIVE_INTERVALS = 1.6
+REDIAL_SECONDS = 0.02  # until a dial that our own machine could not make is made again
 STALL_TIMEOUT_SECONDS = 0.3  # without a byte within a response, or while a page is due
 RESPONSE_TIMEOUT_SECONDS = 2.0  # until a response that began is complete, whatever else comes meanwhile
 
@@ -37,6 +39,8 @@
         """Begin to dial; raises OSError when no descriptor is left."""
         self.pool, self.loop, self.engine = pool, pool.loop, engine
         self.open: dict[str, OpenAttempt] = {}  # by client id, oldest first
+        # Those of which nothing has been written: it is encoded as it leaves, so that its budget is true then
+        self.unwritten: dict[str, OpenAttempt] = {}
         self.cancelled_ids: dict[str, None] = {}
         self.retired = False  # takes no more attempts, closes after the last
         # Whether requests are written as they are given. It follows the stream's `connected`: in between,
@@ -47,9 +51,8 @@
         self.decoder = frames.FrameDecoder()
         self.responses = ResponseHandler(self)
         self.dial_deadline = self.loop.now() + pool.dial_timeout
-        address = endpoint.addresses["web"]
-        description = f"engine {engine} {address}"
-        self.stream = Stream.dial(self.loop, address_of(address), description, lambda: self.task.wake())
+        self.address = endpoint.addresses["web"]
+        self.stream = self._dial()
         self.task: Task = self.loop.spawn(self._run())
 
     def can_take(self, client_id: str) -> bool:
@@ -74,22 +77,35 @@
     def send(self, attempt: AttemptHandle) -> None:
         """Start an attempt, at once or when the connection is established."""
         self.last_used_at = self.loop.now()
-        entry = self.open[attempt.request.client_id] = OpenAttempt(attempt, self.last_used_at)
+        client_id = attempt.request.client_id
+        self.open[client_id] = self.unwritten[client_id] = OpenAttempt(attempt, self.last_used_at)
         if self.established:
-            self._write_request(entry)
+            self._write_waiting()
         self.task.wake()  # its response deadline runs from now
 
-    def _write_request(self, entry: OpenAttempt) -> None:
-        data = encode_attempt(entry.attempt, self.pool.clock())
-        self.stream.write(data)
-        entry.write_mark = self.stream.call_when_sent(entry.on_request_sent, len(data))
+    def _write_waiting(self) -> None:
+        """Write the requests that wait, as long as the machine takes them at once."""
+        while self.unwritten and not self.stream.outbox and not self.stream.is_over:
+            client_id = next(iter(self.unwritten))
+            entry = self.unwritten.pop(client_id)
+            if not entry.attempt.may_be_written():
+                self._end_unsent(client_id, entry)
+            elif self.stream.write_if_taken(encode_attempt(entry.attempt, self.pool.clock())):
+                self.stream.call_when_sent(entry.on_request_sent)
+            else:
+                self.unwritten = {client_id: entry, **self.unwritten}
+                return
+
+    def _end_unsent(self, client_id: str, entry: OpenAttempt) -> None:
+        """End an attempt that must not be written any more."""
+        if self.open.get(client_id) is entry:
+            del self.open[client_id]
+            self.pool.by_client_id.pop(client_id, None)
+        entry.attempt.on_ended(OutcomeCode.NOT_SENT)
 
     def withdraw(self, client_id: str) -> bool:
         """Remove an attempt if not a byte of it has left; whether that was so."""
-        entry = self.open.get(client_id)
-        if entry is None:
-            return False
-        if self.established and not (entry.write_mark and self.stream.withdraw(entry.write_mark)):
+        if self.unwritten.pop(client_id, None) is None:
             return False
         del self.open[client_id]
         self.task.wake()
@@ -99,7 +115,7 @@
         """Stop an attempt; its late responses change nothing."""
         if self.open.pop(client_id, None) is None:
             return
-        if self.established:
+        if self.unwritten.pop(client_id, None) is None:
             self._remember_cancelled(client_id)
             self.stream.write(frames.encode_stop(client_id))
         self.task.wake()
@@ -110,7 +126,7 @@
 
     def set_priority(self, client_id: str, priority: int) -> None:
         """Change an attempt's priority at the engine, if it is there already."""
-        if client_id in self.open and self.established:
+        if client_id in self.open and client_id not in self.unwritten:
             self.stream.write(frames.encode_priority(client_id, priority))
 
     def finish(self, client_id: str, outcome: OutcomeCode) -> None:
@@ -134,7 +150,9 @@
         try:
             failure = yield from self._connect()
             if failure:
-                reason, outcome = failure, OutcomeCode.CONNECT_FAILED
+                # Where our own machine could not dial the engine is not at fault
+                outcome = OutcomeCode.NOT_SENT if self.stream.is_local_failure else OutcomeCode.CONNECT_FAILED
+                reason = failure
             else:
                 reason = yield from self._serve()
         finally:
@@ -145,28 +163,45 @@
                 sent_or_dialling = entry.request_sent or not self.established
                 entry.attempt.on_ended(outcome if sent_or_dialling else OutcomeCode.NOT_SENT)
             self.open.clear()
+            self.unwritten.clear()
 
     def _connect(self) -> Generator[float | None, None, Reason | None]:
         """Wait for the dial and write what waits for it; a reason if the dial failed or is not needed."""
         while not self.stream.connected:
-            if self.stream.dial_refused or self.stream.eof:
-                return Reason.DIAL_REFUSED
             if self.loop.now() >= self.dial_deadline:
                 return Reason.DIAL_TIMEOUT
             if not self.open:
                 return Reason.ABANDONED
-            yield self.dial_deadline
+            if self.stream.is_local_failure:
+                yield from self._dial_again()
+            elif self.stream.eof:
+                return Reason.DIAL_REFUSED
+            else:
+                yield self.dial_deadline
         self.established = True
-        for entry in self.open.values():
-            self._write_request(entry)
+        self._write_waiting()
         self.last_heard_at = self.loop.now()
         return None
 
+    def _dial_again(self) -> Generator[float | None, None, None]:
+        """Wait a moment and dial once more: our machine had no port, route or buffer just now."""
+        retry_at = min(self.loop.now() + REDIAL_SECONDS, self.dial_deadline)
+        while self.loop.now() < retry_at:
+            yield retry_at
+        with contextlib.suppress(OSError):  # no descriptor is left: the next round tries again
+            failed, self.stream = self.stream, self._dial()
+            failed.close(Reason.DIAL_FAILED)
+
+    def _dial(self) -> Stream:
+        description = f"engine {self.engine} {self.address}"
+        return Stream.dial(self.loop, address_of(self.address), description, lambda: self.task.wake())
+
     def _serve(self) -> Generator[float | None, None, Reason]:
         """Handle responses until the connection ends; the reason."""
         while True:
             if self.stream.inbox and not self._read_responses():
                 return Reason.MALFORMED_RESPONSE
+            self._write_waiting()
             if self.stream.eof:
                 return Reason.RESET if self.stream.reset else Reason.PEER_CLOSED
             deadline = self._response_deadline(UNRESPONSIVE_INTERVALS)
--- a/query_gateway/engine_protocol/open_attempt.py
+++ b/query_gateway/engine_protocol/open_attempt.py
@@ -3,7 +3,6 @@
 from query_gateway.engine_protocol import frames
 from query_gateway.engine_protocol.results import MAX_RESULT_BYTES
 from query_gateway.forwarder.messages import AttemptHandle
-from query_gateway.net.stream import WriteMark
 
 NANOSECONDS_PER_MS = 1_000_000
 
@@ -12,14 +11,13 @@
     """An attempt in flight, with the pages that have come. Times are loop times in seconds."""
 
     __slots__ = (
-        "attempt", "assigned_at", "write_mark", "request_sent", "page_count", "pages", "response_started_at",
+        "attempt", "assigned_at", "request_sent", "page_count", "pages", "response_started_at",
         "last_page_at",
     )  # fmt: skip
 
     def __init__(self, attempt: AttemptHandle, assigned_at: float) -> None:
         """`assigned_at`: when the attempt was given to the connection, which may still be dialling."""
         self.attempt, self.assigned_at = attempt, assigned_at
-        self.write_mark: WriteMark | None = None  # of the request, while it is queued here
         self.request_sent = False  # to the last byte
         self.page_count = 0
         self.pages: dict[int, bytes] = {}  # by number
@@ -28,7 +26,7 @@
 
     def on_request_sent(self) -> None:
         """The machine has taken the request to its last byte."""
-        self.request_sent, self.write_mark = True, None
+        self.request_sent = True
         self.attempt.on_written()
 
     def add_page(self, number: int, page: bytes, now: float) -> None:
--- a/query_gateway/flight/client_call.py
+++ b/query_gateway/flight/client_call.py
@@ -24,6 +24,7 @@
     from query_gateway.flight.server import FlightServer
     from query_gateway.parsing.service import Classification
 
+NS_PER_SECOND = 1e9
 MESSAGE_TIMEOUT_S = 5.0  # in which a call must have brought its message
 RESPONSE_HEADERS = [(":status", "200"), ("content-type", "application/grpc")]
 # The one status of each verdict; the on-call page names them
@@ -100,7 +101,7 @@
     def _classify(self, text: str, is_update: bool) -> None:
         """Forward a statement at once, or once it has been parsed where statements are."""
         server = self.server
-        statement = FlightStatement(text, is_update, server.forwarder.clock())
+        statement = FlightStatement(text, is_update, self._arrived_at())
         class_name = self.request_headers.get("x-class")
         if server.statements is None:
             default_class = server.update_class if is_update else server.query_class
@@ -119,6 +120,13 @@
 
         server.statements.classify(text, class_name, key, on_classified)
 
+    def _arrived_at(self) -> int:
+        """The clock time when the call's message had come."""
+        loop, stream = self.server.loop, self.call.connection.stream
+        loop_now = loop.now()
+        waited = loop_now - stream.arrivals.time_of(stream.arrivals.received, loop_now)
+        return self.server.forwarder.clock() - int(waited * NS_PER_SECOND)
+
     def _on_classified(self, statement: FlightStatement, classification: "Classification") -> None:
         if self.state is FlightCallState.DONE:
             return
@@ -187,6 +195,12 @@
 
     # ---- the client's side of an exchange
 
+    def has_left(self) -> bool:
+        """Whether the client has cancelled its call or closed its connection."""
+        stream = self.call.connection.stream
+        stream.read_available()
+        return self.state is FlightCallState.DONE or self.call.is_closed or stream.is_over
+
     def send_page(self, page: bytes, on_sent: Callable[[], None]) -> None:
         """Send one FlightData; `on_sent` is called when flow control has let it go."""
         if self.state is not FlightCallState.DONE:
--- a/query_gateway/flight/engines.py
+++ b/query_gateway/flight/engines.py
@@ -63,6 +63,9 @@
 
     def begin(self) -> None:
         """Open the attempt's first call."""
+        if not self.attempt.may_be_written():
+            self.end(OutcomeCode.NOT_SENT)
+            return
         statement = self.attempt.request.statement.decode()
         if self.method is FlightMethod.DO_PUT:
             self._open_call(messages.encode_update(statement))
@@ -222,6 +225,8 @@
         """Begin the attempt, at once or when the connection has come up."""
         if self.grpc.stream.connected:
             attempt.begin()
+        elif self.grpc.stream.is_over:  # the dial failed at once, and no activity follows
+            self.pool.loop.call_at(self.pool.loop.now(), lambda: attempt.end(OutcomeCode.CONNECT_FAILED))
         else:
             self.waiting.append(attempt)
 
--- a/query_gateway/flight/server.py
+++ b/query_gateway/flight/server.py
@@ -81,7 +81,7 @@
 
     def _on_accept(self, sock: socket.socket, peer: str) -> None:
         self.connections = [connection for connection in self.connections if not connection.stream.closed]
-        stream = Stream(self.loop, sock, f"flight-client {peer}")
+        stream = Stream(self.loop, sock, f"flight-client {peer}", waiting_since=self.listener.waiting_since)
         if len(self.connections) >= self.max_connections and not self._close_idle_connection():
             stream.close(Reason.TOO_MANY)
             return
--- a/query_gateway/forwarder/attempt.py
+++ b/query_gateway/forwarder/attempt.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING
 
 from query_gateway.forwarder.messages import ClientRequest
+from query_gateway.forwarder.send_guard import HoldBack
+from query_gateway.forwarder.trace import TraceStep
 from query_gateway.model.events import (
     LAST_ATTEMPT,
     AttemptOutcome,
@@ -87,9 +89,23 @@
         if self.in_flight:
             self.withdraw()
 
+    def may_be_written(self) -> bool:
+        """Whether the request may leave now; a client that has left is noticed here at the latest."""
+        exchange = self.exchange
+        refusal = exchange.forwarder.send_guard.refusal_to_write(self)
+        if refusal is None:
+            return True
+        exchange.trace(TraceStep.HELD_BACK, f"{self.endpoint} {refusal.value}")
+        if refusal is HoldBack.CLIENT_LEFT:
+            exchange.abandon()
+        return False
+
     def on_written(self) -> None:
         """The request has left for the engine to its last byte."""
-        self.exchange.forwarder.counters.forwards += 1
+        forwarder = self.exchange.forwarder
+        forwarder.counters.forwards += 1
+        forwarder.send_guard.note_written(self)
+        self.exchange.trace(TraceStep.WRITTEN, self.endpoint)
 
     def on_progress(self, kind: ProgressKind, level: float) -> None:
         """Pass a progress note of the engine on to the planner, and a spill to the observer."""
--- a/query_gateway/forwarder/exchange.py
+++ b/query_gateway/forwarder/exchange.py
@@ -10,8 +10,9 @@
 
 from query_gateway.forwarder.attempt import NEVER_RAN_CODES, Attempt, AttemptTerms
 from query_gateway.forwarder.idempotency import client_may_retry, send_deadline
+from query_gateway.forwarder.invariants import Invariant
 from query_gateway.forwarder.messages import Answer, Client, ClientRequest, Timer, Verdict
-from query_gateway.model.endpoints import EndpointState
+from query_gateway.forwarder.trace import TraceStep
 from query_gateway.model.events import Event, OutcomeCode, RequestAbandoned
 
 if TYPE_CHECKING:
@@ -21,6 +22,8 @@
 # Until a cancelled attempt counts as ended. Guards against the next attempt overtaking the cancellation on
 # another connection, so that both run at once; no answer waits for this.
 CANCEL_PROPAGATION_NS = 60 * MS_NS
+# After its deadline a request counts as answered in time for so long
+ANSWER_SLACK_NS = 400 * MS_NS
 # After its deadline the planner has this long to end an exchange, then it is ended here
 PLANNER_GRACE_NS = 5 * MS_NS
 
@@ -39,7 +42,7 @@
     __slots__ = (
         "forwarder", "request_id", "request", "client", "wire", "planner_index", "streams_results", "timer",
         "attempts", "attempt_count", "terms", "state", "planner_notified", "first_executed_at",
-        "class_settings",
+        "class_settings", "abandoned", "ended_at",
     )  # fmt: skip
 
     def __init__(
@@ -62,6 +65,8 @@
         self.attempt_count = 0  # as the planner counts them: one that was not sent has a number, too
         self.terms = AttemptTerms()
         self.state = ExchangeState.OPEN
+        self.abandoned = False  # its client has left
+        self.ended_at: int | None = None  # clock time from which no answer was owed
         self.planner_notified = False  # whether the planner has the request and gets its events
         self.first_executed_at: int | None = None  # when the first attempt that may have run was sent
         self.timer: Timer | None = None
@@ -76,6 +81,11 @@
         """Whether no answer is owed any more."""
         return self.state is ExchangeState.ANSWERED
 
+    @property
+    def is_open(self) -> bool:
+        """Whether any attempt may still serve the request."""
+        return self.state is ExchangeState.OPEN
+
     @property
     def is_streaming(self) -> bool:
         """Whether the client has result pages and waits for more."""
@@ -102,6 +112,11 @@
         may_run = self.may_have_run or self.current_attempt is not None
         return not may_run or client_may_retry(self.class_settings)
 
+    def trace(self, step: TraceStep, details: str = "") -> None:
+        """Note a step of this request, where requests are traced."""
+        if sink := self.forwarder.request_trace:
+            sink.record(self.forwarder.clock(), self.request_id, self.request.client_id, step, details)
+
     def notify_planner(self, event: Event) -> None:
         """Send an event to the planner, if it knows of this exchange."""
         if self.planner_notified:
@@ -113,28 +128,17 @@
         """Send an attempt to an endpoint, or report to the planner that it was not sent."""
         attempt = Attempt(self, self.attempt_count, endpoint, self.forwarder.clock())
         self.attempt_count += 1
-        if not self._may_send_to(endpoint):
+        if refusal := self.forwarder.send_guard.refusal_to_start(self, endpoint):
             attempt.in_flight = False
+            self.trace(TraceStep.HELD_BACK, f"{endpoint} {refusal.value}")
             self.notify_planner(attempt.outcome(OutcomeCode.NOT_SENT, 0))
             return
+        self.trace(TraceStep.STARTED, f"{endpoint} number {attempt.number}")
         self.attempts.append(attempt)
         self.engine_client.start(attempt)
         if attempt.in_flight and self.send_deadline < self.request.deadline:
             self.forwarder.call_at(self.send_deadline, attempt.on_send_deadline)
 
-    def _may_send_to(self, endpoint_name: str) -> bool:
-        """Guards single attempts, answers and draining endpoints against a planner that is late."""
-        if self.state is not ExchangeState.OPEN or self.current_attempt is not None:
-            return False
-        if self.forwarder.clock() >= self.send_deadline:
-            return False
-        endpoint = self.forwarder.endpoints.get(endpoint_name)
-        return (
-            endpoint is not None
-            and endpoint.info.state is EndpointState.UP
-            and self.wire in endpoint.addresses
-        )
-
     def cancel(self, attempt_number: int) -> None:
         """Cancel an attempt that is in flight; it counts as ended when the cancellation must have arrived."""
         if self.is_streaming:
@@ -144,6 +148,7 @@
         attempt = self.current_attempt
         if attempt is None or attempt.number != attempt_number or self.withdraw():
             return
+        self.trace(TraceStep.CANCELLED, f"{attempt.endpoint} by its planner")
         self.engine_client.cancel(attempt)
         if self.answered:
             attempt.on_ended(OutcomeCode.CANCELLED)
@@ -178,6 +183,7 @@
         duration = self.forwarder.clock() - attempt.sent_at
         if code is OutcomeCode.OK and attempt.duration:
             duration = attempt.duration
+        self.trace(TraceStep.ENDED, f"{attempt.endpoint} {code.value}")
         if not self.answered and code is OutcomeCode.OK:
             self.answer(Answer(Verdict.SERVED, tuple(attempt.pages)))
         elif self.is_streaming:
@@ -194,16 +200,38 @@
         """Give the one final answer; any later one is ignored."""
         if self.answered:
             return
-        if answer.verdict is Verdict.REJECTED and self.is_streaming:
+        if answer.verdict is Verdict.REJECTED and not self._is_true_rejection():
             answer = Answer(Verdict.FAILED)
-        self.state = ExchangeState.ANSWERED
+        self._end()
+        self.trace(TraceStep.ANSWERED, answer.verdict.value)
         self.forwarder.counters.count_answer(self.request.class_name, answer.verdict)
         self.client.send_answer(answer)
 
+    def _is_true_rejection(self) -> bool:
+        """Guards the promise of a rejection: where the request may have run it is a failure."""
+        if self.is_streaming:
+            return False
+        is_true = self.may_be_rejected
+        self.forwarder.invariants.check(
+            is_true, Invariant.REJECTED_TRULY, f"request {self.request.client_id} may have run"
+        )
+        return is_true
+
+    def _end(self) -> None:
+        """No answer is owed from now on."""
+        self.state = ExchangeState.ANSWERED
+        self.ended_at = now = self.forwarder.clock()
+        in_time = now <= self.request.deadline + ANSWER_SLACK_NS
+        self.forwarder.invariants.check(
+            in_time, Invariant.ANSWERED_IN_TIME, f"request {self.request.client_id}"
+        )
+
     def abandon(self) -> None:
         """The client has left: no answer is owed."""
         if not self.answered:
-            self.state = ExchangeState.ANSWERED
+            self.abandoned = True
+            self._end()
+            self.trace(TraceStep.ABANDONED)
             self.notify_planner(RequestAbandoned(self.request_id))
             # Guards engines against work for nobody: a planner in another process may cancel late or never
             self.withdraw()
@@ -235,6 +263,7 @@
     def end_without_planner(self) -> None:
         """End the exchange at once, as its planner is lost: rejected where that is true, else failed."""
         self.planner_notified = False
+        self.trace(TraceStep.PLANNER_LOST)
         # Withdrawn first: an attempt of which nothing has left never ran, so it does not rule out a rejection
         self.withdraw()
         may_be_rejected = self.may_be_rejected  # judged while the attempt is in flight, as it may run
--- a/query_gateway/forwarder/forwarder.py
+++ b/query_gateway/forwarder/forwarder.py
@@ -6,6 +6,7 @@
 from query_gateway.forwarder.attempt import AttemptTerms, outcome_of_unknown_request
 from query_gateway.forwarder.counters import Counters
 from query_gateway.forwarder.exchange import Exchange
+from query_gateway.forwarder.invariants import InvariantChecks
 from query_gateway.forwarder.key_quarantine import KeyQuarantine
 from query_gateway.forwarder.messages import (
     Answer,
@@ -19,7 +20,10 @@
     Verdict,
 )
 from query_gateway.forwarder.planner_routing import PlannerConnection, PlannerRouter
-from query_gateway.model.actions import Action, Cancel, Fail, Forward, Reject, SetTerms
+from query_gateway.forwarder.send_guard import SendGuard
+from query_gateway.forwarder.slow_start_budgets import SlowStartBudgets
+from query_gateway.forwarder.trace import RequestTrace, TraceStep
+from query_gateway.model.actions import Action, Cancel, EndReason, Fail, Forward, Reject, SetTerms
 from query_gateway.model.endpoints import EndpointState, EndpointUpdateKind
 from query_gateway.model.events import EndpointUpdate, Request, SettingsUpdate
 from query_gateway.model.settings import Settings
@@ -63,6 +67,10 @@
         self.endpoints: dict[str, Endpoint] = {}  # by name
         self.next_request_id = first_request_id
         self.counters = Counters()
+        self.invariants = InvariantChecks()
+        self.send_guard = SendGuard(self)
+        self.slow_start_budgets = SlowStartBudgets(settings)
+        self.request_trace: RequestTrace | None = None
         self.observer: QueryObserver | None = None
         self.on_idle: Callable[[], None] = lambda: None  # called when the last exchange has ended
 
@@ -82,6 +90,7 @@
         """Take a request; from here on one final answer is owed, which may be given before this returns."""
         exchange = Exchange(self, self.next_request_id, request, client, wire)
         self.next_request_id += 1
+        exchange.trace(TraceStep.ACCEPTED, _describe(request))
         if answer := self._immediate_answer(exchange):
             exchange.answer(answer)
             return exchange
@@ -158,10 +167,10 @@
             case Cancel(request_id, attempt_number):
                 if exchange := self.exchanges.get(request_id):
                     exchange.cancel(attempt_number)
-            case Reject(request_id, retry_after):
-                self._answer(request_id, Answer(Verdict.REJECTED, retry_after_ns=retry_after))
-            case Fail(request_id):
-                self._answer(request_id, Answer(Verdict.FAILED))
+            case Reject(request_id, retry_after, reason):
+                self._answer(request_id, Answer(Verdict.REJECTED, retry_after_ns=retry_after), reason)
+            case Fail(request_id, reason):
+                self._answer(request_id, Answer(Verdict.FAILED), reason)
             case SetTerms(request_id, memory_mb, priority):
                 if exchange := self.exchanges.get(request_id):
                     exchange.set_terms(AttemptTerms(memory_mb, priority))
@@ -174,9 +183,10 @@
         else:
             self.planners[planner_index].notify(outcome_of_unknown_request(request_id, endpoint))
 
-    def _answer(self, request_id: int, answer: Answer) -> None:
+    def _answer(self, request_id: int, answer: Answer, reason: EndReason) -> None:
         exchange = self.exchanges.get(request_id)
         if exchange and not exchange.is_streaming:
+            exchange.trace(TraceStep.DECIDED, f"{answer.verdict.value} {reason.value}")
             exchange.answer(answer)
             self.release(exchange)
 
@@ -186,7 +196,7 @@
         self, settings: Settings, planner_settings: list[Settings], new_classes: tuple[int, ...]
     ) -> None:
         """Apply new settings to requests from here on; `planner_settings` has those of each planner."""
-        self.settings = settings
+        self.settings = self.slow_start_budgets.settings = settings
         for planner, own_settings in zip(self.planners, planner_settings, strict=True):
             planner.settings = own_settings
             planner.notify(SettingsUpdate(own_settings, new_classes))
@@ -200,6 +210,7 @@
             self.endpoints = {}
         for endpoint in endpoints:
             self.endpoints[endpoint.info.name] = endpoint
+            self.slow_start_budgets.update_endpoint(endpoint.info)
         for engine_client in self.engine_clients.values():
             engine_client.update_endpoints(endpoints, is_snapshot)
         kind = EndpointUpdateKind.SNAPSHOT if is_snapshot else EndpointUpdateKind.DELTA
@@ -211,6 +222,8 @@
         ]
         for name in removed:
             del self.endpoints[name]  # guards the table against growing with every engine that ever was
+        if removed or is_snapshot:
+            self.slow_start_budgets.keep_only(set(self.endpoints))
 
     # ---- planners
 
@@ -235,3 +248,8 @@
             planner.notify(SettingsUpdate(planner.settings, all_classes))
         endpoints = tuple(endpoint.info for endpoint in self.endpoints.values())
         planner.notify(EndpointUpdate(EndpointUpdateKind.SNAPSHOT, endpoints))
+
+
+def _describe(request: ClientRequest) -> str:
+    key = f" key {request.key}" if request.key else ""
+    return f"{request.class_name} deadline {request.deadline}{key}"
--- a/query_gateway/forwarder/messages.py
+++ b/query_gateway/forwarder/messages.py
@@ -83,6 +83,9 @@
 class Client(Protocol):
     """The client's side of an exchange: gets result pages, where these are streamed, and one answer."""
 
+    def has_left(self) -> bool:
+        """Whether the client has closed or cancelled, as far as the machine knows just now."""
+
     def send_page(self, page: bytes, on_sent: Callable[[], None]) -> None:
         """Send one page; `on_sent` is called when it has left, so that the engine may send more."""
 
@@ -106,6 +109,12 @@
     def in_flight(self) -> bool:
         """Whether the attempt has not ended; an ended one changes nothing by what is reported."""
 
+    def may_be_written(self) -> bool:
+        """Whether the request may leave now; to be asked just before its first byte does.
+
+        If not, the attempt has ended, or is to be ended as not sent.
+        """
+
     def on_written(self) -> None:
         """The request has left for the engine to its last byte."""
 
--- a/query_gateway/http/connection.py
+++ b/query_gateway/http/connection.py
@@ -6,6 +6,7 @@
 
 import h11
 
+from query_gateway.forwarder.invariants import Invariant
 from query_gateway.forwarder.readiness import DRAIN_CLOSE_IDLE_AFTER_S
 from query_gateway.http.h11_request import MAX_HEADER_BYTES, HttpRequest, read_request
 from query_gateway.http.plain_request import PlainRequest, parse_plain_request
@@ -17,6 +18,7 @@
     encode_plain_response,
     failure_response,
 )
+from query_gateway.net.log import log
 from query_gateway.net.loop import Task
 from query_gateway.net.stream import Reason, Stream
 
@@ -30,6 +32,7 @@
 LINGER_SECONDS = 1.0  # how long input is still read behind our half close
 TRANSFER_RETRY_SECONDS = 0.02  # until a connection that could not be transferred is tried again
 DRAIN_FIRST_REQUEST_SECONDS = 0.5  # from a connection's start until its first request, while draining
+NANOSECONDS_PER_SECOND = 1e9
 SERVICE_PREFIX = "/svc"
 LIVENESS_PATH = "/status/live"
 
@@ -47,13 +50,14 @@
     def __init__(self, server: "HttpServer", sock: socket.socket, peer: str, has_sent_request: bool) -> None:
         """`has_sent_request`: a complete request has come already, before a hot upgrade transferred it."""
         self.server, self.loop, self.peer = server, server.loop, peer
-        self.stream = Stream(server.loop, sock, f"client {peer}")
+        self.stream = Stream(server.loop, sock, f"client {peer}", waiting_since=server.listener.waiting_since)
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES)
         self.task: Task = server.loop.spawn(self._run())
         self.handler = RequestHandler(server, self.stream, self.task.wake)
         self.stream.on_activity = self.task.wake
         self.stream.start()
         self.bypasses_h11 = False  # the current request was read by the fast parser
+        self.wants_body = True  # the current request is no HEAD
         self.has_sent_request = has_sent_request
         self.announced_close = False  # the last response said that the connection ends with it
         self.started_at = self.loop.now()
@@ -70,6 +74,10 @@
 
     def drop(self, reason: Reason) -> None:
         """Close at once; the coroutine finds its stream closed when it next runs, and ends."""
+        is_unanswered = self.handler.has_open_request and not self.stream.is_over
+        self.server.forwarder.invariants.check(
+            not is_unanswered, Invariant.ANSWERED_BEFORE_CLOSE, f"client {self.peer} {reason.value}"
+        )
         self.stream.close(reason)
         for table in (self.server.connections, self.server.without_request, self.server.idle):
             table.pop(self, None)
@@ -87,6 +95,8 @@
                 return (yield from self._reject(error.error_status_hint or 400, str(error)))
             except RequestError as error:
                 return (yield from self._reject(error.status, str(error)))
+            except Exception as error:  # a fault of ours must not cost the client its answer
+                return (yield from self._fail_for_fault(error))
             if ended:
                 return ended
 
@@ -125,19 +135,30 @@
     def _unused_reason(self) -> Reason:
         return Reason.IDLE if self.has_sent_request else Reason.UNRESPONSIVE
 
+    @property
+    def has_partial_request(self) -> bool:
+        """Whether a request has begun to come; h11 keeps what has been taken from the inbox."""
+        return bool(self.stream.inbox) or self.stream.arrivals.received > 0
+
     def _on_complete_request(self) -> None:
-        self.has_sent_request = True
+        self.has_sent_request = self.handler.has_open_request = True
         self.server.without_request.pop(self, None)
 
     # ---- one request
 
+    def _arrived_at(self) -> int:
+        """The clock time when the last byte of the request that was read just now had come."""
+        behind = len(self.http.trailing_data[0])
+        loop_now = self.loop.now()
+        arrived_at = self.stream.arrivals.time_of(self.stream.bytes_taken - behind, loop_now)
+        return self.server.forwarder.clock() - int((loop_now - arrived_at) * NANOSECONDS_PER_SECOND)
+
     def _serve_plain_request(self, plain: PlainRequest) -> OptionalReason:
         self.stream.take_inbox()
         self._on_complete_request()
         self.bypasses_h11 = True
         server, class_name = self.server, plain.path.rpartition("/")[2]
-        now = server.forwarder.clock()
-        request = decode_request(class_name, server.classes, plain.headers, plain.body, now)
+        request = decode_request(class_name, server.classes, plain.headers, plain.body, self._arrived_at())
         response = yield from self.handler.handle(request)
         if isinstance(response, Reason):
             return response
@@ -154,6 +175,7 @@
         if isinstance(request, Reason):
             return request
         self._on_complete_request()
+        self.wants_body = request.method != "HEAD"
         response = yield from self._respond_to(request)
         if isinstance(response, Reason):
             return response
@@ -177,20 +199,22 @@
             raise RequestError(404, "the path is unknown")
         if request.method != "POST":
             raise RequestError(405, "only POST is known here")
-        now = server.forwarder.clock()
-        decoded = decode_request(class_name, server.classes, request.headers, request.body, now)
+        decoded = decode_request(
+            class_name, server.classes, request.headers, request.body, self._arrived_at()
+        )
         return (yield from self.handler.handle(decoded))
 
     # ---- responses and the end
 
     def _send_response(self, response: Response, closing: bool = False) -> OptionalReason:
         """Send, and wait until the client has read enough of it; a reason if it does not."""
-        if self.server.draining_for() or self.server.closing or self.handler.discarded_bytes:
+        if closing or self._ends_with_response():
             closing = self.announced_close = True
         if self.bypasses_h11:
             self.stream.write(encode_plain_response(response, closing))
         else:
-            self.stream.write(encode_h11_response(self.http, response, closing))
+            self.stream.write(encode_h11_response(self.http, response, closing, self.wants_body))
+        self.handler.has_open_request = False
         deadline = self.loop.now() + RESPONSE_TIMEOUT_SECONDS
         while self.stream.outbox:
             if self.stream.reset:
@@ -200,6 +224,25 @@
             yield deadline
         return None
 
+    def _ends_with_response(self) -> bool:
+        """Whether the connection ends with the response to be sent."""
+        if self.handler.discarded_bytes or self.server.rejects_all:
+            return True
+        if not self.server.closing and not self.server.draining_for():
+            return False
+        # A request that has been read behind this one is owed an answer as well
+        self.stream.read_available()
+        return not self.stream.inbox and not self.http.trailing_data[0]
+
+    def _fail_for_fault(self, error: Exception) -> Steps:
+        """Answer a request in whose handling our own code broke."""
+        log("fault", f"a request's handling broke: {error!r}")
+        self.loop.faults += 1
+        self.handler.abandon()
+        if self.handler.has_open_request and not self.stream.is_over:
+            yield from self._reject(500, "Internal")
+        return Reason.FAULT
+
     def _reject(self, status: int, text: str) -> Steps:
         """Say what is wrong with a request, where the connection still allows a response, and close."""
         if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
@@ -221,7 +264,9 @@
         """End the connection for a reason.
 
         A request behind our half close is not served: its response could not be sent, so its client sends it
-        again elsewhere.
+        again elsewhere. A client that has sent too much is not waited for.
         """
+        if self.handler.has_sent_too_much:
+            return reason
         yield from self.stream.close_gracefully(LINGER_SECONDS)
         return reason
--- a/query_gateway/http/request_handler.py
+++ b/query_gateway/http/request_handler.py
@@ -8,7 +8,7 @@
 from query_gateway.forwarder.messages import Answer, ClientRequest, Verdict
 from query_gateway.forwarder.readiness import DRAIN_REJECT_AFTER_S
 from query_gateway.http.request_decoding import RequestError
-from query_gateway.http.responses import Response, response_to
+from query_gateway.http.responses import Response, failure_response, response_to
 from query_gateway.net.stream import Reason, Stream
 
 if TYPE_CHECKING:
@@ -22,11 +22,15 @@
 class PendingAnswer:
     """The client's side of an exchange: holds the answer once it is there."""
 
-    def __init__(self, wake: Callable[[], None]) -> None:
-        """`wake` is called when the answer has come."""
-        self.wake = wake
+    def __init__(self, wake: Callable[[], None], is_gone: Callable[[], bool]) -> None:
+        """`wake` is called when the answer has come; `is_gone` tells whether the client has closed."""
+        self.wake, self._is_gone = wake, is_gone
         self.answer: Answer | None = None
 
+    def has_left(self) -> bool:
+        """Whether the client has closed its connection."""
+        return self._is_gone()
+
     def send_page(self, page: bytes, on_sent: Callable[[], None]) -> None:
         """Never called: this front takes complete results."""
         raise NotImplementedError("this front takes complete results")
@@ -47,11 +51,14 @@
         """
         self.server, self.stream, self.wake = server, stream, wake
         self.discarded_bytes = 0  # sent ahead of an answer, beyond what the inbox holds
+        self.has_open_request = False  # one has been read, and no response to it was sent
+        self._exchange: Exchange | None = None  # of that request
 
     def handle(self, request: ClientRequest) -> Generator[float | None, None, Response | Reason]:
         """The response, or why the connection ends without one; raises RequestError."""
+        self._exchange = None
         self._check_id_is_free(request)
-        pending = PendingAnswer(self.wake)
+        pending = PendingAnswer(self.wake, self._client_is_gone)
         # A client that waited long to be accepted may have left already: then no engine is given its request
         self.stream.read_available()
         if self._must_reject_all():
@@ -59,8 +66,24 @@
         if self.server.statements and pending.answer is None:
             request = yield from self._classify(request, pending, self.server.statements)
             self._check_id_is_free(request)  # another request may have come with its id meanwhile
-        exchange = self.server.forwarder.accept(request, pending, "web") if pending.answer is None else None
-        return (yield from self._await_answer(exchange, pending))
+        if pending.answer is None:
+            self._exchange = self.server.forwarder.accept(request, pending, "web")
+        return (yield from self._await_answer(pending))
+
+    def abandon(self) -> None:
+        """Nobody waits for the request's answer any more."""
+        if self._exchange:
+            self._exchange.abandon()
+
+    def _client_is_gone(self) -> bool:
+        """Whether the client has closed; what has come since the last poll is read for that."""
+        self.stream.read_available()
+        return self.stream.is_over
+
+    @property
+    def has_sent_too_much(self) -> bool:
+        """Whether the client has sent more ahead of its answer than is borne."""
+        return self.discarded_bytes > MAX_DISCARDED_BYTES
 
     def _check_id_is_free(self, request: ClientRequest) -> None:
         if request.client_id in self.server.forwarder.open_client_ids:
@@ -115,15 +138,12 @@
             self._reject(request, pending)
         return replace(request, shape=fingerprint)
 
-    def _await_answer(
-        self, exchange: Exchange | None, pending: PendingAnswer
-    ) -> Generator[float | None, None, Response | Reason]:
+    def _await_answer(self, pending: PendingAnswer) -> Generator[float | None, None, Response | Reason]:
         while pending.answer is None:
             sent_too_much = self._discard_excess_input()
             if self.stream.is_over or sent_too_much:
-                if exchange:
-                    exchange.abandon()
-                return Reason.BAD_REQUEST if sent_too_much else Reason.ABANDONED
+                self.abandon()
+                return failure_response(413, "too much was sent ahead") if sent_too_much else Reason.ABANDONED
             yield None
         return response_to(pending.answer)
 
@@ -134,4 +154,4 @@
         """
         if self.stream.read_paused:
             self.discarded_bytes += len(self.stream.take_inbox())
-        return self.discarded_bytes > MAX_DISCARDED_BYTES
+        return self.has_sent_too_much
--- a/query_gateway/http/responses.py
+++ b/query_gateway/http/responses.py
@@ -75,10 +75,16 @@
     return f"HTTP/1.1 {response.status} {phrase}\r\n{lines}\r\n".encode() + body
 
 
-def encode_h11_response(connection: h11.Connection, response: Response, closing: bool) -> bytes:
-    """The response to the request that the h11 connection has read; its state moves on with it."""
+def encode_h11_response(
+    connection: h11.Connection, response: Response, closing: bool, with_body: bool = True
+) -> bytes:
+    """The response to the request that the h11 connection has read; its state moves on with it.
+
+    `with_body` is False for the response to a HEAD, which has the headers alone.
+    """
     headers, body = _headers_and_body(response, closing)
     data = connection.send(h11.Response(status_code=response.status, headers=headers)) or b""
-    data += connection.send(h11.Data(data=body)) or b""
+    if with_body:
+        data += connection.send(h11.Data(data=body)) or b""
     data += connection.send(h11.EndOfMessage()) or b""
     return data
--- a/query_gateway/http/server.py
+++ b/query_gateway/http/server.py
@@ -87,13 +87,20 @@
         self.connections[HttpConnection(self, sock, peer, has_sent_request)] = None
 
     def _eviction_candidate(self) -> HttpConnection | None:
-        """The longest without a request, else the longest idle, on which nothing has arrived even now."""
-        for table in (self.without_request, self.idle):
-            for connection in islice(table, MAX_EVICTION_CANDIDATES):
-                connection.stream.read_available()
-                if not connection.stream.inbox:
-                    return connection
-        return None
+        """The longest silent, else the longest idle, else the oldest whose first request is not complete.
+
+        Nothing has arrived on one of the first two even now.
+        """
+        for connection in islice(self.without_request, MAX_EVICTION_CANDIDATES):
+            connection.stream.read_available()
+            if not connection.has_partial_request:
+                return connection
+        for connection in islice(self.idle, MAX_EVICTION_CANDIDATES):
+            connection.stream.read_available()
+            if not connection.stream.inbox:
+                return connection
+        begun = (connection for connection in self.without_request if not connection.stream.inbox)
+        return next(begun, None)
 
     def start_transfer(self, transfer: Transfer | None) -> None:
         """Transfer connections that are or become idle; with None close them, as in a plain shutdown."""
--- a/query_gateway/lifecycle/client_fronts.py
+++ b/query_gateway/lifecycle/client_fronts.py
@@ -53,7 +53,9 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no client is connected any more."""
+        """Whether no client is connected any more, and none waits to be accepted."""
+        if not all(listener.closed for listener in self.listeners):
+            return False
         return self.http_server.is_idle and (not self.flight_server or self.flight_server.is_idle)
 
     def set_max_connections(self, max_connections: int) -> None:
--- a/query_gateway/lifecycle/planner_settings.py
+++ b/query_gateway/lifecycle/planner_settings.py
@@ -35,7 +35,7 @@
     def __init__(self, forwarder: Forwarder, active: ActiveConfiguration, slow_start_share: float) -> None:
         """`slow_start_share`: the part of every slow-start budget that this process may use, 0 to 1."""
         self.forwarder, self.active = forwarder, active
-        self.slow_start_share = slow_start_share
+        self.slow_start_share = forwarder.slow_start_budgets.share = slow_start_share
 
     def publish(self, settings: Settings, new_classes: tuple[int, ...] = ()) -> None:
         """Put `settings` in force; `new_classes` are the numbers that stand for another class from now on."""
@@ -51,5 +51,5 @@
 
     def publish_share(self, slow_start_share: float) -> None:
         """Put another share in force; the settings stay."""
-        self.slow_start_share = slow_start_share
+        self.slow_start_share = self.forwarder.slow_start_budgets.share = slow_start_share
         self.publish(self.forwarder.settings)
--- /dev/null
+++ b/query_gateway/lifecycle/request_trace.py
@@ -0,0 +1,47 @@
+"""A file with every step of every request, for finding out what happened; named by an environment variable.
+
+A line is `CLOCK PID REQUEST CLIENT-ID STEP DETAILS`, the clock in seconds of the machine's monotonic clock.
+Off without the variable. Not a log: nothing is left out, up to a limit of bytes.
+"""
+
+import os
+from collections.abc import Mapping
+
+from query_gateway.forwarder.trace import TraceStep
+from query_gateway.net.log import log
+from query_gateway.net.steady_clock import loop_time_of
+
+TRACE_VARIABLE = "QUERY_GATEWAY_TRACE"
+MAX_TRACE_BYTES = 256 << 20
+
+
+class RequestTraceFile:
+    """Appends to a file that processes of one gateway may share; a disk that fails ends the trace alone."""
+
+    def __init__(self, path: str) -> None:
+        """Open the file; raises OSError."""
+        self._descriptor = os.open(path, os.O_WRONLY | os.O_APPEND | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        self._bytes_left = MAX_TRACE_BYTES
+
+    def record(self, at: int, request_id: int, client_id: str, step: TraceStep, details: str) -> None:
+        """Write one step as a line."""
+        if self._bytes_left <= 0:
+            return
+        line = f"{loop_time_of(at):.6f} {os.getpid()} {request_id} {client_id} {step.value} {details}\n"
+        try:
+            self._bytes_left -= os.write(self._descriptor, line.encode())
+        except OSError as error:
+            self._bytes_left = 0
+            log("trace", f"ends: {error.strerror}")
+
+
+def open_request_trace(environ: Mapping[str, str]) -> RequestTraceFile | None:
+    """The trace that the environment names, if any."""
+    path = environ.get(TRACE_VARIABLE)
+    if not path:
+        return None
+    try:
+        return RequestTraceFile(path)
+    except OSError as error:
+        log("trace", f"{path} cannot be written: {error.strerror}")
+        return None
--- a/query_gateway/model/actions.py
+++ b/query_gateway/model/actions.py
@@ -1,6 +1,22 @@
 """What the decision module asks for. Durations are in nanoseconds."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from enum import Enum
+
+
+class EndReason(Enum):
+    """Why a planner ends a request; for the trace alone. The values stand there."""
+
+    UNKNOWN = "unknown"
+    LATE = "late"  # it could only be answered after its objective
+    CLIENT_TIMEOUT = "client-timeout"  # its client is about to give up
+    TOO_MANY_QUEUED = "too-many-queued"  # the queue would keep new clients out
+    OVER_QUOTA = "over-quota"  # its tenant is beyond its share and the engine is saturated
+    ENDANGERS_OTHERS = "endangers-others"  # more weight behind it would come late
+    NO_FURTHER_ATTEMPT = (
+        "no-further-attempt"  # the last one failed, and another is not allowed or not in time
+    )
+    ATTEMPT_LOST = "attempt-lost"  # the attempt is lost, overdue or hopeless
 
 
 @dataclass(slots=True, frozen=True)
@@ -18,6 +34,7 @@
 
     request_id: int
     retry_after: int  # nanoseconds; 0: no advice
+    reason: EndReason = field(default=EndReason.UNKNOWN, compare=False)
 
 
 @dataclass(slots=True, frozen=True)
@@ -25,6 +42,7 @@
     """Answer a request at once: it may have run."""
 
     request_id: int
+    reason: EndReason = field(default=EndReason.UNKNOWN, compare=False)
 
 
 @dataclass(slots=True, frozen=True)
--- a/query_gateway/net/listener.py
+++ b/query_gateway/net/listener.py
@@ -1,22 +1,24 @@
 """Listening sockets: accept in bounded batches, pause, and shared or inherited sockets."""
 
-import errno
 import socket
 from collections.abc import Callable
 
+from query_gateway.net.errors import CONNECTION_LOST_IN_BACKLOG
 from query_gateway.net.log import log
 from query_gateway.net.loop import IN, Loop
 
 BACKLOG = 1024  # connections that the machine holds until they are accepted
 # Connections accepted in one event: descriptors of closed ones are freed only at the end of the loop's turn
 MAX_ACCEPTS_PER_EVENT = 32
-ACCEPT_RETRY_SECONDS = 0.1  # pause of the listener when descriptors are out
+ACCEPT_RETRY_SECONDS = 0.1  # pause of the listener when descriptors or buffers are out
+CLOSE_RETRY_SECONDS = 0.02  # the same, while it closes
+CLOSE_TIMEOUT_SECONDS = 2.0  # for what still waits when a listener closes, if accept fails all the time
 
 
 class Listener:
     """Accepts connections in order and hands each on; owns the listening socket.
 
-    `paused` accepts nothing for now, `closed` nothing ever again.
+    `paused` accepts nothing for now, `closing` only what waits already, `closed` nothing ever again.
     """
 
     def __init__(
@@ -32,7 +34,12 @@
         `shared`: other processes may listen at the same address. `inherited`: a listening socket that another
         process has as well; nothing is accepted there before `resume`. Raises OSError if it cannot listen.
         """
-        self.loop, self.on_accept, self.closed, self.paused = loop, on_accept, False, False
+        self.loop, self.on_accept = loop, on_accept
+        self.closed = self.closing = self.paused = False
+        # Loop time since when connections may have been waiting; None: none waited at the last look. At an
+        # inherited socket some may wait already
+        self._waiting_since = loop.now() if inherited else None
+        self._close_deadline = 0.0  # loop time
         self.socket = inherited or self._listening_socket(address, shared)
         self.address: tuple[str, int] = self.socket.getsockname()
         if not inherited:
@@ -54,36 +61,66 @@
         self.paused = False
         self._listen()
 
+    @property
+    def waiting_since(self) -> float:
+        """Loop time since when a connection that is accepted now may have waited."""
+        reached_at = self.loop.now() - self.loop.lag()
+        return reached_at if self._waiting_since is None else min(reached_at, self._waiting_since)
+
     def pause(self) -> None:
         """Accept nothing for now; connections that wait in the backlog stay there."""
         self.paused = True
+        self._note_waiting()
         if not self.closed:
             self.loop.watch(self.socket, 0, self._ready)
 
+    def _note_waiting(self) -> None:
+        """From now on connections may wait, until the backlog is seen empty."""
+        if self._waiting_since is None:
+            self._waiting_since = self.loop.now() - self.loop.lag()
+
     def _ready(self) -> None:
         for _ in range(MAX_ACCEPTS_PER_EVENT):
             if not self._accept():
                 return
+        self._note_waiting()
 
     def _accept(self) -> bool:
         """Accept one connection; False if none waits or none can be accepted now."""
         try:
             sock, (host, port) = self.socket.accept()
         except BlockingIOError:
+            self._waiting_since = None
+            if self.closing:
+                self._finish_closing()
             return False
         except OSError as error:
-            if error.errno in (errno.ECONNABORTED, errno.EINTR, errno.EPROTO):
+            if error.errno in CONNECTION_LOST_IN_BACKLOG:
                 return True
-            # Out of descriptors: not watched until some may be free, as the event would fire at every poll
             log("accept", f"cannot accept: {error.strerror}")
-            self.loop.watch(self.socket, 0, self._ready)
-            self.loop.call_at(self.loop.now() + ACCEPT_RETRY_SECONDS, self._listen)
+            self._accept_later()
             return False
-        self.on_accept(sock, f"{host}:{port}")
+        try:
+            self.on_accept(sock, f"{host}:{port}")
+        except OSError as error:  # guards those behind it: one broken connection ends no batch
+            log("accept", f"cannot serve {host}:{port}: {error.strerror}")
+            sock.close()
         return True
 
+    def _accept_later(self) -> None:
+        """Descriptors or buffers are out: not watched until some may be free, as the event would not end."""
+        self._note_waiting()
+        now = self.loop.now()
+        if not self.closing:
+            self.loop.watch(self.socket, 0, self._ready)
+            self.loop.call_at(now + ACCEPT_RETRY_SECONDS, self._listen)
+        elif now < self._close_deadline:
+            self.loop.call_at(now + CLOSE_RETRY_SECONDS, self._accept_rest)
+        else:
+            self._finish_closing()
+
     def _listen(self) -> None:
-        if not self.closed and not self.paused:
+        if not self.closed and not self.closing and not self.paused:
             self.loop.watch(self.socket, IN, self._ready)
 
     def release(self) -> None:
@@ -93,10 +130,23 @@
             self.loop.dispose(self.socket)
 
     def close(self) -> None:
-        """Accept what waits in the backlog, then stop."""
+        """Accept what waits in the backlog, then stop.
+
+        Where accept fails for the moment, `closing` lasts until what waits has been accepted: the machine has
+        completed those connections, so their clients wait for an answer.
+        """
+        if self.closed or self.closing:
+            return
+        self.closing = True
+        self.loop.watch(self.socket, 0, self._ready)
+        self._close_deadline = self.loop.now() + CLOSE_TIMEOUT_SECONDS
+        self._accept_rest()
+
+    def _accept_rest(self) -> None:
         while not self.closed and self._accept():
             pass
-        if self.closed:
-            return
-        self.closed = True
-        self.loop.dispose(self.socket)
+
+    def _finish_closing(self) -> None:
+        if not self.closed:
+            self.closed = True
+            self.loop.dispose(self.socket)
--- a/query_gateway/net/loop.py
+++ b/query_gateway/net/loop.py
@@ -20,6 +20,8 @@
 IN, OUT = select.EPOLLIN, select.EPOLLOUT
 MAX_EVENTS_PER_POLL = 512
 TASK_ROUNDS = 3  # rounds of ready tasks in a turn: what was woken, what that wakes, and once more
+MAX_POLL_SECONDS = 5.0  # of one sleep, so that a callback whose wake-up failed is not left for ever
+MAX_OVERSLEEP_SECONDS = 0.05  # by which a sleep may be longer than asked for on a busy machine
 MAX_HOOK_ROUNDS = 16  # rounds of turn hooks in a turn, so that hooks which keep asking do not starve sockets
 # Cancelled timers are swept once the heap exceeds twice what the last sweep left, plus this many
 TIMER_SWEEP_SLACK = 256
@@ -162,11 +164,13 @@
     def call_soon(self, callback: Callable[[], object]) -> None:
         """Call on the loop's thread; may be called from any thread or a signal handler."""
         self.soon_callbacks.append(callback)
-        with contextlib.suppress(BlockingIOError):  # a full buffer wakes the loop as well
+        # A full buffer wakes the loop as well; whatever else fails, the callback waits for the next turn
+        with contextlib.suppress(OSError):
             self.wake_writer.send(b".")
 
     def _run_soon_callbacks(self) -> None:
-        self.wake_reader.recv(4096)
+        with contextlib.suppress(OSError):
+            self.wake_reader.recv(4096)
         while self.soon_callbacks:
             self._call(self.soon_callbacks.popleft())
 
@@ -183,7 +187,8 @@
     def close(self) -> None:
         """Close every socket that is still open; call only once the loop has ended."""
         for sock in (*self.sockets.values(), *self.closing_sockets, self.wake_writer):
-            sock.close()
+            with contextlib.suppress(OSError):
+                sock.close()
         self.epoll.close()
 
     def turn(self) -> None:
@@ -203,18 +208,33 @@
 
     def _handle_socket_events(self) -> None:
         """Wait for events as long as nothing else is due, and call their handlers."""
-        timeout = -1.0
-        if self.ready:
+        timeout = MAX_POLL_SECONDS
+        if self.ready or self.soon_callbacks:
             timeout = 0.0
         elif self.timers:
-            timeout = max(0.0, self.timers[0][0] - self.now())
-        events = self.epoll.poll(timeout, MAX_EVENTS_PER_POLL)
+            timeout = min(timeout, max(0.0, self.timers[0][0] - self.now()))
+        polled_at = self.now()
+        events = self._poll(timeout)
         now = self.now()
-        self.last_turn_time = self.now() - self.turn_started_at if timeout == 0.0 else 0.0
+        if timeout == 0.0:
+            self.last_turn_time = now - self.turn_started_at
+        else:  # a process that was stopped while it slept is late for what came meanwhile
+            overslept = now - polled_at - timeout
+            self.last_turn_time = overslept if overslept > MAX_OVERSLEEP_SECONDS else 0.0
         self.turn_started_at = now
         for descriptor, _ in events:
             if handler := self.handlers.get(descriptor):
                 self._call(handler)
+        if self.soon_callbacks:  # their wake-up may have failed
+            self._run_soon_callbacks()
+
+    def _poll(self, timeout: float) -> list[tuple[int, int]]:
+        try:
+            return self.epoll.poll(timeout, MAX_EVENTS_PER_POLL)
+        except OSError as error:  # guards all connections: what is ready is reported again
+            log("fault", f"a poll failed: {error.strerror}")
+            self.faults += 1
+            return []
 
     def _run_due_timers(self, now: float) -> None:
         while self.timers and self.timers[0][0] <= now:
@@ -234,9 +254,10 @@
         return False
 
     def _close_disposed_sockets(self) -> None:
-        for sock in self.closing_sockets:
-            sock.close()
-        self.closing_sockets.clear()
+        closing, self.closing_sockets = self.closing_sockets, []
+        for sock in closing:
+            with contextlib.suppress(OSError):  # EINTR or EIO: the descriptor is free all the same
+                sock.close()
 
     def _run_ready(self) -> None:
         """Run the tasks that are ready now; what they wake runs in the next round."""
--- a/query_gateway/net/stream.py
+++ b/query_gateway/net/stream.py
@@ -1,17 +1,23 @@
 """Connections: non-blocking TCP with bounded buffers; each that ends leaves one log line with a code."""
 
+import contextlib
 import errno
 import socket
 from collections import deque
 from collections.abc import Callable, Generator
 from enum import Enum
 from ipaddress import IPv4Address
+from typing import NamedTuple
 
+from query_gateway.net.arrivals import ArrivalLog
+from query_gateway.net.errors import LOCAL_DIAL_FAILURES, is_momentary
 from query_gateway.net.log import log
 from query_gateway.net.loop import IN, OUT, Loop
 
 READ_SIZE_BYTES = 65_536
 MAX_INBOX_BYTES = 262_144  # read ahead of the consumer; beyond it reading pauses
+# A connect that was interrupted goes on, as one that is in progress
+DIAL_UNDER_WAY = (0, errno.EINPROGRESS, errno.EINTR)
 
 
 class Reason(Enum):
@@ -30,6 +36,7 @@
     DRAINED = "drained"  # draining: the client was sent to another gateway
     TRANSFERRED = "transferred"  # hot upgrade: the successor goes on with the connection
     DIAL_REFUSED = "dial-refused"  # the peer refused our connection
+    DIAL_FAILED = "dial-failed"  # our own machine had no port, route or buffer for it; it is dialled again
     DIAL_TIMEOUT = "dial-timeout"  # our connection did not come up within the dial timeout
     MALFORMED_RESPONSE = "malformed-response"  # a peer that we dialled broke its protocol
     UNRESPONSIVE = "unresponsive"  # the peer sent nothing when something was due
@@ -50,14 +57,11 @@
     return str(IPv4Address(host)), int(port)
 
 
-class WriteMark:
-    """The last `size` bytes that were queued when it was set, with a callback for when they have left."""
+class WriteMark(NamedTuple):
+    """How many of the bytes written since the connection began must have left for a callback to be due."""
 
-    __slots__ = ("end", "size", "callback")
-
-    def __init__(self, end: int, size: int, callback: Callable[[], None]) -> None:
-        """`end` counts bytes queued on the connection since it began, see `Stream.bytes_queued`."""
-        self.end, self.size, self.callback = end, size, callback
+    end: int
+    callback: Callable[[], None]
 
 
 class Stream:
@@ -74,21 +78,29 @@
         sock: socket.socket,
         description: str,
         on_activity: Callable[[], None] = lambda: None,
+        waiting_since: float | None = None,
     ) -> None:
         """`on_activity` is called whenever something was read or sent, or the connection ended.
 
-        `description` names the peer in the log: its kind, perhaps its name, its address.
+        `description` names the peer in the log: its kind, perhaps its name, its address. `waiting_since`:
+        loop time since when what is read first may have waited for us.
         """
         self.loop, self.sock, self.description, self.on_activity = loop, sock, description, on_activity
         self.inbox, self.outbox = bytearray(), bytearray()
-        self.bytes_queued = 0  # bytes ever put in the outbox, less those withdrawn or dropped
+        self.arrivals = ArrivalLog()
+        self.bytes_taken = 0  # of those that have come
+        self._unread_since = waiting_since  # what is read next may have waited since then; None: not long
+        self.bytes_queued = 0  # bytes ever put in the outbox, less those dropped
+        self._awaits_writable = False  # `write_if_taken` found no room
         self.marks: deque[WriteMark] = deque()
         self.connected = True
         self.eof = self.reset = self.closed = False
         self.dial_refused = False
+        self.is_local_failure = False  # the dial failed for want of something of our own machine
         self.read_paused = False  # the inbox is full
         sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        with contextlib.suppress(OSError):  # a moment's want of buffers must not cost the connection
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.mask = IN
 
     @classmethod
@@ -102,8 +114,8 @@
         stream = cls(loop, socket.socket(), description, on_activity)
         stream.connected = False
         code = stream.sock.connect_ex(address)
-        if code not in (0, errno.EINPROGRESS):
-            stream.eof = stream.dial_refused = True
+        if code not in DIAL_UNDER_WAY:
+            stream._fail_dial(code)
         else:
             stream.mask = IN | OUT
             loop.watch(stream.sock, stream.mask, stream._ready)
@@ -118,9 +130,14 @@
         """Whether nothing more will be read, whoever ended it."""
         return self.closed or self.eof
 
+    def _fail_dial(self, error: int) -> None:
+        self.eof = self.dial_refused = True
+        self.is_local_failure = error in LOCAL_DIAL_FAILURES
+
     def _ready(self) -> None:
         if self.closed:
             return
+        self._awaits_writable = False
         if not self.connected and not self._check_connected():
             return
         if self.outbox:
@@ -131,8 +148,8 @@
         self.on_activity()
 
     def _check_connected(self) -> bool:
-        if self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
-            self.eof = self.dial_refused = True
+        if error := self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            self._fail_dial(error)
             self._update_mask()
             self.on_activity()
             return False
@@ -147,17 +164,29 @@
         """Read once; whether anything was there, be it the end of the connection."""
         try:
             data = self.sock.recv(READ_SIZE_BYTES)
-        except BlockingIOError:
-            return False
-        except OSError:
+        except OSError as error:
+            if is_momentary(error):
+                return False
             self.eof = self.reset = True
             return True
         if not data:
             self.eof = True
         self.inbox += data
+        self._record_arrival(len(data))
         self.read_paused = len(self.inbox) >= MAX_INBOX_BYTES
+        if self.read_paused:
+            self._unread_since = self.loop.now()
         return True
 
+    def _record_arrival(self, size: int) -> None:
+        """Note when what was just read came: it may have waited for the loop, or as we did not read."""
+        arrived_at = self.loop.now() - self.loop.lag()
+        if self._unread_since is not None:
+            arrived_at = min(arrived_at, self._unread_since)
+            if size < READ_SIZE_BYTES:  # nothing more waits
+                self._unread_since = None
+        self.arrivals.record(size, arrived_at)
+
     def read_available(self) -> None:
         """Read what has arrived since the last poll, before a decision that depends on it."""
         size_before, eof_before = len(self.inbox), self.eof
@@ -171,7 +200,8 @@
         """Ask epoll only for what can still happen: it is level-triggered and would wake the loop again."""
         if self.closed:
             return
-        mask = (0 if self.eof or self.read_paused else IN) | (OUT if self.outbox or not self.connected else 0)
+        writes = bool(self.outbox) or not self.connected or self._awaits_writable
+        mask = (0 if self.eof or self.read_paused else IN) | (OUT if writes else 0)
         if self.eof and self.reset:
             mask = 0
         if mask != self.mask:
@@ -182,6 +212,7 @@
         """Remove and return what was read; reading goes on if it was paused."""
         data = bytes(self.inbox)
         self.inbox.clear()
+        self.bytes_taken += len(data)
         if self.read_paused:
             self.read_paused = False
             self._update_mask()
@@ -193,58 +224,51 @@
             return
         if self.outbox or not self.connected:
             self._queue(data)
+        elif (sent := self._send(data)) is not None and sent < len(data):
+            self._queue(data[sent:])
+        self._update_mask()
+
+    def write_if_taken(self, data: bytes) -> bool:
+        """Write if the machine takes at least the first byte now; the rest is queued.
+
+        If not, nothing is written: `on_activity` is called when it may be tried again, or the connection has
+        ended. For what must be true as it leaves.
+        """
+        if self.is_over or self.outbox or not self.connected:
+            return False
+        sent = self._send(data)
+        if sent:
+            self._queue(data[sent:])
         else:
-            try:
-                sent = self.sock.send(data)
-            except BlockingIOError:
-                sent = 0
-            except OSError:
-                self.eof = self.reset = True
-                self._update_mask()
-                self.on_activity()
-                return
-            if sent < len(data):
-                self._queue(data[sent:])
+            self._awaits_writable = not self.is_over
         self._update_mask()
+        return bool(sent)
+
+    def _send(self, data: bytes | bytearray) -> int | None:
+        """How many bytes the machine takes now; None if the connection is broken."""
+        try:
+            return self.sock.send(data)
+        except OSError as error:
+            if is_momentary(error):
+                return 0
+        self.eof = self.reset = True
+        self.on_activity()
+        return None
 
     def _queue(self, data: bytes) -> None:
         self.outbox += data
         self.bytes_queued += len(data)
 
-    def call_when_sent(self, callback: Callable[[], None], size: int = 0) -> WriteMark | None:
-        """Call once the machine has taken all that was written so far; never, if the connection ends first.
-
-        Until then the mark that is returned can withdraw the last `size` bytes. None if there is no mark: the
-        call was at once, or the connection has ended.
-        """
+    def call_when_sent(self, callback: Callable[[], None]) -> None:
+        """Call once the machine has taken all that was written; never, if the connection ends first."""
         if self.outbox or not self.connected:
-            self.marks.append(mark := WriteMark(self.bytes_queued, size, callback))
-            return mark
-        if not self.reset and not self.closed:
+            self.marks.append(WriteMark(self.bytes_queued, callback))
+        elif not self.reset and not self.closed:
             callback()
-        return None
-
-    def withdraw(self, mark: WriteMark) -> bool:
-        """Remove a mark's bytes from the outbox, if none of them has left; whether that was so."""
-        start = mark.end - mark.size - (self.bytes_queued - len(self.outbox))
-        if start < 0 or mark not in self.marks:
-            return False
-        del self.outbox[start : start + mark.size]
-        self.bytes_queued -= mark.size
-        self.marks.remove(mark)
-        for other in self.marks:
-            if other.end > mark.end:
-                other.end -= mark.size
-        self._update_mask()
-        return True
 
     def _flush(self) -> None:
-        try:
-            sent = self.sock.send(self.outbox)
-        except BlockingIOError:
-            return
-        except OSError:
-            self.eof = self.reset = True
+        sent = self._send(self.outbox)
+        if sent is None:
             self.bytes_queued -= len(self.outbox)
             self.outbox.clear()
             self.marks.clear()
--- a/query_gateway/parsing/service.py
+++ b/query_gateway/parsing/service.py
@@ -168,6 +168,7 @@
         if not path:
             return
         self.snapshot_store = SnapshotStore(path)
+        self.snapshot_store.remove_leftovers()
         stored = None if is_inherited else self.snapshot_store.load()
         if stored is not None and not costs.restore(stored):
             log("statements", f"{path} holds nothing that can be used; costs are learned again")
@@ -178,8 +179,8 @@
 
     def _save_periodically(self) -> None:
         if self.snapshot_store and not self.stopped:
-            self.snapshot_store.save(self.classifier.costs.snapshot())
             self._schedule_save()
+            self.snapshot_store.save(self.classifier.costs.snapshot())
 
     def figures(self) -> list[str]:
         """Lines for the second address."""
--- a/query_gateway/parsing/snapshot_store.py
+++ b/query_gateway/parsing/snapshot_store.py
@@ -5,6 +5,8 @@
 complete one or none.
 """
 
+import contextlib
+import glob
 import json
 import os
 from hashlib import blake2b
@@ -31,20 +33,25 @@
 
     def save(self, value: Any) -> bool:
         """Replace what is there; whether that worked. A disk that fails costs the snapshot alone."""
-        content = _encode(value)
         temporary = self.path.with_name(f"{self.path.name}.{os.getpid()}")
         try:
-            with temporary.open("wb") as file:
-                file.write(content)
-                file.flush()
-                os.fsync(file.fileno())
+            _write_synced(temporary, _encode(value))
             temporary.replace(self.path)
+            _sync_folder(self.path.parent)
         except OSError as error:
             log("statements", f"{self.path} cannot be written: {error.strerror}")
-            temporary.unlink(missing_ok=True)
+            with contextlib.suppress(OSError):  # the disk that failed may fail here as well
+                temporary.unlink(missing_ok=True)
             return False
         return True
 
+    def remove_leftovers(self) -> None:
+        """Remove what processes that were killed while they wrote have left beside the file."""
+        with contextlib.suppress(OSError):
+            for leftover in self.path.parent.glob(f"{glob.escape(self.path.name)}.[0-9]*"):
+                if not Path(f"/proc/{leftover.suffix[1:]}").exists():
+                    leftover.unlink(missing_ok=True)
+
     def load(self) -> Any:
         """The value; None if there is none or it is not complete, which is logged."""
         try:
@@ -60,6 +67,22 @@
         return None
 
 
+def _write_synced(path: Path, content: bytes) -> None:
+    with path.open("wb") as file:
+        file.write(content)
+        file.flush()
+        os.fsync(file.fileno())
+
+
+def _sync_folder(folder: Path) -> None:
+    """Make a rename in the folder last over a loss of power."""
+    descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
 def _encode(value: Any) -> bytes:
     data = json.dumps(value, separators=(",", ":")).encode()
     return f"{HEADER} {_digest(data)} {len(data)}\n".encode() + data
--- a/query_gateway/planner/supervisor.py
+++ b/query_gateway/planner/supervisor.py
@@ -70,19 +70,22 @@
         self.stopping = False
 
     def _poll(self) -> None:
+        self.loop.call_at(self.loop.now() + WORKER_POLL_INTERVAL_S, self._poll)
         if not self.stopping:
             for worker in (*self.planners, *self.forwarders):
                 self._start_if_ended(worker)
         elif not any(worker.running for worker in self.forwarders):
             self.loop.stop()
-        self.loop.call_at(self.loop.now() + WORKER_POLL_INTERVAL_S, self._poll)
 
     def _start_if_ended(self, worker: WorkerProcess) -> None:
         if worker.running or time.monotonic() - worker.started_at < RESTART_INTERVAL_S:
             return
         if worker.process:
             log("supervisor", f"{worker.part} ended with {worker.process.returncode} and is restarted")
-        worker.start()
+        try:
+            worker.start()
+        except OSError as error:  # out of processes, descriptors or memory: the next round tries again
+            log("supervisor", f"{worker.part} cannot be started: {error.strerror}")
 
     def _stop(self) -> None:
         """Stop the forwarders first: they need the planners until all requests are answered."""
--- a/query_gateway/policy/admission.py
+++ b/query_gateway/policy/admission.py
@@ -4,6 +4,7 @@
 what it would make late is not above its own.
 """
 
+from query_gateway.model.actions import EndReason
 from query_gateway.model.events import Request
 from query_gateway.model.records import ClassState, EngineState, QueryState
 from query_gateway.model.state import SchedulerState
@@ -50,14 +51,8 @@
 def admit(state: SchedulerState, query: QueryState) -> None:
     """Check whether a query can be in time and what it endangers; it is queued for its engine or given up."""
     delay, engine = routing.best_route(state, query) or (0.0, None)
-    rejected = state.now + state.lag_ratio * delay + query.run_time >= query.due_at
-    # Guards clients who find no connection: each queued one keeps one, and only who gets in can be rejected
-    rejected |= delay > 0 and 0 < state.settings.max_client_connections * FULL_CLIENTS <= len(state.queries)
-    # Guards the others against a tenant's surplus: it weighs little, and at a saturated engine it delays all
-    surplus = query.weight < query.settings.weight
-    rejected |= engine is not None and surplus and engine.is_saturated()
-    if rejected or (engine and _endangered_weight(state, query, engine, delay) > query.weight):
-        answers.give_up(state, query, delay)
+    if reason := _rejection_reason(state, query, engine, delay):
+        answers.give_up(state, query, reason, delay)
         return
     query.queued_at, query.start_at = engine, state.now + delay
     state.queue.add(query)
@@ -65,6 +60,24 @@
         engine.queue.add(query)
 
 
+def _rejection_reason(
+    state: SchedulerState, query: QueryState, engine: EngineState | None, delay: float
+) -> EndReason | None:
+    """Why a query is not admitted; None if it is."""
+    if state.now + state.lag_ratio * delay + query.run_time >= query.due_at:
+        return EndReason.LATE
+    # Guards clients who find no connection: each queued one keeps one, and only who gets in can be rejected
+    if delay > 0 and 0 < state.settings.max_client_connections * FULL_CLIENTS <= len(state.queries):
+        return EndReason.TOO_MANY_QUEUED
+    # Guards the others against a tenant's surplus: it weighs little, and at a saturated engine it delays all
+    surplus = query.weight < query.settings.weight
+    if engine is not None and surplus and engine.is_saturated():
+        return EndReason.OVER_QUOTA
+    if engine and _endangered_weight(state, query, engine, delay) > query.weight:
+        return EndReason.ENDANGERS_OTHERS
+    return None
+
+
 def _endangered_weight(state: SchedulerState, query: QueryState, engine: EngineState, delay: float) -> float:
     """Weight queued behind a query that would come late because of it, and would not have."""
     if delay <= 0:
--- a/query_gateway/policy/answers.py
+++ b/query_gateway/policy/answers.py
@@ -1,6 +1,6 @@
 """How a query ends: rejected where that is true, failed where it may have run, or by its client."""
 
-from query_gateway.model.actions import Cancel, Fail, Reject
+from query_gateway.model.actions import Cancel, EndReason, Fail, Reject
 from query_gateway.model.events import RequestAbandoned
 from query_gateway.model.records import AttemptState, QueryState
 from query_gateway.model.state import SchedulerState
@@ -10,16 +10,16 @@
 MIN_RETRY_AFTER_NS = 100 * MS  # advice to a client; the period of the timer
 
 
-def give_up(state: SchedulerState, query: QueryState, start_delay: float = 0.0) -> None:
+def give_up(state: SchedulerState, query: QueryState, reason: EndReason, start_delay: float = 0.0) -> None:
     """Reject a query where that is true, else fail it; its client may come back after `start_delay`."""
     if query.ended:
         return
     request_id, never_ran = query.request.request_id, not query.executed and not query.in_flight
     if never_ran or query.settings.client_may_repeat:
         wait = min(state.settings.max_retry_after, max(MIN_RETRY_AFTER_NS, int(start_delay)))
-        state.actions.append(Reject(request_id, wait if state.settings.allows_retry_after else 0))
+        state.actions.append(Reject(request_id, wait if state.settings.allows_retry_after else 0, reason))
     else:
-        state.actions.append(Fail(request_id))
+        state.actions.append(Fail(request_id, reason))
     late = state.now >= query.due_at or not never_ran
     if not query.request.is_retry:
         record_cost(state, 0.0, 0.0 if late else query.weight, query.weight if late else 0.0)
--- a/query_gateway/policy/attempts.py
+++ b/query_gateway/policy/attempts.py
@@ -1,6 +1,6 @@
 """Attempts: the guard that each one passes, the terms it runs on, and what follows from its outcome."""
 
-from query_gateway.model.actions import Forward, SetTerms
+from query_gateway.model.actions import EndReason, Forward, SetTerms
 from query_gateway.model.events import AttemptOutcome, OutcomeCode, ProgressKind, ProgressNote
 from query_gateway.model.records import EngineState, QueryState
 from query_gateway.model.settings import Idempotency, MemoryShortage
@@ -89,7 +89,7 @@
     if in_time and query.is_repeatable(state.now):
         admission.admit(state, query)
     else:
-        answers.give_up(state, query)
+        answers.give_up(state, query, EndReason.NO_FURTHER_ATTEMPT)
 
 
 def record_note(state: SchedulerState, note: ProgressNote) -> None:
--- a/query_gateway/policy/progress_review.py
+++ b/query_gateway/policy/progress_review.py
@@ -2,7 +2,7 @@
 
 import math
 
-from query_gateway.model.actions import SetTerms
+from query_gateway.model.actions import EndReason, SetTerms
 from query_gateway.model.records import AttemptState, QueryState
 from query_gateway.model.state import SchedulerState
 from query_gateway.policy import answers, attempts, outliers
@@ -44,7 +44,7 @@
     hopeless = attempt.progress > 0 and remaining > HOPELESS_OVERRUN * (limit - state.now)
     overdue_unseen = overdue and not state.settings.progress_interval
     if query.is_idempotent and (lost or overdue_unseen or hopeless or state.now >= limit):
-        answers.give_up(state, query)
+        answers.give_up(state, query, EndReason.ATTEMPT_LOST)
     elif state.settings.heeds_priorities:
         priority = attempts.priority(state, query)
         if priority != query.priority:
--- a/query_gateway/policy/release.py
+++ b/query_gateway/policy/release.py
@@ -1,5 +1,6 @@
 """Release of queued queries: each leaves by earliest deadline when an engine has room, or is given up."""
 
+from query_gateway.model.actions import EndReason
 from query_gateway.model.records import EngineState, QueryState
 from query_gateway.model.state import SchedulerState
 from query_gateway.model.units import MS
@@ -43,7 +44,7 @@
     client_leaves = state.now + CLIENT_MARGIN_NS >= query.request.deadline
     late = state.now + query.run_time * LAST_CALL >= query.due_at
     if client_leaves or (late and not _is_worth_running_late(state, query)):
-        answers.give_up(state, query)
+        answers.give_up(state, query, EndReason.CLIENT_TIMEOUT if client_leaves else EndReason.LATE)
         return None
     is_long = query.request_class.is_long
     if (is_long in blocked and not query.is_key_ordered) or not state.key_queues.is_next(query, state.now):
--- a/query_gateway/rpc/call.py
+++ b/query_gateway/rpc/call.py
@@ -116,13 +116,15 @@
 
     def send_queued(self) -> None:
         """Send as much as the flow-control windows and the connection's outbox take."""
-        while self.queue and not self.is_closed and self.connection.can_write:
-            if not self._send_piece():
-                break
+        has_sent = False
+        while self.queue and not self.is_closed and self.connection.can_write and self._send_piece():
+            has_sent = True
         if not self.queue and self.trailers is not None and not self.is_closed:
             self.connection.h2.send_headers(self.stream_id, self.trailers, end_stream=True)
             self.connection.forget(self)
-        self.connection.wake()
+            has_sent = True
+        if has_sent:  # else the connection's task would wake itself for ever
+            self.connection.wake()
 
     def _send_piece(self) -> bool:
         """Send one DATA frame of the first queued message; False if the flow-control window is used up."""
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -40,6 +40,9 @@
     def __init__(self) -> None:
         self.answers: list[Answer] = []
 
+    def has_left(self) -> bool:
+        return False
+
     def send_page(self, page: bytes, on_sent: Callable[[], None]) -> None: ...
 
     def send_answer(self, answer: Answer) -> None:
