Soak the Flight SQL front and hot upgrades; retry a failed accept sooner

Cause: the soak knew one wire and no hot upgrade. A listener paused 0.1 s after each failed accept, so clients with 0.15 s to wait got no answer while a third of the calls failed. A parser process whose gateway ended as it started wrote a traceback.

Change: engines speak Flight SQL as well, clients of that front make and cancel calls, hot upgrades go plainly, with SIGTERM before the successor is ready, or with a successor that is killed. Accept is tried again after 0.02 s. Parser processes end quietly with their gateway. A total failure of accept lasts 0.4 s at most in the soak: longer, no program could answer a client that waits 0.15 s.

--- /dev/null
+++ b/bench/fault_soak/flight_clients.py
@@ -0,0 +1,130 @@
+"""Clients of the Flight SQL front: queries and updates, some of which are cancelled."""
+
+import asyncio
+import contextlib
+import random
+import time
+from dataclasses import dataclass
+from uuid import uuid4
+
+import h2.exceptions
+
+from bench.fault_soak.clients import KEYS, Gate
+from bench.fault_soak.grpc_peer import GrpcPeer, Headers, PeerCall
+from bench.fault_soak.records import ClientRecord, Ending
+from bench.fault_soak.settings import ANSWER_SLACK_S, LOAD, LOOKUP, MEAN_WORK_S, REPORT
+from query_gateway.flight import messages
+
+LEAVE_SHARE = 0.1  # of the calls that are cancelled
+
+
+@dataclass(slots=True)
+class FlightPopulation:
+    """All Flight clients of a gateway; each call leaves a record in the shared list."""
+
+    gate: Gate
+    port: int
+    random: random.Random
+    records: list[ClientRecord]
+    stopped: bool = False
+
+    async def run_client(self) -> None:
+        """One client: call after call on a connection that it keeps while it can."""
+        peer: GrpcPeer | None = None
+        while not self.stopped:
+            if not self.gate.admitted:
+                await asyncio.sleep(0.05)
+                continue
+            if peer is None or peer.closed or peer.draining or self.random.random() < 0.05:
+                peer = await self._connect()
+            if peer is not None and not await self._call(peer):
+                peer.writer.close()
+                peer = None
+            await asyncio.sleep(self.random.expovariate(1 / 0.15))
+
+    async def _connect(self) -> GrpcPeer | None:
+        try:
+            reader, writer = await asyncio.wait_for(asyncio.open_connection("127.0.0.1", self.port), 1.0)
+        except (OSError, TimeoutError):
+            return None
+        peer = GrpcPeer(reader, writer, is_client=True)
+        asyncio.create_task(self._receive(peer))
+        return peer
+
+    @staticmethod
+    async def _receive(peer: GrpcPeer) -> None:
+        while await peer.receive():
+            pass
+
+    def _new_record(self) -> ClientRecord:
+        request_class = self.random.choices((LOOKUP, REPORT, LOAD), (70, 15, 15))[0]
+        ttl = self.random.choice((0.4, 0.8, 1.5, 2.5, 3.0))
+        record = ClientRecord(uuid4().hex[:16], self.gate.name, request_class, ttl)
+        if request_class == LOAD:
+            record.key, record.idempotency_key = f"{self.random.randrange(KEYS):016x}", uuid4().hex
+        self.records.append(record)
+        return record
+
+    def _headers(self, record: ClientRecord, method: messages.FlightMethod) -> Headers:
+        headers = [
+            (":method", "POST"), (":scheme", "http"), (":path", messages.SERVICE_PATH + method.value),
+            (":authority", "gateway"), ("te", "trailers"), ("content-type", "application/grpc"),
+            ("grpc-timeout", f"{int(record.ttl * 1000)}m"), ("x-class", record.request_class),
+            ("x-txn", record.client_id), ("x-cpu-hint", f"{MEAN_WORK_S * 1000:.1f}"),
+        ]  # fmt: skip
+        if record.key:
+            headers += [("x-row", record.key), ("x-txn-key", record.idempotency_key)]
+        return headers
+
+    async def _call(self, peer: GrpcPeer) -> bool:
+        """One query or update to its end; whether the connection can be used again."""
+        record = self._new_record()
+        table = f"lending_{self.random.randrange(8)}.loans"
+        if record.request_class == LOAD:
+            method = messages.FlightMethod.DO_PUT
+            message = messages.encode_update(f"INSERT INTO {table} VALUES (1)")
+        else:
+            method = messages.FlightMethod.DO_GET
+            descriptor = messages.encode_query_descriptor(f"SELECT a FROM {table} WHERE b = 1")
+            info = messages.encode_flight_info(descriptor, f"SELECT a FROM {table} WHERE b = 1")
+            [message] = messages.decode_flight_info_tickets(info)
+        try:
+            stream_id, call = peer.open_call(self._headers(record, method), message)
+        except (h2.exceptions.ProtocolError, OSError):
+            return False
+        record.sent_at, record.ending = time.monotonic(), Ending.SILENT
+        leaves = self.random.random() < LEAVE_SHARE
+        waits_s = self.random.uniform(0, 0.5) if leaves else record.ttl + ANSWER_SLACK_S
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._wait(call), waits_s)
+        record.ended_at = time.monotonic()
+        self._note_ending(record, call, leaves)
+        if not call.ended:
+            peer.reset(stream_id)
+        return not peer.closed and not peer.draining
+
+    @staticmethod
+    async def _wait(call: PeerCall) -> None:
+        while not call.ended:
+            call.changed.clear()
+            await call.changed.wait()
+
+    @staticmethod
+    def _note_ending(record: ClientRecord, call: PeerCall, leaves: bool) -> None:
+        status = call.headers.get("grpc-status")
+        if not call.ended:
+            if leaves:
+                record.ending, record.left_at = Ending.LEFT, record.ended_at
+            return
+        if call.refused:
+            record.ending = Ending.NOT_ACCEPTED
+            return
+        record.detail = f"{status} {call.headers.get('grpc-message', '')}"
+        if call.reset or status is None:
+            record.ending = Ending.CLOSED
+        elif status == "0":
+            record.ending = Ending.SERVED
+            if any(not message.startswith(record.client_id.encode()) for message in call.messages):
+                record.ending = Ending.UNREADABLE
+        else:
+            record.ending = Ending.REJECTED if status == "8" else Ending.FAILED
--- /dev/null
+++ b/bench/fault_soak/flight_engine.py
@@ -0,0 +1,115 @@
+"""A stand-in engine on the Flight SQL wire as a process; it observes its requests itself.
+
+    python -m bench.fault_soak.flight_engine PORT SEED NAME EVENT_FILE
+
+Moods come as lines on standard input: `ok`, `hang`, `error`, `refuse`, `reset`.
+"""
+
+import asyncio
+import json
+import random
+import sys
+import time
+from typing import TextIO
+
+from bench.fault_soak.grpc_peer import GrpcPeer, PeerCall
+from query_gateway.flight import messages
+
+MEAN_RUN_S = 0.08
+UNITS_S = {"H": 3600.0, "M": 60.0, "S": 1.0, "m": 1e-3, "u": 1e-6, "n": 1e-9}
+OK, REFUSED, INTERNAL = "0", "8", "13"
+
+
+class FlightEngine:
+    """Plans and runs statements after a random time, in the mood of the moment."""
+
+    def __init__(self, seed: int, name: str, events: TextIO) -> None:
+        """Begin in the mood `ok`."""
+        self.random, self.name, self.events = random.Random(seed), name, events
+        self.mood = "ok"
+        self.recovered = asyncio.Event()
+        self.recovered.set()
+
+    def set_mood(self, mood: str) -> None:
+        """Change the mood for what comes, and let go on what hangs."""
+        self.mood = mood
+        (self.recovered.clear if mood == "hang" else self.recovered.set)()
+
+    def note(self, kind: str, client_id: str, **more: object) -> None:
+        """Write an event down."""
+        record = {"at": time.monotonic(), "kind": kind, "engine": self.name, "client_id": client_id, **more}
+        self.events.write(json.dumps(record) + "\n")
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """One connection."""
+        peer = GrpcPeer(reader, writer, is_client=False)
+        running: dict[int, asyncio.Task[None]] = {}
+        open_requests: dict[int, str] = {}
+        while changed := await peer.receive():
+            for stream_id in changed:
+                call = peer.calls[stream_id]
+                if call.reset and stream_id in running:
+                    running.pop(stream_id).cancel()
+                    if client_id := open_requests.pop(stream_id, ""):
+                        self.note("stop", client_id)
+                elif call.ended and stream_id not in running and not call.reset:
+                    client_id = call.headers.get("x-txn", "")
+                    open_requests[stream_id] = client_id
+                    if not call.headers[":path"].endswith(messages.FlightMethod.DO_GET.value):
+                        self._note_request(client_id, call)
+                    running[stream_id] = asyncio.create_task(self._run(peer, stream_id, call, open_requests))
+        for task in running.values():
+            task.cancel()
+        for client_id in open_requests.values():
+            self.note("broken", client_id)
+        writer.close()
+
+    def _note_request(self, client_id: str, call: PeerCall) -> None:
+        timeout = call.headers.get("grpc-timeout", "0S")
+        self.note(
+            "request", client_id, budget=int(timeout[:-1]) * UNITS_S[timeout[-1]],
+            idempotency_key=call.headers.get("x-txn-key", ""), began_at=time.monotonic(),
+        )  # fmt: skip
+
+    async def _run(
+        self, peer: GrpcPeer, stream_id: int, call: PeerCall, open_requests: dict[int, str]
+    ) -> None:
+        method, mood = call.headers[":path"].rpartition("/")[2], self.mood
+        client_id = call.headers.get("x-txn", "")
+        if mood == "reset":
+            peer.writer.transport.abort()
+            return
+        if method != messages.FlightMethod.GET_FLIGHT_INFO.value:
+            await asyncio.sleep(min(2.0, self.random.expovariate(1 / MEAN_RUN_S)))
+        await self.recovered.wait()
+        is_plan = method == messages.FlightMethod.GET_FLIGHT_INFO.value
+        status = {"refuse": REFUSED if is_plan else OK, "error": INTERNAL}.get(mood, OK)
+        answers: list[bytes] = []
+        if status == OK and is_plan:
+            statement = messages.decode_query_descriptor(call.messages[0])
+            answers = [messages.encode_flight_info(call.messages[0], statement)]
+        elif status == OK:
+            answers = [f"{client_id} {number}".encode() for number in range(3)]
+        open_requests.pop(stream_id, None)
+        if not is_plan or status != OK:
+            self.note("end", client_id, word={OK: "ok", REFUSED: "refused"}.get(status, "error"))
+        peer.answer(stream_id, answers, [("grpc-status", status)])
+
+
+async def main() -> None:
+    """Serve until standard input ends."""
+    port, seed, name, path = int(sys.argv[1]), int(sys.argv[2]), sys.argv[3], sys.argv[4]
+    with open(path, "a", buffering=1) as events:
+        engine = FlightEngine(seed, name, events)
+        server = await asyncio.start_server(engine.serve, "127.0.0.1", port)
+        moods = asyncio.StreamReader()
+        await asyncio.get_running_loop().connect_read_pipe(
+            lambda: asyncio.StreamReaderProtocol(moods), sys.stdin
+        )
+        async with server:
+            while line := await moods.readline():
+                engine.set_mood(line.decode().strip())
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
--- /dev/null
+++ b/bench/fault_soak/grpc_peer.py
@@ -0,0 +1,141 @@
+"""The peer's side of a gRPC connection for the soak's own engines and clients: h2 on asyncio streams."""
+
+import asyncio
+import contextlib
+from dataclasses import dataclass, field
+
+import h2.config
+import h2.connection
+import h2.events
+import h2.exceptions
+
+from query_gateway.rpc.framing import MessageDecoder, encode_message
+
+READ_SIZE = 65_536
+FRAME_HEAD_BYTES, FRAME_TYPE_AT, GOAWAY_TYPE = 9, 3, 7
+PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
+Headers = list[tuple[str, str]]
+
+
+@dataclass(slots=True)
+class PeerCall:
+    """One call as it is seen here."""
+
+    headers: dict[str, str] = field(default_factory=dict)
+    messages: list[bytes] = field(default_factory=list)
+    decoder: MessageDecoder = field(default_factory=MessageDecoder)
+    ended: bool = False  # by the other side: END_STREAM or a reset
+    reset: bool = False
+    refused: bool = False  # it crossed the other side's GOAWAY
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+
+class GrpcPeer:
+    """One connection; `on_call` is told of calls whose message is whole, `on_reset` of those given up."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, is_client: bool) -> None:
+        """Send the preface."""
+        self.reader, self.writer = reader, writer
+        config = h2.config.H2Configuration(client_side=is_client, header_encoding="utf-8")
+        self.h2 = h2.connection.H2Connection(config)
+        self.calls: dict[int, PeerCall] = {}
+        self.draining = False  # the other side takes no further call
+        self.closed = False
+        self._preface_left = 0 if is_client else len(PREFACE)
+        self._buffer = bytearray()
+        self.h2.initiate_connection()
+        self.flush()
+
+    def flush(self) -> None:
+        """Write what h2 has ready."""
+        if data := self.h2.data_to_send():
+            self.writer.write(data)
+
+    def open_call(self, headers: Headers, message: bytes) -> tuple[int, PeerCall]:
+        """Begin a call with its one message; raises h2's ProtocolError if the connection takes none."""
+        stream_id = self.h2.get_next_available_stream_id()
+        call = self.calls[stream_id] = PeerCall()
+        self.h2.send_headers(stream_id, headers)
+        self.h2.send_data(stream_id, encode_message(message), end_stream=True)
+        self.flush()
+        return stream_id, call
+
+    def answer(self, stream_id: int, messages: list[bytes], trailers: Headers) -> None:
+        """Answer a call whole: headers, messages and trailers."""
+        with contextlib.suppress(h2.exceptions.ProtocolError):
+            self.h2.send_headers(stream_id, [(":status", "200"), ("content-type", "application/grpc")])
+            for message in messages:
+                self.h2.send_data(stream_id, encode_message(message))
+            self.h2.send_headers(stream_id, trailers, end_stream=True)
+            self.flush()
+
+    def reset(self, stream_id: int) -> None:
+        """Give a call up."""
+        with contextlib.suppress(h2.exceptions.ProtocolError):
+            self.h2.reset_stream(stream_id, 8)
+            self.flush()
+
+    async def receive(self) -> list[int]:
+        """The calls that changed with what was read next; empty at the end of the connection."""
+        while not self.closed:
+            try:
+                data = await self.reader.read(READ_SIZE)
+                events = self.h2.receive_data(self._without_goaway(data)) if data else []
+            except (OSError, h2.exceptions.ProtocolError):
+                data, events = b"", []
+            if not data:
+                break
+            changed = [stream_id for event in events if (stream_id := self._take(event))]
+            self.flush()
+            if changed:
+                return changed
+        self.closed = True
+        for call in self.calls.values():
+            call.reset |= not call.ended
+            call.ended = True
+            call.changed.set()
+        return []
+
+    def _without_goaway(self, data: bytes) -> bytes:
+        """The whole frames that have come, but for a GOAWAY, behind which h2 takes nothing of open calls."""
+        self._buffer += data
+        passed = bytes(self._buffer[: self._preface_left])
+        del self._buffer[: len(passed)]
+        self._preface_left -= len(passed)
+        while len(self._buffer) >= FRAME_HEAD_BYTES:
+            end = FRAME_HEAD_BYTES + int.from_bytes(self._buffer[:3], "big")
+            if len(self._buffer) < end:
+                break
+            frame = bytes(self._buffer[:end])
+            del self._buffer[:end]
+            if frame[FRAME_TYPE_AT] == GOAWAY_TYPE:
+                self._on_goaway(int.from_bytes(frame[FRAME_HEAD_BYTES : FRAME_HEAD_BYTES + 4], "big"))
+            else:
+                passed += frame
+        return passed
+
+    def _on_goaway(self, last_stream_id: int) -> None:
+        self.draining = True
+        for stream_id, call in self.calls.items():
+            if stream_id > last_stream_id:
+                call.refused = call.ended = True
+                call.changed.set()
+
+    def _take(self, event: h2.events.Event) -> int:
+        """Note an event; the call that it concerns, 0 if none does."""
+        stream_id = int(getattr(event, "stream_id", 0) or 0)
+        if not stream_id:
+            return 0
+        call = self.calls.setdefault(stream_id, PeerCall())
+        if isinstance(
+            event, h2.events.RequestReceived | h2.events.ResponseReceived | h2.events.TrailersReceived
+        ):
+            call.headers |= {str(name): str(value) for name, value in event.headers}
+        elif isinstance(event, h2.events.DataReceived):
+            call.messages += call.decoder.feed(event.data)
+            self.h2.acknowledge_received_data(event.flow_controlled_length, stream_id)
+        elif isinstance(event, h2.events.StreamEnded | h2.events.StreamReset):
+            call.ended = True
+            call.reset |= isinstance(event, h2.events.StreamReset)
+        call.changed.set()
+        return stream_id
--- a/bench/fault_soak/proxy.py
+++ b/bench/fault_soak/proxy.py
@@ -1,6 +1,8 @@
 """The fault proxy in front of one engine, as a process: it relays, observes every request, and breaks things.
 
-    python -m bench.fault_soak.proxy PORT ENGINE_PORT ENGINE_NAME EVENT_FILE
+    python -m bench.fault_soak.proxy PORT ENGINE_PORT ENGINE_NAME EVENT_FILE [opaque]
+
+With `opaque` it relays what it does not understand, and observes nothing.
 
 Orders come as lines on standard input: `pass`, `stall` (connections stay open and quiet), `unread` (nothing
 is read from the gateways), `late` (no connection comes up), `reset` (all connections break once),
@@ -106,8 +108,9 @@
 class Proxy:
     """Accepts the gateways' connections to one engine."""
 
-    def __init__(self, port: int, engine_port: int, engine: str, events: TextIO) -> None:
+    def __init__(self, port: int, engine_port: int, engine: str, events: TextIO, observes: bool) -> None:
         """Listen at once."""
+        self.observes = observes
         self.engine_port, self.engine, self.events = engine_port, engine, events
         self.links: set[Link] = set()
         self.order = "pass"
@@ -190,7 +193,7 @@
             while True:
                 data = await held.get()
                 await self.passing.wait()
-                if not from_gateway:
+                if not from_gateway and self.observes:
                     observer.feed(data)
                 with contextlib.suppress(OSError):
                     writer.write(data)
@@ -202,9 +205,9 @@
                 if from_gateway:
                     await self.reading.wait()
                 data = await reader.read(READ_SIZE)
-                if not data:
+                if not data or link.closed:
                     break
-                if from_gateway:
+                if from_gateway and self.observes:
                     observer.feed(data)
                 held.put_nowait(data)
         while not from_gateway and not held.empty() and not link.closed:
@@ -217,7 +220,7 @@
     """Obey standard input until it ends."""
     port, engine_port, engine, path = int(sys.argv[1]), int(sys.argv[2]), sys.argv[3], sys.argv[4]
     with open(path, "a", buffering=1) as events:
-        proxy = Proxy(port, engine_port, engine, events)
+        proxy = Proxy(port, engine_port, engine, events, "opaque" not in sys.argv)
         accepting = asyncio.create_task(proxy.accept())
         orders = asyncio.StreamReader()
         await asyncio.get_running_loop().connect_read_pipe(
--- a/query_gateway/net/listener.py
+++ b/query_gateway/net/listener.py
@@ -10,8 +10,7 @@
 BACKLOG = 1024  # connections that the machine holds until they are accepted
 # Connections accepted in one event: descriptors of closed ones are freed only at the end of the loop's turn
 MAX_ACCEPTS_PER_EVENT = 32
-ACCEPT_RETRY_SECONDS = 0.1  # pause of the listener when descriptors or buffers are out
-CLOSE_RETRY_SECONDS = 0.02  # the same, while it closes
+ACCEPT_RETRY_SECONDS = 0.02  # pause of the listener when descriptors or buffers are out
 CLOSE_TIMEOUT_SECONDS = 2.0  # for what still waits when a listener closes, if accept fails all the time
 
 
@@ -115,7 +114,7 @@
             self.loop.watch(self.socket, 0, self._ready)
             self.loop.call_at(now + ACCEPT_RETRY_SECONDS, self._listen)
         elif now < self._close_deadline:
-            self.loop.call_at(now + CLOSE_RETRY_SECONDS, self._accept_rest)
+            self.loop.call_at(now + ACCEPT_RETRY_SECONDS, self._accept_rest)
         else:
             self._finish_closing()
 
--- a/query_gateway/parsing/worker.py
+++ b/query_gateway/parsing/worker.py
@@ -1,5 +1,6 @@
 """A parser process: rules once, then requests in and responses out on its standard input, a socket."""
 
+import contextlib
 import resource
 import signal
 import socket
@@ -50,7 +51,8 @@
     """Parse what is requested until the gateway closes its end of the socket."""
     signal.signal(signal.SIGINT, signal.SIG_IGN)  # the gateway's own end ends this process
     resource.setrlimit(resource.RLIMIT_AS, (MAX_MEMORY_BYTES, MAX_MEMORY_BYTES))
-    with socket.socket(fileno=STDIN) as sock:
+    # A gateway that ends does not read what it has asked for
+    with socket.socket(fileno=STDIN) as sock, contextlib.suppress(BrokenPipeError, ConnectionResetError):
         sock.setblocking(True)
         reader = Reader(decode_rules(_receive_frame(sock)))
         for text in WARM_UP:  # guards the first statements' time against what the parser builds at first use
