Start where the folder of upgrades fails; end a stop with code 0 also while workers start

Change: the claim of that place is given up with one log line; the supervisor's own SIGTERM is no failure of a worker; the last line of a failed start is written or not, the code is 2.

--- a/bench/fault_soak/flight_clients.py
+++ b/bench/fault_soak/flight_clients.py
@@ -4,7 +4,7 @@
 import contextlib
 import random
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from uuid import uuid4
 
 import h2.exceptions
@@ -27,6 +27,7 @@
     random: random.Random
     records: list[ClientRecord]
     stopped: bool = False
+    receiving: set[asyncio.Task[None]] = field(default_factory=set)
 
     async def run_client(self) -> None:
         """One client: call after call on a connection that it keeps while it can."""
@@ -48,7 +49,9 @@
         except (OSError, TimeoutError):
             return None
         peer = GrpcPeer(reader, writer, is_client=True)
-        asyncio.create_task(self._receive(peer))
+        task = asyncio.create_task(self._receive(peer))
+        self.receiving.add(task)
+        task.add_done_callback(self.receiving.discard)
         return peer
 
     @staticmethod
--- a/query_gateway/lifecycle/process.py
+++ b/query_gateway/lifecycle/process.py
@@ -1,9 +1,12 @@
 """The entry of a process: reads the configuration, starts this process's part, and runs it to its end."""
 
+import contextlib
 import gc
 import os
 import signal
+import socket
 import sys
+from typing import NoReturn
 
 from query_gateway.composition import GatewayOptions
 from query_gateway.configuration.operator_file import OperatorSettings, read_operator_settings
@@ -16,6 +19,7 @@
     request_inherited_state,
     upgrade_socket_path,
 )
+from query_gateway.net.log import log
 
 EXIT_CANNOT_START = 2
 PART_VARIABLE = "QUERY_GATEWAY_PART"  # what the supervisor names: "planner N" or "forwarder N"
@@ -26,11 +30,16 @@
     try:
         sys.exit(start(os.environ.get(PART_VARIABLE, "")))
     except ConfigurationError as error:
-        print(f"query-gateway: configuration: {error}", file=sys.stderr)
-        sys.exit(EXIT_CANNOT_START)
+        _exit_with(f"query-gateway: configuration: {error}")
     except OSError as error:
-        print(f"query-gateway: cannot listen: {error.strerror}", file=sys.stderr)
-        sys.exit(EXIT_CANNOT_START)
+        _exit_with(f"query-gateway: cannot listen: {error.strerror}")
+
+
+def _exit_with(line: str) -> NoReturn:
+    """End the start with one line, even where that line cannot be written."""
+    with contextlib.suppress(OSError):
+        print(line, file=sys.stderr, flush=True)
+    sys.exit(EXIT_CANNOT_START)
 
 
 def start(part: str) -> int:
@@ -56,13 +65,22 @@
         raise ConfigurationError(
             "a gateway serves here, and several processes cannot follow it; stop it first"
         )
-    claimed = claim(path) if path else None  # stays claimed until this process ends
+    claimed = _claim(path) if path else None  # stays claimed until this process ends
     code = Supervisor(len(operator.planner_addresses), operator.forwarder_count).run()
     if claimed:
         claimed.close()
     return code
 
 
+def _claim(path: str) -> socket.socket | None:
+    """Claim the place of upgrades; where its folder fails the gateway starts all the same."""
+    try:
+        return claim(path)
+    except OSError as error:
+        log("upgrade", f"cannot keep other gateways from this address: {error.strerror}")
+        return None
+
+
 def _run_planner(config: Configuration, operator: OperatorSettings, planner_index: int) -> int:
     from query_gateway.planner.process import PlannerProcess
     from query_gateway.planner.supervisor import stop_with_supervisor
--- a/query_gateway/planner/supervisor.py
+++ b/query_gateway/planner/supervisor.py
@@ -109,7 +109,9 @@
             worker.send(signal.SIGTERM)
         workers = (*self.planners, *self.forwarders)
         exit_codes = [worker.process.wait() for worker in workers if worker.process]
-        return max(map(abs, exit_codes), default=0)
+        # One that was only just starting ends by our signal itself, as it was meant to
+        failures = [abs(code) for code in exit_codes if code != -signal.SIGTERM]
+        return max(failures, default=0)
 
     def _on_signal(self, signal_number: int, action: Callable[[], None]) -> None:
         """Take an action on the loop when a signal comes."""
