Test that momentary errors of system calls are borne

Cause: the mends of momentary errors came with tests of arrival alone. Change: a test for each, with sockets whose calls fail as often as told.

--- /dev/null
+++ b/tests/test_momentary_errors.py
@@ -0,0 +1,316 @@
+"""System calls that fail for a moment, as Linux documents them: connections and processes bear it."""
+
+import contextlib
+import errno
+import http.client
+import os
+import signal
+import socket
+import subprocess
+import threading
+import time
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from query_gateway.forwarder.messages import Endpoint
+from query_gateway.model.endpoints import EndpointInfo, EndpointState
+from query_gateway.model.events import OutcomeCode
+from query_gateway.net.listener import Listener
+from query_gateway.net.loop import Loop
+from query_gateway.net.stream import Reason, Stream
+from query_gateway.parsing.snapshot_store import SnapshotStore
+from query_gateway.planner import supervisor
+from query_gateway.planner.supervisor import Supervisor
+from tests.race_helpers import send_request, settings_without_timeouts
+from tests.stand_ins import Engine, post
+from tests.test_local import until
+from tests.test_web import ROWS, SQL, running
+
+pytestmark = pytest.mark.usefixtures("reset_log_rate_limit")
+
+
+class FailingSocket:
+    """A socket some of whose calls fail as often as they are told to."""
+
+    def __init__(self, sock: socket.socket, **failures: tuple[int, int]) -> None:
+        self._sock = sock
+        self._failures = {name: [error] * times for name, (error, times) in failures.items()}
+
+    def __getattr__(self, name: str) -> Any:
+        def call(*arguments: Any) -> Any:
+            if errors := self._failures.get(name):
+                raise OSError(errors.pop(), "for a moment")
+            return getattr(self._sock, name)(*arguments)
+
+        return call
+
+
+def connected_pair() -> tuple[socket.socket, socket.socket]:
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        near = socket.create_connection(server.getsockname())
+        return near, server.accept()[0]
+
+
+def fail_calls(stream: Stream, **failures: tuple[int, int]) -> None:
+    """Let calls on a stream's socket fail; epoll keeps the real one, by its descriptor."""
+    stream.sock = FailingSocket(stream.sock, **failures)  # type: ignore[assignment]
+
+
+@pytest.mark.parametrize("error", [errno.ENOBUFS, errno.ENOMEM, errno.EINTR, errno.EAGAIN])
+def test_stream_reads_and_writes_on_after_a_momentary_error(error: int) -> None:
+    loop, (near, far) = Loop(), connected_pair()
+    stream = Stream(loop, near, "here")
+    fail_calls(stream, send=(error, 2), recv=(error, 2))
+    stream.start()
+    stream.write(b"answer")
+    assert not stream.reset and stream.outbox
+    far.sendall(b"request")
+    while stream.outbox or not stream.inbox:
+        loop.turn()
+    assert far.recv(100) == b"answer" and stream.take_inbox() == b"request" and not stream.eof
+    stream.close(Reason.DONE)
+    far.close()
+    loop.close()
+
+
+@pytest.mark.parametrize("error", [errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.EPIPE, errno.ECONNRESET])
+def test_stream_is_over_after_an_error_of_its_connection(error: int) -> None:
+    loop, (near, far) = Loop(), connected_pair()
+    stream = Stream(loop, near, "here")
+    fail_calls(stream, recv=(error, 1))
+    stream.start()
+    far.sendall(b"x")
+    while not stream.eof:
+        loop.turn()
+    assert stream.reset
+    stream.close(Reason.RESET)
+    far.close()
+    loop.close()
+
+
+@pytest.mark.parametrize("error", [errno.EINTR, errno.EIO])
+def test_close_that_fails_ends_neither_the_loop_nor_other_closes(error: int) -> None:
+    loop, pairs = Loop(), [connected_pair() for _ in range(2)]
+    streams = [Stream(loop, near, "here") for near, _ in pairs]
+    fail_calls(streams[0], close=(error, 1))
+    for stream in streams:
+        stream.close(Reason.DONE)
+    loop.call_at(loop.now(), lambda: None)
+    loop.turn()
+    assert streams[1].sock.fileno() == -1 and loop.faults == 0
+    for near, far in pairs:
+        near.close()
+        far.close()
+    loop.close()
+
+
+@pytest.mark.parametrize("error", [errno.ENFILE, errno.ENOBUFS, errno.ECONNABORTED, errno.ENETUNREACH])
+def test_listener_that_closes_while_accept_fails_accepts_what_waits_first(error: int) -> None:
+    """Guards clients whose connection the machine has completed: the close reset them, request and all."""
+    loop, accepted = Loop(), list[socket.socket]()
+    listener = Listener(loop, ("127.0.0.1", 0), lambda sock, _: accepted.append(sock))
+    clients = [socket.create_connection(listener.address) for _ in range(3)]
+    listener.socket = FailingSocket(listener.socket, accept=(error, 2))  # type: ignore[assignment]
+    listener.close()
+    deadline = time.monotonic() + 5
+    while not listener.closed and time.monotonic() < deadline:
+        loop.call_at(loop.now() + 0.01, lambda: None)
+        loop.turn()
+    assert listener.closed and len(accepted) == 3
+    for sock in (*clients, *accepted):
+        sock.close()
+    loop.close()
+
+
+def test_connection_whose_handling_fails_costs_no_other() -> None:
+    loop, accepted = Loop(), list[socket.socket]()
+
+    def on_accept(sock: socket.socket, peer: str) -> None:
+        if not accepted:
+            accepted.append(sock)
+            raise OSError(errno.ENOBUFS, "for a moment")
+        accepted.append(sock)
+
+    listener = Listener(loop, ("127.0.0.1", 0), on_accept)
+    clients = [socket.create_connection(listener.address) for _ in range(2)]
+    while len(accepted) < 2:
+        loop.turn()
+    assert loop.faults == 0
+    listener.close()
+    for sock in (*clients, *accepted):
+        sock.close()
+    loop.close()
+
+
+@pytest.mark.parametrize("error", [errno.ENETUNREACH, errno.EADDRNOTAVAIL, errno.ENOBUFS, errno.EINTR])
+def test_dial_that_fails_here_is_made_again_and_blames_no_engine(
+    error: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    engine, failures = Engine(), [error] * 3
+    real = socket.socket.connect_ex
+
+    def connect_ex(sock: socket.socket, address: Any) -> int:
+        is_engine = f"{address[0]}:{address[1]}" == engine.address
+        if is_engine and failures:
+            failed = failures.pop()
+            if failed == errno.EINTR:  # such a connect goes on by itself
+                real(sock, address)
+            return failed
+        return real(sock, address)
+
+    with running(engine, settings=settings_without_timeouts()) as gateway:
+        monkeypatch.setattr(socket.socket, "connect_ex", connect_ex)
+        assert post(gateway, "lookup", SQL, ttl=600_000)[1] == {"rows": ROWS}
+        assert not gateway.planner_links.ejected_endpoints()
+    assert engine.statements == [SQL]
+
+
+def test_flight_dial_that_fails_at_once_ends_its_attempt(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against an attempt that waits for its deadline: no activity ever came."""
+    from query_gateway.flight.engines import FlightConnectionPool
+
+    loop, ends = Loop(), list[OutcomeCode]()
+    pool = FlightConnectionPool(loop, time.monotonic_ns, 1.0)
+    info = EndpointInfo("e0", EndpointState.UP, 0, 0, 0, 0, 1.0)
+    pool.update_endpoints([Endpoint(info, {"flight": "127.0.0.1:1"})], True)
+    monkeypatch.setattr(socket.socket, "connect_ex", lambda sock, address: errno.ENETUNREACH)
+
+    class Attempt:
+        endpoint, priority, memory_mb, in_flight = "e0", 1, 0.0, True
+        request = type("Request", (), {"is_update": False})()
+
+        def on_ended(self, code: OutcomeCode) -> None:
+            ends.append(code)
+
+    pool.start(Attempt())  # type: ignore[arg-type]
+    for _ in range(3):
+        loop.call_at(loop.now(), lambda: None)
+        loop.turn()
+    assert ends == [OutcomeCode.CONNECT_FAILED]
+    loop.close()
+
+
+def test_supervisor_whose_worker_cannot_be_started_tries_again_and_can_be_stopped(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a supervisor that never looks again: a fork that failed once ended its polling."""
+    tried = list[float]()
+
+    def start(worker: supervisor.WorkerProcess) -> None:
+        tried.append(time.monotonic())
+        raise OSError(errno.EAGAIN, "no process now")
+
+    monkeypatch.setattr(supervisor.WorkerProcess, "start", start)
+    parent = Supervisor(1, 1)
+    parent.loop.call_at(parent.loop.now() + 0.5, parent._stop)
+    parent._poll()
+    thread = threading.Thread(target=parent.loop.run, daemon=True)
+    thread.start()
+    thread.join(5)
+    assert not thread.is_alive() and len(tried) >= 4
+    parent.loop.close()
+
+
+def test_snapshot_whose_disk_fails_even_at_the_clean_up_keeps_the_old_one(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    store = SnapshotStore(str(tmp_path / "costs"))
+    assert store.save({"a": 1})
+
+    def fail(*_: Any, **__: Any) -> None:
+        raise OSError(errno.EIO, "input/output error")
+
+    with monkeypatch.context() as failing:
+        failing.setattr(os, "fsync", fail)
+        failing.setattr(Path, "unlink", fail)
+        assert not store.save({"a": 2})
+    assert store.load() == {"a": 1}
+    assert store.save({"a": 3}) and store.load() == {"a": 3}
+
+
+def test_leftovers_of_killed_processes_are_removed_and_those_of_running_ones_are_not(tmp_path: Path) -> None:
+    ended = subprocess.Popen(["true"])
+    ended.wait()
+    leftover, present = tmp_path / f"costs.{ended.pid}", tmp_path / f"costs.{os.getpid()}"
+    for path in (leftover, present, tmp_path / "costs.toml"):
+        path.write_bytes(b"half a wri")
+    SnapshotStore(str(tmp_path / "costs")).remove_leftovers()
+    assert sorted(path.name for path in tmp_path.iterdir()) == sorted([present.name, "costs.toml"])
+
+
+def test_signal_while_the_loop_cannot_be_woken_is_handled_in_a_later_turn(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    loop, handled = Loop(), list[int]()
+    loop.wake_writer = FailingSocket(loop.wake_writer, send=(errno.ENOBUFS, 1))  # type: ignore[assignment]
+    before = signal.signal(signal.SIGUSR1, lambda *_: loop.call_soon(lambda: handled.append(1)))
+    os.kill(os.getpid(), signal.SIGUSR1)
+    loop.turn()
+    assert handled == [1]
+    signal.signal(signal.SIGUSR1, before)
+    loop.close()
+
+
+def test_poll_that_fails_is_made_again() -> None:
+    loop = Loop()
+
+    class FailingPoll:
+        """Fails once."""
+
+        def __init__(self) -> None:
+            self.errors = [OSError(errno.ENOMEM, "no memory now")]
+
+        def poll(self, *arguments: Any) -> Any:
+            if self.errors:
+                raise self.errors.pop()
+            return real.poll(*arguments)
+
+        def __getattr__(self, name: str) -> Any:
+            return getattr(real, name)
+
+    real = loop.epoll
+    loop.epoll = FailingPoll()  # type: ignore[assignment]
+    done = list[int]()
+    loop.call_soon(lambda: done.append(1))
+    loop.turn()
+    loop.turn()
+    assert done == [1]
+    loop.close()
+
+
+def test_error_in_our_own_code_is_answered_and_the_attempt_withdrawn(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards a request that was read: its connection was closed over it, unanswered."""
+    engine = Engine(script={SQL: ["mute"]})
+    with running(engine, settings=settings_without_timeouts()) as gateway:
+        client = send_request(gateway, SQL)
+        assert engine.wait("REQ")
+        [connection] = gateway.http_server.connections
+        monkeypatch.setattr(
+            connection.handler, "_discard_excess_input", lambda: (_ for _ in ()).throw(KeyError("ours"))
+        )
+        gateway.loop.call_soon(connection.task.wake)
+        answer = b""
+        while data := client.recv(65_536):
+            answer += data
+        assert answer.startswith(b"HTTP/1.1 500")
+        assert engine.wait("STOP")
+        until(lambda: not gateway.forwarder.exchanges)
+        assert gateway.forwarder.invariants.total == 0 and gateway.loop.faults == 1
+        gateway.loop.faults = 0  # this one was meant
+        client.close()
+
+
+def test_head_on_the_liveness_path_is_answered_without_a_body() -> None:
+    with running(Engine()) as gateway:
+        host, port = gateway.http_server.listener.address
+        connection = http.client.HTTPConnection(host, port, timeout=10)
+        for _ in range(2):
+            connection.request("HEAD", "/status/live")
+            answer = connection.getresponse()
+            assert answer.status == 200 and answer.read() == b""
+        with contextlib.suppress(OSError):
+            connection.close()
