Soak: let engines take as long as their hints say; count a first wait only for what waited

Cause: a connection accepted late counted the time until its first request as that request's wait, though nothing had waited (net/stream); the soak's engines took a fifth of what the clients' hints said, so its bound of cold engines was not the planner's; its oracle went on past slow start. A reset of a gRPC call that its peer has ended raised, and the attempt had no outcome before its deadline (rpc/connection).

Change: only what is there as reading begins has waited. Tests of the guard, the budgets, the trace and the soak. Measured: the new test of the late request fails without the change to net/stream. The short run in the tests failed once in four; it is looked into next.

--- a/bench/fault_soak/deployment.py
+++ b/bench/fault_soak/deployment.py
@@ -270,7 +270,8 @@
         kill_at = began_at + KILL_AFTER_TERM_S
         while gateway.running and time.monotonic() < kill_at:
             await asyncio.sleep(0.02)
-        if not gateway.running and gateway.process.returncode:
+        # A supervisor passes on that one of its processes was killed
+        if not gateway.running and gateway.process.returncode not in (0, signal.SIGKILL):
             self.observations.crashes.append(
                 f"{gateway.name}: code {gateway.process.returncode} after SIGTERM"
             )
--- a/bench/fault_soak/engine.py
+++ b/bench/fault_soak/engine.py
@@ -10,9 +10,10 @@
 import random
 import sys
 
+from bench.fault_soak.settings import MEAN_WORK_S
+
 PROGRESS_INTERVAL_S = 0.5
 MOODS = ("ok", "hang", "error", "refuse", "reset", "torn", "drip")
-MEAN_RUN_S = 0.08
 
 
 class Engine:
@@ -66,7 +67,7 @@
         if mood == "refuse":
             self.say(writer, f"{client_id} refused -")
             return
-        left = min(2.0, self.random.expovariate(1 / MEAN_RUN_S))
+        left = min(2.0, self.random.expovariate(1 / MEAN_WORK_S))
         while left > 0:
             step = min(left, PROGRESS_INTERVAL_S)
             await asyncio.sleep(step)
--- a/bench/fault_soak/oracle.py
+++ b/bench/fault_soak/oracle.py
@@ -19,6 +19,7 @@
 )
 from bench.fault_soak.settings import (
     ANSWER_SLACK_S,
+    COLD_S,
     DEDUPLICATION_WINDOW_S,
     DRAIN_GRACE_S,
     LOAD,
@@ -255,6 +256,7 @@
                 if client_id in self.clients
                 for attempt in attempts
                 if _host(attempt.request.engine) == change.engine
+                and attempt.request.at < change.at + COLD_S
                 and attempt.request.at >= self._told_at(change, self.clients[client_id].gateway)
             )
             first = 0
--- a/query_gateway/net/listener.py
+++ b/query_gateway/net/listener.py
@@ -61,10 +61,9 @@
         self._listen()
 
     @property
-    def waiting_since(self) -> float:
-        """Loop time since when a connection that is accepted now may have waited."""
-        reached_at = self.loop.now() - self.loop.lag()
-        return reached_at if self._waiting_since is None else min(reached_at, self._waiting_since)
+    def waiting_since(self) -> float | None:
+        """Loop time since when a connection accepted now may have waited; None: not beyond this turn."""
+        return self._waiting_since
 
     def pause(self) -> None:
         """Accept nothing for now; connections that wait in the backlog stay there."""
--- a/query_gateway/net/stream.py
+++ b/query_gateway/net/stream.py
@@ -124,6 +124,10 @@
     def start(self) -> None:
         """Begin to read an accepted connection."""
         self.loop.watch(self.sock, self.mask, self._ready)
+        if self._unread_since is not None:
+            # Only what is there already has waited; what comes later has not
+            self.read_available()
+            self._unread_since = None
 
     @property
     def is_over(self) -> bool:
--- a/query_gateway/rpc/connection.py
+++ b/query_gateway/rpc/connection.py
@@ -1,5 +1,6 @@
 """One HTTP/2 connection that carries gRPC calls, on either side; h2 keeps the protocol's state."""
 
+import contextlib
 from collections.abc import Callable, Generator
 
 import h2.config
@@ -121,7 +122,8 @@
         """Close a call and send RST_STREAM with CANCEL."""
         self.forget(call)
         if not self.stream.is_over:
-            self.h2.reset_stream(call.stream_id, h2.errors.ErrorCodes.CANCEL)
+            with contextlib.suppress(h2.exceptions.ProtocolError):  # the peer has ended it meanwhile
+                self.h2.reset_stream(call.stream_id, h2.errors.ErrorCodes.CANCEL)
             self.wake()
 
     def acknowledge(self, call: Call, flow_controlled_bytes: int) -> None:
--- /dev/null
+++ b/tests/test_fault_soak.py
@@ -0,0 +1,133 @@
+"""The fault soak: its oracle tells broken promises from kept ones, and a short run of it finds none."""
+
+import asyncio
+import random
+from pathlib import Path
+
+import pytest
+
+from bench.fault_soak.control import LAYOUT, CallFault, ShimState, build_shim
+from bench.fault_soak.deployment import Layout
+from bench.fault_soak.oracle import Oracle
+from bench.fault_soak.records import (
+    ClientRecord,
+    Ending,
+    EngineChange,
+    EngineEvent,
+    EngineEventKind,
+    Observations,
+    Outage,
+)
+from bench.fault_soak.run import Plan, run
+from bench.fault_soak.settings import LOAD, LOOKUP, REPORT
+from bench.fault_soak.troubles import TROUBLES, draw
+
+ROOT = Path(__file__).parent.parent
+
+
+def record(ending: Ending = Ending.SERVED, took: float = 0.1, **more: object) -> ClientRecord:
+    client = ClientRecord("a" * 16, "g", LOOKUP, 1.0, sent_at=10.0, ended_at=10.0 + took, ending=ending)
+    for name, value in more.items():
+        setattr(client, name, value)
+    return client
+
+
+def request(at: float, engine: str = "e", budget: float = 0.5, client_id: str = "a" * 16) -> EngineEvent:
+    return EngineEvent(at, EngineEventKind.REQUEST, engine, client_id, budget=budget, began_at=at)
+
+
+def end(
+    at: float, word: str = "ok", engine: str = "e", kind: EngineEventKind = EngineEventKind.END
+) -> EngineEvent:
+    return EngineEvent(at, kind, engine, "a" * 16, word=word)
+
+
+def broken(clients: list[ClientRecord], events: list[EngineEvent] | None = None, **more: object) -> set[str]:
+    seen = Observations(clients=clients, engine_events=events or [])
+    for name, value in more.items():
+        setattr(seen, name, value)
+    return {violation.promise for violation in Oracle(seen).violations()}
+
+
+def test_a_request_that_was_served_once_in_time_breaks_nothing() -> None:
+    assert not broken([record()], [request(10.01), end(10.09)])
+
+
+@pytest.mark.parametrize(
+    "client",
+    [
+        record(Ending.SILENT, 1.6),
+        record(Ending.CLOSED),
+        record(Ending.SERVED, 1.7),
+        record(Ending.CLOSED, reused_connection=True),
+    ],
+)
+def test_a_request_without_an_answer_in_time_is_lost(client: ClientRecord) -> None:
+    assert broken([client]) == {"one final answer in time"}
+
+
+def test_a_request_that_crossed_an_idle_close_or_a_kill_is_not_lost() -> None:
+    assert not broken([record(Ending.CLOSED, 0.02, reused_connection=True)])
+    killed = Outage("g", "killed", 10.05, 10.05, 12.0)
+    assert not broken([record(Ending.CLOSED)], outages=[killed])
+
+
+@pytest.mark.parametrize(
+    ("request_class", "events", "promise"),
+    [
+        (LOOKUP, [request(10.3)], "nothing begins for a client that left"),
+        (LOOKUP, [request(10.0, budget=1.3)], "the deadline passed on is the client's"),
+        (LOOKUP, [request(10.0), request(10.1, "f"), end(10.4)], "one attempt out"),
+        (REPORT, [request(10.0), end(10.01, "error"), request(10.05)], "no doubled effect"),
+        (LOAD, [request(10.0), end(10.01, "error"), request(12.2, budget=0.0)], "no doubled effect"),
+    ],
+)
+def test_each_promise_about_attempts_is_checked(
+    request_class: str, events: list[EngineEvent], promise: str
+) -> None:
+    left_at = 10.1 if "left" in promise else 0.0
+    client = record(Ending.LEFT if left_at else Ending.SERVED, request_class=request_class, left_at=left_at)
+    assert broken([client], events) == {promise}
+
+
+def test_an_attempt_that_never_ran_may_be_repeated() -> None:
+    client = record(request_class=REPORT)
+    assert not broken([client], [request(10.0), end(10.01, "refused"), request(10.05), end(10.09)])
+
+
+def test_drains_and_cold_starts_are_checked_from_when_a_gateway_was_told() -> None:
+    drained = EngineChange("e", "draining", 9.0, {"g": 9.2})
+    assert broken([record()], [request(10.0), end(10.1)], changes=[drained]) == {
+        "nothing to a draining engine"
+    }
+    assert not broken(
+        [record()], [request(10.0), end(10.1)], changes=[EngineChange("e", "draining", 9.0, {"g": 9.8})]
+    )
+    ids = [f"{number:016x}" for number in range(100)]
+    clients = [record(client_id=client_id) for client_id in ids]
+    burst = [request(10.0 + number / 200, client_id=client_id) for number, client_id in enumerate(ids)]
+    restarted = EngineChange("e", "restarted", 9.5, {"g": 9.6})
+    assert broken(clients, burst, changes=[restarted]) == {"a cold engine gets what it can bear"}
+
+
+def test_a_schedule_follows_from_its_seed() -> None:
+    names = list(TROUBLES)
+    first, second = (draw(names, random.Random(7), 10, 14.0) for _ in range(2))
+    assert first == second != draw(names, random.Random(8), 10, 14.0)
+
+
+def test_control_block_has_the_layout_of_the_shim(tmp_path: Path) -> None:
+    state = ShimState(clock_offset_ns=-5, read=CallFault(3, 110), close_interrupt_rate=9)
+    values = LAYOUT.unpack(state.pack())
+    assert values[0] == -5 and values[7:9] == (3, 110) and values[15] == 9
+    assert build_shim(tmp_path).exists()
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_short_run_with_overlapping_faults_breaks_no_promise(seed: int, tmp_path: Path) -> None:
+    """All three layouts, both fronts: real processes on loopback for some seconds."""
+    layouts = (Layout.PLAIN, Layout.FLIGHT, Layout.PROCESSES)
+    plan = Plan(seed, 6.0, layouts, engine_count=2, client_count=12, flight_client_count=3, trouble_count=6)
+    result = asyncio.run(run(plan, ROOT, tmp_path, build_shim(tmp_path)))
+    assert len(result.observations.clients) > 100
+    assert not result.violations, f"{result.schedule} {result.violations}"
--- a/tests/test_request_arrival.py
+++ b/tests/test_request_arrival.py
@@ -10,6 +10,7 @@
 import pytest
 
 from query_gateway.gateway import Gateway
+from query_gateway.net.arrivals import MAX_ENTRIES, ArrivalLog
 from tests.stand_ins import Engine
 from tests.test_web import SQL, running
 
@@ -83,3 +84,44 @@
         client.close()
         monkeypatch.setattr(listener, "socket", real)
     assert budgets_ms(engine)[0] <= 4_000 - 800 + SLACK_MS
+
+
+def test_time_between_a_connection_and_its_request_is_not_the_request_s() -> None:
+    """Guards clients that connect ahead of their first request, after an accept that had to wait."""
+    engine = Engine()
+    with running(engine) as gateway:
+        listener = gateway.http_server.listener
+        gateway.loop.call_soon(listener.pause)
+        client = connect(gateway)
+        time.sleep(0.3)
+        gateway.loop.call_soon(listener.resume)
+        time.sleep(0.7)
+        client.sendall(encoded_request(4_000))
+        assert engine.wait("REQ")
+        client.close()
+    assert 4_000 - 50 <= budgets_ms(engine)[0] <= 4_000
+
+
+def test_requests_read_behind_one_another_are_all_answered_as_a_stop_ends_their_connection() -> None:
+    """Guards requests that were read: the answer before them closed the connection, and they had none."""
+    engine = SlowEngine(0.3)
+    with running(engine) as gateway:
+        client = connect(gateway)
+        client.sendall(b"".join(encoded_request(5_000) for _ in range(5)))
+        assert engine.wait("REQ")
+        gateway.loop.call_soon(gateway.begin_shutdown)
+        answers = b""
+        while data := client.recv(65_536):
+            answers += data
+        client.close()
+        assert answers.count(b"HTTP/1.1 200") == 5 and answers.count(b"Connection: close") == 1
+
+
+def test_arrivals_are_kept_in_bounds_and_never_later_than_they_were() -> None:
+    arrivals = ArrivalLog()
+    for number in range(1, 1_001):
+        arrivals.record(10, float(number))
+    assert arrivals.time_of(5, 0.0) == 1.0 and arrivals.time_of(11, 0.0) == 2.0
+    assert arrivals.time_of(10_000, 0.0) <= 1_000.0
+    assert len(arrivals._arrivals) <= MAX_ENTRIES
+    assert ArrivalLog().time_of(1, 7.0) == 7.0
