Wait for sockets that cannot be made just now, at the start too; refuse dials to oneself

Causes: an attempt for which socket() failed used up its tries within a millisecond and was rejected; a gateway whose first listener met ENFILE or ENOBUFS did not start. On loopback a dial of a port without a listener may connect to itself, if the machine gives it that port as its own: an engine's client then read its own request as an answer, a forwarder took itself for its planner, and the port stayed in use (by reading, forced in a test).

Change: the pool starts such an attempt again for the time of a dial, withdrawable meanwhile; listener and loop retry their calls for 5 s at the start; a connection whose two ends are one is a refused dial.

--- a/bench/fault_soak/deployment.py
+++ b/bench/fault_soak/deployment.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -25,6 +26,7 @@
 READY_POLL_S = 0.05
 UPGRADE_STOP_S = 7.0  # a predecessor aborts what is open 5.4 s after SIGTERM
 DESCRIPTORS = 256
+PORTS = 10_000, 32_000  # below those that Linux gives to dials
 FLIGHT_SUFFIX = "@flight"  # of an engine's name where it is observed on the Flight wire
 
 
@@ -45,10 +47,12 @@
 
 
 def free_port() -> int:
-    """A port of loopback that nobody uses now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+    """A port of loopback that nobody uses now, and that no dial takes as its own later."""
+    while True:
+        port = random.randrange(*PORTS)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(("127.0.0.1", port))
+            return port
 
 
 @dataclass(slots=True)
--- a/query_gateway/engine_protocol/pool.py
+++ b/query_gateway/engine_protocol/pool.py
@@ -11,6 +11,7 @@
 
 # Of the engines' idle timeout, after which we close first, so that no request crosses an engine's close
 IDLE_TIMEOUT_SHARE = 0.8
+POSTPONE_SECONDS = 0.02  # until an attempt for which no socket could be made is started again
 
 
 @dataclass(slots=True, frozen=True)
@@ -35,6 +36,8 @@
         self.endpoints: dict[str, Endpoint] = {}  # by engine
         self.connections: dict[str, list[EngineConnection]] = {}  # by engine
         self.by_client_id: dict[str, EngineConnection] = {}  # connections of the attempts in flight
+        # Attempts for which no socket could be made yet, by client id: until when that is tried (loop time)
+        self.postponed: dict[str, float] = {}
 
     def update_limits(self, limits: ConnectionLimits) -> None:
         """Apply new limits, to open connections as well."""
@@ -47,11 +50,12 @@
         """Send an attempt, over a new connection if need be.
 
         It ends as not sent if the engine is unknown, if its client id is already in flight, or if descriptors
-        are out; as a failed connect if the dial fails.
+        are out for the time of a dial; as a failed connect if the dial fails.
         """
         engine, client_id = attempt.endpoint, attempt.request.client_id
         endpoint = self.endpoints.get(engine)
         if endpoint is None or "web" not in endpoint.addresses or client_id in self.by_client_id:
+            self.postponed.pop(client_id, None)
             attempt.on_ended(OutcomeCode.NOT_SENT)
             return
         connections = self.connections.setdefault(engine, [])
@@ -59,16 +63,35 @@
         if connection is None:
             try:
                 connection = EngineConnection(self, engine, endpoint)
-            except OSError:  # out of descriptors
-                attempt.on_ended(OutcomeCode.NOT_SENT)
+            except OSError:  # out of descriptors or buffers just now
+                self._postpone(attempt)
                 return
             connections.append(connection)
+        self.postponed.pop(client_id, None)
         self.by_client_id[client_id] = connection
         connection.send(attempt)
 
+    def _postpone(self, attempt: AttemptHandle) -> None:
+        """Start an attempt again soon; it ends as not sent once that was tried for the time of a dial."""
+        client_id, now = attempt.request.client_id, self.loop.now()
+        give_up_at = self.postponed.setdefault(client_id, now + self.dial_timeout)
+        if now >= give_up_at:
+            del self.postponed[client_id]
+            attempt.on_ended(OutcomeCode.NOT_SENT)
+            return
+
+        def start_again() -> None:
+            """Unless it was withdrawn or cancelled meanwhile."""
+            if attempt.in_flight and client_id in self.postponed:
+                self.start(attempt)
+
+        self.loop.call_at(now + POSTPONE_SECONDS, start_again)
+
     def withdraw(self, attempt: AttemptHandle) -> bool:
         """Take an attempt back if nothing of it has left; whether that was so."""
         client_id = attempt.request.client_id
+        if self.postponed.pop(client_id, None) is not None:
+            return True
         connection = self.by_client_id.get(client_id)
         if connection is None or not connection.withdraw(client_id):
             return False
@@ -77,6 +100,7 @@
 
     def cancel(self, attempt: AttemptHandle) -> None:
         """Stop an attempt that is in flight; it will not be ended here."""
+        self.postponed.pop(attempt.request.client_id, None)
         if connection := self.by_client_id.pop(attempt.request.client_id, None):
             connection.cancel(attempt.request.client_id)
 
--- a/query_gateway/net/listener.py
+++ b/query_gateway/net/listener.py
@@ -6,6 +6,7 @@
 from query_gateway.net.errors import CONNECTION_LOST_IN_BACKLOG
 from query_gateway.net.log import log
 from query_gateway.net.loop import IN, Loop
+from query_gateway.net.retry import retry_at_start
 
 BACKLOG = 1024  # connections that the machine holds until they are accepted
 # Connections accepted in one event: descriptors of closed ones are freed only at the end of the loop's turn
@@ -39,7 +40,7 @@
         # inherited socket some may wait already
         self._waiting_since = loop.now() if inherited else None
         self._close_deadline = 0.0  # loop time
-        self.socket = inherited or self._listening_socket(address, shared)
+        self.socket = inherited or retry_at_start(lambda: self._listening_socket(address, shared))
         self.address: tuple[str, int] = self.socket.getsockname()
         if not inherited:
             self.resume()
@@ -47,11 +48,15 @@
     @staticmethod
     def _listening_socket(address: tuple[str, int], shared: bool) -> socket.socket:
         sock = socket.socket()
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        if shared:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-        sock.bind(address)
-        sock.listen(BACKLOG)
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            if shared:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+            sock.bind(address)
+            sock.listen(BACKLOG)
+        except OSError:
+            sock.close()
+            raise
         sock.setblocking(False)
         return sock
 
--- a/query_gateway/net/loop.py
+++ b/query_gateway/net/loop.py
@@ -15,6 +15,7 @@
 from itertools import count
 
 from query_gateway.net.log import log
+from query_gateway.net.retry import retry_at_start
 
 Steps = Generator[float | None, None, None]
 IN, OUT = select.EPOLLIN, select.EPOLLOUT
@@ -87,7 +88,7 @@
 
     def __init__(self) -> None:
         """Open the epoll descriptor and the socket pair that wakes it from other threads."""
-        self.epoll = select.epoll()
+        self.epoll = retry_at_start(select.epoll)
         self.handlers: dict[int, Callable[[], None]] = {}  # by descriptor
         self.sockets: dict[int, socket.socket] = {}  # by descriptor
         self.ready: deque[Task] = deque()
@@ -102,7 +103,7 @@
         self.turn_started_at = self.now()
         self.last_turn_time = 0.0  # seconds that the turn before took; 0 if the loop slept in between
         self.soon_callbacks: deque[Callable[[], object]] = deque()
-        self.wake_reader, self.wake_writer = socket.socketpair()
+        self.wake_reader, self.wake_writer = retry_at_start(socket.socketpair)
         self.wake_reader.setblocking(False)
         self.wake_writer.setblocking(False)
         self.watch(self.wake_reader, IN, self._run_soon_callbacks)
--- a/query_gateway/net/stream.py
+++ b/query_gateway/net/stream.py
@@ -158,9 +158,15 @@
             self.on_activity()
             return False
         try:
-            self.sock.getpeername()
+            is_ours = self.sock.getpeername() == self.sock.getsockname()
         except OSError:
             return False
+        if is_ours:
+            # On loopback a dial of a port where nobody listens may connect to itself, by that port
+            self._fail_dial(errno.ECONNREFUSED)
+            self._update_mask()
+            self.on_activity()
+            return False
         self.connected = True
         return True
 
--- a/tests/test_momentary_errors.py
+++ b/tests/test_momentary_errors.py
@@ -14,11 +14,12 @@
 
 import pytest
 
+from query_gateway.engine_protocol.connection import EngineConnection
 from query_gateway.forwarder.messages import Endpoint
 from query_gateway.model.endpoints import EndpointInfo, EndpointState
 from query_gateway.model.events import OutcomeCode
 from query_gateway.net.listener import Listener
-from query_gateway.net.loop import Loop
+from query_gateway.net.loop import OUT, Loop
 from query_gateway.net.stream import Reason, Stream
 from query_gateway.parsing.snapshot_store import SnapshotStore
 from query_gateway.planner import supervisor
@@ -167,6 +168,77 @@
     assert engine.statements == [SQL]
 
 
+@pytest.mark.parametrize("error", [errno.ENFILE, errno.ENOBUFS])
+def test_attempt_for_which_no_socket_can_be_made_waits_for_one(
+    error: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    engine, failures = Engine(), [error] * 5
+    real = EngineConnection._dial
+
+    def dial(connection: EngineConnection) -> Stream:
+        if failures:
+            raise OSError(failures.pop(), "for a moment")
+        return real(connection)
+
+    with running(engine, settings=settings_without_timeouts()) as gateway:
+        monkeypatch.setattr(EngineConnection, "_dial", dial)
+        assert post(gateway, "lookup", SQL, ttl=600_000)[1] == {"rows": ROWS}
+        assert not gateway.engine_pool.postponed and not failures
+    assert engine.statements == [SQL]
+
+
+def test_attempt_for_which_no_socket_can_be_made_is_withdrawn_with_its_client(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def dial(connection: EngineConnection) -> Stream:
+        raise OSError(errno.ENFILE, "for long")
+
+    raw = settings_without_timeouts(cancelling=False, dial_timeout=600 * 10**9)
+    with running(Engine(), settings=raw) as gateway:
+        monkeypatch.setattr(EngineConnection, "_dial", dial)
+        client = send_request(gateway, SQL)
+        until(lambda: gateway.engine_pool.postponed)
+        client.close()
+        until(lambda: not gateway.forwarder.exchanges)
+        assert not gateway.engine_pool.postponed
+
+
+@pytest.mark.parametrize("error", [errno.ENFILE, errno.ENOBUFS, errno.ENOMEM])
+def test_start_waits_for_a_listener_that_cannot_be_made_for_a_moment(
+    error: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    loop, failures = Loop(), [error] * 2
+    real = socket.socket.listen
+
+    def listen(sock: socket.socket, backlog: int) -> None:
+        if failures:
+            raise OSError(failures.pop(), "for a moment")
+        real(sock, backlog)
+
+    monkeypatch.setattr(socket.socket, "listen", listen)
+    listener = Listener(loop, ("127.0.0.1", 0), lambda sock, _: sock.close())
+    with pytest.raises(OSError, match="in use"):  # no moment's failure: at once
+        Listener(loop, listener.address, lambda sock, _: sock.close())
+    listener.close()
+    loop.close()
+
+
+def test_dial_that_connects_to_itself_is_refused() -> None:
+    """On loopback a port where nobody listens may be given to the dial itself: it hears its own words."""
+    loop = Loop()
+    sock = socket.socket()
+    sock.bind(("127.0.0.1", 0))
+    stream = Stream(loop, sock, "here")
+    stream.connected = False
+    sock.connect_ex(sock.getsockname())
+    loop.watch(sock, stream.mask | OUT, stream._ready)
+    while not stream.eof:
+        loop.turn()
+    assert stream.dial_refused and not stream.connected
+    stream.close(Reason.DIAL_REFUSED)
+    loop.close()
+
+
 def test_flight_dial_that_fails_at_once_ends_its_attempt(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against an attempt that waits for its deadline: no activity ever came."""
     from query_gateway.flight.engines import FlightConnectionPool
