Tell a client beyond the limit of connections that there is no room

Cause: where all connections had open requests a new one was shut unread, with the request that its client had sent. Change: up to 16 connections beyond the limit are accepted, their requests rejected at once, their connections closed with the answer; silent ones among them make room first. Measured: the new test fails without the change (the connection is reset) and passes with it.

--- a/bench/fault_soak/deployment.py
+++ b/bench/fault_soak/deployment.py
@@ -4,10 +4,8 @@
 import contextlib
 import json
 import os
-import random
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -18,6 +16,7 @@
 from bench.fault_soak.clients import Gate
 from bench.fault_soak.control import ShimControl
 from bench.fault_soak.discovery import Discovery
+from bench.fault_soak.ports import free_port
 from bench.fault_soak.records import Observations, Outage
 from bench.fault_soak.settings import GIVE_UP_S, settings
 
@@ -26,7 +25,6 @@
 READY_POLL_S = 0.05
 UPGRADE_STOP_S = 7.0  # a predecessor aborts what is open 5.4 s after SIGTERM
 DESCRIPTORS = 256
-PORTS = 10_000, 32_000  # below those that Linux gives to dials
 FLIGHT_SUFFIX = "@flight"  # of an engine's name where it is observed on the Flight wire
 
 
@@ -46,15 +44,6 @@
     LOST_SUCCESSOR = "lost successor"  # the successor is killed as soon as it is ready
 
 
-def free_port() -> int:
-    """A port of loopback that nobody uses now, and that no dial takes as its own later."""
-    while True:
-        port = random.randrange(*PORTS)
-        with socket.socket() as sock, contextlib.suppress(OSError):
-            sock.bind(("127.0.0.1", port))
-            return port
-
-
 @dataclass(slots=True)
 class EngineHost:
     """One engine with its proxy."""
@@ -183,14 +172,14 @@
         self.spawn(gateway)
         return gateway
 
-    def write_configuration(self, gateway: GatewayProcess, count: int) -> None:
+    def write_configuration(self, gateway: GatewayProcess, count: int, aim_share: float = 0.5) -> None:
         """Write the file that a start or a reload reads."""
         name = gateway.name
         configuration = {
             "name": name, "listen": f"127.0.0.1:{gateway.gate.port}", "seed": f"{time.monotonic_ns():x}"[:16],
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": DESCRIPTORS},
             "journal": f"127.0.0.1:{self.discovery.ports[name]}", "known": self.discovery.known(name),
-            "settings": settings(gateway.number, count),
+            "settings": settings(gateway.number, count, aim_share),
         }  # fmt: skip
         path = gateway.folder / "config.json"
         path.with_suffix(".new").write_text(json.dumps(configuration))
--- a/bench/fault_soak/discovery.py
+++ b/bench/fault_soak/discovery.py
@@ -6,6 +6,8 @@
 import time
 from typing import Any
 
+from bench.fault_soak.ports import free_port
+
 MAX_HOLD_S = 5.0
 
 
@@ -20,6 +22,7 @@
         self.servers: dict[str, asyncio.Server] = {}
         self.ports: dict[str, int] = {}
         self.changed = asyncio.Event()
+        self.outages = 0  # that overlap now
         self.silent = False  # polls are accepted and not answered
         self.writers: set[asyncio.StreamWriter] = set()
 
@@ -57,21 +60,23 @@
         server = await asyncio.start_server(
             lambda reader, writer: self._serve(gateway, reader, writer),
             "127.0.0.1",
-            self.ports.get(gateway, 0),
+            self.ports.get(gateway) or free_port(),
         )
         self.servers[gateway] = server
         self.ports[gateway] = server.sockets[0].getsockname()[1]
 
     async def go_down(self) -> None:
-        """Refuse connections and break those that are open."""
+        """Refuse connections and break those that are open, until `come_back` was called as often."""
+        self.outages += 1
         for server in self.servers.values():
             server.close()
         for writer in list(self.writers):
             writer.transport.abort()
 
     async def come_back(self) -> None:
-        """Serve all gateways again."""
-        for gateway in list(self.servers):
+        """End one outage; behind the last one all gateways are served again."""
+        self.outages -= 1
+        for gateway in list(self.servers) if not self.outages else ():
             await self.listen(gateway)
 
     async def _serve(self, gateway: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/bench/fault_soak/settings.py
+++ b/bench/fault_soak/settings.py
@@ -26,8 +26,15 @@
     return {**base, "repeat": repeat, **more}
 
 
-def settings(gateway_number: int, gateway_count: int) -> dict[str, Any]:
-    """The settings object of one gateway's configuration."""
+def settings(gateway_number: int, gateway_count: int, aim_share: float = 0.5) -> dict[str, Any]:
+    """The settings object of one gateway's configuration; `aim_share`: of the time clients wait, by class."""
+    found = _settings(gateway_number, gateway_count)
+    for service in found["services"]:
+        service["aim"] = int(service["give-up"] * aim_share)
+    return found
+
+
+def _settings(gateway_number: int, gateway_count: int) -> dict[str, Any]:
     return {
         "instances": gateway_count,
         "me": gateway_number,
--- a/bench/fault_soak/troubles.py
+++ b/bench/fault_soak/troubles.py
@@ -224,7 +224,8 @@
     gateway = stage.gateway()
     for _ in range(stage.random.choice((1, 2, 3))):
         if gateway.process and gateway.running and gateway.gate.admitted:
-            stage.deployment.write_configuration(gateway, stage.gateway_count)
+            aim_share = stage.random.choice((0.4, 0.5, 0.6))
+            stage.deployment.write_configuration(gateway, stage.gateway_count, aim_share)
             gateway.process.send_signal(signal.SIGHUP)
             await asyncio.sleep(stage.random.uniform(0, 0.2))
 
--- a/query_gateway/http/connection.py
+++ b/query_gateway/http/connection.py
@@ -226,7 +226,7 @@
 
     def _ends_with_response(self) -> bool:
         """Whether the connection ends with the response to be sent."""
-        if self.handler.discarded_bytes or self.server.rejects_all:
+        if self.handler.discarded_bytes or self.server.rejects_all or self.handler.rejects_all:
             return True
         if not self.server.closing and not self.server.draining_for():
             return False
@@ -254,6 +254,8 @@
 
     def _last_reason(self) -> Reason:
         """Why a connection ends with its response."""
+        if self.handler.rejects_all:
+            return Reason.TOO_MANY
         if self.handler.discarded_bytes:
             return Reason.BAD_REQUEST
         if self.server.closing:
--- a/query_gateway/http/request_handler.py
+++ b/query_gateway/http/request_handler.py
@@ -51,6 +51,7 @@
         """
         self.server, self.stream, self.wake = server, stream, wake
         self.discarded_bytes = 0  # sent ahead of an answer, beyond what the inbox holds
+        self.rejects_all = False  # the connection is one more than there is room for
         self.has_open_request = False  # one has been read, and no response to it was sent
         self._exchange: Exchange | None = None  # of that request
 
@@ -100,6 +101,7 @@
             server.loop.lag() > MAX_LOOP_LAG_SECONDS
             or server.draining_for(DRAIN_REJECT_AFTER_S)
             or server.rejects_all
+            or self.rejects_all
         )
 
     def _reject(self, request: ClientRequest, pending: PendingAnswer) -> None:
--- a/query_gateway/http/server.py
+++ b/query_gateway/http/server.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from query_gateway.parsing.service import StatementService
 
+MAX_OVERFLOW_CONNECTIONS = 16  # beyond the limit, only to be told that there is no room
 MAX_EVICTION_CANDIDATES = 8  # connections of a table that are examined to find one to evict
 
 # Passes an idle connection to the successor: its socket, its peer, whether a request has come on it
@@ -76,15 +77,17 @@
         """Serve a connection that was accepted here, or by our predecessor (`has_sent_request` of it).
 
         At the limit, which keeps descriptors for engines, the connection that has been without a request or
-        idle for longest is evicted: a crowd of clients that send nothing keeps nobody out.
+        idle for longest is evicted: a crowd of clients that send nothing keeps nobody out. Where all have
+        open requests a few more are accepted, whose requests are rejected; the others are closed unread.
         """
-        if len(self.connections) >= self.max_connections:
-            if candidate := self._eviction_candidate():
-                candidate.drop(Reason.TOO_MANY)
-            else:
-                Stream(self.loop, sock, f"client {peer}").close(Reason.TOO_MANY)
-                return
-        self.connections[HttpConnection(self, sock, peer, has_sent_request)] = None
+        if len(self.connections) >= self.max_connections and (candidate := self._eviction_candidate()):
+            candidate.drop(Reason.TOO_MANY)
+        if len(self.connections) >= self.max_connections + MAX_OVERFLOW_CONNECTIONS:
+            Stream(self.loop, sock, f"client {peer}").close(Reason.TOO_MANY)
+            return
+        connection = HttpConnection(self, sock, peer, has_sent_request)
+        connection.handler.rejects_all = len(self.connections) >= self.max_connections
+        self.connections[connection] = None
 
     def _eviction_candidate(self) -> HttpConnection | None:
         """The longest silent, else the longest idle, else the oldest whose first request is not complete.
--- a/tests/test_race_idle_connections.py
+++ b/tests/test_race_idle_connections.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from tests.race_helpers import send_request, settings_without_timeouts
+from query_gateway.http.server import MAX_OVERFLOW_CONNECTIONS
+from tests.race_helpers import ABANDONED_SQL, send_request, settings_without_timeouts
 from tests.stand_ins import Engine
 from tests.test_local import until
 from tests.test_web import ROWS, SQL, running
@@ -82,3 +83,26 @@
         client.close()
         until(lambda: not gateway.http_server.connections)
     assert engine.statements == [SQL]
+
+
+def test_client_beyond_the_limit_is_told_that_there_is_no_room() -> None:
+    """Guards a request on a new connection: where all others had open requests it was shut unread."""
+    engine = Engine(script={ABANDONED_SQL: ["mute"] * 2})
+    with running(engine, settings=settings_without_timeouts()) as gateway:
+        gateway.http_server.max_connections = 2
+        clients = [send_request(gateway, ABANDONED_SQL) for _ in range(2)]
+        assert engine.wait("REQ", 2)
+        for _ in range(3):
+            with send_request(gateway, SQL) as late:
+                answer = b""
+                while data := late.recv(65_536):
+                    answer += data
+            assert answer.startswith(b"HTTP/1.1 429") and b"Connection: close" in answer
+        crowd = [socket.create_connection(gateway.http_server.listener.address) for _ in range(40)]
+        until(lambda: len(gateway.http_server.connections) <= 2 + MAX_OVERFLOW_CONNECTIONS)
+        with send_request(gateway, SQL) as late:  # silent ones beyond the limit make room for it
+            assert late.recv(65_536).startswith(b"HTTP/1.1 429")
+        assert len(gateway.forwarder.exchanges) == 2
+        for sock in (*clients, *crowd):
+            sock.close()
+    assert SQL not in engine.statements
