--- a/query_gateway/http/request_handler.py
+++ b/query_gateway/http/request_handler.py
@@ -19,6 +19,11 @@
 MAX_DISCARDED_BYTES = 1_048_576  # beyond a full inbox that a client may send ahead of its answer
 
 
+def _is_not_awaited() -> bool:
+    """Behind its answer a client is not looked for any more."""
+    return True
+
+
 class PendingAnswer:
     """The client's side of an exchange: holds the answer once it is there."""
 
@@ -38,6 +43,8 @@
     def send_answer(self, answer: Answer) -> None:
         """Hold the answer and wake the connection that sends it."""
         self.answer = answer
+        # Exchange and attempts refer to each other until they are collected; the connection goes before
+        self._is_gone = _is_not_awaited
         self.wake()
 
 
@@ -73,8 +80,9 @@
 
     def abandon(self) -> None:
         """Nobody waits for the request's answer any more."""
-        if self._exchange:
-            self._exchange.abandon()
+        exchange, self._exchange = self._exchange, None
+        if exchange:
+            exchange.abandon()
 
     def _client_is_gone(self) -> bool:
         """Whether the client has closed; what has come since the last poll is read for that."""
@@ -147,6 +155,7 @@
                 self.abandon()
                 return failure_response(413, "too much was sent ahead") if sent_too_much else Reason.ABANDONED
             yield None
+        self._exchange = None  # the exchange refers to us: a cycle would be left to the collector
         return response_to(pending.answer)
 
     def _discard_excess_input(self) -> bool:
--- a/query_gateway/net/outbox.py
+++ b/query_gateway/net/outbox.py
@@ -1,6 +1,5 @@
 """What is queued to be sent on a connection, and who waits for it to have left."""
 
-from collections import deque
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -19,7 +18,7 @@
         """Nothing is queued."""
         self.data = bytearray()
         self._queued = 0  # bytes ever queued, less those dropped
-        self._marks: deque[_Mark] = deque()
+        self._marks: list[_Mark] = []  # few; an empty list is smaller than a deque
 
     def __len__(self) -> int:
         """Bytes that have not left."""
@@ -38,7 +37,7 @@
         """The first bytes have left."""
         del self.data[:count]
         while self._marks and self._marks[0].end <= self._queued - len(self.data):
-            self._marks.popleft().callback()
+            self._marks.pop(0).callback()
 
     def drop(self) -> None:
         """Nothing more will leave, and nobody is called."""
--- a/query_gateway/net/stream.py
+++ b/query_gateway/net/stream.py
@@ -80,6 +80,7 @@
         self.loop, self.sock, self.description, self.on_activity = loop, sock, description, on_activity
         self.inbox, self.outbox = bytearray(), Outbox()
         self.arrivals = ArrivalLog()
+        self._keeps_arrivals = True  # of an accepted connection: its peer's time runs
         self.bytes_taken = 0  # of those that have come
         self._unread_since = waiting_since  # what is read next may have waited since then; None: not long
         self._awaits_writable = False  # `write_if_taken` found no room
@@ -102,7 +103,7 @@
         The caller bounds the time until `connected`. What is written before is sent once connected.
         """
         stream = cls(loop, socket.socket(), description, on_activity)
-        stream.connected = False
+        stream.connected = stream._keeps_arrivals = False
         code = stream.sock.connect_ex(address)
         if code not in DIAL_UNDER_WAY:
             stream._fail_dial(code)
@@ -172,7 +173,8 @@
         if not data:
             self.eof = True
         self.inbox += data
-        self._record_arrival(len(data))
+        if self._keeps_arrivals:
+            self._record_arrival(len(data))
         self.read_paused = len(self.inbox) >= MAX_INBOX_BYTES
         if self.read_paused:
             self._unread_since = self.loop.now()
--- a/tests/test_request_arrival.py
+++ b/tests/test_request_arrival.py
@@ -1,6 +1,7 @@
 """A client's time runs from when its request came, not from when the gateway turned to it."""
 
 import errno
+import gc
 import socket
 import threading
 import time
@@ -10,8 +11,10 @@
 import pytest
 
 from query_gateway.gateway import Gateway
+from query_gateway.http.connection import HttpConnection
 from query_gateway.net.arrivals import MAX_ENTRIES, ArrivalLog
 from tests.stand_ins import Engine
+from tests.test_local import until
 from tests.test_web import SQL, running
 
 SLACK_MS = 150  # that the budget of an attempt may exceed what its client has left
@@ -125,3 +128,22 @@
     assert arrivals.time_of(10_000, 0.0) <= 1_000.0
     assert len(arrivals._arrivals) <= MAX_ENTRIES
     assert ArrivalLog().time_of(1, 7.0) == 7.0
+
+
+def test_connections_that_have_ended_are_freed_without_the_collector() -> None:
+    """Guards the memory of long days: a finished request's exchange kept its connection until a collection."""
+    with running(Engine()) as gateway:
+        gc.collect()
+        gc.disable()
+        try:
+            for _ in range(20):
+                client = connect(gateway)
+                client.sendall(encoded_request(5_000))
+                assert client.recv(65_536).startswith(b"HTTP/1.1 200")
+                client.close()
+            until(lambda: not gateway.http_server.connections)
+            time.sleep(0.1)  # the last one's task ends in its next turn
+            left = [found for found in gc.get_objects() if isinstance(found, HttpConnection)]
+        finally:
+            gc.enable()
+        assert len(left) <= 1
