--- a/tests/test_request_arrival.py
+++ b/tests/test_request_arrival.py
@@ -131,7 +131,7 @@
 
 
 def test_connections_that_have_ended_are_freed_without_the_collector() -> None:
-    """Guards the memory of long days: a finished request's exchange kept its connection until a collection."""
+    """Guards the memory of long days: a finished exchange kept its connection until a collection."""
     with running(Engine()) as gateway:
         gc.collect()
         gc.disable()
