Convert arrival times in one place; let both stand-in engines share their moods

Cause: found on reading the change again. Both fronts turned a loop time into a clock time by the same four lines, and the soak's two engines kept their moods alike.

Change: steady_clock.clock_time_of is the inverse of loop_time_of and serves both fronts; bench/fault_soak/moods holds the mood. Behaviour stays.

--- a/bench/fault_soak/engine.py
+++ b/bench/fault_soak/engine.py
@@ -10,6 +10,7 @@
 import random
 import sys
 
+from bench.fault_soak.moods import Mood
 from bench.fault_soak.settings import MEAN_WORK_S
 
 PROGRESS_INTERVAL_S = 0.5
@@ -22,14 +23,7 @@
     def __init__(self, seed: int) -> None:
         """Begin in the mood `ok`."""
         self.random = random.Random(seed)
-        self.mood = "ok"
-        self.recovered = asyncio.Event()
-        self.recovered.set()
-
-    def set_mood(self, mood: str) -> None:
-        """Change the mood for what comes, and let go on what hangs."""
-        self.mood = mood
-        (self.recovered.clear if mood == "hang" else self.recovered.set)()
+        self.mood = Mood()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """One connection."""
@@ -60,7 +54,7 @@
 
     async def run(self, client_id: str, writer: asyncio.StreamWriter) -> None:
         """One request to its end."""
-        mood = self.mood
+        mood = self.mood.name
         if mood == "reset":
             writer.transport.abort()
             return
@@ -71,7 +65,7 @@
         while left > 0:
             step = min(left, PROGRESS_INTERVAL_S)
             await asyncio.sleep(step)
-            await self.recovered.wait()
+            await self.mood.recovered.wait()
             left -= step
             if left > 0:
                 self.say(writer, f"{client_id} progress detail=share,val=0.5")
@@ -96,7 +90,7 @@
     await asyncio.get_running_loop().connect_read_pipe(lambda: asyncio.StreamReaderProtocol(moods), sys.stdin)
     async with server:
         while line := await moods.readline():
-            engine.set_mood(line.decode().strip())
+            engine.mood.change(line.decode().strip())
 
 
 if __name__ == "__main__":
--- a/bench/fault_soak/flight_engine.py
+++ b/bench/fault_soak/flight_engine.py
@@ -13,6 +13,7 @@
 from typing import TextIO
 
 from bench.fault_soak.grpc_peer import GrpcPeer, PeerCall
+from bench.fault_soak.moods import Mood
 from bench.fault_soak.settings import MEAN_WORK_S
 from query_gateway.flight import messages
 
@@ -26,14 +27,7 @@
     def __init__(self, seed: int, name: str, events: TextIO) -> None:
         """Begin in the mood `ok`."""
         self.random, self.name, self.events = random.Random(seed), name, events
-        self.mood = "ok"
-        self.recovered = asyncio.Event()
-        self.recovered.set()
-
-    def set_mood(self, mood: str) -> None:
-        """Change the mood for what comes, and let go on what hangs."""
-        self.mood = mood
-        (self.recovered.clear if mood == "hang" else self.recovered.set)()
+        self.mood = Mood()
 
     def note(self, kind: str, client_id: str, **more: object) -> None:
         """Write an event down."""
@@ -82,14 +76,14 @@
         open_requests: dict[int, str],
         planned: set[str],
     ) -> None:
-        method, mood = call.headers[":path"].rpartition("/")[2], self.mood
+        method, mood = call.headers[":path"].rpartition("/")[2], self.mood.name
         client_id = call.headers.get("x-txn", "")
         if mood == "reset":
             peer.writer.transport.abort()
             return
         if method != messages.FlightMethod.GET_FLIGHT_INFO.value:
             await asyncio.sleep(min(2.0, self.random.expovariate(1 / MEAN_WORK_S)))
-        await self.recovered.wait()
+        await self.mood.recovered.wait()
         is_plan = method == messages.FlightMethod.GET_FLIGHT_INFO.value
         status = {"refuse": REFUSED if is_plan else OK, "error": INTERNAL}.get(mood, OK)
         answers: list[bytes] = []
@@ -118,7 +112,7 @@
         )
         async with server:
             while line := await moods.readline():
-                engine.set_mood(line.decode().strip())
+                engine.mood.change(line.decode().strip())
 
 
 if __name__ == "__main__":
--- a/query_gateway/flight/client_call.py
+++ b/query_gateway/flight/client_call.py
@@ -16,6 +16,7 @@
 from query_gateway.forwarder.exchange import Exchange
 from query_gateway.forwarder.messages import Answer, Verdict
 from query_gateway.http.request_decoding import RequestError, hex_header
+from query_gateway.net.steady_clock import clock_time_of
 from query_gateway.rpc.call import Call, CallHandler, Headers
 from query_gateway.rpc.connection import SLOW_READER_TIMEOUT_S
 from query_gateway.rpc.status import GrpcStatus
@@ -24,7 +25,6 @@
     from query_gateway.flight.server import FlightServer
     from query_gateway.parsing.service import Classification
 
-NS_PER_SECOND = 1e9
 MESSAGE_TIMEOUT_S = 5.0  # in which a call must have brought its message
 RESPONSE_HEADERS = [(":status", "200"), ("content-type", "application/grpc")]
 # The one status of each verdict; the on-call page names them
@@ -122,10 +122,8 @@
 
     def _arrived_at(self) -> int:
         """The clock time when the call's message had come."""
-        loop, stream = self.server.loop, self.call.connection.stream
-        loop_now = loop.now()
-        waited = loop_now - stream.arrivals.time_of(stream.arrivals.received, loop_now)
-        return self.server.forwarder.clock() - int(waited * NS_PER_SECOND)
+        arrivals = self.call.connection.stream.arrivals
+        return clock_time_of(arrivals.time_of(arrivals.received, self.server.loop.now()))
 
     def _on_classified(self, statement: FlightStatement, classification: "Classification") -> None:
         if self.state is FlightCallState.DONE:
--- a/query_gateway/http/connection.py
+++ b/query_gateway/http/connection.py
@@ -20,6 +20,7 @@
 )
 from query_gateway.net.log import log
 from query_gateway.net.loop import Task
+from query_gateway.net.steady_clock import clock_time_of
 from query_gateway.net.stream import Reason, Stream
 
 if TYPE_CHECKING:
@@ -32,7 +33,6 @@
 LINGER_SECONDS = 1.0  # how long input is still read behind our half close
 TRANSFER_RETRY_SECONDS = 0.02  # until a connection that could not be transferred is tried again
 DRAIN_FIRST_REQUEST_SECONDS = 0.5  # from a connection's start until its first request, while draining
-NANOSECONDS_PER_SECOND = 1e9
 SERVICE_PREFIX = "/svc"
 LIVENESS_PATH = "/status/live"
 
@@ -148,10 +148,8 @@
 
     def _arrived_at(self) -> int:
         """The clock time when the last byte of the request that was read just now had come."""
-        behind = len(self.http.trailing_data[0])
-        loop_now = self.loop.now()
-        arrived_at = self.stream.arrivals.time_of(self.stream.bytes_taken - behind, loop_now)
-        return self.server.forwarder.clock() - int((loop_now - arrived_at) * NANOSECONDS_PER_SECOND)
+        end = self.stream.bytes_taken - len(self.http.trailing_data[0])
+        return clock_time_of(self.stream.arrivals.time_of(end, self.loop.now()))
 
     def _serve_plain_request(self, plain: PlainRequest) -> OptionalReason:
         self.stream.take_inbox()
--- a/query_gateway/net/steady_clock.py
+++ b/query_gateway/net/steady_clock.py
@@ -22,6 +22,11 @@
     return (clock_time_ns - EPOCH_NS) / NANOSECONDS_PER_SECOND
 
 
+def clock_time_of(loop_time: float) -> int:
+    """The time of this clock (nanoseconds) of a loop time (seconds)."""
+    return EPOCH_NS + int(loop_time * NANOSECONDS_PER_SECOND)
+
+
 def wall_clock_offset_ns() -> int:
     """What must be added to a time of this clock to get that of the wall clock, as it is set just now."""
     return time.time_ns() - steady_now_ns()
