Log with times; say how accept fails, and why a request is rejected before a planner

Need: the evidence of the incident could not be placed in time: log lines carried none, one failing accept gave fifty lines a second, and nothing told whether descriptors were used up or accept alone failed.

Change: each log line begins with the wall clock in UTC and the monotonic clock, which the request trace shows as well. Accept logs the begin of a failure with the number of open descriptors, and its end with its length, in place of a line for each call; svc_accept_failures_total counts the calls.

Tests that read log lines cut the two times off by log_text, which also checks their form; what they expect of the rest is as before.

--- a/bench/fault_soak/run.py
+++ b/bench/fault_soak/run.py
@@ -20,8 +20,9 @@
 
 WATCH_INTERVAL_S = 0.02
 STALL_S = 0.15  # by how much longer a wait takes that counts as a stall of the soak itself
-FAULT_LINES = re.compile(r"^(fault |planner a planner broke|Traceback|.*Error: )")
-INVARIANT_LINES = re.compile(r"^invariant ")
+LOG_TIME = r"\S+Z \S+ "  # wall clock and monotonic clock
+FAULT_LINES = re.compile(rf"^({LOG_TIME}fault |{LOG_TIME}planner a planner broke|Traceback|.*Error: )")
+INVARIANT_LINES = re.compile(rf"^{LOG_TIME}invariant ")
 WARM_UP_S = 1.0
 
 
--- a/query_gateway/admin/figures.py
+++ b/query_gateway/admin/figures.py
@@ -1,5 +1,7 @@
 """The figures as text, a line each: `svc_NAME{LABEL} VALUE`."""
 
+from dataclasses import dataclass
+
 from query_gateway.forwarder.counters import Counters
 from query_gateway.forwarder.messages import Verdict
 
@@ -14,23 +16,35 @@
     return text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
 
 
-def render_figures(counters: Counters, outstanding: int, discovered: int, ejected: int) -> list[str]:
-    """The lines, without line feeds.
+@dataclass(slots=True, frozen=True)
+class Gauges:
+    """What is counted at the time of a call."""
+
+    outstanding: int  # open requests
+    discovered: int  # engines on the endpoint list
+    ejected: int  # those of them that planners have ejected
+    accept_failures: int  # calls of accept that failed, over all listeners
 
-    `outstanding` counts open requests, `discovered` the engines on the endpoint list, `ejected` those of them
-    that planners have ejected.
-    """
+
+def render_figures(counters: Counters, gauges: Gauges) -> list[str]:
+    """The lines, without line feeds."""
     answers = [
         f'{name}{{service="{_escape_label(class_name)}"}} {counts[verdict]}'
         for verdict, name in ANSWER_FIGURES.items()
         for class_name, counts in counters.answers.items()
     ]
+    early_rejections = [
+        f'svc_early_rejections_total{{reason="{reason.value}"}} {count}'
+        for reason, count in counters.early_rejections.items()
+    ]
     return [
         *answers,
+        *early_rejections,
         f"svc_forwards_total {counters.forwards}",
-        f"svc_outstanding {outstanding}",
-        f"svc_discovered {discovered}",
-        f"svc_ejected {ejected}",
+        f"svc_outstanding {gauges.outstanding}",
+        f"svc_discovered {gauges.discovered}",
+        f"svc_ejected {gauges.ejected}",
+        f"svc_accept_failures_total {gauges.accept_failures}",
         f"svc_sighup_applied_total {counters.reloads_applied}",
         f"svc_sighup_rejected_total {counters.reloads_rejected}",
     ]
--- a/query_gateway/admin/gateway_figures.py
+++ b/query_gateway/admin/gateway_figures.py
@@ -3,8 +3,9 @@
 from collections.abc import Callable, Collection
 from typing import TYPE_CHECKING
 
-from query_gateway.admin.figures import render_figures
+from query_gateway.admin.figures import Gauges, render_figures
 from query_gateway.forwarder.forwarder import Forwarder
+from query_gateway.net.listener import Listener
 
 if TYPE_CHECKING:
     from query_gateway.parsing.service import StatementService
@@ -18,12 +19,15 @@
         forwarder: Forwarder,
         ejected_endpoints: Callable[[], Collection[str]],
         statements: "StatementService | None",
+        listeners: Collection[Listener],
     ) -> None:
         """Nothing is counted here.
 
         `ejected_endpoints` gives the names of those that planners have ejected; `statements` is None where
-        statements are not classified, and then there are no figures about them.
+        statements are not classified, and then there are no figures about them. `listeners` are those that
+        clients connect to.
         """
+        self.listeners = listeners
         self.forwarder, self.statements = forwarder, statements
         self.ejected_endpoints = ejected_endpoints
 
@@ -31,7 +35,11 @@
         """The figures as they are now, one a line."""
         endpoints = self.forwarder.endpoints
         ejected_count = sum(name in endpoints for name in self.ejected_endpoints())
-        lines = render_figures(
-            self.forwarder.counters, self.forwarder.open_request_count, len(endpoints), ejected_count
+        gauges = Gauges(
+            self.forwarder.open_request_count,
+            len(endpoints),
+            ejected_count,
+            sum(listener.accept_failures for listener in self.listeners),
         )
+        lines = render_figures(self.forwarder.counters, gauges)
         return lines + (self.statements.figures() if self.statements else [])
--- a/query_gateway/forwarder/counters.py
+++ b/query_gateway/forwarder/counters.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from query_gateway.forwarder.messages import Verdict
+from query_gateway.forwarder.messages import EarlyRejection, Verdict
 
 
 @dataclass(slots=True)
@@ -13,6 +13,9 @@
     """
 
     answers: dict[str, dict[Verdict, int]] = field(default_factory=dict)
+    early_rejections: dict[EarlyRejection, int] = field(
+        default_factory=lambda: dict.fromkeys(EarlyRejection, 0)
+    )
     forwards: int = 0  # attempts written completely to engines
     reloads_applied: int = 0  # configuration reloads that took effect
     reloads_rejected: int = 0  # and those that were not accepted
--- a/query_gateway/forwarder/forwarder.py
+++ b/query_gateway/forwarder/forwarder.py
@@ -22,6 +22,7 @@
     CallAt,
     Client,
     ClientRequest,
+    EarlyRejection,
     Endpoint,
     Notify,
     Verdict,
@@ -35,6 +36,7 @@
 from query_gateway.model.events import EndpointUpdate, Request
 from query_gateway.model.settings import Settings
 
+NO_REQUEST_ID: Final = 0  # in the trace, of a request that was not accepted
 ONLY_TENANT: Final = 0  # no client protocol names a tenant, so every request counts for the first one
 
 
@@ -128,14 +130,31 @@
     def _immediate_answer(self, exchange: Exchange) -> Answer | None:
         """The answer to a request that is not even passed to a planner."""
         if len(self.exchanges) >= self.max_exchanges:
-            return self.rejection()  # more than could be served in time would only fill the memory
+            # More than could be served in time would only fill the memory
+            self._record_early_rejection(exchange.request, EarlyRejection.REQUEST_LIMIT, exchange.request_id)
+            return self.rejection()
         if exchange.request.client_request_id in self.open_client_request_ids:
             # An id stands for one request at the engines, so a second one cannot be sent beside it
             return Answer(Verdict.FAILED)
         if not exchange.planner.connected:
+            self._record_early_rejection(exchange.request, EarlyRejection.NO_PLANNER, exchange.request_id)
             return self.rejection()
         return None
 
+    def reject_unaccepted(self, request: ClientRequest, reason: EarlyRejection) -> Answer:
+        """The answer to a request that a front rejects before it calls `accept`; counts and traces it."""
+        self._record_early_rejection(request, reason, NO_REQUEST_ID)
+        self.counters.count_answer(request.class_name, Verdict.REJECTED)
+        return self.rejection()
+
+    def _record_early_rejection(
+        self, request: ClientRequest, reason: EarlyRejection, request_id: int
+    ) -> None:
+        self.counters.early_rejections[reason] += 1
+        if sink := self.context.request_trace:
+            step = TraceStep.REJECTED_EARLY
+            sink.record(self.clock(), request_id, request.client_request_id, step, reason.value)
+
     def rejection(self) -> Answer:
         """What a request gets that no planner decides on: the longest Retry-After of the settings."""
         return Answer(Verdict.REJECTED, retry_after_ns=self.settings.max_retry_after)
--- a/query_gateway/forwarder/messages.py
+++ b/query_gateway/forwarder/messages.py
@@ -36,6 +36,19 @@
     FAILED = "failed"
 
 
+class EarlyRejection(Enum):
+    """Why a request was rejected without a planner; the value stands in the trace and the figures."""
+
+    LOOP_LAG = "loop-lag"  # the event loop is late
+    DRAINING = "draining"
+    STOPPING = "stopping"  # the process is about to end
+    CONNECTION_LIMIT = "connection-limit"  # its connection came beyond the limit
+    NO_PARSER = "no-parser"  # its statement could not be parsed in time
+    STATEMENT_LIMIT = "statement-limit"  # as many statements of its shape run as may
+    REQUEST_LIMIT = "request-limit"  # as many requests are open as may be
+    NO_PLANNER = "no-planner"  # its planner is not connected
+
+
 @dataclass(slots=True, frozen=True)
 class RequestClass:
     """What the servers know of a request class: its number in the settings, what its requests must bring."""
--- a/query_gateway/forwarder/trace.py
+++ b/query_gateway/forwarder/trace.py
@@ -7,6 +7,7 @@
 class TraceStep(Enum):
     """What happens to a request; the values stand in the trace."""
 
+    REJECTED_EARLY = "rejected-early"  # before the forwarder took it; see `EarlyRejection`
     ACCEPTED = "accepted"
     ATTEMPT_STARTED = "attempt-started"
     SEND_REFUSED = "held-back"  # an attempt was not sent, by the send guard
--- a/query_gateway/gateway.py
+++ b/query_gateway/gateway.py
@@ -123,7 +123,10 @@
             self.announcer.start()
         self.readiness.watchers.append(self.announcer.update)
         self.gateway_figures = GatewayFigures(
-            self.forwarder, self.planner_links.ejected_endpoints, self.statements
+            self.forwarder,
+            self.planner_links.ejected_endpoints,
+            self.statements,
+            self.fronts.listeners,
         )
         self.admin_server = (
             AdminServer(self.loop, config.admin_address, self.readiness, self.gateway_figures.lines)
--- a/query_gateway/http/request_handler.py
+++ b/query_gateway/http/request_handler.py
@@ -6,7 +6,7 @@
 
 from query_gateway.forwarder.exchange import Exchange
 from query_gateway.forwarder.forwarder import Forwarder
-from query_gateway.forwarder.messages import Answer, ClientRequest, Verdict
+from query_gateway.forwarder.messages import Answer, ClientRequest, EarlyRejection
 from query_gateway.forwarder.readiness import DRAIN_REJECT_AFTER_S
 from query_gateway.http.request_decoding import RequestError
 from query_gateway.http.responses import Response, failure_response, response_to
@@ -84,8 +84,8 @@
         # A client that waited long to be accepted may have left already; an engine would run its request for
         # nobody. What has arrived is read here, before anything is forwarded, and shows that it has closed
         self.stream.read_available()
-        if self._must_reject_all():
-            self._reject(request, pending)
+        if reason := self._rejection_of_all():
+            self._reject(request, pending, reason)
         if self.server.statements and pending.answer is None:
             request = yield from self._classify(request, pending, self.server.statements)
             self._check_id_is_free(request)  # another request may have come with its id meanwhile
@@ -113,25 +113,24 @@
         if request.client_request_id in self.server.forwarder.open_client_request_ids:
             raise RequestError(409, "a request with this id is open")
 
-    def _must_reject_all(self) -> bool:
-        """Whether every new request is rejected at once.
+    def _rejection_of_all(self) -> EarlyRejection | None:
+        """Why every new request is rejected at once, if so.
 
         A loop that lags would answer all requests late if it accepted more. Clients that keep sending while
         the gateway drains, or until the process ends, would never let their connections become idle.
         """
         server = self.server
-        return (
-            server.loop.lag() > MAX_LOOP_LAG_SECONDS
-            or server.draining_for(DRAIN_REJECT_AFTER_S)
-            or server.past_abort_time
-            or self.is_over_connection_limit
-        )
-
-    def _reject(self, request: ClientRequest, pending: PendingAnswer) -> None:
+        if server.loop.lag() > MAX_LOOP_LAG_SECONDS:
+            return EarlyRejection.LOOP_LAG
+        if server.draining_for(DRAIN_REJECT_AFTER_S):
+            return EarlyRejection.DRAINING
+        if server.past_abort_time:
+            return EarlyRejection.STOPPING
+        return EarlyRejection.CONNECTION_LIMIT if self.is_over_connection_limit else None
+
+    def _reject(self, request: ClientRequest, pending: PendingAnswer, reason: EarlyRejection) -> None:
         """Reject before the forwarder knows of the request."""
-        forwarder = self.server.forwarder
-        pending.send_answer(forwarder.rejection())
-        forwarder.counters.count_answer(request.class_name, Verdict.REJECTED)
+        pending.send_answer(self.server.forwarder.reject_unaccepted(request, reason))
 
     def _classify(
         self, request: ClientRequest, pending: PendingAnswer, statements: "StatementService"
@@ -153,14 +152,14 @@
         while not results and not self.stream.is_over:
             yield None
         if not results or results[0].decision is None:
-            self._reject(request, pending)
+            self._reject(request, pending, EarlyRejection.NO_PARSER)
             return request
         decision, fingerprint = results[0].decision, results[0].fingerprint
         if decision.is_write:
             reason = decision.reason or f"it writes, so it cannot run as {request.class_name}"
             raise RequestError(400, reason)
         if statements.rejection_reason(fingerprint, self.server.forwarder.clock()):
-            self._reject(request, pending)
+            self._reject(request, pending, EarlyRejection.STATEMENT_LIMIT)
         return replace(request, fingerprint=fingerprint)
 
     def _await_answer(self, pending: PendingAnswer) -> Generator[float | None, None, Response | Reason]:
--- a/query_gateway/net/listener.py
+++ b/query_gateway/net/listener.py
@@ -3,6 +3,7 @@
 import socket
 from collections.abc import Callable
 
+from query_gateway.net.descriptors import describe_descriptors
 from query_gateway.net.errors import CONNECTION_LOST_IN_BACKLOG
 from query_gateway.net.log import log
 from query_gateway.net.loop import IN, Loop
@@ -44,6 +45,8 @@
         # inherited socket some may wait already
         self._waiting_since = loop.now() if inherited else None
         self._close_deadline = 0.0  # loop time
+        self.accept_failures = 0  # calls of accept that failed for this process's or the machine's sake
+        self._failing_since: float | None = None  # loop time of the first of these without a success since
         self.socket = inherited or retry_at_start(lambda: self._listening_socket(address, shared))
         self.address: tuple[str, int] = self.socket.getsockname()
         if not inherited:
@@ -98,15 +101,17 @@
             sock, (host, port) = self.socket.accept()
         except BlockingIOError:
             self._waiting_since = None
+            self._record_success()
             if self.closing:
                 self._finish_closing()
             return False
         except OSError as error:
             if error.errno in CONNECTION_LOST_IN_BACKLOG:
                 return True
-            log("accept", f"cannot accept: {error.strerror}")
+            self._record_failure(error)
             self._retry_accept_later()
             return False
+        self._record_success()
         try:
             self.on_accept(sock, f"{host}:{port}")
         except OSError as error:
@@ -115,6 +120,17 @@
             sock.close()
         return True
 
+    def _record_failure(self, error: OSError) -> None:
+        self.accept_failures += 1
+        if self._failing_since is None:
+            self._failing_since = self.loop.now()
+            log("accept", f"cannot accept: {error.strerror}; {describe_descriptors()}")
+
+    def _record_success(self) -> None:
+        if self._failing_since is not None:
+            log("accept", f"accepts again after {self.loop.now() - self._failing_since:.3f} s")
+            self._failing_since = None
+
     def _retry_accept_later(self) -> None:
         """Descriptors or buffers are out: accept again after `ACCEPT_RETRY_SECONDS`.
 
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -7,6 +7,7 @@
 import subprocess
 import threading
 from collections.abc import Iterator
+from datetime import UTC, datetime
 from typing import Any, AnyStr
 from uuid import uuid4
 
@@ -18,7 +19,7 @@
 
 __all__ = [
     "SETTINGS", "Engine", "apply_endpoint_list", "config", "ended_on_exit", "endpoint_list_answer",
-    "flatten_settings", "host", "post", "running_gateway",
+    "flatten_settings", "host", "log_text", "post", "running_gateway",
 ]  # fmt: skip
 
 SEC = 1_000_000_000
@@ -204,6 +205,13 @@
     return answer.status, json.loads(body), {k.lower(): v for k, v in answer.getheaders()}
 
 
+def log_text(line: str) -> str:
+    """KIND and TEXT of a line of the log, whose two times must be well-formed."""
+    wall_clock, monotonic_clock, text = line.split(" ", 2)
+    assert datetime.fromisoformat(wall_clock).tzinfo is UTC and float(monotonic_clock) > 0
+    return text
+
+
 @contextlib.contextmanager
 def ended_on_exit(process: "subprocess.Popen[AnyStr]") -> Iterator["subprocess.Popen[AnyStr]"]:
     """End a gateway that still runs when the test leaves, as it does where an assertion fails.
--- a/tests/test_momentary_errors.py
+++ b/tests/test_momentary_errors.py
@@ -4,6 +4,7 @@
 import errno
 import http.client
 import os
+import re
 import signal
 import socket
 import subprocess
@@ -25,7 +26,7 @@
 from query_gateway.planner import supervisor
 from query_gateway.planner.supervisor import Supervisor
 from tests.race_helpers import send_request, settings_without_timeouts
-from tests.stand_ins import Engine, post
+from tests.stand_ins import Engine, log_text, post
 from tests.test_local import until
 from tests.test_web import ROWS, SQL, running
 
@@ -122,6 +123,24 @@
     loop.close()
 
 
+def test_failing_accept_is_logged_with_its_descriptors_and_with_how_long_it_lasted(
+    capfd: pytest.CaptureFixture[str], reset_log_rate_limit: None
+) -> None:
+    """One line when it begins and one when it is over, not one for each call."""
+    loop, accepted = Loop(), list[socket.socket]()
+    listener = Listener(loop, ("127.0.0.1", 0), lambda sock, _: accepted.append(sock))
+    client = socket.create_connection(listener.address)
+    listener.socket = FailingSocket(listener.socket, accept=(errno.EMFILE, 3))  # type: ignore[assignment]
+    while not accepted:
+        loop.turn()
+    begin, end = (log_text(line) for line in capfd.readouterr().err.splitlines())
+    assert re.fullmatch(r"accept cannot accept: for a moment; \d+ of \d+ descriptors open", begin)
+    assert re.fullmatch(r"accept accepts again after 0\.\d{3} s", end) and listener.accept_failures == 3
+    for sock in (client, *accepted):
+        sock.close()
+    loop.close()
+
+
 @pytest.mark.parametrize("error", [errno.ENFILE, errno.ENOBUFS, errno.ECONNABORTED, errno.ENETUNREACH])
 def test_listener_that_closes_while_accept_fails_accepts_what_waits_first(error: int) -> None:
     """A listener closes while `accept` fails for a moment.
--- a/tests/test_operator_file.py
+++ b/tests/test_operator_file.py
@@ -6,7 +6,7 @@
 
 from query_gateway.configuration.operator_file import OperatorSettings, read_operator_settings
 from query_gateway.net.log import log
-from tests.stand_ins import config
+from tests.stand_ins import config, log_text
 
 NAME, DEPRECATED_NAME = "QUERY_GATEWAY_OPERATOR_FILE", "MOTHKNOT_OPERATOR"
 DEPRECATION = f"configuration {DEPRECATED_NAME} is deprecated; use {NAME}\n"
@@ -34,7 +34,8 @@
 ) -> None:
     settings = read_operator_settings({DEPRECATED_NAME: operator_file(tmp_path, "report")}, config([]))
     assert settings.query_class == "report" and settings.flight_address == ("127.0.0.1", 0)
-    assert capfd.readouterr().err == DEPRECATION
+    [line] = capfd.readouterr().err.splitlines(keepends=True)
+    assert log_text(line) == DEPRECATION
 
 
 def test_the_present_variable_counts_where_both_are_set(
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -12,6 +12,7 @@
 from query_gateway.configuration.operator_file import OperatorSettings, parse_operator_settings
 from query_gateway.configuration.platform import parse_configuration
 from query_gateway.forwarder.readiness import Phase, Readiness
+from query_gateway.forwarder.trace import TraceStep
 from query_gateway.gateway import Gateway
 from query_gateway.net.loop import Loop
 from query_gateway.net.stream import Stream
@@ -85,6 +86,22 @@
         assert sum(now[f'svc_{end}_total{{service="lookup"}}'] for end in ends) == 5
 
 
+def test_a_rejection_before_the_forwarder_is_counted_and_traced_with_its_reason() -> None:
+    """Without the reason nobody could tell a lagging loop from a connection beyond the limit."""
+    steps = list[tuple[TraceStep, str]]()
+
+    class RecordingTrace:
+        def record(self, _: int, __: int, ___: str, step: TraceStep, details: str) -> None:
+            steps.append((step, details))
+
+    with running(Engine(), **WITH_ADMIN) as gateway:
+        gateway.forwarder.context.request_trace = RecordingTrace()
+        gateway.loop.lag = lambda: 1.0  # type: ignore[method-assign]
+        assert post(gateway, "lookup", SQL)[0] == 429
+        assert figures(gateway)['svc_early_rejections_total{reason="loop-lag"}'] == 1
+    assert steps == [(TraceStep.REJECTED_EARLY, "loop-lag")]
+
+
 def test_bytes_count_as_sent_once_the_last_has_left() -> None:
     """The figure of forwards depends on it: bytes that are only queued may never be sent."""
     loop, said = Loop(), list[int]()
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -41,6 +41,7 @@
     ended_on_exit,
     endpoint_list_answer,
     host,
+    log_text,
     post,
     running_gateway,
 )
@@ -646,7 +647,7 @@
         for text, said in (("{}", "stays in force"), (moved, taken)):
             file.write_text(text)
             process.send_signal(signal.SIGHUP)
-            while not (line := process.stderr.readline()).startswith("reload"):
+            while not log_text(line := process.stderr.readline()).startswith("reload"):
                 assert line
             assert said in line
         assert new.answer(b'{"pos":8,"entries":[]}') == "/journal?tail=7"
