Pass loads of a key to the planner in the order of their arrival at the machine

Cause: a planner ran the requests of a key in the order in which they were decoded. The promise is about the order in which the machine took them.

Change: requests with a key wait in ArrivalOrder until ArrivalWatermark says that everything that came before them has been accepted, read and decoded, and then go on by their time of arrival, which Linux tells of a connection's newest data (TCP_INFO, by its monotonic clock). A listener knows now whether anybody waits while it cannot accept: before, it also took an empty accept queue for a full one, after exactly 32 connections or a failure behind the last one, and the next request then counted as come long ago. Deadlines use the machine's time of arrival too, where it is the earlier one.

Why it holds: a request is passed on only after a turn of the loop that began behind its arrival has accepted until nobody waited, and a second one has read all connections until nothing was left; a turn that could not do so does not count.

--- a/query_gateway/composition.py
+++ b/query_gateway/composition.py
@@ -25,7 +25,7 @@
 from query_gateway.lifecycle.upgrade_messages import FLIGHT_FRONT, HTTP_FRONT
 from query_gateway.net.log import log
 from query_gateway.net.loop import Loop, Timer
-from query_gateway.net.steady_clock import loop_time_of, steady_now_ns
+from query_gateway.net.steady_clock import clock_time_of, loop_time_of, steady_now_ns
 from query_gateway.planner.planner import Planner
 
 if TYPE_CHECKING:
@@ -91,6 +91,37 @@
     return call_at
 
 
+class ClockWatermark:
+    """The loop's watermark in the forwarder's clock."""
+
+    def __init__(self, loop: Loop) -> None:
+        """Nobody awaits it yet."""
+        self.loop = loop
+
+    @property
+    def read_through(self) -> int:
+        """Every request that came before this clock time is known."""
+        return clock_time_of(self.loop.watermark.read_through)
+
+    def await_progress(self, is_awaited: bool) -> None:
+        """Have the loop turn on without a sleep while the watermark can move and somebody waits for it."""
+        self.loop.watermark.is_awaited = is_awaited
+        if is_awaited and not self.loop.watermark.is_blocked:
+            self.loop.call_at(self.loop.now(), lambda: None)
+
+
+def _keep_arrival_order(loop: Loop, forwarder: Forwarder) -> None:
+    """Release what waits at the end of each turn, before a planner in this process decides."""
+    order = forwarder.keep_arrival_order(ClockWatermark(loop))
+
+    def release() -> bool:
+        """Run as a hook of the loop; nothing more is to be done in the same turn."""
+        order.release()
+        return False
+
+    loop.turn_hooks.append(release)
+
+
 def build_forwarder(loop: Loop, active: ActiveConfiguration) -> Forwarder:
     """The table of exchanges, with a line of figures for each class."""
     config = active.config
@@ -100,6 +131,7 @@
     forwarder = Forwarder(
         config.settings, steady_now_ns, clock_alarm(loop), max_exchanges(config), first_request_id
     )
+    _keep_arrival_order(loop, forwarder)
     forwarder.slow_start_budgets.process_count = active.operator.forwarder_count
     forwarder.invariants.on_violation = lambda invariant, details: log(
         "invariant", f"{invariant.value} is violated: {details}"
--- a/query_gateway/flight/client_call.py
+++ b/query_gateway/flight/client_call.py
@@ -115,6 +115,7 @@
     def on_aborted(self, never_ran: bool) -> None:
         """Abandon the request of a client that has cancelled its call or lost its connection."""
         self.state = FlightCallState.DONE
+        self.server.loop.watermark.release(self)
         if self.exchange:
             self.exchange.abandon()
 
@@ -123,7 +124,10 @@
     def _classify(self, text: str, is_update: bool) -> None:
         """Forward a statement at once, or once it has been parsed where statements are."""
         server = self.server
-        statement = FlightStatement(text, is_update, self._arrived_at())
+        stream = self.call.connection.stream
+        arrival = stream.arrival_of(stream.arrivals.received)
+        received_at, order_at = clock_time_of(arrival.earliest), clock_time_of(arrival.latest)
+        statement = FlightStatement(text, is_update, received_at, order_at)
         class_name = self.request_headers.get("x-class")
         if server.statements is None:
             default_class = server.update_class if is_update else server.query_class
@@ -136,16 +140,16 @@
         self.state = FlightCallState.CLASSIFYING
         key = hex_header(self.request_headers, "x-row", KEY_DIGITS, False)
 
+        watermark = server.loop.watermark
+
         def on_classified(classification: "Classification") -> None:
             """Go on with this statement."""
+            watermark.release(self)
             self._on_classified(statement, classification)
 
-        server.statements.classify(text, class_name, key, on_classified)
+        watermark.hold(self, arrival.latest)
 
-    def _arrived_at(self) -> int:
-        """The clock time when the call's message had come."""
-        arrivals = self.call.connection.stream.arrivals
-        return clock_time_of(arrivals.time_of(arrivals.received, self.server.loop.now()))
+        server.statements.classify(text, class_name, key, on_classified)
 
     def _on_classified(self, statement: FlightStatement, classification: "Classification") -> None:
         if self.state is FlightCallState.DONE:
--- a/query_gateway/flight/requests.py
+++ b/query_gateway/flight/requests.py
@@ -42,7 +42,8 @@
 
     text: str
     is_update: bool  # sent through DoPut: the client marks it as one that changes something
-    received_at_ns: int  # clock time
+    received_at_ns: int  # clock time, the earliest
+    order_at_ns: int = 0  # clock time when it had come, as exactly as is known
 
 
 def build_flight_classes(classes: RequestClasses, settings: Settings) -> dict[str, FlightClass]:
@@ -107,6 +108,7 @@
         estimated_work=_estimated_work_ns(work_hint_ms, classification),
         estimated_memory_mb=_memory_mb(headers, classification),
         table_group=None if group is None else float(group),
+        received_at=statement.order_at_ns,
         is_update=statement.is_update,
         fingerprint=classification.fingerprint if classification else b"",
     )
--- /dev/null
+++ b/query_gateway/forwarder/arrival_order.py
@@ -0,0 +1,71 @@
+"""Arrival order: requests with a key wait until every request that came before them is known.
+
+The machine accepts connections and buffers requests while this process cannot read them, and reports them in
+any order once it can. A planner runs the requests of a key in the order in which it is notified of them, so
+it is notified of each only when no earlier one can be unread any more.
+
+Inputs  the request's time of arrival; the watermark: the time up to which all that came is known
+Answer  the requests that may be passed on, in the order of their arrival
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Generic, Protocol, TypeVar
+
+Waiting = TypeVar("Waiting")  # what waits for its turn
+
+
+class Watermark(Protocol):
+    """The progress of reading, in clock time (nanoseconds)."""
+
+    @property
+    def read_through(self) -> int:
+        """Every request that came before is known."""
+
+    def await_progress(self, is_awaited: bool) -> None:
+        """Whether somebody waits for the watermark to move."""
+
+
+@dataclass(slots=True, frozen=True)
+class _Entry(Generic[Waiting]):
+    arrived_at: int  # clock time
+    waiting: Waiting
+
+
+class ArrivalOrder(Generic[Waiting]):
+    """What waits for the watermark, by request id."""
+
+    def __init__(self, watermark: Watermark, on_released: Callable[[Waiting], None]) -> None:
+        """`on_released` takes what has waited, in the order of its arrival."""
+        self.watermark = watermark
+        self.on_released = on_released
+        self._entries: dict[int, _Entry[Waiting]] = {}
+
+    @property
+    def waiting_count(self) -> int:
+        """How many wait."""
+        return len(self._entries)
+
+    def must_wait(self, arrived_at: int) -> bool:
+        """Whether an earlier request may still be unknown."""
+        return arrived_at > self.watermark.read_through
+
+    def queue(self, request_id: int, arrived_at: int, waiting: Waiting) -> None:
+        """Let a request wait for its turn."""
+        self._entries[request_id] = _Entry(arrived_at, waiting)
+        self.watermark.await_progress(True)
+
+    def remove(self, request_id: int) -> None:
+        """Forget a request that has ended; harmless if it does not wait."""
+        self._entries.pop(request_id, None)
+
+    def release(self) -> None:
+        """Pass on all whose turn has come; for the end of each turn of the loop."""
+        if not self._entries:
+            return
+        read_through = self.watermark.read_through
+        due = [item for item in self._entries.items() if item[1].arrived_at <= read_through]
+        for request_id, entry in sorted(due, key=lambda item: (item[1].arrived_at, item[0])):
+            del self._entries[request_id]
+            self.on_released(entry.waiting)
+        self.watermark.await_progress(bool(self._entries))
--- a/query_gateway/forwarder/forwarder.py
+++ b/query_gateway/forwarder/forwarder.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from typing import Final
 
+from query_gateway.forwarder.arrival_order import ArrivalOrder, Watermark
 from query_gateway.forwarder.attempt import AttemptTerms, outcome_of_unknown_request
 from query_gateway.forwarder.counters import Counters
 from query_gateway.forwarder.exchange import Exchange
@@ -70,6 +71,7 @@
         self.engine_clients: dict[str, ForwardingEngineClient] = {}  # by wire
         self.router = PlannerRouter()
         self.key_quarantine = KeyQuarantine(clock, call_at, self._pass_to_planner)
+        self.arrival_order: ArrivalOrder[Exchange] | None = None  # None: requests come in order
         self.counters = Counters()
         self.invariants = InvariantChecks()
         self.slow_start_budgets = SlowStartBudgets()
@@ -121,11 +123,24 @@
         if request.fingerprint and self.context.observer:
             self.context.observer.on_accepted(request)
         exchange.timer = self.context.call_at(request.deadline, exchange.on_deadline)
-        if self.key_quarantine.applies_to(exchange.planner.index, request.key):
+        if request.key and self.arrival_order and self.arrival_order.must_wait(request.received_at):
+            exchange.trace(TraceStep.HELD_FOR_ORDER)
+            self.arrival_order.queue(exchange.request_id, request.received_at, exchange)
+        else:
+            self._take_in_order(exchange)
+        return exchange
+
+    def _take_in_order(self, exchange: Exchange) -> None:
+        """Pass on a request before which no other of its key is unknown."""
+        if self.key_quarantine.applies_to(exchange.planner.index, exchange.request.key):
             self.key_quarantine.queue(exchange.planner.index, exchange)
         else:
             self._pass_to_planner(exchange)
-        return exchange
+
+    def keep_arrival_order(self, watermark: Watermark) -> ArrivalOrder[Exchange]:
+        """Put requests with a key in the order of their arrival from now on; the caller calls `release`."""
+        self.arrival_order = ArrivalOrder(watermark, self._take_in_order)
+        return self.arrival_order
 
     def _immediate_answer(self, exchange: Exchange) -> Answer | None:
         """The answer to a request that is not even passed to a planner."""
@@ -178,6 +193,8 @@
             self.context.observer.on_settled(exchange.request)
         if exchange.timer:
             exchange.timer.cancel()
+        if self.arrival_order:
+            self.arrival_order.remove(request_id)
         if not self.exchanges:
             self.on_idle()
 
--- a/query_gateway/forwarder/messages.py
+++ b/query_gateway/forwarder/messages.py
@@ -76,6 +76,7 @@
     estimated_work: int | None  # processor time in nanoseconds over all threads
     estimated_memory_mb: float
     table_group: float | None
+    received_at: int = 0  # clock time when it had come, as exactly as is known: requests of a key go by it
     is_update: bool = False  # a statement without a result, on a wire that distinguishes these
     fingerprint: bytes = b""  # of the parsed statement; empty: not parsed, so nothing is learned from it
 
--- a/query_gateway/forwarder/trace.py
+++ b/query_gateway/forwarder/trace.py
@@ -9,6 +9,7 @@
 
     REJECTED_EARLY = "rejected-early"  # before the forwarder took it; see `EarlyRejection`
     ACCEPTED = "accepted"
+    HELD_FOR_ORDER = "held-for-order"  # a request of its key that came earlier may still be unread
     ATTEMPT_STARTED = "attempt-started"
     SEND_REFUSED = "held-back"  # an attempt was not sent, by the send guard
     ATTEMPT_WRITTEN = "attempt-written"
--- a/query_gateway/http/connection.py
+++ b/query_gateway/http/connection.py
@@ -17,12 +17,13 @@
 
 import socket
 from collections.abc import Generator
+from dataclasses import replace
 from typing import Protocol
 
 import h11
 
 from query_gateway.forwarder.invariants import Invariant
-from query_gateway.forwarder.messages import RequestClasses
+from query_gateway.forwarder.messages import ClientRequest, RequestClasses
 from query_gateway.forwarder.readiness import DRAIN_CLOSE_IDLE_AFTER_S, Readiness
 from query_gateway.http.end_reasons import (
     reason_after_last_response,
@@ -173,17 +174,19 @@
 
     # ---- one request
 
-    def _arrived_at(self) -> int:
-        """The clock time when the last byte of the request that was read just now had come."""
+    def _decode(self, class_name: str, headers: dict[str, str], body: bytes) -> ClientRequest:
+        """Decode the request that was read just now, with when it had come; raises RequestError."""
         end = self.stream.bytes_taken - len(self.http.trailing_data[0])
-        return clock_time_of(self.stream.arrivals.time_of(end, self.loop.now()))
+        arrival = self.stream.arrival_of(end)
+        arrived_at = clock_time_of(arrival.earliest)
+        request = decode_request(class_name, self.server.classes, headers, body, arrived_at)
+        return replace(request, received_at=clock_time_of(arrival.latest)) if request.key else request
 
     def _serve_plain_request(self, plain: PlainRequest) -> OptionalReason:
         self.stream.take_inbox()
         self._on_complete_request()
         self.sender.bypasses_h11 = True
-        server, class_name = self.server, plain.path.rpartition("/")[2]
-        request = decode_request(class_name, server.classes, plain.headers, plain.body, self._arrived_at())
+        request = self._decode(plain.path.rpartition("/")[2], plain.headers, plain.body)
         response = yield from self.handler.handle(request)
         if isinstance(response, Reason):
             return response
@@ -215,10 +218,7 @@
         """Answer for the liveness path, or have the statement handled."""
         if liveness := liveness_response(request, self.server.readiness.ready):
             return liveness
-        class_name = addressed_class_name(request)
-        decoded = decode_request(
-            class_name, self.server.classes, request.headers, request.body, self._arrived_at()
-        )
+        decoded = self._decode(addressed_class_name(request), request.headers, request.body)
         return (yield from self.handler.handle(decoded))
 
     # ---- responses and the end
--- a/query_gateway/http/request_handler.py
+++ b/query_gateway/http/request_handler.py
@@ -11,6 +11,7 @@
 from query_gateway.http.request_decoding import RequestError
 from query_gateway.http.responses import Response, failure_response, response_to
 from query_gateway.net.loop import Loop
+from query_gateway.net.steady_clock import loop_time_of
 from query_gateway.net.stream import Reason, Stream
 
 if TYPE_CHECKING:
@@ -148,9 +149,15 @@
             results.append(result)
             self.wake()
 
-        statements.classify(request.statement.decode(), request.class_name, request.key, on_classified)
-        while not results and not self.stream.is_over:
-            yield None
+        watermark = self.server.loop.watermark
+        if request.key:
+            watermark.hold(self, loop_time_of(request.received_at))
+        try:
+            statements.classify(request.statement.decode(), request.class_name, request.key, on_classified)
+            while not results and not self.stream.is_over:
+                yield None
+        finally:
+            watermark.release(self)
         if not results or results[0].decision is None:
             self._reject(request, pending, EarlyRejection.NO_PARSER)
             return request
--- a/query_gateway/net/buffered_socket.py
+++ b/query_gateway/net/buffered_socket.py
@@ -13,11 +13,12 @@
 import socket
 from collections.abc import Callable
 
-from query_gateway.net.arrivals import ArrivalLog
+from query_gateway.net.arrivals import ArrivalLog, ArrivalTime
 from query_gateway.net.dial import dial_result
-from query_gateway.net.errors import LOCAL_DIAL_FAILURES, is_momentary
+from query_gateway.net.errors import LOCAL_DIAL_FAILURES, NOTHING_THERE, is_momentary
 from query_gateway.net.loop import IN, OUT, Loop
 from query_gateway.net.outbox import Outbox
+from query_gateway.net.tcp_info import seconds_since_last_data
 
 READ_SIZE_BYTES = 65_536
 MAX_INBOX_BYTES = 262_144  # read ahead of the consumer; beyond it reading pauses
@@ -76,7 +77,7 @@
         if self.outbox:
             self._flush()
         if not self.eof and not self.read_paused:
-            self._read()
+            self._read_event()
         self._update_mask()
         self.on_activity()
 
@@ -94,12 +95,22 @@
 
     # ---- the read side
 
+    def _read_event(self) -> None:
+        """Read what the machine reported: once, or until nothing is left where the watermark is awaited."""
+        if not self._is_accepted or not self.loop.watermark.is_awaited:
+            self._read()
+            return
+        while not (self.eof or self.closed or self.read_paused) and self._read():
+            pass
+
     def _read(self) -> bool:
         """Read once; whether anything was there, be it the end of the connection."""
         try:
             data = self.sock.recv(READ_SIZE_BYTES)
         except OSError as error:
             if is_momentary(error):
+                if error.errno not in NOTHING_THERE and self._is_accepted:
+                    self.loop.watermark.spoil_turn()
                 return False
             self.eof = self.reset = True
             return True
@@ -108,13 +119,28 @@
         self.inbox += data
         if self._is_accepted:
             # What was read may have waited as long as the loop had no time for it
-            arrived_at = self.loop.now() - self.loop.lag()
-            self.arrivals.record_read(len(data), arrived_at, more_waits=len(data) >= READ_SIZE_BYTES)
+            now = self.loop.now()
+            arrived_at = now - self.loop.lag()
+            self.arrivals.record_read(len(data), arrived_at, now, more_waits=len(data) >= READ_SIZE_BYTES)
         self.read_paused = len(self.inbox) >= MAX_INBOX_BYTES
         if self.read_paused:
             self.arrivals.unread_since = self.loop.now()
         return True
 
+    def arrival_of(self, position: int) -> ArrivalTime:
+        """When the byte at a position of what was received, counted from 1, had come.
+
+        `latest` is what the machine tells of its newest data, so it is exact for a request behind which
+        nothing has come; where the machine tells nothing, it is `earliest`.
+        """
+        now = self.loop.now()
+        earliest, read_at = self.arrivals.time_of(position, now)
+        waited = seconds_since_last_data(self.sock)
+        if waited is None:
+            return ArrivalTime(earliest, earliest)
+        latest = min(read_at, now - waited)
+        return ArrivalTime(min(earliest, latest), latest)
+
     def read_available(self) -> None:
         """Read what has arrived since the last poll, for a decision that depends on it."""
         size_before, eof_before = len(self.inbox), self.eof
--- a/query_gateway/net/errors.py
+++ b/query_gateway/net/errors.py
@@ -5,6 +5,7 @@
 # The machine is short of memory or buffers just now, or a signal came. The socket is as it was before, so the
 # call is made again later
 MOMENTARY = frozenset((errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR, errno.ENOBUFS, errno.ENOMEM))
+NOTHING_THERE = frozenset((errno.EAGAIN, errno.EWOULDBLOCK))  # of these: there was nothing to do
 # A dial failed because this machine lacks a port, a route or a buffer. The peer was not reached: it is not at
 # fault
 LOCAL_DIAL_FAILURES = frozenset(
--- a/query_gateway/net/listener.py
+++ b/query_gateway/net/listener.py
@@ -1,5 +1,6 @@
 """Listening sockets: accept in bounded batches, pause, and shared or inherited sockets."""
 
+import select
 import socket
 from collections.abc import Callable
 
@@ -41,16 +42,17 @@
         """
         self.loop, self.on_accept = loop, on_accept
         self.closed = self.closing = self.paused = False
-        # Loop time since when connections may have been waiting; None: none waited at the last look. At an
-        # inherited socket some may wait already
-        self._waiting_since = loop.now() if inherited else None
+        # Loop time since when connections may have been waiting; None: none waited at the last look
+        self._waiting_since: float | None = None
         self._close_deadline = 0.0  # loop time
         self.accept_failures = 0  # calls of accept that failed for this process's or the machine's sake
         self._failing_since: float | None = None  # loop time of the first of these without a success since
         self.socket = inherited or retry_at_start(lambda: self._listening_socket(address, shared))
         self.address: tuple[str, int] = self.socket.getsockname()
-        if not inherited:
-            self.resume()
+        if inherited:
+            self._record_waiting()  # some may wait already
+        else:
+            self._listen()
 
     @staticmethod
     def _listening_socket(address: tuple[str, int], shared: bool) -> socket.socket:
@@ -70,7 +72,7 @@
     def resume(self) -> None:
         """Accept connections, from now on or again."""
         self.paused = False
-        self._listen()
+        self._listen_again()
 
     @property
     def waiting_since(self) -> float | None:
@@ -86,28 +88,50 @@
 
     def _record_waiting(self) -> None:
         """From now on connections may wait, until the backlog is seen empty."""
+        self.loop.watermark.backlogged.add(self)
         if self._waiting_since is None:
             self._waiting_since = self.loop.now() - self.loop.lag()
 
+    def _record_empty_backlog(self) -> None:
+        """Nobody waits: with that, a listener that closes is done."""
+        self.loop.watermark.backlogged.discard(self)
+        self._waiting_since = None
+        if self.closing:
+            self._finish_closing()
+
+    def _has_waiting_connection(self) -> bool:
+        """Whether the backlog holds a connection, also while none can be accepted."""
+        poll = select.poll()
+        poll.register(self.socket, select.POLLIN)
+        try:
+            return bool(poll.poll(0))
+        except OSError:
+            return True  # not known
+
     def _ready(self) -> None:
         for _ in range(MAX_ACCEPTS_PER_EVENT):
             if not self._accept():
                 return
-        self._record_waiting()
+        if self._has_waiting_connection():
+            self._record_waiting()
+        else:
+            self._record_empty_backlog()
 
     def _accept(self) -> bool:
         """Accept one connection; False if none waits or none can be accepted now."""
         try:
             sock, (host, port) = self.socket.accept()
         except BlockingIOError:
-            self._waiting_since = None
             self._record_success()
-            if self.closing:
-                self._finish_closing()
+            self._record_empty_backlog()
             return False
         except OSError as error:
             if error.errno in CONNECTION_LOST_IN_BACKLOG:
                 return True
+            # Without a descriptor to give, accept fails before it looks whether anybody waits
+            if not self._has_waiting_connection():
+                self._record_empty_backlog()
+                return False
             self._record_failure(error)
             self._retry_accept_later()
             return False
@@ -140,21 +164,27 @@
         now = self.loop.now()
         if not self.closing:
             self.loop.watch(self.socket, 0, self._ready)
-            self.loop.call_at(now + ACCEPT_RETRY_SECONDS, self._listen)
+            self.loop.call_at(now + ACCEPT_RETRY_SECONDS, self._listen_again)
         elif now < self._close_deadline:
             self.loop.call_at(now + ACCEPT_RETRY_SECONDS, self._accept_backlog)
         else:
             self._finish_closing()
 
+    def _listen_again(self) -> None:
+        """Listen after a pause. Nobody may wait any more, and then no event will say so."""
+        if self.closed or self.closing or self.paused:
+            return
+        if not self._has_waiting_connection():
+            self._record_empty_backlog()
+        self._listen()
+
     def _listen(self) -> None:
         if not self.closed and not self.closing and not self.paused:
             self.loop.watch(self.socket, IN, self._ready)
 
     def release(self) -> None:
         """Stop accepting and leave the backlog to the other process that has this socket."""
-        if not self.closed:
-            self.closed = True
-            self.loop.dispose(self.socket)
+        self._finish_closing()
 
     def close(self) -> None:
         """Accept what waits in the backlog, then stop.
@@ -177,4 +207,5 @@
     def _finish_closing(self) -> None:
         if not self.closed:
             self.closed = True
+            self.loop.watermark.backlogged.discard(self)
             self.loop.dispose(self.socket)
--- a/query_gateway/net/loop.py
+++ b/query_gateway/net/loop.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable, Generator
 from itertools import count
 
+from query_gateway.net.arrival_watermark import ArrivalWatermark
 from query_gateway.net.log import log
 from query_gateway.net.retry import retry_at_start
 
@@ -101,6 +102,7 @@
         self.running = True
         self.faults = 0  # exceptions that escaped a coroutine or a handler
         self.turn_started_at = self.now()
+        self.watermark = ArrivalWatermark(self.turn_started_at)
         self.last_turn_time = 0.0  # seconds that the turn before took; 0 if the loop slept in between
         self.soon_callbacks: deque[Callable[[], object]] = deque()
         self.wake_reader, self.wake_writer = retry_at_start(socket.socketpair)
@@ -203,6 +205,8 @@
         self._run_due_timers(now)
         for _ in range(TASK_ROUNDS):
             self._run_ready()
+        if not self.ready:
+            self.watermark.end_turn()
         if not self._run_turn_hooks():
             self.call_at(now, lambda: None)  # work is left: the next poll must not block
         self._close_disposed_sockets()
@@ -215,7 +219,10 @@
         elif self.timers:
             timeout = min(timeout, max(0.0, self.timers[0][0] - self.now()))
         polled_at = self.now()
+        self.watermark.begin_turn(polled_at)
         events = self._poll(timeout)
+        if len(events) >= MAX_EVENTS_PER_POLL:
+            self.watermark.spoil_turn()
         now = self.now()
         if timeout == 0.0:
             self.last_turn_time = now - self.turn_started_at
@@ -235,6 +242,7 @@
         except OSError as error:
             # One failed poll must not end the process with all its connections. Nothing is lost: epoll is
             # level-triggered and reports what is ready again in the next turn
+            self.watermark.spoil_turn()
             log("fault", f"a poll failed: {error.strerror}")
             self.faults += 1
             return []
--- a/tests/test_flight.py
+++ b/tests/test_flight.py
@@ -86,7 +86,10 @@
 
 @contextmanager
 def gateway(
-    *flight_engines: FlightEngine, web: tuple[Engine, ...] = (), statements: StatementSettings | None = None
+    *flight_engines: FlightEngine,
+    web: tuple[Engine, ...] = (),
+    statements: StatementSettings | None = None,
+    **overrides: Any,
 ) -> Iterator[Gateway]:
     """A complete gateway, HTTP and Flight SQL, on a thread of its own."""
     hosts = []
@@ -97,7 +100,7 @@
         host["dial"] = web[number].address if number < len(web) else "127.0.0.1:1"
         hosts.append(host)
     operator = OperatorSettings(flight_address=("127.0.0.1", 0), statements=statements)
-    gate = Gateway(config(hosts), operator, signals=False)
+    gate = Gateway(config(hosts, **overrides), operator, signals=False)
     thread = threading.Thread(target=gate.loop.run, daemon=True)
     thread.start()
     try:
--- a/tests/test_key_order.py
+++ b/tests/test_key_order.py
@@ -1,6 +1,7 @@
 """Loads of one key run in the order in which they came, whatever keeps the gateway from reading them."""
 
 import contextlib
+import copy
 import errno
 import json
 import os
@@ -11,17 +12,31 @@
 import threading
 import time
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 from uuid import uuid4
 
+import pytest
+
 from bench.fault_soak.control import CallFault, ShimControl, build_shim
-from tests.stand_ins import SETTINGS, Engine, ended_on_exit, endpoint_list_answer, host, log_text
+from query_gateway.configuration.operator_file import StatementSettings
+from query_gateway.forwarder.arrival_order import ArrivalOrder
+from query_gateway.gateway import Gateway
+from query_gateway.model.actions import Forward
+from query_gateway.net.arrival_watermark import ArrivalWatermark
+from query_gateway.net.listener import MAX_ACCEPTS_PER_EVENT, Listener
+from query_gateway.net.loop import Loop
+from query_gateway.statements.messages import Rules
+from tests.stand_ins import SETTINGS, Engine, ended_on_exit, endpoint_list_answer, host, log_text, post
+from tests.test_flight import FlightEngine, run_update
+from tests.test_flight import gateway as flight_gateway
 from tests.test_web import running
 
 # Shorter than the clients' own, so that the loop's lag stays below that which rejects all requests
 KEY_SPACING_S = 0.03
+PARSE_S = 0.2
 ALWAYS = 1_000  # of a thousand calls fail
 KEY = "7f3a9c21e0b4d655"
 
@@ -162,3 +177,232 @@
         for client in clients:
             client.close()
     assert engine.statements[len(names) :] == [load_statement(name) for name in names]
+
+
+class UnreadableSocket:
+    """A client's socket, on which recv fails for want of memory until `may_read` is set."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock, self.may_read = sock, threading.Event()
+
+    def recv(self, size: int) -> bytes:
+        if not self.may_read.is_set():
+            raise OSError(errno.ENOMEM, "for a moment")
+        return self.sock.recv(size)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.sock, name)
+
+
+def test_load_is_not_overtaken_while_its_connection_cannot_be_read() -> None:
+    """A read that fails for a moment leaves a request unknown, as a failing accept does."""
+    engine = Engine()
+    with running(engine) as gateway:
+        first, later = (socket.create_connection(gateway.http_server.listener.address) for _ in range(2))
+        for client in (first, later):
+            send_load(client, load_statement("opening"))
+            assert status_of(client) == 200
+        [stream, _] = [connection.stream for connection in gateway.http_server.connections]
+        unreadable = UnreadableSocket(stream.sock)
+        stream.sock = unreadable  # type: ignore[assignment]
+        send_load(first, load_statement("first"))
+        time.sleep(KEY_SPACING_S)
+        send_load(later, load_statement("later"))
+        time.sleep(5 * KEY_SPACING_S)
+        unreadable.may_read.set()
+        assert status_of(first) == 200 and status_of(later) == 200
+        first.close()
+        later.close()
+    assert engine.statements[2:] == [load_statement("first"), load_statement("later")]
+
+
+class SlowReadSocket(UnreadableSocket):
+    """A client's socket, of which each read gets a few bytes."""
+
+    def recv(self, size: int) -> bytes:
+        return self.sock.recv(min(size, 16))
+
+
+def test_load_that_is_read_in_pieces_is_not_overtaken() -> None:
+    """Reads may be short, and the rest of a request is there all the while."""
+    engine = Engine()
+    with running(engine) as gateway:
+        first, later = (socket.create_connection(gateway.http_server.listener.address) for _ in range(2))
+        for client in (first, later):
+            send_load(client, load_statement("opening"))
+            assert status_of(client) == 200
+        [stream, _] = [connection.stream for connection in gateway.http_server.connections]
+        stream.sock = SlowReadSocket(stream.sock)  # type: ignore[assignment]
+        slow_turn = threading.Event()
+        gateway.loop.call_soon(lambda: stall(slow_turn, 3 * KEY_SPACING_S))
+        assert slow_turn.wait(10)
+        send_load(first, load_statement("first"))
+        time.sleep(KEY_SPACING_S)
+        send_load(later, load_statement("later"))
+        assert status_of(first) == 200 and status_of(later) == 200
+        first.close()
+        later.close()
+    assert engine.statements[2:] == [load_statement("first"), load_statement("later")]
+
+
+def delay_first_classification(gate: Gateway, delayed: str) -> threading.Event:
+    """Let the classification of one statement wait for a parse; the event is set once it has begun."""
+    statements, begun = gate.statements, threading.Event()
+    assert statements
+    classify = statements.classify
+
+    def classify_late(text: str, *arguments: Any) -> None:
+        if text != delayed:
+            classify(text, *arguments)
+            return
+        begun.set()
+        gate.loop.call_at(gate.loop.now() + PARSE_S, lambda: classify(text, *arguments))
+
+    statements.classify = classify_late  # type: ignore[assignment]
+    return begun
+
+
+def test_load_over_flight_is_not_overtaken_while_it_is_parsed() -> None:
+    """A statement of a new shape is parsed in another process, a known one is classified at once."""
+    engines = FlightEngine(), FlightEngine()
+    first, later = load_statement("first"), load_statement("later")
+    ran = list[str]()
+    with flight_gateway(*engines, statements=StatementSettings(Rules())) as gate:
+        run_update(gate, load_statement("opening"), KEY)
+        forward = gate.forwarder.apply
+
+        def record_and_forward(action: Any, planner_index: int = 0) -> None:
+            if isinstance(action, Forward):
+                ran.append(gate.forwarder.exchanges[action.request_id].request.statement.decode())
+            forward(action, planner_index)
+
+        gate.forwarder.apply = record_and_forward  # type: ignore[method-assign]
+        begun = delay_first_classification(gate, first)
+        with ThreadPoolExecutor() as executor:
+            earlier = executor.submit(run_update, gate, first, KEY)
+            assert begun.wait(10)
+            time.sleep(KEY_SPACING_S)
+            run_update(gate, later, KEY)
+            earlier.result()
+    for engine in engines:
+        engine.shutdown()
+    assert ran == [first, later]
+
+
+def test_request_over_http_is_not_overtaken_while_it_is_parsed() -> None:
+    """Requests of an idempotent class are parsed as well; the class may keep the order of its keys."""
+    engine, http_engine = FlightEngine(), Engine()
+    settings = copy.deepcopy(SETTINGS)
+    settings["services"][0]["in-turn"] = True  # type: ignore[index]
+    statements = StatementSettings(Rules(), covers_http=True)
+    names = [f"SELECT a FROM lending_7.loans WHERE member = {number}" for number in range(2)]
+    with flight_gateway(engine, web=(http_engine,), statements=statements, settings=settings) as gate:
+        post(gate, "lookup", names[1])
+        begun = delay_first_classification(gate, names[0])
+        with ThreadPoolExecutor() as executor:
+            earlier = executor.submit(post, gate, "lookup", names[0])
+            assert begun.wait(10)
+            time.sleep(KEY_SPACING_S)
+            assert post(gate, "lookup", names[1])[0] == 200 and earlier.result()[0] == 200
+    engine.shutdown()
+    http_engine.close()
+    assert http_engine.statements[1:] == names
+
+
+def test_watermark_stays_before_a_request_that_is_parsed() -> None:
+    loop = Loop()
+    watermark = loop.watermark
+    watermark.is_awaited = True
+    arrived_at = loop.now()
+    watermark.hold("parse", arrived_at)
+    for _ in range(3):
+        loop.call_at(loop.now(), lambda: None)
+        loop.turn()
+    assert watermark.read_through == arrived_at and watermark.is_blocked
+    watermark.release("parse")
+    assert watermark.read_through > arrived_at and not watermark.is_blocked
+    loop.close()
+
+
+def test_watermark_moves_only_by_turns_that_took_everything_in() -> None:
+    watermark = ArrivalWatermark(0.0)
+    watermark.is_awaited = True
+    listener = object()
+    reached = []
+    for polled_at, has_backlog, is_spoilt in (
+        (1.0, False, False), (2.0, False, False), (3.0, True, False), (4.0, True, False),
+        (5.0, False, False), (6.0, False, True), (7.0, False, False),
+    ):  # fmt: skip
+        watermark.begin_turn(polled_at)
+        (watermark.backlogged.add if has_backlog else watermark.backlogged.discard)(listener)
+        if is_spoilt:
+            watermark.spoil_turn()
+        watermark.end_turn()
+        reached.append(watermark.read_through)
+    assert reached == [0.0, 1.0, 2.0, 2.0, 2.0, 2.0, 5.0]
+
+
+def test_turn_that_began_before_anybody_waited_does_not_move_the_watermark() -> None:
+    """Connections may have been read in part only in that turn."""
+    watermark = ArrivalWatermark(0.0)
+    for polled_at in (1.0, 2.0):
+        watermark.begin_turn(polled_at)
+        watermark.is_awaited = True
+        watermark.end_turn()
+    assert watermark.read_through == 0.0
+
+
+class SettableWatermark:
+    def __init__(self) -> None:
+        self.read_through, self.is_awaited = 0, False
+
+    def await_progress(self, is_awaited: bool) -> None:
+        self.is_awaited = is_awaited
+
+
+def test_requests_are_released_by_arrival_and_not_by_when_they_were_read() -> None:
+    watermark, released = SettableWatermark(), list[str]()
+    order = ArrivalOrder[str](watermark, released.append)
+    for request_id, (arrived_at, name) in enumerate(
+        [(30, "c"), (10, "a"), (20, "b"), (10, "a2"), (20, "gone")]
+    ):
+        assert order.must_wait(arrived_at)
+        order.queue(request_id, arrived_at, name)
+    order.remove(4)
+    assert watermark.is_awaited
+    for read_through, expected in ((9, []), (20, ["a", "a2", "b"]), (30, ["a", "a2", "b", "c"])):
+        watermark.read_through = read_through
+        order.release()
+        assert released == expected
+    assert not watermark.is_awaited and order.waiting_count == 0
+
+
+class ExhaustedListener:
+    """A listening socket whose accept finds no descriptor after so many successes."""
+
+    def __init__(self, sock: socket.socket, successes: int) -> None:
+        self.sock, self.successes = sock, successes
+
+    def accept(self) -> Any:
+        if not self.successes:
+            raise OSError(errno.EMFILE, "no descriptor")
+        self.successes -= 1
+        return self.sock.accept()
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.sock, name)
+
+
+@pytest.mark.parametrize("client_count", [1, MAX_ACCEPTS_PER_EVENT])
+def test_listener_that_has_accepted_all_does_not_count_as_backlogged(client_count: int) -> None:
+    """The next connection's request would count as come long ago, and loads would wait for nobody."""
+    loop, accepted = Loop(), list[socket.socket]()
+    listener = Listener(loop, ("127.0.0.1", 0), lambda sock, _: accepted.append(sock))
+    clients = [socket.create_connection(listener.address) for _ in range(client_count)]
+    listener.socket = ExhaustedListener(listener.socket, client_count)  # type: ignore[assignment]
+    while len(accepted) < client_count:
+        loop.turn()
+    assert listener.waiting_since is None and not loop.watermark.backlogged
+    for sock in (*clients, *accepted):
+        sock.close()
+    loop.close()
--- a/tests/test_request_arrival.py
+++ b/tests/test_request_arrival.py
@@ -147,11 +147,11 @@
     """
     arrivals = ArrivalLog()
     for number in range(1, 1_001):
-        arrivals.record(10, float(number))
-    assert arrivals.time_of(5, 0.0) == 1.0 and arrivals.time_of(11, 0.0) == 2.0
-    assert arrivals.time_of(10_000, 0.0) <= 1_000.0
+        arrivals.record(10, float(number), float(number) + 0.5)
+    assert arrivals.time_of(5, 0.0) == (1.0, 1.5) and arrivals.time_of(11, 0.0) == (2.0, 2.5)
+    assert arrivals.time_of(10_000, 0.0).earliest <= 1_000.0
     assert len(arrivals._arrivals) <= MAX_ENTRIES
-    assert ArrivalLog().time_of(1, 7.0) == 7.0
+    assert ArrivalLog().time_of(1, 7.0) == (7.0, 7.0)
 
 
 def test_connections_that_have_ended_are_freed_without_the_collector() -> None:
