Abort open requests before SIGKILL also where a successor follows

Callers would see: at a hot upgrade, requests open 3.7 s after SIGTERM reset without an answer.

Cause: with a successor a stop let open requests run until 5.4 s after SIGTERM. Nothing promises that: SIGKILL may come 0.7 s after the longest deadline, counted as 3 s at most, whoever follows. The soak waited 7 s before its kill and so never saw it.

Evidence: by reading; the new test failed before (the abort was due 5.4 s after SIGTERM) and passes now. The abort is due by the same rule as without a successor, at most 3.4 s after SIGTERM.

--- a/query_gateway/lifecycle/shutdown.py
+++ b/query_gateway/lifecycle/shutdown.py
@@ -42,7 +42,6 @@
 
 ACCEPT_GRACE_SECONDS = 0.8  # after SIGTERM; the platform's clients and routers may take 0.6 s to notice it
 ANSWER_SECONDS = 3.0  # after SIGTERM for open requests; the platform sends SIGKILL 0.7 s later
-ANSWER_SECONDS_WITH_SUCCESSOR = 5.0  # the same where a successor follows
 ABORT_MARGIN_SECONDS = 0.4  # after the answer seconds, or after the longest deadline if that comes first
 
 
@@ -107,8 +106,7 @@
             self.loop.call_at(self._grace_period_ends_at, self._close_fronts)
 
     def _seconds_until_abort(self) -> float:
-        answer_seconds = ANSWER_SECONDS_WITH_SUCCESSOR if self._has_successor else ANSWER_SECONDS
-        return min(self.parts.active.longest_timeout, answer_seconds) + ABORT_MARGIN_SECONDS
+        return min(self.parts.active.longest_timeout, ANSWER_SECONDS) + ABORT_MARGIN_SECONDS
 
     def transfer_to_successor(self) -> None:
         """Accept no more clients: open requests are answered here, idle connections go to the successor.
--- a/tests/test_race_shutdown.py
+++ b/tests/test_race_shutdown.py
@@ -34,6 +34,8 @@
 from tests.test_local import until
 from tests.test_web import LOAD, ROWS, SQL, running
 
+KILL_MARGIN_S = 0.7  # from the longest deadline to SIGKILL, at the earliest
+
 pytestmark = pytest.mark.usefixtures("reset_log_rate_limit")
 
 
@@ -61,6 +63,15 @@
         gateway.loop.close()
 
 
+def test_open_requests_are_aborted_before_the_kill_also_where_a_successor_follows(tmp_path: Path) -> None:
+    """SIGKILL comes as early as after any other SIGTERM."""
+    with gateway_with_successor(tmp_path, Engine(), "ready") as (gateway, _):
+        until(lambda: gateway.hot_upgrade and gateway.hot_upgrade.successor_ready)
+        gateway.loop.call_soon(gateway.begin_shutdown)
+        until(lambda: abort_delays(gateway))
+        assert abort_delays(gateway)[0] < ANSWER_SECONDS + KILL_MARGIN_S
+
+
 def test_shutdown_after_a_reload_uses_the_current_deadlines() -> None:
     """A reload retires the class with the longest deadline, and a shutdown begins.
 
