Count a stop's time from the signal, not from the loop's next turn

Callers would see: after a slow turn of the loop at SIGTERM, open requests reset by a SIGKILL that came before the abort.

Cause: the times of a stop began when the loop turned to the signal; whoever sends SIGKILL counts from SIGTERM. The signal handler notes the time now. A process that is stopped (SIGSTOP) still learns of the signal only as it runs on.

Evidence: by reading; the new test, with a turn 2 s behind the signal, fails on the program before, which knows no time of the signal. test_race_shutdown and test_hot_upgrade passed on this tree.

--- a/query_gateway/gateway.py
+++ b/query_gateway/gateway.py
@@ -165,9 +165,13 @@
 
     def _handle_signals(self) -> None:
         for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda *_: self.loop.call_soon(self.begin_shutdown))
+            signal.signal(number, lambda *_: self._on_stop_signal())
         signal.signal(signal.SIGHUP, lambda *_: self.loop.call_soon(self.reload))
 
+    def _on_stop_signal(self) -> None:
+        signalled_at = self.loop.now()
+        self.loop.call_soon(lambda: self.shutdown.begin(signalled_at))
+
     # ---- the interface of a running gateway
 
     @property
@@ -186,7 +190,7 @@
 
     def begin_shutdown(self) -> None:
         """Stop gracefully, as at SIGTERM; `run` returns when all is answered."""
-        self.shutdown.begin()
+        self.shutdown.begin(self.loop.now())
 
     def run(self) -> None:
         """Serve until a shutdown is done, then release what would outlive the process."""
--- a/query_gateway/lifecycle/shutdown.py
+++ b/query_gateway/lifecycle/shutdown.py
@@ -87,19 +87,19 @@
         hot_upgrade = self.parts.hot_upgrade
         return hot_upgrade is not None and hot_upgrade.successor_ready
 
-    def begin(self) -> None:
-        """Stop gracefully; a second call changes nothing."""
+    def begin(self, signalled_at: float) -> None:
+        """Stop gracefully, as told at this loop time; a second call changes nothing."""
         if self.state is ShutdownState.SERVING:
-            self._serving_to_finishing()
+            self._serving_to_finishing(signalled_at)
 
-    def _serving_to_finishing(self) -> None:
+    def _serving_to_finishing(self, signalled_at: float) -> None:
         self.state = ShutdownState.FINISHING
         log("shutdown", f"stopping with {self.parts.forwarder.open_request_count} requests open")
         # Withdraws the addresses, so that clients go elsewhere; those that still come are served
         self.parts.readiness.stop()
-        now = self.loop.now()
-        self.loop.call_at(now + self._seconds_until_abort(), self.abort_open_requests)
-        self._grace_period_ends_at = now + ACCEPT_GRACE_SECONDS
+        # Whoever sends SIGKILL counts from the signal, however late the loop turned to it
+        self.loop.call_at(signalled_at + self._seconds_until_abort(), self.abort_open_requests)
+        self._grace_period_ends_at = signalled_at + ACCEPT_GRACE_SECONDS
         if self._has_successor:
             self.transfer_to_successor()
         else:
--- a/tests/test_race_shutdown.py
+++ b/tests/test_race_shutdown.py
@@ -72,6 +72,16 @@
         assert abort_delays(gateway)[0] < ANSWER_SECONDS + KILL_MARGIN_S
 
 
+def test_time_until_the_abort_counts_from_the_signal_and_not_from_when_the_loop_turned_to_it(
+    tmp_path: Path,
+) -> None:
+    """SIGKILL comes by the clock of whoever sent SIGTERM."""
+    gateway = Gateway(config([]), OperatorSettings(), signals=False)
+    gateway.shutdown.begin(gateway.loop.now() - 2.0)
+    assert abort_delays(gateway)[0] < ANSWER_SECONDS + KILL_MARGIN_S - 2.0
+    gateway.loop.close()
+
+
 def test_shutdown_after_a_reload_uses_the_current_deadlines() -> None:
     """A reload retires the class with the longest deadline, and a shutdown begins.
 
