Keep the order of a key's loads over several forwarders of one gateway

Callers would see the incident's break where a gateway runs several forwarders ([processes], off on the platform): a load that waits unread at one forwarder is overtaken by a later one of its key at another.

Cause: of the same class as the incident: each forwarder passed its requests on when it had read them, and a planner took the order in which they reached it for that in which they came.

Change: a planner process keeps a request with a key until every other connected forwarder has replied that it has passed on all that came before (ArrivalMerge, ArrivalQuery, ArrivalReply); a forwarder replies through its own ArrivalOrder, so behind what it had yet to read. Who disconnects is not waited for, who ended waits no longer.

--- a/query_gateway/forwarder/arrival_order.py
+++ b/query_gateway/forwarder/arrival_order.py
@@ -10,9 +10,8 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Generic, Protocol, TypeVar
-
-Waiting = TypeVar("Waiting")  # what waits for its turn
+from itertools import count
+from typing import Protocol
 
 
 class Watermark(Protocol):
@@ -27,19 +26,20 @@
 
 
 @dataclass(slots=True, frozen=True)
-class _Entry(Generic[Waiting]):
+class _Entry:
     arrived_at: int  # clock time
-    waiting: Waiting
+    sequence: int  # of what arrived in the same moment
+    release: Callable[[], None]
 
 
-class ArrivalOrder(Generic[Waiting]):
+class ArrivalOrder:
     """What waits for the watermark, by request id."""
 
-    def __init__(self, watermark: Watermark, on_released: Callable[[Waiting], None]) -> None:
-        """`on_released` takes what has waited, in the order of its arrival."""
+    def __init__(self, watermark: Watermark) -> None:
+        """Nothing waits."""
         self.watermark = watermark
-        self.on_released = on_released
-        self._entries: dict[int, _Entry[Waiting]] = {}
+        self._entries: dict[object, _Entry] = {}
+        self._sequence = count()
 
     @property
     def waiting_count(self) -> int:
@@ -50,12 +50,12 @@
         """Whether an earlier request may still be unknown."""
         return arrived_at > self.watermark.read_through
 
-    def queue(self, request_id: int, arrived_at: int, waiting: Waiting) -> None:
-        """Let a request wait for its turn."""
-        self._entries[request_id] = _Entry(arrived_at, waiting)
+    def queue(self, request_id: object, arrived_at: int, release: Callable[[], None]) -> None:
+        """Call `release` when the turn of a request has come, unless it is removed."""
+        self._entries[request_id] = _Entry(arrived_at, next(self._sequence), release)
         self.watermark.await_progress(True)
 
-    def remove(self, request_id: int) -> None:
+    def remove(self, request_id: object) -> None:
         """Forget a request that has ended; harmless if it does not wait."""
         self._entries.pop(request_id, None)
 
@@ -65,7 +65,7 @@
             return
         read_through = self.watermark.read_through
         due = [item for item in self._entries.items() if item[1].arrived_at <= read_through]
-        for request_id, entry in sorted(due, key=lambda item: (item[1].arrived_at, item[0])):
-            del self._entries[request_id]
-            self.on_released(entry.waiting)
+        for request_id, entry in sorted(due, key=lambda item: (item[1].arrived_at, item[1].sequence)):
+            if self._entries.pop(request_id, None):  # releasing another may have removed it
+                entry.release()
         self.watermark.await_progress(bool(self._entries))
--- a/query_gateway/forwarder/forwarder.py
+++ b/query_gateway/forwarder/forwarder.py
@@ -71,7 +71,7 @@
         self.engine_clients: dict[str, ForwardingEngineClient] = {}  # by wire
         self.router = PlannerRouter()
         self.key_quarantine = KeyQuarantine(clock, call_at, self._pass_to_planner)
-        self.arrival_order: ArrivalOrder[Exchange] | None = None  # None: requests come in order
+        self.arrival_order: ArrivalOrder | None = None  # None: requests come in order
         self.counters = Counters()
         self.invariants = InvariantChecks()
         self.slow_start_budgets = SlowStartBudgets()
@@ -125,7 +125,9 @@
         exchange.timer = self.context.call_at(request.deadline, exchange.on_deadline)
         if request.key and self.arrival_order and self.arrival_order.must_wait(request.received_at):
             exchange.trace(TraceStep.HELD_FOR_ORDER)
-            self.arrival_order.queue(exchange.request_id, request.received_at, exchange)
+            self.arrival_order.queue(
+                exchange.request_id, request.received_at, lambda: self._take_in_order(exchange)
+            )
         else:
             self._take_in_order(exchange)
         return exchange
@@ -137,9 +139,16 @@
         else:
             self._pass_to_planner(exchange)
 
-    def keep_arrival_order(self, watermark: Watermark) -> ArrivalOrder[Exchange]:
+    def call_in_order(self, arrived_at: int, callback: Callable[[], None]) -> None:
+        """Call once every request with a key that came before a clock time has been passed on."""
+        if self.arrival_order:
+            self.arrival_order.queue(object(), arrived_at, callback)
+        else:
+            callback()
+
+    def keep_arrival_order(self, watermark: Watermark) -> ArrivalOrder:
         """Put requests with a key in the order of their arrival from now on; the caller calls `release`."""
-        self.arrival_order = ArrivalOrder(watermark, self._take_in_order)
+        self.arrival_order = ArrivalOrder(watermark)
         return self.arrival_order
 
     def _immediate_answer(self, exchange: Exchange) -> Answer | None:
@@ -288,6 +297,7 @@
         estimated_work=request.estimated_work,
         estimated_memory_mb=request.estimated_memory_mb,
         is_retry=request.is_retry,
+        received_at=request.received_at,
     )
 
 
--- a/query_gateway/lifecycle/planner_links.py
+++ b/query_gateway/lifecycle/planner_links.py
@@ -21,7 +21,7 @@
 from query_gateway.net.log import log
 from query_gateway.net.loop import Loop
 from query_gateway.planner.ipc import PlannerClient
-from query_gateway.planner.ipc_codec import EjectedEndpoints
+from query_gateway.planner.ipc_codec import ArrivalQuery, ArrivalReply, EjectedEndpoints
 from query_gateway.planner.planner import Planner
 
 LOCAL_PLANNER_INDEX = 0
@@ -87,6 +87,9 @@
             """Carry out an action of this planner."""
             if isinstance(action, EjectedEndpoints):
                 self._ejected_by_planner[planner_index] = action.names
+            elif isinstance(action, ArrivalQuery):
+                reply, client = ArrivalReply(action.request_id), self.clients[planner_index]
+                self.forwarder.call_in_order(action.received_at, lambda: client.notify(reply))
             else:
                 self.forwarder.apply(action, planner_index)
 
--- a/query_gateway/model/events.py
+++ b/query_gateway/model/events.py
@@ -51,6 +51,7 @@
     estimated_work: int | None  # processor time in nanoseconds over all threads
     estimated_memory_mb: float
     is_retry: bool  # marked by the client
+    received_at: int = 0  # clock time when it had come, of one with a key; 0: not known
 
 
 @dataclass(slots=True, frozen=True)
--- a/query_gateway/planner/ipc.py
+++ b/query_gateway/planner/ipc.py
@@ -18,7 +18,14 @@
 from query_gateway.net.log import log
 from query_gateway.net.loop import Loop, Task
 from query_gateway.net.stream import Reason, Stream
-from query_gateway.planner.ipc_codec import ACTION_TYPES, Decoder, IpcMessage, IpcMessageError, encode
+from query_gateway.planner.ipc_codec import (
+    ACTION_TYPES,
+    ArrivalReply,
+    Decoder,
+    IpcMessage,
+    IpcMessageError,
+    encode,
+)
 
 RECONNECT_DELAY_S = 0.1
 DIAL_TIMEOUT_S = 1.0
@@ -104,7 +111,7 @@
         self.stopped = False
         self.task: Task = loop.spawn(self._run())
 
-    def notify(self, event: Event) -> None:
+    def notify(self, event: Event | ArrivalReply) -> None:
         """Send an event; without a connection it is dropped."""
         if self.connection:
             self.connection.send(event)
--- a/query_gateway/planner/ipc_codec.py
+++ b/query_gateway/planner/ipc_codec.py
@@ -30,10 +30,25 @@
     names: tuple[str, ...]
 
 
-IpcMessage = Event | Action | EjectedEndpoints
+@dataclass(slots=True, frozen=True)
+class ArrivalQuery:
+    """Asks a forwarder to reply once it has passed on each request with a key that came before a time."""
+
+    request_id: int  # of the request, of another forwarder, that waits for the reply
+    received_at: int  # clock time
+
+
+@dataclass(slots=True, frozen=True)
+class ArrivalReply:
+    """Says so, behind the last of them."""
+
+    request_id: int
+
+
+IpcMessage = Event | Action | EjectedEndpoints | ArrivalQuery | ArrivalReply
 
 # What a planner receives, and what a forwarder receives, by the name that a line begins with
-EVENT_TYPES: dict[str, type[Event]] = {
+EVENT_TYPES: dict[str, type[Event | ArrivalReply]] = {
     message_type.__name__: message_type
     for message_type in (
         Request,
@@ -42,11 +57,12 @@
         RequestAbandoned,
         EndpointUpdate,
         SettingsUpdate,
+        ArrivalReply,
     )
 }
-ACTION_TYPES: dict[str, type[Action | EjectedEndpoints]] = {
+ACTION_TYPES: dict[str, type[Action | EjectedEndpoints | ArrivalQuery]] = {
     message_type.__name__: message_type
-    for message_type in (Forward, Reject, Fail, Cancel, SetTerms, EjectedEndpoints)
+    for message_type in (Forward, Reject, Fail, Cancel, SetTerms, EjectedEndpoints, ArrivalQuery)
 }
 
 
--- a/query_gateway/planner/process.py
+++ b/query_gateway/planner/process.py
@@ -34,8 +34,9 @@
 from query_gateway.net.loop import Loop, Timer
 from query_gateway.net.steady_clock import loop_time_of, steady_now_ns
 from query_gateway.net.stream import Reason, Stream
+from query_gateway.planner.arrival_merge import ArrivalMerge
 from query_gateway.planner.ipc import IpcConnection, Steps
-from query_gateway.planner.ipc_codec import EVENT_TYPES, EjectedEndpoints
+from query_gateway.planner.ipc_codec import EVENT_TYPES, ArrivalQuery, ArrivalReply, EjectedEndpoints
 from query_gateway.planner.planner import Planner
 
 MAX_FORWARDERS = 64  # connections
@@ -77,15 +78,22 @@
             self.connection.stream.close(reason)
             self.process.on_session_ended(self)
 
-    def on_event(self, event: Event) -> None:
+    def on_event(self, event: Event | ArrivalReply) -> None:
         """Update the list of open requests, and pass the event to the planner."""
+        if isinstance(event, ArrivalReply):
+            self.process.arrival_merge.on_reply(self, event.request_id)
+            return
         if isinstance(event, Request):
             self.open_requests[event.request_id] = OpenRequest()
             self.process.owners[event.request_id] = self
+            if event.key:
+                self.process.arrival_merge.add(self, event, self.process.sessions - {self})
+                return
         elif isinstance(event, AttemptOutcome):
             event = self._record_outcome(event)
         elif isinstance(event, RequestAbandoned):
             request = self.open_requests.get(event.request_id)
+            self.process.arrival_merge.remove(event.request_id)
             # With an attempt in flight the request is forgotten at its outcome
             if request is None or request.in_flight is None:
                 self.forget(event.request_id)
@@ -110,6 +118,10 @@
         self.open_requests.pop(request_id, None)
         self.process.owners.pop(request_id, None)
 
+    def query_arrivals(self, request: Request) -> None:
+        """Have the forwarder reply once it has passed on all that came before another one's request."""
+        self.connection.send(ArrivalQuery(request.request_id, request.received_at))
+
     def send_action(self, action: RequestAction) -> None:
         """Send the forwarder an action on one of its open requests."""
         request = self.open_requests[action.request_id]
@@ -130,6 +142,9 @@
         self.planner = Planner(settings, seed, steady_now_ns, self._call_at)
         self.owners: dict[int, PlannerSession] = {}  # by request id
         self.sessions: set[PlannerSession] = set()
+        self.arrival_merge = ArrivalMerge[PlannerSession](
+            lambda session, request: session.query_arrivals(request), self.planner.notify
+        )
         self.listener = Listener(self.loop, address, self._on_accepted)
         self.loop.turn_hooks.append(self.run_planner)
         self.ejected = EjectedEndpoints(())
@@ -164,6 +179,7 @@
         attempt as cancelled.
         """
         self.sessions.discard(session)
+        self.arrival_merge.on_disconnected(session)
         for request_id, request in list(session.open_requests.items()):
             self.planner.notify(RequestAbandoned(request_id))
             if request.in_flight:
--- a/tests/test_key_order.py
+++ b/tests/test_key_order.py
@@ -13,7 +13,9 @@
 import time
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import ExitStack
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 from typing import Any
 from uuid import uuid4
@@ -21,17 +23,30 @@
 import pytest
 
 from bench.fault_soak.control import CallFault, ShimControl, build_shim
-from query_gateway.configuration.operator_file import StatementSettings
+from query_gateway.configuration.operator_file import OperatorSettings, StatementSettings
 from query_gateway.forwarder.arrival_order import ArrivalOrder
 from query_gateway.gateway import Gateway
 from query_gateway.model.actions import Forward
+from query_gateway.model.events import Request
 from query_gateway.net.arrival_watermark import ArrivalWatermark
 from query_gateway.net.listener import MAX_ACCEPTS_PER_EVENT, Listener
 from query_gateway.net.loop import Loop
+from query_gateway.planner.arrival_merge import ArrivalMerge
 from query_gateway.statements.messages import Rules
-from tests.stand_ins import SETTINGS, Engine, ended_on_exit, endpoint_list_answer, host, log_text, post
+from tests.stand_ins import (
+    SETTINGS,
+    Engine,
+    config,
+    ended_on_exit,
+    endpoint_list_answer,
+    host,
+    log_text,
+    post,
+    running_gateway,
+)
 from tests.test_flight import FlightEngine, run_update
 from tests.test_flight import gateway as flight_gateway
+from tests.test_local import connected_planners, planner, until
 from tests.test_web import running
 
 # Shorter than the clients' own, so that the loop's lag stays below that which rejects all requests
@@ -362,12 +377,12 @@
 
 def test_requests_are_released_by_arrival_and_not_by_when_they_were_read() -> None:
     watermark, released = SettableWatermark(), list[str]()
-    order = ArrivalOrder[str](watermark, released.append)
+    order = ArrivalOrder(watermark)
     for request_id, (arrived_at, name) in enumerate(
         [(30, "c"), (10, "a"), (20, "b"), (10, "a2"), (20, "gone")]
     ):
         assert order.must_wait(arrived_at)
-        order.queue(request_id, arrived_at, name)
+        order.queue(request_id, arrived_at, partial(released.append, name))
     order.remove(4)
     assert watermark.is_awaited
     for read_through, expected in ((9, []), (20, ["a", "a2", "b"]), (30, ["a", "a2", "b", "c"])):
@@ -406,3 +421,70 @@
     for sock in (*clients, *accepted):
         sock.close()
     loop.close()
+
+
+def keyed_request(request_id: int, received_at: int, key: str = KEY) -> Request:
+    return Request(request_id, 2, 10**18, 0, None, key, None, 0.0, False, received_at)
+
+
+def test_load_by_another_forwarder_is_not_overtaken() -> None:
+    """A planner waits until each forwarder has passed on what came before a request."""
+    released, queries = list[int](), list[tuple[str, int]]()
+    merge = ArrivalMerge[str](
+        lambda forwarder, request: queries.append((forwarder, request.request_id)),
+        lambda request: released.append(request.request_id),
+    )
+    merge.add("f1", keyed_request(1, received_at=20), ["f2"])
+    assert queries == [("f2", 1)] and released == []
+    merge.add("f2", keyed_request(2, received_at=10), ["f1"])
+    merge.on_reply("f2", 1)
+    assert released == []  # an earlier request of its key waits for a reply
+    merge.add("f2", keyed_request(3, received_at=15, key="other"), [])
+    assert released == [3]
+    merge.on_reply("f1", 2)
+    assert released == [3, 2, 1]
+
+
+@pytest.mark.parametrize("ends", ["disconnected", "abandoned"])
+def test_loads_wait_neither_for_a_forwarder_nor_behind_a_request_that_has_ended(ends: str) -> None:
+    released = list[int]()
+    merge = ArrivalMerge[str](lambda *_: None, lambda request: released.append(request.request_id))
+    merge.add("f2", keyed_request(1, received_at=10), ["f1", "f3"])
+    merge.add("f1", keyed_request(2, received_at=20), ["f2"])
+    if ends == "disconnected":
+        merge.on_disconnected("f2")  # its reply for the second request is missing as well
+    else:
+        merge.on_reply("f2", 2)
+        assert released == []
+        merge.remove(1)
+    assert released == [2]
+
+
+def test_load_is_not_overtaken_by_one_that_comes_by_another_forwarder(tmp_path: Path) -> None:
+    """Forwarders that share an address have an accept queue each, and one of them cannot accept."""
+    engine = Engine()
+    with planner() as process:
+        address = process.listener.address
+        operator = OperatorSettings(planner_addresses=(address,), forwarder_count=2)
+        with ExitStack() as stack:
+            gateways = [
+                stack.enter_context(running_gateway(config([host(engine)]), operator)) for _ in range(2)
+            ]
+            until(lambda: all(all(connected_planners(gateway)) for gateway in gateways))
+            blocked, other = gateways
+            listener = blocked.http_server.listener
+            exhausted = ExhaustedListener(listener.socket, 0)
+            listener.socket = exhausted  # type: ignore[assignment]
+            first = socket.create_connection(listener.address)
+            send_load(first, load_statement("first"))
+            time.sleep(KEY_SPACING_S)
+            later = socket.create_connection(other.http_server.listener.address)
+            send_load(later, load_statement("later"))
+            time.sleep(5 * KEY_SPACING_S)
+            exhausted.successes = 1_000
+            assert status_of(first) == 200 and status_of(later) == 200
+            listener.socket = exhausted.sock
+            first.close()
+            later.close()
+    engine.close()
+    assert engine.statements == [load_statement("first"), load_statement("later")]
--- a/tests/test_local.py
+++ b/tests/test_local.py
@@ -49,6 +49,7 @@
     EndpointUpdate(
         EndpointUpdateKind.SNAPSHOT, (EndpointInfo("s-1", EndpointState.UP, 1, 0, 2, 10**18, 4.0),)
     ),
+    codec.ArrivalReply(1), codec.ArrivalQuery(1, 10**18),
     Forward(1, "s-1", 0), Reject(1, 500), Fail(1), Cancel(1, 0), SetTerms(1, 96.0, 3),
 )  # fmt: skip
 
