Soak: order as clients send, open connections until the earliest kill, signals in series

Need: the oracle could not see the incident. It compared attempts of a key with each other, so by our view: a load that never reached an engine could not be overtaken.

Change: clients space the requests of a key as the platform's do (60 ms, 250 ms behind one on a new connection), so that their order is defined, and the oracle compares what they sent with what engines got. Some clients send pairs, the first on a new connection. Clients use open connections until they end; SIGKILL comes at the longest deadline, drawn from 0.6, 1.5 and 3 s and counted as 3 s at most, plus 0.7 s, at upgrades too; nothing unanswered at a stop is excused. Further SIGTERM and SIGHUP follow a SIGTERM, a gateway may be stopped twice in a row; pauses (SIGSTOP, SIGCONT) come in series. A crowd may exceed the connection limit, and processes have the descriptor limit that their configuration names. Each run keeps the request trace, and prints it for the requests of a violation.

Three excuses are gone, none is new; a predecessor that still lingers at the kill is no crash by itself, as after any stop.

--- a/bench/fault_soak/__main__.py
+++ b/bench/fault_soak/__main__.py
@@ -14,6 +14,7 @@
 from bench.fault_soak.run import Plan, Result, request_timeline, run
 
 MAX_SHOWN = 12  # violations of a run that are printed
+MAX_TIMELINES = 4  # violations whose requests are shown step by step
 CLIENT_REQUEST_ID_LENGTH = 16
 
 
@@ -51,11 +52,10 @@
         print(f"  path {path_fault}")
     for violation in result.violations[:MAX_SHOWN]:
         print(f"  {violation.promise}: {violation.detail}")
-    for violation in result.violations[:2]:
-        for part in violation.detail.split():
+    for violation in result.violations[:MAX_TIMELINES]:
+        for part in violation.detail.replace(",", " ").split():
             if len(part) == CLIENT_REQUEST_ID_LENGTH and part.isalnum():
-                print("    " + "\n    ".join(request_timeline(result, part)))
-                break
+                print("    " + "\n    ".join(request_timeline(result, folder, part)))
     sys.stdout.flush()
 
 
--- a/bench/fault_soak/clients.py
+++ b/bench/fault_soak/clients.py
@@ -9,12 +9,21 @@
 from dataclasses import dataclass, field
 from uuid import uuid4
 
+from bench.fault_soak.key_spacing import NEW_CONNECTION_SPACING_S, KeySpacing
 from bench.fault_soak.records import ClientRecord, Ending
-from bench.fault_soak.settings import ANSWER_SLACK_S, CLASS_WEIGHTS, CLASSES, LOAD, MEAN_WORK_S
+from bench.fault_soak.settings import (
+    ANSWER_SLACK_S,
+    CLASS_WEIGHTS,
+    CLASSES,
+    LOAD,
+    LOOKUP,
+    MEAN_WORK_S,
+    TIMEOUT_SHARES,
+)
 
 IDLE_CLOSE_CROSSING_S = 0.05  # a request may cross the close of an idle connection; clients then repeat it
-KEYS = 12
 READ_LIMIT = 1 << 20
+RECONNECT_PAUSE_S = 0.05
 
 
 @dataclass(slots=True)
@@ -41,31 +50,79 @@
 
     gates: list[Gate]
     random: random.Random
+    longest_deadline_s: float
+    spacing: KeySpacing = field(default_factory=KeySpacing)
     records: list[ClientRecord] = field(default_factory=list)
     stopped: bool = False
 
     async def run_client(self) -> None:
-        """One client: request after request, on a connection that it mostly keeps."""
+        """One client: request after request, on a connection that it mostly keeps.
+
+        It goes on using an open connection to a gateway to which no new one is made.
+        """
         connection: Connection | None = None
         gate: Gate | None = None
         while not self.stopped:
-            if connection is None or gate is None or not gate.admitted or self.random.random() < 0.2:
+            if connection is None or gate is None or (gate.admitted and self.random.random() < 0.2):
                 if connection:
                     connection.writer.close()
                 gate, connection = await self._connect()
                 if connection is None or gate is None:
-                    await asyncio.sleep(0.05)
+                    await asyncio.sleep(RECONNECT_PAUSE_S)
                     continue
             connection = await self._one_request(gate, connection)
             await asyncio.sleep(self.random.expovariate(1 / 0.12))
         if connection:
             connection.writer.close()
 
+    async def run_key_pair_client(self, number: int) -> None:
+        """Pairs of loads of one key: the first on a new connection, the other on one that was open before.
+
+        The second is written as soon behind the first as the platform's clients do it.
+        """
+        key = f"{number:08x}{'f' * 8}"
+        while not self.stopped:
+            gate, opened = await self._connect()
+            while gate and opened and not self.stopped:
+                _, fresh = await self._connect_to(gate)
+                if fresh is None or not await self._key_pair(gate, key, fresh, opened):
+                    break
+                await asyncio.sleep(
+                    self.random.uniform(NEW_CONNECTION_SPACING_S, 2 * NEW_CONNECTION_SPACING_S)
+                )
+            if opened:
+                opened.writer.close()
+            await asyncio.sleep(RECONNECT_PAUSE_S)
+
+    async def _key_pair(self, gate: Gate, key: str, fresh: Connection, opened: Connection) -> bool:
+        """Send both and wait for both answers; whether the open connection can be used again."""
+        first, second = (self._new_load(gate, key, connection.used) for connection in (fresh, opened))
+        if not await self._write_all(fresh, [first], self._encode(first)):
+            fresh.writer.close()
+            return True
+        first_answer = asyncio.create_task(self._await_answer(fresh, first, None))
+        await asyncio.sleep(NEW_CONNECTION_SPACING_S)
+        is_written = await self._write_all(opened, [second], self._encode(second))
+        is_usable = is_written and await self._await_answer(opened, second, None)
+        await first_answer
+        fresh.writer.close()
+        return is_usable
+
+    def _new_load(self, gate: Gate, key: str, reused: bool) -> ClientRecord:
+        record = ClientRecord(
+            uuid4().hex[:16], gate.name, LOAD, self.longest_deadline_s, key, uuid4().hex, reused
+        )
+        self.records.append(record)
+        return record
+
     async def _connect(self) -> tuple[Gate | None, Connection | None]:
         admitted = [gate for gate in self.gates if gate.admitted]
         if not admitted:
             return None, None
-        gate = self.random.choice(admitted)
+        return await self._connect_to(self.random.choice(admitted))
+
+    @staticmethod
+    async def _connect_to(gate: Gate) -> tuple[Gate, Connection | None]:
         try:
             reader, writer = await asyncio.wait_for(
                 asyncio.open_connection("127.0.0.1", gate.port, limit=READ_LIMIT), 1.0
@@ -76,11 +133,12 @@
 
     def _new_record(self, gate: Gate, reused: bool) -> ClientRecord:
         request_class = self.random.choices(CLASSES, CLASS_WEIGHTS)[0]
-        ttl = self.random.choice((0.15, 0.4, 0.8, 1.5, 2.5, 3.0))
+        ttl = self.longest_deadline_s * self.random.choice(TIMEOUT_SHARES)
         record = ClientRecord(uuid4().hex[:16], gate.name, request_class, ttl, reused_connection=reused)
         if request_class == LOAD:
-            record.key = f"{self.random.randrange(KEYS):016x}"
-            record.idempotency_key = uuid4().hex
+            key = self.spacing.reserve(gate.name, self.random, time.monotonic())
+            record.request_class = LOAD if key else LOOKUP
+            record.key, record.idempotency_key = key or "", uuid4().hex if key else ""
         self.records.append(record)
         return record
 
@@ -108,7 +166,9 @@
             return await self._pipeline(gate, connection)
         record = self._new_record(gate, connection.used)
         data = self._encode(record)
-        if not await self._write(connection, record, data, slowly=manner > 0.94):
+        is_written = await self._write(connection, record, data, slowly=manner > 0.94)
+        self._note_written([record])
+        if not is_written:
             return None
         leaves_after = self.random.uniform(0.0, 0.6) if 0.06 <= manner < 0.13 else None
         usable = await self._await_answer(connection, record, leaves_after)
@@ -117,7 +177,11 @@
     async def _pipeline(self, gate: Gate, connection: Connection) -> Connection | None:
         """Several requests in one write: their time runs from then on, answers come one after the other."""
         records = [self._new_record(gate, connection.used) for _ in range(3)]
-        if not await self._write_all(connection, records, b"".join(map(self._encode, records))):
+        for record in records[1:]:
+            record.pipelined = True
+        is_written = await self._write_all(connection, records, b"".join(map(self._encode, records)))
+        self._note_written(records)
+        if not is_written:
             return None
         for position, record in enumerate(records):
             record.turn_at = records[position - 1].ended_at if position else 0.0
@@ -126,6 +190,13 @@
                 return None
         return connection
 
+    def _note_written(self, records: list[ClientRecord]) -> None:
+        """Their keys may be used again after a while."""
+        for record in records:
+            if record.key:
+                is_first = not record.reused_connection
+                self.spacing.on_written(record.gateway, record.key, time.monotonic(), is_first)
+
     @staticmethod
     def _mark_not_accepted(ended: ClientRecord, following: list[ClientRecord]) -> None:
         """Requests pipelined after the last one that was answered: the client is to send them again."""
--- a/bench/fault_soak/deployment.py
+++ b/bench/fault_soak/deployment.py
@@ -4,7 +4,10 @@
 import contextlib
 import os
 import signal
+import subprocess
 import time
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
 from enum import Enum
 from pathlib import Path
 
@@ -12,16 +15,32 @@
 from bench.fault_soak.engine_host import EngineHost, start_engine_host
 from bench.fault_soak.gateway_process import DiscoveryView, GatewayProcess, Layout, create_gateway_process
 from bench.fault_soak.records import Observations, Outage, OutageKind
-from bench.fault_soak.settings import GIVE_UP_S
+from bench.fault_soak.settings import Deadlines
 
-KILL_AFTER_TERM_S = min(3.0, GIVE_UP_S) + 0.7
 START_TIMEOUT_S = 15.0
 READY_POLL_S = 0.05
 EXIT_POLL_S = 0.02
 FRONT_NOTICES_AFTER_S = 0.3  # that a gateway ends
 EARLY_STOP_AFTER_S = 0.1  # of the successor's start
 KILL_UNCERTAINTY_S = 0.05  # a successor may have accepted a request so long before it was killed
-UPGRADE_STOP_S = 7.0  # a predecessor aborts what is open 5.4 s after SIGTERM
+FURTHER_SIGNALS_MAX_S = 0.2  # between two signals of a series
+
+
+@dataclass(frozen=True, slots=True)
+class DeploymentPaths:
+    """Where a deployment's program and files are."""
+
+    root: Path  # the tree whose program is run, with its virtual environment
+    folder: Path  # for logs
+    shim_library: Path
+
+
+@dataclass(frozen=True, slots=True)
+class SignalAfter:
+    """A signal of a series, so many seconds after the one before."""
+
+    number: int
+    seconds: float
 
 
 class UpgradeWay(Enum):
@@ -35,9 +54,12 @@
 class Deployment:
     """All processes of one run; `close` ends those that are left."""
 
-    def __init__(self, root: Path, folder: Path, shim_library: Path, observations: Observations) -> None:
-        """`root`: the tree whose program is run, with its virtual environment; `folder`: for logs."""
-        self.root, self.folder, self.shim_library = root, folder, shim_library
+    def __init__(
+        self, paths: "DeploymentPaths", observations: Observations, longest_deadline_s: float
+    ) -> None:
+        """Nothing is started yet."""
+        self.root, self.folder, self.shim_library = paths.root, paths.folder, paths.shim_library
+        self.deadlines = Deadlines(longest_deadline_s)
         self.observations = observations
         self.discovery = Discovery()
         self.engines: list[EngineHost] = []
@@ -64,7 +86,8 @@
         """Write the file that a start or a reload reads, with the present endpoint list."""
         endpoint_list = self.discovery.initial_list(gateway.name)
         view = DiscoveryView(self.discovery.ports[gateway.name], endpoint_list)
-        gateway.write_configuration(view, gateway_count, latency_objective_share)
+        deadlines = replace(self.deadlines, latency_objective_share=latency_objective_share)
+        gateway.write_configuration(view, gateway_count, deadlines)
 
     async def wait_until_ready(self, gateway: GatewayProcess) -> bool:
         """Wait until the gateway answers that it is live; False if it does not in time."""
@@ -96,15 +119,21 @@
         gateway.gate.admitted = False  # clients keep connecting until the front has noticed
         await self._restart(gateway, gateway_count, OutageKind.KILLED, began_at, began_at)
 
-    async def stop(self, gateway: GatewayProcess, gateway_count: int) -> None:
-        """SIGTERM, new connections for up to 0.4 s more, SIGKILL when it is due, and a new start."""
+    async def stop(
+        self, gateway: GatewayProcess, gateway_count: int, further_signals: Sequence[SignalAfter] = ()
+    ) -> None:
+        """SIGTERM, new connections for up to 0.4 s more, SIGKILL as early as it may come, and a new start.
+
+        `further_signals` follow the SIGTERM one after the other.
+        """
         began_at = time.monotonic()
         assert gateway.process
         gateway.expected_to_end = True
         gateway.process.send_signal(signal.SIGTERM)
+        sending = asyncio.create_task(self._send_signals(gateway.process, further_signals))
         await asyncio.sleep(FRONT_NOTICES_AFTER_S)
         gateway.gate.admitted = False
-        kill_at = began_at + KILL_AFTER_TERM_S
+        kill_at = began_at + self.deadlines.kill_after_s
         while gateway.running and time.monotonic() < kill_at:
             await asyncio.sleep(EXIT_POLL_S)
         # A supervisor exits with the code of a process of its own that was killed
@@ -113,9 +142,17 @@
                 f"{gateway.name}: code {gateway.process.returncode} after SIGTERM"
             )
         killed_at = time.monotonic()
+        sending.cancel()
         gateway.signal_group(signal.SIGKILL)
         await self._restart(gateway, gateway_count, OutageKind.STOPPED, began_at, killed_at)
 
+    @staticmethod
+    async def _send_signals(process: subprocess.Popen[bytes], signals: Sequence[SignalAfter]) -> None:
+        for following in signals:
+            await asyncio.sleep(following.seconds)
+            if process.poll() is None:
+                process.send_signal(following.number)
+
     async def _restart(
         self, gateway: GatewayProcess, gateway_count: int, kind: OutageKind, began_at: float, killed_at: float
     ) -> None:
@@ -150,14 +187,14 @@
             return
         gateway.expected_to_end = True
         predecessor.send_signal(signal.SIGTERM)
-        deadline = time.monotonic() + UPGRADE_STOP_S
+        deadline = time.monotonic() + self.deadlines.kill_after_s
         while predecessor.poll() is None and time.monotonic() < deadline:
             await asyncio.sleep(EXIT_POLL_S)
-        if predecessor.poll() != 0:
+        if predecessor.poll() not in (None, 0):
             self.observations.crashes.append(f"{gateway.name}: code {predecessor.poll()} after an upgrade")
-            with contextlib.suppress(ProcessLookupError):
-                os.killpg(predecessor.pid, signal.SIGKILL)
-            predecessor.wait()
+        with contextlib.suppress(ProcessLookupError):
+            os.killpg(predecessor.pid, signal.SIGKILL)
+        predecessor.wait()
         gateway.process, gateway.expected_to_end = successor, False
 
     @staticmethod
--- a/bench/fault_soak/evidence.py
+++ b/bench/fault_soak/evidence.py
@@ -18,7 +18,6 @@
 STALL_MARGIN_S = 0.5  # around a stall of the soak's own process
 UNREAD_MARGIN_S = 0.5  # after a span in which requests waited unread
 KILL_MARGIN_BEFORE_S, KILL_MARGIN_AFTER_S = 0.05, 0.2
-STOPPED_ACCEPT_S = 0.7  # a request sent so long after SIGTERM may find that the gateway has ended
 UNANSWERED_S = 4.0  # that a request without an end counts as open
 
 
@@ -92,15 +91,16 @@
         )
 
     def was_ended(self, record: ClientRecord) -> bool:
-        """Whether the gateway was killed, with no time to answer, while the request was open."""
+        """Whether the gateway was killed, with no time to answer, while the request was open.
+
+        After SIGTERM a gateway has the time to answer all that it has taken before SIGKILL comes.
+        """
         until = record.ended_at or record.sent_at + UNANSWERED_S
         return any(
             outage.gateway == record.gateway
+            and outage.kind is OutageKind.KILLED
             and record.sent_at <= outage.killed_at + KILL_MARGIN_AFTER_S
-            and until
-            >= (outage.began_at if outage.kind is OutageKind.KILLED else outage.killed_at)
-            - KILL_MARGIN_BEFORE_S
-            and (outage.kind is OutageKind.KILLED or record.sent_at > outage.began_at + STOPPED_ACCEPT_S)
+            and until >= outage.began_at - KILL_MARGIN_BEFORE_S
             for outage in self.observations.outages
         )
 
--- a/bench/fault_soak/fault_schedule.py
+++ b/bench/fault_soak/fault_schedule.py
@@ -7,7 +7,16 @@
 
 from bench.fault_soak.faults import FAULTS, FaultContext
 
-WEIGHTS = {"clock": 2, "stop": 2, "mood": 2, "path": 2, "engine-restart": 2, "drain": 2}  # others: 1
+WEIGHTS = {
+    "clock": 2,
+    "stop": 2,
+    "pause": 2,
+    "crowd": 2,
+    "mood": 2,
+    "path": 2,
+    "engine-restart": 2,
+    "drain": 2,
+}  # others: 1
 FIRST_FAULT_S, LAST_FAULT_BEFORE_END_S = 0.5, 3.0
 MIN_FAULT_S, MAX_FAULT_S = 0.5, 4.0
 
--- a/bench/fault_soak/faults.py
+++ b/bench/fault_soak/faults.py
@@ -13,7 +13,7 @@
 
 from bench.fault_soak.clients import Population
 from bench.fault_soak.control import CallFault
-from bench.fault_soak.deployment import Deployment, UpgradeWay
+from bench.fault_soak.deployment import FURTHER_SIGNALS_MAX_S, Deployment, SignalAfter, UpgradeWay
 from bench.fault_soak.engine_host import FLIGHT_SUFFIX, EngineHost
 from bench.fault_soak.engine_mode import EngineMode
 from bench.fault_soak.gateway_process import GatewayProcess, Layout
@@ -34,7 +34,8 @@
 CONNECTION_ENDING_RATE = 15  # of a thousand calls
 TOTAL_FAILURE_RATE = 900  # of a thousand calls, from which on nearly every call fails
 MAX_TOTAL_FAILURE_S = 0.4
-IDLE_CLIENT_COUNT = 120
+MAX_PAUSE_S = 0.4
+IDLE_CLIENT_COUNTS = (120, 400)  # below and above the limit of a gateway
 MAX_PLANNER_PAUSE_S = 2.0
 NOTIFICATION_POLL_S, NOTIFICATION_POLLS = 0.1, 100
 
@@ -212,12 +213,35 @@
             await context.deployment.kill(gateway, context.gateway_count)
 
 
+def _further_signals(source: random.Random) -> list[SignalAfter]:
+    """What a gateway may get behind its SIGTERM."""
+    numbers = source.choices((signal.SIGTERM, signal.SIGHUP), k=source.randrange(4))
+    return [SignalAfter(number, source.uniform(0.0, FURTHER_SIGNALS_MAX_S)) for number in numbers]
+
+
 async def gateway_stop(context: FaultContext, seconds: float) -> None:
-    """A gateway gets SIGTERM and starts again."""
+    """A gateway gets SIGTERM, further signals behind it, and starts again; perhaps twice in a row."""
     gateway = context.choose_gateway()
-    if gateway.gate.admitted and not gateway.busy:
+    for _ in range(context.random.choice((1, 1, 2))):
+        if gateway.gate.admitted and not gateway.busy:
+            with exclusive_use(gateway):
+                further_signals = _further_signals(context.random)
+                await context.deployment.stop(gateway, context.gateway_count, further_signals)
+
+
+async def gateway_pauses(context: FaultContext, seconds: float) -> None:
+    """All processes of a gateway are stopped and go on, several times, with SIGHUP in between."""
+    gateway = context.choose_gateway()
+    for _ in range(context.random.choice((1, 2, 4))):
+        if gateway.busy or not gateway.running or not gateway.gate.admitted:
+            return
         with exclusive_use(gateway):
-            await context.deployment.stop(gateway, context.gateway_count)
+            gateway.signal_group(signal.SIGSTOP)
+            await asyncio.sleep(context.random.uniform(0.02, MAX_PAUSE_S))
+            gateway.signal_group(signal.SIGCONT)
+        if gateway.process and context.random.random() < 0.3:
+            gateway.process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(context.random.uniform(MAX_PAUSE_S, 2 * MAX_PAUSE_S))
 
 
 async def gateway_upgrade(context: FaultContext, seconds: float) -> None:
@@ -276,7 +300,8 @@
 async def idle_clients(context: FaultContext, seconds: float) -> None:
     """Idle clients fill a gateway's descriptors."""
     gateway = context.choose_gateway()
-    sockets = context.population.open_idle_connections(gateway.gate, IDLE_CLIENT_COUNT)
+    count = context.random.choice(IDLE_CLIENT_COUNTS)
+    sockets = context.population.open_idle_connections(gateway.gate, count)
     await asyncio.sleep(seconds)
     for sock in sockets:
         sock.close()
@@ -298,6 +323,7 @@
     "discovery": discovery_outage,
     "kill": gateway_kill,
     "stop": gateway_stop,
+    "pause": gateway_pauses,
     "upgrade": gateway_upgrade,
     "reload": gateway_reload,
     "worker": planner_fault,
--- a/bench/fault_soak/flight_clients.py
+++ b/bench/fault_soak/flight_clients.py
@@ -9,10 +9,11 @@
 
 import h2.exceptions
 
-from bench.fault_soak.clients import KEYS, Gate
+from bench.fault_soak.clients import Gate
 from bench.fault_soak.grpc_peer import GrpcPeer, Headers, PeerCall
+from bench.fault_soak.key_spacing import KeySpacing
 from bench.fault_soak.records import ClientRecord, Ending
-from bench.fault_soak.settings import ANSWER_SLACK_S, LOAD, LOOKUP, MEAN_WORK_S, REPORT
+from bench.fault_soak.settings import ANSWER_SLACK_S, LOAD, LOOKUP, MEAN_WORK_S, REPORT, TIMEOUT_SHARES
 from query_gateway.flight import messages
 
 CANCELLED_SHARE = 0.1  # of the calls
@@ -26,18 +27,22 @@
     port: int
     random: random.Random
     records: list[ClientRecord]
+    spacing: KeySpacing
+    longest_deadline_s: float
     stopped: bool = False
+    is_first_call: bool = True  # of the connection that was made last
     receiving: set[asyncio.Task[None]] = field(default_factory=set)
 
     async def run_client(self) -> None:
         """One client: call after call on a connection that it keeps while it can."""
         peer: GrpcPeer | None = None
         while not self.stopped:
-            if not self.gate.admitted:
+            is_usable = peer is not None and not peer.closed and not peer.draining
+            if not self.gate.admitted and not is_usable:
                 await asyncio.sleep(0.05)
                 continue
-            if peer is None or peer.closed or peer.draining or self.random.random() < 0.05:
-                peer = await self._connect()
+            if not is_usable or (self.gate.admitted and self.random.random() < 0.05):
+                peer, self.is_first_call = await self._connect(), True
             if peer is not None and not await self._call(peer):
                 peer.writer.close()
                 peer = None
@@ -61,10 +66,12 @@
 
     def _new_record(self) -> ClientRecord:
         request_class = self.random.choices((LOOKUP, REPORT, LOAD), (70, 15, 15))[0]
-        ttl = self.random.choice((0.4, 0.8, 1.5, 2.5, 3.0))
+        ttl = self.longest_deadline_s * self.random.choice(TIMEOUT_SHARES[1:])
         record = ClientRecord(uuid4().hex[:16], self.gate.name, request_class, ttl)
         if request_class == LOAD:
-            record.key, record.idempotency_key = f"{self.random.randrange(KEYS):016x}", uuid4().hex
+            key = self.spacing.reserve(self.gate.name, self.random, time.monotonic())
+            record.request_class = LOAD if key else LOOKUP
+            record.key, record.idempotency_key = key or "", uuid4().hex if key else ""
         self.records.append(record)
         return record
 
@@ -94,8 +101,10 @@
         try:
             call = peer.open_call(self._headers(record, method), message)
         except (h2.exceptions.ProtocolError, OSError):
+            self._note_written(record)
             return False
         record.sent_at, record.ending = time.monotonic(), Ending.SILENT
+        self._note_written(record)
         leaves = self.random.random() < CANCELLED_SHARE
         waits_s = self.random.uniform(0, 0.5) if leaves else record.ttl + ANSWER_SLACK_S
         with contextlib.suppress(TimeoutError):
@@ -106,6 +115,12 @@
             peer.reset(call.stream_id)
         return not peer.closed and not peer.draining
 
+    def _note_written(self, record: ClientRecord) -> None:
+        """Its key may be used again after a while."""
+        if record.key:
+            self.spacing.on_written(self.gate.name, record.key, time.monotonic(), self.is_first_call)
+        self.is_first_call = False
+
     @staticmethod
     async def _wait(call: PeerCall) -> None:
         while not call.ended:
--- a/bench/fault_soak/gateway_process.py
+++ b/bench/fault_soak/gateway_process.py
@@ -3,6 +3,7 @@
 import contextlib
 import json
 import os
+import resource
 import shutil
 import signal
 import subprocess
@@ -15,11 +16,16 @@
 from bench.fault_soak.clients import Gate
 from bench.fault_soak.control import ShimControl
 from bench.fault_soak.ports import free_port
-from bench.fault_soak.settings import settings
+from bench.fault_soak.settings import Deadlines, settings
 
 DESCRIPTORS = 256
 
 
+def _limit_descriptors() -> None:
+    """Give a process the limit on descriptors that its configuration names; runs in the new process."""
+    resource.setrlimit(resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS))
+
+
 class Layout(Enum):
     """How a gateway is laid out in processes, and which fronts it has."""
 
@@ -57,21 +63,24 @@
         """Everything that its processes have logged."""
         return self.folder / "log.txt"
 
+    @property
+    def trace_path(self) -> Path:
+        """Every step of every request, of all its processes."""
+        return self.folder / "trace.txt"
+
     @property
     def running(self) -> bool:
         """Whether its first process runs."""
         return self.process is not None and self.process.poll() is None
 
-    def write_configuration(
-        self, discovery: DiscoveryView, gateway_count: int, latency_objective_share: float
-    ) -> None:
+    def write_configuration(self, discovery: DiscoveryView, gateway_count: int, deadlines: Deadlines) -> None:
         """Write the file that a start or a reload reads, in the platform's words."""
         configuration = {
             "name": self.name, "listen": f"127.0.0.1:{self.gate.port}",
             "seed": f"{time.monotonic_ns():x}"[:16],
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": DESCRIPTORS},
             "journal": f"127.0.0.1:{discovery.port}", "known": discovery.endpoint_list,
-            "settings": settings(self.number, gateway_count, latency_objective_share),
+            "settings": settings(self.number, gateway_count, deadlines),
         }  # fmt: skip
         path = self.folder / "config.json"
         path.with_suffix(".new").write_text(json.dumps(configuration))
@@ -104,6 +113,7 @@
         environment |= {
             "ROUTER_CONFIG": str(self.folder / "config.json"),
             "TMPDIR": str(self.folder / "tmp"),
+            "QUERY_GATEWAY_TRACE": str(self.trace_path),
         }
         if self.layout is not Layout.PLAIN:
             environment["QUERY_GATEWAY_OPERATOR_FILE"] = str(self.folder / "operator.toml")
@@ -113,6 +123,7 @@
             return subprocess.Popen(
                 [str(python), "-m", "query_gateway"], cwd=root, env=environment,
                 stdin=subprocess.DEVNULL, stdout=log, stderr=log, start_new_session=True,
+                preexec_fn=_limit_descriptors,
             )  # fmt: skip
 
     def signal_group(self, number: int) -> None:
--- a/bench/fault_soak/oracle.py
+++ b/bench/fault_soak/oracle.py
@@ -7,9 +7,11 @@
 from collections import defaultdict
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
+from itertools import permutations
 
 from bench.fault_soak.clients import IDLE_CLOSE_CROSSING_S
 from bench.fault_soak.evidence import Attempt, Evidence
+from bench.fault_soak.key_spacing import SPACING_S
 from bench.fault_soak.records import ClientRecord, Ending, EngineChange, EngineChangeKind, Observations
 from bench.fault_soak.settings import (
     ANSWER_SLACK_S,
@@ -25,6 +27,8 @@
 MEASUREMENT_S = 0.06  # by which the soak's own processes may observe an event late
 ABANDONED_GRACE_S = 0.1  # an attempt may begin so long after its client has left
 BUDGET_SLACK_S = 0.15
+SPACING_TOLERANCE_S = 0.01  # by which clients note late when they have written
+NEVER = float("inf")
 KEY_QUARANTINE_S = 0.3  # after an attempt with unknown outcome
 
 
@@ -170,6 +174,35 @@
             yield from _check_consecutive(evidence, earlier, later)
 
 
+def key_order_as_sent(evidence: Evidence) -> Iterator[Violation]:
+    """Loads that begin at an engine while one of their key, which was sent earlier, has no answer."""
+    groups: dict[GatewayKey, list[ClientRecord]] = defaultdict(list)
+    for record in evidence.observations.clients:
+        if record.request_class == LOAD and record.sent_at and not record.pipelined:
+            groups[GatewayKey(record.gateway, record.key)].append(record)
+    for records in groups.values():
+        for earlier, later in permutations(records, 2):
+            if later.sent_at - earlier.sent_at >= SPACING_S - SPACING_TOLERANCE_S:
+                yield from _check_sent_order(evidence, earlier, later)
+
+
+def _check_sent_order(evidence: Evidence, earlier: ClientRecord, later: ClientRecord) -> Iterator[Violation]:
+    earlier_waits_until = min(
+        earlier.sent_at + earlier.ttl, earlier.ended_at or NEVER, earlier.left_at or NEVER
+    )
+    for attempt in evidence.attempts.get(later.client_request_id, []):
+        began_at = attempt.request.began_at
+        if began_at >= earlier_waits_until - MEASUREMENT_S:
+            continue
+        if evidence.crosses_outage(earlier.gateway, earlier.sent_at, began_at):
+            continue  # what a gateway had taken before it ended is lost
+        detail = (
+            f"overtook {earlier.client_request_id}, sent {later.sent_at - earlier.sent_at:.3f} s before it "
+            f"and open for {earlier_waits_until - began_at:.3f} s more"
+        )
+        yield Violation("loads of one key run in the order sent", began_at, _describe(later, detail))
+
+
 def _check_consecutive(evidence: Evidence, earlier: Attempt, later: Attempt) -> Iterator[Violation]:
     """Two attempts of one key, one directly after the other."""
     if earlier.request.client_request_id == later.request.client_request_id:
@@ -254,7 +287,8 @@
 
 CHECKS: tuple[Check, ...] = (
     lost_requests, unreadable_answers, attempts_after_client_left, exceeded_budgets, concurrent_attempts,
-    doubled_effects, sends_to_draining_engines, overloads_in_slow_start, key_order, process_faults,
+    doubled_effects, sends_to_draining_engines, overloads_in_slow_start, key_order, key_order_as_sent,
+    process_faults,
 )  # fmt: skip
 
 
--- a/bench/fault_soak/run.py
+++ b/bench/fault_soak/run.py
@@ -9,14 +9,14 @@
 from pathlib import Path
 
 from bench.fault_soak.clients import Population
-from bench.fault_soak.deployment import Deployment
+from bench.fault_soak.deployment import Deployment, DeploymentPaths
 from bench.fault_soak.fault_schedule import ScheduledFault, draw_schedule, play_schedule
 from bench.fault_soak.faults import FAULTS, FaultContext
 from bench.fault_soak.flight_clients import FlightPopulation
 from bench.fault_soak.gateway_process import Layout
 from bench.fault_soak.oracle import Oracle, Violation
 from bench.fault_soak.records import DriverStall, EngineEvent, EngineEventKind, Observations
-from bench.fault_soak.settings import ANSWER_SLACK_S, GIVE_UP_S
+from bench.fault_soak.settings import ANSWER_SLACK_S, DEADLINES_S
 
 WATCH_INTERVAL_S = 0.02
 STALL_S = 0.15  # by how much longer a wait takes that counts as a stall of the soak itself
@@ -35,9 +35,17 @@
     layouts: tuple[Layout, ...] = (Layout.PLAIN, Layout.PLAIN, Layout.FLIGHT, Layout.PROCESSES)
     engine_count: int = 4
     client_count: int = 40
+    key_pair_client_count: int = 8
     flight_client_count: int = 8  # of each gateway with that front
     fault_count: int = 10
     only: tuple[str, ...] = ()  # names of faults to draw from; empty: all
+    deadline_s: float | None = None  # the longest of the deployment; None: drawn
+
+    @property
+    def longest_deadline_s(self) -> float:
+        """The longest deadline of the deployment."""
+        drawn = random.Random(f"deadline {self.seed}").choice(DEADLINES_S)
+        return self.deadline_s or drawn
 
 
 @dataclass(slots=True)
@@ -60,14 +68,16 @@
         verdict = "broken " + json.dumps(promises) if promises else "kept"
         stalls = sum(stall.ended_at - stall.began_at for stall in self.observations.driver_stalls)
         blind = f" blind {stalls:.1f} s" if stalls else ""
-        return f"seed {self.plan.seed} {json.dumps(endings)}{blind}: {verdict}"
+        plan = f"seed {self.plan.seed} deadline {self.plan.longest_deadline_s} s"
+        return f"{plan} {json.dumps(endings)}{blind}: {verdict}"
 
 
 async def run(plan: Plan, root: Path, folder: Path, shim_library: Path) -> Result:
     """Play one plan with the program in `root`; logs and events stay in `folder`."""
     source = random.Random(plan.seed)
     seen = Observations()
-    deployment = Deployment(root, folder, shim_library, seen)
+    paths = DeploymentPaths(root, folder, shim_library)
+    deployment = Deployment(paths, seen, plan.longest_deadline_s)
     try:
         deployment.start_engines(plan.engine_count, plan.seed)
         count = len(plan.layouts)
@@ -88,12 +98,20 @@
     plan: Plan, deployment: Deployment, source: random.Random, schedule: list[ScheduledFault]
 ) -> None:
     seen = deployment.observations
-    population = Population([gateway.gate for gateway in deployment.gateways], random.Random(source.random()))
+    gates = [gateway.gate for gateway in deployment.gateways]
+    population = Population(gates, random.Random(source.random()), plan.longest_deadline_s)
     clients = [asyncio.create_task(population.run_client()) for _ in range(plan.client_count)]
+    for number in range(plan.key_pair_client_count):
+        clients.append(asyncio.create_task(population.run_key_pair_client(number)))
     flight_populations = [
         FlightPopulation(
-            gateway.gate, gateway.flight_port, random.Random(source.random()), population.records
-        )
+            gateway.gate,
+            gateway.flight_port,
+            random.Random(source.random()),
+            population.records,
+            population.spacing,
+            plan.longest_deadline_s,
+        )  # fmt: skip
         for gateway in deployment.gateways
         if gateway.layout is Layout.FLIGHT
     ]
@@ -109,7 +127,7 @@
     population.stopped = True
     for flight_population in flight_populations:
         flight_population.stopped = True
-    await asyncio.wait(clients, timeout=3 * (GIVE_UP_S + ANSWER_SLACK_S))
+    await asyncio.wait(clients, timeout=3 * (plan.longest_deadline_s + ANSWER_SLACK_S))
     watching.cancel()
     for task in asyncio.all_tasks() - {asyncio.current_task()}:
         task.cancel()
@@ -143,8 +161,8 @@
                 seen.invariant_lines.append(f"{gateway.name}: {line[:300]}")
 
 
-def request_timeline(result: Result, client_request_id: str) -> list[str]:
-    """All that was observed of one request, in the order of time."""
+def request_timeline(result: Result, folder: Path, client_request_id: str) -> list[str]:
+    """All that was observed of one request: by its client, by engines, and by the gateways themselves."""
     records = [
         record for record in result.observations.clients if record.client_request_id == client_request_id
     ]
@@ -154,7 +172,13 @@
         for event in sorted(result.observations.engine_events, key=lambda event: event.observed_at)
         if event.client_request_id == client_request_id
     ]
-    return [f"{record}" for record in records] + [_event_line(event, began_at) for event in events]
+    traced = [
+        f"{float(line.split(' ', 1)[0]) - began_at:+.3f} {path.parent.name} {line.split(' ', 1)[1]}"
+        for path in sorted(folder.glob("*/trace.txt"))
+        for line in path.read_text().splitlines()
+        if client_request_id in line
+    ]
+    return [f"{record}" for record in records] + [_event_line(event, began_at) for event in events] + traced
 
 
 def _event_line(event: EngineEvent, began_at: float) -> str:
--- a/bench/fault_soak/settings.py
+++ b/bench/fault_soak/settings.py
@@ -1,13 +1,16 @@
 """The settings of the gateways in a run: one class for each kind of idempotency, and short deadlines."""
 
 import math
+from dataclasses import dataclass
 from typing import Any
 
 SECOND = 1_000_000_000
 LOOKUP, REPORT, LOAD = "lookup", "report", "load"
 CLASSES = (LOOKUP, REPORT, LOAD)
 CLASS_WEIGHTS = (70, 15, 15)
-GIVE_UP_S = 3.0
+DEADLINES_S = (0.6, 1.5, 3.0)  # longest deadlines of a deployment
+LONGEST_DEADLINE_COUNTED_S, KILL_MARGIN_S = 3.0, 0.7
+TIMEOUT_SHARES = (0.05, 0.13, 0.27, 0.5, 0.83, 1.0)  # of the longest deadline, that clients wait
 DEDUPLICATION_WINDOW_S = 2.0
 DRAIN_GRACE_S = 0.5
 NOTIFICATION_DEADLINE_S = 7.0  # a gateway counts as notified so long after an endpoint has changed
@@ -16,21 +19,29 @@
 SLOW_START_S, START_CAPACITY, OVERLOAD_FACTOR, OVERLOAD_WINDOW_S = 6.0, 0.31, 2.5, 1.0
 
 
+@dataclass(frozen=True, slots=True)
+class Deadlines:
+    """The deadlines of a deployment, in seconds."""
+
+    longest_s: float
+    latency_objective_share: float = 0.5  # of it
+
+    @property
+    def kill_after_s(self) -> float:
+        """How long after SIGTERM a SIGKILL may come at the earliest."""
+        return min(self.longest_s, LONGEST_DEADLINE_COUNTED_S) + KILL_MARGIN_S
+
+
 def _service(name: str, repeat: str, **extra: Any) -> dict[str, Any]:
-    base = {
-        "name": name,
-        "aim": int(GIVE_UP_S * SECOND / 2),
-        "give-up": int(GIVE_UP_S * SECOND),
-        "worth": 1.0,
-    }
-    return {**base, "repeat": repeat, **extra}
+    return {"name": name, "worth": 1.0, "repeat": repeat, **extra}
 
 
-def settings(gateway_number: int, gateway_count: int, latency_objective_share: float = 0.5) -> dict[str, Any]:
-    """The settings object of one gateway's configuration; with this share of the deadline as objective."""
+def settings(gateway_number: int, gateway_count: int, deadlines: Deadlines) -> dict[str, Any]:
+    """The settings object of one gateway's configuration."""
     found = _settings(gateway_number, gateway_count)
     for service in found["services"]:
-        service["aim"] = int(service["give-up"] * latency_objective_share)
+        service["give-up"] = int(deadlines.longest_s * SECOND)
+        service["aim"] = int(service["give-up"] * deadlines.latency_objective_share)
     return found
 
 
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -10,6 +10,7 @@
 from bench.fault_soak.fault_schedule import draw_schedule
 from bench.fault_soak.faults import FAULTS
 from bench.fault_soak.gateway_process import Layout
+from bench.fault_soak.key_spacing import KEYS, KeySpacing
 from bench.fault_soak.oracle import Oracle
 from bench.fault_soak.records import (
     ClientRecord,
@@ -23,7 +24,7 @@
     OutageKind,
 )
 from bench.fault_soak.run import Plan, run
-from bench.fault_soak.settings import LOAD, LOOKUP, REPORT
+from bench.fault_soak.settings import LOAD, LOOKUP, REPORT, Deadlines
 
 ROOT = Path(__file__).parent.parent
 
@@ -77,6 +78,65 @@
     assert not broken([record(Ending.CLOSED)], outages=[killed])
 
 
+def test_a_request_that_a_stop_left_unanswered_is_lost() -> None:
+    """After SIGTERM there is time to answer all that was taken, until the kill."""
+    stopped = Outage("g", OutageKind.STOPPED, 9.0, 10.3, 12.0)
+    for reused_connection in (False, True):
+        client = record(Ending.CLOSED, 0.3, reused_connection=reused_connection)
+        assert broken([client], outages=[stopped]) == {"one final answer in time"}
+
+
+def load(name: str, sent_at: float, ended_at: float, **more: object) -> ClientRecord:
+    client = ClientRecord(name * 16, "g", LOAD, 1.0, "k", sent_at=sent_at, ended_at=ended_at)
+    client.ending = Ending.SERVED
+    for field_name, value in more.items():
+        setattr(client, field_name, value)
+    return client
+
+
+ORDER_AS_SENT = "loads of one key run in the order sent"
+
+
+@pytest.mark.parametrize(
+    ("first", "is_broken"),
+    [
+        (load("a", 10.0, 10.9), True),
+        (load("a", 10.0, 10.3), False),  # answered before the later one began
+        (load("a", 10.0, 10.8, ttl=0.3), False),  # its client waits no longer
+        (load("a", 10.0, 10.9, ending=Ending.LEFT, left_at=10.3), False),
+        (load("a", 10.24, 10.9), False),  # sent closer together than clients do
+        (load("a", 0.0, 10.9, ending=Ending.NOT_ACCEPTED), False),
+        (load("a", 10.0, 10.9, key="other"), False),
+        (load("a", 10.0, 10.9, gateway="other"), False),
+        (load("a", 10.0, 10.9, pipelined=True), False),
+    ],
+)
+def test_a_load_that_overtakes_one_that_was_sent_before_it_is_found(
+    first: ClientRecord, is_broken: bool
+) -> None:
+    """By what clients sent and engines got: the first one need not have reached any engine."""
+    later = load("b", 10.25, 10.8)
+    events = [request(10.4, client_request_id="b" * 16)]
+    assert broken([first, later], events) == ({ORDER_AS_SENT} if is_broken else set())
+
+
+def test_keys_are_spaced_as_the_platform_s_clients_do() -> None:
+    spacing, source = KeySpacing(), random.Random(1)
+    keys = {spacing.reserve("g", source, 0.0) for _ in range(KEYS)}
+    assert None not in keys and spacing.reserve("g", source, 0.0) is None
+    key = str(next(iter(keys)))
+    spacing.on_written("g", key, 1.0, on_new_connection=True)
+    assert spacing.reserve("g", source, 1.2) is None and spacing.reserve("g", source, 1.25) == key
+    spacing.on_written("g", key, 2.0, on_new_connection=False)
+    assert spacing.reserve("g", source, 2.05) is None and spacing.reserve("g", source, 2.07) == key
+    assert spacing.reserve("other", source, 0.0)
+
+
+@pytest.mark.parametrize(("longest_s", "kill_after_s"), [(0.6, 1.3), (3.0, 3.7), (25.0, 3.7)])
+def test_a_kill_comes_as_early_as_it_may(longest_s: float, kill_after_s: float) -> None:
+    assert Deadlines(longest_s).kill_after_s == pytest.approx(kill_after_s)
+
+
 @pytest.mark.parametrize(
     ("request_class", "events", "promise"),
     [
@@ -133,7 +193,7 @@
     assert build_shim(tmp_path).exists()
 
 
-@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize("seed", [1, 2, 3, 4, 5, 6])
 def test_a_short_run_with_overlapping_faults_breaks_no_promise(seed: int, tmp_path: Path) -> None:
     """Several faults overlap while real processes serve clients on loopback for some seconds.
 
