Reject a load that was held up to its deadline; it was answered as failed

Callers saw 500 for a load that key quarantine had held up to its deadline: by that its client must assume that it ran, and may not send it again, although no planner knew of it. Loads that wait for an earlier arrival would end the same way while accept fails for long.

Cause: on_overdue answered every request without a decision as failed. One that no planner was notified of surely never ran, so it is rejected.

Evidence: the new test, for quarantine and for the order of arrival, failed before with Verdict.FAILED and passes now; test_key_order, test_race_abandoned_requests and test_send_guard pass.

--- a/query_gateway/forwarder/exchange.py
+++ b/query_gateway/forwarder/exchange.py
@@ -216,13 +216,12 @@
         self.engine_side.abort(OutcomeCode.TIMEOUT)
 
     def on_overdue(self) -> None:
-        """No planner has ended the exchange in time: fail it.
+        """No planner has ended the exchange in time: fail it, or reject what no planner was notified of.
 
-        A request that key quarantine has held up to its deadline fails here as well, although nothing of it
-        ran and its planner never knew of it.
+        Key quarantine, or an earlier request that may still be unread, has held the latter until now.
         """
         if not self.answered:
-            self.answer(Answer(Verdict.FAILED))
+            self.answer(Answer(Verdict.FAILED if self.planner_notified else Verdict.REJECTED))
             self.notify_planner(RequestAbandoned(self.request_id))
         self.engine_side.abort(OutcomeCode.CANCELLED)
         self.settle()
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -2,8 +2,11 @@
 
 from collections.abc import Callable
 
+import pytest
+
 from query_gateway.configuration.settings_parser import parse_settings
 from query_gateway.forwarder.engine_side import CANCEL_PROPAGATION_NS
+from query_gateway.forwarder.exchange import PLANNER_GRACE_NS
 from query_gateway.forwarder.forwarder import Forwarder
 from query_gateway.forwarder.messages import Answer, AttemptHandle, ClientRequest, Endpoint, Verdict
 from query_gateway.model.actions import Cancel, Forward, Reject
@@ -179,6 +182,36 @@
     assert world.keyed_requests() == [first, second, third, last]
 
 
+class StandingWatermark:
+    """Nothing that came after clock time 0 is known to have been read."""
+
+    read_through = 0
+
+    def await_progress(self, is_awaited: bool) -> None: ...
+
+
+@pytest.mark.parametrize("held_by", ["quarantine", "order"])
+def test_a_load_that_was_held_up_to_its_deadline_is_rejected(held_by: str) -> None:
+    """Nothing of it ran and no planner knew of it: its client may send it again."""
+    world = World()
+    world.forwarder.keep_arrival_order(StandingWatermark())
+    received_at = 1 if held_by == "order" else 0
+    deadline = 100_000_000
+    if held_by == "quarantine":
+        world.forwarder.on_planner_lost(0)
+        world.forwarder.on_planner_connected(0)
+        assert world.forwarder.key_quarantine.ends_at[0] > deadline + PLANNER_GRACE_NS
+    request = ClientRequest(
+        "2" * 16, 2, "load", b"x", deadline, False, "k", "u", None, 0.0, None, received_at
+    )
+    client = RecordingClient()
+    world.accept(request, client)
+    for now in (deadline, deadline + PLANNER_GRACE_NS):
+        assert not client.answers
+        world.pass_time(now)
+    assert client.answers == [Answer(Verdict.REJECTED)] and not world.keyed_requests()
+
+
 def test_a_retry_is_not_sent_once_engines_have_forgotten_the_first_attempt() -> None:
     """A suspended planner process forwards a retry when its deduplication window is over.
 
