Take in drains and cancels that came during a slow turn before attempts leave

Callers and engines saw, after a turn of the loop that took long (or a process that was stopped): an attempt sent to an engine over the drain grace after its drain had come, and one sent for a Flight call long after its client had cancelled it.

Cause, of the incident's class: the guard asks our own view, the endpoint list and the call's state. What changes them was there, unread or read and not yet taken in, while a connection to the engine came up in the same turn and its event was handled first; Flight attempts left in the midst of the poll's events. A closed connection shows when the guard reads the client's socket, a cancel by a frame does not.

Change: tasks that take in what others decide by (the discovery watch, Flight clients) are urgent: they run right behind the events of a poll, before timers and all other tasks. Waiting Flight attempts begin behind them.

Evidence: two new tests with a dial that comes up during a slow turn. On the program before, the engine got the request 0.5 s after its drain, and the cancelled call's attempt was written. Each fails again without its urgent task (scratch copies). test_flight, test_flight_statements, test_race_flight, test_key_order and test_race_endpoint_list pass.

--- a/query_gateway/discovery/watch_client.py
+++ b/query_gateway/discovery/watch_client.py
@@ -61,7 +61,8 @@
         self._answered = False  # at least once
         self._connection_lost = False  # since the last answer
         self._random, self._backoff = Random(seed), MIN_BACKOFF_SECONDS
-        self.task = loop.spawn(self._run())
+        # After a slow turn a drain may be there unread, beside a connection that comes up to that engine
+        self.task = loop.spawn(self._run(), is_urgent=True)
 
     def stop(self) -> None:
         """End the connection and poll no more."""
--- a/query_gateway/flight/engines.py
+++ b/query_gateway/flight/engines.py
@@ -245,7 +245,9 @@
 
     def _on_activity(self) -> None:
         self.grpc.wake()
-        self._start_waiting()
+        if self.waiting:
+            # Not in the midst of the events of a poll: those of clients may be cancels, and come first
+            self.pool.loop.call_at(self.pool.loop.now(), self._start_waiting)
 
     def _start_waiting(self) -> None:
         """Begin what waits, or end it if the connection never came up."""
--- a/query_gateway/net/loop.py
+++ b/query_gateway/net/loop.py
@@ -47,9 +47,10 @@
 class Task:
     """A coroutine on the loop."""
 
-    def __init__(self, loop: "Loop", coroutine: Steps) -> None:
+    def __init__(self, loop: "Loop", coroutine: Steps, is_urgent: bool) -> None:
         """Make a task that does not run before it is woken; see `Loop.spawn`."""
         self.loop, self.coroutine = loop, coroutine
+        self.queue = loop.urgent if is_urgent else loop.ready
         self.queued = self.done = False
         self.timer: Timer | None = None
 
@@ -57,7 +58,7 @@
         """Resume the coroutine in the next round of ready tasks: of this turn, or of the next one."""
         if not self.queued and not self.done:
             self.queued = True
-            self.loop.ready.append(self)
+            self.queue.append(self)
 
     def step(self) -> None:
         """Run the coroutine to its next yield and set the timer for the time that it yields."""
@@ -92,6 +93,7 @@
         self.epoll = retry_at_start(select.epoll)
         self.handlers: dict[int, Callable[[], None]] = {}  # by descriptor
         self.sockets: dict[int, socket.socket] = {}  # by descriptor
+        self.urgent: deque[Task] = deque()  # ready as well, and first
         self.ready: deque[Task] = deque()
         self.timers: list[tuple[float, int, Timer]] = []  # heap: due time, sequence number, timer
         self.timer_sequence = count()
@@ -133,9 +135,13 @@
         heapq.heapify(self.timers)
         self.timers_after_sweep = len(self.timers)
 
-    def spawn(self, coroutine: Steps) -> Task:
-        """Start a coroutine; it first runs in the next round of ready tasks."""
-        task = Task(self, coroutine)
+    def spawn(self, coroutine: Steps, is_urgent: bool = False) -> Task:
+        """Start a coroutine; it first runs in the next round of ready tasks.
+
+        An urgent one takes in what the decisions of others in the same turn depend on: it runs before them,
+        and before timers.
+        """
+        task = Task(self, coroutine, is_urgent)
         task.wake()
         return task
 
@@ -195,17 +201,18 @@
         self.epoll.close()
 
     def turn(self) -> None:
-        """Run one iteration: sockets, timers, tasks, turn hooks, then the closing of sockets.
+        """Run one iteration: sockets, urgent tasks, timers, tasks, turn hooks, then the closing of sockets.
 
         Tasks run before the hooks because the planner is a hook: an answer that an engine's coroutine has
         just settled must leave before the planner sends the next request of the same key.
         """
         self._handle_socket_events()
+        self._run_urgent()
         now = self.now()
         self._run_due_timers(now)
         for _ in range(TASK_ROUNDS):
             self._run_ready()
-        if not self.ready:
+        if not self.ready and not self.urgent:
             self.watermark.end_turn()
         if not self._run_turn_hooks():
             self.call_at(now, lambda: None)  # work is left: the next poll must not block
@@ -214,7 +221,7 @@
     def _handle_socket_events(self) -> None:
         """Wait for events as long as nothing else is due, and call their handlers."""
         timeout = MAX_POLL_SECONDS
-        if self.ready or self.soon_callbacks:
+        if self.ready or self.urgent or self.soon_callbacks:
             timeout = 0.0
         elif self.timers:
             timeout = min(timeout, max(0.0, self.timers[0][0] - self.now()))
@@ -270,8 +277,13 @@
             with contextlib.suppress(OSError):  # EINTR or EIO: the descriptor is free all the same
                 sock.close()
 
+    def _run_urgent(self) -> None:
+        for _ in range(len(self.urgent)):
+            self.urgent.popleft().step()
+
     def _run_ready(self) -> None:
         """Run the tasks that are ready now; what they wake runs in the next round."""
+        self._run_urgent()
         for _ in range(len(self.ready)):
             self.ready.popleft().step()
 
--- a/query_gateway/rpc/connection.py
+++ b/query_gateway/rpc/connection.py
@@ -59,7 +59,8 @@
         self.h2.initiate_connection()  # first of all: calls may be opened before the task has its turn
         self.h2.increment_flow_control_window(CONNECTION_WINDOW_INCREMENT_BYTES)
         self.flush()
-        self.task: Task = loop.spawn(self._run())
+        # A client's cancel is a frame, which must be read before an attempt may leave for its call
+        self.task: Task = loop.spawn(self._run(), is_urgent=not is_client)
         stream.on_activity = self.task.wake
 
     # ---- for the owner of the connection
--- /dev/null
+++ b/tests/test_late_turns.py
@@ -0,0 +1,93 @@
+"""After a slow turn of the loop, what has come meanwhile is taken in before attempts leave by it."""
+
+import json
+import socket
+import threading
+import time
+
+from h2.config import H2Configuration
+from h2.connection import H2Connection
+
+from query_gateway.flight import messages
+from query_gateway.gateway import Gateway
+from query_gateway.rpc.framing import encode_message
+from tests.race_helpers import SlowToAcceptEngine, send_request, settings_without_timeouts
+from tests.stand_ins import SEC, config, endpoint_list_answer, host, running_gateway
+from tests.test_local import until
+from tests.test_race_flight import flight_gateway, flight_update_headers, turn_until
+from tests.test_web import LOAD, SQL, JournalStandIn
+
+SYN_RETRY_S = 1.0  # until Linux tries a dial again that found the backlog full
+ABANDONED_GRACE_S = 0.2  # longer than an attempt may begin after its client has left
+DRAIN_GRACE_S = 0.5  # of the settings' defaults
+
+
+def begin_slow_turn(gateway: Gateway, may_end: threading.Event) -> None:
+    """Keep the loop from turning until the event is set."""
+    begun = threading.Event()
+
+    def stall() -> None:
+        begun.set()
+        assert may_end.wait(20)
+
+    gateway.loop.call_soon(stall)
+    assert begun.wait(10)
+
+
+def test_attempt_does_not_leave_to_an_engine_whose_drain_came_during_a_slow_turn() -> None:
+    """The engine's connection comes up in the same turn, and its event is handled first."""
+    engine, journal, may_end = SlowToAcceptEngine(), JournalStandIn(), threading.Event()
+    settings = settings_without_timeouts(dial_timeout=600 * SEC)
+    configuration = config([host(engine)], journal=journal.address, settings=settings)
+    with running_gateway(configuration) as gateway:
+        waiting = send_request(gateway, SQL)
+        until(lambda: gateway.engine_pool.connections)
+        begin_slow_turn(gateway, may_end)
+        engine.accept_connections()
+        time.sleep(1.5 * SYN_RETRY_S)
+        drained = endpoint_list_answer(2, [host(engine, health="draining")])
+        journal.answer(json.dumps(drained).encode())
+        time.sleep(DRAIN_GRACE_S)
+        may_end.set()
+        until(lambda: not gateway.engine_pool.connections)
+        waiting.close()
+    engine.close()
+    journal.close()
+    assert engine.statements == []
+
+
+def listener_with_full_backlog() -> tuple[socket.socket, list[socket.socket]]:
+    """A listening socket that answers no further dial, and the clients that fill it."""
+    listener = socket.create_server(("127.0.0.1", 0), backlog=0)
+    fillers = [socket.socket() for _ in range(4)]
+    for filler in fillers:
+        filler.setblocking(False)
+        filler.connect_ex(listener.getsockname())
+    return listener, fillers
+
+
+def test_attempt_does_not_leave_for_a_flight_call_that_was_cancelled_during_a_slow_turn() -> None:
+    """The cancel is a frame on an open connection, which a look at the socket's end does not show."""
+    engine, fillers = listener_with_full_backlog()
+    gateway = flight_gateway(engine, settings_without_timeouts(dial_timeout=600 * SEC))
+    assert gateway.flight_server and gateway.flight_pool
+    client_h2 = H2Connection(H2Configuration(client_side=True))
+    client_h2.initiate_connection()
+    client_h2.send_headers(1, flight_update_headers())
+    client_h2.send_data(1, encode_message(messages.encode_update(LOAD)), end_stream=True)
+    with socket.create_connection(gateway.flight_server.listener.address) as client:
+        client.sendall(client_h2.data_to_send())
+        turn_until(gateway, lambda: gateway.flight_pool and gateway.flight_pool.connections)
+        [connection] = gateway.flight_pool.connections.values()
+        assert not connection.grpc.stream.connected
+        for filler in fillers:
+            filler.close()
+        engine.accept()[0].close()  # and no turn until the cancel has come
+        time.sleep(1.5 * SYN_RETRY_S)
+        client_h2.reset_stream(1)
+        client.sendall(client_h2.data_to_send())
+        time.sleep(ABANDONED_GRACE_S)
+        turn_until(gateway, lambda: not gateway.forwarder.exchanges)
+    assert gateway.forwarder.counters.forwards == 0
+    gateway.loop.close()
+    engine.close()
--- a/tests/test_race_flight.py
+++ b/tests/test_race_flight.py
@@ -59,6 +59,19 @@
     )
 
 
+def flight_update_headers() -> list[tuple[str, str]]:
+    """The headers of a client's call that updates something as a load."""
+    return [
+        (":method", "POST"),
+        (":scheme", "http"),
+        (":path", messages.SERVICE_PATH + "DoPut"),
+        (":authority", "x"),
+        ("x-class", "load"),
+        ("x-row", "7f3a9c21e0b4d655"),
+        ("x-txn-key", uuid4().hex),
+    ]
+
+
 def accept_flight_query(gateway: Gateway, statement: str) -> Exchange:
     headers = {"x-txn": uuid4().hex[:16], "x-ttl-ms": "600000"}
     query = decode_request(
@@ -84,16 +97,7 @@
     turn_until(gateway, lambda: connection.grpc.stream.connected)
     client_h2 = H2Connection(H2Configuration(client_side=True))
     client_h2.initiate_connection()
-    headers = {
-        ":method": "POST",
-        ":scheme": "http",
-        ":path": messages.SERVICE_PATH + "DoPut",
-        ":authority": "x",
-        "x-class": "load",
-        "x-row": "7f3a9c21e0b4d655",
-        "x-txn-key": uuid4().hex,
-    }
-    client_h2.send_headers(1, list(headers.items()))
+    client_h2.send_headers(1, flight_update_headers())
     client_h2.send_data(1, encode_message(messages.encode_update(LOAD)), end_stream=True)
     next_id_before = gateway.forwarder.next_request_id
     with socket.create_connection(gateway.flight_server.listener.address) as client:
