Note when a request came as its bytes are read; frames behind it made it look young

The machine was asked for its newest data as the call was decoded, and the client's reply to our own preface, sent at the accept, was the newest by then.

Change: the machine is asked right before each read, and a Flight connection is read before anything is sent on it.

Evidence: the new test, with a preface and a reply behind the call, failed before (the call counted from now) and passes; the tests of arrival, order and slow turns pass.

--- a/query_gateway/flight/client_call.py
+++ b/query_gateway/flight/client_call.py
@@ -125,7 +125,7 @@
         """Forward a statement at once, or once it has been parsed where statements are."""
         server = self.server
         stream = self.call.connection.stream
-        arrival = stream.arrival_of(stream.arrivals.received)
+        arrival = stream.arrivals.time_of(stream.arrivals.received, server.loop.now())
         received_at, order_at = clock_time_of(arrival.earliest), clock_time_of(arrival.latest)
         statement = FlightStatement(text, is_update, received_at, order_at)
         class_name = self.request_headers.get("x-class")
--- a/query_gateway/flight/server.py
+++ b/query_gateway/flight/server.py
@@ -85,9 +85,11 @@
         if len(self.connections) >= self.max_connections and not self._close_idle_connection():
             stream.close(Reason.TOO_MANY)
             return
+        # Read before anything is sent: the client's reply to our preface would pass for the newest data
+        stream.start()
+        stream.read_available()
         connection = GrpcConnection(self.loop, stream, is_client=False)
         connection.on_call = lambda headers, call: FlightCall(self, headers, call)
-        stream.start()
         self.connections.append(connection)
         self._drain_connections()
 
--- a/query_gateway/net/arrivals.py
+++ b/query_gateway/net/arrivals.py
@@ -7,15 +7,14 @@
 
 class _Arrival(NamedTuple):
     end_position: int  # how many bytes had been received with it
-    arrived_at: float
-    read_at: float
+    time: "ArrivalTime"
 
 
 class ArrivalTime(NamedTuple):
     """When bytes had come, in loop times: within this span."""
 
     earliest: float
-    latest: float
+    latest: float  # the same as `earliest` where the machine does not tell it
 
 
 class ArrivalLog:
@@ -27,28 +26,26 @@
         self.unread_since = unread_since  # what is read next may have waited since then; None: not long
         self._arrivals: list[_Arrival] = []  # few; an empty list is smaller than a deque
 
-    def record_read(self, size: int, arrived_at: float, read_at: float, more_waits: bool) -> None:
-        """Note a read of so many bytes, which came at `arrived_at`, or earlier where they were left unread.
+    def record_read(self, size: int, time: ArrivalTime, more_waits: bool) -> None:
+        """Note a read of so many bytes, which came at that time, or earlier where they were left unread.
 
         `more_waits`: further bytes that came with them may be unread still.
         """
         if self.unread_since is not None:
-            arrived_at = min(arrived_at, self.unread_since)
+            time = ArrivalTime(min(time.earliest, self.unread_since), time.latest)
             if not more_waits:
                 self.unread_since = None
-        self.record(size, arrived_at, read_at)
+        self.record(size, time)
 
-    def record(self, size: int, arrived_at: float, read_at: float) -> None:
-        """Note that so many further bytes have come, `arrived_at` the earliest, and were read."""
+    def record(self, size: int, time: ArrivalTime) -> None:
+        """Note that so many further bytes have come."""
         self.received += size
         if len(self._arrivals) >= MAX_ENTRIES:
-            arrived_at = self._arrivals.pop().arrived_at
-        self._arrivals.append(_Arrival(self.received, arrived_at, read_at))
+            time = ArrivalTime(self._arrivals.pop().time.earliest, time.latest)
+        self._arrivals.append(_Arrival(self.received, time))
 
     def time_of(self, position: int, default: float) -> ArrivalTime:
         """When the byte at a position, counted from 1, had come; the bytes before it are forgotten."""
         while self._arrivals and self._arrivals[0].end_position < position:
             del self._arrivals[0]
-        if not self._arrivals:
-            return ArrivalTime(default, default)
-        return ArrivalTime(self._arrivals[0].arrived_at, self._arrivals[0].read_at)
+        return self._arrivals[0].time if self._arrivals else ArrivalTime(default, default)
--- a/query_gateway/net/buffered_socket.py
+++ b/query_gateway/net/buffered_socket.py
@@ -105,6 +105,8 @@
 
     def _read(self) -> bool:
         """Read once; whether anything was there, be it the end of the connection."""
+        # Before the read: what comes behind it must not count as the time of what is read
+        waited = seconds_since_last_data(self.sock) if self._is_accepted else None
         try:
             data = self.sock.recv(READ_SIZE_BYTES)
         except OSError as error:
@@ -118,27 +120,19 @@
             self.eof = True
         self.inbox += data
         if self._is_accepted:
-            # What was read may have waited as long as the loop had no time for it
-            now = self.loop.now()
-            arrived_at = now - self.loop.lag()
-            self.arrivals.record_read(len(data), arrived_at, now, more_waits=len(data) >= READ_SIZE_BYTES)
+            more_waits = len(data) >= READ_SIZE_BYTES
+            self.arrivals.record_read(len(data), self._arrival_time(waited), more_waits)
         self.read_paused = len(self.inbox) >= MAX_INBOX_BYTES
         if self.read_paused:
             self.arrivals.unread_since = self.loop.now()
         return True
 
-    def arrival_of(self, position: int) -> ArrivalTime:
-        """When the byte at a position of what was received, counted from 1, had come.
-
-        `latest` is what the machine tells of its newest data, so it is exact for a request behind which
-        nothing has come; where the machine tells nothing, it is `earliest`.
-        """
+    def _arrival_time(self, waited: float | None) -> ArrivalTime:
+        """When what was read just now had come; the newest data has waited for so many seconds, if known."""
         now = self.loop.now()
-        earliest, read_at = self.arrivals.time_of(position, now)
-        waited = seconds_since_last_data(self.sock)
-        if waited is None:
-            return ArrivalTime(earliest, earliest)
-        latest = min(read_at, now - waited)
+        # It may have waited as long as the loop had no time for it
+        earliest = now - self.loop.lag()
+        latest = earliest if waited is None else now - waited
         return ArrivalTime(min(earliest, latest), latest)
 
     def read_available(self) -> None:
--- a/tests/test_late_turns.py
+++ b/tests/test_late_turns.py
@@ -7,9 +7,11 @@
 
 from h2.config import H2Configuration
 from h2.connection import H2Connection
+from hyperframe.frame import SettingsFrame
 
 from query_gateway.flight import messages
 from query_gateway.gateway import Gateway
+from query_gateway.net.steady_clock import steady_now_ns
 from query_gateway.rpc.framing import encode_message
 from tests.race_helpers import SlowToAcceptEngine, send_request, settings_without_timeouts
 from tests.stand_ins import SEC, config, endpoint_list_answer, host, running_gateway
@@ -19,6 +21,7 @@
 
 SYN_RETRY_S = 1.0  # until Linux tries a dial again that found the backlog full
 ABANDONED_GRACE_S = 0.2  # longer than an attempt may begin after its client has left
+WAIT_S = 0.3
 DRAIN_GRACE_S = 0.5  # of the settings' defaults
 
 
@@ -91,3 +94,27 @@
     assert gateway.forwarder.counters.forwards == 0
     gateway.loop.close()
     engine.close()
+
+
+def test_time_of_a_flight_call_counts_from_its_message_and_not_from_frames_behind_it() -> None:
+    """A client answers our preface at once; by its newest data the call would have come just now."""
+    engine = socket.create_server(("127.0.0.1", 0))
+    gateway = flight_gateway(engine)
+    assert gateway.flight_server
+    client_h2 = H2Connection(H2Configuration(client_side=True))
+    client_h2.initiate_connection()
+    client_h2.send_headers(1, flight_update_headers())
+    client_h2.send_data(1, encode_message(messages.encode_update(LOAD)), end_stream=True)
+    with socket.create_connection(gateway.flight_server.listener.address) as client:
+        client.sendall(client_h2.data_to_send())
+        sent_at = steady_now_ns()
+        time.sleep(WAIT_S)
+        gateway.loop.turn()  # accepts, and sends the preface
+        client.sendall(SettingsFrame(0, flags=["ACK"]).serialize())
+        turn_until(gateway, lambda: gateway.forwarder.exchanges)
+        [exchange] = gateway.forwarder.exchanges.values()
+    assert exchange.request.received_at < sent_at + int(WAIT_S * SEC / 2)
+    longest = gateway.config.settings.classes[exchange.request.class_index].timeout
+    assert exchange.request.deadline < sent_at + longest + int(WAIT_S * SEC / 2)
+    gateway.loop.close()
+    engine.close()
--- a/tests/test_request_arrival.py
+++ b/tests/test_request_arrival.py
@@ -12,7 +12,7 @@
 
 from query_gateway.gateway import Gateway
 from query_gateway.http.connection import HttpConnection
-from query_gateway.net.arrivals import MAX_ENTRIES, ArrivalLog
+from query_gateway.net.arrivals import MAX_ENTRIES, ArrivalLog, ArrivalTime
 from tests.stand_ins import Engine
 from tests.test_local import until
 from tests.test_web import SQL, running
@@ -147,7 +147,7 @@
     """
     arrivals = ArrivalLog()
     for number in range(1, 1_001):
-        arrivals.record(10, float(number), float(number) + 0.5)
+        arrivals.record(10, ArrivalTime(float(number), float(number) + 0.5))
     assert arrivals.time_of(5, 0.0) == (1.0, 1.5) and arrivals.time_of(11, 0.0) == (2.0, 2.5)
     assert arrivals.time_of(10_000, 0.0).earliest <= 1_000.0
     assert len(arrivals._arrivals) <= MAX_ENTRIES
