Accept clients after SIGTERM until the successor is ready

Cause: the predecessor accepted nothing from SIGTERM until the successor was ready. A request in the accept queue is taken, by its client's view, and its time runs; the successor needs an answer of the discovery service to become ready.

Change: the predecessor goes on accepting until the successor is ready, or its own stop ends. The two processes share the queue, so it loses nobody. Listener.pause has no use any more and is gone.

--- a/query_gateway/lifecycle/shutdown.py
+++ b/query_gateway/lifecycle/shutdown.py
@@ -17,12 +17,11 @@
     successor               this process                                    function
     none                    accepts until the end of the grace period,      _close_fronts
                             then closes its listeners
-    connected, not ready    accepts nothing; clients wait in the accept     _pause_for_successor
-                            queue, which the two processes share
+    connected, not ready    accepts, also beyond the grace period           transfer_to_successor
     ready                   leaves the accept queue to the successor,       _release_to_successor
                             transfers idle connections
-    died before it was      accepts again, until the end of the grace       continue_without_successor
-    ready, or later         period
+    died before it was      accepts until the end of the grace period,      continue_without_successor
+    ready                   then closes its listeners
 
 If this process dies before it is done, its open requests are lost and their clients see a reset connection.
 """
@@ -111,21 +110,10 @@
     def transfer_to_successor(self) -> None:
         """Accept no more clients: open requests are answered here, idle connections go to the successor.
 
-        A successor that is not ready yet gets them when it is: then this is called again.
+        Until the successor is ready it accepts nobody, so this process goes on; then this is called again.
         """
         if self._successor_ready:
             self._release_to_successor()
-        else:
-            self._pause_for_successor()
-
-    def _pause_for_successor(self) -> None:
-        """Accept nothing, but keep the listeners open.
-
-        The successor may die before it accepts; with the listeners closed, the clients in the accept queue
-        would be reset. Kept open, they can be accepted here again.
-        """
-        for listener in self.parts.fronts.listeners:
-            listener.pause()
 
     def _release_to_successor(self) -> None:
         hot_upgrade = self.parts.hot_upgrade
@@ -142,14 +130,11 @@
         self._exit_when_done()
 
     def continue_without_successor(self) -> None:
-        """The successor died after SIGTERM: accept clients again until the end of the grace period.
+        """The successor died after SIGTERM: accept clients until the end of the grace period.
 
-        No other process accepts them now: without this, new clients would wait in the accept queue until
-        this process exits, and then be reset. Idle connections stay here, as nobody takes them.
+        Idle connections stay here, as nobody takes them.
         """
         self.parts.fronts.http_server.transfer = None
-        for listener in self.parts.fronts.listeners:
-            listener.resume()
         self.loop.call_at(self._grace_period_ends_at, self._close_fronts)
 
     def abort_open_requests(self) -> None:
@@ -163,8 +148,7 @@
         for exchange in list(self.parts.forwarder.exchanges.values()):
             exchange.end_without_planner()
         if not self._successor_ready:
-            # A successor that was never ready accepts nothing: clients in the accept queue are rejected here
-            self._close_fronts()
+            self._close_fronts()  # clients in the accept queue are rejected here
 
     def _close_fronts(self) -> None:
         """The grace period is over, or open requests were aborted: accept nothing more."""
--- a/query_gateway/net/listener.py
+++ b/query_gateway/net/listener.py
@@ -1,4 +1,4 @@
-"""Listening sockets: accept in bounded batches, pause, and shared or inherited sockets."""
+"""Listening sockets: accept in bounded batches, and shared or inherited sockets."""
 
 import select
 import socket
@@ -20,11 +20,11 @@
 class Listener:
     """Accepts connections in order and passes each to its callback; owns the listening socket.
 
-    listening <--pause, resume--> paused
-        |                           |
-        `-- close --> closing <-----'   accepts only what waits already
-                         |
-                         `--> closed    nothing is accepted ever again; `release` leads here at once
+    inherited --resume--> listening --close--> closing    accepts only what waits already
+                                                  |
+                                                  `--> closed    nothing is accepted ever again
+
+    `release` leads to closed at once.
     """
 
     def __init__(
@@ -41,7 +41,8 @@
         process has as well; nothing is accepted there before `resume`. Raises OSError if it cannot listen.
         """
         self.loop, self.on_accept = loop, on_accept
-        self.closed = self.closing = self.paused = False
+        self.closed = self.closing = False
+        self._may_accept = inherited is None
         # Loop time since when connections may have been waiting; None: none waited at the last look
         self._waiting_since: float | None = None
         self._close_deadline = 0.0  # loop time
@@ -70,8 +71,8 @@
         return sock
 
     def resume(self) -> None:
-        """Accept connections, from now on or again."""
-        self.paused = False
+        """Accept connections at an inherited socket from now on; a second call changes nothing."""
+        self._may_accept = True
         self._listen_again()
 
     @property
@@ -79,13 +80,6 @@
         """Loop time since when a connection accepted now may have waited; None: not beyond this turn."""
         return self._waiting_since
 
-    def pause(self) -> None:
-        """Accept nothing for now; connections that wait in the backlog stay there."""
-        self.paused = True
-        self._record_waiting()
-        if not self.closed:
-            self.loop.watch(self.socket, 0, self._ready)
-
     def _record_waiting(self) -> None:
         """From now on connections may wait, until the backlog is seen empty."""
         self.loop.watermark.backlogged.add(self)
@@ -172,14 +166,14 @@
 
     def _listen_again(self) -> None:
         """Listen after a pause. Nobody may wait any more, and then no event will say so."""
-        if self.closed or self.closing or self.paused:
+        if self.closed or self.closing:
             return
         if not self._has_waiting_connection():
             self._record_empty_backlog()
         self._listen()
 
     def _listen(self) -> None:
-        if not self.closed and not self.closing and not self.paused:
+        if not self.closed and not self.closing and self._may_accept:
             self.loop.watch(self.socket, IN, self._ready)
 
     def release(self) -> None:
