--- a/bench/fault_soak/records.py
+++ b/bench/fault_soak/records.py
@@ -27,7 +27,7 @@
     ttl: float
     key: str = ""
     idempotency_key: str = ""
-    reused_connection: bool = False
+    reused_connection: bool = False  # it was open for a while before, used or not
     pipelined: bool = False  # sent behind another one without waiting for its answer
     sent_at: float = 0.0  # when its last byte was written; 0: it was not written completely
     turn_at: float = 0.0  # when the answer before it on its connection had come; 0: none was due
