Accept clients while idle connections hold all descriptors

Cause: the limit on clients leaves a quarter of the descriptors to everything else, but nothing bounds connections to engines, so clients below their limit and engines together can use up all. Accept was then tried again every 20 ms, and idle connections ended by their timeouts alone, 4 to 15 s later.

Change: where accept lacks a descriptor, a client waits and the process indeed cannot open one, up to eight idle connections to engines are retired, else the client connection that is needed least is evicted, as at the limit on connections. An accept that fails though descriptors are free, as in an injected fault, ends nothing.

--- a/query_gateway/engine_protocol/connection.py
+++ b/query_gateway/engine_protocol/connection.py
@@ -114,6 +114,11 @@
         is_established = self.state is ConnectionState.ESTABLISHED
         return not is_established or now < (self._response_deadline(SUSPECT_INTERVALS) or math.inf)
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether it is established and no attempt is on it."""
+        return self.state is ConnectionState.ESTABLISHED and not self.attempts.open
+
     def send(self, attempt: AttemptHandle) -> None:
         """Start an attempt, at once or when the connection is established."""
         self.last_used_at = self.loop.now()
--- a/query_gateway/engine_protocol/pool.py
+++ b/query_gateway/engine_protocol/pool.py
@@ -124,6 +124,18 @@
         if connection := self.by_client_request_id.get(attempt.request.client_request_id):
             connection.set_priority(attempt.request.client_request_id, attempt.priority)
 
+    def retire_idle(self, count: int) -> bool:
+        """Close up to so many connections without an attempt, the longest idle first; whether any is."""
+        idle = [
+            connection
+            for connections in self.connections.values()
+            for connection in connections
+            if connection.is_idle
+        ]
+        for connection in sorted(idle, key=lambda connection: connection.last_used_at)[:count]:
+            connection.retire()
+        return bool(idle)
+
     # ---- reports of the connections, see `ConnectionOwner`
 
     def on_attempt_ended(self, client_request_id: str) -> None:
--- a/query_gateway/gateway.py
+++ b/query_gateway/gateway.py
@@ -26,6 +26,7 @@
 from query_gateway.forwarder.readiness import Readiness
 from query_gateway.lifecycle.active_configuration import ActiveConfiguration
 from query_gateway.lifecycle.client_fronts import ClientFronts
+from query_gateway.lifecycle.descriptor_reclaim import DescriptorReclaim
 from query_gateway.lifecycle.hot_upgrade import HotUpgrade
 from query_gateway.lifecycle.overlap import Overlap, OverlapParts
 from query_gateway.lifecycle.planner_settings import PlannerSettingsPublisher
@@ -112,6 +113,9 @@
         self.flight_pool = build_flight_pool(core)
         self.flight_server: FlightServer | None = build_flight_server(core, front_options)
         self.fronts = ClientFronts(self.forwarder, self.http_server, self.flight_server, self.statements)
+        reclaim = DescriptorReclaim(self.engine_pool, self.http_server)
+        for listener in self.fronts.listeners:
+            listener.on_descriptors_exhausted = reclaim.reclaim
 
     def _join_announcer_and_admin_server(self) -> None:
         config, operator = self.active.config, self.active.operator
--- a/query_gateway/http/server.py
+++ b/query_gateway/http/server.py
@@ -77,8 +77,8 @@
         others out. Where all have open requests a few more are accepted, whose requests are rejected; those
         beyond them are closed unread.
         """
-        if len(self.connections) >= self.max_connections and (candidate := self._eviction_candidate()):
-            candidate.drop(Reason.TOO_MANY)
+        if len(self.connections) >= self.max_connections:
+            self.evict()
         if len(self.connections) >= self.max_connections + MAX_OVERFLOW_CONNECTIONS:
             Stream(self.loop, sock, f"client {peer}").close(Reason.TOO_MANY)
             return
@@ -87,6 +87,14 @@
         connection.handler.is_over_connection_limit = len(self.connections) >= self.max_connections
         self.connections[connection] = None
 
+    def evict(self) -> bool:
+        """End the connection that is needed least, if any may be ended; whether one was."""
+        candidate = self._eviction_candidate()
+        if candidate is None:
+            return False
+        candidate.drop(Reason.TOO_MANY)
+        return True
+
     def _eviction_candidate(self) -> HttpConnection | None:
         """The oldest without a byte, else the longest idle, else the oldest with an incomplete first request.
 
--- a/query_gateway/net/descriptors.py
+++ b/query_gateway/net/descriptors.py
@@ -1,4 +1,4 @@
-"""How many descriptors this process has open, for log lines about a lack of them."""
+"""How many descriptors this process has open, and whether it can open another."""
 
 import os
 import resource
@@ -14,3 +14,12 @@
     except OSError:
         return f"none of {limit} descriptors free"
     return f"{open_count} of {limit} descriptors open"
+
+
+def has_free_descriptor() -> bool:
+    """Whether this process can open one more descriptor just now."""
+    try:
+        os.close(os.open(os.devnull, os.O_RDONLY | os.O_CLOEXEC))
+    except OSError:
+        return False
+    return True
--- a/query_gateway/net/listener.py
+++ b/query_gateway/net/listener.py
@@ -1,5 +1,6 @@
 """Listening sockets: accept in bounded batches, and shared or inherited sockets."""
 
+import errno
 import select
 import socket
 from collections.abc import Callable
@@ -46,6 +47,8 @@
         # Loop time since when connections may have been waiting; None: none waited at the last look
         self._waiting_since: float | None = None
         self._close_deadline = 0.0  # loop time
+        # Called when a connection waits and there is no descriptor for it; returns whether some become free
+        self.on_descriptors_exhausted: Callable[[], bool] = lambda: False
         self.accept_failures = 0  # calls of accept that failed for this process's or the machine's sake
         self._failing_since: float | None = None  # loop time of the first of these without a success since
         self.socket = inherited or retry_at_start(lambda: self._listening_socket(address, shared))
@@ -127,7 +130,10 @@
                 self._record_empty_backlog()
                 return False
             self._record_failure(error)
-            self._retry_accept_later()
+            if error.errno == errno.EMFILE and not self.closing and self.on_descriptors_exhausted():
+                self._record_waiting()  # they are free at the end of the turn, and the next one accepts
+            else:
+                self._retry_accept_later()
             return False
         self._record_success()
         try:
