Read what came while the process was stopped before timers run

Engines would see an attempt behind a drain that had come while the process was stopped (SIGSTOP, SIGCONT).

Cause, of the class of the slow turn: the wait for events is interrupted by the stop and, as its time is over by then, not resumed; it reports nothing. The timers that had become due ran next, among them the planner's, with the list as it was.

Change: after a sleep that outlasted its timeout and reported nothing, the loop polls once more, without a wait.

Evidence: the new test, whose poll behaves so, ran the timer first before and passes; test_momentary_errors, test_key_order and test_clock_steps pass.

--- a/query_gateway/net/loop.py
+++ b/query_gateway/net/loop.py
@@ -235,7 +235,11 @@
             self.last_turn_time = now - self.turn_started_at
         else:  # a process that was stopped while it slept is late for what came meanwhile
             overslept = now - polled_at - timeout
-            self.last_turn_time = overslept if overslept > MAX_OVERSLEEP_SECONDS else 0.0
+            was_stopped = overslept > MAX_OVERSLEEP_SECONDS
+            self.last_turn_time = overslept if was_stopped else 0.0
+            if was_stopped and not events:
+                # A wait that a stop has interrupted reports nothing once its time is over
+                events = self._poll(0.0)
         self.turn_started_at = now
         for descriptor, _ in events:
             if handler := self.handlers.get(descriptor):
--- a/tests/test_late_turns.py
+++ b/tests/test_late_turns.py
@@ -4,6 +4,7 @@
 import socket
 import threading
 import time
+from typing import Any
 
 from h2.config import H2Configuration
 from h2.connection import H2Connection
@@ -11,6 +12,7 @@
 
 from query_gateway.flight import messages
 from query_gateway.gateway import Gateway
+from query_gateway.net.loop import IN, MAX_OVERSLEEP_SECONDS, Loop
 from query_gateway.net.steady_clock import steady_now_ns
 from query_gateway.rpc.framing import encode_message
 from tests.race_helpers import SlowToAcceptEngine, send_request, settings_without_timeouts
@@ -118,3 +120,38 @@
     assert exchange.request.deadline < sent_at + longest + int(WAIT_S * SEC / 2)
     gateway.loop.close()
     engine.close()
+
+
+class StoppedPoll:
+    """An epoll object whose process is stopped during the first poll, for longer than its timeout.
+
+    The wait is interrupted, and its time is over when it would be resumed: it reports nothing.
+    """
+
+    def __init__(self, epoll: Any) -> None:
+        self.epoll, self.is_first = epoll, True
+
+    def poll(self, timeout: float, max_events: int) -> list[tuple[int, int]]:
+        if self.is_first:
+            self.is_first = False
+            time.sleep(timeout + 2 * MAX_OVERSLEEP_SECONDS)
+            return []
+        found: list[tuple[int, int]] = self.epoll.poll(timeout, max_events)
+        return found
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.epoll, name)
+
+
+def test_what_came_while_the_process_was_stopped_is_read_before_timers_run() -> None:
+    """A planner's timer would send to an engine whose drain had come."""
+    loop, order = Loop(), list[str]()
+    near, far = socket.socketpair()
+    loop.watch(near, IN, lambda: order.append(near.recv(10).decode()))
+    loop.epoll = StoppedPoll(loop.epoll)  # type: ignore[assignment]
+    loop.call_at(loop.now() + 0.01, lambda: order.append("timer"))
+    far.send(b"news")
+    loop.turn()
+    assert order == ["news", "timer"]
+    loop.close()
+    far.close()
