Keep the order of a key over a hot upgrade: one process runs its requests at a time

Cause, of the incident's class: each process ordered the requests that it knew, and took that for all that the gateway had taken. Nothing of the keys is transferred.

Change: a successor rejects requests with a key until its predecessor drains, then holds them until that has ended and what it gave up last cannot run any more (key quarantine). If the predecessor dies, the same quarantine follows. Messages and their order are as before, so a version before may be either of the two; beside an older successor the gap stays.

The new test, with a predecessor played by the test, failed before (a load was served at once); it fails again without the rejection, without the hold, and without the rest (scratch copies). test_hot_upgrade, test_upgrade_compatibility, test_exchange, test_key_order and test_race_shutdown pass.

--- a/query_gateway/forwarder/forwarder.py
+++ b/query_gateway/forwarder/forwarder.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Callable
+from enum import Enum
 from typing import Final
 
 from query_gateway.forwarder.arrival_order import ArrivalOrder, Watermark
@@ -38,6 +39,16 @@
 from query_gateway.model.settings import Settings
 
 NO_REQUEST_ID: Final = 0  # in the trace, of a request that was not accepted
+
+
+class PredecessorState(Enum):
+    """The process before this one in a hot upgrade, as far as it runs requests of keys."""
+
+    NONE = "none"  # none runs
+    SERVING = "serving"  # it accepts clients, as this one does
+    DRAINING = "draining"  # it answers what is open there
+
+
 ONLY_TENANT: Final = 0  # no client protocol names a tenant, so every request counts for the first one
 
 
@@ -73,6 +84,7 @@
         self.key_quarantine = KeyQuarantine(clock, call_at, self._pass_to_planner)
         self.arrival_order: ArrivalOrder | None = None  # None: requests come in order
         self.counters = Counters()
+        self.predecessor = PredecessorState.NONE
         self.invariants = InvariantChecks()
         self.slow_start_budgets = SlowStartBudgets()
         self.context = ExchangeContext(
@@ -163,6 +175,10 @@
         if not exchange.planner.connected:
             self._record_early_rejection(exchange.request, EarlyRejection.NO_PLANNER, exchange.request_id)
             return self.rejection()
+        if exchange.request.key and self.predecessor is PredecessorState.SERVING:
+            reason = EarlyRejection.PREDECESSOR_SERVES
+            self._record_early_rejection(exchange.request, reason, exchange.request_id)
+            return self.rejection()
         return None
 
     def reject_unaccepted(self, request: ClientRequest, reason: EarlyRejection) -> Answer:
@@ -284,6 +300,25 @@
         endpoints = tuple(endpoint.info for endpoint in self.endpoints.values())
         self.planners[planner_index].connect(endpoints)
 
+    # ---- a hot upgrade
+
+    def on_predecessor_serving(self) -> None:
+        """Reject requests with a key: the predecessor accepts some as well, and orders only its own."""
+        self.predecessor = PredecessorState.SERVING
+
+    def on_predecessor_draining(self) -> None:
+        """Hold requests with a key: the predecessor takes none any more, and may still run some."""
+        self.predecessor = PredecessorState.DRAINING
+        for planner in self.planners:
+            self.key_quarantine.start_unbounded(planner.index)
+
+    def on_predecessor_ended(self) -> None:
+        """Nothing of it runs, but what it has given up just now."""
+        if self.predecessor is not PredecessorState.NONE:
+            self.predecessor = PredecessorState.NONE
+            for planner in self.planners:
+                self.key_quarantine.end_later(planner.index, self.settings)
+
 
 def _request_event(request_id: int, request: ClientRequest) -> Request:
     """The event that notifies a planner of a request."""
--- a/query_gateway/forwarder/key_quarantine.py
+++ b/query_gateway/forwarder/key_quarantine.py
@@ -4,17 +4,21 @@
 not know of it and would send the next request of the key at once, so that the two change the same rows in
 either order. The quarantine gives the first one time to end.
 
+The same holds in a hot upgrade: the predecessor runs requests of keys of which this process does not know.
+
 Inputs  the planner of the request, whether it has a key, and the duration of the quarantine (nanoseconds)
 Answer  whether the request must wait; those that wait are released together, in the order of their arrival
 """
 
 from collections.abc import Callable
-from typing import Generic, TypeVar
+from typing import Final, Generic, TypeVar
 
 from query_gateway.forwarder.messages import CallAt
 from query_gateway.model.settings import Settings
 from query_gateway.policy.key_quarantine import key_quarantine_end
 
+UNBOUNDED: Final = 2**63  # a clock time that never comes
+
 Waiting = TypeVar("Waiting")  # what waits for the end of a quarantine
 
 
@@ -35,6 +39,16 @@
         """Quarantine the keys of a planner from now on; one that is running is prolonged."""
         self.ends_at[planner_index] = key_quarantine_end(settings, self.clock())
 
+    def start_unbounded(self, planner_index: int) -> None:
+        """Quarantine the keys of a planner until `end_later`."""
+        self.ends_at[planner_index] = UNBOUNDED
+
+    def end_later(self, planner_index: int, settings: Settings) -> None:
+        """End an unbounded quarantine as if its cause had ended now."""
+        self.start(planner_index, settings)
+        if planner_index in self.queues:
+            self._release_when_over(planner_index)
+
     def applies_to(self, planner_index: int, key: str | None) -> bool:
         """Whether a request with this key must wait.
 
@@ -58,6 +72,8 @@
         It is released all at once: if it were released one by one, a request that comes meanwhile could
         overtake the rest.
         """
+        if self.ends_at[planner_index] == UNBOUNDED:
+            return
         if self.ends_at[planner_index] > self.clock():
             self.call_at(self.ends_at[planner_index], lambda: self._release_when_over(planner_index))
             return
--- a/query_gateway/gateway.py
+++ b/query_gateway/gateway.py
@@ -155,8 +155,9 @@
         )  # fmt: skip
         self.shutdown = Shutdown(shutdown_parts)
         overlap_parts = OverlapParts(
-            self.fronts, self.planner_links, self.active, share, self.startup, self.shutdown, self.announcer
-        )
+            self.forwarder, self.fronts, self.planner_links, self.active, share, self.startup, self.shutdown,
+            self.announcer,
+        )  # fmt: skip
         self.overlap = Overlap(overlap_parts, self.max_connections)
         if self.hot_upgrade:
             self.hot_upgrade.start(self.overlap, self.options.inherited)
--- a/query_gateway/lifecycle/overlap.py
+++ b/query_gateway/lifecycle/overlap.py
@@ -9,6 +9,9 @@
     predecessor draining       half                 0.1           0.9, after the overload window
     one of the two has ended   all for the other    1.0 for the other, after the overload window
 
+Requests with a key are the predecessor's alone until it drains: the successor rejects them before that, then
+holds them until the predecessor has ended and what it gave up last cannot run any more.
+
 The successor also inherits what the predecessor's scheduler and statement classifier have learned, as it was
 when the offer was sent. What the predecessor learns later is lost with it.
 """
@@ -16,6 +19,7 @@
 import socket
 from dataclasses import dataclass
 
+from query_gateway.forwarder.forwarder import Forwarder
 from query_gateway.lifecycle.active_configuration import ActiveConfiguration
 from query_gateway.lifecycle.client_fronts import ClientFronts
 from query_gateway.lifecycle.hot_upgrade import OfferWithListeners
@@ -43,6 +47,7 @@
 class OverlapParts:
     """What both processes share, or what begins and ends with the overlap; nothing of it is owned here."""
 
+    forwarder: Forwarder
     fronts: ClientFronts
     planners: PlannerLinks
     active: ActiveConfiguration
@@ -64,6 +69,7 @@
     def join_as_successor(self, inherited: InheritedState) -> None:
         """Begin the overlap with the predecessor that still serves; this process accepts no clients yet."""
         self.begin_overlap()
+        self.parts.forwarder.on_predecessor_serving()
         # The planner must know the endpoint list before it is given what the predecessor learned of engines
         self.parts.planners.run_local()
         self.restore_scheduler(inherited.scheduler_state)
@@ -119,11 +125,13 @@
     def on_predecessor_draining(self) -> None:
         """The predecessor accepts no more clients: all but its last share is ours."""
         self.parts.slow_start_share.change_after_window(FULL_SHARE - LEAVING_SHARE)
+        self.parts.forwarder.on_predecessor_draining()
 
     def end_overlap(self) -> None:
         """The other process has ended: this one has all budgets again, whichever of the two it was."""
         self.parts.fronts.set_max_connections(self.max_connections)
         self.parts.slow_start_share.change_after_window(FULL_SHARE)
+        self.parts.forwarder.on_predecessor_ended()
         # A predecessor may die before its successor is ready: then nobody accepts clients, and those in the
         # accept queue time out. The successor begins at once; where this process serves already, `begin`
         # changes nothing.
--- a/tests/test_race_shutdown.py
+++ b/tests/test_race_shutdown.py
@@ -16,6 +16,7 @@
 
 from query_gateway.composition import GatewayOptions
 from query_gateway.configuration.operator_file import OperatorSettings
+from query_gateway.forwarder.forwarder import PredecessorState
 from query_gateway.gateway import Gateway
 from query_gateway.lifecycle.inherited_state import request_inherited_state
 from query_gateway.lifecycle.reload import ConfigurationSources
@@ -35,6 +36,7 @@
 from tests.test_local import until
 from tests.test_web import LOAD, ROWS, SQL, running
 
+KEY_QUARANTINE_S = 0.3  # of the settings
 KILL_MARGIN_S = 0.7  # from the longest deadline to SIGKILL, at the earliest
 
 pytestmark = pytest.mark.usefixtures("reset_log_rate_limit")
@@ -325,3 +327,36 @@
             "0\tx\ty\n",
         )
         assert waiting.result()[1] == {"rows": ROWS[:1]}
+
+
+@pytest.mark.parametrize("ends", ["drains first", "dies"])
+def test_load_at_a_successor_does_not_run_beside_one_of_its_predecessor(ends: str, tmp_path: Path) -> None:
+    """Neither process knows which requests of a key the other has; the test plays the predecessor."""
+    path, engine = str(tmp_path / "upgrade.sock"), Engine()
+    http_listener = socket.create_server(("127.0.0.1", 0))
+    with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as listener, ThreadPoolExecutor() as executor:
+        listener.bind(path)
+        listener.listen()
+        inheriting = executor.submit(request_inherited_state, path)
+        link = listener.accept()[0]
+        link.recv(MAX_PACKET_BYTES)
+        offer = json.dumps({"fronts": ["web"], "learned": None}).encode()
+        socket.send_fds(link, [offer], [http_listener.fileno()])
+        options = GatewayOptions(upgrade_path=path, inherited=inheriting.result(10))
+        with running_gateway(config([host(engine)]), options=options) as gateway:
+            assert json.loads(link.recv(MAX_PACKET_BYTES)) == {"ready": True}
+            assert post(gateway, "load", LOAD)[0] == 429 and post(gateway, "lookup", SQL)[0] == 200
+            if ends == "drains first":
+                link.send(json.dumps({"leaving": True}).encode())
+                until(lambda: gateway.forwarder.predecessor is PredecessorState.DRAINING)
+                waiting = executor.submit(post, gateway, "load", LOAD)
+                time.sleep(KEY_QUARANTINE_S)
+                assert not waiting.done() and engine.statements == [SQL]
+            ended_at = time.monotonic()
+            link.close()
+            until(lambda: gateway.forwarder.predecessor is PredecessorState.NONE)
+            if ends == "dies":
+                waiting = executor.submit(post, gateway, "load", LOAD)
+            assert waiting.result()[0] == 200 and time.monotonic() >= ended_at + KEY_QUARANTINE_S
+    http_listener.close()
+    engine.close()
