--- a/query_gateway/forwarder/forwarder.py
+++ b/query_gateway/forwarder/forwarder.py
@@ -8,12 +8,12 @@
 """
 
 from collections.abc import Callable
-from enum import Enum
 from typing import Final
 
 from query_gateway.forwarder.arrival_order import ArrivalOrder, Watermark
 from query_gateway.forwarder.attempt import AttemptTerms, outcome_of_unknown_request
 from query_gateway.forwarder.counters import Counters
+from query_gateway.forwarder.early_rejections import EarlyRejections
 from query_gateway.forwarder.exchange import Exchange
 from query_gateway.forwarder.exchange_context import ExchangeContext, ForwardingEngineClient
 from query_gateway.forwarder.forwarder_state import ForwarderState
@@ -30,6 +30,7 @@
     Verdict,
 )
 from query_gateway.forwarder.planner_routing import PlannerConnection, PlannerRouter
+from query_gateway.forwarder.predecessor_fence import PredecessorFence
 from query_gateway.forwarder.send_guard import SendGuard
 from query_gateway.forwarder.slow_start_budgets import SlowStartBudgets
 from query_gateway.forwarder.trace import TraceStep
@@ -38,17 +39,6 @@
 from query_gateway.model.events import EndpointUpdate, Request
 from query_gateway.model.settings import Settings
 
-NO_REQUEST_ID: Final = 0  # in the trace, of a request that was not accepted
-
-
-class PredecessorState(Enum):
-    """The process before this one in a hot upgrade, as far as it runs requests of keys."""
-
-    NONE = "none"  # none runs
-    SERVING = "serving"  # it accepts clients, as this one does
-    DRAINING = "draining"  # it answers what is open there
-
-
 ONLY_TENANT: Final = 0  # no client protocol names a tenant, so every request counts for the first one
 
 
@@ -84,7 +74,10 @@
         self.key_quarantine = KeyQuarantine(clock, call_at, self._pass_to_planner)
         self.arrival_order: ArrivalOrder | None = None  # None: requests come in order
         self.counters = Counters()
-        self.predecessor = PredecessorState.NONE
+        self.predecessor_fence = PredecessorFence(
+            self.router, self.key_quarantine, lambda: self.state.settings
+        )
+        self.early_rejections = EarlyRejections(self.counters, clock, lambda: self.context.request_trace)
         self.invariants = InvariantChecks()
         self.slow_start_budgets = SlowStartBudgets()
         self.context = ExchangeContext(
@@ -165,36 +158,30 @@
 
     def _immediate_answer(self, exchange: Exchange) -> Answer | None:
         """The answer to a request that is not even passed to a planner."""
-        if len(self.exchanges) >= self.max_exchanges:
-            # More than could be served in time would only fill the memory
-            self._record_early_rejection(exchange.request, EarlyRejection.REQUEST_LIMIT, exchange.request_id)
+        if reason := self._early_rejection(exchange):
+            self.early_rejections.record(exchange.request, reason, exchange.request_id)
             return self.rejection()
         if exchange.request.client_request_id in self.open_client_request_ids:
             # An id stands for one request at the engines, so a second one cannot be sent beside it
             return Answer(Verdict.FAILED)
+        return None
+
+    def _early_rejection(self, exchange: Exchange) -> EarlyRejection | None:
+        if len(self.exchanges) >= self.max_exchanges:
+            # More than could be served in time would only fill the memory
+            return EarlyRejection.REQUEST_LIMIT
         if not exchange.planner.connected:
-            self._record_early_rejection(exchange.request, EarlyRejection.NO_PLANNER, exchange.request_id)
-            return self.rejection()
-        if exchange.request.key and self.predecessor is PredecessorState.SERVING:
-            reason = EarlyRejection.PREDECESSOR_SERVES
-            self._record_early_rejection(exchange.request, reason, exchange.request_id)
-            return self.rejection()
+            return EarlyRejection.NO_PLANNER
+        if self.predecessor_fence.rejects(exchange.request.key):
+            return EarlyRejection.PREDECESSOR_SERVES
         return None
 
     def reject_unaccepted(self, request: ClientRequest, reason: EarlyRejection) -> Answer:
         """The answer to a request that a front rejects before it calls `accept`; counts and traces it."""
-        self._record_early_rejection(request, reason, NO_REQUEST_ID)
+        self.early_rejections.record(request, reason)
         self.counters.count_answer(request.class_name, Verdict.REJECTED)
         return self.rejection()
 
-    def _record_early_rejection(
-        self, request: ClientRequest, reason: EarlyRejection, request_id: int
-    ) -> None:
-        self.counters.early_rejections[reason] += 1
-        if sink := self.context.request_trace:
-            step = TraceStep.REJECTED_EARLY
-            sink.record(self.clock(), request_id, request.client_request_id, step, reason.value)
-
     def rejection(self) -> Answer:
         """What a request gets that no planner decides on: the longest Retry-After of the settings."""
         return Answer(Verdict.REJECTED, retry_after_ns=self.settings.max_retry_after)
@@ -300,25 +287,6 @@
         endpoints = tuple(endpoint.info for endpoint in self.endpoints.values())
         self.planners[planner_index].connect(endpoints)
 
-    # ---- a hot upgrade
-
-    def on_predecessor_serving(self) -> None:
-        """Reject requests with a key: the predecessor accepts some as well, and orders only its own."""
-        self.predecessor = PredecessorState.SERVING
-
-    def on_predecessor_draining(self) -> None:
-        """Hold requests with a key: the predecessor takes none any more, and may still run some."""
-        self.predecessor = PredecessorState.DRAINING
-        for planner in self.planners:
-            self.key_quarantine.start_unbounded(planner.index)
-
-    def on_predecessor_ended(self) -> None:
-        """Nothing of it runs, but what it has given up just now."""
-        if self.predecessor is not PredecessorState.NONE:
-            self.predecessor = PredecessorState.NONE
-            for planner in self.planners:
-                self.key_quarantine.end_later(planner.index, self.settings)
-
 
 def _request_event(request_id: int, request: ClientRequest) -> Request:
     """The event that notifies a planner of a request."""
--- a/query_gateway/forwarder/messages.py
+++ b/query_gateway/forwarder/messages.py
@@ -47,9 +47,7 @@
     STATEMENT_LIMIT = "statement-limit"  # as many statements of its shape run as may
     REQUEST_LIMIT = "request-limit"  # as many requests are open as may be
     NO_PLANNER = "no-planner"  # its planner is not connected
-    PREDECESSOR_SERVES = (
-        "predecessor-serves"  # it has a key, and a process before this one orders these
-    )
+    PREDECESSOR_SERVES = "predecessor-serves"  # it has a key, and a process before this one orders these
 
 
 @dataclass(slots=True, frozen=True)
--- a/query_gateway/lifecycle/overlap.py
+++ b/query_gateway/lifecycle/overlap.py
@@ -69,7 +69,7 @@
     def join_as_successor(self, inherited: InheritedState) -> None:
         """Begin the overlap with the predecessor that still serves; this process accepts no clients yet."""
         self.begin_overlap()
-        self.parts.forwarder.on_predecessor_serving()
+        self.parts.forwarder.predecessor_fence.on_serving()
         # The planner must know the endpoint list before it is given what the predecessor learned of engines
         self.parts.planners.run_local()
         self.restore_scheduler(inherited.scheduler_state)
@@ -125,13 +125,13 @@
     def on_predecessor_draining(self) -> None:
         """The predecessor accepts no more clients: all but its last share is ours."""
         self.parts.slow_start_share.change_after_window(FULL_SHARE - LEAVING_SHARE)
-        self.parts.forwarder.on_predecessor_draining()
+        self.parts.forwarder.predecessor_fence.on_draining()
 
     def end_overlap(self) -> None:
         """The other process has ended: this one has all budgets again, whichever of the two it was."""
         self.parts.fronts.set_max_connections(self.max_connections)
         self.parts.slow_start_share.change_after_window(FULL_SHARE)
-        self.parts.forwarder.on_predecessor_ended()
+        self.parts.forwarder.predecessor_fence.on_ended()
         # A predecessor may die before its successor is ready: then nobody accepts clients, and those in the
         # accept queue time out. The successor begins at once; where this process serves already, `begin`
         # changes nothing.
--- a/query_gateway/net/listener.py
+++ b/query_gateway/net/listener.py
@@ -4,6 +4,7 @@
 import select
 import socket
 from collections.abc import Callable
+from enum import Enum
 
 from query_gateway.net.descriptors import describe_descriptors
 from query_gateway.net.errors import CONNECTION_LOST_IN_BACKLOG
@@ -18,14 +19,21 @@
 CLOSE_TIMEOUT_SECONDS = 2.0  # for what still waits when a listener closes, if accept fails all the time
 
 
+class ListenerState(Enum):
+    """What a listener accepts."""
+
+    INHERITED = "inherited"  # nothing yet: another process accepts at the same socket
+    LISTENING = "listening"
+    CLOSING = "closing"  # only what waits already
+    CLOSED = "closed"  # nothing ever again
+
+
 class Listener:
     """Accepts connections in order and passes each to its callback; owns the listening socket.
 
-    inherited --resume--> listening --close--> closing    accepts only what waits already
-                                                  |
-                                                  `--> closed    nothing is accepted ever again
+    INHERITED --resume--> LISTENING --close--> CLOSING --nobody waits, or `CLOSE_TIMEOUT_SECONDS`--> CLOSED
 
-    `release` leads to closed at once.
+    `release` leads to CLOSED from anywhere.
     """
 
     def __init__(
@@ -42,8 +50,7 @@
         process has as well; nothing is accepted there before `resume`. Raises OSError if it cannot listen.
         """
         self.loop, self.on_accept = loop, on_accept
-        self.closed = self.closing = False
-        self._may_accept = inherited is None
+        self.state = ListenerState.INHERITED if inherited else ListenerState.LISTENING
         # Loop time since when connections may have been waiting; None: none waited at the last look
         self._waiting_since: float | None = None
         self._close_deadline = 0.0  # loop time
@@ -75,8 +82,14 @@
 
     def resume(self) -> None:
         """Accept connections at an inherited socket from now on; a second call changes nothing."""
-        self._may_accept = True
-        self._listen_again()
+        if self.state is ListenerState.INHERITED:
+            self.state = ListenerState.LISTENING
+            self._listen_again()
+
+    @property
+    def closed(self) -> bool:
+        """Whether nothing is accepted ever again."""
+        return self.state is ListenerState.CLOSED
 
     @property
     def waiting_since(self) -> float | None:
@@ -93,7 +106,7 @@
         """Nobody waits: with that, a listener that closes is done."""
         self.loop.watermark.backlogged.discard(self)
         self._waiting_since = None
-        if self.closing:
+        if self.state is ListenerState.CLOSING:
             self._finish_closing()
 
     def _has_waiting_connection(self) -> bool:
@@ -130,7 +143,7 @@
                 self._record_empty_backlog()
                 return False
             self._record_failure(error)
-            if error.errno == errno.EMFILE and not self.closing and self.on_descriptors_exhausted():
+            if error.errno == errno.EMFILE and self._reclaim_descriptors():
                 self._record_waiting()  # they are free at the end of the turn, and the next one accepts
             else:
                 self._retry_accept_later()
@@ -144,6 +157,10 @@
             sock.close()
         return True
 
+    def _reclaim_descriptors(self) -> bool:
+        """Whether some become free at the end of the turn."""
+        return self.state is ListenerState.LISTENING and self.on_descriptors_exhausted()
+
     def _record_failure(self, error: OSError) -> None:
         self.accept_failures += 1
         if self._failing_since is None:
@@ -162,7 +179,7 @@
         """
         self._record_waiting()
         now = self.loop.now()
-        if not self.closing:
+        if self.state is ListenerState.LISTENING:
             self.loop.watch(self.socket, 0, self._ready)
             self.loop.call_at(now + ACCEPT_RETRY_SECONDS, self._listen_again)
         elif now < self._close_deadline:
@@ -172,14 +189,14 @@
 
     def _listen_again(self) -> None:
         """Listen after a pause. Nobody may wait any more, and then no event will say so."""
-        if self.closed or self.closing:
+        if self.state is not ListenerState.LISTENING:
             return
         if not self._has_waiting_connection():
             self._record_empty_backlog()
         self._listen()
 
     def _listen(self) -> None:
-        if not self.closed and not self.closing and self._may_accept:
+        if self.state is ListenerState.LISTENING:
             self.loop.watch(self.socket, IN, self._ready)
 
     def release(self) -> None:
@@ -190,12 +207,12 @@
         """Accept what waits in the backlog, then stop.
 
         The machine has completed the connections in the backlog, and their clients may have sent a request: a
-        closed listening socket would reset them. So where accept fails for the moment, `closing` lasts until
+        closed listening socket would reset them. So where accept fails for the moment, CLOSING lasts until
         they have been accepted, or for `CLOSE_TIMEOUT_SECONDS`.
         """
-        if self.closed or self.closing:
+        if self.state in (ListenerState.CLOSING, ListenerState.CLOSED):
             return
-        self.closing = True
+        self.state = ListenerState.CLOSING
         self.loop.watch(self.socket, 0, self._ready)
         self._close_deadline = self.loop.now() + CLOSE_TIMEOUT_SECONDS
         self._accept_backlog()
@@ -206,6 +223,6 @@
 
     def _finish_closing(self) -> None:
         if not self.closed:
-            self.closed = True
+            self.state = ListenerState.CLOSED
             self.loop.watermark.backlogged.discard(self)
             self.loop.dispose(self.socket)
--- a/tests/test_key_order.py
+++ b/tests/test_key_order.py
@@ -154,6 +154,15 @@
     assert engine.statements == [load_statement(name) for name in ("opening", "first", "later")]
 
 
+def open_clients(gateway: Gateway, count: int) -> list[socket.socket]:
+    """Connections on each of which one load was served."""
+    clients = [socket.create_connection(gateway.http_server.listener.address) for _ in range(count)]
+    for client in clients:
+        send_load(client, load_statement("opening"))
+        assert status_of(client) == 200
+    return clients
+
+
 class ReversingPoll:
     """An epoll object that reports what is ready in the reverse of its order."""
 
@@ -177,10 +186,7 @@
     """After a slow turn several requests are there at once, in whatever order the machine reports them."""
     engine, names = Engine(), [str(number) for number in range(5)]
     with running(engine) as gateway:
-        clients = [socket.create_connection(gateway.http_server.listener.address) for _ in names]
-        for client in clients:
-            send_load(client, load_statement("opening"))
-            assert status_of(client) == 200
+        clients = open_clients(gateway, len(names))
         gateway.loop.epoll = ReversingPoll(gateway.loop.epoll)  # type: ignore[assignment]
         slow_turn = threading.Event()
         gateway.loop.call_soon(lambda: stall(slow_turn, (len(names) + 1) * KEY_SPACING_S))
@@ -213,10 +219,7 @@
     """A read that fails for a moment leaves a request unknown, as a failing accept does."""
     engine = Engine()
     with running(engine) as gateway:
-        first, later = (socket.create_connection(gateway.http_server.listener.address) for _ in range(2))
-        for client in (first, later):
-            send_load(client, load_statement("opening"))
-            assert status_of(client) == 200
+        first, later = open_clients(gateway, 2)
         [stream, _] = [connection.stream for connection in gateway.http_server.connections]
         unreadable = UnreadableSocket(stream.sock)
         stream.sock = unreadable  # type: ignore[assignment]
@@ -242,10 +245,7 @@
     """Reads may be short, and the rest of a request is there all the while."""
     engine = Engine()
     with running(engine) as gateway:
-        first, later = (socket.create_connection(gateway.http_server.listener.address) for _ in range(2))
-        for client in (first, later):
-            send_load(client, load_statement("opening"))
-            assert status_of(client) == 200
+        first, later = open_clients(gateway, 2)
         [stream, _] = [connection.stream for connection in gateway.http_server.connections]
         stream.sock = SlowReadSocket(stream.sock)  # type: ignore[assignment]
         slow_turn = threading.Event()
--- a/tests/test_race_shutdown.py
+++ b/tests/test_race_shutdown.py
@@ -16,7 +16,7 @@
 
 from query_gateway.composition import GatewayOptions
 from query_gateway.configuration.operator_file import OperatorSettings
-from query_gateway.forwarder.forwarder import PredecessorState
+from query_gateway.forwarder.predecessor_fence import PredecessorState
 from query_gateway.gateway import Gateway
 from query_gateway.lifecycle.inherited_state import request_inherited_state
 from query_gateway.lifecycle.reload import ConfigurationSources
@@ -52,11 +52,7 @@
 
 
 def test_shutdown_aborts_open_requests_before_the_process_is_killed() -> None:
-    """A request is still open when the platform is about to send SIGKILL.
-
-    SIGKILL comes 0.7 s after the longest deadline, or after 3 s; a client that is open then gets no answer.
-    The shutdown aborts open requests before that, and a second SIGTERM changes nothing.
-    """
+    """A request is still open when the platform is about to send SIGKILL."""
     for settings, longest_deadline in ((SETTINGS, ANSWER_SECONDS), (settings_with_timeout(1.0), 1.0)):
         gateway = Gateway(config([], settings=settings), OperatorSettings(), signals=False)
         gateway.begin_shutdown()
@@ -86,11 +82,7 @@
 
 
 def test_shutdown_after_a_reload_uses_the_current_deadlines() -> None:
-    """A reload retires the class with the longest deadline, and a shutdown begins.
-
-    SIGKILL no longer waits for the retired class, so its clients would stay unanswered. The shutdown takes
-    the deadlines of the current configuration.
-    """
+    """A reload retires the class with the longest deadline, and a shutdown begins."""
     settings = settings_with_timeout(1.0)
     settings["services"][1] |= {"name": "audit"}
     sources = ConfigurationSources(read_configuration=lambda: config([], settings=settings))
@@ -103,11 +95,7 @@
 
 
 def test_request_aborted_while_its_connection_is_being_opened_is_rejected_in_every_class() -> None:
-    """A shutdown aborts a non-idempotent request whose connection to the engine is still being opened.
-
-    Nothing was sent, but a failure would forbid the client to retry. The request is rejected instead, which
-    its client may repeat, and the engine never sees it.
-    """
+    """A shutdown aborts a non-idempotent request whose connection to the engine is still being opened."""
     engine = SlowToAcceptEngine()
     with running(
         engine,
@@ -124,11 +112,7 @@
 
 
 def test_shutdown_answers_a_long_request_and_exits(tmp_path: Path) -> None:
-    """SIGTERM arrives while a request runs that is longer than the shutdown may take.
-
-    Waiting for its engine, the process would be killed with the client unanswered. The request is answered
-    when the shutdown aborts it, and the process exits with 0.
-    """
+    """SIGTERM arrives while a request runs that is longer than the shutdown may take."""
     with site(tmp_path) as deployment, ThreadPoolExecutor() as executor:
         settings = settings_with_timeout(1.0)
         settings["family-info"]["progress"] = 0  # no progress note is expected of a long request
@@ -207,11 +191,7 @@
 def test_requests_after_the_death_of_the_successor_are_served_until_the_shutdown_ends(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """A ready successor dies while its predecessor drains.
-
-    The predecessor had closed its listener and its idle connections, so clients had no gateway until the
-    next start. It goes on accepting and serving until its shutdown ends.
-    """
+    """A ready successor dies while its predecessor drains."""
     monkeypatch.setattr("query_gateway.lifecycle.shutdown.ACCEPT_GRACE_SECONDS", 600.0)
     with gateway_with_successor(tmp_path, Engine()) as (gateway, link):
         assert gateway.hot_upgrade
@@ -231,11 +211,7 @@
 
 @pytest.mark.parametrize("step", ["connected", "hello", "ready"])
 def test_predecessor_keeps_serving_when_its_successor_dies_at_any_step(step: str, tmp_path: Path) -> None:
-    """A successor dies at one of the steps of a hot upgrade.
-
-    A predecessor that kept waiting for it would neither serve as before nor take another successor. It
-    notices the closed connection, serves on, and makes the same offer to the next one.
-    """
+    """A successor dies at one of the steps of a hot upgrade."""
     with gateway_with_successor(tmp_path, Engine(), *(["ready"] if step == "ready" else [])) as (
         gateway,
         first_link,
@@ -264,11 +240,7 @@
 
 @pytest.mark.parametrize("step", ["connected", "offered", "ready", "leaving"])
 def test_successor_keeps_serving_when_its_predecessor_dies_at_any_step(step: str, tmp_path: Path) -> None:
-    """A predecessor dies at one of the steps of a hot upgrade; the test plays the predecessor.
-
-    A successor that kept waiting for its word would never become ready. It notices the closed connection,
-    becomes ready, and serves with what it has inherited so far.
-    """
+    """A predecessor dies at one of the steps of a hot upgrade; the test plays the predecessor."""
     path, engine = str(tmp_path / "upgrade.sock"), Engine()
     http_listener = socket.create_server(("127.0.0.1", 0))
     with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as listener, ThreadPoolExecutor() as executor:
@@ -298,11 +270,7 @@
 
 
 def test_connection_in_transfer_to_a_successor_that_dies_ends_with_no_open_request(tmp_path: Path) -> None:
-    """A successor dies with a transferred connection that it has not read.
-
-    A request that was open on such a connection would be lost. Only idle connections are transferred: their
-    client sees a close and retries, while open requests stay with the predecessor and are answered there.
-    """
+    """A successor dies with a transferred connection that it has not read."""
     engine = PausedReaderEngine(script={LOAD: ["mute"]})
     engine.may_read.set()
     with (
@@ -348,13 +316,13 @@
             assert post(gateway, "load", LOAD)[0] == 429 and post(gateway, "lookup", SQL)[0] == 200
             if ends == "drains first":
                 link.send(json.dumps({"leaving": True}).encode())
-                until(lambda: gateway.forwarder.predecessor is PredecessorState.DRAINING)
+                until(lambda: gateway.forwarder.predecessor_fence.state is PredecessorState.DRAINING)
                 waiting = executor.submit(post, gateway, "load", LOAD)
                 time.sleep(KEY_QUARANTINE_S)
                 assert not waiting.done() and engine.statements == [SQL]
             ended_at = time.monotonic()
             link.close()
-            until(lambda: gateway.forwarder.predecessor is PredecessorState.NONE)
+            until(lambda: gateway.forwarder.predecessor_fence.state is PredecessorState.NONE)
             if ends == "dies":
                 waiting = executor.submit(post, gateway, "load", LOAD)
             assert waiting.result()[0] == 200 and time.monotonic() >= ended_at + KEY_QUARANTINE_S
