--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -100,11 +100,7 @@
 
 
 def test_a_cancelled_attempt_counts_as_ended_when_its_cancellation_has_arrived() -> None:
-    """A planner cancels an attempt and forwards the next one to another engine at once.
-
-    The next one would overtake the cancellation on its way, and the request would run at two engines. The
-    guard counts a cancelled attempt as in flight until its cancellation must have arrived.
-    """
+    """A planner cancels an attempt and forwards the next one to another engine at once."""
     world = World()
     world.forwarder.apply(Forward(world.request_id, "a", 0))
     world.forwarder.apply(Cancel(world.request_id, 0))
@@ -118,11 +114,7 @@
 
 
 def test_a_rejection_is_sent_at_once_while_an_attempt_is_in_flight() -> None:
-    """A planner rejects a request whose cancelled attempt still counts as in flight.
-
-    The client would wait for nothing if its answer waited for the end of that attempt. It is answered at once
-    and only once; the exchange stays until the attempt has ended.
-    """
+    """A planner rejects a request whose cancelled attempt still counts as in flight."""
     world = World()
     world.forwarder.apply(Forward(world.request_id, "a", 0))
     world.forwarder.apply(Cancel(world.request_id, 0))
@@ -134,11 +126,7 @@
 
 
 def test_a_deadline_that_the_planner_ignores_still_ends_in_one_answer() -> None:
-    """The deadline of a request passes and its planner decides nothing.
-
-    The client would never be answered. The exchange ends the attempt at the deadline, and fails the request
-    once the planner's grace period is over.
-    """
+    """The deadline of a request passes and its planner decides nothing."""
     world = World()
     world.forwarder.apply(Forward(world.request_id, "a", 0))
     world.pass_time(5_000_000_000)
@@ -149,11 +137,7 @@
 
 
 def test_requests_that_come_as_their_key_quarantine_ends_keep_their_order() -> None:
-    """A request of a key comes when the key quarantine has ended and its timer has not run yet.
-
-    It went ahead of earlier requests of its key that still waited for the timer. The quarantine now applies
-    as long as there is a queue, and a quarantine that is prolonged keeps its queue.
-    """
+    """A request of a key comes when the key quarantine has ended and its timer has not run yet."""
     world = World()
     forwarder = world.forwarder
 
@@ -213,11 +197,7 @@
 
 
 def test_a_retry_is_not_sent_once_engines_have_forgotten_the_first_attempt() -> None:
-    """A suspended planner process forwards a retry when its deduplication window is over.
-
-    The engines no longer recognise the retry as a duplicate and would run the request twice. The send guard
-    asks for the end of the window when the attempt is to start, by the clock of this process.
-    """
+    """A suspended planner process forwards a retry when its deduplication window is over."""
     world = World()
     request = ClientRequest("2" * 16, 2, "load", b"x", 60_000_000_000, False, None, "u", None, 0.0, None)
     request_id = world.accept(request, world.client)
@@ -233,11 +213,7 @@
 
 
 def test_attempts_after_one_that_was_not_sent_keep_the_planners_numbers() -> None:
-    """A planner forwards to an engine that has no address on the wire of the request.
-
-    The attempt was not sent and had no number here, so the next one had another number than at the planner,
-    which ignored its end. An attempt that is not sent has a number, too.
-    """
+    """A planner forwards to an engine that has no address on the wire of the request."""
     world = World()
     entry = EndpointInfo("a", EndpointState.UP, 0, 0, 0, 0, 1.0)
     world.forwarder.update_endpoints([Endpoint(entry, {"flight": "127.0.0.1:1"})], False)
--- a/tests/test_momentary_errors.py
+++ b/tests/test_momentary_errors.py
@@ -62,11 +62,7 @@
 
 @pytest.mark.parametrize("error", [errno.ENOBUFS, errno.ENOMEM, errno.EINTR, errno.EAGAIN])
 def test_stream_reads_and_writes_on_after_a_momentary_error(error: int) -> None:
-    """The machine is out of buffers, or a signal interrupts a call, while a stream reads and writes.
-
-    Such an error says nothing about the connection; taken for its end, it would cost the request on it. The
-    stream keeps its unsent bytes and tries again with the next event.
-    """
+    """The machine is out of buffers, or a signal interrupts a call, while a stream reads and writes."""
     loop, (near, far) = Loop(), connected_pair()
     stream = Stream(loop, near, "here")
     fail_calls(stream, send=(error, 2), recv=(error, 2))
@@ -84,11 +80,7 @@
 
 @pytest.mark.parametrize("error", [errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.EPIPE, errno.ECONNRESET])
 def test_stream_is_over_after_an_error_of_its_connection(error: int) -> None:
-    """A read fails because the connection itself has ended.
-
-    Tried again like a momentary error, it would keep the loop busy with a connection that can carry nothing.
-    The stream ends at once and is marked as reset.
-    """
+    """A read fails because the connection itself has ended."""
     loop, (near, far) = Loop(), connected_pair()
     stream = Stream(loop, near, "here")
     fail_calls(stream, recv=(error, 1))
@@ -104,11 +96,7 @@
 
 @pytest.mark.parametrize("error", [errno.EINTR, errno.EIO])
 def test_close_that_fails_ends_neither_the_loop_nor_other_closes(error: int) -> None:
-    """Closing a socket fails, as `close` may after a signal or an input/output error.
-
-    Raised out of the loop's turn, the error would leave the sockets that are closed after it open and count
-    as a fault. The loop closes all others and counts none.
-    """
+    """Closing a socket fails, as `close` may after a signal or an input/output error."""
     loop, pairs = Loop(), [connected_pair() for _ in range(2)]
     streams = [Stream(loop, near, "here") for near, _ in pairs]
     fail_calls(streams[0], close=(error, 1))
@@ -143,11 +131,7 @@
 
 @pytest.mark.parametrize("error", [errno.ENFILE, errno.ENOBUFS, errno.ECONNABORTED, errno.ENETUNREACH])
 def test_listener_that_closes_while_accept_fails_accepts_what_waits_first(error: int) -> None:
-    """A listener closes while `accept` fails for a moment.
-
-    The machine had completed the clients' connections already, so the close reset them together with the
-    requests in them. The listener goes on trying until everything that waits is accepted, and closes then.
-    """
+    """A listener closes while `accept` fails for a moment."""
     loop, accepted = Loop(), list[socket.socket]()
     listener = Listener(loop, ("127.0.0.1", 0), lambda sock, _: accepted.append(sock))
     clients = [socket.create_connection(listener.address) for _ in range(3)]
@@ -164,11 +148,7 @@
 
 
 def test_connection_whose_handling_fails_costs_no_other() -> None:
-    """Handling one accepted connection fails for lack of buffers.
-
-    Raised out of the batch of accepts, the error would leave the connection behind it waiting and count as a
-    fault. The listener goes on with the next one.
-    """
+    """Handling one accepted connection fails for lack of buffers."""
     loop, accepted = Loop(), list[socket.socket]()
 
     def on_accept(sock: socket.socket, peer: str) -> None:
@@ -192,11 +172,7 @@
 def test_dial_that_fails_here_is_made_again_and_blames_no_engine(
     error: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """A dial fails on this machine: no route, no free port, no buffers, or an interrupted call.
-
-    Blamed on the engine, such errors would eject engines that are well, and the request would fail. The dial
-    is made again and no engine is ejected.
-    """
+    """A dial fails on this machine: no route, no free port, no buffers, or an interrupted call."""
     engine, failures = Engine(), [error] * 3
     real = socket.socket.connect_ex
 
@@ -220,11 +196,7 @@
 def test_attempt_for_which_no_socket_can_be_made_waits_for_one(
     error: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """The process is out of descriptors or buffers when an attempt needs a connection.
-
-    The request would fail for a reason that passes within moments. The attempt is postponed until a socket
-    can be made, and then sent once.
-    """
+    """The process is out of descriptors or buffers when an attempt needs a connection."""
     engine, failures = Engine(), [error] * 5
     real = EngineConnection._dial
 
@@ -243,11 +215,7 @@
 def test_attempt_for_which_no_socket_can_be_made_is_withdrawn_with_its_client(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """A client leaves while its attempt is postponed for lack of a socket.
-
-    A postponed attempt that outlived its request would be sent once a socket can be made, for a client that
-    is not there. The attempt is withdrawn together with the request.
-    """
+    """A client leaves while its attempt is postponed for lack of a socket."""
 
     def dial(connection: EngineConnection) -> Stream:
         raise OSError(errno.ENFILE, "for long")
@@ -266,11 +234,7 @@
 def test_start_waits_for_a_listener_that_cannot_be_made_for_a_moment(
     error: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """Listening fails for a moment when a gateway starts.
-
-    The start would end although the next try succeeds. It is tried again for errors that pass; an address
-    that is in use is no such error and is raised at once.
-    """
+    """Listening fails for a moment when a gateway starts."""
     loop, failures = Loop(), [error] * 2
     real = socket.socket.listen
 
@@ -288,12 +252,7 @@
 
 
 def test_dial_that_connects_to_itself_is_refused() -> None:
-    """A dial to a port of loopback where nothing listens connects to itself.
-
-    The machine may choose the port that is dialled as the local port of the dial. The connection then comes
-    up, and the gateway would read its own request as the engine's answer. The stream compares both ends and
-    treats the dial as refused.
-    """
+    """A dial to a port of loopback where nothing listens connects to itself."""
     loop = Loop()
     sock = socket.socket()
     sock.bind(("127.0.0.1", 0))
@@ -309,11 +268,7 @@
 
 
 def test_flight_dial_that_fails_at_once_ends_its_attempt(monkeypatch: pytest.MonkeyPatch) -> None:
-    """A dial to a Flight engine fails within the call that begins it.
-
-    No event of the socket ever came, so the attempt waited until its deadline. The pool ends the attempt as
-    a failed connect in one of the next turns.
-    """
+    """A dial to a Flight engine fails within the call that begins it."""
     from query_gateway.flight.engines import FlightConnectionPool
 
     loop, outcomes = Loop(), list[OutcomeCode]()
@@ -340,11 +295,7 @@
 def test_supervisor_whose_worker_cannot_be_started_tries_again_and_can_be_stopped(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """The machine cannot create a process when the supervisor starts a worker.
-
-    A fork that failed once ended the supervisor's polling: no worker was started again, and no stop was
-    seen. The supervisor goes on polling, tries again, and ends when it is stopped.
-    """
+    """The machine cannot create a process when the supervisor starts a worker."""
     started_at = list[float]()
 
     def start(worker: supervisor.WorkerProcess) -> None:
@@ -365,11 +316,7 @@
 def test_snapshot_whose_disk_fails_even_at_the_clean_up_keeps_the_old_one(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """The disk fails while a snapshot is written, and again while the unfinished file is removed.
-
-    Raised out of the save, the error of the clean-up would end more than the snapshot. Saving returns that
-    it has failed, the old snapshot stays readable, and a later save replaces it.
-    """
+    """The disk fails while a snapshot is written, and again while the unfinished file is removed."""
     store = SnapshotStore(str(tmp_path / "costs"))
     assert store.save({"a": 1})
 
@@ -385,11 +332,7 @@
 
 
 def test_leftovers_of_killed_processes_are_removed_and_those_of_running_ones_are_not(tmp_path: Path) -> None:
-    """A process is killed while it writes a snapshot and leaves its unfinished file.
-
-    Such files would add up in the folder. The next start removes those whose process has ended; the file of
-    a process that runs may still be written, and other files are not the store's.
-    """
+    """A process is killed while it writes a snapshot and leaves its unfinished file."""
     ended = subprocess.Popen(["true"])
     ended.wait()
     leftover, present = tmp_path / f"costs.{ended.pid}", tmp_path / f"costs.{os.getpid()}"
@@ -402,11 +345,7 @@
 def test_signal_while_the_loop_cannot_be_woken_is_handled_in_a_later_turn(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """A signal arrives while the loop's wake-up socket takes no byte.
-
-    The error would be raised in the signal handler, and the loop would sleep over the callback. The callback
-    is queued before the loop is woken, so a later turn runs it.
-    """
+    """A signal arrives while the loop's wake-up socket takes no byte."""
     loop, handled = Loop(), list[int]()
     loop.wake_writer = FailingSocket(loop.wake_writer, send=(errno.ENOBUFS, 1))  # type: ignore[assignment]
     previous_handler = signal.signal(signal.SIGUSR1, lambda *_: loop.call_soon(lambda: handled.append(1)))
@@ -418,11 +357,7 @@
 
 
 def test_poll_that_fails_is_made_again() -> None:
-    """`epoll_wait` fails because the kernel is out of memory.
-
-    Raised out of the loop, the error would end the process with all its requests. The loop goes on and polls
-    again in its next turn.
-    """
+    """`epoll_wait` fails because the kernel is out of memory."""
     loop = Loop()
 
     class FailingPoll:
@@ -452,11 +387,7 @@
 def test_error_in_our_own_code_is_answered_and_the_attempt_withdrawn(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """The gateway's own code raises while a request waits for its engine.
-
-    The client's connection was closed without an answer, and the engine went on working. The connection
-    answers with status 500, the attempt is cancelled, and the fault is counted.
-    """
+    """The gateway's own code raises while a request waits for its engine."""
     engine = Engine(script={SQL: ["mute"]})
     with running(engine, settings=settings_without_timeouts()) as gateway:
         client = send_request(gateway, SQL)
@@ -478,11 +409,7 @@
 
 
 def test_head_on_the_liveness_path_is_answered_without_a_body() -> None:
-    """A health checker uses HEAD and keeps its connection.
-
-    A body after the answer would be read as the beginning of the next one (RFC 9110, section 9.3.2). The
-    answer to HEAD has no body, and the connection serves a second request.
-    """
+    """A health checker uses HEAD and keeps its connection."""
     with running(Engine()) as gateway:
         host, port = gateway.http_server.listener.address
         connection = http.client.HTTPConnection(host, port, timeout=10)
--- a/tests/test_race_flight.py
+++ b/tests/test_race_flight.py
@@ -83,11 +83,7 @@
 
 
 def test_flight_call_abandoned_before_its_connection_is_accepted_is_not_forwarded() -> None:
-    """A Flight client sends an update and closes its connection before the gateway has accepted it.
-
-    The engine would run an update whose client has left. The gateway reads on to the end of the connection
-    before it writes the attempt, finds that the client has left, and opens no call to the engine.
-    """
+    """A Flight client sends an update and closes its connection before the gateway has accepted it."""
     listener = socket.create_server(("127.0.0.1", 0))
     gateway = flight_gateway(listener)
     assert gateway.flight_server
@@ -163,11 +159,7 @@
 
 
 def test_close_by_the_engine_is_found_before_a_flight_call_is_written() -> None:
-    """An engine closes its connection just before a Flight call is written there.
-
-    Written after that close, the call would count as possibly run, and a non-idempotent update could not be
-    repeated. The connection is read before each call; the attempt goes out on a new connection instead.
-    """
+    """An engine closes its connection just before a Flight call is written there."""
     listener = socket.create_server(("127.0.0.1", 0))
     gateway = flight_gateway(listener)
     pool: Any = gateway.forwarder.engine_clients["flight"]
--- a/tests/test_race_idle_connections.py
+++ b/tests/test_race_idle_connections.py
@@ -20,12 +20,7 @@
 def test_request_that_crosses_the_close_of_its_idle_connection_is_answered(
     reason: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """A client sends a request while the gateway closes its idle connection.
-
-    The request was in the kernel's buffer, unread, as the connection closed, which reset the connection: the
-    client had no answer. The gateway now reads once more before it closes for idleness, for a shutdown or to
-    evict a connection at the limit, and serves the request that it finds.
-    """
+    """A client sends a request while the gateway closes its idle connection."""
     engine = Engine()
     monkeypatch.setattr(
         "query_gateway.http.connection.IDLE_TIMEOUT_SECONDS", 0.3 if reason == "idle" else 6.0
@@ -65,12 +60,7 @@
 
 
 def test_request_sent_after_the_last_read_of_a_closing_connection_causes_no_reset() -> None:
-    """A client sends after the gateway has read for the last time, in the same turn of the loop.
-
-    The socket is closed at the end of the turn, and with unread bytes that close was a reset. The gateway
-    half-closes first and reads on, so the client sees the end of the connection and sends the request
-    elsewhere.
-    """
+    """A client sends after the gateway has read for the last time, in the same turn of the loop."""
     engine = Engine()
     with running(engine, settings=settings_without_timeouts()) as gateway:
         client = send_request(gateway, SQL)
@@ -96,12 +86,7 @@
 
 
 def test_client_beyond_the_connection_limit_gets_a_rejection() -> None:
-    """A client connects at the limit while all other connections have open requests.
-
-    No connection can be evicted, and the new one was closed unread, so the client could not tell a full
-    gateway from a broken one. A few connections beyond the limit are accepted, and their requests are
-    rejected with 429.
-    """
+    """A client connects at the limit while all other connections have open requests."""
     engine = Engine(script={ABANDONED_SQL: ["mute"] * 2})
     with running(engine, settings=settings_without_timeouts()) as gateway:
         gateway.http_server.max_connections = 2
--- a/tests/test_request_arrival.py
+++ b/tests/test_request_arrival.py
@@ -63,11 +63,7 @@
 
 
 def test_budget_of_a_pipelined_request_counts_its_wait_behind_the_one_before() -> None:
-    """A client pipelines a second request while the first one is still open.
-
-    Counted from when the gateway turned to it, the second request would get its full time again, and its
-    engine would work after the client has stopped waiting. The time runs from when the request's bytes came.
-    """
+    """A client pipelines a second request while the first one is still open."""
     engine = SlowEngine(0.6)
     with running(engine) as gateway:
         client = connect(gateway)
@@ -82,12 +78,7 @@
 def test_budget_of_a_request_counts_its_wait_while_nothing_can_be_accepted(
     error: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """A connection waits in the listener's backlog because `accept` fails for a moment.
-
-    The client's time runs meanwhile; without that wait the engine would get a budget beyond the client's
-    deadline. The listener notes since when connections may have been waiting, and the budget is counted from
-    there.
-    """
+    """A connection waits in the listener's backlog because `accept` fails for a moment."""
     engine, may_accept = Engine(), threading.Event()
     with running(engine) as gateway:
         listener = gateway.http_server.listener
@@ -107,11 +98,7 @@
 def test_time_between_a_connection_and_its_request_is_not_the_request_s(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """A client connects ahead of its first request, and its accept had to wait.
-
-    Counted from the accept that waited, the request would lose time in which its client had not sent it. The
-    time runs from when the request's bytes came, if they came after the connection was accepted.
-    """
+    """A client connects ahead of its first request, and its accept had to wait."""
     engine, may_accept = Engine(), threading.Event()
     with running(engine) as gateway:
         listener = gateway.http_server.listener
@@ -129,11 +116,7 @@
 
 
 def test_requests_read_behind_one_another_are_all_answered_as_a_stop_ends_their_connection() -> None:
-    """A shutdown begins while several pipelined requests of one connection are open.
-
-    The answer to the first closed the connection, and the requests that had been read behind it stayed
-    unanswered. All of them are answered, and only the last answer announces the close.
-    """
+    """A shutdown begins while several pipelined requests of one connection are open."""
     engine = SlowEngine(0.3)
     with running(engine) as gateway:
         client = connect(gateway)
@@ -148,11 +131,7 @@
 
 
 def test_arrivals_are_kept_in_bounds_and_never_later_than_they_were() -> None:
-    """A client sends its bytes in very many small pieces.
-
-    One entry for each read would let a client fill the memory. Beyond the limit two entries are joined at
-    the earlier time, so a request's time never starts later than it came.
-    """
+    """A client sends its bytes in very many small pieces."""
     arrivals = ArrivalLog()
     for number in range(1, 1_001):
         arrivals.record(10, ArrivalTime(float(number), float(number) + 0.5))
@@ -163,11 +142,7 @@
 
 
 def test_connections_that_have_ended_are_freed_without_the_collector() -> None:
-    """Connections end while the garbage collector has not run for long.
-
-    A finished exchange referred to its connection and the connection to the exchange, so the memory of both
-    was kept until a collection. The reference is dropped at the end, and reference counting frees them.
-    """
+    """Connections end while the garbage collector has not run for long."""
     with running(Engine()) as gateway:
         gc.collect()
         gc.disable()
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -76,10 +76,7 @@
 
 @pytest.mark.parametrize("how", ["error", "reset", "refused"])
 def test_an_idempotent_class_is_retried(how: str) -> None:
-    """An engine answers a request with an error, resets the connection, or refuses the request.
-
-    The request is idempotent, so another engine runs it and its client sees no fault.
-    """
+    """An engine answers a request with an error, resets the connection, or refuses the request."""
     engines = Engine(script={SQL: [how]}), Engine()
     engines[1].script = engines[0].script
     with running(*engines) as gate:
@@ -89,11 +86,7 @@
 
 @pytest.mark.parametrize("how", ["torn", "spoilt", "pageless", "mute"])
 def test_an_incomplete_or_malformed_response_is_retried(how: str) -> None:
-    """An engine's response breaks off, is malformed, has no pages or never comes.
-
-    None of these ends by itself: without a limit on the response the client, also one of a load, would wait
-    to its deadline. The attempt ends as failed, and another engine gets the request.
-    """
+    """An engine's response breaks off, is malformed, has no pages or never comes."""
     engines = Engine(script={LOAD: [how]}), Engine()
     engines[1].script = engines[0].script
     with running(*engines) as gate:
@@ -102,11 +95,7 @@
 
 
 def test_repeated_responses_change_nothing_else_on_the_connection() -> None:
-    """An engine sends its response twice while another request is in flight on the same connection.
-
-    The second copy ended everything in flight on that connection. It is dropped, and the other request is
-    answered on the connection that stands.
-    """
+    """An engine sends its response twice while another request is in flight on the same connection."""
     engine = Engine(script={SQL: ["twice"], LOAD: ["mute", "ok"]})
     with running(engine) as gate:
         with ThreadPoolExecutor() as beside:
@@ -118,10 +107,7 @@
 
 
 def test_requests_succeed_while_one_engine_refuses_connections() -> None:
-    """An engine on the endpoint list refuses connections.
-
-    Nothing ran there, so each request goes on to an engine that accepts it.
-    """
+    """An engine on the endpoint list refuses connections."""
     closed, engine = Engine(), Engine()
     closed.close()
     with running(closed, engine) as gate:
@@ -136,11 +122,7 @@
 
 
 def test_an_attempt_on_an_unresponsive_engine_is_stopped_at_the_deadline() -> None:
-    """An engine accepts requests and never answers.
-
-    The client would wait without end. At its deadline it gets a rejection or a failure, and the engine is
-    sent a STOP.
-    """
+    """An engine accepts requests and never answers."""
     engine = Engine(script={SQL: ["mute"] * 3})
     with running(engine) as gate:
         status, _, _ = post(gate, "lookup", SQL, ttl=1_000)
@@ -149,10 +131,7 @@
 
 
 def test_a_client_that_disconnects_stops_its_attempt() -> None:
-    """A client closes its connection while its request runs.
-
-    The engine would go on working for a client that has left. The gateway sees the close and sends a STOP.
-    """
+    """A client closes its connection while its request runs."""
     engine = Engine(script={SQL: ["mute"]})
     with running(engine) as gate:
         sock = socket.create_connection(gate.http_server.listener.address)
@@ -164,11 +143,7 @@
 
 
 def test_a_retry_uses_no_connection_that_a_late_response_may_reach() -> None:
-    """An attempt is stopped and retried at the same engine, whose response to the first may still come.
-
-    On the same connection that response would be taken for the one to the retry. The retry uses a new
-    connection.
-    """
+    """An attempt is stopped and retried at the same engine, whose response to the first may still come."""
     engine = Engine(script={SQL: ["mute", "ok"]})
     with running(engine) as gate:
         assert post(gate, "lookup", SQL)[1] == {"rows": ROWS}
@@ -176,10 +151,7 @@
 
 
 def test_a_request_given_to_a_connection_just_established_is_written_once() -> None:
-    """A request comes between the success of a dial and the next step of the connection's coroutine.
-
-    Both wrote it, and it ran twice; this was found under load. It is written once, whichever comes first.
-    """
+    """A request comes between the success of a dial and the next step of the connection's coroutine."""
     engine = Engine(script={SQL: ["mute"], LOAD: ["mute"]})
     gate = Gateway(config([host(engine)]), OperatorSettings(), signals=False)
     for name, statement in (("1" * 16, SQL), ("2" * 16, LOAD)):
@@ -200,11 +172,7 @@
 
 
 def test_a_lagging_loop_rejects_requests_before_forwarding() -> None:
-    """The event loop takes long for a turn.
-
-    Requests accepted then would all be answered late. New ones are rejected with a Retry-After time before
-    any engine sees them.
-    """
+    """The event loop takes long for a turn."""
     engine = Engine()
     with running(engine) as gate:
         gate.loop.lag = lambda: 1.0  # type: ignore[method-assign]
@@ -213,10 +181,7 @@
 
 
 def test_a_draining_engine_gets_no_new_requests() -> None:
-    """The endpoint list marks an engine as draining.
-
-    A request sent there could be lost when the engine ends. The next one goes to another engine.
-    """
+    """The endpoint list marks an engine as draining."""
     old, new = Engine(), Engine()
     with running(old) as gate:
         assert post(gate, "lookup", SQL)[0] == 200
@@ -228,11 +193,7 @@
 
 
 def test_a_planner_fault_rejects_its_queued_requests_and_a_new_planner_serves() -> None:
-    """The scheduler raises an error while a request is open.
-
-    The request would never be answered. It is rejected, a new planner is started, and later requests are
-    served.
-    """
+    """The scheduler raises an error while a request is open."""
     engine = Engine(script={SQL: ["mute"]})
     with running(engine) as gate:
         answers: list[int] = []
@@ -293,11 +254,7 @@
 
 
 def test_a_duplicate_id_of_an_open_request_is_rejected_and_ejects_no_engine() -> None:
-    """A client uses the id of a request that is still open.
-
-    Sent on, an engine would reject the duplicate, which would count as a fault of the engine. The front
-    answers 409, and the engine is not ejected.
-    """
+    """A client uses the id of a request that is still open."""
     engine = Engine(script={SQL: ["mute"]})
     with running(engine) as gate, socket.create_connection(gate.http_server.listener.address) as sock:
         call = f"{HEAD}Content-Length: {len(SQL)}\r\n\r\n{SQL}".encode()
@@ -322,10 +279,7 @@
 
 
 def test_connections_without_a_complete_first_request_are_closed(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Clients connect and send nothing, or only a part of their first request.
-
-    They would hold their connections for ever. The first kind is closed, the second answered with 408.
-    """
+    """Clients connect and send nothing, or only a part of their first request."""
     monkeypatch.setattr("query_gateway.http.connection.FIRST_REQUEST_TIMEOUT_SECONDS", 0.1)
     with running(Engine()) as gate:
         for said, answer in ((b"", b""), (HEAD.encode(), b"HTTP/1.1 408 ")):
@@ -336,11 +290,7 @@
 
 
 def test_connections_without_a_request_are_evicted_at_the_limit() -> None:
-    """Clients without a request hold every connection up to the limit.
-
-    They did so for a minute, and other clients were rejected. The one without a request for longest is
-    evicted for each new connection.
-    """
+    """Clients without a request hold every connection up to the limit."""
     with running(Engine()) as gate:
         gate.http_server.max_connections = 4
         crowd = [socket.create_connection(gate.http_server.listener.address) for _ in range(8)]
@@ -351,11 +301,7 @@
 
 
 def test_timers_cancelled_long_before_due_are_swept() -> None:
-    """Timers are set and cancelled long before they are due.
-
-    They would stay in the heap until then, and memory would grow. Cancelled timers are swept as the heap
-    grows.
-    """
+    """Timers are set and cancelled long before they are due."""
     loop = Loop()
     for _ in range(5_000):
         loop.call_at(loop.now() + 3_600, lambda: None).cancel()
@@ -397,11 +343,7 @@
 
 
 def test_a_listener_out_of_descriptors_pauses() -> None:
-    """Accept fails for want of descriptors while a connection waits.
-
-    The listening socket stays readable, so the loop would turn without a pause and keep a core busy. The
-    listener is not watched until its retry time.
-    """
+    """Accept fails for want of descriptors while a connection waits."""
 
     class Full(socket.socket):
         calls = 0
@@ -455,10 +397,7 @@
 
 
 def test_a_graceful_shutdown_serves_late_requests_and_then_exits() -> None:
-    """Requests come after SIGTERM, from clients that have not noticed it yet.
-
-    The liveness path answers 503 at once, late requests are still served, and then the process exits.
-    """
+    """Requests come after SIGTERM, from clients that have not noticed it yet."""
     engine = Engine()
     gate = Gateway(config([host(engine)]), OperatorSettings(), signals=False)
     thread = threading.Thread(target=gate.run)
@@ -477,11 +416,7 @@
 
 
 def test_nearly_all_of_a_short_ttl_is_left_for_the_query() -> None:
-    """A client waits for a quarter of a second only.
-
-    Half of such a time was kept back for the transfer, so these clients were rejected. A small fixed time is
-    kept back instead.
-    """
+    """A client waits for a quarter of a second only."""
     classes = config([]).classes
     query = decode_request("lookup", classes, {"x-txn": "a" * 16, "x-ttl-ms": "250"}, SQL.encode(), 0)
     assert 220_000_000 <= query.deadline < 250_000_000
@@ -612,11 +547,7 @@
 
 
 def test_the_endpoint_list_is_followed_from_the_last_position() -> None:
-    """A discovery service sends answers that cannot be decoded, then events.
-
-    An invalid answer must not end the watch or move its position. The gateway polls again from the position
-    of the last valid answer.
-    """
+    """A discovery service sends answers that cannot be decoded, then events."""
     journal, engine = JournalStandIn(), Engine()
     odd = (b"[]", b"3", b'{"pos":null,"entries":[]}', b'{"pos":Infinity,"entries":[]}', b"[" * 9_000)
     with running_gateway(config([], journal=journal.address)) as gate:
@@ -628,11 +559,7 @@
 
 
 def test_sighup_changes_the_discovery_address_and_an_invalid_file_changes_nothing(tmp_path: Path) -> None:
-    """SIGHUP comes twice: with a file that cannot be used, and with a new discovery address.
-
-    The process must not end, and an invalid file must leave the watch as it is. The valid one moves the
-    watch, which goes on from its position.
-    """
+    """SIGHUP comes twice: with a file that cannot be used, and with a new discovery address."""
     old, new, file = JournalStandIn(), JournalStandIn(), tmp_path / "config.json"
     known = {"pos": 7, "entries": []}
     raw = {"listen": "127.0.0.1:0", "journal": old.address, "known": known, "settings": SETTINGS}
