Accept clients again when a ready successor dies after SIGTERM

Callers waited in the accept queue in vain, and were reset, where a successor died after it was ready and after the SIGTERM of its predecessor: known gap of the roadmap, a loss of requests that were taken.

Cause: the predecessor closed the listening sockets that it leaves to its successor, so they ended with the successor.

Change: a released listener keeps its socket and accepts nothing; if the successor dies it accepts again until the end of the stop's grace period, or what waits just then where that is over.

--- a/query_gateway/lifecycle/shutdown.py
+++ b/query_gateway/lifecycle/shutdown.py
@@ -20,8 +20,8 @@
     connected, not ready    accepts, also beyond the grace period           transfer_to_successor
     ready                   leaves the accept queue to the successor,       _release_to_successor
                             transfers idle connections
-    died before it was      accepts until the end of the grace period,      continue_without_successor
-    ready                   then closes its listeners
+    died, ready or not      accepts until the end of the grace period,      continue_without_successor
+                            then closes its listeners
 
 If this process dies before it is done, its open requests are lost and their clients see a reset connection.
 """
@@ -135,6 +135,8 @@
         Idle connections stay here, as nobody takes them.
         """
         self.parts.fronts.http_server.transfer = None
+        for listener in self.parts.fronts.listeners:
+            listener.resume()
         self.loop.call_at(self._grace_period_ends_at, self._close_fronts)
 
     def abort_open_requests(self) -> None:
--- a/query_gateway/net/listener.py
+++ b/query_gateway/net/listener.py
@@ -24,6 +24,7 @@
 
     INHERITED = "inherited"  # nothing yet: another process accepts at the same socket
     LISTENING = "listening"
+    RELEASED = "released"  # nothing, while another process accepts at the same socket; this one may again
     CLOSING = "closing"  # only what waits already
     CLOSED = "closed"  # nothing ever again
 
@@ -32,8 +33,10 @@
     """Accepts connections in order and passes each to its callback; owns the listening socket.
 
     INHERITED --resume--> LISTENING --close--> CLOSING --nobody waits, or `CLOSE_TIMEOUT_SECONDS`--> CLOSED
-
-    `release` leads to CLOSED from anywhere.
+                           |    ^
+                       release  resume
+                           v    |
+                          RELEASED
     """
 
     def __init__(
@@ -81,15 +84,15 @@
         return sock
 
     def resume(self) -> None:
-        """Accept connections at an inherited socket from now on; a second call changes nothing."""
-        if self.state is ListenerState.INHERITED:
+        """Accept connections where another process did so far; else without effect."""
+        if self.state in (ListenerState.INHERITED, ListenerState.RELEASED):
             self.state = ListenerState.LISTENING
             self._listen_again()
 
     @property
     def closed(self) -> bool:
-        """Whether nothing is accepted ever again."""
-        return self.state is ListenerState.CLOSED
+        """Whether nothing is accepted, and will be only if another process ends first."""
+        return self.state in (ListenerState.RELEASED, ListenerState.CLOSED)
 
     @property
     def waiting_since(self) -> float | None:
@@ -200,8 +203,14 @@
             self.loop.watch(self.socket, IN, self._ready)
 
     def release(self) -> None:
-        """Stop accepting and leave the backlog to the other process that has this socket."""
-        self._finish_closing()
+        """Stop accepting and leave the backlog to the other process that has this socket.
+
+        It stays open here, or clients in the backlog would be reset if the other process died.
+        """
+        if self.state is ListenerState.LISTENING:
+            self.state = ListenerState.RELEASED
+            self.loop.watermark.backlogged.discard(self)
+            self.loop.watch(self.socket, 0, self._ready)
 
     def close(self) -> None:
         """Accept what waits in the backlog, then stop.
@@ -210,7 +219,7 @@
         closed listening socket would reset them. So where accept fails for the moment, CLOSING lasts until
         they have been accepted, or for `CLOSE_TIMEOUT_SECONDS`.
         """
-        if self.state in (ListenerState.CLOSING, ListenerState.CLOSED):
+        if self.state in (ListenerState.RELEASED, ListenerState.CLOSING, ListenerState.CLOSED):
             return
         self.state = ListenerState.CLOSING
         self.loop.watch(self.socket, 0, self._ready)
--- a/tests/test_race_shutdown.py
+++ b/tests/test_race_shutdown.py
@@ -24,6 +24,7 @@
 from query_gateway.lifecycle.upgrade_messages import MAX_DESCRIPTORS, MAX_PACKET_BYTES, PROTOCOL_VERSION
 from tests.race_helpers import (
     SEC,
+    UNANSWERED_SQL,
     PausedReaderEngine,
     SlowToAcceptEngine,
     send_request,
@@ -34,6 +35,7 @@
 from tests.stand_ins import SETTINGS, Engine, config, host, post, running_gateway
 from tests.test_hot_upgrade import Site, site
 from tests.test_local import until
+from tests.test_request_arrival import encoded_request
 from tests.test_web import LOAD, ROWS, SQL, running
 
 KEY_QUARANTINE_S = 0.3  # of the settings
@@ -209,6 +211,24 @@
         connection.close()
 
 
+def test_clients_are_served_when_a_ready_successor_dies_after_sigterm(tmp_path: Path) -> None:
+    """Their connections would be reset with the last process that has the listening socket."""
+    engine = Engine(script={UNANSWERED_SQL: ["mute"]})
+    with gateway_with_successor(tmp_path, engine, "ready") as (gateway, link):
+        until(lambda: gateway.hot_upgrade and gateway.hot_upgrade.successor_ready)
+        open_request = send_request(gateway, UNANSWERED_SQL)  # keeps the predecessor from ending
+        assert engine.wait("REQ")
+        gateway.loop.call_soon(gateway.begin_shutdown)
+        until(lambda: gateway.http_server.listener.closed)
+        waiting = socket.create_connection(gateway.http_server.listener.address)
+        waiting.settimeout(10)
+        link.close()
+        waiting.sendall(encoded_request(600_000))
+        assert waiting.recv(65_536).startswith(b"HTTP/1.1 200")
+        for client in (open_request, waiting):
+            client.close()
+
+
 @pytest.mark.parametrize("step", ["connected", "hello", "ready"])
 def test_predecessor_keeps_serving_when_its_successor_dies_at_any_step(step: str, tmp_path: Path) -> None:
     """A successor dies at one of the steps of a hot upgrade."""
