Soak: a STOP whose id has digits alone carries no body

The traces show that the gateway had cancelled the first attempt; the proxy in front of the engine saw no STOP, and nothing else of that connection. STOP and END have no body.

The check is as it was; what it is told is right now. The new test failed before. The engine stand-in was not concerned: it reads a body behind REQ alone.

--- a/bench/fault_soak/proxy.py
+++ b/bench/fault_soak/proxy.py
@@ -25,6 +25,8 @@
 BACKLOG_FILLERS = 12
 REFILL_AFTER_S = 0.02
 READ_SIZE = 65_536
+# Their last word is no length, though it may consist of digits: a number, or an id such as 6402819666044852
+COMMANDS_WITHOUT_BODY = ("NICE", "FETCH", "STOP", "END")
 FINAL_OUTCOMES = ("ok", "refused", "error", "stale")
 
 
@@ -50,7 +52,8 @@
         if end < 0:
             return False
         words = self.buffer[:end].decode("ascii", "replace").split()
-        length = int(words[-1]) if words and words[-1].isdigit() and words[0] not in ("NICE", "FETCH") else 0
+        has_body = bool(words) and words[-1].isdigit() and words[0] not in COMMANDS_WITHOUT_BODY
+        length = int(words[-1]) if has_body else 0
         total = end + 1 + (length + 2 if length else 0)
         if len(self.buffer) < total:
             return False
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -12,6 +12,7 @@
 from bench.fault_soak.gateway_process import Layout
 from bench.fault_soak.key_spacing import KEYS, KeySpacing
 from bench.fault_soak.oracle import Oracle
+from bench.fault_soak.proxy import FrameObserver
 from bench.fault_soak.records import (
     ClientRecord,
     Ending,
@@ -180,6 +181,15 @@
     assert broken(clients, burst, changes=[restarted]) == {"a cold engine gets what it can bear"}
 
 
+@pytest.mark.parametrize("command", ["STOP", "END"])
+def test_a_command_with_an_id_of_digits_alone_has_no_body(command: str) -> None:
+    """The proxy took the id for a length, and saw nothing more of that connection."""
+    frames = list[list[str]]()
+    observer = FrameObserver(lambda words, _: frames.append(words))
+    observer.feed(f"{command} 6402819666044852\r\nREQ {'a' * 16} queue=load 3\r\nabc\r\n".encode())
+    assert frames == [[command, "6402819666044852"], ["REQ", "a" * 16, "queue=load", "3"]]
+
+
 def test_a_schedule_follows_from_its_seed() -> None:
     names = list(FAULTS)
     first, second = (draw_schedule(names, random.Random(7), 10, 14.0) for _ in range(2))
