Soak: a load whose run had ended well was not overtaken, however late its client noticed

A load counts as open until its client has its answer, has left or waits no longer, as before, or until an engine has written the end of a run that went well. After any other end it stays ahead. Both have a test.

--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -121,6 +121,14 @@
     assert broken([first, later], events) == ({ORDER_AS_SENT} if is_broken else set())
 
 
+@pytest.mark.parametrize(("outcome", "is_broken"), [("ok", False), ("error", True)])
+def test_a_load_whose_run_had_ended_well_was_not_overtaken(outcome: str, is_broken: bool) -> None:
+    """Its client may notice the answer late; after an error it may run again, so it stays ahead."""
+    first, later = load("a", 10.0, 10.9), load("b", 10.25, 10.8)
+    events = [request(10.01), end(10.39, outcome), request(10.4, client_request_id="b" * 16)]
+    assert broken([first, later], events) == ({ORDER_AS_SENT} if is_broken else set())
+
+
 def test_keys_are_spaced_as_the_platform_s_clients_do() -> None:
     spacing, source = KeySpacing(), random.Random(1)
     keys = {spacing.reserve("g", source, 0.0) for _ in range(KEYS)}
