Soak: judge a crossed close by what was read; break no transferred client's connection

The oracle asks now whether the request was read: if so it is lost, also within 50 ms on a resting connection, where it was excused before; if not, the 50 ms are lengthened by what the soak's own process was late, and new connections are excused in a crowd alone.

The shim notes what is dialled now.

--- a/bench/fault_soak/clients.py
+++ b/bench/fault_soak/clients.py
@@ -21,7 +21,7 @@
     TIMEOUT_SHARES,
 )
 
-IDLE_CLOSE_CROSSING_S = 0.05  # a request may cross the close of an idle connection; clients then repeat it
+CLOSE_CROSSING_S = 0.05  # a request may cross the close of its connection so long; clients then repeat it
 READ_LIMIT = 1 << 20
 RECONNECT_PAUSE_S = 0.05
 
--- a/bench/fault_soak/evidence.py
+++ b/bench/fault_soak/evidence.py
@@ -18,6 +18,7 @@
 STALL_MARGIN_S = 0.5  # around a stall of the soak's own process
 UNREAD_MARGIN_S = 0.5  # after a span in which requests waited unread
 KILL_MARGIN_BEFORE_S, KILL_MARGIN_AFTER_S = 0.05, 0.2
+CROWD_MARGIN_S = 0.5  # until a crowd's connections have been closed on both sides
 UNANSWERED_S = 4.0  # that a request without an end counts as open
 
 
@@ -83,6 +84,22 @@
             for stall in self.observations.driver_stalls
         )
 
+    def is_crowded(self, gateway: str, at: float) -> bool:
+        """Whether idle clients filled a gateway's connections around a time."""
+        return any(
+            crowd.gateway == gateway and crowd.began_at <= at <= crowd.ended_at + CROWD_MARGIN_S
+            for crowd in self.observations.crowds
+        )
+
+    def driver_delay(self, began_at: float, ended_at: float) -> float:
+        """For how long the soak's own process may not have looked within the span, at a time."""
+        delays = (
+            delay.ended_at - delay.began_at
+            for delay in self.observations.driver_delays
+            if delay.began_at <= ended_at and delay.ended_at >= began_at
+        )
+        return max(delays, default=0.0)
+
     def is_unread(self, engine: str, at: float) -> bool:
         """Whether what was observed then may have waited in the machine's buffers: its time is not known."""
         return any(
--- a/bench/fault_soak/faults.py
+++ b/bench/fault_soak/faults.py
@@ -17,7 +17,7 @@
 from bench.fault_soak.engine_host import FLIGHT_SUFFIX, EngineHost
 from bench.fault_soak.engine_mode import EngineMode
 from bench.fault_soak.gateway_process import GatewayProcess, Layout
-from bench.fault_soak.records import EngineChange, EngineChangeKind, UnreadSpan
+from bench.fault_soak.records import Crowd, EngineChange, EngineChangeKind, UnreadSpan
 from bench.fault_soak.settings import SECOND
 
 ACCEPT_ERRORS = (errno.ENFILE, errno.EMFILE, errno.ECONNABORTED, errno.ENOBUFS, errno.ENOMEM)
@@ -300,11 +300,13 @@
 async def idle_clients(context: FaultContext, seconds: float) -> None:
     """Idle clients fill a gateway's descriptors."""
     gateway = context.choose_gateway()
-    count = context.random.choice(IDLE_CLIENT_COUNTS)
+    count, began_at = context.random.choice(IDLE_CLIENT_COUNTS), time.monotonic()
     sockets = context.population.open_idle_connections(gateway.gate, count)
     await asyncio.sleep(seconds)
     for sock in sockets:
         sock.close()
+    crowd = Crowd(gateway.name, began_at, time.monotonic())
+    context.deployment.observations.crowds.append(crowd)
 
 
 FAULTS: dict[str, InjectFault] = {
--- a/bench/fault_soak/oracle.py
+++ b/bench/fault_soak/oracle.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from itertools import permutations
 
-from bench.fault_soak.clients import IDLE_CLOSE_CROSSING_S
+from bench.fault_soak.clients import CLOSE_CROSSING_S
 from bench.fault_soak.evidence import Attempt, Evidence
 from bench.fault_soak.key_spacing import SPACING_S
 from bench.fault_soak.records import ClientRecord, Ending, EngineChange, EngineChangeKind, Observations
@@ -75,14 +75,24 @@
         is_answered = record.ending in (Ending.SERVED, Ending.REJECTED, Ending.FAILED)
         if record.ending is Ending.SILENT and record.ended_at:
             yield Violation(promise, record.ended_at, _describe(record, "no answer"))
-        elif record.ending is Ending.CLOSED and not _crossed_idle_close(record):
+        elif record.ending is Ending.CLOSED and not _crossed_close(evidence, record):
             yield Violation(promise, record.ended_at, _describe(record, "closed unanswered"))
         elif is_answered and record.ended_at > due_at:
             yield Violation(promise, record.ended_at, _describe(record, "late"))
 
 
-def _crossed_idle_close(record: ClientRecord) -> bool:
-    return record.reused_connection and record.ended_at - record.sent_at <= IDLE_CLOSE_CROSSING_S
+def _crossed_close(evidence: Evidence, record: ClientRecord) -> bool:
+    """Whether a request was written as the gateway closed a connection with no request open on it.
+
+    It was not read, and its client saw the close within the time in which it sends the request once more. New
+    connections may be closed so in a crowd alone.
+    """
+    if record.client_request_id in evidence.observations.read_requests:
+        return False
+    if not record.reused_connection and not evidence.is_crowded(record.gateway, record.sent_at):
+        return False
+    delay_s = evidence.driver_delay(record.sent_at, record.ended_at)
+    return record.ended_at - record.sent_at <= CLOSE_CROSSING_S + delay_s
 
 
 def unreadable_answers(evidence: Evidence) -> Iterator[Violation]:
--- a/bench/fault_soak/records.py
+++ b/bench/fault_soak/records.py
@@ -113,6 +113,15 @@
     ended_at: float
 
 
+@dataclass(slots=True, frozen=True)
+class Crowd:
+    """A span in which idle clients filled a gateway's connections."""
+
+    gateway: str
+    began_at: float
+    ended_at: float
+
+
 @dataclass(slots=True)
 class Observations:
     """Everything that one run has shown."""
@@ -123,9 +132,12 @@
     outages: list[Outage] = field(default_factory=list)
     crashes: list[str] = field(default_factory=list)
     unread_spans: list[UnreadSpan] = field(default_factory=list)
+    crowds: list[Crowd] = field(default_factory=list)
     path_faults: list[str] = field(default_factory=list)  # faults of paths, which the schedule does not show
     log_faults: list[str] = field(default_factory=list)  # lines of the gateways' logs that report a fault
     invariant_lines: list[str] = field(
         default_factory=list
     )  # violations that the gateways counted themselves
     driver_stalls: list[DriverStall] = field(default_factory=list)
+    driver_delays: list[DriverStall] = field(default_factory=list)  # shorter ones too
+    read_requests: set[str] = field(default_factory=set)  # that a gateway has read, by their traces
--- a/bench/fault_soak/run.py
+++ b/bench/fault_soak/run.py
@@ -20,6 +20,7 @@
 
 WATCH_INTERVAL_S = 0.02
 STALL_S = 0.15  # by how much longer a wait takes that counts as a stall of the soak itself
+DELAY_S = 0.01  # the same, by which clients notice late what has come
 LOG_TIME = r"\S+Z \S+ "  # wall clock and monotonic clock
 FAULT_LINES = re.compile(rf"^({LOG_TIME}fault |{LOG_TIME}planner a planner broke|Traceback|.*Error: )")
 INVARIANT_LINES = re.compile(rf"^{LOG_TIME}invariant ")
@@ -140,8 +141,11 @@
     while True:
         await asyncio.sleep(WATCH_INTERVAL_S)
         now = time.monotonic()
+        observations = deployment.observations
         if now - last_run_at > WATCH_INTERVAL_S + STALL_S:
-            deployment.observations.driver_stalls.append(DriverStall(last_run_at, now))
+            observations.driver_stalls.append(DriverStall(last_run_at, now))
+        if now - last_run_at > WATCH_INTERVAL_S + DELAY_S:
+            observations.driver_delays.append(DriverStall(last_run_at + WATCH_INTERVAL_S, now))
         last_run_at = now
         deployment.check_crashes()
 
@@ -154,6 +158,9 @@
             raw = json.loads(line)
             seen.engine_events.append(EngineEvent(kind=EngineEventKind(raw.pop("kind")), **raw))
     for gateway in deployment.gateways:
+        if gateway.trace_path.exists():
+            lines = gateway.trace_path.read_text().splitlines()
+            seen.read_requests.update(line.split(" ", 4)[3] for line in lines if line.count(" ") >= 4)
         for line in gateway.log_path.read_text(errors="replace").splitlines():
             if FAULT_LINES.match(line):
                 seen.log_faults.append(f"{gateway.name}: {line[:300]}")
--- a/bench/fault_soak/shim.c
+++ b/bench/fault_soak/shim.c
@@ -29,7 +29,7 @@
 #define MAX_DESCRIPTORS 65536
 
 static struct control *control;
-static volatile uint8_t accepted[MAX_DESCRIPTORS]; /* descriptors of connections that clients have opened */
+static volatile uint8_t dialled[MAX_DESCRIPTORS]; /* descriptors of connections that this process has opened */
 static __thread unsigned int random_state;
 
 #define REAL(name) ((__typeof__(&name))real_function(#name))
@@ -69,7 +69,7 @@
     if (!control || !fault->rate || !is_ipv4(descriptor) || !drawn(fault->rate)) return 0;
     uint32_t error = fault->error;
     if (is_broken_by(error)) {
-        if (descriptor < 0 || descriptor >= MAX_DESCRIPTORS || accepted[descriptor]) return 0;
+        if (descriptor < 0 || descriptor >= MAX_DESCRIPTORS || !dialled[descriptor]) return 0;
         shutdown(descriptor, SHUT_RDWR);
     }
     errno = (int)error;
@@ -111,9 +111,7 @@
 
 int accept4(int descriptor, struct sockaddr *restrict address, socklen_t *restrict size, int flags) {
     if (control && fails(&control->accept_fault, descriptor)) return -1;
-    int client = REAL(accept4)(descriptor, address, size, flags);
-    if (client >= 0 && client < MAX_DESCRIPTORS) accepted[client] = 1;
-    return client;
+    return REAL(accept4)(descriptor, address, size, flags);
 }
 
 int socket(int domain, int type, int protocol) {
@@ -126,6 +124,7 @@
 
 int connect(int descriptor, const struct sockaddr *address, socklen_t size) {
     if (control && fails(&control->connect_fault, descriptor)) return -1;
+    if (descriptor >= 0 && descriptor < MAX_DESCRIPTORS) dialled[descriptor] = 1;
     return REAL(connect)(descriptor, address, size);
 }
 
@@ -151,7 +150,7 @@
 int close(int descriptor) {
     int interrupted = control && control->close_interrupt_rate && is_ipv4(descriptor)
         && drawn(control->close_interrupt_rate);
-    if (descriptor >= 0 && descriptor < MAX_DESCRIPTORS) accepted[descriptor] = 0;
+    if (descriptor >= 0 && descriptor < MAX_DESCRIPTORS) dialled[descriptor] = 0;
     int result = REAL(close)(descriptor);
     if (!interrupted || result) return result;
     errno = EINTR;
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -1,12 +1,17 @@
 """The fault soak: its oracle tells broken promises from kept ones, and a short run of it finds none."""
 
 import asyncio
+import errno
+import os
 import random
+import socket
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
 
-from bench.fault_soak.control import LAYOUT, CallFault, ShimState, build_shim
+from bench.fault_soak.control import LAYOUT, CallFault, ShimControl, ShimState, build_shim
 from bench.fault_soak.fault_schedule import draw_schedule
 from bench.fault_soak.faults import FAULTS
 from bench.fault_soak.gateway_process import Layout
@@ -15,6 +20,8 @@
 from bench.fault_soak.proxy import FrameObserver
 from bench.fault_soak.records import (
     ClientRecord,
+    Crowd,
+    DriverStall,
     Ending,
     EngineChange,
     EngineChangeKind,
@@ -74,7 +81,16 @@
 
 
 def test_a_request_that_crossed_an_idle_close_or_a_kill_is_not_lost() -> None:
-    assert not broken([record(Ending.CLOSED, 0.02, reused_connection=True)])
+    crowds = [Crowd("g", 9.0, 11.0)]
+    for reused_connection in (False, True):
+        crossed = record(Ending.CLOSED, 0.02, reused_connection=reused_connection)
+        assert not broken([crossed], crowds=crowds)
+        assert bool(broken([crossed])) is not reused_connection
+        was_read = {crossed.client_request_id}
+        assert broken([crossed], crowds=crowds, read_requests=was_read) == {"one final answer in time"}
+    noticed_late = record(Ending.CLOSED, 0.09, reused_connection=True)
+    assert broken([noticed_late]) == {"one final answer in time"}
+    assert not broken([noticed_late], driver_delays=[DriverStall(10.02, 10.09)])
     killed = Outage("g", OutageKind.KILLED, 10.05, 10.05, 12.0)
     assert not broken([record(Ending.CLOSED)], outages=[killed])
 
@@ -211,6 +227,39 @@
     assert build_shim(tmp_path).exists()
 
 
+READ_SCRIPT = """
+import socket, sys
+inherited, port = socket.socket(fileno=int(sys.argv[1])), int(sys.argv[2])
+dialled = socket.create_connection(("127.0.0.1", port))
+for sock in (inherited, dialled):
+    try:
+        print(sock.recv(10).decode())
+    except OSError as error:
+        print(type(error).__name__)
+"""
+
+
+def test_errors_of_a_broken_connection_befall_only_those_that_the_process_dialled(
+    tmp_path: Path,
+) -> None:
+    """A client's connection is not broken, be it accepted or transferred by a predecessor."""
+    control = ShimControl(tmp_path / "shim")
+    control.state.read = CallFault(1_000, errno.ECONNRESET)
+    control.apply()
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        client = socket.create_connection(server.getsockname())
+        inherited, _ = server.accept()
+        client.send(b"request")
+        script = subprocess.run(
+            [sys.executable, "-c", READ_SCRIPT, str(inherited.fileno()), str(server.getsockname()[1])],
+            env=os.environ | control.environment(build_shim(tmp_path)), pass_fds=[inherited.fileno()],
+            capture_output=True, text=True, check=True,
+        )  # fmt: skip
+        for sock in (client, inherited):
+            sock.close()
+    assert script.stdout.split() == ["request", "ConnectionResetError"]
+
+
 @pytest.mark.parametrize("seed", [1, 2, 3, 4, 5, 6])
 def test_a_short_run_with_overlapping_faults_breaks_no_promise(seed: int, tmp_path: Path) -> None:
     """Several faults overlap while real processes serve clients on loopback for some seconds.
