--- a/bench/fault_soak/clients.py
+++ b/bench/fault_soak/clients.py
@@ -83,7 +83,7 @@
         key = f"{number:08x}{'f' * 8}"
         while not self.stopped:
             gate, opened = await self._connect()
-            while gate and opened and not self.stopped:
+            while gate and opened and gate.admitted and not self.stopped:
                 _, fresh = await self._connect_to(gate)
                 if fresh is None or not await self._key_pair(gate, key, fresh, opened):
                     break
--- a/query_gateway/net/listener.py
+++ b/query_gateway/net/listener.py
@@ -15,7 +15,8 @@
 BACKLOG = 1024  # connections that the machine queues until they are accepted
 # Connections accepted in one event: descriptors of closed ones are freed only at the end of the loop's turn
 MAX_ACCEPTS_PER_EVENT = 32
-ACCEPT_RETRY_SECONDS = 0.02  # pause of the listener when descriptors or buffers are out
+MAX_IMMEDIATE_RETRIES = 3  # of an accept that failed: the next call may succeed
+ACCEPT_RETRY_SECONDS = 0.02  # pause of the listener when descriptors or buffers stay out
 CLOSE_TIMEOUT_SECONDS = 2.0  # for what still waits when a listener closes, if accept fails all the time
 
 
@@ -60,6 +61,7 @@
         # Called when a connection waits and there is no descriptor for it; returns whether some become free
         self.on_descriptors_exhausted: Callable[[], bool] = lambda: False
         self.accept_failures = 0  # calls of accept that failed for this process's or the machine's sake
+        self._failures_in_row = 0
         self._failing_since: float | None = None  # loop time of the first of these without a success since
         self.socket = inherited or retry_at_start(lambda: self._listening_socket(address, shared))
         self.address: tuple[str, int] = self.socket.getsockname()
@@ -146,6 +148,8 @@
                 self._record_empty_backlog()
                 return False
             self._record_failure(error)
+            if self._failures_in_row <= MAX_IMMEDIATE_RETRIES:
+                return True
             if error.errno == errno.EMFILE and self._reclaim_descriptors():
                 self._record_waiting()  # they are free at the end of the turn, and the next one accepts
             else:
@@ -166,11 +170,13 @@
 
     def _record_failure(self, error: OSError) -> None:
         self.accept_failures += 1
+        self._failures_in_row += 1
         if self._failing_since is None:
             self._failing_since = self.loop.now()
             log("accept", f"cannot accept: {error.strerror}; {describe_descriptors()}")
 
     def _record_success(self) -> None:
+        self._failures_in_row = 0
         if self._failing_since is not None:
             log("accept", f"accepts again after {self.loop.now() - self._failing_since:.3f} s")
             self._failing_since = None
@@ -181,6 +187,7 @@
         Watched meanwhile, the socket would be reported as ready in every turn, and the loop never sleep.
         """
         self._record_waiting()
+        self._failures_in_row = 0
         now = self.loop.now()
         if self.state is ListenerState.LISTENING:
             self.loop.watch(self.socket, 0, self._ready)
--- a/tests/test_momentary_errors.py
+++ b/tests/test_momentary_errors.py
@@ -19,7 +19,7 @@
 from query_gateway.forwarder.messages import Endpoint
 from query_gateway.model.endpoints import EndpointInfo, EndpointState
 from query_gateway.model.events import OutcomeCode
-from query_gateway.net.listener import Listener
+from query_gateway.net.listener import ACCEPT_RETRY_SECONDS, Listener
 from query_gateway.net.loop import OUT, Loop
 from query_gateway.net.stream import Reason, Stream
 from query_gateway.parsing.snapshot_store import SnapshotStore
@@ -129,6 +129,31 @@
     loop.close()
 
 
+class OftenFailingSocket(FailingSocket):
+    """A listening socket whose accept fails every other time."""
+
+    def accept(self) -> Any:
+        self.is_failing = not getattr(self, "is_failing", False)
+        if self.is_failing:
+            raise OSError(errno.ENOBUFS, "for a moment")
+        return self._sock.accept()
+
+
+def test_crowd_is_accepted_without_a_pause_while_accept_fails_now_and_then() -> None:
+    """A pause for each failure let clients wait behind a crowd for longer than their time."""
+    loop, accepted = Loop(), list[socket.socket]()
+    listener = Listener(loop, ("127.0.0.1", 0), lambda sock, _: accepted.append(sock))
+    clients = [socket.create_connection(listener.address) for _ in range(100)]
+    listener.socket = OftenFailingSocket(listener.socket)  # type: ignore[assignment]
+    began_at = time.monotonic()
+    while len(accepted) < len(clients):
+        loop.turn()
+    assert time.monotonic() - began_at < len(clients) * ACCEPT_RETRY_SECONDS / 4
+    for sock in (*clients, *accepted):
+        sock.close()
+    loop.close()
+
+
 @pytest.mark.parametrize("error", [errno.ENFILE, errno.ENOBUFS, errno.ECONNABORTED, errno.ENETUNREACH])
 def test_listener_that_closes_while_accept_fails_accepts_what_waits_first(error: int) -> None:
     """A listener closes while `accept` fails for a moment."""
