--- a/bench/fault_soak/deployment.py
+++ b/bench/fault_soak/deployment.py
@@ -16,6 +16,7 @@
 from bench.fault_soak.gateway_process import DiscoveryView, GatewayProcess, Layout, create_gateway_process
 from bench.fault_soak.records import Observations, Outage, OutageKind
 from bench.fault_soak.settings import Deadlines
+from bench.loopback_ports import PortReservations
 
 START_TIMEOUT_S = 15.0
 READY_POLL_S = 0.05
@@ -43,6 +44,10 @@
     seconds: float
 
 
+class StandInEndedError(Exception):
+    """An engine or a proxy of the run itself has ended."""
+
+
 class UpgradeWay(Enum):
     """How a hot upgrade goes."""
 
@@ -54,26 +59,26 @@
 class Deployment:
     """All processes of one run; `close` ends those that are left."""
 
-    def __init__(
-        self, paths: "DeploymentPaths", observations: Observations, longest_deadline_s: float
-    ) -> None:
+    def __init__(self, paths: DeploymentPaths, observations: Observations, longest_deadline_s: float) -> None:
         """Nothing is started yet."""
         self.root, self.folder, self.shim_library = paths.root, paths.folder, paths.shim_library
         self.deadlines = Deadlines(longest_deadline_s)
         self.observations = observations
-        self.discovery = Discovery()
+        self.port_reservations = PortReservations()
+        self.discovery = Discovery(self.port_reservations)
         self.engines: list[EngineHost] = []
         self.gateways: list[GatewayProcess] = []
 
     def start_engines(self, count: int, seed: int) -> None:
         """Start engines and their proxies, and list them."""
         for number in range(count):
-            self.engines.append(start_engine_host(self.folder, f"e{number}", seed + number))
+            engine = start_engine_host(self.folder, f"e{number}", seed + number, self.port_reservations)
+            self.engines.append(engine)
         self.discovery.publish(*(engine.listed() for engine in self.engines))
 
     async def add_gateway(self, layout: Layout, number: int, count: int) -> None:
         """Make a gateway's files and start it."""
-        gateway = create_gateway_process(self.folder, layout, number)
+        gateway = create_gateway_process(self.folder, layout, number, self.port_reservations)
         await self.discovery.listen(gateway.name)
         gateway.write_operator_file()
         self.gateways.append(gateway)
@@ -210,7 +215,15 @@
         for gateway in self.gateways:
             if not gateway.running and not gateway.expected_to_end and gateway.process:
                 gateway.expected_to_end = True
-                self.observations.crashes.append(f"{gateway.name}: ended with {gateway.process.returncode}")
+                self.observations.crashes.append(
+                    f"{gateway.name}: ended with {gateway.process.returncode}: {gateway.last_log_line}"
+                )
+
+    def check_stand_ins(self) -> None:
+        """Raise StandInEndedError for a stand-in that has ended: the run would test less than it says."""
+        for engine in self.engines:
+            if ended := engine.ended_processes:
+                raise StandInEndedError(f"{engine.name}: {', '.join(ended)}")
 
     def close(self) -> None:
         """End every process that this deployment has started."""
@@ -218,3 +231,4 @@
             gateway.close()
         for engine in self.engines:
             engine.close()
+        self.port_reservations.close()
--- a/bench/fault_soak/discovery.py
+++ b/bench/fault_soak/discovery.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from bench.fault_soak.ports import free_port
+from bench.loopback_ports import PortReservations
 
 MAX_POLL_WAIT_S = 5.0
 
@@ -23,8 +23,9 @@
 class Discovery:
     """The endpoint list as events. `notified_at` holds when each gateway was first sent each event."""
 
-    def __init__(self) -> None:
-        """Begin without an event."""
+    def __init__(self, port_reservations: PortReservations) -> None:
+        """Begin without an event; each gateway's port is reserved there."""
+        self.port_reservations = port_reservations
         self.events: list[dict[str, Any]] = []  # the event at index N has position N + 1
         self.hosts: dict[str, dict[str, Any]] = {}
         self.notified_at: dict[SentEvent, float] = {}  # seconds of the monotonic clock
@@ -64,13 +65,11 @@
 
     async def listen(self, gateway: str) -> None:
         """Serve a gateway, at its port of before if it had one."""
-        server = await asyncio.start_server(
-            lambda reader, writer: self._serve(gateway, reader, writer),
-            "127.0.0.1",
-            self.ports.get(gateway) or free_port(),
+        if gateway not in self.ports:
+            self.ports[gateway] = self.port_reservations.reserve()
+        self.servers[gateway] = await asyncio.start_server(
+            lambda reader, writer: self._serve(gateway, reader, writer), "127.0.0.1", self.ports[gateway]
         )
-        self.servers[gateway] = server
-        self.ports[gateway] = server.sockets[0].getsockname()[1]
 
     async def go_down(self) -> None:
         """Refuse connections and break those that are open, until `come_back` was called as often."""
--- a/bench/fault_soak/engine_host.py
+++ b/bench/fault_soak/engine_host.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 from bench.fault_soak.engine_mode import EngineMode
-from bench.fault_soak.ports import free_port
+from bench.loopback_ports import PortReservations
 
 FLIGHT_SUFFIX = "@flight"  # of an engine's name where it is observed on the Flight wire
 
@@ -32,6 +32,12 @@
             "flight": f"127.0.0.1:{self.flight_port}",
         }  # fmt: skip
 
+    @property
+    def ended_processes(self) -> list[str]:
+        """The commands of its processes that have ended by themselves."""
+        processes = (*self.engines, *self.proxies)
+        return [str(process.args) for process in processes if process.poll() is not None]
+
     def set_mode(self, mode: EngineMode) -> None:
         """How the engine answers from now on."""
         for engine in self.engines:
@@ -49,9 +55,9 @@
             process.wait()
 
 
-def start_engine_host(folder: Path, name: str, seed: int) -> EngineHost:
+def start_engine_host(folder: Path, name: str, seed: int, port_reservations: PortReservations) -> EngineHost:
     """Start one engine on both wires with its proxies; their events go to a file in the folder."""
-    ports = [free_port() for _ in range(4)]
+    ports = [port_reservations.reserve() for _ in range(4)]
     event_file = str(folder / f"{name}.events")
     engines = (
         _start_module("engine", ports[0], seed),
--- a/bench/fault_soak/gateway_process.py
+++ b/bench/fault_soak/gateway_process.py
@@ -15,8 +15,8 @@
 
 from bench.fault_soak.clients import Gate
 from bench.fault_soak.control import ShimControl
-from bench.fault_soak.ports import free_port
 from bench.fault_soak.settings import Deadlines, settings
+from bench.loopback_ports import PortReservations
 
 DESCRIPTORS = 256
 
@@ -68,6 +68,12 @@
         """Every step of every request, of all its processes."""
         return self.folder / "trace.txt"
 
+    @property
+    def last_log_line(self) -> str:
+        """What it has logged last, as a start that fails says why there."""
+        lines = self.log_path.read_text(errors="replace").splitlines() if self.log_path.exists() else []
+        return lines[-1] if lines else "nothing logged"
+
     @property
     def running(self) -> bool:
         """Whether its first process runs."""
@@ -150,7 +156,9 @@
             self.process.wait()
 
 
-def create_gateway_process(folder: Path, layout: Layout, number: int) -> GatewayProcess:
+def create_gateway_process(
+    folder: Path, layout: Layout, number: int, port_reservations: PortReservations
+) -> GatewayProcess:
     """Make a gateway's folders and choose its ports; nothing is started."""
     name = f"g{number}-{layout.value}"
     gateway_folder = folder / name
@@ -160,9 +168,9 @@
         name,
         layout,
         gateway_folder,
-        Gate(name, free_port(), admitted=False),
+        Gate(name, port_reservations.reserve(), admitted=False),
         ShimControl(gateway_folder / "shim"),
         number,
-        planner_ports=[free_port(), free_port()],
-        flight_port=free_port(),
+        planner_ports=[port_reservations.reserve(), port_reservations.reserve()],
+        flight_port=port_reservations.reserve(),
     )
--- a/bench/fault_soak/run.py
+++ b/bench/fault_soak/run.py
@@ -86,9 +86,11 @@
             await deployment.add_gateway(layout, number, count)
         for gateway in deployment.gateways:
             if not await deployment.wait_until_ready(gateway):
-                seen.crashes.append(f"{gateway.name}: not ready at the start")
+                seen.crashes.append(f"{gateway.name}: not ready at the start: {gateway.last_log_line}")
+        deployment.check_stand_ins()
         schedule = draw_schedule(list(plan.only or FAULTS), source, plan.fault_count, plan.seconds)
         await _play(plan, deployment, source, schedule)
+        deployment.check_stand_ins()
     finally:
         deployment.close()
     _collect(deployment)
--- a/bench/lookups_per_second.py
+++ b/bench/lookups_per_second.py
@@ -29,7 +29,7 @@
 
 import click
 
-from bench.fault_soak.ports import free_port
+from bench.loopback_ports import free_port
 
 ROOT = Path(__file__).parent.parent
 CONTEXT = multiprocessing.get_context("spawn")
--- a/bench/statements_gateway.py
+++ b/bench/statements_gateway.py
@@ -6,7 +6,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -21,6 +20,7 @@
 
 import click
 
+from bench.loopback_ports import free_port
 from bench.statement_workloads import run_time, share_within_twice, slow_run_time
 from query_gateway.parsing.snapshot_store import SnapshotStore
 from query_gateway.statements.costs import CostEstimates
@@ -245,7 +245,7 @@
 
     `keys`: further lines of the table `statements`.
     """
-    http_port, flight_port = _free_ports()
+    http_port, flight_port = free_port(), free_port()
     config, operator = folder / "config.json", folder / "operator.toml"
     config.write_text(json.dumps(_configuration(http_port, engine_port)))
     table = f"[statements]\n{keys}{KEY_RULES}" if is_on else ""
@@ -263,11 +263,6 @@
         process.wait()
 
 
-def _free_ports() -> tuple[int, int]:
-    with socket.create_server(("127.0.0.1", 0)) as one, socket.create_server(("127.0.0.1", 0)) as other:
-        return one.getsockname()[1], other.getsockname()[1]
-
-
 def _configuration(http_port: int, engine_port: int) -> dict[str, Any]:
     """The platform's configuration, in its words."""
     from tests.stand_ins import SETTINGS
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -1,6 +1,7 @@
 """The fault soak: its oracle tells broken promises from kept ones, and a short run of it finds none."""
 
 import asyncio
+import contextlib
 import errno
 import os
 import random
@@ -12,6 +13,7 @@
 import pytest
 
 from bench.fault_soak.control import LAYOUT, CallFault, ShimControl, ShimState, build_shim
+from bench.fault_soak.deployment import Deployment, DeploymentPaths, StandInEndedError
 from bench.fault_soak.fault_schedule import draw_schedule
 from bench.fault_soak.faults import FAULTS
 from bench.fault_soak.gateway_process import Layout
@@ -260,6 +262,18 @@
     assert script.stdout.split() == ["request", "ConnectionResetError"]
 
 
+def test_a_run_whose_stand_in_has_ended_is_no_result(tmp_path: Path) -> None:
+    """Guards against runs with fewer engines than planned, whose faults and promises went half tested."""
+    deployment = Deployment(DeploymentPaths(ROOT, tmp_path, tmp_path), Observations(), 1.5)
+    with contextlib.closing(deployment):
+        deployment.start_engines(1, seed=1)
+        deployment.check_stand_ins()
+        deployment.engines[0].proxies[0].kill()
+        deployment.engines[0].proxies[0].wait()
+        with pytest.raises(StandInEndedError, match="e0: .*proxy"):
+            deployment.check_stand_ins()
+
+
 @pytest.mark.parametrize("seed", [1, 2, 3, 4, 5, 6])
 def test_a_short_run_with_overlapping_faults_breaks_no_promise(seed: int, tmp_path: Path) -> None:
     """Several faults overlap while real processes serve clients on loopback for some seconds.
--- a/tests/test_hot_upgrade.py
+++ b/tests/test_hot_upgrade.py
@@ -19,6 +19,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from bench.loopback_ports import free_port
 from query_gateway.configuration.operator_file import OperatorSettings
 from query_gateway.gateway import Gateway
 from query_gateway.lifecycle.inherited_state import request_inherited_state
@@ -39,7 +40,7 @@
 from query_gateway.planner.learned_state import export_state, restore_state
 from query_gateway.policy.scheduler import Scheduler
 from tests.stand_ins import SETTINGS, Engine, config, host, post
-from tests.test_local import free_port, until
+from tests.test_local import until
 from tests.test_ops import figures, send_call
 from tests.test_web import SQL, steady
 
--- a/tests/test_local.py
+++ b/tests/test_local.py
@@ -19,6 +19,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from bench.loopback_ports import free_port
 from query_gateway.configuration.operator_file import OperatorSettings
 from query_gateway.forwarder.trace import TraceStep
 from query_gateway.gateway import Gateway
@@ -185,11 +186,6 @@
     process.loop.close()
 
 
-def free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as sock:
-        return int(sock.getsockname()[1])
-
-
 def answers_by_process(trace: Path) -> Counter[str]:
     """How many requests each process has answered, by its id, as the request trace says."""
     if not trace.exists():
