Open a Flight call again whose headers are out of date as its message leaves

Cause: the deadline is encoded in a call's headers as the call is opened. The message behind them may wait for the engine's flow-control window, or for the machine to take what is queued; the headers then were as old as that wait. A call was also checked for its right to be sent only as it was opened. Change: headers leave first; the message follows only if the machine took them and they are 20 ms old at most. Otherwise the call is reset and opened again with the time that is left, if the attempt may still be sent. An engine runs nothing of a call whose message it has not received, so nothing runs twice.

--- a/query_gateway/flight/engines.py
+++ b/query_gateway/flight/engines.py
@@ -36,6 +36,7 @@
     flow_controlled_bytes: int
 
 
+MAX_DEADLINE_AGE_NS = 20 * MS  # of the deadline in a call's headers, as the call's message leaves
 PASSED_ON = ResultMessage(b"", 0)  # in the place of a schema that has been passed on
 
 
@@ -51,6 +52,7 @@
         """Prepare an attempt on this connection; nothing is sent before `begin`."""
         self.pool, self.connection, self.attempt = pool, connection, attempt
         self.call: Call | None = None
+        self.opened_at = 0  # when the call's headers were encoded, in clock time
         self.method = FlightMethod.DO_PUT if attempt.request.is_update else FlightMethod.GET_FLIGHT_INFO
         self.tickets: list[bytes] = []
         self.schema: ResultMessage | None = None  # kept back until more comes: a schema is no row
@@ -95,13 +97,34 @@
 
     def _open_call(self, message: bytes) -> None:
         self.status = None
+        self.opened_at = self.pool.clock()
         self.call = self.connection.grpc.open_call(self._request_headers(), self)
         if self.call is None:
             self.end(self._outcome_of_abort(never_ran=True))
             return
         # A query counts as written with its plan's request; its result's is no second one
         is_first = self.method is not FlightMethod.DO_GET
-        self.call.send(message, self._on_message_released if is_first else None, half_close=True)
+        self.call.send(
+            message,
+            on_sent=self._on_message_released if is_first else None,
+            half_close=True,
+            may_leave=lambda: self._may_leave(message),
+        )
+
+    def _may_leave(self, message: bytes) -> bool:
+        """Whether a call's message may follow its headers; if they are out of date, the call is opened again.
+
+        The engine runs nothing of a call whose message it has not received.
+        """
+        if self.pool.clock() - self.opened_at <= MAX_DEADLINE_AGE_NS:
+            return True
+        if self.call:
+            self.call.reset()
+        if self.method is FlightMethod.DO_GET:
+            self._open_call(message)
+        else:
+            self.begin()
+        return False
 
     def _request_headers(self) -> Headers:
         request, attempt = self.attempt.request, self.attempt
--- a/query_gateway/rpc/call.py
+++ b/query_gateway/rpc/call.py
@@ -59,6 +59,7 @@
 
     data: bytes
     on_sent: Callable[[], None] | None  # called once flow control has let the last byte go
+    may_leave: Callable[[], bool] | None  # asked as the first byte is about to leave
 
 
 class CallConnection(Protocol):
@@ -116,16 +117,21 @@
         self.connection.wake()
 
     def send(
-        self, message: bytes, on_sent: Callable[[], None] | None = None, half_close: bool = False
+        self,
+        message: bytes,
+        on_sent: Callable[[], None] | None = None,
+        half_close: bool = False,
+        may_leave: Callable[[], bool] | None = None,
     ) -> None:
         """Queue a message, without its prefix, and send what the windows allow.
 
         `on_sent` is called once flow control has let the complete message go, which may be at once. With
-        `half_close` nothing may follow it.
+        `half_close` nothing may follow it. `may_leave` is asked once the windows and the machine have let all
+        before the message go; if it answers False it has closed the call.
         """
         if self.is_closed:
             return
-        self.queue.append(QueuedMessage(encode_message(message), on_sent))
+        self.queue.append(QueuedMessage(encode_message(message), on_sent, may_leave))
         if half_close and self.state is CallState.OPEN:
             self.state = CallState.HALF_CLOSING
         self.send_queued()
@@ -167,7 +173,7 @@
         """Send one DATA frame of the first queued message; False if the flow-control window is used up."""
         h2, message = self.connection.h2, self.queue[0]
         window = min(h2.local_flow_control_window(self.stream_id), h2.max_outbound_frame_size)
-        if window <= 0:
+        if window <= 0 or not self._may_leave(message):
             return False
         is_complete = len(message.data) <= window
         end_stream = is_complete and len(self.queue) == 1 and self._half_closes_with_message
@@ -183,6 +189,16 @@
             message.on_sent()
         return True
 
+    def _may_leave(self, message: QueuedMessage) -> bool:
+        """Whether the message's first byte may leave now, or has left already."""
+        if message.may_leave is None:
+            return True
+        self.connection.flush()  # the call's headers, which the machine may not take
+        if not self.connection.can_write or not message.may_leave():
+            return False
+        message.may_leave = None
+        return True
+
     @property
     def _half_closes_with_message(self) -> bool:
         """Whether END_STREAM goes with the last message, not with trailers behind it."""
--- a/tests/test_race_flight.py
+++ b/tests/test_race_flight.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+import time
 from collections.abc import Callable
 from typing import Any
 from uuid import uuid4
@@ -9,7 +10,7 @@
 import pytest
 from h2.config import H2Configuration
 from h2.connection import H2Connection
-from h2.events import ConnectionTerminated, DataReceived, StreamEnded
+from h2.events import ConnectionTerminated, DataReceived, RequestReceived, StreamEnded
 from h2.settings import SettingCodes, Settings
 from hyperframe.frame import SettingsFrame, WindowUpdateFrame
 
@@ -20,7 +21,9 @@
 from query_gateway.gateway import Gateway
 from query_gateway.http.request_decoding import decode_request
 from query_gateway.http.request_handler import PendingAnswer
+from query_gateway.model.units import MS, SEC
 from query_gateway.net.loop import Loop
+from query_gateway.net.steady_clock import steady_now_ns
 from query_gateway.net.stream import Stream
 from query_gateway.rpc.call import Call, CallHandler
 from query_gateway.rpc.connection import GrpcConnection
@@ -30,6 +33,8 @@
 from tests.test_local import until
 from tests.test_web import LOAD, SQL
 
+DEADLINE_SLACK_S = 0.15  # by which a deadline passed on may exceed what its client has left
+
 pytestmark = pytest.mark.usefixtures("reset_log_rate_limit")
 
 
@@ -158,6 +163,70 @@
         sock.close()
 
 
+class ReceivedCalls:
+    """What an engine has received on a connection: calls' headers, and when their messages were complete."""
+
+    def __init__(self, engine_socket: socket.socket) -> None:
+        self.socket = engine_socket
+        self.socket.settimeout(0.01)
+        self.h2 = H2Connection(H2Configuration(client_side=False, header_encoding="utf-8"))
+        self.headers: dict[int, dict[str, str]] = {}
+        self.completed_at: dict[int, int] = {}  # steady clock, nanoseconds
+
+    def read(self) -> None:
+        """Read once, and open the windows for what was read."""
+        with contextlib.suppress(TimeoutError):
+            for event in self.h2.receive_data(self.socket.recv(65_536)):
+                if isinstance(event, RequestReceived) and event.stream_id and event.headers:
+                    self.headers[event.stream_id] = {str(name): str(value) for name, value in event.headers}
+                elif isinstance(event, DataReceived) and event.stream_id and event.flow_controlled_length:
+                    self.h2.acknowledge_received_data(event.flow_controlled_length, event.stream_id)
+                elif isinstance(event, StreamEnded) and event.stream_id:
+                    self.completed_at[event.stream_id] = steady_now_ns()
+        self.socket.sendall(self.h2.data_to_send())
+
+
+@pytest.mark.parametrize("held_back_by", ["the engine's window", "our machine"])
+def test_flight_call_that_was_held_back_does_not_pass_on_a_deadline_that_is_out_of_date(
+    held_back_by: str,
+) -> None:
+    """Guards against an engine that runs a call for longer than its client waits: its headers were old."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    gateway = flight_gateway(listener, settings_without_timeouts(cancelling=False))
+    pool: Any = gateway.forwarder.engine_clients["flight"]
+    connection = pool.connections["e0"] = FlightConnection(pool, "e0", pool.addresses["e0"])
+    stream: Any = connection.grpc.stream
+    engine = ReceivedCalls(listener.accept()[0])
+    turn_until(gateway, lambda: stream.connected and not stream.outbox)
+    if held_back_by == "our machine":
+        stream._send = lambda data: 0
+        exchange = accept_flight_query(gateway, SQL)
+    else:
+        accept_flight_query(gateway, "SELECT '" + "x" * 200_000 + "' FROM lending_7.loans")
+        exchange = accept_flight_query(gateway, SQL)
+        turn_until(gateway, lambda: not connection.grpc.h2.outbound_flow_control_window)
+    time.sleep(2 * DEADLINE_SLACK_S)
+    if held_back_by == "our machine":
+        del stream._send
+    client_request_id = exchange.request.client_request_id
+
+    def completed_stream_id() -> int | None:
+        engine.read()
+        own = [number for number, headers in engine.headers.items() if headers["x-txn"] == client_request_id]
+        return next((stream_id for stream_id in own if stream_id in engine.completed_at), None)
+
+    turn_until(gateway, completed_stream_id)
+    stream_id = completed_stream_id()
+    assert stream_id
+    timeout_ms = int(engine.headers[stream_id]["grpc-timeout"].removesuffix("m"))
+    left_ns = exchange.request.deadline - engine.completed_at[stream_id]
+    assert timeout_ms * MS <= left_ns + DEADLINE_SLACK_S * SEC
+    assert gateway.forwarder.counters.forwards == len(engine.completed_at)
+    gateway.loop.close()
+    for sock in (engine.socket, listener):
+        sock.close()
+
+
 def test_close_by_the_engine_is_found_before_a_flight_call_is_written() -> None:
     """An engine closes its connection just before a Flight call is written there."""
     listener = socket.create_server(("127.0.0.1", 0))
