Stop a worker whose supervisor was killed while the worker loaded

What callers saw: a forwarder or planner of a killed gateway served on beside the next start, at the same address; a planner kept its address in use. Cause: a worker took the parent process at the end of its loading for its supervisor. One that had been killed before had a new parent by then, which never ends. Evidence: a planner and a forwarder that were started with an ended supervisor did not end in 20 s; with this change they exit with 0. Change: the supervisor passes its process id on, and the worker compares with it.

--- a/query_gateway/planner/process_part.py
+++ b/query_gateway/planner/process_part.py
@@ -1,13 +1,14 @@
-"""Which part of a gateway in several processes this process is.
+"""Which part of a gateway in several processes this process is, and whose.
 
-The supervisor names the part in an environment variable; the process entry reads it. The module loads
-nothing, as a plain start imports it too.
+The supervisor names the part and itself in environment variables; the process entry reads them. The module
+loads nothing, as a plain start imports it too.
 """
 
 from dataclasses import dataclass
 from enum import Enum
 
 PROCESS_PART_VARIABLE = "QUERY_GATEWAY_PART"  # "planner 0", "forwarder 1"; unset in any other process
+SUPERVISOR_PID_VARIABLE = "QUERY_GATEWAY_SUPERVISOR_PID"  # set together with the part
 
 
 class ProcessKind(Enum):
--- a/query_gateway/planner/supervisor.py
+++ b/query_gateway/planner/supervisor.py
@@ -23,7 +23,12 @@
 
 from query_gateway.net.log import log
 from query_gateway.net.loop import Loop
-from query_gateway.planner.process_part import PROCESS_PART_VARIABLE, ProcessKind, ProcessPart
+from query_gateway.planner.process_part import (
+    PROCESS_PART_VARIABLE,
+    SUPERVISOR_PID_VARIABLE,
+    ProcessKind,
+    ProcessPart,
+)
 
 WORKER_POLL_INTERVAL_S = 0.1  # how often the supervisor looks whether its workers run
 RESTART_INTERVAL_S = 0.5  # at least, between two starts of the same worker
@@ -31,17 +36,16 @@
 
 
 def stop_with_supervisor(loop: Loop, stop: Callable[[], None]) -> None:
-    """Call `stop` in a worker when its supervisor has ended.
+    """Call `stop` in a worker when its supervisor has ended, also if it ended before this call.
 
     A supervisor that is killed cannot stop its workers. They would go on listening, and the next start would
     fail because its addresses are in use. A worker whose parent process has ended gets another parent, which
-    is looked for here. The parent at this call counts as the supervisor: one that ended before is not
-    noticed.
+    is looked for here.
     """
-    supervisor_pid = os.getppid()
+    supervisor_pid = int(os.environ.get(SUPERVISOR_PID_VARIABLE) or os.getppid())
 
     def poll() -> None:
-        """Compare the parent process with the one at the start."""
+        """Compare the parent process with the supervisor."""
         if os.getppid() != supervisor_pid:
             stop()
         else:
@@ -62,7 +66,10 @@
     def start(self) -> None:
         """Start the process, which reads the same configuration as this one."""
         self.started_at = time.monotonic()
-        environ = os.environ | {PROCESS_PART_VARIABLE: str(self.part)}
+        environ = os.environ | {
+            PROCESS_PART_VARIABLE: str(self.part),
+            SUPERVISOR_PID_VARIABLE: str(os.getpid()),
+        }
         self.process = subprocess.Popen([sys.executable, "-m", "query_gateway"], env=environ)
 
     @property
--- a/tests/test_local.py
+++ b/tests/test_local.py
@@ -1,5 +1,6 @@
 """The IPC: its codec cut and garbled, a planner that dies, and all parts as processes."""
 
+import contextlib
 import json
 import os
 import signal
@@ -37,6 +38,7 @@
 )
 from query_gateway.planner import ipc_codec as codec
 from query_gateway.planner.process import PlannerProcess
+from query_gateway.planner.process_part import PROCESS_PART_VARIABLE, SUPERVISOR_PID_VARIABLE
 from tests.stand_ins import SETTINGS, Engine, config, ended_on_exit, host, post
 from tests.test_web import LOAD, ROWS, SQL
 
@@ -194,18 +196,36 @@
     return Counter(step[1] for step in steps if step[4] == TraceStep.ANSWERED.value)
 
 
-def test_planners_and_forwarders_run_as_processes(tmp_path: Path) -> None:
-    engine, listen = Engine(), ("127.0.0.1", free_port())
+def environment_of_processes(folder: Path, engine: Engine, port: int) -> dict[str, str]:
+    """The environment of a gateway of two planners and two forwarders, with its files in the folder."""
     known = {"pos": 1, "entries": [{"pos": 1, "hosts": {"seq": 1, "whole": True, "hosts": [host(engine)]}}]}
-    raw = {"listen": f"127.0.0.1:{listen[1]}", "journal": "127.0.0.1:1", "known": known, "settings": SETTINGS}
-    (tmp_path / "config.json").write_text(json.dumps(raw))
+    raw = {"listen": f"127.0.0.1:{port}", "journal": "127.0.0.1:1", "known": known, "settings": SETTINGS}
+    (folder / "config.json").write_text(json.dumps(raw))
     planners = [f"127.0.0.1:{free_port()}" for _ in range(2)]
-    (tmp_path / "operator.toml").write_text(f"[processes]\nplanners = {planners}\nforwarders = 2\n")
-    environ = os.environ | {
-        "ROUTER_CONFIG": str(tmp_path / "config.json"),
-        "QUERY_GATEWAY_OPERATOR_FILE": str(tmp_path / "operator.toml"),
-        "QUERY_GATEWAY_TRACE": str(tmp_path / "trace"),
+    (folder / "operator.toml").write_text(f"[processes]\nplanners = {planners}\nforwarders = 2\n")
+    return os.environ | {
+        "ROUTER_CONFIG": str(folder / "config.json"),
+        "QUERY_GATEWAY_OPERATOR_FILE": str(folder / "operator.toml"),
+        "QUERY_GATEWAY_TRACE": str(folder / "trace"),
     }
+
+
+@pytest.mark.parametrize("part", ["planner 0", "forwarder 0"])
+def test_worker_whose_supervisor_ended_while_it_loaded_stops(part: str, tmp_path: Path) -> None:
+    """Guards against a worker of a killed gateway that serves beside the next one, at the same address."""
+    with contextlib.closing(Engine()) as engine:
+        environ = environment_of_processes(tmp_path, engine, free_port())
+        supervisor = subprocess.Popen([sys.executable, "-c", ""])
+        supervisor.wait()
+        environ |= {PROCESS_PART_VARIABLE: part, SUPERVISOR_PID_VARIABLE: str(supervisor.pid)}
+        run = [sys.executable, "-m", "query_gateway"]
+        with ended_on_exit(subprocess.Popen(run, env=environ, stderr=subprocess.DEVNULL)) as worker:
+            assert worker.wait(20) == 0
+
+
+def test_planners_and_forwarders_run_as_processes(tmp_path: Path) -> None:
+    engine, listen = Engine(), ("127.0.0.1", free_port())
+    environ = environment_of_processes(tmp_path, engine, listen[1])
     gateway = SimpleNamespace(http_server=SimpleNamespace(listener=SimpleNamespace(address=listen)))
     run = [sys.executable, "-m", "query_gateway"]
     with ended_on_exit(subprocess.Popen(run, env=environ, stderr=subprocess.DEVNULL)) as process:
