Start a Flight attempt again for which our machine can make no dial just now

What callers saw: a Flight request failed, and its engine was ejected, where the machine had no descriptor, port or buffer for a moment. The promise is that this costs nothing; on the platform's wire it held. Cause: the Flight client ended such an attempt at once: as not sent without a socket, as a failed connect of the engine where connect failed on our side. Evidence: the new tests let five calls in a row fail (socket, connect); the attempt ended and another took its place. With the change the same attempt goes out. It is withdrawn with its client, and gives up as not sent after the time of a dial. Change: what the platform's client did is a class of its own now, and both use it (`forwarder/postponed_attempts`). Changed test: a dial that fails at once was tested with ENETUNREACH, which is our machine's failure; it expects a failed connect for ECONNREFUSED now, and for ENETUNREACH the wait and the end as not sent.

--- a/query_gateway/engine_protocol/pool.py
+++ b/query_gateway/engine_protocol/pool.py
@@ -12,13 +12,13 @@
 
 from query_gateway.engine_protocol.connection import EngineConnection
 from query_gateway.forwarder.messages import AttemptHandle, Endpoint
+from query_gateway.forwarder.postponed_attempts import PostponedAttempts
 from query_gateway.model.endpoints import EndpointState
 from query_gateway.model.events import OutcomeCode
 from query_gateway.net.loop import Loop
 
 # Of the engines' idle timeout, after which we close first, so that no request crosses an engine's close
 IDLE_TIMEOUT_SHARE: Final = 0.8
-POSTPONE_SECONDS: Final = 0.02  # until an attempt for which no socket could be made is started again
 
 
 @dataclass(slots=True, frozen=True)
@@ -43,8 +43,7 @@
         self.endpoints: dict[str, Endpoint] = {}  # by engine
         self.connections: dict[str, list[EngineConnection]] = {}  # by engine
         self.by_client_request_id: dict[str, EngineConnection] = {}  # connections of the attempts in flight
-        # Attempts for which no socket could be made yet, by client id: until when that is tried (loop time)
-        self.postponed: dict[str, float] = {}
+        self.postponed = PostponedAttempts(loop, self.start)  # those for which no socket could be made yet
 
     def update_limits(self, limits: ConnectionLimits) -> None:
         """Apply new limits, to open connections as well."""
@@ -64,7 +63,7 @@
         # Engines know one attempt an id, whatever connection it came on
         is_in_flight = client_request_id in self.by_client_request_id
         if endpoint is None or "web" not in endpoint.addresses or is_in_flight:
-            self.postponed.pop(client_request_id, None)
+            self.postponed.remove(attempt)
             attempt.on_ended(OutcomeCode.NOT_SENT)
             return
         connection = self._free_connection(engine, client_request_id)
@@ -72,10 +71,10 @@
             try:
                 connection = EngineConnection(self, engine, endpoint)
             except OSError:  # out of descriptors or buffers just now
-                self._postpone(attempt)
+                self.postponed.postpone(attempt, self.dial_timeout)
                 return
             self.connections.setdefault(engine, []).append(connection)
-        self.postponed.pop(client_request_id, None)
+        self.postponed.remove(attempt)
         self.by_client_request_id[client_request_id] = connection
         connection.send(attempt)
 
@@ -86,26 +85,10 @@
                 return connection
         return None
 
-    def _postpone(self, attempt: AttemptHandle) -> None:
-        """Start an attempt again soon; it ends as not sent once that was tried for the time of a dial."""
-        client_request_id, now = attempt.request.client_request_id, self.loop.now()
-        give_up_at = self.postponed.setdefault(client_request_id, now + self.dial_timeout)
-        if now >= give_up_at:
-            del self.postponed[client_request_id]
-            attempt.on_ended(OutcomeCode.NOT_SENT)
-            return
-
-        def start_again() -> None:
-            """Unless it was withdrawn or cancelled meanwhile."""
-            if attempt.in_flight and client_request_id in self.postponed:
-                self.start(attempt)
-
-        self.loop.call_at(now + POSTPONE_SECONDS, start_again)
-
     def withdraw(self, attempt: AttemptHandle) -> bool:
         """Take an attempt back if nothing of it has left; whether that was so."""
         client_request_id = attempt.request.client_request_id
-        if self.postponed.pop(client_request_id, None) is not None:
+        if self.postponed.remove(attempt):
             return True
         connection = self.by_client_request_id.get(client_request_id)
         if connection is None or not connection.withdraw(client_request_id):
@@ -115,7 +98,7 @@
 
     def cancel(self, attempt: AttemptHandle) -> None:
         """Stop an attempt that is in flight; it will not be ended here."""
-        self.postponed.pop(attempt.request.client_request_id, None)
+        self.postponed.remove(attempt)
         if connection := self.by_client_request_id.pop(attempt.request.client_request_id, None):
             connection.cancel(attempt.request.client_request_id)
 
--- a/query_gateway/flight/engines.py
+++ b/query_gateway/flight/engines.py
@@ -14,6 +14,7 @@
 from query_gateway.flight import messages
 from query_gateway.flight.messages import FlightMessageError, FlightMethod
 from query_gateway.forwarder.messages import AttemptHandle, Endpoint
+from query_gateway.forwarder.postponed_attempts import PostponedAttempts
 from query_gateway.model.endpoints import EndpointState
 from query_gateway.model.events import OutcomeCode
 from query_gateway.model.units import MS
@@ -72,6 +73,7 @@
 
     def begin(self) -> None:
         """Open the attempt's first call."""
+        self.pool.postponed.remove(self.attempt)
         if not self.attempt.may_be_written():
             self.end(OutcomeCode.NOT_SENT)
             return
@@ -93,8 +95,18 @@
         if not self.is_over:
             self.is_over = True
             self.pool.attempts.pop(id(self.attempt), None)
+            self.pool.postponed.remove(self.attempt)
             self.attempt.on_ended(code)
 
+    def end_undialled(self) -> None:
+        """End the attempt as its dial failed, or postpone it if our own machine could not dial."""
+        if self.is_over or not self.connection.grpc.stream.is_local_failure:
+            self.end(OutcomeCode.CONNECT_FAILED)
+            return
+        self.is_over = True
+        self.pool.attempts.pop(id(self.attempt), None)
+        self.pool.postponed.postpone(self.attempt, self.pool.dial_timeout)
+
     def _open_call(self, message: bytes) -> None:
         self.status = None
         self.opened_at = self.pool.clock()
@@ -258,7 +270,7 @@
         if self.grpc.stream.connected:
             attempt.begin()
         elif self.grpc.stream.is_over:  # the dial failed at once, and no activity follows
-            self.pool.loop.call_at(self.pool.loop.now(), lambda: attempt.end(OutcomeCode.CONNECT_FAILED))
+            self.pool.loop.call_at(self.pool.loop.now(), attempt.end_undialled)
         else:
             self.waiting.append(attempt)
 
@@ -280,7 +292,7 @@
         waiting, self.waiting = self.waiting, []
         for attempt in waiting:
             if stream.is_over:
-                attempt.end(OutcomeCode.CONNECT_FAILED)
+                attempt.end_undialled()
             else:
                 attempt.begin()
 
@@ -302,16 +314,18 @@
         self.addresses: dict[str, str] = {}  # of the engines that may get new attempts, by engine
         self.connections: dict[str, FlightConnection] = {}  # by engine
         self.attempts: dict[int, FlightAttempt] = {}  # by the id() of the forwarder's attempt
+        self.postponed = PostponedAttempts(loop, self.start)
 
     def start(self, attempt: AttemptHandle) -> None:
         """Send an attempt to its engine; NOT_SENT if that is impossible without an engine fault."""
         address = self.addresses.get(attempt.endpoint)
         if address is None:
+            self.postponed.remove(attempt)
             attempt.on_ended(OutcomeCode.NOT_SENT)
             return
         connection = self._connection_to(attempt.endpoint, address)
         if connection is None:
-            attempt.on_ended(OutcomeCode.NOT_SENT)
+            self.postponed.postpone(attempt, self.dial_timeout)
             return
         flight_attempt = self.attempts[id(attempt)] = FlightAttempt(self, connection, attempt)
         connection.start(flight_attempt)
@@ -332,13 +346,16 @@
     def withdraw(self, attempt: AttemptHandle) -> bool:
         """Cancel the attempt if the engine has surely begun nothing of it; False if it may have."""
         flight_attempt = self.attempts.get(id(attempt))
-        if flight_attempt is None or not flight_attempt.is_withdrawable:
+        if flight_attempt is None:
+            return self.postponed.remove(attempt)
+        if not flight_attempt.is_withdrawable:
             return False
         self.cancel(attempt)
         return True
 
     def cancel(self, attempt: AttemptHandle) -> None:
         """Stop the attempt at its engine; it gets no outcome."""
+        self.postponed.remove(attempt)
         if flight_attempt := self.attempts.pop(id(attempt), None):
             flight_attempt.stop()
 
--- a/tests/test_momentary_errors.py
+++ b/tests/test_momentary_errors.py
@@ -28,6 +28,7 @@
 from tests.race_helpers import send_request, settings_without_timeouts
 from tests.stand_ins import Engine, log_text, post
 from tests.test_local import until
+from tests.test_race_flight import accept_flight_query, flight_gateway, turn_until
 from tests.test_web import ROWS, SQL, running
 
 pytestmark = pytest.mark.usefixtures("reset_log_rate_limit")
@@ -292,31 +293,95 @@
     loop.close()
 
 
-def test_flight_dial_that_fails_at_once_ends_its_attempt(monkeypatch: pytest.MonkeyPatch) -> None:
+@pytest.mark.parametrize(
+    "error, outcome",
+    [(errno.ECONNREFUSED, OutcomeCode.CONNECT_FAILED), (errno.ENETUNREACH, OutcomeCode.NOT_SENT)],
+)
+def test_flight_dial_that_fails_at_once_ends_its_attempt(
+    error: int, outcome: OutcomeCode, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """A dial to a Flight engine fails within the call that begins it."""
     from query_gateway.flight.engines import FlightConnectionPool
 
     loop, outcomes = Loop(), list[OutcomeCode]()
-    pool = FlightConnectionPool(loop, time.monotonic_ns, 1.0)
+    pool = FlightConnectionPool(loop, time.monotonic_ns, dial_timeout=0.1)
     info = EndpointInfo("e0", EndpointState.UP, 0, 0, 0, 0, 1.0)
     pool.update_endpoints([Endpoint(info, {"flight": "127.0.0.1:1"})], True)
-    monkeypatch.setattr(socket.socket, "connect_ex", lambda sock, address: errno.ENETUNREACH)
+    monkeypatch.setattr(socket.socket, "connect_ex", lambda sock, address: error)
 
     class Attempt:
         endpoint, priority, memory_mb, in_flight = "e0", 1, 0.0, True
-        request = type("Request", (), {"is_update": False})()
+        request = type("Request", (), {"is_update": False, "client_request_id": "a" * 16})()
 
         def on_ended(self, code: OutcomeCode) -> None:
             outcomes.append(code)
 
     pool.start(Attempt())  # type: ignore[arg-type]
+    started_at = loop.now()
     for _ in range(3):
         loop.call_at(loop.now(), lambda: None)
         loop.turn()
-    assert outcomes == [OutcomeCode.CONNECT_FAILED]
+    assert outcomes == ([outcome] if outcome is OutcomeCode.CONNECT_FAILED else [])
+    while not outcomes:
+        loop.turn()
+        assert not outcomes or loop.now() >= started_at + pool.dial_timeout
+    assert outcomes == [outcome] and not pool.postponed
     loop.close()
 
 
+@pytest.mark.parametrize("failing_call", ["socket", "connect"])
+def test_flight_attempt_outlasts_a_moment_in_which_no_dial_can_be_made(
+    failing_call: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against Flight requests that failed while descriptors or ports were out for a moment."""
+    listener, failures = socket.create_server(("127.0.0.1", 0)), [errno.ENOBUFS] * 5
+    gateway = flight_gateway(listener)
+    assert gateway.flight_pool
+    real_dial, real_connect = Stream.dial, socket.socket.connect_ex
+
+    def dial(*arguments: Any) -> Stream:
+        if failures:
+            raise OSError(failures.pop(), "for a moment")
+        return real_dial(*arguments)
+
+    def connect(sock: socket.socket, address: Any) -> int:
+        return failures.pop() if failures else real_connect(sock, address)
+
+    if failing_call == "socket":
+        monkeypatch.setattr(Stream, "dial", dial)
+    else:
+        monkeypatch.setattr(socket.socket, "connect_ex", connect)
+    exchange = accept_flight_query(gateway, SQL)
+    attempt = exchange.engine_side.current_attempt
+    assert attempt
+    turn_until(gateway, lambda: gateway.forwarder.counters.forwards)
+    assert (
+        not failures and exchange.engine_side.current_attempt is attempt and not gateway.flight_pool.postponed
+    )
+    gateway.loop.close()
+    listener.close()
+
+
+def test_flight_attempt_for_which_no_socket_can_be_made_is_withdrawn_with_its_client(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A Flight client leaves while its attempt is postponed for lack of a socket."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    gateway = flight_gateway(listener, settings_without_timeouts(cancelling=False))
+    assert gateway.flight_pool
+
+    def dial(*arguments: Any) -> Stream:
+        raise OSError(errno.EMFILE, "for long")
+
+    monkeypatch.setattr(Stream, "dial", dial)
+    exchange = accept_flight_query(gateway, SQL)
+    assert gateway.flight_pool.postponed
+    exchange.abandon()
+    assert not gateway.flight_pool.postponed and not exchange.engine_side.current_attempt
+    gateway.loop.close()
+    listener.close()
+
+
 def test_supervisor_whose_worker_cannot_be_started_tries_again_and_can_be_stopped(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
