Reject what comes to the forwarder after the abort, and what waits for a parser then

What callers saw: a request whose statement was being parsed when open requests were aborted got no answer before SIGKILL may come, or began at an engine and was lost with the process; so did a Flight call whose message came after the abort. Cause: the abort looked at the requests that the forwarder had. The rejection of later ones stood in the HTTP front alone, before the parse. Change: the forwarder itself rejects after the abort, for every front, and the abort ends all waits for a parser. On the platform no statement is parsed and there is no Flight front; a request over HTTP could not get past the check there. Tests: a Flight client that sends its call piece by piece stands once now (tests/flight_client), in place of three copies; a parse is asked for by a `ClassificationRequest`, so its callers in tests changed.

--- a/query_gateway/cli.py
+++ b/query_gateway/cli.py
@@ -220,11 +220,14 @@
 
 def _classifications(service: "StatementService", line: StatementLine) -> Iterator["Classification"]:
     """Classify until there is a decision: none comes while a parser process that died is replaced."""
+    from query_gateway.parsing.service import ClassificationRequest
+
     loop = service.loop
+    request = ClassificationRequest(line.sql, line.class_name, line.key, line.parameters)
     deadline = loop.now() + PARSER_TIMEOUT
     while loop.now() < deadline:
         answers: list[Classification] = []
-        service.classify(line.sql, line.class_name, line.key, answers.append, line.parameters)
+        service.classify(request, answers.append)
         while not answers:
             loop.turn()
         yield answers[0]
--- a/query_gateway/flight/client_call.py
+++ b/query_gateway/flight/client_call.py
@@ -30,7 +30,7 @@
 from query_gateway.rpc.status import GrpcStatus
 
 if TYPE_CHECKING:
-    from query_gateway.parsing.service import Classification, StatementService
+    from query_gateway.parsing.service import Classification, ClassificationRequest, StatementService
 
 MESSAGE_TIMEOUT_S = 5.0  # in which a call must have brought its message
 # The platform's name of Retry-After, in milliseconds. Every rejection has it; 0 tells the client that it may
@@ -138,8 +138,7 @@
         if class_name is None and is_update:
             class_name = server.update_class  # DoPut marks the statement as an update
         self.state = FlightCallState.CLASSIFYING
-        key = hex_header(self.request_headers, "x-row", KEY_DIGITS, False)
-
+        request = self._classification_request(statement, class_name)
         watermark = server.loop.watermark
 
         def on_classified(classification: "Classification") -> None:
@@ -148,8 +147,15 @@
             self._on_classified(statement, classification)
 
         watermark.hold(self, arrival.latest)
+        server.statements.classify(request, on_classified)
 
-        server.statements.classify(text, class_name, key, on_classified)
+    def _classification_request(
+        self, statement: FlightStatement, class_name: str | None
+    ) -> "ClassificationRequest":
+        from query_gateway.parsing.service import ClassificationRequest
+
+        key = hex_header(self.request_headers, "x-row", KEY_DIGITS, False)
+        return ClassificationRequest(statement.text, class_name, key)
 
     def _on_classified(self, statement: FlightStatement, classification: "Classification") -> None:
         if self.state is FlightCallState.DONE:
--- a/query_gateway/forwarder/forwarder.py
+++ b/query_gateway/forwarder/forwarder.py
@@ -77,6 +77,7 @@
         self.predecessor_fence = PredecessorFence(
             self.router, self.key_quarantine, lambda: self.state.settings
         )
+        self.past_abort_time = False  # too late before the process ends to begin anything
         self.early_rejections = EarlyRejections(self.counters, clock, lambda: self.context.request_trace)
         self.invariants = InvariantChecks()
         self.slow_start_budgets = SlowStartBudgets()
@@ -167,6 +168,8 @@
         return None
 
     def _early_rejection(self, exchange: Exchange) -> EarlyRejection | None:
+        if self.past_abort_time:
+            return EarlyRejection.STOPPING
         if len(self.exchanges) >= self.max_exchanges:
             # More than could be served in time would only fill the memory
             return EarlyRejection.REQUEST_LIMIT
--- a/query_gateway/http/connection.py
+++ b/query_gateway/http/connection.py
@@ -232,7 +232,11 @@
     def _is_last_response(self) -> bool:
         """Whether the connection ends with the response to be sent."""
         handler = self.handler
-        if handler.discarded_bytes or handler.is_over_connection_limit or self.server.past_abort_time:
+        if (
+            handler.discarded_bytes
+            or handler.is_over_connection_limit
+            or self.server.forwarder.past_abort_time
+        ):
             return True
         if not self.server.closing and not self.server.draining_for():
             return False
--- a/query_gateway/http/request_handler.py
+++ b/query_gateway/http/request_handler.py
@@ -15,7 +15,7 @@
 from query_gateway.net.stream import Reason, Stream
 
 if TYPE_CHECKING:
-    from query_gateway.parsing.service import Classification, StatementService
+    from query_gateway.parsing.service import Classification, ClassificationRequest, StatementService
 
 MAX_LOOP_LAG_SECONDS = 0.25  # above it new requests are rejected before the forwarder spends time on them
 MAX_DISCARDED_BYTES = 1_048_576  # beyond a full inbox that a client may send ahead of its answer
@@ -27,7 +27,6 @@
     loop: Loop
     forwarder: Forwarder
     statements: "StatementService | None"  # None where statements are not parsed
-    past_abort_time: bool  # too late before the process ends to begin anything
 
     def draining_for(self, seconds: float = 0.0) -> bool:
         """Whether draining began, and at least so many seconds ago."""
@@ -125,7 +124,7 @@
             return EarlyRejection.LOOP_LAG
         if server.draining_for(DRAIN_REJECT_AFTER_S):
             return EarlyRejection.DRAINING
-        if server.past_abort_time:
+        if server.forwarder.past_abort_time:
             return EarlyRejection.STOPPING
         return EarlyRejection.CONNECTION_LIMIT if self.is_over_connection_limit else None
 
@@ -153,7 +152,7 @@
         if request.key:
             watermark.hold(self, loop_time_of(request.received_at))
         try:
-            statements.classify(request.statement.decode(), request.class_name, request.key, on_classified)
+            statements.classify(_classification_request(request), on_classified)
             while not results and not self.stream.is_over:
                 yield None
         finally:
@@ -187,3 +186,9 @@
         if self.stream.read_paused:
             self.discarded_bytes += len(self.stream.take_inbox())
         return self.has_sent_too_much
+
+
+def _classification_request(request: ClientRequest) -> "ClassificationRequest":
+    from query_gateway.parsing.service import ClassificationRequest
+
+    return ClassificationRequest(request.statement.decode(), request.class_name, request.key)
--- a/query_gateway/http/server.py
+++ b/query_gateway/http/server.py
@@ -47,7 +47,6 @@
         self.without_request: dict[HttpConnection, None] = {}  # no complete request came yet, oldest first
         self.idle: dict[HttpConnection, None] = {}  # between two requests, longest idle first
         self.closing = False
-        self.past_abort_time = False  # too late before the process ends to begin anything
         self.draining_since: float | None = None  # loop time
         self.readiness.watchers.append(self._on_readiness_changed)
         self.listener = Listener(
--- a/query_gateway/lifecycle/client_fronts.py
+++ b/query_gateway/lifecycle/client_fronts.py
@@ -76,6 +76,11 @@
 
             self.flight_server.classes = build_flight_classes(classes, settings)
 
+    def give_up_classifying(self) -> None:
+        """Reject the requests whose statements wait to be parsed."""
+        if self.statements:
+            self.statements.give_up_waiting()
+
     def close(self) -> None:
         """Accept the clients in the accept queue and no more; connections end as they become idle."""
         self.http_server.close()
--- a/query_gateway/lifecycle/shutdown.py
+++ b/query_gateway/lifecycle/shutdown.py
@@ -146,7 +146,8 @@
         a rejection in time they may retry; a failure says that the request may have run.
         """
         self.state = ShutdownState.ABORTED
-        self.parts.fronts.http_server.past_abort_time = True
+        self.parts.forwarder.past_abort_time = True
+        self.parts.fronts.give_up_classifying()
         for exchange in list(self.parts.forwarder.exchanges.values()):
             exchange.end_without_planner()
         if not self._successor_ready:
--- a/query_gateway/parsing/service.py
+++ b/query_gateway/parsing/service.py
@@ -35,13 +35,21 @@
 
 
 @dataclass(slots=True, frozen=True)
+class ClassificationRequest:
+    """A statement to classify, with the class and the key that its client names."""
+
+    text: str
+    requested_class: str | None = None
+    requested_key: str | None = None
+    parameters: Sequence[object] = ()
+
+
+@dataclass(slots=True, eq=False)
 class _Call:
-    """A statement to classify, the class and key that its client names, and the callback for the result."""
+    """A request with its normalized statement, and the callback for the result."""
 
+    request: ClassificationRequest
     statement: NormalizedStatement
-    requested_class: str | None
-    requested_key: str | None
-    parameters: Sequence[object]
     callback: ClassificationCallback = field(repr=False)
 
 
@@ -65,26 +73,20 @@
         self.stopped = False
         self.rejected_count = 0
         self.snapshot_store: SnapshotStore | None = None
+        self._waiting: dict[_Call, None] = {}  # for a parse, oldest first
         self.supervisor = ParserSupervisor(loop, rules, parsers)
 
     # ---- what the fronts call
 
-    def classify(
-        self,
-        text: str,
-        requested_class: str | None,
-        requested_key: str | None,
-        callback: ClassificationCallback,
-        parameters: Sequence[object] = (),
-    ) -> None:
+    def classify(self, request: ClassificationRequest, callback: ClassificationCallback) -> None:
         """`callback` is called once: at once for a statement that is cached, else when it is parsed."""
         try:
-            statement = self.classifier.normalize(text)
+            statement = self.classifier.normalize(request.text)
         except UnsupportedStatementError as error:
             self.rejected_count += 1
             callback(Classification(rejected_decision(error)))
             return
-        call = _Call(statement, requested_class, requested_key, parameters, callback)
+        call = _Call(request, statement, callback)
         if (cached := self.classifier.cached(statement)) is not None:
             self._finish(call, cached)
         elif quarantined := self.supervisor.quarantined(statement):
@@ -93,9 +95,29 @@
             statement, self.loop.now(), lambda result: self._parsed(call, result)
         ):
             callback(Classification(None))
+        else:
+            self._waiting[call] = None
+
+    def give_up_waiting(self) -> None:
+        """End every classification that waits for a parse, as one that is not possible now."""
+        for call in list(self._waiting):
+            self._give_up(call)
+
+    def _give_up(self, call: _Call) -> None:
+        if self._end_wait(call):
+            call.callback(Classification(None))
+
+    def _end_wait(self, call: _Call) -> bool:
+        """Whether the call was waiting until now."""
+        if call not in self._waiting:
+            return False
+        del self._waiting[call]
+        return True
 
     def _parsed(self, call: _Call, result: ParseResult | None) -> None:
         """A parse has ended; `result` is None if the statement could not be parsed now."""
+        if not self._end_wait(call):
+            return
         if result is None:
             call.callback(Classification(None))
             return
@@ -105,9 +127,9 @@
         self._finish(call, cached or self.classifier.learn(call.statement, result))
 
     def _finish(self, call: _Call, cached: CachedStatement) -> None:
-        statement = call.statement
+        statement, request = call.statement, call.request
         decision = self.classifier.decide(
-            cached, statement, call.requested_class, call.requested_key, call.parameters
+            cached, statement, request.requested_class, request.requested_key, request.parameters
         )
         classification = Classification(decision, statement.fingerprint, cached.table_group)
         if decision.is_accepted and decision.class_name is not None:
--- a/tests/test_key_order.py
+++ b/tests/test_key_order.py
@@ -31,6 +31,7 @@
 from query_gateway.net.arrival_watermark import ArrivalWatermark
 from query_gateway.net.listener import MAX_ACCEPTS_PER_EVENT, Listener
 from query_gateway.net.loop import Loop
+from query_gateway.parsing.service import ClassificationCallback, ClassificationRequest
 from query_gateway.planner.arrival_merge import ArrivalMerge
 from query_gateway.statements.messages import Rules
 from tests.stand_ins import (
@@ -266,14 +267,14 @@
     assert statements
     classify = statements.classify
 
-    def classify_late(text: str, *arguments: Any) -> None:
-        if text != delayed:
-            classify(text, *arguments)
+    def classify_late(request: ClassificationRequest, callback: ClassificationCallback) -> None:
+        if request.text != delayed:
+            classify(request, callback)
             return
         begun.set()
-        gate.loop.call_at(gate.loop.now() + PARSE_S, lambda: classify(text, *arguments))
+        gate.loop.call_at(gate.loop.now() + PARSE_S, lambda: classify(request, callback))
 
-    statements.classify = classify_late  # type: ignore[assignment]
+    statements.classify = classify_late  # type: ignore[method-assign]
     return begun
 
 
--- a/tests/test_late_turns.py
+++ b/tests/test_late_turns.py
@@ -1,24 +1,23 @@
 """After a slow turn of the loop, what has come meanwhile is taken in before attempts leave by it."""
 
+import contextlib
 import json
 import socket
 import threading
 import time
 from typing import Any
 
-from h2.config import H2Configuration
-from h2.connection import H2Connection
 from hyperframe.frame import SettingsFrame
 
 from query_gateway.flight import messages
 from query_gateway.gateway import Gateway
 from query_gateway.net.loop import IN, MAX_OVERSLEEP_SECONDS, Loop
 from query_gateway.net.steady_clock import steady_now_ns
-from query_gateway.rpc.framing import encode_message
+from tests.flight_client import FlightTestClient, update_headers
 from tests.race_helpers import SlowToAcceptEngine, send_request, settings_without_timeouts
 from tests.stand_ins import SEC, config, endpoint_list_answer, host, running_gateway
 from tests.test_local import until
-from tests.test_race_flight import flight_gateway, flight_update_headers, turn_until
+from tests.test_race_flight import flight_gateway, turn_until
 from tests.test_web import LOAD, SQL, JournalStandIn
 
 SYN_RETRY_S = 1.0  # until Linux tries a dial again that found the backlog full
@@ -76,12 +75,8 @@
     engine, fillers = listener_with_full_backlog()
     gateway = flight_gateway(engine, settings_without_timeouts(dial_timeout=600 * SEC))
     assert gateway.flight_server and gateway.flight_pool
-    client_h2 = H2Connection(H2Configuration(client_side=True))
-    client_h2.initiate_connection()
-    client_h2.send_headers(1, flight_update_headers())
-    client_h2.send_data(1, encode_message(messages.encode_update(LOAD)), end_stream=True)
-    with socket.create_connection(gateway.flight_server.listener.address) as client:
-        client.sendall(client_h2.data_to_send())
+    with contextlib.closing(FlightTestClient(gateway.flight_server.listener.address)) as client:
+        client.send_call(update_headers(), messages.encode_update(LOAD))
         turn_until(gateway, lambda: gateway.flight_pool and gateway.flight_pool.connections)
         [connection] = gateway.flight_pool.connections.values()
         assert not connection.grpc.stream.connected
@@ -89,8 +84,7 @@
             filler.close()
         engine.accept()[0].close()  # and no turn until the cancel has come
         time.sleep(1.5 * SYN_RETRY_S)
-        client_h2.reset_stream(1)
-        client.sendall(client_h2.data_to_send())
+        client.cancel()
         time.sleep(ABANDONED_GRACE_S)
         turn_until(gateway, lambda: not gateway.forwarder.exchanges)
     assert gateway.forwarder.counters.forwards == 0
@@ -103,16 +97,12 @@
     engine = socket.create_server(("127.0.0.1", 0))
     gateway = flight_gateway(engine)
     assert gateway.flight_server
-    client_h2 = H2Connection(H2Configuration(client_side=True))
-    client_h2.initiate_connection()
-    client_h2.send_headers(1, flight_update_headers())
-    client_h2.send_data(1, encode_message(messages.encode_update(LOAD)), end_stream=True)
-    with socket.create_connection(gateway.flight_server.listener.address) as client:
-        client.sendall(client_h2.data_to_send())
+    with contextlib.closing(FlightTestClient(gateway.flight_server.listener.address)) as client:
+        client.send_call(update_headers(), messages.encode_update(LOAD))
         sent_at = steady_now_ns()
         time.sleep(WAIT_S)
         gateway.loop.turn()  # accepts, and sends the preface
-        client.sendall(SettingsFrame(0, flags=["ACK"]).serialize())
+        client.socket.sendall(SettingsFrame(0, flags=["ACK"]).serialize())
         turn_until(gateway, lambda: gateway.forwarder.exchanges)
         [exchange] = gateway.forwarder.exchanges.values()
     assert exchange.request.received_at < sent_at + int(WAIT_S * SEC / 2)
--- a/tests/test_parsing.py
+++ b/tests/test_parsing.py
@@ -26,7 +26,7 @@
     QUARANTINE_S,
     ParserPool,
 )
-from query_gateway.parsing.service import Classification, StatementService
+from query_gateway.parsing.service import Classification, ClassificationRequest, StatementService
 from query_gateway.parsing.snapshot_store import SnapshotStore
 from query_gateway.statements.costs import CostEstimates
 from query_gateway.statements.messages import ParseResult, Rules
@@ -160,7 +160,7 @@
     """One classification; a statement that cannot be parsed now is tried again, as a client would."""
     for _ in range(100):
         answers: list[Classification] = []
-        service.classify(sql, requested_class, None, answers.append)
+        service.classify(ClassificationRequest(sql, requested_class), answers.append)
         while not answers:
             service.loop.turn()
         if answers[0].decision is not None:
@@ -179,7 +179,7 @@
 def test_a_miss_is_read_elsewhere_and_a_hit_at_once(service: StatementService) -> None:
     assert class_of(classify(service, READ)) == "lookup"
     answers: list[Classification] = []
-    service.classify(READ.replace("42", "43"), None, None, answers.append)
+    service.classify(ClassificationRequest(READ.replace("42", "43")), answers.append)
     assert answers and class_of(answers[0]) == "lookup"
     assert service.classifier.shapes.hits >= 1
 
@@ -223,7 +223,8 @@
     classify(service, READ)
     answers: list[Classification] = []
     for n in range(50):
-        service.classify(f"SELECT copy FROM lending_7.loans WHERE member = {n}", None, None, answers.append)
+        text = f"SELECT copy FROM lending_7.loans WHERE member = {n}"
+        service.classify(ClassificationRequest(text), answers.append)
     while len(answers) < 50:
         service.loop.turn()
     assert {class_of(answer) for answer in answers} == {"lookup"}
--- a/tests/test_race_flight.py
+++ b/tests/test_race_flight.py
@@ -28,6 +28,7 @@
 from query_gateway.rpc.call import Call, CallHandler
 from query_gateway.rpc.connection import GrpcConnection
 from query_gateway.rpc.framing import encode_message
+from tests.flight_client import FlightTestClient, update_headers
 from tests.race_helpers import ABANDONED_SQL, CLOSE_WAIT, settings_without_timeouts, tcp_state
 from tests.stand_ins import config
 from tests.test_local import until
@@ -64,19 +65,6 @@
     )
 
 
-def flight_update_headers() -> list[tuple[str, str]]:
-    """The headers of a client's call that updates something as a load."""
-    return [
-        (":method", "POST"),
-        (":scheme", "http"),
-        (":path", messages.SERVICE_PATH + "DoPut"),
-        (":authority", "x"),
-        ("x-class", "load"),
-        ("x-row", "7f3a9c21e0b4d655"),
-        ("x-txn-key", uuid4().hex),
-    ]
-
-
 def accept_flight_query(gateway: Gateway, statement: str) -> Exchange:
     headers = {"x-txn": uuid4().hex[:16], "x-ttl-ms": "600000"}
     query = decode_request(
@@ -96,13 +84,9 @@
     connection = pool.connections["e0"] = FlightConnection(pool, "e0", pool.addresses["e0"])
     engine_socket = listener.accept()[0]
     turn_until(gateway, lambda: connection.grpc.stream.connected)
-    client_h2 = H2Connection(H2Configuration(client_side=True))
-    client_h2.initiate_connection()
-    client_h2.send_headers(1, flight_update_headers())
-    client_h2.send_data(1, encode_message(messages.encode_update(LOAD)), end_stream=True)
     next_id_before = gateway.forwarder.next_request_id
-    with socket.create_connection(gateway.flight_server.listener.address) as client:
-        client.sendall(client_h2.data_to_send())
+    with contextlib.closing(FlightTestClient(gateway.flight_server.listener.address)) as client:
+        client.send_call(update_headers(), messages.encode_update(LOAD))
     turn_until(
         gateway,
         lambda: gateway.flight_server and gateway.flight_server.connections and gateway.flight_server.is_idle,
