Soak: stop and kill parsers, and let clients send statements of new shapes

The soak's Flight clients sent sixteen statements, which were parsed once each; no fault hit a parser. So it could not see what a wait for a parser does. Now three in ten of their statements have a new shape, and the fault "worker" stops or kills all parsers of a gateway (a planner as before).

--- a/bench/fault_soak/faults.py
+++ b/bench/fault_soak/faults.py
@@ -36,7 +36,7 @@
 MAX_TOTAL_FAILURE_S = 0.4
 MAX_PAUSE_S = 0.4
 IDLE_CLIENT_COUNTS = (120, 400)  # below and above the limit of a gateway
-MAX_PLANNER_PAUSE_S = 2.0
+MAX_WORKER_PAUSE_S = 2.0
 NOTIFICATION_POLL_S, NOTIFICATION_POLLS = 0.1, 100
 
 InjectFault = Callable[["FaultContext", float], Awaitable[None]]  # for so many seconds
@@ -274,27 +274,31 @@
             await asyncio.sleep(context.random.uniform(0, 0.2))
 
 
-async def planner_fault(context: FaultContext, seconds: float) -> None:
-    """A planner of a gateway in several processes stalls or is killed."""
+async def worker_fault(context: FaultContext, seconds: float) -> None:
+    """A planner of a gateway, or all its parsers, stall or are killed."""
     gateways = [
         gateway
         for gateway in context.deployment.gateways
-        if gateway.layout is Layout.PROCESSES and gateway.gate.admitted
+        if gateway.layout is not Layout.PLAIN and gateway.gate.admitted
     ]
     if not gateways:
         return
     gateway = context.random.choice(gateways)
-    planners = gateway.planner_pids()
-    if not planners:
-        return
-    victim = context.random.choice(planners)
-    with contextlib.suppress(ProcessLookupError):
-        if context.random.random() < 0.5:
-            os.kill(victim, signal.SIGKILL)
-        else:
-            os.kill(victim, signal.SIGSTOP)
-            await asyncio.sleep(min(seconds, MAX_PLANNER_PAUSE_S))
-            os.kill(victim, signal.SIGCONT)
+    victims = gateway.parser_pids()
+    if planners := gateway.planner_pids():
+        victims = [context.random.choice(planners)]
+    if context.random.random() < 0.5:
+        _signal_all(victims, signal.SIGKILL)
+    else:
+        _signal_all(victims, signal.SIGSTOP)
+        await asyncio.sleep(min(seconds, MAX_WORKER_PAUSE_S))
+        _signal_all(victims, signal.SIGCONT)
+
+
+def _signal_all(pids: list[int], number: int) -> None:
+    for pid in pids:
+        with contextlib.suppress(ProcessLookupError):
+            os.kill(pid, number)
 
 
 async def idle_clients(context: FaultContext, seconds: float) -> None:
@@ -328,6 +332,6 @@
     "pause": gateway_pauses,
     "upgrade": gateway_upgrade,
     "reload": gateway_reload,
-    "worker": planner_fault,
+    "worker": worker_fault,
     "crowd": idle_clients,
 }
--- a/bench/fault_soak/flight_clients.py
+++ b/bench/fault_soak/flight_clients.py
@@ -17,6 +17,7 @@
 from query_gateway.flight import messages
 
 CANCELLED_SHARE = 0.1  # of the calls
+NEW_SHAPE_SHARE, NEW_SHAPES = 0.3, 1_000_000  # calls whose statement the gateway has not parsed yet
 
 
 @dataclass(slots=True)
@@ -90,13 +91,17 @@
         """One query or update to its end; whether the connection can be used again."""
         record = self._new_record()
         table = f"lending_{self.random.randrange(8)}.loans"
+        column = "a"
+        if self.random.random() < NEW_SHAPE_SHARE:
+            column += str(self.random.randrange(NEW_SHAPES))
         if record.request_class == LOAD:
             method = messages.FlightMethod.DO_PUT
-            message = messages.encode_update(f"INSERT INTO {table} VALUES (1)")
+            message = messages.encode_update(f"INSERT INTO {table} ({column}) VALUES (1)")
         else:
             method = messages.FlightMethod.DO_GET
-            descriptor = messages.encode_query_descriptor(f"SELECT a FROM {table} WHERE b = 1")
-            info = messages.encode_flight_info(descriptor, f"SELECT a FROM {table} WHERE b = 1")
+            statement = f"SELECT {column} FROM {table} WHERE b = 1"
+            descriptor = messages.encode_query_descriptor(statement)
+            info = messages.encode_flight_info(descriptor, statement)
             [message] = messages.decode_flight_info_tickets(info)
         try:
             call = peer.open_call(self._headers(record, method), message)
--- a/bench/fault_soak/gateway_process.py
+++ b/bench/fault_soak/gateway_process.py
@@ -140,12 +140,20 @@
 
     def planner_pids(self) -> list[int]:
         """The planner processes that the gateway's first process has started."""
+        return self._child_pids("environ", b"QUERY_GATEWAY_PART=planner")
+
+    def parser_pids(self) -> list[int]:
+        """The parser processes that the gateway's first process has started."""
+        return self._child_pids("cmdline", b"query_gateway.parsing.worker")
+
+    def _child_pids(self, file_name: str, content: bytes) -> list[int]:
+        """The children of the first process whose file under /proc holds these bytes."""
         assert self.process
         children = Path(f"/proc/{self.process.pid}/task/{self.process.pid}/children")
         pids = []
         with contextlib.suppress(OSError):
             for pid in children.read_text().split():
-                if b"QUERY_GATEWAY_PART=planner" in Path(f"/proc/{pid}/environ").read_bytes():
+                if content in Path(f"/proc/{pid}/{file_name}").read_bytes():
                     pids.append(int(pid))
         return pids
 
