--- a/bench/fault_soak/clients.py
+++ b/bench/fault_soak/clients.py
@@ -20,6 +20,7 @@
     MEAN_WORK_S,
     TIMEOUT_SHARES,
 )
+from bench.fault_soak.statements import draw_column, draw_table
 
 CLOSE_CROSSING_S = 0.05  # a request may cross the close of its connection so long; clients then repeat it
 READ_LIMIT = 1 << 20
@@ -144,7 +145,8 @@
 
     def _encode(self, record: ClientRecord) -> bytes:
         statement = (
-            f"SELECT a FROM lending_{self.random.randrange(8)}.loans WHERE tag = '{record.client_request_id}'"
+            f"SELECT {draw_column(self.random)} FROM {draw_table(self.random)}"
+            f" WHERE tag = '{record.client_request_id}'"
         )
         headers = {
             "Host": "gateway", "X-Txn": record.client_request_id, "X-Ttl-Ms": str(int(record.ttl * 1000)),
--- a/bench/fault_soak/flight_clients.py
+++ b/bench/fault_soak/flight_clients.py
@@ -14,10 +14,10 @@
 from bench.fault_soak.key_spacing import KeySpacing
 from bench.fault_soak.records import ClientRecord, Ending
 from bench.fault_soak.settings import ANSWER_SLACK_S, LOAD, LOOKUP, MEAN_WORK_S, REPORT, TIMEOUT_SHARES
+from bench.fault_soak.statements import draw_column, draw_table
 from query_gateway.flight import messages
 
 CANCELLED_SHARE = 0.1  # of the calls
-NEW_SHAPE_SHARE, NEW_SHAPES = 0.3, 1_000_000  # calls whose statement the gateway has not parsed yet
 
 
 @dataclass(slots=True)
@@ -90,10 +90,7 @@
     async def _call(self, peer: GrpcPeer) -> bool:
         """One query or update to its end; whether the connection can be used again."""
         record = self._new_record()
-        table = f"lending_{self.random.randrange(8)}.loans"
-        column = "a"
-        if self.random.random() < NEW_SHAPE_SHARE:
-            column += str(self.random.randrange(NEW_SHAPES))
+        table, column = draw_table(self.random), draw_column(self.random)
         if record.request_class == LOAD:
             method = messages.FlightMethod.DO_PUT
             message = messages.encode_update(f"INSERT INTO {table} ({column}) VALUES (1)")
--- a/bench/fault_soak/gateway_process.py
+++ b/bench/fault_soak/gateway_process.py
@@ -100,7 +100,7 @@
                 f'[flight]\nlisten = "127.0.0.1:{self.flight_port}"\nquery_class = "lookup"\n'
                 'update_class = "load"\n[statements]\ndialect = "postgres"\nload = "load"\n'
                 'report = "lookup"\n'
-                f'snapshot = "{self.folder / "kept" / "costs"}"\nmismatch = "refuse"\n'
+                f'snapshot = "{self.folder / "kept" / "costs"}"\nmismatch = "refuse"\nweb = true\n'
             )
         elif self.layout is Layout.PROCESSES:
             planners = ", ".join(f'"127.0.0.1:{port}"' for port in self.planner_ports)
