Count and trace the Flight front's own rejections by reason and class

What was missing: a Flight request that was rejected before the forwarder had it (no parser, too many of its shape) was in no figure and left no trace step, while one over HTTP was and did. On call nobody could see why such clients were rejected. Change: both fronts reject by `Forwarder.reject_unaccepted`, which takes the client's id and the class in place of a decoded request. An id that cannot be used is refused before the parse, as the rejection needs it. The test of a wait for a parser checks both figures now; it failed before for the Flight front (0 rejections counted).

--- a/query_gateway/flight/client_call.py
+++ b/query_gateway/flight/client_call.py
@@ -17,13 +17,14 @@
     MAX_NAME_IN_ERROR,
     FlightClass,
     FlightStatement,
+    client_request_id_of,
     deadline_of,
     decode_request,
     parse_grpc_timeout,
 )
 from query_gateway.forwarder.exchange import Exchange
 from query_gateway.forwarder.forwarder import Forwarder
-from query_gateway.forwarder.messages import Answer, Verdict
+from query_gateway.forwarder.messages import Answer, EarlyRejection, Verdict
 from query_gateway.http.request_decoding import RequestError, hex_header
 from query_gateway.net.loop import Loop
 from query_gateway.net.steady_clock import clock_time_of, loop_time_of
@@ -70,6 +71,7 @@
         """Wait for the message of a call that has just begun with these request headers."""
         self.server, self.request_headers, self.call = server, headers, call
         self.method_name = headers.get(":path", "").removeprefix(messages.SERVICE_PATH)
+        self.client_request_id = ""  # once its statement is being classified
         self.exchange: Exchange | None = None
         self.state = FlightCallState.AWAITING_MESSAGE
         self.headers_sent = False
@@ -132,13 +134,13 @@
         statement = FlightStatement(text, is_update, received_at, order_at)
         class_name = self.request_headers.get("x-class")
         if server.statements is None:
-            default_class = server.update_class if is_update else server.query_class
-            self._forward(statement, class_name or default_class)
+            self._forward(statement, self._default_class(statement))
             return
         if class_name is not None and class_name not in server.classes:
             raise _unknown_class(class_name)
         if class_name is None and is_update:
             class_name = server.update_class  # DoPut marks the statement as an update
+        self.client_request_id = client_request_id_of(self.request_headers)
         self.state = FlightCallState.CLASSIFYING
         request = self._classification_request(statement, class_name)
         watermark = server.loop.watermark
@@ -151,6 +153,11 @@
         watermark.hold(self, arrival.latest)
         server.statements.classify(request, on_classified)
 
+    def _default_class(self, statement: FlightStatement) -> str:
+        """The class that the client names, else that of its statement's kind."""
+        default = self.server.update_class if statement.is_update else self.server.query_class
+        return self.request_headers.get("x-class") or default
+
     def _classification_request(
         self, statement: FlightStatement, class_name: str | None
     ) -> "ClassificationRequest":
@@ -167,11 +174,11 @@
             return
         decision = classification.decision
         if decision is None:
-            self._reject_unforwarded("Overloaded")
+            self._reject_unforwarded(self._default_class(statement), EarlyRejection.NO_PARSER, "Overloaded")
         elif not decision.is_accepted or decision.class_name is None:
             self._finish(GrpcStatus.INVALID_ARGUMENT, decision.reason)
         elif quarantine := self._shape_quarantine(statement, classification):
-            self._reject_unforwarded(quarantine)
+            self._reject_unforwarded(decision.class_name, EarlyRejection.STATEMENT_LIMIT, quarantine)
         else:
             try:
                 self._forward(statement, decision.class_name, classification)
@@ -199,9 +206,10 @@
 
     # ---- the answer
 
-    def _reject_unforwarded(self, reason: str) -> None:
+    def _reject_unforwarded(self, class_name: str, reason: EarlyRejection, message: str) -> None:
         """Reject before the forwarder has it, with the Retry-After time of the settings."""
-        self._reject(reason, self.server.forwarder.rejection())
+        rejection = self.server.forwarder.reject_unaccepted(self.client_request_id, class_name, reason)
+        self._reject(message, rejection)
 
     def _reject(self, reason: str, rejection: Answer) -> None:
         self._finish(REJECTED_STATUS, reason, [(RETRY_AFTER_METADATA, str(rejection.retry_after_ms))])
--- a/query_gateway/flight/requests.py
+++ b/query_gateway/flight/requests.py
@@ -102,7 +102,7 @@
     key = _ordering_key(flight_class, headers, classification)
     idempotency_key = _idempotency_key(flight_class, headers, classification)
     return ClientRequest(
-        client_request_id=_client_request_id(headers),
+        client_request_id=client_request_id_of(headers),
         class_index=flight_class.class_index,
         class_name=class_name,
         statement=statement.text.encode(),
@@ -147,8 +147,8 @@
     return classification.estimated_work_ns if classification else None
 
 
-def _client_request_id(headers: dict[str, str]) -> str:
-    """The client's own id, or a random one where it names none."""
+def client_request_id_of(headers: dict[str, str]) -> str:
+    """Return the client's own id, or a random one where it names none; raises RequestError."""
     return hex_header(headers, "x-txn", REQUEST_ID_DIGITS, False) or uuid4().hex[:REQUEST_ID_DIGITS]
 
 
--- a/query_gateway/forwarder/early_rejections.py
+++ b/query_gateway/forwarder/early_rejections.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from query_gateway.forwarder.counters import Counters
-from query_gateway.forwarder.messages import ClientRequest, EarlyRejection
+from query_gateway.forwarder.messages import EarlyRejection
 from query_gateway.forwarder.trace import RequestTrace, TraceStep
 
 NO_REQUEST_ID: Final = 0  # in the trace, of a request that was not accepted
@@ -19,9 +19,9 @@
         """`trace` returns the sink of the request trace, if it is on."""
         self.counters, self.clock, self.trace = counters, clock, trace
 
-    def record(self, request: ClientRequest, reason: EarlyRejection, request_id: int = NO_REQUEST_ID) -> None:
+    def record(self, client_request_id: str, reason: EarlyRejection, request_id: int = NO_REQUEST_ID) -> None:
         """Note that a request is rejected; `request_id` is ours, if it has one."""
         self.counters.early_rejections[reason] += 1
         if sink := self.trace():
             step = TraceStep.REJECTED_EARLY
-            sink.record(self.clock(), request_id, request.client_request_id, step, reason.value)
+            sink.record(self.clock(), request_id, client_request_id, step, reason.value)
--- a/query_gateway/forwarder/forwarder.py
+++ b/query_gateway/forwarder/forwarder.py
@@ -160,7 +160,7 @@
     def _immediate_answer(self, exchange: Exchange) -> Answer | None:
         """The answer to a request that is not even passed to a planner."""
         if reason := self._early_rejection(exchange):
-            self.early_rejections.record(exchange.request, reason, exchange.request_id)
+            self.early_rejections.record(exchange.request.client_request_id, reason, exchange.request_id)
             return self.rejection()
         if exchange.request.client_request_id in self.open_client_request_ids:
             # An id stands for one request at the engines, so a second one cannot be sent beside it
@@ -179,10 +179,10 @@
             return EarlyRejection.PREDECESSOR_SERVES
         return None
 
-    def reject_unaccepted(self, request: ClientRequest, reason: EarlyRejection) -> Answer:
+    def reject_unaccepted(self, client_request_id: str, class_name: str, reason: EarlyRejection) -> Answer:
         """The answer to a request that a front rejects before it calls `accept`; counts and traces it."""
-        self.early_rejections.record(request, reason)
-        self.counters.count_answer(request.class_name, Verdict.REJECTED)
+        self.early_rejections.record(client_request_id, reason)
+        self.counters.count_answer(class_name, Verdict.REJECTED)
         return self.rejection()
 
     def rejection(self) -> Answer:
--- a/query_gateway/http/request_handler.py
+++ b/query_gateway/http/request_handler.py
@@ -130,7 +130,9 @@
 
     def _reject(self, request: ClientRequest, pending: PendingAnswer, reason: EarlyRejection) -> None:
         """Reject before the forwarder knows of the request."""
-        pending.send_answer(self.server.forwarder.reject_unaccepted(request, reason))
+        forwarder = self.server.forwarder
+        answer = forwarder.reject_unaccepted(request.client_request_id, request.class_name, reason)
+        pending.send_answer(answer)
 
     def _classify(
         self, request: ClientRequest, pending: PendingAnswer, statements: "StatementService"
--- a/tests/flight_client.py
+++ b/tests/flight_client.py
@@ -21,11 +21,11 @@
 
 def call_headers(method: FlightMethod, **more: str) -> Headers:
     """The headers of a call; further names have an underscore for each hyphen."""
-    headers = [
+    metadata = {"x_txn": uuid4().hex[:16]} | more
+    return [
         (":method", "POST"), (":scheme", "http"), (":path", messages.SERVICE_PATH + method.value),
-        (":authority", "x"), ("x-txn", uuid4().hex[:16]),
+        (":authority", "x"), *((name.replace("_", "-"), value) for name, value in metadata.items()),
     ]  # fmt: skip
-    return headers + [(name.replace("_", "-"), value) for name, value in more.items()]
 
 
 def update_headers() -> Headers:
--- a/tests/test_race_classification.py
+++ b/tests/test_race_classification.py
@@ -11,6 +11,7 @@
 
 from query_gateway.flight import messages
 from query_gateway.flight.messages import FlightMethod
+from query_gateway.forwarder.messages import EarlyRejection, Verdict
 from query_gateway.gateway import Gateway
 from query_gateway.lifecycle.shutdown import ABORT_MARGIN_SECONDS
 from query_gateway.rpc.status import GrpcStatus
@@ -82,6 +83,16 @@
         assert time.monotonic() < aborted_at + KILL_MARGIN_S - ABORT_MARGIN_SECONDS
 
 
+def test_flight_call_with_an_unusable_id_is_refused_before_its_statement_waits_for_a_parser() -> None:
+    """Guards against an error in a callback of the loop, where nobody would answer the call."""
+    with gateway_without_parser() as gate:
+        assert gate.flight_server
+        with contextlib.closing(FlightTestClient(gate.flight_server.listener.address)) as client:
+            client.send_call(call_headers(FlightMethod.DO_GET, x_txn="unusable"), encode_ticket(UNPARSED_SQL))
+            until(client.read)
+            assert client.read() == str(GrpcStatus.INVALID_ARGUMENT.value)
+
+
 def test_flight_call_whose_message_comes_after_the_abort_is_rejected() -> None:
     """Guards against a request that was begun after the abort and lost with SIGKILL."""
     listener = socket.create_server(("127.0.0.1", 0))
@@ -106,3 +117,6 @@
         began_at = time.monotonic()
         assert run_client(gate)
         assert time.monotonic() < began_at + DEADLINE_MS / 1000 + ANSWER_SLACK_S
+        counters = gate.forwarder.counters
+        assert counters.early_rejections[EarlyRejection.NO_PARSER] == 1
+        assert counters.answers["lookup"][Verdict.REJECTED] == 1
