Soak: a STOP that an engine leaves unread counts from its client's answer

Trace of the first: the earlier attempt began at e0 0.002 s after its client had sent, and timed out at 0.586 s; its client got its rejection then. e0's proxy read nothing from 0.51 s to 1.89 s (the fault "path"), so the STOP was observed at 1.892 s. The later load was sent at 0.986 s and began at once, 0.40 s after the give-up. The rule (WIRE, 5) asks for the rest of `settle-after-doubt`, 0.3 s here, after an attempt that timed out: allowed. Change: where the end of an attempt that was given up waited unread, the latest time at which the gateway had given it up is known from its client's answer; the check of the turn and of the rest count from there. Everywhere else, and for any later load that begins before that, the check is as before: the new test has both.

--- a/bench/fault_soak/oracle.py
+++ b/bench/fault_soak/oracle.py
@@ -226,15 +226,22 @@
     later_at = later.request.observed_at
     if evidence.crosses_outage(earlier_client.gateway, earlier.request.observed_at, later_at):
         return  # a gateway that starts again knows nothing of its earlier attempts
-    if earlier.ended_at - later_at > MEASUREMENT_S:
+    earlier_ended_at = _end_known_outside(evidence, earlier, earlier_client)
+    if earlier_ended_at - later_at > MEASUREMENT_S:
         detail = f"runs beside {earlier_client.client_request_id} of its key"
         yield Violation("loads of one key run in turn", later_at, _describe(later_client, detail))
-    elif earlier.given_up and later_at - earlier.ended_at < KEY_QUARANTINE_S - MEASUREMENT_S:
-        waited_s = later_at - earlier.ended_at
+    elif earlier.given_up and later_at - earlier_ended_at < KEY_QUARANTINE_S - MEASUREMENT_S:
+        waited_s = later_at - earlier_ended_at
         detail = f"{waited_s:.3f} s after {earlier_client.client_request_id} was given up"
         yield Violation("keys rest after a doubt", later_at, _describe(later_client, detail))
 
 
+def _end_known_outside(evidence: Evidence, attempt: Attempt, client: ClientRecord) -> float:
+    """When an attempt ended. A STOP that waited unread had left by the time the client got its answer."""
+    was_stop_unread = attempt.given_up and evidence.is_unread(attempt.request.engine, attempt.ended_at)
+    return min(attempt.ended_at, client.ended_at) if was_stop_unread else attempt.ended_at
+
+
 # ---- engines
 
 
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -32,6 +32,7 @@
     Observations,
     Outage,
     OutageKind,
+    UnreadSpan,
 )
 from bench.fault_soak.run import Plan, run
 from bench.fault_soak.settings import LOAD, LOOKUP, REPORT, Deadlines
@@ -147,6 +148,30 @@
     assert broken([first, later], events) == ({ORDER_AS_SENT} if is_broken else set())
 
 
+@pytest.mark.parametrize(
+    ("unread_spans", "later_began_at", "promise"),
+    [
+        ([UnreadSpan("e", 10.1, 11.5)], 10.9, None),  # 0.4 s after the client of the first had its answer
+        ([UnreadSpan("e", 10.1, 11.5)], 10.6, "keys rest after a doubt"),
+        ([UnreadSpan("e", 10.1, 11.5)], 10.4, "loads of one key run in turn"),
+        ([UnreadSpan("other", 10.1, 11.5)], 10.9, "loads of one key run in turn"),
+    ],
+)
+def test_a_stop_that_an_engine_left_unread_counts_from_its_client_s_answer(
+    unread_spans: list[UnreadSpan], later_began_at: float, promise: str | None
+) -> None:
+    """The rest after a doubt is counted from the gateway's own end of the attempt."""
+    first = load("a", 10.0, 10.5, ending=Ending.REJECTED)
+    later = load("b", 10.3, 11.2)
+    events = [
+        request(10.01),
+        request(later_began_at, "f", client_request_id="b" * 16),
+        end(11.5, "", kind=EngineEventKind.STOP),
+    ]
+    found = broken([first, later], events, unread_spans=unread_spans) - {ORDER_AS_SENT}
+    assert found == ({promise} if promise else set())
+
+
 def test_keys_are_spaced_as_the_platform_s_clients_do() -> None:
     spacing, source = KeySpacing(), random.Random(1)
     keys = {spacing.reserve("g", source, 0.0) for _ in range(KEYS)}
