Tests: one stand-in for a predecessor, one full backlog

The first process of a hot upgrade was played by two tests with the same lines, and a listener's backlog was filled in two places.

--- a/tests/race_helpers.py
+++ b/tests/race_helpers.py
@@ -43,17 +43,23 @@
     return raw
 
 
+def fill_backlog(listener: socket.socket) -> list[socket.socket]:
+    """Dial until the listener answers no further dial; returns the sockets, whose close makes room."""
+    listener.listen(0)
+    fillers = [socket.socket() for _ in range(4)]
+    for filler in fillers:
+        filler.setblocking(False)
+        filler.connect_ex(listener.getsockname())
+    return fillers
+
+
 class SlowToAcceptEngine(Engine):
     """Accepts connections only once `accepting` is set: until then its backlog is full."""
 
     def __init__(self) -> None:
         self.accepting = threading.Event()
         super().__init__()
-        self.sock.listen(0)
-        self.backlog_fillers = [socket.socket() for _ in range(4)]
-        for sock in self.backlog_fillers:
-            sock.setblocking(False)
-            sock.connect_ex(self.sock.getsockname())
+        self.backlog_fillers = fill_backlog(self.sock)
 
     def _accept(self) -> None:
         assert self.accepting.wait(30)
--- a/tests/test_late_turns.py
+++ b/tests/test_late_turns.py
@@ -14,7 +14,7 @@
 from query_gateway.net.loop import IN, MAX_OVERSLEEP_SECONDS, Loop
 from query_gateway.net.steady_clock import steady_now_ns
 from tests.flight_client import FlightTestClient, update_headers
-from tests.race_helpers import SlowToAcceptEngine, send_request, settings_without_timeouts
+from tests.race_helpers import SlowToAcceptEngine, fill_backlog, send_request, settings_without_timeouts
 from tests.stand_ins import SEC, config, endpoint_list_answer, host, running_gateway
 from tests.test_local import until
 from tests.test_race_flight import flight_gateway, turn_until
@@ -60,19 +60,10 @@
     assert engine.statements == []
 
 
-def listener_with_full_backlog() -> tuple[socket.socket, list[socket.socket]]:
-    """A listening socket that answers no further dial, and the clients that fill it."""
-    listener = socket.create_server(("127.0.0.1", 0), backlog=0)
-    fillers = [socket.socket() for _ in range(4)]
-    for filler in fillers:
-        filler.setblocking(False)
-        filler.connect_ex(listener.getsockname())
-    return listener, fillers
-
-
 def test_attempt_does_not_leave_for_a_flight_call_that_was_cancelled_during_a_slow_turn() -> None:
     """The cancel is a frame on an open connection, which a look at the socket's end does not show."""
-    engine, fillers = listener_with_full_backlog()
+    engine = socket.create_server(("127.0.0.1", 0))
+    fillers = fill_backlog(engine)
     gateway = flight_gateway(engine, settings_without_timeouts(dial_timeout=600 * SEC))
     assert gateway.flight_server and gateway.flight_pool
     with contextlib.closing(FlightTestClient(gateway.flight_server.listener.address)) as client:
--- a/tests/test_race_shutdown.py
+++ b/tests/test_race_shutdown.py
@@ -258,34 +258,56 @@
             os.close(descriptors[0])
 
 
+class PredecessorStandIn:
+    """The first process of a hot upgrade, played by the test up to its offer and driven by it after that."""
+
+    def __init__(self, upgrade_path: str) -> None:
+        self.upgrade_path = upgrade_path
+        self.http_listener = socket.create_server(("127.0.0.1", 0))
+        self.listener = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        self.listener.bind(upgrade_path)
+        self.listener.listen()
+
+    def start_successor(self, makes_offer: bool = True) -> GatewayOptions:
+        """The options of a gateway that has said hello here, and that got an offer or lost the connection."""
+        with ThreadPoolExecutor() as executor:
+            inheriting = executor.submit(request_inherited_state, self.upgrade_path)
+            self.link = self.listener.accept()[0]
+            assert self.receive() == {"hello": PROTOCOL_VERSION}
+            if makes_offer:
+                offer = json.dumps({"fronts": ["web"], "learned": None}).encode()
+                socket.send_fds(self.link, [offer], [self.http_listener.fileno()])
+            else:
+                self.link.close()
+            return GatewayOptions(upgrade_path=self.upgrade_path, inherited=inheriting.result(10))
+
+    def receive(self) -> Any:
+        return json.loads(self.link.recv(MAX_PACKET_BYTES))
+
+    def send_leaving(self) -> None:
+        self.link.send(json.dumps({"leaving": True}).encode())
+
+    def close(self) -> None:
+        for sock in (self.link, self.listener, self.http_listener):
+            sock.close()
+
+
 @pytest.mark.parametrize("step", ["connected", "offered", "ready", "leaving"])
 def test_successor_keeps_serving_when_its_predecessor_dies_at_any_step(step: str, tmp_path: Path) -> None:
     """A predecessor dies at one of the steps of a hot upgrade; the test plays the predecessor."""
-    path, engine = str(tmp_path / "upgrade.sock"), Engine()
-    http_listener = socket.create_server(("127.0.0.1", 0))
-    with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as listener, ThreadPoolExecutor() as executor:
-        listener.bind(path)
-        listener.listen()
-        inheriting = executor.submit(request_inherited_state, path)
-        link = listener.accept()[0]
-        assert json.loads(link.recv(MAX_PACKET_BYTES)) == {"hello": PROTOCOL_VERSION}
-        if step != "connected":
-            offer = {"fronts": ["web"], "learned": None}
-            socket.send_fds(link, [json.dumps(offer).encode()], [http_listener.fileno()])
-        else:
-            link.close()
-        inherited = inheriting.result(10)
-        assert (inherited is None) is (step == "connected")
-    options = GatewayOptions(upgrade_path=path, inherited=inherited)
+    engine, predecessor = Engine(), PredecessorStandIn(str(tmp_path / "upgrade.sock"))
+    options = predecessor.start_successor(makes_offer=step != "connected")
+    assert (options.inherited is None) is (step == "connected")
+    predecessor.listener.close()
     with running_gateway(config([host(engine)]), options=options) as gateway:
         if step in ("ready", "leaving"):
-            assert json.loads(link.recv(MAX_PACKET_BYTES)) == {"ready": True}
+            assert predecessor.receive() == {"ready": True}
         if step == "leaving":
-            link.send(json.dumps({"leaving": True}).encode())
-        link.close()
+            predecessor.send_leaving()
+        predecessor.link.close()
         until(lambda: gateway.hot_upgrade and not gateway.hot_upgrade.predecessor and gateway.readiness.ready)
         assert post(gateway, "lookup", SQL, ttl=5_000)[0] == 200
-    http_listener.close()
+    predecessor.close()
     engine.close()
 
 
@@ -320,31 +342,26 @@
 @pytest.mark.parametrize("ends", ["drains first", "dies"])
 def test_load_at_a_successor_does_not_run_beside_one_of_its_predecessor(ends: str, tmp_path: Path) -> None:
     """Neither process knows which requests of a key the other has; the test plays the predecessor."""
-    path, engine = str(tmp_path / "upgrade.sock"), Engine()
-    http_listener = socket.create_server(("127.0.0.1", 0))
-    with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as listener, ThreadPoolExecutor() as executor:
-        listener.bind(path)
-        listener.listen()
-        inheriting = executor.submit(request_inherited_state, path)
-        link = listener.accept()[0]
-        link.recv(MAX_PACKET_BYTES)
-        offer = json.dumps({"fronts": ["web"], "learned": None}).encode()
-        socket.send_fds(link, [offer], [http_listener.fileno()])
-        options = GatewayOptions(upgrade_path=path, inherited=inheriting.result(10))
-        with running_gateway(config([host(engine)]), options=options) as gateway:
-            assert json.loads(link.recv(MAX_PACKET_BYTES)) == {"ready": True}
-            assert post(gateway, "load", LOAD)[0] == 429 and post(gateway, "lookup", SQL)[0] == 200
-            if ends == "drains first":
-                link.send(json.dumps({"leaving": True}).encode())
-                until(lambda: gateway.forwarder.predecessor_fence.state is PredecessorState.DRAINING)
-                waiting = executor.submit(post, gateway, "load", LOAD)
-                time.sleep(KEY_QUARANTINE_S)
-                assert not waiting.done() and engine.statements == [SQL]
-            ended_at = time.monotonic()
-            link.close()
-            until(lambda: gateway.forwarder.predecessor_fence.state is PredecessorState.NONE)
-            if ends == "dies":
-                waiting = executor.submit(post, gateway, "load", LOAD)
-            assert waiting.result()[0] == 200 and time.monotonic() >= ended_at + KEY_QUARANTINE_S
-    http_listener.close()
+    engine, predecessor = Engine(), PredecessorStandIn(str(tmp_path / "upgrade.sock"))
+    options = predecessor.start_successor()
+    with (
+        ThreadPoolExecutor() as executor,
+        running_gateway(config([host(engine)]), options=options) as gateway,
+    ):
+        fence = gateway.forwarder.predecessor_fence
+        assert predecessor.receive() == {"ready": True}
+        assert post(gateway, "load", LOAD)[0] == 429 and post(gateway, "lookup", SQL)[0] == 200
+        if ends == "drains first":
+            predecessor.send_leaving()
+            until(lambda: fence.state is PredecessorState.DRAINING)
+            waiting = executor.submit(post, gateway, "load", LOAD)
+            time.sleep(KEY_QUARANTINE_S)
+            assert not waiting.done() and engine.statements == [SQL]
+        ended_at = time.monotonic()
+        predecessor.link.close()
+        until(lambda: fence.state is PredecessorState.NONE)
+        if ends == "dies":
+            waiting = executor.submit(post, gateway, "load", LOAD)
+        assert waiting.result()[0] == 200 and time.monotonic() >= ended_at + KEY_QUARANTINE_S
+    predecessor.close()
     engine.close()
