Figure svc_held_for_order: requests that wait for the order of their key

On call nobody could see that loads wait because accept fails or a forwarder does not answer; only a trace told. The count was there and used by its test alone.

--- a/query_gateway/admin/figures.py
+++ b/query_gateway/admin/figures.py
@@ -23,6 +23,7 @@
     outstanding: int  # open requests
     discovered: int  # engines on the endpoint list
     ejected: int  # those of them that planners have ejected
+    held_for_order: int  # requests with a key that wait for one that may have come before them
     accept_failures: int  # calls of accept that failed, over all listeners
 
 
@@ -42,6 +43,7 @@
         *early_rejections,
         f"svc_forwards_total {counters.forwards}",
         f"svc_outstanding {gauges.outstanding}",
+        f"svc_held_for_order {gauges.held_for_order}",
         f"svc_discovered {gauges.discovered}",
         f"svc_ejected {gauges.ejected}",
         f"svc_accept_failures_total {gauges.accept_failures}",
--- a/query_gateway/admin/gateway_figures.py
+++ b/query_gateway/admin/gateway_figures.py
@@ -39,6 +39,7 @@
             self.forwarder.open_request_count,
             len(endpoints),
             ejected_count,
+            self.forwarder.held_for_order_count,
             sum(listener.accept_failures for listener in self.listeners),
         )
         lines = render_figures(self.forwarder.counters, gauges)
--- a/query_gateway/forwarder/forwarder.py
+++ b/query_gateway/forwarder/forwarder.py
@@ -157,6 +157,11 @@
         self.arrival_order = ArrivalOrder(watermark)
         return self.arrival_order
 
+    @property
+    def held_for_order_count(self) -> int:
+        """How many requests with a key wait until every earlier one is known."""
+        return self.arrival_order.waiting_count if self.arrival_order else 0
+
     def _immediate_answer(self, exchange: Exchange) -> Answer | None:
         """The answer to a request that is not even passed to a planner."""
         if reason := self._early_rejection(exchange):
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -18,7 +18,7 @@
 from query_gateway.net.stream import Stream
 from tests.stand_ins import SETTINGS, Engine, config, host, post
 from tests.test_local import until
-from tests.test_web import SQL, running
+from tests.test_web import LOAD, SQL, running
 
 WITH_ADMIN = {"ops": "127.0.0.1:0"}
 
@@ -86,6 +86,16 @@
         assert sum(now[f'svc_{end}_total{{service="lookup"}}'] for end in ends) == 5
 
 
+def test_the_figures_count_requests_that_are_held_for_the_order_of_their_key() -> None:
+    with running(Engine(), **WITH_ADMIN) as gateway, ThreadPoolExecutor() as executor:
+        order: Any = gateway.forwarder.arrival_order
+        release, order.release, order.must_wait = order.release, lambda: None, lambda arrived_at: True
+        waiting = executor.submit(post, gateway, "load", LOAD)
+        until(lambda: figures(gateway)["svc_held_for_order"] == 1)
+        order.release = release
+        assert waiting.result()[0] == 200 and figures(gateway)["svc_held_for_order"] == 0
+
+
 def test_a_rejection_before_the_forwarder_is_counted_and_traced_with_its_reason() -> None:
     """Without the reason nobody could tell a lagging loop from a connection beyond the limit."""
     steps = list[tuple[TraceStep, str]]()
