Soak: end the run's processes with it, at SIGTERM too

A soak that was ended by a signal left its gateways running, which held ports and cores of the next run. SIGTERM now passes through the run, which closes them.

--- a/bench/fault_soak/__main__.py
+++ b/bench/fault_soak/__main__.py
@@ -3,6 +3,7 @@
 import argparse
 import asyncio
 import shutil
+import signal
 import sys
 import tempfile
 from pathlib import Path
@@ -16,6 +17,7 @@
 MAX_SHOWN = 12  # violations of a run that are printed
 MAX_TIMELINES = 4  # violations whose requests are shown step by step
 CLIENT_REQUEST_ID_LENGTH = 16
+SIGNAL_EXIT_BASE = 128  # to which shells add the signal's number
 
 
 def _seeds(text: str) -> list[int]:
@@ -61,6 +63,8 @@
 
 def main() -> int:
     """Run the seeds one after the other; 1 if any of them broke a promise."""
+    # Ends the run's processes too: the exit passes through the run, which closes its deployment
+    signal.signal(signal.SIGTERM, lambda number, _: sys.exit(SIGNAL_EXIT_BASE + number))
     arguments = _arguments()
     base = arguments.keep or Path(tempfile.mkdtemp(prefix="fault-soak-"))
     base.mkdir(parents=True, exist_ok=True)
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -5,6 +5,7 @@
 import errno
 import os
 import random
+import signal
 import socket
 import subprocess
 import sys
@@ -36,6 +37,7 @@
 )
 from bench.fault_soak.run import Plan, run
 from bench.fault_soak.settings import LOAD, LOOKUP, REPORT, Deadlines
+from tests.test_local import until
 
 ROOT = Path(__file__).parent.parent
 
@@ -299,6 +301,26 @@
             deployment.check_stand_ins()
 
 
+def processes_of(folder: Path) -> list[str]:
+    """The ids of the processes whose environment names the folder."""
+    pids = []
+    for path in Path("/proc").glob("[0-9]*/environ"):
+        with contextlib.suppress(OSError):
+            if str(folder).encode() in path.read_bytes():
+                pids.append(path.parent.name)
+    return pids
+
+
+def test_a_soak_that_is_terminated_leaves_no_process_behind(tmp_path: Path) -> None:
+    """Guards against gateways of an ended run that hold ports and cores of the next one."""
+    command = [sys.executable, "-m", "bench.fault_soak", "--keep", str(tmp_path), "--seconds", "60"]
+    with subprocess.Popen(command, cwd=ROOT, stdout=subprocess.DEVNULL) as soak:
+        until(lambda: len(processes_of(tmp_path)) >= 4)
+        soak.terminate()
+        assert soak.wait(30) == 128 + signal.SIGTERM
+    assert not processes_of(tmp_path)
+
+
 @pytest.mark.parametrize("seed", [1, 2, 3, 4, 5, 6])
 def test_a_short_run_with_overlapping_faults_breaks_no_promise(seed: int, tmp_path: Path) -> None:
     """Several faults overlap while real processes serve clients on loopback for some seconds.
