Soak: a successor's drain counts from its own notification

Trace: the predecessor of a hot upgrade was notified of the drain at 3109.590 and sent nothing to e1 after it. Its successor, another process, began to listen at 3110.140 and sent its first load at 3110.153; its own notification came later. The oracle counted by the gateway's name. Change: the discovery stand-in keeps every time at which it sent an event. From the start of a successor on, a drain counts from the next notification after that start; before it, and where there is none, as before. The test has both verdicts.

--- a/bench/fault_soak/deployment.py
+++ b/bench/fault_soak/deployment.py
@@ -14,7 +14,7 @@
 from bench.fault_soak.discovery import Discovery
 from bench.fault_soak.engine_host import EngineHost, start_engine_host
 from bench.fault_soak.gateway_process import DiscoveryView, GatewayProcess, Layout, create_gateway_process
-from bench.fault_soak.records import Observations, Outage, OutageKind
+from bench.fault_soak.records import Observations, Outage, OutageKind, SuccessorStart
 from bench.fault_soak.settings import Deadlines
 from bench.loopback_ports import PortReservations
 
@@ -176,6 +176,7 @@
         predecessor = gateway.process
         assert predecessor
         log_before = gateway.log_path.stat().st_size
+        self.observations.successor_starts.append(SuccessorStart(gateway.name, time.monotonic()))
         successor = gateway.start_process(self.root, self.shim_library)
         if way is UpgradeWay.EARLY_STOP:
             await asyncio.sleep(EARLY_STOP_AFTER_S)
--- a/bench/fault_soak/discovery.py
+++ b/bench/fault_soak/discovery.py
@@ -21,14 +21,14 @@
 
 
 class Discovery:
-    """The endpoint list as events. `notified_at` holds when each gateway was first sent each event."""
+    """The endpoint list as events. `notified_at` holds when each gateway was sent each event, in order."""
 
     def __init__(self, port_reservations: PortReservations) -> None:
         """Begin without an event; each gateway's port is reserved there."""
         self.port_reservations = port_reservations
         self.events: list[dict[str, Any]] = []  # the event at index N has position N + 1
         self.hosts: dict[str, dict[str, Any]] = {}
-        self.notified_at: dict[SentEvent, float] = {}  # seconds of the monotonic clock
+        self.notified_at: dict[SentEvent, list[float]] = {}  # seconds of the monotonic clock
         self.servers: dict[str, asyncio.Server] = {}
         self.ports: dict[str, int] = {}
         self.changed = asyncio.Event()
@@ -51,13 +51,22 @@
         self.changed = asyncio.Event()
         return self.position
 
+    def times_notified(self, gateway: str, position: int) -> list[float]:
+        """When a gateway was sent this event or a later one, in order."""
+        return sorted(
+            sent_at
+            for sent, times in self.notified_at.items()
+            if sent.gateway == gateway and sent.position >= position
+            for sent_at in times
+        )
+
     @staticmethod
     def _event(position: int, snapshot: bool, hosts: list[dict[str, Any]]) -> dict[str, Any]:
         return {"pos": position, "hosts": {"seq": position, "whole": snapshot, "hosts": hosts}}
 
     def initial_list(self, gateway: str) -> dict[str, Any]:
         """The list as a gateway's configuration holds it at its start."""
-        self.notified_at.setdefault(SentEvent(gateway, self.position), time.monotonic())
+        self.notified_at.setdefault(SentEvent(gateway, self.position), [time.monotonic()])
         return {
             "pos": self.position,
             "entries": [self._event(self.position, True, list(self.hosts.values()))],
@@ -109,4 +118,4 @@
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
         await writer.drain()
         for position in range(tail + 1, self.position + 1):
-            self.notified_at.setdefault(SentEvent(gateway, position), time.monotonic())
+            self.notified_at.setdefault(SentEvent(gateway, position), []).append(time.monotonic())
--- a/bench/fault_soak/evidence.py
+++ b/bench/fault_soak/evidence.py
@@ -128,10 +128,18 @@
             for outage in self.observations.outages
         )
 
-    @staticmethod
-    def notified_at(change: EngineChange, gateway: str) -> float:
-        """When a gateway knew of a change, or counts as having known."""
-        return min(change.notified_at.get(gateway, float("inf")), change.changed_at + NOTIFICATION_DEADLINE_S)
+    def notified_at(self, change: EngineChange, gateway: str, at: float) -> float:
+        """When the process of a gateway that acts at a time knew of a change, or counts as having known.
+
+        From the start of a successor on it may be that one, whose own notification is the next after its
+        start and after the first.
+        """
+        first_at = change.notified_at.get(gateway, float("inf"))
+        for start in self.observations.successor_starts:
+            if start.gateway == gateway and start.started_at <= at:
+                later = (t for t in change.notified_again_at.get(gateway, []) if t > start.started_at)
+                first_at = max(first_at, min(later, default=first_at))
+        return min(first_at, change.changed_at + NOTIFICATION_DEADLINE_S)
 
     def next_change_at(self, change: EngineChange) -> float:
         """When the same engine changed next; infinite if it did not."""
--- a/bench/fault_soak/oracle.py
+++ b/bench/fault_soak/oracle.py
@@ -258,7 +258,7 @@
                 continue
             if not change.changed_at <= request.began_at < back_at:
                 continue
-            late_s = request.began_at - evidence.notified_at(change, found.client.gateway)
+            late_s = request.began_at - evidence.notified_at(change, found.client.gateway, request.began_at)
             if late_s > DRAIN_GRACE_S + MEASUREMENT_S:
                 detail = f"sent {late_s:.3f} s after notification that {change.engine} is {change.kind.value}"
                 yield Violation(promise, request.observed_at, _describe(found.client, detail))
@@ -289,7 +289,8 @@
         for found in evidence.client_attempts()
         if _listed_name(found.attempt.request.engine) == change.engine
         and found.attempt.request.observed_at < change.changed_at + SLOW_START_S
-        and found.attempt.request.observed_at >= evidence.notified_at(change, found.client.gateway)
+        and found.attempt.request.observed_at
+        >= evidence.notified_at(change, found.client.gateway, found.attempt.request.observed_at)
     )
 
 
--- a/bench/fault_soak/records.py
+++ b/bench/fault_soak/records.py
@@ -70,12 +70,16 @@
 
 @dataclass(slots=True, frozen=True)
 class EngineChange:
-    """A change of an engine, and when each gateway had been notified of it."""
+    """A change of an engine, and when each gateway had been notified of it.
+
+    A successor of a hot upgrade is notified by itself, later than its predecessor.
+    """
 
     engine: str
     kind: EngineChangeKind
     changed_at: float
-    notified_at: dict[str, float] = field(default_factory=dict)  # by gateway
+    notified_at: dict[str, float] = field(default_factory=dict)  # by gateway, first
+    notified_again_at: dict[str, list[float]] = field(default_factory=dict)  # by gateway, later
 
 
 class OutageKind(Enum):
@@ -96,6 +100,14 @@
     ready_at: float
 
 
+@dataclass(slots=True, frozen=True)
+class SuccessorStart:
+    """When a process was started beside another one of its gateway."""
+
+    gateway: str
+    started_at: float
+
+
 @dataclass(slots=True, frozen=True)
 class UnreadSpan:
     """A span in which requests to an engine may have waited in the machine's buffers."""
@@ -131,6 +143,7 @@
     changes: list[EngineChange] = field(default_factory=list)
     outages: list[Outage] = field(default_factory=list)
     crashes: list[str] = field(default_factory=list)
+    successor_starts: list[SuccessorStart] = field(default_factory=list)
     unread_spans: list[UnreadSpan] = field(default_factory=list)
     crowds: list[Crowd] = field(default_factory=list)
     path_faults: list[str] = field(default_factory=list)  # faults of paths, which the schedule does not show
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -33,6 +33,7 @@
     Observations,
     Outage,
     OutageKind,
+    SuccessorStart,
     UnreadSpan,
 )
 from bench.fault_soak.run import Plan, run
@@ -234,6 +235,25 @@
     assert broken(clients, burst, changes=[restarted]) == {"a cold engine gets what it can bear"}
 
 
+@pytest.mark.parametrize(
+    ("started_at", "notified_again_at", "is_broken"),
+    [
+        (9.3, [9.8], False),  # it may be the successor's, which was notified 0.2 s before
+        (9.3, [9.4], True),
+        (9.3, [], True),  # the first notification was the successor's
+        (9.9, [9.8], True),  # the second one came before the successor started
+        (10.1, [10.2], True),  # the successor started later
+    ],
+)
+def test_a_drain_is_checked_from_when_a_successor_was_notified_itself(
+    started_at: float, notified_again_at: list[float], is_broken: bool
+) -> None:
+    change = EngineChange("e", EngineChangeKind.DRAINING, 9.0, {"g": 9.2}, {"g": notified_again_at})
+    starts = [SuccessorStart("g", started_at)]
+    found = broken([record()], [request(10.0), end(10.1)], changes=[change], successor_starts=starts)
+    assert found == ({"nothing to a draining engine"} if is_broken else set())
+
+
 @pytest.mark.parametrize("command", ["STOP", "END"])
 def test_a_command_with_an_id_of_digits_alone_has_no_body(command: str) -> None:
     """The proxy took the id for a length, and saw nothing more of that connection."""
