Let a successor join that starts after its predecessor has closed its listeners

What callers saw: order of a key broke between two processes of one gateway. A process that was started more than 0.8 s after its predecessor's SIGTERM ran loads beside those that the predecessor still had open, up to 3.4 s after SIGTERM. Cause: the predecessor's offer holds its listening sockets. Once they were closed the offer failed, the new process started as if it were alone, and nothing held its loads back. Evidence: the trace of a soak test that failed under heavy load shows such a start ("no predecessor to follow"). The new test with real processes failed before: the second load was at the engine while the first was open. Change: sockets that are closed are left out of the offer. The successor listens itself, and the rest of the upgrade is as always: its loads wait until the predecessor has ended, and rest after that.

--- a/query_gateway/lifecycle/hot_upgrade.py
+++ b/query_gateway/lifecycle/hot_upgrade.py
@@ -16,6 +16,9 @@
 The offer holds the listening sockets, so from step 2 on both processes have the same accept queue. If SIGTERM
 comes before step 3, nobody accepts until the successor is ready: clients wait in that queue.
 
+A successor that starts after the predecessor has closed its listeners is offered none: it listens at the
+addresses itself. Steps 3 to 5 are the same, so that requests with a key wait for the predecessor.
+
 If the predecessor dies, its open requests die with it: their clients see a reset connection. The successor
 sees the end of the connection and serves alone; one that is not ready yet begins to accept at once, so
 clients in the accept queue are served. If it dies before step 2, the successor starts as if there had been
--- a/query_gateway/lifecycle/overlap.py
+++ b/query_gateway/lifecycle/overlap.py
@@ -35,6 +35,7 @@
 )
 from query_gateway.lifecycle.startup import Startup
 from query_gateway.lifecycle.upgrade_messages import FLIGHT_FRONT, HTTP_FRONT, Offer
+from query_gateway.net.listener import ListenerState
 from query_gateway.net.log import log
 from query_gateway.net.steady_clock import wall_clock_offset_ns
 from query_gateway.planner.learned_state import export_state, restore_state
@@ -78,19 +79,27 @@
     # ---- what is transferred
 
     def offer(self) -> OfferWithListeners:
-        """What a successor inherits; the listening sockets stay this process's as well."""
+        """What a successor inherits; the listening sockets stay this process's as well.
+
+        One that starts after a listener here was closed listens at that address by itself.
+        """
         fronts = self.parts.fronts
-        listeners = {HTTP_FRONT: fronts.http_server.listener.socket}
+        listeners = {HTTP_FRONT: fronts.http_server.listener}
         if fronts.flight_server:
-            listeners[FLIGHT_FRONT] = fronts.flight_server.listener.socket
+            listeners[FLIGHT_FRONT] = fronts.flight_server.listener
+        sockets = {
+            front: listener.socket
+            for front, listener in listeners.items()
+            if listener.state is not ListenerState.CLOSED
+        }
         statement_costs = None
         if fronts.statements:
             statement_costs = fronts.statements.classifier.costs.snapshot(max_entries=MAX_OFFERED_SHAPES)
         scheduler_state = export_state(
             self.parts.planners.planner.scheduler, self._class_numbers(), wall_clock_offset_ns()
         )
-        message = Offer(tuple(listeners), scheduler_state, statement_costs)
-        return OfferWithListeners(message, tuple(listeners.values()))
+        message = Offer(tuple(sockets), scheduler_state, statement_costs)
+        return OfferWithListeners(message, tuple(sockets.values()))
 
     def restore_scheduler(self, scheduler_state: object) -> None:
         """Restore what the predecessor's scheduler learned, all of it or nothing; None: there is none."""
--- a/tests/test_race_shutdown.py
+++ b/tests/test_race_shutdown.py
@@ -39,6 +39,7 @@
 from tests.test_web import LOAD, ROWS, SQL, running
 
 KEY_QUARANTINE_S = 0.3  # of the settings
+LATE_S = 0.2
 KILL_MARGIN_S = 0.7  # from the longest deadline to SIGKILL, at the earliest
 
 pytestmark = pytest.mark.usefixtures("reset_log_rate_limit")
@@ -339,6 +340,27 @@
         assert waiting.result()[1] == {"rows": ROWS[:1]}
 
 
+def test_load_at_a_successor_that_starts_late_does_not_run_beside_one_of_its_predecessor(
+    tmp_path: Path,
+) -> None:
+    """Guards against loads of a key in two processes: the older one has closed its listeners already."""
+    with site(tmp_path) as deployment, ThreadPoolExecutor() as executor:
+        write_settings(deployment, settings_without_timeouts())
+        engine = deployment.engine
+        engine.script[LOAD] = ["mute"]
+        predecessor = deployment.start()
+        executor.submit(post, deployment.gateway, "load", LOAD, ttl=600_000)
+        assert engine.wait("REQ")
+        predecessor.process.send_signal(signal.SIGTERM)
+        time.sleep(ACCEPT_GRACE_SECONDS + LATE_S)
+        deployment.start()
+        assert predecessor.process.poll() is None
+        later = executor.submit(post, deployment.gateway, "load", LOAD, ttl=600_000)
+        until(lambda: predecessor.process.poll() is not None or len(engine.statements) > 1)
+        assert predecessor.process.poll() is not None and engine.statements == [LOAD]
+        assert later.result(10)[0] in (200, 429)
+
+
 @pytest.mark.parametrize("ends", ["drains first", "dies"])
 def test_load_at_a_successor_does_not_run_beside_one_of_its_predecessor(ends: str, tmp_path: Path) -> None:
     """Neither process knows which requests of a key the other has; the test plays the predecessor."""
