--- a/bench/fault_soak/deployment.py
+++ b/bench/fault_soak/deployment.py
@@ -23,6 +23,7 @@
 EXIT_POLL_S = 0.02
 FRONT_NOTICES_AFTER_S = 0.3  # that a gateway ends
 EARLY_STOP_AFTER_S = 0.1  # of the successor's start
+LATE_START_AFTER_S = 1.0  # of the predecessor's SIGTERM
 KILL_UNCERTAINTY_S = 0.05  # a successor may have accepted a request so long before it was killed
 FURTHER_SIGNALS_MAX_S = 0.2  # between two signals of a series
 
@@ -54,6 +55,7 @@
     PLAIN = "plain"
     EARLY_STOP = "early stop"  # SIGTERM before the successor is ready
     LOST_SUCCESSOR = "lost successor"  # the successor is killed as soon as it is ready
+    LATE_START = "late start"  # the successor starts when its predecessor has closed its listeners
 
 
 class Deployment:
@@ -173,6 +175,9 @@
 
     async def upgrade(self, gateway: GatewayProcess, way: UpgradeWay, gateway_count: int) -> None:
         """A hot upgrade: a second process beside the first, which then gets SIGTERM."""
+        if way is UpgradeWay.LATE_START:
+            await self._start_late(gateway)
+            return
         predecessor = gateway.process
         assert predecessor
         log_before = gateway.log_path.stat().st_size
@@ -193,15 +198,37 @@
             return
         gateway.expected_to_end = True
         predecessor.send_signal(signal.SIGTERM)
-        deadline = time.monotonic() + self.deadlines.kill_after_s
-        while predecessor.poll() is None and time.monotonic() < deadline:
+        await self._end_predecessor(gateway.name, predecessor, time.monotonic() + self.deadlines.kill_after_s)
+        gateway.process, gateway.expected_to_end = successor, False
+
+    async def _start_late(self, gateway: GatewayProcess) -> None:
+        """SIGTERM, and a new process while the old one finishes what it has open."""
+        predecessor, began_at = gateway.process, time.monotonic()
+        assert predecessor
+        gateway.expected_to_end = True
+        predecessor.send_signal(signal.SIGTERM)
+        await asyncio.sleep(FRONT_NOTICES_AFTER_S)
+        gateway.gate.admitted = False
+        await asyncio.sleep(LATE_START_AFTER_S - FRONT_NOTICES_AFTER_S)
+        self.observations.successor_starts.append(SuccessorStart(gateway.name, time.monotonic()))
+        gateway.process = gateway.start_process(self.root, self.shim_library)
+        ready, _ = await asyncio.gather(
+            self.wait_until_ready(gateway),
+            self._end_predecessor(gateway.name, predecessor, began_at + self.deadlines.kill_after_s),
+        )
+        if not ready:
+            self.observations.crashes.append(f"{gateway.name}: a late start was not ready")
+
+    async def _end_predecessor(
+        self, gateway_name: str, predecessor: subprocess.Popen[bytes], kill_at: float
+    ) -> None:
+        while predecessor.poll() is None and time.monotonic() < kill_at:
             await asyncio.sleep(EXIT_POLL_S)
         if predecessor.poll() not in (None, 0):
-            self.observations.crashes.append(f"{gateway.name}: code {predecessor.poll()} after an upgrade")
+            self.observations.crashes.append(f"{gateway_name}: code {predecessor.poll()} after an upgrade")
         with contextlib.suppress(ProcessLookupError):
             os.killpg(predecessor.pid, signal.SIGKILL)
         predecessor.wait()
-        gateway.process, gateway.expected_to_end = successor, False
 
     @staticmethod
     async def _wait_for_successor(gateway: GatewayProcess, log_before: int) -> None:
