Soak: end at SIGTERM from the loop, with every process that was started

Trace: it was g3-processes, alive and whole, the one that was being started. The exit was raised by the signal's handler, between the start of the process and the note of it. Change: the loop handles SIGTERM between two steps of tasks, closes the deployment and ends the process. A deployment also ends processes that are not the present one of their gateway, as a successor in an upgrade.

--- a/bench/fault_soak/__main__.py
+++ b/bench/fault_soak/__main__.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import os
 import shutil
 import signal
 import sys
@@ -9,6 +10,7 @@
 from pathlib import Path
 
 from bench.fault_soak.control import build_shim
+from bench.fault_soak.deployment import Deployment
 from bench.fault_soak.fault_schedule import ScheduledFault
 from bench.fault_soak.faults import FAULTS
 from bench.fault_soak.gateway_process import Layout
@@ -61,10 +63,20 @@
     sys.stdout.flush()
 
 
+def _end_at_sigterm(deployment: Deployment) -> None:
+    """Let SIGTERM end this process and those of the deployment."""
+
+    def end() -> None:
+        """Run by the loop, so that no process is just being started."""
+        deployment.close()
+        sys.stdout.flush()
+        os._exit(SIGNAL_EXIT_BASE + signal.SIGTERM)
+
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, end)
+
+
 def main() -> int:
     """Run the seeds one after the other; 1 if any of them broke a promise."""
-    # Ends the run's processes too: the exit passes through the run, which closes its deployment
-    signal.signal(signal.SIGTERM, lambda number, _: sys.exit(SIGNAL_EXIT_BASE + number))
     arguments = _arguments()
     base = arguments.keep or Path(tempfile.mkdtemp(prefix="fault-soak-"))
     base.mkdir(parents=True, exist_ok=True)
@@ -80,7 +92,7 @@
             seed, arguments.seconds, layouts, client_count=arguments.clients,
             fault_count=arguments.faults, only=only,
         )  # fmt: skip
-        result = asyncio.run(run(plan, arguments.root.resolve(), folder, library))
+        result = asyncio.run(run(plan, arguments.root.resolve(), folder, library, _end_at_sigterm))
         _print(result, folder)
         broken += bool(result.violations)
         if not result.violations and not arguments.keep:
--- a/bench/fault_soak/gateway_process.py
+++ b/bench/fault_soak/gateway_process.py
@@ -53,6 +53,7 @@
     shim: ShimControl
     number: int
     process: subprocess.Popen[bytes] | None = None
+    started: list[subprocess.Popen[bytes]] = field(default_factory=list)  # every process, first ones first
     expected_to_end: bool = False
     busy: bool = False  # it is being stopped, killed or upgraded
     planner_ports: list[int] = field(default_factory=list)
@@ -126,11 +127,13 @@
         self.expected_to_end = False
         python = root / ".venv" / "bin" / "python"
         with self.log_path.open("ab") as log:
-            return subprocess.Popen(
+            process = subprocess.Popen(
                 [str(python), "-m", "query_gateway"], cwd=root, env=environment,
                 stdin=subprocess.DEVNULL, stdout=log, stderr=log, start_new_session=True,
                 preexec_fn=_limit_descriptors,
             )  # fmt: skip
+        self.started.append(process)
+        return process
 
     def signal_group(self, number: int) -> None:
         """Send a signal to all processes of the gateway that started with the present one."""
@@ -158,10 +161,12 @@
         return pids
 
     def close(self) -> None:
-        """End every process of the gateway."""
-        if self.process:
-            self.signal_group(signal.SIGKILL)
-            self.process.wait()
+        """End every process of the gateway, also one that is not the present one."""
+        for process in self.started:
+            if process.returncode is None or process is self.process:
+                with contextlib.suppress(ProcessLookupError):
+                    os.killpg(process.pid, signal.SIGKILL)
+                process.wait()
 
 
 def create_gateway_process(
--- a/bench/fault_soak/run.py
+++ b/bench/fault_soak/run.py
@@ -5,6 +5,7 @@
 import random
 import re
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -73,12 +74,22 @@
         return f"{plan} {json.dumps(endings)}{blind}: {verdict}"
 
 
-async def run(plan: Plan, root: Path, folder: Path, shim_library: Path) -> Result:
-    """Play one plan with the program in `root`; logs and events stay in `folder`."""
+async def run(
+    plan: Plan,
+    root: Path,
+    folder: Path,
+    shim_library: Path,
+    on_begin: Callable[[Deployment], None] = lambda deployment: None,
+) -> Result:
+    """Play one plan with the program in `root`; logs and events stay in `folder`.
+
+    `on_begin` is called with the deployment before its first process starts.
+    """
     source = random.Random(plan.seed)
     seen = Observations()
     paths = DeploymentPaths(root, folder, shim_library)
     deployment = Deployment(paths, seen, plan.longest_deadline_s)
+    on_begin(deployment)
     try:
         deployment.start_engines(plan.engine_count, plan.seed)
         count = len(plan.layouts)
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -331,14 +331,15 @@
     return pids
 
 
-def test_a_soak_that_is_terminated_leaves_no_process_behind(tmp_path: Path) -> None:
+@pytest.mark.parametrize("process_count", [4, 8])
+def test_a_soak_that_is_terminated_leaves_no_process_behind(process_count: int, tmp_path: Path) -> None:
     """Guards against gateways of an ended run that hold ports and cores of the next one."""
     command = [sys.executable, "-m", "bench.fault_soak", "--keep", str(tmp_path), "--seconds", "60"]
     with subprocess.Popen(command, cwd=ROOT, stdout=subprocess.DEVNULL) as soak:
-        until(lambda: len(processes_of(tmp_path)) >= 4)
+        until(lambda: len(processes_of(tmp_path)) >= process_count)
         soak.terminate()
         assert soak.wait(30) == 128 + signal.SIGTERM
-    assert not processes_of(tmp_path)
+    until(lambda: not processes_of(tmp_path))
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3, 4, 5, 6])
