--- a/review/1/case.py
+++ b/review/1/case.py
@@ -21,7 +21,7 @@
 ANSWER_SLACK_S, SOCKET_SLACK_S = 0.5, 0.05  # "up to half a second after its time"; "50 ms longer"
 LOOKUPS_PER_S = 10
 QUIET_S, TROUBLED_S = 3.0, 8.0
-MAX_OWN_LAG_S = 0.5
+MAX_OWN_LAG_S = 1.5  # of the script's own loop; more, and its times are worth nothing
 
 
 async def lookup(record: Record, port: int, number: int, outcomes: list[str]) -> None:
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -32,7 +32,7 @@
 MEMBERS = (41, 42, 43)
 TIMEOUT_S = 20.0
 SPACING_S = 0.1  # between two loads; "at least 60 ms" for one key
-PARSERS_START_S = 3.0  # parser processes of the gateway
+START_TRIES = 20  # of the first load, once a second: the gateway's parser processes need their time to start
 LEAD_S, TAIL_S = 0.02, 0.05  # of the stall, before the first load and after the last
 
 
@@ -46,6 +46,16 @@
     return f"DELETE FROM lending_7.loans WHERE member = {member}"
 
 
+async def serve_first_load(client: FlightClient) -> None:
+    """Send an insert of the usual form, as the service has seen many, until one is served."""
+    for number in range(START_TRIES):
+        await asyncio.sleep(1.0)
+        label = f"insert for member 7, try {number}"
+        if await client.finished(client.update(insert(7, number), label, TIMEOUT_S), label, TIMEOUT_S) == "0":
+            return
+    raise CouldNotRun("a single load is not served")
+
+
 async def play(record: Record) -> str:
     """Play the case."""
     journal = JournalService(record)
@@ -57,12 +67,8 @@
     gateway = GatewayProcess(record, ridge_settings(), journal, OPERATOR_FILE.format(port=port))
     try:
         await gateway.start()
-        await asyncio.sleep(PARSERS_START_S)
         client = await FlightClient.connect(record, port)
-        # An insert of the usual form, as the service has seen many
-        label = "insert for member 7"
-        if await client.finished(client.update(insert(7, 1), label, TIMEOUT_S), label, TIMEOUT_S) != "0":
-            raise CouldNotRun("a single load is not served")
+        await serve_first_load(client)
         await asyncio.sleep(0.5)
 
         if has_trouble():
--- a/review/lib/flight.py
+++ b/review/lib/flight.py
@@ -204,7 +204,6 @@
     def cancel(self, stream: Stream, label: str) -> None:
         """Cancel a call, as a client that wants no more of its result does."""
         self.endpoint.h2.reset_stream(stream.stream_id, 8)
-        self.endpoint.acknowledge_closed = True
         stream.reset = stream.ended = True
         self.endpoint.flush()
         self.record.write("client", "cancelled", label)
