--- a/review/1/case.py
+++ b/review/1/case.py
@@ -6,7 +6,7 @@
 from uuid import uuid4
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "lib"))
+sys.path.insert(0, str(FOLDER.parent))
 
 from stand_ins import (  # noqa: E402
     CouldNotRun, GatewayProcess, JournalService, LineEngine, LoopWatch, Record, has_trouble, host, http_call, now,
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -6,9 +6,9 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "lib"))
+sys.path.insert(0, str(FOLDER.parent))
 
-from flight import FlightClient, FlightEngine  # noqa: E402
+from flight_stand_ins import FlightClient, FlightEngine  # noqa: E402
 from stand_ins import (  # noqa: E402
     CouldNotRun, GatewayProcess, JournalService, Record, free_port, has_trouble, host, ridge_settings, run_case,
 )  # fmt: skip
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "lib"))
+sys.path.insert(0, str(FOLDER.parent))
 
 from stand_ins import (  # noqa: E402
     SECOND, CouldNotRun, GatewayProcess, JournalService, LineEngine, Record, has_trouble, host, post, ridge_settings,
--- a/review/lib/flight.py
+++ b/review/flight_stand_ins.py
@@ -17,7 +17,7 @@
 import h2.settings
 from hyperframe.frame import GoAwayFrame
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 sys.path.insert(0, str(ROOT))
 
 from query_gateway.flight import messages  # noqa: E402
--- a/review/lib/stand_ins.py
+++ b/review/stand_ins.py
@@ -20,7 +20,7 @@
 from typing import Any
 from uuid import uuid4
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 SECOND = 1_000_000_000
 RULE_HELD, RULE_BROKEN, COULD_NOT_RUN = 0, 1, 2
 START_TIMEOUT_S = 20.0
