--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,103 +1,76 @@
-"""Case: the gateway stalls for a moment, and two loads of a key on one Flight SQL connection change places."""
+"""Case: clients send many commands at once on a connection; the gateway throws most of them away unanswered."""
 
 import asyncio
-import signal
 import sys
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from flight_stand_ins import FlightClient, FlightEngine  # noqa: E402
 from stand_ins import (  # noqa: E402
-    CouldNotRun, GatewayProcess, JournalService, Record, free_port, has_trouble, host, ridge_settings, run_case,
+    CouldNotRun, GatewayProcess, JournalService, LineEngine, PipeliningClient, Record, encode_post, has_trouble, host,
+    ridge_settings, run_case,
 )  # fmt: skip
 
-OPERATOR_FILE = """
-[flight]
-listen = "127.0.0.1:{port}"
-query_class = "lookup"
-update_class = "load"
+LOOKUPS, TAGS = 130, 270  # of one client, and in each: a school class looks for its set works, 3 KB of text
+LOADS, ROWS = 8, 1_600  # of the other client, and in each: a branch's returns, 45 KB of text
+LOOKUP_TTL_MS, LOAD_TTL_MS = 6_000, 20_000  # 80 % of the give-up time, as the least patient clients have it
+LOOKUP_WORK_S, LOAD_WORK_S = 0.005, 0.5
 
-[statements]
-dialect = "postgres"
-load = "load"
-mismatch = "refuse"
 
-[[statements.keys]]
-table = "lending_*.loans"
-column = "member"
-type = "integer"
-"""
-MEMBERS = (41, 42, 43)
-TIMEOUT_S = 20.0
-SPACING_S = 0.1  # between two loads; "at least 60 ms" for one key
-START_TRIES = 20  # of the first load, once a second: the gateway's parser processes need their time to start
-LEAD_S, TAIL_S = 0.02, 0.05  # of the stall, before the first load and after the last
+def lookup(number: int) -> str:
+    """A lookup of one school class's list of set works."""
+    tags = ", ".join(f"'{number:04d}{tag:04d}'" for tag in range(TAGS))
+    return f"SELECT title, branch, loans FROM lending_{number % 5}.books WHERE tag IN ({tags})"
 
 
-def insert(member: int, title: int) -> str:
-    """A load that adds a row."""
-    return f"INSERT INTO lending_7.loans (member, title) VALUES ({member}, {title})"
+def load(number: int) -> str:
+    """A load of one branch's returns of the day."""
+    rows = ", ".join(f"({row}, {row % 97}, '2026-12-04')" for row in range(10_000, 10_000 + ROWS))
+    return f"INSERT INTO lending_{number}.returns (title, branch, day) VALUES {rows}"
 
 
-def delete(member: int) -> str:
-    """A load that removes the rows of a member."""
-    return f"DELETE FROM lending_7.loans WHERE member = {member}"
-
-
-async def serve_first_load(client: FlightClient) -> None:
-    """Send an insert of the usual form, as the service has seen many, until one is served."""
-    for number in range(START_TRIES):
-        await asyncio.sleep(1.0)
-        label = f"insert for member 7, try {number}"
-        if await client.finished(client.update(insert(7, number), label, TIMEOUT_S), label, TIMEOUT_S) == "0":
-            return
-    raise CouldNotRun("a single load is not served")
+async def send(client: PipeliningClient, commands: list[tuple[str, bytes]], ttl_s: float) -> None:
+    """Send all commands at once or, without the disruption, one call at a time; wait for the answers."""
+    await client.connect()
+    for batch in [commands] if has_trouble() else [[command] for command in commands]:
+        await client.send(batch, ttl_s)
+        await client.answered(ttl_s + 1.0)
 
 
 async def play(record: Record) -> str:
     """Play the case."""
     journal = JournalService(record)
-    engine = FlightEngine(record, "e0")
-    await engine.start()
-    journal.publish(host("e0", flight=engine.address))
+    engines = [LineEngine(record, f"e{number}", LOOKUP_WORK_S, LOAD_WORK_S) for number in range(3)]
+    for engine in engines:
+        await engine.start()
+    journal.publish(*(host(engine.name, engine.address) for engine in engines))
     await journal.start()
-    port = free_port()
-    gateway = GatewayProcess(record, ridge_settings(), journal, OPERATOR_FILE.format(port=port))
+    gateway = GatewayProcess(record, ridge_settings(), journal)
     try:
         await gateway.start()
-        client = await FlightClient.connect(record, port)
-        await serve_first_load(client)
-        await asyncio.sleep(0.5)
-
-        if has_trouble():
-            gateway.signal(signal.SIGSTOP)
-        await asyncio.sleep(LEAD_S)
-        calls = {}
-        for statement in (*map(delete, MEMBERS), *(insert(member, 8) for member in MEMBERS)):
-            calls[statement] = client.update(statement, statement, TIMEOUT_S)
-            await asyncio.sleep(SPACING_S)
-        await asyncio.sleep(TAIL_S)
-        if has_trouble():
-            gateway.signal(signal.SIGCONT)
-        statuses = {
-            statement: await client.finished(call, statement, TIMEOUT_S) for statement, call in calls.items()
-        }
+        clients = [PipeliningClient(record, name, gateway.port) for name in ("lookups", "loads")]
+        lookups = [encode_post("lookup", lookup(number), LOOKUP_TTL_MS, cpu_ms=10.0) for number in range(LOOKUPS)]
+        loads = [encode_post("load", load(number), LOAD_TTL_MS, cpu_ms=1_000.0) for number in range(LOADS)]
+        await asyncio.gather(
+            send(clients[0], lookups, LOOKUP_TTL_MS / 1000), send(clients[1], loads, LOAD_TTL_MS / 1000)
+        )
+        await asyncio.sleep(0.2)
+        for client in clients:
+            client.close()
     finally:
         gateway.close()
-
-    ran = [statement for _, _, statement in engine.started]
-    if not all(status == "0" for status in statuses.values()):
-        record.write("script", "summary", f"not all loads were served: {statuses}")
-    both = [member for member in MEMBERS if delete(member) in ran and insert(member, 8) in ran]
-    swapped = [member for member in both if ran.index(insert(member, 8)) < ran.index(delete(member))]
-    record.write("script", "summary", f"members whose two loads ran: {both}; out of turn: {swapped}")
-    if not both:
-        raise CouldNotRun("no two loads of a key have run")
-    if not swapped:
-        return ""
-    return f"loads of members {swapped} ran out of the order in which they were sent: their new rows are deleted"
+    broken = []
+    for client in clients:
+        requests = client.requests
+        lost = sum(request.is_lost() for request in requests)
+        by_status = {status: sum(request.status == status for request in requests) for status in (200, 429, 500, 0)}
+        record.write("script", "summary", f"{client.name}: {len(requests)} taken, answers by status (0: none): {by_status}")
+        if not requests or (not has_trouble() and by_status[200] < len(requests) / 2):
+            raise CouldNotRun(f"{client.name} fail without a disruption: {by_status}")
+        if lost:
+            broken.append(f"{lost} of {len(requests)} {client.name}")
+    return f"no answer up to half a second after their time: {', '.join(broken)}" if broken else ""
 
 
 if __name__ == "__main__":
