--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -25,6 +25,7 @@
 SECOND = 1_000_000_000
 RULE_HELD, RULE_BROKEN, COULD_NOT_RUN = 0, 1, 2
 START_TIMEOUT_S = 20.0
+MEMORY_POLL_S = 0.01
 SCRIPT_LIMIT_S = 115.0  # of the 120 s that a script may take
 STARTED_AT = time.monotonic()
 
@@ -245,6 +246,36 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
+def most_resident_mb(pid: int) -> float:
+    """The most memory that a process has had resident, as the kernel counts it; 0 once it has ended."""
+    try:
+        lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    except OSError:
+        return 0.0
+    return next((int(line.split()[1]) / 1024 for line in lines if line.startswith("VmHWM:")), 0.0)
+
+
+class MemoryLimit:
+    """The platform's limit: over `memory_mb` the gateway is killed."""
+
+    def __init__(self, record: Record, gateway: GatewayProcess, memory_mb: int) -> None:
+        self.record, self.gateway, self.memory_mb = record, gateway, memory_mb
+        self.highest_mb = 0.0
+        self.was_exceeded = False
+
+    async def enforce(self) -> None:
+        """Watch the gateway until cancelled."""
+        assert self.gateway.process
+        while not self.was_exceeded:
+            resident = most_resident_mb(self.gateway.process.pid)
+            self.highest_mb = max(self.highest_mb, resident)
+            if resident > self.memory_mb:
+                self.was_exceeded = True
+                self.record.write("platform", "over-limit", f"{resident:.0f} MB of {self.memory_mb}")
+                self.gateway.signal(signal.SIGKILL)
+            await asyncio.sleep(MEMORY_POLL_S)
+
+
 # ---- clients of the HTTP front
 
 
