--- a/review/3/case.py
+++ b/review/3/case.py
@@ -94,19 +94,21 @@
         gateway.close()
     answered_at = min((at for at, last in journal.answered if last >= position), default=float("inf"))
     told_at = min(answered_at, event_at + TOLD_AT_LATEST_S)
-    late = [at for at, _ in drained.requests if at > told_at + DRAIN_GRACE_S + SLACK_S]
+    late = {txn: at for at, txn in drained.requests if at > told_at + DRAIN_GRACE_S + SLACK_S}
+    cut = sum(txn in late for txn in drained.cut)
     record.write(
         "script", "summary",
         f"event at {event_at:.3f}, told at {told_at:.3f}, {len(late)} requests to {drained.name} after the grace; "
         + "; ".join(
             f"{name}: {codes.count(200)} of {len(codes)} served, {codes.count(500)} failed" for name, codes in statuses.items()
         )
-        + f"; cut at the end of {drained.name}: {len(drained.cut)}",
+        + f"; cut at the end of {drained.name}: {len(drained.cut)}, {cut} of them sent after the grace",
     )  # fmt: skip
     if not late:
         return ""
     return (
-        f"{len(late)} requests sent to a draining engine, up to {max(late) - told_at:.2f} s after the gateway counts as told"
+        f"{len(late)} requests sent to a draining engine, up to {max(late.values()) - told_at:.2f} s after the gateway "
+        f"counts as told; {cut} of them were cut by its end"
     )
 
 
