Bound the time that one client's input keeps the event loop: pause and scan in steps

Cause: a coroutine ran until its input was used up, and all ready ones ran in one turn.

The scanner works on bytes in bounded steps, keeps nothing, ends at the first table name with a group, and runs after load is shed. Paused input holds the arrival watermark, so the order of a key stays.

--- a/query_gateway/engine_protocol/connection.py
+++ b/query_gateway/engine_protocol/connection.py
@@ -35,6 +35,7 @@
 from query_gateway.net.loop import Loop, Task
 from query_gateway.net.stream import Reason, Stream, address_of
 
+MAX_BYTES_PER_STEP: Final = 16_384  # of an engine's input, between two checks whether a pause is due
 MAX_OUTBOX_BYTES: Final = 4_194_304  # of unsent data, above which the connection gets no more attempts
 REDIAL_SECONDS: Final = 0.02  # from a dial that failed for lack of a local resource to the next dial
 
@@ -243,11 +244,13 @@
     def _serve(self) -> Generator[float | None, None, Reason]:
         """Handle responses until the connection ends; return the reason."""
         while True:
-            if self.stream.inbox:
+            while self.stream.inbox:
                 try:
-                    self.responses.receive(self.stream.take_inbox(), self.loop.now())
+                    self.responses.receive(self.stream.take_inbox(MAX_BYTES_PER_STEP), self.loop.now())
                 except frames.FrameError:
                     return Reason.MALFORMED_RESPONSE
+                if self.stream.inbox:
+                    yield from self.task.pause_if_due()
             self.writer.write_waiting(self.stream)
             if self.stream.eof:
                 return Reason.RESET if self.stream.reset else Reason.PEER_CLOSED
--- a/query_gateway/flight/client_call.py
+++ b/query_gateway/flight/client_call.py
@@ -2,11 +2,12 @@
 
 AWAITING_MESSAGE --message--> CLASSIFYING --classified--> FORWARDED --final answer--> DONE
        |     |                    |                         ^  |                       ^
-       |     `-- without parsing -+-------------------------'  `--- call aborted ------+
+       |     `-- without parsing -+-> SCANNING --scanned----'  `--- call aborted ------+
        `-- message missing or invalid, GetFlightInfo answered, rejected, call aborted -'
 """
 
 from collections.abc import Callable
+from dataclasses import replace
 from enum import Enum
 from typing import TYPE_CHECKING, Protocol
 
@@ -24,9 +25,10 @@
 )
 from query_gateway.forwarder.exchange import Exchange
 from query_gateway.forwarder.forwarder import Forwarder
-from query_gateway.forwarder.messages import Answer, EarlyRejection, Verdict
+from query_gateway.forwarder.messages import Answer, ClientRequest, EarlyRejection, Verdict
+from query_gateway.forwarder.table_group import TableGroupScanner
 from query_gateway.http.request_decoding import RequestError, hex_header
-from query_gateway.net.loop import Loop
+from query_gateway.net.loop import Loop, LoopCoroutine, Task
 from query_gateway.net.steady_clock import clock_time_of, loop_time_of
 from query_gateway.rpc.call import Call, CallHandler, Headers
 from query_gateway.rpc.connection import SLOW_READER_TIMEOUT_S
@@ -60,6 +62,7 @@
 
     AWAITING_MESSAGE = "awaiting message"
     CLASSIFYING = "classifying"  # the statement is being parsed
+    SCANNING = "scanning"  # a long statement is being scanned for its table group, without parsing
     FORWARDED = "forwarded"  # the forwarder has accepted the request
     DONE = "done"  # the final status is sent or queued, or the call was aborted
 
@@ -71,16 +74,22 @@
         """Handle a new call with these request headers; start the timeout for its message."""
         self.server, self.request_headers, self.call = server, headers, call
         self.method_name = headers.get(":path", "").removeprefix(messages.SERVICE_PATH)
-        self.client_request_id = ""  # set when classification starts
+        self.client_request_id = ""  # set when classification or scanning starts
         self.exchange: Exchange | None = None
+        self.task: Task | None = None  # classifies or scans the statement, if that cannot be done at once
         self.state = FlightCallState.AWAITING_MESSAGE
         self.headers_sent = False
         # Without a timeout, a call whose client never sends its message would stay in the connection's table
         # of open calls, and the connection would never count as idle
         server.loop.call_at(server.loop.now() + MESSAGE_TIMEOUT_S, self._on_message_timeout)
 
+    @property
+    def is_done(self) -> bool:
+        """Whether the final status is sent or queued, or the call was aborted."""
+        return self.state is FlightCallState.DONE
+
     def _on_message_timeout(self) -> None:
-        if not self.exchange:
+        if self.state is FlightCallState.AWAITING_MESSAGE:
             self._finish(GrpcStatus.DEADLINE_EXCEEDED, "the call's message did not come in time")
 
     # ---- the client's call
@@ -129,12 +138,12 @@
         """Forward a statement: after classification if statement parsing is enabled, otherwise at once."""
         server = self.server
         stream = self.call.connection.stream
-        arrival = stream.arrivals.time_of(stream.arrivals.received, server.loop.now())
+        arrival = stream.arrivals.time_of(stream.bytes_consumed, server.loop.now())
         received_at, order_at = clock_time_of(arrival.earliest), clock_time_of(arrival.latest)
         statement = FlightStatement(text, is_update, received_at, order_at)
         class_name = self.request_headers.get("x-class")
         if server.statements is None:
-            self._forward(statement, self._default_class(statement))
+            self._scan(statement, arrival.latest)
             return
         if class_name is not None and class_name not in server.classes:
             raise _unknown_class(class_name)
@@ -151,7 +160,48 @@
             self._on_classified(statement, classification)
 
         watermark.hold(self, arrival.latest)
-        server.statements.classify(request, on_classified)
+        statements = server.statements
+        if server.loop.paused_tasks.is_pause_due():
+            self.task = server.loop.spawn(
+                self._run_after_pause(lambda: statements.classify(request, on_classified))
+            )
+        else:
+            statements.classify(request, on_classified)
+
+    def _run_after_pause(self, classify: Callable[[], None]) -> LoopCoroutine:
+        """Call `classify` in a later turn of the loop, unless the call has ended by then."""
+        if self.task:
+            yield from self.server.loop.paused_tasks.pause(self.task)
+        if not self.is_done:
+            classify()
+
+    def _scan(self, statement: FlightStatement, arrived_at: float) -> None:
+        """Forward a statement once it is scanned for its table group; raises RequestError as `_decode` does.
+
+        A long statement is scanned in several turns of the loop. Meanwhile the watermark stays at
+        `arrived_at` (loop time), so that no later request of the same key overtakes it.
+        """
+        request = self._decode(statement, self._default_class(statement))
+        scanner = TableGroupScanner(request.statement)
+        scanner.step()
+        if scanner.is_done:
+            self._accept(request, scanner)
+            return
+        self.client_request_id, self.state = request.client_request_id, FlightCallState.SCANNING
+        self.server.loop.watermark.hold(self, arrived_at)
+        self.task = self.server.loop.spawn(self._run_scan(request, scanner))
+
+    def _run_scan(self, request: ClientRequest, scanner: TableGroupScanner) -> LoopCoroutine:
+        """Scan the rest of a statement and forward it, unless the call ends or its deadline comes before."""
+        while not scanner.is_done and not self.is_done:
+            scanner.step()
+            if self.task is None or not (yield from self.task.pause_if_due()) or self.is_done:
+                continue
+            if reason := self.server.forwarder.rejection_before_accept(request):
+                self._reject_unforwarded(request.class_name, reason, "Overloaded")
+        self.server.loop.watermark.release(self)
+        if not self.is_done:
+            self._accept(request, scanner)
 
     def _default_class(self, statement: FlightStatement) -> str:
         """Return the class that the client requests, or the default for queries or updates."""
@@ -184,7 +234,7 @@
             self._reject_unforwarded(decision.class_name, EarlyRejection.STATEMENT_LIMIT, quarantine)
         else:
             try:
-                self._forward(statement, decision.class_name, classification)
+                self._accept(self._decode(statement, decision.class_name, classification))
             except RequestError as error:
                 self._finish(GrpcStatus.INVALID_ARGUMENT, str(error))
 
@@ -195,14 +245,19 @@
             return None
         return statements.rejection_reason(classification.fingerprint, statement.received_at_ns)
 
-    def _forward(
+    def _decode(
         self, statement: FlightStatement, class_name: str, classification: "Classification | None" = None
-    ) -> None:
-        """Pass the request to the forwarder; raises RequestError if its class or a header is invalid."""
+    ) -> ClientRequest:
+        """Build the request; raises RequestError if its class or a header is invalid."""
         flight_class = self.server.classes.get(class_name)
         if flight_class is None:
             raise _unknown_class(class_name)
-        request = decode_request(statement, class_name, flight_class, self.request_headers, classification)
+        return decode_request(statement, class_name, flight_class, self.request_headers, classification)
+
+    def _accept(self, request: ClientRequest, scanner: TableGroupScanner | None = None) -> None:
+        """Pass the request to the forwarder, with the table group that the scanner has found, if any."""
+        if scanner and scanner.group is not None:
+            request = replace(request, table_group=float(scanner.group))
         self.exchange = self.server.forwarder.accept(request, self, "flight")
         if self.state is not FlightCallState.DONE:  # the forwarder may have answered it in `accept`
             self.state = FlightCallState.FORWARDED
--- a/query_gateway/flight/requests.py
+++ b/query_gateway/flight/requests.py
@@ -6,7 +6,6 @@
 from uuid import uuid4
 
 from query_gateway.forwarder.messages import ClientRequest, RequestClasses
-from query_gateway.forwarder.table_group import table_group
 from query_gateway.http.request_decoding import RequestError, hex_header, real_header
 from query_gateway.model.settings import Idempotency, Settings
 from query_gateway.model.units import MS
@@ -89,7 +88,8 @@
 ) -> ClientRequest:
     """Build the request from a statement and its call's headers; raises RequestError if any is invalid.
 
-    `classification` is the result of parsing the statement, if statement parsing is enabled.
+    `classification` is the result of parsing the statement, if statement parsing is enabled. Without it the
+    table group is not set, as scanning a long statement for it takes several turns of the loop.
     """
     timeout_ns = parse_grpc_timeout(headers.get("grpc-timeout"), flight_class.timeout_ns)
     if not statement.text:
@@ -99,7 +99,7 @@
         # twice. DoPut identifies the update, so it is rejected before it reaches an engine
         name = class_name[:MAX_NAME_IN_ERROR]
         raise RequestError(400, f"an update cannot run as {name}, whose queries may run twice")
-    group = classification.table_group if classification else table_group(statement.text)
+    group = classification.table_group if classification else None
     work_hint_ms = real_header(headers, "x-cpu-hint", MAX_WORK_HINT_MS)
     key = _ordering_key(flight_class, headers, classification)
     idempotency_key = _idempotency_key(flight_class, headers, classification)
--- a/query_gateway/forwarder/forwarder.py
+++ b/query_gateway/forwarder/forwarder.py
@@ -198,6 +198,12 @@
         self.counters.count_answer(class_name, Verdict.REJECTED)
         return self.rejection()
 
+    def rejection_before_accept(self, request: ClientRequest) -> EarlyRejection | None:
+        """The cause for which a request that its front has kept for some time can no longer be accepted."""
+        if self.past_abort_time:
+            return EarlyRejection.STOPPING
+        return EarlyRejection.SCAN_TIMEOUT if self.clock() >= request.deadline else None
+
     def rejection(self) -> Answer:
         """The rejection of a request that no planner decides on, with the maximum Retry-After."""
         return Answer(Verdict.REJECTED, retry_after_ns=self.settings.max_retry_after)
--- a/query_gateway/gateway.py
+++ b/query_gateway/gateway.py
@@ -127,6 +127,7 @@
             self.announcer.start()
         self.readiness.watchers.append(self.announcer.update)
         self.gateway_figures = GatewayFigures(
+            self.loop,
             self.forwarder,
             self.planner_links.ejected_endpoints,
             self.statements,
--- a/query_gateway/http/connection.py
+++ b/query_gateway/http/connection.py
@@ -37,7 +37,7 @@
     reason_of_lost_connection,
     reason_of_unused_connection,
 )
-from query_gateway.http.h11_request import MAX_HEADER_BYTES, HttpRequest, read_request
+from query_gateway.http.h11_request import MAX_BYTES_PER_STEP, MAX_HEADER_BYTES, HttpRequest, read_request
 from query_gateway.http.plain_request import PlainRequest, parse_plain_request
 from query_gateway.http.request_decoding import RequestError, decode_request
 from query_gateway.http.request_handler import RequestContext, RequestHandler
@@ -101,7 +101,7 @@
         self.stream = stream
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES)
         self.task: Task = server.loop.spawn(self._run())
-        self.handler = RequestHandler(server, self.stream, self.task.wake)
+        self.handler = RequestHandler(server, self.stream, self.task)
         self.sender = ResponseSender(self.stream, self.http)
         self.stream.on_activity = self.task.wake
         self.stream.start()
@@ -133,6 +133,12 @@
         while True:
             if ended := (yield from self._await_request()):
                 return ended
+            # The client may have pipelined very many short requests
+            has_much_input = len(self.stream.inbox) + len(self.http.trailing_data[0]) > MAX_BYTES_PER_STEP
+            if has_much_input and self.loop.paused_tasks.is_turn_late():
+                yield from self._pause()
+            else:
+                yield from self._pause_if_due()
             # Bytes that h11 has buffered after the last request must be parsed by h11
             plain = None if self.http.trailing_data[0] else parse_plain_request(self.stream.inbox)
             try:
@@ -179,6 +185,24 @@
         self.server.idle.pop(self, None)
         return Reason.TOO_MANY if self.stream.closed else None
 
+    def _pause_if_due(self) -> Generator[float | None, None, None]:
+        if self.loop.paused_tasks.is_pause_due():
+            yield from self._pause()
+
+    def _pause(self) -> Generator[float | None, None, None]:
+        """Let the loop serve others, as this connection keeps it busy.
+
+        Meanwhile the input that is not decoded yet counts as unread, so that no request that arrived later
+        overtakes one in it that has the same key.
+        """
+        next_byte = self.stream.bytes_consumed - len(self.http.trailing_data[0]) + 1
+        arrival = self.stream.arrivals.time_of(next_byte, self.loop.now())
+        self.loop.watermark.hold(self, arrival.latest)
+        try:
+            yield from self.loop.paused_tasks.pause(self.task)
+        finally:
+            self.loop.watermark.release(self)
+
     def _on_complete_request(self) -> None:
         self.has_sent_request = self.handler.has_open_request = True
         self.server.awaiting_first_request.pop(self, None)
@@ -210,7 +234,7 @@
         deadline = self.first_request_deadline
         if self.has_sent_request:
             deadline = self.loop.now() + REQUEST_TIMEOUT_SECONDS
-        request = yield from read_request(self.http, self.stream, deadline)
+        request = yield from read_request(self.http, self.stream, deadline, self._pause_if_due)
         if isinstance(request, Reason):
             return request
         self._on_complete_request()
--- a/query_gateway/http/h11_request.py
+++ b/query_gateway/http/h11_request.py
@@ -1,6 +1,6 @@
 """Reads a request in any valid HTTP/1.1 form with h11, within limits on its size and duration."""
 
-from collections.abc import Generator
+from collections.abc import Callable, Generator
 from dataclasses import dataclass
 
 import h11
@@ -10,6 +10,8 @@
 
 MAX_BODY_BYTES = 262_144
 MAX_HEADER_BYTES = 16_384
+# Passed to h11 at a time, which copies what it has buffered for each request
+MAX_BYTES_PER_STEP = 16_384
 
 
 @dataclass(slots=True, frozen=True)
@@ -23,16 +25,22 @@
 
 
 def read_request(
-    connection: h11.Connection, stream: Stream, deadline: float
+    connection: h11.Connection,
+    stream: Stream,
+    deadline: float,
+    pause_if_due: Callable[[], Generator[float | None, None, None]],
 ) -> Generator[float | None, None, HttpRequest | Reason]:
     """Read one complete request, or return the reason if the connection ends first.
 
+    `pause_if_due` is called between two events of h11: a request may consist of very many short chunks.
+
     Raises RequestError if the request is too large or incomplete at the deadline (loop time), and h11's
     RemoteProtocolError if the bytes are not valid HTTP.
     """
     request: h11.Request | None = None
     body = bytearray()
     while True:
+        yield from pause_if_due()
         event = connection.next_event()
         if event is h11.NEED_DATA:
             if ended := (yield from _receive_data(connection, stream, deadline)):
@@ -57,8 +65,10 @@
 
     Raises RequestError after the deadline.
     """
+    if not stream.inbox and stream.loop.now() >= deadline:
+        stream.read_available()  # the rest may have arrived in time, while the loop was busy
     if stream.inbox:
-        connection.receive_data(stream.take_inbox())
+        connection.receive_data(stream.take_inbox(MAX_BYTES_PER_STEP))
     elif stream.is_over:
         return Reason.ABANDONED
     elif stream.loop.now() >= deadline:
--- a/query_gateway/http/request_decoding.py
+++ b/query_gateway/http/request_decoding.py
@@ -3,7 +3,6 @@
 import re
 
 from query_gateway.forwarder.messages import ClientRequest, RequestClasses
-from query_gateway.forwarder.table_group import table_group
 from query_gateway.model.units import MS
 
 # The part of the client's timeout that is reserved for the transfer of the request and the response on the
@@ -70,11 +69,11 @@
     return int(ttl) * MS
 
 
-def _statement_text(body: bytes) -> str:
+def _check_statement(body: bytes) -> None:
     if not body:
         raise RequestError(400, "the statement is missing")
     try:
-        return body.decode()
+        body.decode()
     except UnicodeDecodeError:
         raise RequestError(400, "the statement is not UTF-8") from None
 
@@ -84,6 +83,7 @@
 ) -> ClientRequest:
     """Decode a POST that arrived at clock time `arrived_at` (nanoseconds); raises RequestError.
 
+    The table group is not set, as scanning a long statement for it takes several turns of the loop.
     `classes` are those that requests may address; the names in `headers` are in lower case.
     """
     if class_name not in classes:
@@ -97,7 +97,7 @@
     memory_mb = real_header(headers, MEMORY_HEADER, MAX_MEMORY_MB)
     if headers.get(RETRY_HEADER, "1") != "1":
         raise RequestError(400, f"header {RETRY_HEADER} is not 1")
-    group = table_group(_statement_text(body))
+    _check_statement(body)
     return ClientRequest(
         client_request_id=client_request_id,
         class_index=request_class.index,
@@ -109,5 +109,5 @@
         idempotency_key=idempotency_key,
         estimated_work=int(cpu_hint_ms * MS) if cpu_hint_ms else None,
         estimated_memory_mb=memory_mb or 0.0,
-        table_group=None if group is None else float(group),
+        table_group=None,
     )
--- a/query_gateway/http/request_handler.py
+++ b/query_gateway/http/request_handler.py
@@ -1,6 +1,7 @@
 """Handles a decoded request: checks and classifies it, passes it to the forwarder and awaits the answer."""
 
-from collections.abc import Callable, Generator
+from collections.abc import Callable, Generator, Iterator
+from contextlib import contextmanager
 from dataclasses import replace
 from typing import TYPE_CHECKING, Protocol
 
@@ -8,9 +9,10 @@
 from query_gateway.forwarder.forwarder import Forwarder
 from query_gateway.forwarder.messages import Answer, ClientRequest, EarlyRejection
 from query_gateway.forwarder.readiness import DRAIN_REJECT_AFTER_S
+from query_gateway.forwarder.table_group import TableGroupScanner
 from query_gateway.http.request_decoding import RequestError
 from query_gateway.http.responses import Response, failure_response, response_to
-from query_gateway.net.loop import Loop
+from query_gateway.net.loop import Loop, Task
 from query_gateway.net.steady_clock import loop_time_of
 from query_gateway.net.stream import Reason, Stream
 
@@ -69,12 +71,12 @@
 class RequestHandler:
     """Handles the requests of one connection, one after another."""
 
-    def __init__(self, server: RequestContext, stream: Stream, wake: Callable[[], None]) -> None:
-        """`wake` resumes the coroutine of the connection.
+    def __init__(self, server: RequestContext, stream: Stream, task: Task) -> None:
+        """`task` runs the coroutine of the connection.
 
         While it waits for an answer the handler reads from `stream`; it neither writes to it nor closes it.
         """
-        self.server, self.stream, self.wake = server, stream, wake
+        self.server, self.stream, self.task = server, stream, task
         self.discarded_bytes = 0  # read from full inboxes while an answer was pending, and discarded
         self.is_over_connection_limit = False  # every request on the connection is rejected
         self.has_open_request = False  # a request has been read, and its response has not been sent
@@ -84,12 +86,14 @@
         """Return the response, or the reason if the connection ends without one; raises RequestError."""
         self._exchange = None
         self._check_id_is_free(request)
-        pending = PendingAnswer(self.wake, self._client_has_left)
+        pending = PendingAnswer(self.task.wake, self._client_has_left)
         # A client that waited long for its connection to be accepted may have disconnected, and an engine
         # would run the request in vain. Reading what has arrived detects this before the request is forwarded
         self.stream.read_available()
         if reason := self._early_rejection():
             self._reject(request, pending, reason)
+        if pending.answer is None:
+            request = yield from self._with_table_group(request, pending)
         if self.server.statements and pending.answer is None:
             request = yield from self._classify(request, pending, self.server.statements)
             self._check_id_is_free(request)  # a request with the same id may have arrived meanwhile
@@ -138,6 +142,39 @@
         answer = forwarder.reject_unaccepted(request.client_request_id, request.class_name, reason)
         pending.send_answer(answer)
 
+    @contextmanager
+    def _holding_watermark(self, request: ClientRequest) -> Iterator[None]:
+        """Keep later requests of the same key from overtaking a request that is not accepted yet."""
+        watermark = self.server.loop.watermark
+        if request.key:
+            watermark.hold(self, loop_time_of(request.received_at))
+        try:
+            yield
+        finally:
+            watermark.release(self)
+
+    def _with_table_group(
+        self, request: ClientRequest, pending: PendingAnswer
+    ) -> Generator[float | None, None, ClientRequest]:
+        """Return the request with the table group of its statement.
+
+        A long statement is scanned in several turns of the loop. If its deadline comes or the process stops
+        meanwhile, the request is rejected through `pending`; if its client leaves, the scan ends.
+        """
+        scanner = TableGroupScanner(request.statement)
+        with self._holding_watermark(request):
+            while not scanner.is_done:
+                scanner.step()
+                if not (yield from self.task.pause_if_due()):
+                    continue
+                if self.stream.is_over:
+                    return request
+                if reason := self.server.forwarder.rejection_before_accept(request):
+                    self._reject(request, pending, reason)
+                    return request
+        self._check_id_is_free(request)  # a request with the same id may have arrived meanwhile
+        return request if scanner.group is None else replace(request, table_group=float(scanner.group))
+
     def _classify(
         self, request: ClientRequest, pending: PendingAnswer, statements: "StatementService"
     ) -> Generator[float | None, None, ClientRequest]:
@@ -154,17 +191,13 @@
         def on_classified(result: "Classification") -> None:
             """Store the result and resume; called within `classify` or later, after a full parse."""
             results.append(result)
-            self.wake()
+            self.task.wake()
 
-        watermark = self.server.loop.watermark
-        if request.key:
-            watermark.hold(self, loop_time_of(request.received_at))
-        try:
+        with self._holding_watermark(request):
+            yield from self.task.pause_if_due()
             statements.classify(_classification_request(request), on_classified)
             while not results and not self.stream.is_over:
                 yield None
-        finally:
-            watermark.release(self)
         if not results or results[0].decision is None:
             self._reject(request, pending, EarlyRejection.NO_PARSER)
             return request
--- a/query_gateway/net/buffered_socket.py
+++ b/query_gateway/net/buffered_socket.py
@@ -148,12 +148,15 @@
             self._update_mask()
             self.on_activity()
 
-    def take_inbox(self) -> bytes:
-        """Remove and return the bytes in the inbox; resumes reading if it was paused."""
-        data = bytes(self.inbox)
-        self.inbox.clear()
+    def take_inbox(self, max_bytes: int = MAX_INBOX_BYTES + READ_SIZE_BYTES) -> bytes:
+        """Remove and return up to `max_bytes` from the inbox; resumes reading if it was paused.
+
+        The default is all that an inbox can hold.
+        """
+        data = bytes(self.inbox[:max_bytes])
+        del self.inbox[:max_bytes]
         self.bytes_consumed += len(data)
-        if self.read_paused:
+        if self.read_paused and len(self.inbox) < MAX_INBOX_BYTES:
             self.read_paused = False
             self._update_mask()
         return data
--- a/query_gateway/net/loop.py
+++ b/query_gateway/net/loop.py
@@ -16,6 +16,7 @@
 
 from query_gateway.net.arrival_watermark import ArrivalWatermark
 from query_gateway.net.log import log
+from query_gateway.net.paused_tasks import PausedTasks
 from query_gateway.net.retry import retry_at_start
 
 LoopCoroutine = Generator[float | None, None, None]
@@ -27,6 +28,8 @@
 # A busy host may prolong a sleep by this much beyond its timeout; after a longer delay the process counts as
 # having been stopped
 MAX_OVERSLEEP_SECONDS = 0.05
+# A longer turn delays timers and answers by more than the slack on the platform's time limits, and is counted
+MAX_TURN_SECONDS = 0.05
 MAX_HOOK_ROUNDS = 16  # rounds of turn hooks per turn; bounded so that hooks cannot starve sockets
 # Cancelled timers are removed once the heap exceeds twice its size after the last sweep, plus this many
 TIMER_SWEEP_SLACK = 256
@@ -67,6 +70,7 @@
         """Run the coroutine to its next yield, and set a timer for the time that it yields."""
         self.queued = False
         wake_at = None
+        self.loop.paused_tasks.begin_slice()
         try:
             wake_at = next(self.coroutine)
         except StopIteration:
@@ -83,6 +87,16 @@
         if wake_at is not None and self.timer is None:
             self.timer = self.loop.call_at(wake_at, self._on_timer)
 
+    def pause_if_due(self) -> Generator[float | None, None, bool]:
+        """Let the loop serve others if this task has run for long; return whether it did.
+
+        Only the coroutine of this task may call it.
+        """
+        if not self.loop.paused_tasks.is_pause_due():
+            return False
+        yield from self.loop.paused_tasks.pause(self)
+        return True
+
     def _on_timer(self) -> None:
         self.timer = None
         self.wake()
@@ -98,6 +112,7 @@
         self.sockets: dict[int, socket.socket] = {}  # by descriptor
         self.urgent: deque[Task] = deque()  # ready tasks that run before the others
         self.ready: deque[Task] = deque()
+        self.paused_tasks = PausedTasks()
         self.timers: list[tuple[float, int, Timer]] = []  # heap of (due time, sequence number, timer)
         self.timer_sequence = count()
         self.timers_after_sweep = 0  # size of the heap after the last sweep of cancelled timers
@@ -111,6 +126,8 @@
         # Duration of the last turn in seconds. If the loop slept since: 0, or the time by which it overslept
         # because the process was stopped
         self.last_turn_time = 0.0
+        self.longest_turn = 0.0  # in seconds without the poll, since the loop was created
+        self.slow_turns = 0  # turns over MAX_TURN_SECONDS
         self.soon_callbacks: deque[Callable[[], object]] = deque()
         self.wake_reader, self.wake_writer = retry_at_start(socket.socketpair)
         self.wake_reader.setblocking(False)
@@ -208,6 +225,8 @@
     def turn(self) -> None:
         """Run one iteration: sockets, urgent tasks, timers, tasks, turn hooks, then closing of sockets.
 
+        Paused tasks, which have long work, get a limited time before the hooks.
+
         Tasks run before the hooks because the planner is a hook: an answer that an engine's coroutine has
         just completed must be sent before the planner sends the next request with the same key.
         """
@@ -219,14 +238,24 @@
             self._run_ready()
         if not self.ready and not self.urgent:
             self.watermark.end_turn()
+        self.paused_tasks.resume()
         if not self._run_turn_hooks():
             self.call_at(now, lambda: None)  # hooks have work left, so the next poll must not block
         self._close_disposed_sockets()
+        self._record_turn(self.now() - self.turn_started_at)
+
+    def _record_turn(self, duration: float) -> None:
+        """Count a turn that took `duration` seconds; a slow one is logged if it is the slowest so far."""
+        if duration > MAX_TURN_SECONDS:
+            self.slow_turns += 1
+            if duration > self.longest_turn:
+                log("loop", f"a turn took {duration:.3f} s; the limit is {MAX_TURN_SECONDS} s")
+        self.longest_turn = max(self.longest_turn, duration)
 
     def _handle_socket_events(self) -> None:
         """Wait for events until something else is due, and call their handlers."""
         timeout = MAX_POLL_SECONDS
-        if self.ready or self.urgent or self.soon_callbacks:
+        if self.ready or self.urgent or self.paused_tasks or self.soon_callbacks:
             timeout = 0.0
         elif self.timers:
             timeout = min(timeout, max(0.0, self.timers[0][0] - self.now()))
@@ -246,6 +275,7 @@
                 # An epoll_wait that a stop interrupted reports no events if its timeout has passed since
                 events = self._poll(0.0)
         self.turn_started_at = now
+        self.paused_tasks.begin_turn(now)
         for descriptor, _ in events:
             if handler := self.handlers.get(descriptor):
                 self._call(handler)
--- a/query_gateway/rpc/connection.py
+++ b/query_gateway/rpc/connection.py
@@ -32,6 +32,7 @@
 # For a client to read the rest of a call's response, or of what is unsent when its connection closes
 SLOW_READER_TIMEOUT_S = 30.0
 HALF_CLOSE_TIMEOUT_S = 1.0  # for a client to close its side after the gateway has closed its own
+MAX_BYTES_PER_STEP = 1_024  # passed to h2 at a time; may contain a hundred frames
 MAX_OUTBOX_BYTES = 1_048_576  # unsent, per connection of a client; further data stays queued in its calls
 
 TaskGenerator = Generator[float | None, None, None]
@@ -158,11 +159,13 @@
 
     def _serve(self) -> Generator[float | None, None, Reason]:
         while True:
-            if self.stream.inbox and not self._receive():
+            if self.stream.inbox and not (yield from self._receive()):
                 return Reason.MALFORMED_RESPONSE if self.is_client else Reason.BAD_REQUEST
             for call in list(self.calls.values()):
                 call.send_queued()
             self.flush()
+            if self.stream.inbox and not self.stream.closed:
+                continue
             if self.stream.is_over:
                 return Reason.RESET if self.stream.reset else Reason.PEER_CLOSED
             if self.draining and not self.calls:
@@ -219,17 +222,38 @@
             never_ran = self.peer_events.is_refused(call) or not self.stream.connected or bool(call.queue)
             call.handler.on_aborted(never_ran)
 
-    def _receive(self) -> bool:
-        """Handle the received data; False if the peer violated the protocol."""
+    def _receive(self) -> Generator[float | None, None, bool]:
+        """Handle up to `MAX_BYTES_PER_STEP` of the received data; False if the peer violated the protocol.
+
+        Pauses before if this connection keeps the loop busy, or is about to in a turn that is already late.
+        """
+        paused_tasks = self.loop.paused_tasks
+        has_much_input = len(self.stream.inbox) > MAX_BYTES_PER_STEP
+        if paused_tasks.is_pause_due() or (has_much_input and paused_tasks.is_turn_late()):
+            yield from self._pause()
         self.has_received, self.last_received_at = True, self.loop.now()
         try:
-            for event in self.h2.receive_data(self.stream.take_inbox()):
+            for event in self.h2.receive_data(self.stream.take_inbox(MAX_BYTES_PER_STEP)):
                 self.peer_events.handle(event)
         except (h2.exceptions.ProtocolError, UnicodeDecodeError):
             self.flush()  # the GOAWAY with the error code, which h2 has encoded
             return False
         return True
 
+    def _pause(self) -> Generator[float | None, None, None]:
+        """Let the loop serve others, as this connection keeps it busy.
+
+        Meanwhile the data of a client that is not decoded yet counts as unread, so that no request that
+        arrived later overtakes one in it that has the same key.
+        """
+        if not self.is_client:
+            arrival = self.stream.arrivals.time_of(self.stream.bytes_consumed + 1, self.loop.now())
+            self.loop.watermark.hold(self, arrival.latest)
+        try:
+            yield from self.loop.paused_tasks.pause(self.task)
+        finally:
+            self.loop.watermark.release(self)
+
 
 def _new_h2_connection(is_client: bool) -> h2.connection.H2Connection:
     connection = h2.connection.H2Connection(
--- a/query_gateway/statements/classifier.py
+++ b/query_gateway/statements/classifier.py
@@ -64,7 +64,9 @@
         if len(self._distinct_results) > MAX_DISTINCT_RESULTS:
             self._distinct_results.clear()
         shared_result = self._distinct_results.setdefault(parse_result, parse_result)
-        cached = CachedStatement(shared_result, table_group(" ".join(statement.tokens)))
+        cached = CachedStatement(
+            shared_result, table_group(" ".join(statement.tokens).encode(errors="replace"))
+        )
         self.shapes.put(statement.fingerprint, cached)
         return cached
 
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -511,13 +511,13 @@
     ],
 )
 def test_the_table_group_is_found_in_sql(statement: str, group: int | None) -> None:
-    assert table_group(statement) == group
+    assert table_group(statement.encode()) == group
 
 
 @derandomized
 @given(st.text(max_size=80))
 def test_any_text_has_a_table_group_or_none(text: str) -> None:
-    group = table_group(text)
+    group = table_group(text.encode(errors="replace"))
     assert group is None or group >= 0
 
 
