Bound the memory that clients' input takes: fewer copies, and a budget from memory_mb

Change: flight/wire_fields.py finds and writes a statement without copies of its message; sent parts are views; ended calls and settled exchanges free what they held; net/receive_budget.py gives clients' input a quarter of memory_mb. A Flight SQL message over 64 KB reserves its length and waits in order, held back by flow control, until its client's timeout at most. Nothing that fits alone is turned down for its size. Over half of the budget, HTTP connections read ahead only 16 KB.

--- a/query_gateway/admin/figures.py
+++ b/query_gateway/admin/figures.py
@@ -28,6 +28,10 @@
     longest_turn_ms: int  # of the event loop, without its sleep, since the process started
     slow_turns: int  # turns of the event loop over the limit
     turn_limit_ms: int
+    received_bytes: int  # of clients, that are held in memory
+    most_received_bytes: int  # the most since the process started
+    received_bytes_limit: int
+    waiting_for_memory: int  # calls whose message waits for memory
     paused_tasks: int  # tasks with long work that wait for their next slice
 
 
@@ -54,6 +58,10 @@
         f"svc_longest_turn_ms {gauges.longest_turn_ms}",
         f"svc_turn_limit_ms {gauges.turn_limit_ms}",
         f"svc_slow_turns_total {gauges.slow_turns}",
+        f"svc_received_bytes {gauges.received_bytes}",
+        f"svc_most_received_bytes {gauges.most_received_bytes}",
+        f"svc_received_bytes_limit {gauges.received_bytes_limit}",
+        f"svc_waiting_for_memory {gauges.waiting_for_memory}",
         f"svc_paused_tasks {gauges.paused_tasks}",
         f"svc_sighup_applied_total {counters.reloads_applied}",
         f"svc_sighup_rejected_total {counters.reloads_rejected}",
--- a/query_gateway/admin/gateway_figures.py
+++ b/query_gateway/admin/gateway_figures.py
@@ -39,7 +39,7 @@
 
     def lines(self) -> list[str]:
         """Format the current figures, one per line."""
-        endpoints = self.forwarder.endpoints
+        endpoints, budget = self.forwarder.endpoints, self.loop.receive_budget
         ejected_count = sum(name in endpoints for name in self.ejected_endpoints())
         gauges = Gauges(
             self.forwarder.open_request_count,
@@ -50,6 +50,10 @@
             math.ceil(self.loop.longest_turn * MS_PER_SECOND),
             self.loop.slow_turns,
             math.ceil(MAX_TURN_SECONDS * MS_PER_SECOND),
+            budget.held_bytes,
+            budget.most_held_bytes,
+            budget.limit_bytes,
+            budget.waiting_count,
             len(self.loop.paused_tasks),
         )
         lines = render_figures(self.forwarder.counters, gauges)
--- a/query_gateway/configuration/platform.py
+++ b/query_gateway/configuration/platform.py
@@ -52,6 +52,7 @@
     admin_address: tuple[str, int] | None  # where the admin server listens; None: there is no admin server
     seed: int
     max_descriptors: int
+    memory_mb: float | None  # over which the platform kills the process; None: not stated
     discovery_address: str
     initial_endpoints: EndpointListAnswer
     settings: Settings
@@ -144,6 +145,7 @@
         admin_address=address_of(str(admin_address)) if admin_address else None,
         seed=int(str(raw.get("seed", "0")), 16) % 2**63,
         max_descriptors=int(limits.get("sockets", DEFAULT_DESCRIPTORS)),
+        memory_mb=None if limits.get("memory_mb") is None else float(limits["memory_mb"]),
         discovery_address=discovery_address,
         initial_endpoints=initial_endpoints,
         settings=settings,
@@ -163,10 +165,11 @@
         or configuration.streams_per_connection < 1
         or configuration.max_open_requests < 1
         or configuration.dial_timeout <= 0
+        or (configuration.memory_mb is not None and not 0 < configuration.memory_mb < math.inf)
     ):
         raise InvalidValueError(
-            f"limits are too low: sockets must be at least {MIN_DESCRIPTORS}, and streams-per-conn, most-held"
-            " and dial-timeout must be positive"
+            f"limits are too low: sockets must be at least {MIN_DESCRIPTORS}, and streams-per-conn,"
+            " most-held, dial-timeout and memory_mb must be positive"
         )
     has_fixed_port = bool(configuration.listen_address[1])  # for port 0 the kernel chooses a free port
     if configuration.admin_address == configuration.listen_address and has_fixed_port:
--- a/query_gateway/flight/client_call.py
+++ b/query_gateway/flight/client_call.py
@@ -37,6 +37,8 @@
 if TYPE_CHECKING:
     from query_gateway.parsing.service import Classification, ClassificationRequest, StatementService
 
+NANOSECONDS_PER_SECOND = 1e9
+MEMORY_TIMEOUT_S = 30.0  # for a message to get memory, if the client states no timeout
 MESSAGE_TIMEOUT_S = 5.0  # from the start of a call to the arrival of its complete message
 # The platform's equivalent of Retry-After, in milliseconds, which is part of every rejection; 0: the client
 # may retry at once
@@ -79,6 +81,7 @@
         self.task: Task | None = None  # classifies or scans the statement, if that cannot be done at once
         self.state = FlightCallState.AWAITING_MESSAGE
         self.headers_sent = False
+        self.started_at = server.loop.now()
         # Without a timeout, a call whose client never sends its message would stay in the connection's table
         # of open calls, and the connection would never count as idle
         server.loop.call_at(server.loop.now() + MESSAGE_TIMEOUT_S, self._on_message_timeout)
@@ -89,9 +92,37 @@
         return self.state is FlightCallState.DONE
 
     def _on_message_timeout(self) -> None:
-        if self.state is FlightCallState.AWAITING_MESSAGE:
+        """End the call if its message is late: MESSAGE_TIMEOUT_S after its start, or after it got memory.
+
+        While a long message waits for memory, the call may wait as long as its client does.
+        """
+        if self.state is not FlightCallState.AWAITING_MESSAGE:
+            return
+        loop, call = self.server.loop, self.call
+        due_at = self.started_at + MESSAGE_TIMEOUT_S
+        if call.reservation:  # its client may have had to wait
+            due_at = max(due_at, self.started_at + self._client_timeout_s())
+        if call.memory_granted_at:
+            due_at = min(due_at, call.memory_granted_at + MESSAGE_TIMEOUT_S)
+        if loop.now() < due_at:
+            loop.call_at(min(due_at, loop.now() + MESSAGE_TIMEOUT_S), self._on_message_timeout)
+        elif call.awaits_memory:
+            class_name = self.request_headers.get("x-class", self.server.update_class)
+            if class_name not in self.server.classes:
+                class_name = self.server.update_class
+            self._reject_unforwarded(class_name, EarlyRejection.MEMORY_LIMIT, "Overloaded")
+        else:
             self._finish(GrpcStatus.DEADLINE_EXCEEDED, "the call's message did not come in time")
 
+    def _client_timeout_s(self) -> float:
+        """The client's timeout in seconds; MEMORY_TIMEOUT_S if it states none that can be read."""
+        default_ns = int(MEMORY_TIMEOUT_S * NANOSECONDS_PER_SECOND)
+        try:
+            timeout_ns = parse_grpc_timeout(self.request_headers.get("grpc-timeout"), default_ns)
+        except RequestError:
+            timeout_ns = default_ns
+        return timeout_ns / NANOSECONDS_PER_SECOND
+
     # ---- the client's call
 
     def on_message(self, data: bytes, flow_controlled_bytes: int) -> None:
@@ -111,9 +142,9 @@
             self.call.send(info)
             self._finish(GrpcStatus.OK)
         elif self.method_name == FlightMethod.DO_GET.value:
-            self._classify(messages.decode_ticket(data), is_update=False)
+            self._classify(messages.read_ticket(data), is_update=False)
         elif self.method_name == FlightMethod.DO_PUT.value:
-            self._classify(messages.decode_update(data), is_update=True)
+            self._classify(messages.read_update(data), is_update=True)
         else:
             name = self.method_name[:MAX_NAME_IN_ERROR]
             self._finish(GrpcStatus.UNIMPLEMENTED, f"{name} is not supported here")
@@ -134,7 +165,7 @@
 
     # ---- from the message to the forwarder
 
-    def _classify(self, text: str, is_update: bool) -> None:
+    def _classify(self, text: bytes, is_update: bool) -> None:
         """Forward a statement: after classification if statement parsing is enabled, otherwise at once."""
         server = self.server
         stream = self.call.connection.stream
@@ -220,7 +251,7 @@
         key = hex_header(self.request_headers, "x-row", KEY_DIGITS, False)
         timeout_ns = parse_grpc_timeout(self.request_headers.get("grpc-timeout"), default_ns=0)
         deadline = loop_time_of(deadline_of(statement, timeout_ns)) if timeout_ns else None
-        return ClassificationRequest(statement.text, class_name, key, deadline=deadline)
+        return ClassificationRequest(statement.statement.decode(), class_name, key, deadline=deadline)
 
     def _on_classified(self, statement: FlightStatement, classification: "Classification") -> None:
         if self.state is FlightCallState.DONE:
--- a/query_gateway/flight/engines.py
+++ b/query_gateway/flight/engines.py
@@ -77,7 +77,7 @@
         if not self.attempt.may_be_written():
             self.end(OutcomeCode.NOT_SENT)
             return
-        statement = self.attempt.request.statement.decode()
+        statement = self.attempt.request.statement
         if self.method is FlightMethod.DO_PUT:
             self._open_call(messages.encode_update(statement))
         else:
--- a/query_gateway/flight/messages.py
+++ b/query_gateway/flight/messages.py
@@ -2,8 +2,11 @@
 
 Declared with the field numbers of the public specification, and encoded and decoded by the protobuf package;
 callers see plain values only. The FlightData messages of a result are forwarded without being decoded.
+Statements, which may be long, are found in a client's message and written to an engine's by `wire_fields`,
+which copies them only once.
 """
 
+import codecs
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any
@@ -11,6 +14,8 @@
 from google.protobuf import any_pb2, descriptor_pb2, descriptor_pool, message_factory
 from google.protobuf.message import DecodeError
 
+from query_gateway.flight.wire_fields import WireFormatError, field_head, find_field
+
 SERVICE_PATH = "/arrow.flight.protocol.FlightService/"
 FLIGHT_PACKAGE, SQL_PACKAGE = "arrow.flight.protocol", "arrow.flight.protocol.sql"
 TYPE_URL_PREFIX = f"type.googleapis.com/{SQL_PACKAGE}."
@@ -21,7 +26,15 @@
     FieldProto.TYPE_INT64,
     FieldProto.TYPE_MESSAGE,
 )
+# Fields on the way to a statement; the messages are declared below
+TICKET_FIELD = 1  # of Ticket
+FLIGHT_DESCRIPTOR_FIELD = 1  # of FlightData
+COMMAND_FIELD = 2  # of FlightDescriptor
+TYPE_URL_FIELD, ANY_VALUE_FIELD = 1, 2  # of google.protobuf.Any
+STATEMENT_FIELD = 1  # of CommandStatementQuery, CommandStatementUpdate and TicketStatementQuery
+UTF8_STEP_BYTES = 65_536  # decoded at a time to check the encoding of a statement
 COMMAND_DESCRIPTOR = 2  # FlightDescriptor.type of a descriptor that holds a command
+DESCRIPTOR_TYPE = b"\x08\x02"  # the encoded field FlightDescriptor.type
 UNKNOWN_TOTAL = -1  # in FlightInfo: the number of records or bytes is unknown
 MAX_TYPE_URL_IN_ERROR = 80  # characters of a type URL that an error message repeats
 
@@ -126,11 +139,51 @@
     return any_pb2.Any(type_url=TYPE_URL_PREFIX + name, value=value).SerializeToString()
 
 
-def encode_query_descriptor(statement: str) -> bytes:
+def _field(name: str, data: memoryview, number: int) -> memoryview:
+    """Return a field of the message `name` without copying it; raises FlightMessageError."""
+    try:
+        return find_field(data, number)
+    except WireFormatError:
+        raise FlightMessageError(f"not a {name}") from None
+
+
+def _statement_in(packed: memoryview, name: str) -> bytes:
+    """Return the statement of the message `name` in an encoded Any; raises FlightMessageError."""
+    type_url = bytes(_field("Any", packed, TYPE_URL_FIELD)).decode(errors="replace")
+    if type_url.rpartition("/")[2] != f"{SQL_PACKAGE}.{name}":
+        shown = type_url[:MAX_TYPE_URL_IN_ERROR] or "an unnamed message"
+        raise FlightMessageError(f"{shown} is not supported here")
+    return bytes(_field(name, _field("Any", packed, ANY_VALUE_FIELD), STATEMENT_FIELD))
+
+
+def _is_utf8(statement: bytes) -> bool:
+    """Whether the statement is valid UTF-8; decoded in steps, as a str takes up to four times its memory."""
+    decoder = codecs.getincrementaldecoder("utf-8")()
+    try:
+        for start in range(0, len(statement), UTF8_STEP_BYTES):
+            decoder.decode(statement[start : start + UTF8_STEP_BYTES])
+        decoder.decode(b"", final=True)
+    except UnicodeDecodeError:
+        return False
+    return True
+
+
+def _wrap(number: int, parts: list[bytes]) -> list[bytes]:
+    """Return the parts of a length-delimited field whose value consists of `parts`."""
+    return [field_head(number, sum(len(part) for part in parts)), *parts]
+
+
+def _encode_command(name: str, statement: str | bytes) -> list[bytes]:
+    """Return the parts of the encoded FlightDescriptor with a command that has this statement."""
+    encoded = statement.encode() if isinstance(statement, str) else statement
+    type_url = (TYPE_URL_PREFIX + name).encode()
+    packed = [*_wrap(TYPE_URL_FIELD, [type_url]), *_wrap(ANY_VALUE_FIELD, _wrap(STATEMENT_FIELD, [encoded]))]
+    return [DESCRIPTOR_TYPE, *_wrap(COMMAND_FIELD, packed)]
+
+
+def encode_query_descriptor(statement: str | bytes) -> bytes:
     """Return the encoded FlightDescriptor of a query, the argument of GetFlightInfo."""
-    command = _pack("CommandStatementQuery", query=statement)
-    descriptor = _classes["FlightDescriptor"](type=COMMAND_DESCRIPTOR, cmd=command)
-    return bytes(descriptor.SerializeToString())
+    return b"".join(_encode_command("CommandStatementQuery", statement))
 
 
 def decode_query_descriptor(data: bytes) -> str:
@@ -159,22 +212,34 @@
     return [endpoint.ticket.SerializeToString() for endpoint in _parse("FlightInfo", data).endpoint]
 
 
-def decode_ticket(data: bytes) -> str:
+def read_ticket(data: bytes) -> bytes:
     """Return the statement in a ticket that this gateway issued; raises FlightMessageError for others."""
-    handle = _unpack(_parse("Ticket", data).ticket, "TicketStatementQuery").statement_handle
-    try:
-        return bytes(handle).decode()
-    except UnicodeDecodeError:
-        raise FlightMessageError("the ticket is none of ours") from None
+    ticket = _field("Ticket", memoryview(data), TICKET_FIELD)
+    statement = _statement_in(ticket, "TicketStatementQuery")
+    if not _is_utf8(statement):
+        raise FlightMessageError("the ticket is none of ours")
+    return statement
+
+
+def decode_ticket(data: bytes) -> str:
+    """Return the statement in a ticket as text; see `read_ticket`."""
+    return read_ticket(data).decode()
 
 
-def encode_update(statement: str) -> bytes:
+def encode_update(statement: str | bytes) -> bytes:
     """Return the encoded FlightData with which DoPut sends an update statement."""
-    command = _pack("CommandStatementUpdate", query=statement)
-    descriptor = _classes["FlightDescriptor"](type=COMMAND_DESCRIPTOR, cmd=command)
-    return bytes(_classes["FlightData"](flight_descriptor=descriptor).SerializeToString())
+    return b"".join(_wrap(FLIGHT_DESCRIPTOR_FIELD, _encode_command("CommandStatementUpdate", statement)))
 
 
-def decode_update(data: bytes) -> str:
+def read_update(data: bytes) -> bytes:
     """Return the update statement in the first FlightData of DoPut; raises FlightMessageError."""
-    return str(_unpack(_parse("FlightData", data).flight_descriptor.cmd, "CommandStatementUpdate").query)
+    descriptor = _field("FlightData", memoryview(data), FLIGHT_DESCRIPTOR_FIELD)
+    statement = _statement_in(_field("FlightDescriptor", descriptor, COMMAND_FIELD), "CommandStatementUpdate")
+    if not _is_utf8(statement):
+        raise FlightMessageError("not a CommandStatementUpdate")
+    return statement
+
+
+def decode_update(data: bytes) -> str:
+    """Return the update statement as text; see `read_update`."""
+    return read_update(data).decode()
--- a/query_gateway/flight/requests.py
+++ b/query_gateway/flight/requests.py
@@ -41,7 +41,7 @@
 class FlightStatement:
     """A statement as received from a client."""
 
-    text: str
+    statement: bytes  # in UTF-8
     is_update: bool  # sent through DoPut, which the client uses for statements that modify data
     received_at_ns: int  # clock time, the lower bound of the arrival time
     order_at_ns: int = 0  # clock time, the upper bound of the arrival time, which defines the arrival order
@@ -92,7 +92,7 @@
     table group is not set, as scanning a long statement for it takes several turns of the loop.
     """
     timeout_ns = parse_grpc_timeout(headers.get("grpc-timeout"), flight_class.timeout_ns)
-    if not statement.text:
+    if not statement.statement:
         raise RequestError(400, "the statement is missing")
     if statement.is_update and flight_class.is_idempotent:
         # Requests of an idempotent class may run twice (retry, hedged request), which would apply an update
@@ -107,7 +107,7 @@
         client_request_id=client_request_id_of(headers),
         class_index=flight_class.class_index,
         class_name=class_name,
-        statement=statement.text.encode(),
+        statement=statement.statement,
         deadline=deadline_of(statement, timeout_ns),
         is_retry=headers.get("x-second-try") == "1",
         key=key if flight_class.ordered_by_key else None,
--- a/query_gateway/forwarder/exchange.py
+++ b/query_gateway/forwarder/exchange.py
@@ -16,6 +16,7 @@
 """
 
 from collections.abc import Callable
+from dataclasses import replace
 from enum import Enum
 from typing import Final
 
@@ -209,6 +210,13 @@
             details = f"request {self.request.client_request_id}"
             self.context.invariants.report(Invariant.ANSWERED_IN_TIME, details)
 
+    def discard_statement(self) -> None:
+        """Free the statement of a settled exchange, which sends it no more.
+
+        The exchange and its attempts form a reference cycle that lives until the garbage collector runs.
+        """
+        self.request = replace(self.request, statement=b"")
+
     def settle(self) -> None:
         """Have the forwarder remove the exchange if it is answered and has no attempt in flight."""
         if self.answered and not self.engine_side.has_attempt_in_flight:
--- a/query_gateway/forwarder/forwarder.py
+++ b/query_gateway/forwarder/forwarder.py
@@ -225,6 +225,7 @@
         self.open_client_request_ids.discard(exchange.request.client_request_id)
         if exchange.request.fingerprint and self.context.observer:
             self.context.observer.on_settled(exchange.request)
+        exchange.discard_statement()
         if exchange.timer:
             exchange.timer.cancel()
         if self.arrival_order:
--- a/query_gateway/forwarder/messages.py
+++ b/query_gateway/forwarder/messages.py
@@ -48,6 +48,7 @@
     CONNECTION_LIMIT = "connection-limit"  # its connection exceeds the connection limit
     NO_PARSER = "no-parser"  # its statement could not be parsed in time
     SCAN_TIMEOUT = "scan-timeout"  # its statement could not be scanned for its table group in time
+    MEMORY_LIMIT = "memory-limit"  # the memory for what clients send was not free in time
     STATEMENT_LIMIT = "statement-limit"  # the limit of running statements of its shape is reached
     REQUEST_LIMIT = "request-limit"  # the limit of open exchanges is reached
     NO_PLANNER = "no-planner"  # its planner is not connected
--- a/query_gateway/gateway.py
+++ b/query_gateway/gateway.py
@@ -38,6 +38,7 @@
 from query_gateway.lifecycle.startup import Startup
 from query_gateway.net.log import log
 from query_gateway.net.loop import Loop
+from query_gateway.net.receive_budget import limit_for_memory
 from query_gateway.net.steady_clock import steady_now_ns, wall_clock_offset_ns
 from query_gateway.planner.planner import Planner
 
@@ -68,6 +69,7 @@
         self.options = options or GatewayOptions()
         self.active = ActiveConfiguration(config, operator, config.classes)
         self.loop, self.readiness = Loop(), Readiness()
+        self.loop.receive_budget.limit_bytes = limit_for_memory(config.memory_mb)
         path = self.options.upgrade_path
         self.hot_upgrade = HotUpgrade(self.loop, path) if path else None
         self.startup = Startup(self.loop, self.readiness, self.hot_upgrade)
--- a/query_gateway/http/h11_request.py
+++ b/query_gateway/http/h11_request.py
@@ -37,8 +37,25 @@
     Raises RequestError if the request is too large or incomplete at the deadline (loop time), and h11's
     RemoteProtocolError if the bytes are not valid HTTP.
     """
-    request: h11.Request | None = None
     body = bytearray()
+    try:
+        return (yield from _read_body(connection, stream, deadline, pause_if_due, body))
+    finally:
+        stream.loop.receive_budget.count(-len(body))
+
+
+def _read_body(
+    connection: h11.Connection,
+    stream: Stream,
+    deadline: float,
+    pause_if_due: Callable[[], Generator[float | None, None, None]],
+    body: bytearray,
+) -> Generator[float | None, None, HttpRequest | Reason]:
+    """Read one complete request into the empty `body`, whose bytes are counted as held.
+
+    See `read_request`, which counts them as held no longer.
+    """
+    request: h11.Request | None = None
     while True:
         yield from pause_if_due()
         event = connection.next_event()
@@ -50,6 +67,7 @@
             _check_body_length(event)
         elif isinstance(event, h11.Data):
             body += event.data
+            stream.loop.receive_budget.count(len(event.data))
             if len(body) > MAX_BODY_BYTES:
                 raise RequestError(413, "the statement is too long")
         elif isinstance(event, h11.EndOfMessage) and request:
--- a/query_gateway/http/request_handler.py
+++ b/query_gateway/http/request_handler.py
@@ -83,7 +83,18 @@
         self._exchange: Exchange | None = None  # of the open request
 
     def handle(self, request: ClientRequest) -> Generator[float | None, None, Response | Reason]:
-        """Return the response, or the reason if the connection ends without one; raises RequestError."""
+        """Return the response, or the reason if the connection ends without one; raises RequestError.
+
+        The statement is counted as held until then.
+        """
+        budget, size = self.server.loop.receive_budget, len(request.statement)
+        budget.count(size)
+        try:
+            return (yield from self._handle(request))
+        finally:
+            budget.count(-size)
+
+    def _handle(self, request: ClientRequest) -> Generator[float | None, None, Response | Reason]:
         self._exchange = None
         self._check_id_is_free(request)
         pending = PendingAnswer(self.task.wake, self._client_has_left)
--- a/query_gateway/net/buffered_socket.py
+++ b/query_gateway/net/buffered_socket.py
@@ -18,10 +18,10 @@
 from query_gateway.net.errors import LOCAL_DIAL_ERRORS, WOULD_BLOCK_ERRORS, is_transient
 from query_gateway.net.loop import IN, OUT, Loop
 from query_gateway.net.outbox import Outbox
+from query_gateway.net.receive_budget import MAX_INBOX_BYTES
 from query_gateway.net.tcp_info import seconds_since_last_data
 
 READ_SIZE_BYTES = 65_536
-MAX_INBOX_BYTES = 262_144  # unconsumed bytes at which reading pauses
 
 
 class BufferedSocket:
@@ -124,13 +124,19 @@
             self.eof = True
         self.inbox += data
         if self._is_accepted:
+            self.loop.receive_budget.count(len(data))
             more_waits = len(data) >= READ_SIZE_BYTES
             self.arrivals.record_read(len(data), self._arrival_time(waited), more_waits)
-        self.read_paused = len(self.inbox) >= MAX_INBOX_BYTES
+        self.read_paused = len(self.inbox) >= self._max_inbox_bytes
         if self.read_paused:
             self.arrivals.unread_since = self.loop.now()
         return True
 
+    @property
+    def _max_inbox_bytes(self) -> int:
+        """Unconsumed bytes at which reading pauses."""
+        return self.loop.receive_budget.max_inbox_bytes if self._is_accepted else MAX_INBOX_BYTES
+
     def _arrival_time(self, waited: float | None) -> ArrivalTime:
         """The arrival time of the bytes just read; the newest arrived `waited` seconds ago, if known."""
         now = self.loop.now()
@@ -156,7 +162,9 @@
         data = bytes(self.inbox[:max_bytes])
         del self.inbox[:max_bytes]
         self.bytes_consumed += len(data)
-        if self.read_paused and len(self.inbox) < MAX_INBOX_BYTES:
+        if self._is_accepted:
+            self.loop.receive_budget.count(-len(data))
+        if self.read_paused and len(self.inbox) < self._max_inbox_bytes:
             self.read_paused = False
             self._update_mask()
         return data
--- a/query_gateway/net/loop.py
+++ b/query_gateway/net/loop.py
@@ -17,6 +17,7 @@
 from query_gateway.net.arrival_watermark import ArrivalWatermark
 from query_gateway.net.log import log
 from query_gateway.net.paused_tasks import PausedTasks
+from query_gateway.net.receive_budget import ReceiveBudget
 from query_gateway.net.retry import retry_at_start
 
 LoopCoroutine = Generator[float | None, None, None]
@@ -113,6 +114,7 @@
         self.urgent: deque[Task] = deque()  # ready tasks that run before the others
         self.ready: deque[Task] = deque()
         self.paused_tasks = PausedTasks()
+        self.receive_budget = ReceiveBudget()
         self.timers: list[tuple[float, int, Timer]] = []  # heap of (due time, sequence number, timer)
         self.timer_sequence = count()
         self.timers_after_sweep = 0  # size of the heap after the last sweep of cancelled timers
--- /dev/null
+++ b/query_gateway/net/receive_budget.py
@@ -0,0 +1,103 @@
+"""The memory for what clients send: bytes in inboxes, in incomplete messages and in open statements.
+
+Over its memory limit the platform kills the process, with every request that is open. A long message
+therefore reserves its length before it is received, and waits for its turn if the budget is used up; flow
+control keeps its client from sending more. Other input is counted as it comes: while much of the budget is in
+use, it is read ahead of its turn only up to a small size.
+"""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+BYTES_PER_MB = 1_048_576
+# Of the process's memory. A received byte is in memory at most twice: in its buffer and its statement, then
+# there and in its encoding for an engine. The other half is for the process itself and its allocator
+SHARE_OF_MEMORY = 0.25
+MIN_LIMIT_BYTES = 16 * BYTES_PER_MB  # the longest message must fit
+UNLIMITED_BYTES = 1 << 62
+# The inbox of a connection, in general and while over half of the budget is in use
+MAX_INBOX_BYTES = 262_144
+MAX_INBOX_UNDER_PRESSURE_BYTES = 16_384
+
+
+def limit_for_memory(memory_mb: float | None) -> int:
+    """The budget in bytes of a process that may use `memory_mb`; None: without a limit."""
+    if memory_mb is None:
+        return UNLIMITED_BYTES
+    return max(MIN_LIMIT_BYTES, int(memory_mb * SHARE_OF_MEMORY * BYTES_PER_MB))
+
+
+@dataclass(slots=True, eq=False)
+class Reservation:
+    """A part of the budget that one message has, or waits for."""
+
+    size: int
+    on_granted: Callable[[], None]
+    is_granted: bool = False
+    is_released: bool = False
+
+
+class ReceiveBudget:
+    """Counts the bytes that are held, and grants reservations in the order in which they were asked for."""
+
+    def __init__(self, limit_bytes: int = UNLIMITED_BYTES) -> None:
+        """Start with nothing held."""
+        self.limit_bytes = limit_bytes
+        self.held_bytes = self.most_held_bytes = 0
+        self._waiting: deque[Reservation] = deque()
+
+    @property
+    def waiting_count(self) -> int:
+        """The number of reservations that are not granted yet."""
+        return sum(not reservation.is_released for reservation in self._waiting)
+
+    @property
+    def max_inbox_bytes(self) -> int:
+        """Unconsumed bytes at which reading from a client pauses."""
+        is_under_pressure = 2 * self.held_bytes > self.limit_bytes
+        return MAX_INBOX_UNDER_PRESSURE_BYTES if is_under_pressure else MAX_INBOX_BYTES
+
+    def count(self, size: int) -> None:
+        """Add `size` bytes that are held without a reservation; negative: they are held no longer."""
+        self.held_bytes += size
+        self.most_held_bytes = max(self.most_held_bytes, self.held_bytes)
+        if size < 0:
+            self._grant_waiting()
+
+    def reserve(self, size: int, on_granted: Callable[[], None]) -> Reservation:
+        """Reserve `size` bytes; `on_granted` is called if they are granted after the return of this call."""
+        reservation = Reservation(size, on_granted)
+        if not self._waiting and self._fits(size):
+            self._grant(reservation)
+        else:
+            self._waiting.append(reservation)
+        return reservation
+
+    def release(self, reservation: Reservation) -> None:
+        """Return a reservation, or withdraw it if it is not granted; further calls have no effect."""
+        if reservation.is_released:
+            return
+        reservation.is_released = True
+        if reservation.is_granted:
+            self.held_bytes -= reservation.size
+        self._grant_waiting()
+
+    def _fits(self, size: int) -> bool:
+        return self.held_bytes + size <= self.limit_bytes or self.held_bytes <= 0
+
+    def _grant(self, reservation: Reservation) -> None:
+        reservation.is_granted = True
+        self.held_bytes += reservation.size
+        self.most_held_bytes = max(self.most_held_bytes, self.held_bytes)
+
+    def _grant_waiting(self) -> None:
+        while self._waiting:
+            first = self._waiting[0]
+            if not first.is_released:
+                if not self._fits(first.size):
+                    return
+                self._grant(first)
+            self._waiting.popleft()
+            if not first.is_released:
+                first.on_granted()
--- a/query_gateway/net/stream.py
+++ b/query_gateway/net/stream.py
@@ -106,5 +106,7 @@
         if self.closed:
             return
         self.closed = True
+        if self._is_accepted:
+            self.take_inbox()  # counted as held in memory
         self.loop.dispose(self.sock)
         log("end", f"{self.description} {reason.value}{' ' + details if details else ''}")
--- a/query_gateway/rpc/call.py
+++ b/query_gateway/rpc/call.py
@@ -18,8 +18,12 @@
 
 from h2.connection import H2Connection
 
+from query_gateway.net.receive_budget import Reservation
 from query_gateway.net.stream import Stream
-from query_gateway.rpc.framing import MessageDecoder, encode_message
+from query_gateway.rpc.framing import MessageDecoder, message_prefix
+
+# Longer messages of clients reserve their length before they are received
+MAX_UNRESERVED_MESSAGE_BYTES = 65_536
 
 Headers = list[tuple[str, str]]
 
@@ -58,9 +62,10 @@
 
 @dataclass(slots=True)
 class QueuedMessage:
-    """One message with its prefix; the part that has been sent is removed from `data`."""
+    """One message; what has been sent is removed from `prefix` and `data`."""
 
-    data: bytes
+    prefix: bytes
+    data: memoryview
     on_sent: Callable[[], None] | None  # called once flow control has released the last byte
     may_send: Callable[[], bool] | None  # asked right before the first byte is sent; see `Call.send`
 
@@ -104,6 +109,35 @@
         self.queue: deque[QueuedMessage] = deque()
         self.trailers: Headers | None = None  # sent after the queue to end the call; server side only
         self.state = CallState.OPEN
+        self.reservation: Reservation | None = (
+            None  # of memory for its message; held until the call is closed
+        )
+        self.memory_granted_at: float | None = None  # loop time; None: it reserves none, or waits for it
+        self._withheld_bytes = 0  # flow-control credit that is returned once the memory is granted
+
+    @property
+    def awaits_memory(self) -> bool:
+        """Whether its message is longer than the memory that is free for what clients send."""
+        return self.reservation is not None and not self.reservation.is_granted
+
+    def acknowledge_partial_message(self, flow_controlled_bytes: int) -> None:
+        """Return credit for a part of a client's message, once there is memory for all of it."""
+        size = self.decoder.announced_bytes
+        if self.reservation is None and size > MAX_UNRESERVED_MESSAGE_BYTES:
+            loop = self.connection.stream.loop
+            self.reservation = loop.receive_budget.reserve(size, self._on_memory_granted)
+            if self.reservation.is_granted:
+                self.memory_granted_at = loop.now()
+        if self.awaits_memory:
+            self._withheld_bytes += flow_controlled_bytes
+        else:
+            self.acknowledge(flow_controlled_bytes)
+
+    def _on_memory_granted(self) -> None:
+        self.memory_granted_at = self.connection.stream.loop.now()
+        withheld, self._withheld_bytes = self._withheld_bytes, 0
+        if not self.is_closed:
+            self.acknowledge(withheld)
 
     @property
     def is_closed(self) -> bool:
@@ -134,7 +168,7 @@
         """
         if self.is_closed:
             return
-        self.queue.append(QueuedMessage(encode_message(message), on_sent, may_send))
+        self.queue.append(QueuedMessage(message_prefix(message), memoryview(message), on_sent, may_send))
         if half_close and self.state is CallState.OPEN:
             self.state = CallState.HALF_CLOSING
         self.send_queued()
@@ -154,6 +188,11 @@
     def mark_closed(self) -> None:
         """Record that the call has ended; called by the connection only."""
         self.state = CallState.CLOSED
+        # The call and its handler form a reference cycle that lives until the garbage collector runs; the
+        # part of a long message that was received must not live as long
+        self.decoder = MessageDecoder()
+        if self.reservation:
+            self.connection.stream.loop.receive_budget.release(self.reservation)
 
     def acknowledge(self, flow_controlled_bytes: int) -> None:
         """Return flow-control credit to the peer for bytes that have been forwarded."""
@@ -179,15 +218,17 @@
         window = min(h2.local_flow_control_window(self.stream_id), h2.max_outbound_frame_size)
         if window <= 0 or not self._may_send_first_byte(message):
             return False
-        is_complete = len(message.data) <= window
+        prefix = message.prefix[:window]
+        size = window - len(prefix)
+        is_complete = prefix == message.prefix and len(message.data) <= size
         end_stream = is_complete and len(self.queue) == 1 and self._half_closes_with_message
-        h2.send_data(self.stream_id, message.data[:window], end_stream=end_stream)
+        h2.send_data(self.stream_id, prefix + message.data[:size], end_stream=end_stream)
         if end_stream:
             self.state = CallState.HALF_CLOSED
         if is_complete:
             self.queue.popleft()
         else:
-            message.data = message.data[window:]
+            message.prefix, message.data = message.prefix[len(prefix) :], message.data[size:]
         self.connection.flush()
         if is_complete and message.on_sent:
             message.on_sent()
--- a/query_gateway/rpc/framing.py
+++ b/query_gateway/rpc/framing.py
@@ -16,6 +16,11 @@
         """Start with an empty buffer."""
         self.buffer = bytearray()
 
+    @property
+    def announced_bytes(self) -> int:
+        """The length of the incomplete message, as its prefix states it; 0 if there is none."""
+        return int.from_bytes(self.buffer[1:PREFIX_BYTES], "big") if len(self.buffer) >= PREFIX_BYTES else 0
+
     def feed(self, data: bytes) -> list[bytes]:
         """Return the messages that `data` completes, in order and without their prefixes.
 
@@ -35,11 +40,17 @@
             end = PREFIX_BYTES + length
             if len(self.buffer) < end:
                 break
-            messages.append(bytes(self.buffer[PREFIX_BYTES:end]))
+            with memoryview(self.buffer) as view:
+                messages.append(bytes(view[PREFIX_BYTES:end]))
             del self.buffer[:end]
         return messages
 
 
+def message_prefix(message: bytes) -> bytes:
+    """Return the prefix of an uncompressed message."""
+    return b"\0" + len(message).to_bytes(4, "big")
+
+
 def encode_message(message: bytes) -> bytes:
     """Return the message, uncompressed, with its prefix."""
-    return b"\0" + len(message).to_bytes(4, "big") + message
+    return message_prefix(message) + message
--- a/query_gateway/rpc/peer_events.py
+++ b/query_gateway/rpc/peer_events.py
@@ -101,8 +101,10 @@
             return
         # Data that completes no message is acknowledged at once: otherwise the peer could never send the rest
         # of a message that exceeds the window, and the call would stall
-        if not messages:
+        if not messages and self.connection.is_client:
             call.acknowledge(flow_controlled_bytes)
+        elif not messages:
+            call.acknowledge_partial_message(flow_controlled_bytes)
         for index, message in enumerate(messages):
             call.handler.on_message(message, flow_controlled_bytes if index == 0 else 0)
 
--- a/tests/test_flight_statements.py
+++ b/tests/test_flight_statements.py
@@ -376,7 +376,7 @@
 def test_idempotency_key_made_by_the_gateway_belongs_to_one_request() -> None:
     load_class = FlightClass(2, True, True, 10**10, False)
     classification = Classification(Decision("load", True, False, "0" * 16, "insert", True))
-    insert = FlightStatement("INSERT INTO a (b) VALUES (1)", is_update=True, received_at_ns=0)
+    insert = FlightStatement(b"INSERT INTO a (b) VALUES (1)", is_update=True, received_at_ns=0)
     queries = [decode_request(insert, "load", load_class, {}, classification) for _ in range(2)]
     assert {query.key for query in queries} == {"0" * 16}
     assert len({query.idempotency_key for query in queries}) == 2 and {
