Hear a slow discovery service: keep late polls, poll beside them, show the list's age

Change: a poll is kept 7.8 s and a dial 3 s; once one is open for 2.8 s (dial: 0.5 s) another connection polls beside it, four at most, so that a dead connection costs as little as before. An answer ends older polls and is cut to what is new. svc_endpoint_list_age_ms beside its limit of 7 s, and a log line when it is passed.

test_race_endpoint_list.py sets the new time limit to zero too, so that its silent connection is still closed as unresponsive before the test ends.

--- a/query_gateway/admin/figures.py
+++ b/query_gateway/admin/figures.py
@@ -25,6 +25,8 @@
     ejected: int  # engines of the list that the planners have ejected
     held_for_order: int  # requests with a key that wait until the gateway has read all earlier requests
     accept_failures: int  # failed calls of accept(), summed over all listeners
+    endpoint_list_age_ms: int  # since the list was last known to be complete
+    endpoint_list_age_limit_ms: int
     longest_turn_ms: int  # of the event loop, without its sleep, since the process started
     slow_turns: int  # turns of the event loop over the limit
     turn_limit_ms: int
@@ -55,6 +57,8 @@
         f"svc_discovered {gauges.discovered}",
         f"svc_ejected {gauges.ejected}",
         f"svc_accept_failures_total {gauges.accept_failures}",
+        f"svc_endpoint_list_age_ms {gauges.endpoint_list_age_ms}",
+        f"svc_endpoint_list_age_limit_ms {gauges.endpoint_list_age_limit_ms}",
         f"svc_longest_turn_ms {gauges.longest_turn_ms}",
         f"svc_turn_limit_ms {gauges.turn_limit_ms}",
         f"svc_slow_turns_total {gauges.slow_turns}",
--- a/query_gateway/gateway.py
+++ b/query_gateway/gateway.py
@@ -3,7 +3,7 @@
 import signal
 from typing import TYPE_CHECKING
 
-from query_gateway.admin.gateway_figures import GatewayFigures
+from query_gateway.admin.gateway_figures import FigureSources, GatewayFigures
 from query_gateway.admin.server import AdminServer
 from query_gateway.composition import (
     FrontOptions,
@@ -128,13 +128,11 @@
         if not self.options.inherited:
             self.announcer.start()
         self.readiness.watchers.append(self.announcer.update)
-        self.gateway_figures = GatewayFigures(
-            self.loop,
-            self.forwarder,
-            self.planner_links.ejected_endpoints,
-            self.statements,
-            self.fronts.listeners,
-        )
+        figure_sources = FigureSources(
+            self.loop, self.forwarder, self.watch_client, self.planner_links.ejected_endpoints,
+            self.statements, self.fronts.listeners,
+        )  # fmt: skip
+        self.gateway_figures = GatewayFigures(figure_sources)
         self.admin_server = (
             AdminServer(self.loop, config.admin_address, self.readiness, self.gateway_figures.lines)
             if config.admin_address
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -72,6 +72,7 @@
         # The figures of the loop's turns are times; all others are counts
         assert before.pop("svc_turn_limit_ms") == 50 and before.pop("svc_longest_turn_ms") >= 0
         assert before.pop("svc_slow_turns_total") >= 0 and before.pop("svc_paused_tasks") == 0
+        assert before.pop("svc_endpoint_list_age_limit_ms") == 7_000 > before.pop("svc_endpoint_list_age_ms")
         assert before.pop("svc_received_bytes_limit") > 0 == before.pop("svc_waiting_for_memory")
         assert before.pop("svc_most_received_bytes") >= before.pop("svc_received_bytes") >= 0
         assert set(before.values()) == {0, 1} and before["svc_discovered"] == 1
--- a/tests/test_race_endpoint_list.py
+++ b/tests/test_race_endpoint_list.py
@@ -180,6 +180,7 @@
     """
     monkeypatch.setattr("query_gateway.discovery.watch_client.POLL_HOLD_MS", 100)
     monkeypatch.setattr("query_gateway.discovery.watch_client.ANSWER_GRACE_SECONDS", 0.1)
+    monkeypatch.setattr("query_gateway.discovery.watch_client.MAX_ANSWER_DELAY_SECONDS", 0.0)
     journal, engine = DiscoveryServiceStandIn(), Engine()
     drain_answer = json.dumps(endpoint_list_answer(2, [host(engine, "e0", "draining")])).encode()
     with running_gateway(config([host(engine)], journal=journal.address)) as gateway:
