--- a/query_gateway/http/connection.py
+++ b/query_gateway/http/connection.py
@@ -196,7 +196,7 @@
         overtakes one in it that has the same key.
         """
         next_byte = self.stream.bytes_consumed - len(self.http.trailing_data[0]) + 1
-        arrival = self.stream.arrivals.time_of(next_byte, self.loop.now())
+        arrival = self.stream.arrivals.peek(next_byte, self.loop.now())
         self.loop.watermark.hold(self, arrival.latest)
         try:
             yield from self.loop.paused_tasks.pause(self.task)
--- a/query_gateway/net/arrivals.py
+++ b/query_gateway/net/arrivals.py
@@ -50,6 +50,12 @@
             time = ArrivalTime(self._arrivals.pop().time.earliest, time.latest)
         self._arrivals.append(_Arrival(self.received, time))
 
+    def peek(self, position: int, default: float) -> ArrivalTime:
+        """As `time_of`, for the byte at `position` or the last one received; drops no entry."""
+        position = min(position, self.received)
+        pending = (arrival.time for arrival in self._arrivals if arrival.end_position >= position)
+        return next(pending, ArrivalTime(default, default))
+
     def time_of(self, position: int, default: float) -> ArrivalTime:
         """The arrival time of the byte at `position`, counted from 1, or `default` if none is recorded.
 
--- a/query_gateway/rpc/connection.py
+++ b/query_gateway/rpc/connection.py
@@ -247,7 +247,7 @@
         arrived later overtakes one in it that has the same key.
         """
         if not self.is_client:
-            arrival = self.stream.arrivals.time_of(self.stream.bytes_consumed + 1, self.loop.now())
+            arrival = self.stream.arrivals.peek(self.stream.bytes_consumed + 1, self.loop.now())
             self.loop.watermark.hold(self, arrival.latest)
         try:
             yield from self.loop.paused_tasks.pause(self.task)
--- a/tests/test_long_work.py
+++ b/tests/test_long_work.py
@@ -12,15 +12,21 @@
 
 import pytest
 
+from query_gateway.configuration.operator_file import OperatorSettings
 from query_gateway.flight import messages
 from query_gateway.flight.messages import FlightMethod
+from query_gateway.forwarder.messages import ClientRequest
 from query_gateway.forwarder.table_group import TableGroupScanner
 from query_gateway.gateway import Gateway
+from query_gateway.model.units import SEC
 from query_gateway.net.loop import MAX_TURN_SECONDS, Loop
+from query_gateway.net.paused_tasks import PausedTasks
+from query_gateway.net.steady_clock import steady_now_ns
 from query_gateway.rpc.framing import encode_message
 from tests.flight_client import FlightTestClient, call_headers
-from tests.stand_ins import Engine, post
+from tests.stand_ins import Engine, config, post
 from tests.test_flight import gateway as flight_gateway
+from tests.test_race_flight import turn_until
 from tests.test_web import SQL, running
 
 pytestmark = pytest.mark.usefixtures("reset_log_rate_limit")
@@ -229,6 +235,28 @@
     assert engine.statements == [long, short]
 
 
+def test_a_pause_does_not_forget_when_the_request_arrived(monkeypatch: pytest.MonkeyPatch) -> None:
+    """After a pause behind its last byte a request counted as arriving when it was decoded."""
+    monkeypatch.setattr(PausedTasks, "is_pause_due", lambda _: True)
+    gate = Gateway(config([]), OperatorSettings(), signals=False)
+    requests: list[ClientRequest] = []
+    accept = gate.forwarder.accept
+
+    def record(request: ClientRequest, *arguments: Any) -> Any:
+        requests.append(request)
+        return accept(request, *arguments)
+
+    monkeypatch.setattr(gate.forwarder, "accept", record)
+    with socket.create_connection(gate.http_server.listener.address) as client:
+        sent_at = steady_now_ns()
+        # The header keeps the request off the fast path, which does not pause
+        client.sendall(load_head("Connection: keep-alive\r\nContent-Length: 6") + b"SELECT")
+        time.sleep(0.3)
+        turn_until(gate, lambda: requests)
+    gate.loop.close()
+    assert requests[0].deadline <= sent_at + 20 * SEC
+
+
 def test_the_longest_turn_is_among_the_figures() -> None:
     with running(Engine()) as gate:
         gate.loop.call_soon(lambda: time.sleep(0.2))
