--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,101 +1,112 @@
-"""A bare SQL load whose answer is lost is refused with "trying again is harmless"; the retry applies it again."""
+"""A load that is read while a new configuration comes is repeated by its rules, without the key that they need."""
 
-import asyncio
-import sys
-from pathlib import Path
+import copy
+import signal
+import socket
+import threading
+import time
+from typing import Any
 
-FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent))
+from kit_3 import (
+    SEC,
+    TRENTVALE_SETTINGS,
+    Case,
+    CaseError,
+    HttpClient,
+    Journal,
+    LineEngine,
+    Run,
+    free_address,
+    host,
+    reset_connection,
+    run_case,
+    start_gateway,
+    write_config,
+)
 
-from flight_kit_2 import FlightClient, FlightEngine, FlightRun, abort  # noqa: E402
-from kit_2 import (  # noqa: E402
-    BROKEN, HELD, CannotRunError, Discovery, Gateway, LineEngine, Record, free_port, host, ridge, run_case, trouble,
-)  # fmt: skip
+ENGINES = 6
+LOADS = 16  # sent at once, each by a client of its own
+STATEMENT_BYTES = 250_000
+RUN_SECONDS = 0.5
+RELOAD_AFTER_SECONDS = 0.1  # from the moment in which the last client has sent its load
 
-LOADS = 1
-LOAD_RUN_S = 8.0  # of the load whose answer is lost; loads are widely spread, and given up after 25 s
-DEADLINE_MS = 25_000
-RETRY_WAIT_S = 0.3  # a client's own wait before its one retry
 
-OPERATOR = """
-[flight]
-listen = "127.0.0.1:{port}"
-query_class = "lookup"
-update_class = "load"
+def new_settings() -> dict[str, Any]:
+    """The settings of the site, but the engines now drop a repeat of a load by its key."""
+    settings = copy.deepcopy(TRENTVALE_SETTINGS)
+    settings["services"][2] |= {"repeat": "deduplicated", "dedup-scope": "all", "memory-span": 25 * SEC}
+    return settings
 
-[statements]
-dialect = "postgres"
-load = "load"
 
-[[statements.keys]]
-table = "lending_*.loans"
-column = "member"
-type = "integer"
-"""
+def statement(number: int) -> str:
+    """A load of many rows into the schema `staging`, which belongs to no group of tables."""
+    row = f"({number}, NULL, TRUE, DATE '2026-12-05', DEFAULT, NULL)"
+    rows = STATEMENT_BYTES // (len(row) + 2)
+    return f"INSERT INTO staging.returns_{number} (id, a, b, c, d, e) VALUES " + ", ".join([row] * rows)
 
 
-async def main(record: Record) -> int:
-    discovery = Discovery()
-    await discovery.start()
-    runs: list[FlightRun] = []
-    remembered: dict[str, float] = {}
-    engines = [FlightEngine(f"e{number}", record, runs, remembered) for number in range(3)]
-    has_reset: set[str] = set()
+def main(case: Case) -> list[str]:
+    engines = [LineEngine(case, f"e{number}", lambda _: RUN_SECONDS, notes=False) for number in range(ENGINES)]
+    whole_runs: list[Run] = []  # which have had their whole effect
+    lock = threading.Lock()
 
-    def before_answer(run: FlightRun, writer: asyncio.StreamWriter) -> bool:
-        """Reset the connection under the first attempt of each load, once it has run: its answer is lost."""
-        if not trouble() or not run.applied or run.statement in has_reset:
-            return True
-        has_reset.add(run.statement)
-        record.write(f"DISRUPTION the connection to {run.engine} is reset under {run.request_id}")
-        abort(writer)
-        return False
+    def before_answer(run: Run, sock: socket.socket) -> bool:
+        """Record a run that is complete; the connection of the first one is reset before its answer."""
+        with lock:
+            whole_runs.append(run)
+            is_first = len(whole_runs) == 1
+        case.record(f"engine {run.engine} has run {run.request_id}, uniq {run.fields.get('uniq', '-')}")
+        if is_first:
+            case.record(f"connection {run.connection} to engine {run.engine} is reset")
+            reset_connection(sock)
+        return not is_first
 
-    hosts = []
     for engine in engines:
         engine.before_answer = before_answer
-        engine.run_time = lambda statement: LOAD_RUN_S if statement not in has_reset else 0.1
-        await engine.start()
-        line_engine = LineEngine(engine.name, record, lambda run: 0.05, [])
-        await line_engine.start()
-        hosts.append(host(engine.name, line_engine.port, engine.port))
-    discovery.publish(*hosts)
-    flight_port = free_port()
-    gateway = Gateway(record, "n1", ridge(), discovery, operator=OPERATOR.format(port=flight_port))
-    gateway.start()
-    try:
-        await gateway.ready()
-        client = FlightClient(record, flight_port)
-        await client.connect()
-        answers = await asyncio.gather(*(load(record, client, 40 + number) for number in range(LOADS)))
-    finally:
-        gateway.close()
-    if "silent" in answers or not runs:
-        raise CannotRunError(f"the loads ended as {answers}")
-    doubled = 0
-    for number in range(LOADS):
-        applied = [run.request_id for run in runs if run.applied and f"({40 + number}," in run.statement]
-        record.write(f"load of member {40 + number}: applied {len(applied)} times, by {applied}")
-        doubled += len(applied) > 1
-    return BROKEN if doubled else HELD
+    journal = Journal(
+        case, [host(engine.name, engine.address, site="room-a") | {"class": "std-8"} for engine in engines]
+    )
+    address = free_address()
+    config = write_config(case, address, journal, TRENTVALE_SETTINGS)
+    gateway = start_gateway(case, "gateway", config, address)
+    gateway.wait_until_live()
+    clients = [HttpClient(case, address, f"c{number}") for number in range(LOADS)]
+    statuses: list[int] = []
 
+    def send(client: HttpClient, number: int) -> None:
+        headers = {"X-Cpu-Hint": f"{2_000 * RUN_SECONDS:.1f}", "X-Memory": "64"}
+        statuses.append(client.post("load", statement(number), 24_000, headers)[0])
 
-async def load(record: Record, client: FlightClient, member: int) -> str:
-    """Post one loan; if the gateway says that trying again is harmless, try again once."""
-    statement = f"INSERT INTO lending_7.loans (member, title) VALUES ({member}, 'a title')"
-    verdict = ""
-    for attempt in ("first try", "retry"):
-        request_id, call = client.open(statement, is_update=True, timeout_ms=DEADLINE_MS)
-        record.write(f"client sends {request_id} ({attempt}) {statement!r}")
-        verdict = await client.wait(call, DEADLINE_MS / 1000 + 1)
-        record.write(
-            f"client got {verdict} for {request_id}: grpc-status {call.headers.get('grpc-status')},"
-            f" x-throttle-ms {call.headers.get('x-throttle-ms')}"
-        )
-        if verdict != "refused":
-            break
-        await asyncio.sleep(RETRY_WAIT_S)
-    return verdict
+    threads = [
+        threading.Thread(target=send, args=(client, number), daemon=True)
+        for number, client in enumerate(clients)
+    ]
+    for thread in threads:
+        thread.start()
+    for client in clients:
+        if not client.sent.wait(10):
+            raise CaseError("a load was not sent")
+    time.sleep(RELOAD_AFTER_SECONDS)
+    if whole_runs or any(engine.runs for engine in engines):
+        case.record("some loads have been sent to engines already")
+    if case.trouble:
+        write_config(case, address, journal, new_settings())
+        gateway.send_signal(signal.SIGHUP)
+        gateway.wait_for_log("reload journal", 10)
+        case.record("the new configuration is in force: loads are deduplicated by their key")
+    for thread in threads:
+        thread.join(35)
+    if 0 in statuses or len(statuses) < LOADS:
+        raise CaseError("a client lost its connection")
+    if not whole_runs and not case.trouble:  # under trouble all may be refused
+        raise CaseError("no load was run")
+    breaks = []
+    for request_id in dict.fromkeys(run.request_id for run in whole_runs):
+        same = [run for run in whole_runs if run.request_id == request_id]
+        if len(same) > 1 and not all("uniq" in run.fields for run in same):
+            places = ", ".join(f"{run.engine} from {run.began_at:.3f} s on" for run in same)
+            breaks.append(f"load {request_id}, which has no key, ran {len(same)} times: {places}")
+    return breaks
 
 
-run_case(FOLDER, main)
+run_case(main)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,93 +1,101 @@
-"""The answer to an unsafe load is lost with its connection; the client repeats the call; the load runs again."""
+"""A bare SQL load whose answer is lost is refused with "trying again is harmless"; the retry applies it again."""
 
 import asyncio
-import contextlib
 import sys
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
+from flight_kit_2 import FlightClient, FlightEngine, FlightRun, abort  # noqa: E402
 from kit_2 import (  # noqa: E402
-    BROKEN, HELD, CannotRunError, Discovery, Gateway, LineEngine, Record, Run, abort, free_port, host,
-    http_request, read_answer, run_case, spawn, trentvale, trouble,
+    BROKEN, HELD, CannotRunError, Discovery, Gateway, LineEngine, Record, free_port, host, ridge, run_case, trouble,
 )  # fmt: skip
 
-LOADS = 3
-RUN_S = 1.2
-TTL_MS = 25_000
-MAX_REPEATS = 3  # of a call whose connection ended before any answer
+LOADS = 1
+LOAD_RUN_S = 8.0  # of the load whose answer is lost; loads are widely spread, and given up after 25 s
+DEADLINE_MS = 25_000
+RETRY_WAIT_S = 0.3  # a client's own wait before its one retry
+
+OPERATOR = """
+[flight]
+listen = "127.0.0.1:{port}"
+query_class = "lookup"
+update_class = "load"
+
+[statements]
+dialect = "postgres"
+load = "load"
+
+[[statements.keys]]
+table = "lending_*.loans"
+column = "member"
+type = "integer"
+"""
 
 
 async def main(record: Record) -> int:
     discovery = Discovery()
     await discovery.start()
-    runs: list[Run] = []
-    engines = [LineEngine(f"e{number}", record, lambda run: RUN_S, runs) for number in range(6)]
+    runs: list[FlightRun] = []
+    remembered: dict[str, float] = {}
+    engines = [FlightEngine(f"e{number}", record, runs, remembered) for number in range(3)]
+    has_reset: set[str] = set()
+
+    def before_answer(run: FlightRun, writer: asyncio.StreamWriter) -> bool:
+        """Reset the connection under the first attempt of each load, once it has run: its answer is lost."""
+        if not trouble() or not run.applied or run.statement in has_reset:
+            return True
+        has_reset.add(run.statement)
+        record.write(f"DISRUPTION the connection to {run.engine} is reset under {run.request_id}")
+        abort(writer)
+        return False
+
+    hosts = []
     for engine in engines:
-        engine.progress_s = 0.0  # this site's engines send no notes
+        engine.before_answer = before_answer
+        engine.run_time = lambda statement: LOAD_RUN_S if statement not in has_reset else 0.1
         await engine.start()
-    discovery.publish(*(host(engine.name, engine.port, zone="room-a", kind="std-8") for engine in engines))
-    gateway = Gateway(record, "n1", trentvale(), discovery)
+        line_engine = LineEngine(engine.name, record, lambda run: 0.05, [])
+        await line_engine.start()
+        hosts.append(host(engine.name, line_engine.port, engine.port))
+    discovery.publish(*hosts)
+    flight_port = free_port()
+    gateway = Gateway(record, "n1", ridge(), discovery, operator=OPERATOR.format(port=flight_port))
     gateway.start()
-    answers_to_lose = [1 if trouble() else 0]
-
-    async def relay(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Relay a client's connection; with the disruption, lose one answer and reset the connection."""
-        from_gateway, to_gateway = await asyncio.open_connection("127.0.0.1", gateway.port)
-
-        async def relay_calls() -> None:
-            with contextlib.suppress(OSError):
-                while data := await reader.read(65_536):
-                    to_gateway.write(data)
-            to_gateway.close()
-
-        spawn(relay_calls())
-        with contextlib.suppress(OSError):
-            while data := await from_gateway.read(65_536):
-                if answers_to_lose[0]:
-                    answers_to_lose[0] -= 1
-                    record.write("DISRUPTION an answer is lost and the client's connection is reset")
-                    abort(writer)
-                    to_gateway.close()
-                    return
-                writer.write(data)
-        writer.close()
-
-    port = free_port()
-    await asyncio.start_server(relay, "127.0.0.1", port)
     try:
         await gateway.ready()
-        verdicts = await asyncio.gather(*(load(record, port, number) for number in range(LOADS)))
+        client = FlightClient(record, flight_port)
+        await client.connect()
+        answers = await asyncio.gather(*(load(record, client, 40 + number) for number in range(LOADS)))
     finally:
         gateway.close()
-    if "lost" in verdicts:
-        raise CannotRunError(f"the clients got {verdicts}")
-    by_id: dict[str, list[str]] = {}
-    for run in runs:
-        by_id.setdefault(run.request_id, []).append(f"{run.engine} {run.end}")
-    for request_id, ends in by_id.items():
-        record.write(f"{request_id} reached engines {len(ends)} times: {', '.join(ends)}")
-    return BROKEN if any(len(ends) > 1 for ends in by_id.values()) else HELD
+    if "silent" in answers or not runs:
+        raise CannotRunError(f"the loads ended as {answers}")
+    doubled = 0
+    for number in range(LOADS):
+        applied = [run.request_id for run in runs if run.applied and f"({40 + number}," in run.statement]
+        record.write(f"load of member {40 + number}: applied {len(applied)} times, by {applied}")
+        doubled += len(applied) > 1
+    return BROKEN if doubled else HELD
 
 
-async def load(record: Record, port: int, number: int) -> str:
-    """Send one load as PROTOCOL has it: a call whose connection ends before any answer is repeated."""
-    await asyncio.sleep(0.5 * number)
-    statement = b"UPDATE depot_3.stock SET litres = litres - 500 WHERE tank = %d" % number
-    request_id, call = http_request("load", statement, TTL_MS, X_Cpu_Hint="2400.0", X_Memory="90",
-                                    X_Merchant="burton-depot")  # fmt: skip
-    answer = "lost"
-    for _ in range(1 + MAX_REPEATS):
-        reader, writer = await asyncio.open_connection("127.0.0.1", port)
-        writer.write(call)
-        record.write(f"client writes the call {request_id} on a new connection")
-        answer = (await read_answer(record, reader, request_id)).verdict
-        record.write(f"client got {answer} for {request_id}")
-        writer.close()
-        if answer != "lost":
+async def load(record: Record, client: FlightClient, member: int) -> str:
+    """Post one loan; if the gateway says that trying again is harmless, try again once."""
+    statement = f"INSERT INTO lending_7.loans (member, title) VALUES ({member}, 'a title')"
+    verdict = ""
+    for attempt in ("first try", "retry"):
+        request_id, call = client.open(statement, is_update=True, timeout_ms=DEADLINE_MS)
+        record.write(f"client sends {request_id} ({attempt}) {statement!r}")
+        verdict = await client.wait(call, DEADLINE_MS / 1000 + 1)
+        record.write(
+            f"client got {verdict} for {request_id}: grpc-status {call.headers.get('grpc-status')},"
+            f" x-throttle-ms {call.headers.get('x-throttle-ms')}"
+        )
+        if verdict != "refused":
             break
-    return answer
+        await asyncio.sleep(RETRY_WAIT_S)
+    return verdict
 
 
 run_case(FOLDER, main)
--- a/review/kit_3.py
+++ b/review/kit_3.py
@@ -1,4 +1,4 @@
-"""Stand-ins and process control for the cases of the third review; the standard library and one project module.
+"""Stand-ins and process control for the cases 6, 9 and 10; the standard library and one project module.
 
 Everything runs on loopback addresses and the real clock. A case is a `main(case)` passed to `run_case`. It
 returns the list of the breaks of its rule; any exception means that the case could not run.
@@ -211,11 +211,6 @@
         self.case.record(f"{number.name} to {self.name}")
         self.process.send_signal(number)
 
-    def wait_for_exit(self, seconds: float) -> None:
-        """Wait until the process has ended; raises CaseError."""
-        wait_until(lambda: self.process.poll() is not None, seconds, f"{self.name} does not end")
-        self.case.record(f"{self.name} has ended with code {self.process.returncode}")
-
 
 def wait_until(condition: Callable[[], bool], seconds: float, failure: str) -> None:
     """Poll a condition; raises CaseError after `seconds`."""
@@ -347,54 +342,6 @@
             "share": 1, "born_ms": 0} | more  # fmt: skip
 
 
-class Proxy:
-    """Forwards connections to a service; while stopped, it refuses them, as a service that is down does."""
-
-    def __init__(self, case: Case, target: str) -> None:
-        self.case = case
-        target_host, _, port = target.rpartition(":")
-        self.target = (target_host, int(port))
-        self.connections: list[socket.socket] = []
-        self.sock = socket.create_server(("127.0.0.1", 0), backlog=128)
-        self.port: int = self.sock.getsockname()[1]
-        self.address = f"127.0.0.1:{self.port}"
-        threading.Thread(target=self._accept, args=(self.sock,), daemon=True).start()
-
-    def _accept(self, listener: socket.socket) -> None:
-        with contextlib.suppress(OSError):
-            while True:
-                client, _ = listener.accept()
-                server = socket.create_connection(self.target)
-                self.connections += [client, server]
-                for source, sink in ((client, server), (server, client)):
-                    threading.Thread(target=self._copy, args=(source, sink), daemon=True).start()
-
-    @staticmethod
-    def _copy(source: socket.socket, sink: socket.socket) -> None:
-        with contextlib.suppress(OSError):
-            while data := source.recv(65_536):
-                sink.sendall(data)
-        with contextlib.suppress(OSError):
-            sink.shutdown(socket.SHUT_WR)
-
-    def stop(self) -> None:
-        """Stop to listen, and end every connection."""
-        self.case.record("the journal service is down")
-        with contextlib.suppress(OSError):
-            self.sock.shutdown(socket.SHUT_RDWR)
-        self.sock.close()
-        for sock in self.connections:
-            with contextlib.suppress(OSError):
-                sock.shutdown(socket.SHUT_RDWR)
-        self.connections.clear()
-
-    def resume(self) -> None:
-        """Listen again, at the same address."""
-        self.sock = socket.create_server(("127.0.0.1", self.port), backlog=128)
-        threading.Thread(target=self._accept, args=(self.sock,), daemon=True).start()
-        self.case.record("the journal service is back")
-
-
 # ---- an engine on the line protocol
 
 
@@ -623,13 +570,14 @@
             client.close()
 
 
-def breaks_of_key_order(engines: list["LineEngine"]) -> list[str]:
+def breaks_of_key_order(case: Case, engines: list[LineEngine]) -> list[str]:
     """One line for each pair of loads of one key that were out at the same time, the first ten of them.
 
-    Raises CaseError if no load was served at all.
+    Under trouble all loads may be refused. Raises CaseError if without it none was served.
     """
     loads = [run for engine in engines for run in engine.runs if "loans" in run.statement]
-    if not any(run.end == "ok" for run in loads):
+    case.record(f"{sum(run.end == 'ok' for run in loads)} loads were served")
+    if not case.trouble and not any(run.end == "ok" for run in loads):
         raise CaseError("no load was served")
     pairs = overlapping_runs(engines, lambda run: run.statement.partition("member = ")[2])
     return [
