A request keeps the settings that were in force when its first byte arrived

Cause: a request took its settings at three times: the front decoded it by the classes of that moment, the exchange took the class settings by number once the statement was read, and the planner took its own when it was notified (later still for a request held for the order of its key). The same gap refused sound requests that were on their way (400, 404) and could give their class number to another class.

Change: RequestClass carries the settings; an HTTP connection takes its classes when the first byte of a request has arrived, also for input that waits behind an open request (KeptClasses), a Flight call when its headers have; the request carries the settings to the exchange, and Request.class_settings to the planner if they are not those in force; numbers that such requests may use stay taken. FlightClass, a second form of RequestClass, is gone.

--- a/query_gateway/composition.py
+++ b/query_gateway/composition.py
@@ -222,12 +222,11 @@
     config, operator = parts.active.config, parts.active.operator
     if not operator.flight_address:
         return None
-    from query_gateway.flight.requests import build_flight_classes
     from query_gateway.flight.server import FlightServer, FlightServerSettings
 
     settings = FlightServerSettings(
         address=operator.flight_address,
-        classes=build_flight_classes(config.classes, config.settings),
+        classes=config.classes,
         query_class=operator.query_class,
         update_class=operator.update_class,
         max_connections=options.max_connections,
--- a/query_gateway/configuration/platform.py
+++ b/query_gateway/configuration/platform.py
@@ -26,8 +26,8 @@
     ZoneAndKindNames,
     parse_answer,
 )
-from query_gateway.forwarder.messages import RequestClass, RequestClasses
-from query_gateway.model.settings import Idempotency, Settings
+from query_gateway.forwarder.messages import RequestClass, RequestClasses, idempotent_class_names
+from query_gateway.model.settings import Settings
 from query_gateway.net.stream import address_of
 
 MAX_CLASSES = 64
@@ -111,15 +111,10 @@
 def _request_classes(services: Any, settings: Settings) -> RequestClasses:
     """The classes by name, as the fronts use them.
 
-    The names are taken from the raw `services`. The index is the position in `settings.classes`, and the
-    other values come from there.
+    The names are taken from the raw `services`. The index is the position in `settings.classes`.
     """
     return {
-        str(service["name"]): RequestClass(
-            index=index,
-            needs_idempotency_key=class_settings.idempotency is Idempotency.KEYED,
-            ordered_by_key=class_settings.ordered_by_key,
-        )
+        str(service["name"]): RequestClass(index, class_settings)
         for index, (service, class_settings) in enumerate(zip(services, settings.classes, strict=True))
     }
 
@@ -217,13 +212,4 @@
 
 def idempotent_classes(configuration: Configuration) -> frozenset[str]:
     """The names of the idempotent classes of a configuration, whose requests may run more than once."""
-    return idempotent_class_names(configuration.classes, configuration.settings)
-
-
-def idempotent_class_names(classes: RequestClasses, settings: Settings) -> frozenset[str]:
-    """The names of those of `classes` that are idempotent under `settings`."""
-    return frozenset(
-        name
-        for name, request_class in classes.items()
-        if settings.classes[request_class.index].idempotency is Idempotency.IDEMPOTENT
-    )
+    return idempotent_class_names(configuration.classes)
--- a/query_gateway/flight/client_call.py
+++ b/query_gateway/flight/client_call.py
@@ -16,7 +16,6 @@
 from query_gateway.flight.requests import (
     KEY_DIGITS,
     MAX_NAME_IN_ERROR,
-    FlightClass,
     FlightStatement,
     client_request_id_of,
     deadline_of,
@@ -25,7 +24,14 @@
 )
 from query_gateway.forwarder.exchange import Exchange
 from query_gateway.forwarder.forwarder import Forwarder
-from query_gateway.forwarder.messages import Answer, ClientRequest, EarlyRejection, Verdict
+from query_gateway.forwarder.messages import (
+    Answer,
+    ClientRequest,
+    EarlyRejection,
+    RequestClasses,
+    Verdict,
+    idempotent_class_names,
+)
 from query_gateway.forwarder.table_group import TableGroupScanner
 from query_gateway.http.request_decoding import RequestError, hex_header
 from query_gateway.net.loop import Loop, LoopCoroutine, Task
@@ -49,12 +55,12 @@
 
 
 class FlightCallContext(Protocol):
-    """The interface of the server to its calls; a reload may replace the classes between two calls."""
+    """The interface of the server to its calls; a reload may replace the classes."""
 
     loop: Loop
     forwarder: Forwarder
     statements: "StatementService | None"  # None if statement parsing is disabled
-    classes: dict[str, FlightClass]  # the classes that clients may request, by name
+    classes: RequestClasses  # those in force
     query_class: str  # the default class of queries
     update_class: str  # the default class of updates
 
@@ -72,9 +78,14 @@
 class FlightCall(CallHandler):
     """One call of a client, which is also the client's side of the exchange."""
 
-    def __init__(self, server: FlightCallContext, headers: dict[str, str], call: Call) -> None:
-        """Handle a new call with these request headers; start the timeout for its message."""
-        self.server, self.request_headers, self.call = server, headers, call
+    def __init__(
+        self, server: FlightCallContext, headers: dict[str, str], call: Call, classes: RequestClasses
+    ) -> None:
+        """Handle a new call with these request headers; start the timeout for its message.
+
+        `classes`: those that clients might request when the call began; a reload does not change them.
+        """
+        self.server, self.request_headers, self.call, self.classes = server, headers, call, classes
         self.method_name = headers.get(":path", "").removeprefix(messages.SERVICE_PATH)
         self.client_request_id = ""  # set when classification or scanning starts
         self.exchange: Exchange | None = None
@@ -108,7 +119,7 @@
             loop.call_at(min(due_at, loop.now() + MESSAGE_TIMEOUT_S), self._on_message_timeout)
         elif call.awaits_memory:
             class_name = self.request_headers.get("x-class", self.server.update_class)
-            if class_name not in self.server.classes:
+            if class_name not in self.classes:
                 class_name = self.server.update_class
             self._reject_unforwarded(class_name, EarlyRejection.MEMORY_LIMIT, "Overloaded")
         else:
@@ -176,7 +187,7 @@
         if server.statements is None:
             self._scan(statement, arrival.latest)
             return
-        if class_name is not None and class_name not in server.classes:
+        if class_name is not None and class_name not in self.classes:
             raise _unknown_class(class_name)
         if class_name is None and is_update:
             class_name = server.update_class  # the client sends only updates through DoPut
@@ -251,7 +262,13 @@
         key = hex_header(self.request_headers, "x-row", KEY_DIGITS, False)
         timeout_ns = parse_grpc_timeout(self.request_headers.get("grpc-timeout"), default_ns=0)
         deadline = loop_time_of(deadline_of(statement, timeout_ns)) if timeout_ns else None
-        return ClassificationRequest(statement.statement.decode(), class_name, key, deadline=deadline)
+        return ClassificationRequest(
+            statement.statement.decode(),
+            class_name,
+            key,
+            deadline=deadline,
+            idempotent_classes=idempotent_class_names(self.classes),
+        )
 
     def _on_classified(self, statement: FlightStatement, classification: "Classification") -> None:
         if self.state is FlightCallState.DONE:
@@ -280,10 +297,11 @@
         self, statement: FlightStatement, class_name: str, classification: "Classification | None" = None
     ) -> ClientRequest:
         """Build the request; raises RequestError if its class or a header is invalid."""
-        flight_class = self.server.classes.get(class_name)
-        if flight_class is None:
+        # Statement rules that a reload has changed meanwhile may name a class that is new
+        request_class = self.classes.get(class_name) or self.server.classes.get(class_name)
+        if request_class is None:
             raise _unknown_class(class_name)
-        return decode_request(statement, class_name, flight_class, self.request_headers, classification)
+        return decode_request(statement, class_name, request_class, self.request_headers, classification)
 
     def _accept(self, request: ClientRequest, scanner: TableGroupScanner | None = None) -> None:
         """Pass the request to the forwarder, with the table group that the scanner has found, if any."""
--- a/query_gateway/flight/requests.py
+++ b/query_gateway/flight/requests.py
@@ -5,9 +5,8 @@
 from typing import TYPE_CHECKING
 from uuid import uuid4
 
-from query_gateway.forwarder.messages import ClientRequest, RequestClasses
+from query_gateway.forwarder.messages import ClientRequest, RequestClass
 from query_gateway.http.request_decoding import RequestError, hex_header, real_header
-from query_gateway.model.settings import Idempotency, Settings
 from query_gateway.model.units import MS
 
 if TYPE_CHECKING:
@@ -26,17 +25,6 @@
 MAX_NAME_IN_ERROR = 80  # characters of a client-supplied name that an error message repeats
 
 
-@dataclass(slots=True, frozen=True)
-class FlightClass:
-    """The settings of a request class that the Flight server uses."""
-
-    class_index: int
-    needs_idempotency_key: bool
-    ordered_by_key: bool
-    timeout_ns: int  # for calls without grpc-timeout
-    is_idempotent: bool
-
-
 @dataclass(slots=True, frozen=True)
 class FlightStatement:
     """A statement as received from a client."""
@@ -47,20 +35,6 @@
     order_at_ns: int = 0  # clock time, the upper bound of the arrival time, which defines the arrival order
 
 
-def build_flight_classes(classes: RequestClasses, settings: Settings) -> dict[str, FlightClass]:
-    """Return the request classes by name, each with the settings that the Flight server uses."""
-    return {
-        name: FlightClass(
-            request_class.index,
-            request_class.needs_idempotency_key,
-            request_class.ordered_by_key,
-            settings.classes[request_class.index].timeout,
-            settings.classes[request_class.index].idempotency is Idempotency.IDEMPOTENT,
-        )
-        for name, request_class in classes.items()
-    }
-
-
 def parse_grpc_timeout(text: str | None, default_ns: int) -> int:
     """Return the value of a `grpc-timeout` header in nanoseconds, capped at one hour, or the default.
 
@@ -82,7 +56,7 @@
 def decode_request(
     statement: FlightStatement,
     class_name: str,
-    flight_class: FlightClass,
+    request_class: RequestClass,
     headers: dict[str, str],
     classification: "Classification | None" = None,
 ) -> ClientRequest:
@@ -91,30 +65,31 @@
     `classification` is the result of parsing the statement, if statement parsing is enabled. Without it the
     table group is not set, as scanning a long statement for it takes several turns of the loop.
     """
-    timeout_ns = parse_grpc_timeout(headers.get("grpc-timeout"), flight_class.timeout_ns)
+    timeout_ns = parse_grpc_timeout(headers.get("grpc-timeout"), request_class.settings.timeout)
     if not statement.statement:
         raise RequestError(400, "the statement is missing")
-    if statement.is_update and flight_class.is_idempotent:
+    if statement.is_update and request_class.is_idempotent:
         # Requests of an idempotent class may run twice (retry, hedged request), which would apply an update
         # twice. DoPut identifies the update, so it is rejected before it reaches an engine
         name = class_name[:MAX_NAME_IN_ERROR]
         raise RequestError(400, f"an update cannot run as {name}, whose queries may run twice")
     group = classification.table_group if classification else None
     work_hint_ms = real_header(headers, "x-cpu-hint", MAX_WORK_HINT_MS)
-    key = _ordering_key(flight_class, headers, classification)
-    idempotency_key = _idempotency_key(flight_class, headers, classification)
+    key = _ordering_key(request_class, headers, classification)
+    idempotency_key = _idempotency_key(request_class, headers, classification)
     return ClientRequest(
         client_request_id=client_request_id_of(headers),
-        class_index=flight_class.class_index,
+        class_index=request_class.index,
         class_name=class_name,
         statement=statement.statement,
         deadline=deadline_of(statement, timeout_ns),
         is_retry=headers.get("x-second-try") == "1",
-        key=key if flight_class.ordered_by_key else None,
+        key=key if request_class.ordered_by_key else None,
         idempotency_key=idempotency_key,
         estimated_work=_estimated_work_ns(work_hint_ms, classification),
         estimated_memory_mb=_memory_mb(headers, classification),
         table_group=None if group is None else float(group),
+        class_settings=request_class.settings,
         received_at=statement.order_at_ns,
         is_update=statement.is_update,
         fingerprint=classification.fingerprint if classification else b"",
@@ -122,17 +97,17 @@
 
 
 def _ordering_key(
-    flight_class: FlightClass, headers: dict[str, str], classification: "Classification | None"
+    request_class: RequestClass, headers: dict[str, str], classification: "Classification | None"
 ) -> str | None:
     """Return the key that classification found in the statement, else the one in the header x-row."""
     decision = classification.decision if classification else None
     if decision and decision.key:
         return decision.key
-    return hex_header(headers, "x-row", KEY_DIGITS, flight_class.ordered_by_key)
+    return hex_header(headers, "x-row", KEY_DIGITS, request_class.ordered_by_key)
 
 
 def _idempotency_key(
-    flight_class: FlightClass, headers: dict[str, str], classification: "Classification | None"
+    request_class: RequestClass, headers: dict[str, str], classification: "Classification | None"
 ) -> str | None:
     """Return the key in the header x-txn-key; None if the header is missing and the class needs no key.
 
@@ -140,9 +115,9 @@
     RequestError is raised.
     """
     is_parsed = bool(classification and classification.decision)
-    is_required = flight_class.needs_idempotency_key and not is_parsed
+    is_required = request_class.needs_idempotency_key and not is_parsed
     idempotency_key = hex_header(headers, "x-txn-key", IDEMPOTENCY_KEY_DIGITS, is_required)
-    if idempotency_key is None and flight_class.needs_idempotency_key:
+    if idempotency_key is None and request_class.needs_idempotency_key:
         return uuid4().hex  # unique, as two identical inserts are two separate loads
     return idempotency_key
 
--- a/query_gateway/flight/server.py
+++ b/query_gateway/flight/server.py
@@ -5,13 +5,14 @@
 from typing import TYPE_CHECKING
 
 from query_gateway.flight.client_call import FlightCall
-from query_gateway.flight.requests import FlightClass
 from query_gateway.forwarder.forwarder import Forwarder
+from query_gateway.forwarder.kept_classes import KeptClasses
+from query_gateway.forwarder.messages import RequestClasses
 from query_gateway.forwarder.readiness import DRAIN_CLOSE_IDLE_AFTER_S, Phase, Readiness
 from query_gateway.net.listener import Listener
 from query_gateway.net.loop import Loop
 from query_gateway.net.stream import Reason, Stream
-from query_gateway.rpc.connection import GrpcConnection
+from query_gateway.rpc.connection import MAX_BYTES_PER_STEP, GrpcConnection
 
 if TYPE_CHECKING:
     from query_gateway.parsing.service import StatementService
@@ -22,7 +23,7 @@
     """The initial settings; a reload may replace the classes and the connection limit on the server."""
 
     address: tuple[str, int]
-    classes: dict[str, FlightClass]  # the classes that clients may request, by name
+    classes: RequestClasses  # the classes that clients may request
     query_class: str  # the default class of queries
     update_class: str  # the default class of updates
     max_connections: int
@@ -51,6 +52,8 @@
         self.max_connections = settings.max_connections
         self.query_class, self.update_class = settings.query_class, settings.update_class
         self.connections: list[GrpcConnection] = []
+        # Of the connections with input from before a reload that is not decoded yet
+        self._kept_classes: dict[GrpcConnection, KeptClasses] = {}
         self.readiness, self.draining_since = readiness, 0.0
         readiness.watchers.append(self._on_phase_change)
         self.listener = Listener(
@@ -68,6 +71,35 @@
         for connection in self.connections:
             connection.send_goaway()
 
+    def update_classes(self, classes: RequestClasses) -> None:
+        """Accept these classes from now on; calls whose first byte has arrived keep the old ones."""
+        self._kept_classes = {
+            connection: kept
+            for connection, kept in self._kept_classes.items()
+            if not connection.stream.closed and connection.stream.inbox
+        }
+        for connection in self.connections:
+            stream = connection.stream
+            stream.read_available()
+            if stream.inbox:
+                kept = self._kept_classes.setdefault(connection, KeptClasses())
+                kept.keep(stream.arrivals.received, self.classes)
+        self.classes = classes
+
+    def _classes_of_new_call(self, connection: GrpcConnection) -> RequestClasses:
+        """The classes of a call whose headers are in the input that the connection has just taken."""
+        kept = self._kept_classes.get(connection)
+        if kept is None:
+            return self.classes
+        first_byte = max(1, connection.stream.bytes_consumed - MAX_BYTES_PER_STEP + 1)
+        return kept.at(first_byte, self.classes)
+
+    def classes_in_use(self) -> list[RequestClasses]:
+        """The classes that new calls, and those that are not accepted yet, may address."""
+        kept = [classes for kept in self._kept_classes.values() for classes in kept.all]
+        calls = [call.handler for connection in self.connections for call in connection.calls.values()]
+        return [self.classes, *kept, *(call.classes for call in calls if isinstance(call, FlightCall))]
+
     def _on_phase_change(self) -> None:
         if self.readiness.phase is Phase.DRAINING:
             self.draining_since = self.loop.now()
@@ -91,7 +123,9 @@
         stream.start()
         stream.read_available()
         connection = GrpcConnection(self.loop, stream, is_client=False)
-        connection.on_call = lambda headers, call: FlightCall(self, headers, call)
+        connection.on_call = lambda headers, call: FlightCall(
+            self, headers, call, self._classes_of_new_call(connection)
+        )
         self.connections.append(connection)
         self._drain_connections()
 
--- a/query_gateway/forwarder/exchange.py
+++ b/query_gateway/forwarder/exchange.py
@@ -62,8 +62,7 @@
         self.request = request
         self.client = client
         self.planner = context.router.planner_for(request.key)
-        # Kept for the whole exchange, so that a configuration reload does not affect open requests
-        self.class_settings = context.state.settings.classes[request.class_index]
+        self.class_settings = request.class_settings
         self.engine_side = EngineSide(context, wire, self.class_settings)
         self.streams_results = self.engine_side.engine_client.streams_results
         self.state = ExchangeState.OPEN
--- a/query_gateway/forwarder/forwarder.py
+++ b/query_gateway/forwarder/forwarder.py
@@ -215,7 +215,24 @@
             exchange.end_without_planner()
             return
         exchange.planner_notified = True
-        exchange.notify_planner(_request_event(exchange.request_id, exchange.request))
+        exchange.notify_planner(self._request_event(exchange.request_id, exchange.request))
+
+    def _request_event(self, request_id: int, request: ClientRequest) -> Request:
+        """The event that notifies the planner of a request."""
+        has_old_settings = request.class_settings is not self.settings.classes[request.class_index]
+        return Request(
+            request_id=request_id,
+            class_index=request.class_index,
+            deadline=request.deadline,
+            tenant=DEFAULT_TENANT,
+            table_group=request.table_group,
+            key=request.key,
+            estimated_work=request.estimated_work,
+            estimated_memory_mb=request.estimated_memory_mb,
+            is_retry=request.is_retry,
+            received_at=request.received_at,
+            class_settings=request.class_settings if has_old_settings else None,
+        )
 
     def _on_settled(self, request_id: int) -> None:
         """Remove an exchange that is answered and has no attempt in flight; later calls have no effect."""
@@ -317,22 +334,6 @@
         self.planners[planner_index].connect(endpoints)
 
 
-def _request_event(request_id: int, request: ClientRequest) -> Request:
-    """The event that notifies the planner of a request."""
-    return Request(
-        request_id=request_id,
-        class_index=request.class_index,
-        deadline=request.deadline,
-        tenant=DEFAULT_TENANT,
-        table_group=request.table_group,
-        key=request.key,
-        estimated_work=request.estimated_work,
-        estimated_memory_mb=request.estimated_memory_mb,
-        is_retry=request.is_retry,
-        received_at=request.received_at,
-    )
-
-
 def _describe(request: ClientRequest) -> str:
     key = f" key {request.key}" if request.key else ""
     return f"{request.class_name} deadline {request.deadline}{key}"
--- a/query_gateway/forwarder/messages.py
+++ b/query_gateway/forwarder/messages.py
@@ -13,6 +13,7 @@
 
 from query_gateway.model.endpoints import EndpointInfo
 from query_gateway.model.events import Event, OutcomeCode, ProgressKind
+from query_gateway.model.settings import ClassSettings, Idempotency
 from query_gateway.model.units import MS
 
 Notify = Callable[[Event], None]
@@ -57,14 +58,33 @@
 
 @dataclass(slots=True, frozen=True)
 class RequestClass:
-    """The properties of a request class that servers use: its number and the keys that its requests need."""
+    """A request class under one configuration; a reload replaces it by another one of the same name."""
 
     index: int  # the class number: the position of the class in `Settings.classes`
-    needs_idempotency_key: bool
-    ordered_by_key: bool
+    settings: ClassSettings
+
+    @property
+    def needs_idempotency_key(self) -> bool:
+        """Whether engines recognize a repeat of a request by its idempotency key."""
+        return self.settings.idempotency is Idempotency.KEYED
+
+    @property
+    def ordered_by_key(self) -> bool:
+        """Whether requests with the same ordering key run one at a time."""
+        return self.settings.ordered_by_key
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Whether a request may run more than once."""
+        return self.settings.idempotency is Idempotency.IDEMPOTENT
+
+
+RequestClasses = dict[str, RequestClass]  # by name; replaced as a whole, never changed
 
 
-RequestClasses = dict[str, RequestClass]  # by name
+def idempotent_class_names(classes: RequestClasses) -> frozenset[str]:
+    """The names of the classes whose requests may run more than once."""
+    return frozenset(name for name, request_class in classes.items() if request_class.is_idempotent)
 
 
 @dataclass(slots=True, frozen=True)
@@ -82,6 +102,8 @@
     estimated_work: int | None  # processor time in nanoseconds over all threads
     estimated_memory_mb: float
     table_group: float | None
+    # Those in force when the first byte of the request arrived; a reload does not change them
+    class_settings: ClassSettings
     received_at: int = 0  # clock time of arrival, as exactly as is known; orders the requests of a key
     is_update: bool = False  # a statement without a result; always False on wires without this distinction
     fingerprint: bytes = b""  # of the parsed statement; empty: not parsed, and not used for learned state
--- a/query_gateway/http/connection.py
+++ b/query_gateway/http/connection.py
@@ -28,6 +28,7 @@
 import h11
 
 from query_gateway.forwarder.invariants import Invariant
+from query_gateway.forwarder.kept_classes import KeptClasses
 from query_gateway.forwarder.messages import ClientRequest, RequestClasses
 from query_gateway.forwarder.readiness import DRAIN_CLOSE_IDLE_AFTER_S, Readiness
 from query_gateway.http.end_reasons import (
@@ -107,6 +108,8 @@
         self.stream.start()
         self.has_sent_request = has_sent_request
         self.started_at = self.loop.now()
+        self._kept_classes = KeptClasses()
+        self._request_classes: RequestClasses | None = None  # of the request that is being read or handled
         self.first_request_deadline = self.started_at + FIRST_REQUEST_TIMEOUT_SECONDS
         if not has_sent_request:
             server.awaiting_first_request[self] = None
@@ -156,6 +159,7 @@
 
     def _await_request(self) -> OptionalReasonCoroutine:
         """Wait for the first byte of a request; return the reason if the connection ends instead."""
+        self._request_classes = None
         deadline = self.first_request_deadline
         if self.has_sent_request:
             deadline = self.loop.now() + IDLE_TIMEOUT_SECONDS
@@ -183,8 +187,26 @@
                     return (yield from self._close_gracefully(reason))
             yield wake_at
         self.server.idle.pop(self, None)
+        self._request_classes = self._kept_classes.at(self._next_byte, self.server.classes)
         return Reason.TOO_MANY if self.stream.closed else None
 
+    @property
+    def _next_byte(self) -> int:
+        """The position of the first byte that is not decoded yet, counted from 1 over the connection."""
+        return self.stream.bytes_consumed - len(self.http.trailing_data[0]) + 1
+
+    def keep_classes_of_input(self, classes: RequestClasses) -> None:
+        """Have the requests whose first byte has arrived keep `classes`, which are about to be replaced."""
+        self.stream.read_available()
+        received = self.stream.arrivals.received
+        if received >= self._next_byte:
+            self._kept_classes.keep(received, classes)
+
+    def classes_in_use(self) -> list[RequestClasses]:
+        """The classes that requests on this connection may address whose first byte has arrived."""
+        reading = [self._request_classes] if self._request_classes else []
+        return reading + self._kept_classes.all
+
     def _pause_if_due(self) -> Generator[float | None, None, None]:
         if self.loop.paused_tasks.is_pause_due():
             yield from self._pause()
@@ -195,8 +217,7 @@
         Meanwhile the input that is not decoded yet counts as unread, so that no request that arrived later
         overtakes one in it that has the same key.
         """
-        next_byte = self.stream.bytes_consumed - len(self.http.trailing_data[0]) + 1
-        arrival = self.stream.arrivals.peek(next_byte, self.loop.now())
+        arrival = self.stream.arrivals.peek(self._next_byte, self.loop.now())
         self.loop.watermark.hold(self, arrival.latest)
         try:
             yield from self.loop.paused_tasks.pause(self.task)
@@ -214,7 +235,8 @@
         end = self.stream.bytes_consumed - len(self.http.trailing_data[0])
         arrival = self.stream.arrivals.time_of(end, self.loop.now())
         arrived_at = clock_time_of(arrival.earliest)
-        request = decode_request(class_name, self.server.classes, headers, body, arrived_at)
+        classes = self._request_classes or self.server.classes
+        request = decode_request(class_name, classes, headers, body, arrived_at)
         return replace(request, received_at=clock_time_of(arrival.latest)) if request.key else request
 
     def _serve_plain_request(self, plain: PlainRequest) -> OptionalReasonCoroutine:
--- a/query_gateway/http/request_decoding.py
+++ b/query_gateway/http/request_decoding.py
@@ -84,7 +84,8 @@
     """Decode a POST that arrived at clock time `arrived_at` (nanoseconds); raises RequestError.
 
     The table group is not set, as scanning a long statement for it takes several turns of the loop.
-    `classes` are those that requests may address; the names in `headers` are in lower case.
+    `classes` are those that the request may address, with the settings that it keeps; the names in `headers`
+    are in lower case.
     """
     if class_name not in classes:
         raise RequestError(404, f"class {class_name!r} is unknown")
@@ -110,4 +111,5 @@
         estimated_work=int(cpu_hint_ms * MS) if cpu_hint_ms else None,
         estimated_memory_mb=memory_mb or 0.0,
         table_group=None,
+        class_settings=request_class.settings,
     )
--- a/query_gateway/http/request_handler.py
+++ b/query_gateway/http/request_handler.py
@@ -12,6 +12,7 @@
 from query_gateway.forwarder.table_group import TableGroupScanner
 from query_gateway.http.request_decoding import RequestError
 from query_gateway.http.responses import Response, failure_response, response_to
+from query_gateway.model.settings import Idempotency
 from query_gateway.net.loop import Loop, Task
 from query_gateway.net.steady_clock import loop_time_of
 from query_gateway.net.stream import Reason, Stream
@@ -195,7 +196,7 @@
         requests of such a class may run twice. If the statement cannot be classified now, or too many
         statements of its shape are running, the request is rejected through `pending`.
         """
-        if request.class_name not in statements.classifier.idempotent_classes:
+        if request.class_settings.idempotency is not Idempotency.IDEMPOTENT:
             return request
         results: list[Classification] = []
 
--- a/query_gateway/http/server.py
+++ b/query_gateway/http/server.py
@@ -34,7 +34,7 @@
 
 
 class HttpServer:
-    """Accepts client connections; owns them and their listener. A settings update may replace `classes`."""
+    """Accepts client connections; owns them and their listener. `update_classes` replaces `classes`."""
 
     def __init__(self, loop: Loop, forwarder: Forwarder, options: HttpServerOptions) -> None:
         """Start to listen; raises OSError if the address cannot be used."""
@@ -64,6 +64,17 @@
             self.draining_since = self.loop.now()
             self.loop.call_at(self.draining_since + DRAIN_CLOSE_IDLE_AFTER_S, self._wake_connections)
 
+    def update_classes(self, classes: RequestClasses) -> None:
+        """Accept these classes from now on; requests whose first byte has arrived keep the old ones."""
+        for connection in self.connections:
+            connection.keep_classes_of_input(self.classes)
+        self.classes = classes
+
+    def classes_in_use(self) -> list[RequestClasses]:
+        """The classes that new requests, and those that are not accepted yet, may address."""
+        kept = [classes for connection in self.connections for classes in connection.classes_in_use()]
+        return [self.classes, *kept]
+
     def _wake_connections(self) -> None:
         for connection in list(self.connections):
             connection.task.wake()
--- a/query_gateway/lifecycle/client_fronts.py
+++ b/query_gateway/lifecycle/client_fronts.py
@@ -4,9 +4,9 @@
 
 from query_gateway.admin.server import RESERVED_DESCRIPTORS
 from query_gateway.configuration.operator_file import OperatorSettings
-from query_gateway.configuration.platform import Configuration, idempotent_class_names
+from query_gateway.configuration.platform import Configuration
 from query_gateway.forwarder.forwarder import Forwarder
-from query_gateway.forwarder.messages import RequestClasses
+from query_gateway.forwarder.messages import RequestClasses, idempotent_class_names
 from query_gateway.http.server import HttpServer
 from query_gateway.net.listener import Listener
 
@@ -66,16 +66,20 @@
             self.flight_server.max_connections = max_connections
 
     def set_classes(self, classes: RequestClasses) -> None:
-        """Accept requests of exactly these classes, under the forwarder's current settings."""
-        self.http_server.classes = classes
-        settings = self.forwarder.settings
+        """Accept requests of exactly these classes from now on; input that has arrived keeps the old ones."""
+        self.http_server.update_classes(classes)
         if self.statements:
-            idempotent = idempotent_class_names(classes, settings)
+            idempotent = idempotent_class_names(classes)
             self.statements.update_rules(self.statements.classifier.rules, idempotent)
         if self.flight_server:
-            from query_gateway.flight.requests import build_flight_classes
+            self.flight_server.update_classes(classes)
 
-            self.flight_server.classes = build_flight_classes(classes, settings)
+    def class_numbers_in_use(self) -> set[int]:
+        """The numbers of the classes that a new request, or one that is being read, may address."""
+        in_use = self.http_server.classes_in_use()
+        if self.flight_server:
+            in_use += self.flight_server.classes_in_use()
+        return {request_class.index for classes in in_use for request_class in classes.values()}
 
     def reject_unclassified(self) -> None:
         """Reject the requests whose statements are waiting to be parsed."""
--- a/query_gateway/lifecycle/request_classes.py
+++ b/query_gateway/lifecycle/request_classes.py
@@ -80,10 +80,9 @@
         self._retire(old_classes)
 
     def _numbers_in_use(self) -> set[int]:
-        """The numbers of open requests and accepted classes, which must not be assigned to other classes."""
+        """The numbers of open and unread requests and of accepted classes, which no other class may get."""
         open_requests = {exchange.request.class_index for exchange in self.forwarder.exchanges.values()}
-        accepted = {request_class.index for request_class in self.fronts.http_server.classes.values()}
-        return open_requests | accepted
+        return open_requests | self.fronts.class_numbers_in_use()
 
     def _retire(self, old_classes: dict[str, RequestClass]) -> None:
         """Begin the grace period of the dropped classes.
--- a/query_gateway/model/events.py
+++ b/query_gateway/model/events.py
@@ -4,7 +4,7 @@
 from enum import Enum
 
 from query_gateway.model.endpoints import EndpointInfo, EndpointUpdateKind
-from query_gateway.model.settings import Settings
+from query_gateway.model.settings import ClassSettings, Settings
 
 # Attempt number in an outcome if the forwarder's exchange, which numbers the attempts, has already ended.
 # It denotes the last attempt of the request; the planner process replaces it with the actual number.
@@ -55,6 +55,8 @@
     estimated_memory_mb: float
     is_retry: bool  # as marked by the client
     received_at: int = 0  # clock time of arrival, which orders the requests of a key; 0: unknown
+    # Of its class when it arrived, if they have changed since; None: those that the scheduler has
+    class_settings: ClassSettings | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/query_gateway/parsing/service.py
+++ b/query_gateway/parsing/service.py
@@ -11,7 +11,7 @@
 from query_gateway.parsing.supervisor import ParserSupervisor
 from query_gateway.statements.classifier import MAX_SHAPES, CachedStatement, Classifier, rejected_decision
 from query_gateway.statements.errors import UnsupportedStatementError
-from query_gateway.statements.messages import Decision, ParseResult, Rules
+from query_gateway.statements.messages import ClientTerms, Decision, ParseResult, Rules
 from query_gateway.statements.normalizer import NormalizedStatement
 
 SAVE_INTERVAL_S = 30.0  # between two snapshots of the cost estimates
@@ -43,6 +43,8 @@
     requested_key: str | None = None
     parameters: Sequence[object] = ()
     deadline: float | None = None  # of the client in loop time, if known
+    # Under the settings that the request keeps; None: those in force
+    idempotent_classes: frozenset[str] | None = None
 
 
 @dataclass(slots=True, eq=False)
@@ -141,9 +143,10 @@
 
     def _finish(self, call: _PendingClassification, cached: CachedStatement) -> None:
         statement, request = call.statement, call.request
-        decision = self.classifier.decide(
-            cached, statement, request.requested_class, request.requested_key, request.parameters
+        terms = ClientTerms(
+            request.requested_class, request.requested_key, request.parameters, request.idempotent_classes
         )
+        decision = self.classifier.decide(cached, statement, terms)
         classification = Classification(decision, statement.fingerprint, cached.table_group)
         if decision.is_accepted and decision.class_name is not None:
             costs = self.classifier.costs
--- a/query_gateway/policy/admission.py
+++ b/query_gateway/policy/admission.py
@@ -37,7 +37,10 @@
     if request.request_id in state.queries or request.class_index >= len(state.classes):
         return
     retry_budget.record_request(state.retry_budget, state.settings, state.now)
-    query = _new_query(state, request, state.classes[request.class_index])
+    request_class = state.classes[request.class_index]
+    if request.class_settings is not None:
+        request_class = request_class.with_settings(request.class_settings)
+    query = _new_query(state, request, request_class)
     state.queries[request.request_id] = query
     if request.key and query.settings.ordered_by_key:
         state.key_queues.add(request.key, query)
--- a/query_gateway/statements/classifier.py
+++ b/query_gateway/statements/classifier.py
@@ -12,10 +12,11 @@
 from query_gateway.statements.costs import CostEstimates
 from query_gateway.statements.errors import UndeterminedKeyError, UnsupportedStatementError
 from query_gateway.statements.limits import ShapeLimits
-from query_gateway.statements.messages import Decision, ParseResult, Rules
+from query_gateway.statements.messages import ClientTerms, Decision, ParseResult, Rules
 from query_gateway.statements.normalizer import NormalizedStatement, normalize
 
 MAX_SHAPES = 10_000  # in the cache
+DEFAULT_TERMS = ClientTerms()
 MAX_DISTINCT_RESULTS = 1_024  # parse results that shapes share; above this, the table of them is cleared
 
 
@@ -74,47 +75,45 @@
         self,
         cached: CachedStatement,
         statement: NormalizedStatement,
-        requested_class: str | None = None,
-        requested_key: str | None = None,
-        parameters: Sequence[object] = (),
+        terms: ClientTerms = DEFAULT_TERMS,
     ) -> Decision:
-        """Return the decision about one statement.
-
-        `requested_class` and `requested_key`: the class and key that the client names, or None. `parameters`:
-        the values bound to the statement's parameters.
-        """
+        """Return the decision about one statement under the terms of its client."""
         parse_result, rules = cached.parse_result, self.rules
+        requested_class = terms.requested_class
         if not parse_result.is_write:
             name = requested_class or (rules.report if parse_result.is_report else rules.lookup)
-            key = requested_key if requested_class else None
-            return Decision(name, False, name in self.idempotent_classes, key, "", True)
+            key = terms.requested_key if requested_class else None
+            return Decision(name, False, name in self._idempotent_classes(terms), key, "", True)
         if not parse_result.is_parsed:
             return _rejected(parse_result.reason)
-        return self._decide_write(parse_result, statement, requested_class, requested_key, parameters)
+        return self._decide_write(parse_result, statement, terms)
+
+    def _idempotent_classes(self, terms: ClientTerms) -> frozenset[str]:
+        return self.idempotent_classes if terms.idempotent_classes is None else terms.idempotent_classes
 
     def _decide_write(
         self,
         parse_result: ParseResult,
         statement: NormalizedStatement,
-        requested_class: str | None,
-        requested_key: str | None,
-        parameters: Sequence[object],
+        terms: ClientTerms,
     ) -> Decision:
         rules, description = self.rules, parse_result.reason or parse_result.verb
+        requested_class, requested_key = terms.requested_class, terms.requested_key
+        idempotent_classes = self._idempotent_classes(terms)
         class_name = rules.load
-        if requested_class in self.idempotent_classes:
+        if requested_class in idempotent_classes:
             if rules.mismatch != "load":
                 return _rejected(f"it writes, so it cannot run as {requested_class}: {description}")
         elif requested_class is not None:
             class_name = requested_class
-        if class_name is None or class_name in self.idempotent_classes:
+        if class_name is None or class_name in idempotent_classes:
             return _rejected(f"no class is set for writes: {description}")
         if parse_result.key_rule_index < 0:
             accepts_requested_key = parse_result.lacks_key_rule or not rules.keys
             if requested_class and requested_class == class_name and requested_key and accepts_requested_key:
                 return Decision(class_name, True, False, requested_key, parse_result.reason, True)
             return _rejected(parse_result.reason or "no key can be found")
-        return self._decide_keyed_write(parse_result, statement, class_name, parameters)
+        return self._decide_keyed_write(parse_result, statement, class_name, terms.parameters)
 
     def _decide_keyed_write(
         self,
--- a/query_gateway/statements/messages.py
+++ b/query_gateway/statements/messages.py
@@ -1,5 +1,7 @@
 """The value types of this package: rules, parse results and decisions."""
 
+from collections.abc import Sequence
+from dataclasses import dataclass
 from typing import Literal
 
 import msgspec
@@ -49,6 +51,17 @@
     most_length: int = 16_384  # characters of a statement
 
 
+@dataclass(slots=True, frozen=True)
+class ClientTerms:
+    """What a client asks for with its statement, and the classes under which it was sent."""
+
+    requested_class: str | None = None
+    requested_key: str | None = None
+    parameters: Sequence[object] = ()  # the values bound to the statement's parameters
+    # Under the settings that the request keeps; None: those in force
+    idempotent_classes: frozenset[str] | None = None
+
+
 class LiteralReference(msgspec.Struct, frozen=True, array_like=True):
     """The position of a key value: the slot of its literal, and the sign and cast applied to it."""
 
--- a/tests/flight_client.py
+++ b/tests/flight_client.py
@@ -62,6 +62,12 @@
         self.h2.send_data(STREAM_ID, encode_message(message), end_stream=True)
         self._flush()
 
+    def send_part(self, message: bytes, start: int, end: int | None = None) -> None:
+        """Sends the bytes of the one message from `start` to `end`; without `end`, half-closes the stream."""
+        data = encode_message(message)
+        self.h2.send_data(STREAM_ID, data[start:end], end_stream=end is None)
+        self._flush()
+
     def send_call(self, headers: Headers, message: bytes) -> None:
         """Opens the call and sends its message in the same segment."""
         self.h2.send_headers(STREAM_ID, headers)
--- a/tests/statements.py
+++ b/tests/statements.py
@@ -5,7 +5,7 @@
 
 from query_gateway.statements.classifier import Classifier, rejected_decision
 from query_gateway.statements.errors import UnsupportedStatementError
-from query_gateway.statements.messages import Decision, KeyRule, Rules
+from query_gateway.statements.messages import ClientTerms, Decision, KeyRule, Rules
 from query_gateway.statements.reader import DIALECTS, Reader
 
 CORPUS = Path(__file__).parent / "corpus"
@@ -31,7 +31,7 @@
         except UnsupportedStatementError as error:
             return rejected_decision(error)
         cached = self.classifier.cached(shape) or self.classifier.learn(shape, self.reader.read(shape))
-        return self.classifier.decide(cached, shape, requested_class, requested_key, parameters)
+        return self.classifier.decide(cached, shape, ClientTerms(requested_class, requested_key, parameters))
 
 
 def classifiers_by_dialect(**rules: object) -> dict[str, LocalClassifier]:
--- a/tests/test_engine_attempts.py
+++ b/tests/test_engine_attempts.py
@@ -14,7 +14,18 @@
 def attempt_with_id(client_request_id: str) -> AttemptHandle:
     harness = ForwarderHarness()
     request = ClientRequest(
-        client_request_id, 0, "lookup", b"x", 5_000_000_000, False, None, None, None, 0.0, None
+        client_request_id,
+        0,
+        "lookup",
+        b"x",
+        5_000_000_000,
+        False,
+        None,
+        None,
+        None,
+        0.0,
+        None,
+        harness.class_settings(0),
     )
     exchange = harness.forwarder.accept(request, harness.client, "web")
     return exchange.engine_side.next_attempt(exchange, "a")
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -12,6 +12,7 @@
 from query_gateway.model.actions import Cancel, Forward, Reject
 from query_gateway.model.endpoints import EndpointInfo, EndpointState
 from query_gateway.model.events import AttemptOutcome, Event, OutcomeCode, Request
+from query_gateway.model.settings import ClassSettings
 from tests.stand_ins import SETTINGS, flatten_settings
 
 
@@ -67,10 +68,26 @@
         entries = [EndpointInfo(name, EndpointState.UP, 0, 0, 0, 0, 1.0) for name in "ab"]
         self.forwarder.update_endpoints([Endpoint(entry, {"web": "127.0.0.1:1"}) for entry in entries], True)
         self.request_id = self.accept(
-            ClientRequest("1" * 16, 0, "lookup", b"x", 5_000_000_000, False, None, None, None, 0.0, None),
+            ClientRequest(
+                "1" * 16,
+                0,
+                "lookup",
+                b"x",
+                5_000_000_000,
+                False,
+                None,
+                None,
+                None,
+                0.0,
+                None,
+                settings.classes[0],
+            ),
             self.client,
         )
 
+    def class_settings(self, class_index: int) -> ClassSettings:
+        return self.forwarder.settings.classes[class_index]
+
     def accept(self, request: ClientRequest, client: RecordingClient) -> int:
         return self.forwarder.accept(request, client, "web").request_id
 
@@ -153,7 +170,20 @@
         forwarder.on_planner_connected(0)
 
     def accept_load(digit: str) -> int:
-        request = ClientRequest(digit * 16, 2, "load", b"x", 9_000_000_000, False, "k", "u", None, 0.0, None)
+        request = ClientRequest(
+            digit * 16,
+            2,
+            "load",
+            b"x",
+            9_000_000_000,
+            False,
+            "k",
+            "u",
+            None,
+            0.0,
+            None,
+            harness.class_settings(2),
+        )
         return harness.accept(request, RecordingClient())
 
     restart_planner()
@@ -197,7 +227,19 @@
         harness.forwarder.on_planner_connected(0)
         assert harness.forwarder.key_quarantine.ends_at[0] > deadline + PLANNER_GRACE_NS
     request = ClientRequest(
-        "2" * 16, 2, "load", b"x", deadline, False, "k", "u", None, 0.0, None, received_at
+        "2" * 16,
+        2,
+        "load",
+        b"x",
+        deadline,
+        False,
+        "k",
+        "u",
+        None,
+        0.0,
+        None,
+        harness.class_settings(2),
+        received_at,
     )
     client = RecordingClient()
     harness.accept(request, client)
@@ -213,7 +255,20 @@
     Engines no longer recognize it as a duplicate then, and the load could run twice.
     """
     harness = ForwarderHarness()
-    request = ClientRequest("2" * 16, 2, "load", b"x", 60_000_000_000, False, None, "u", None, 0.0, None)
+    request = ClientRequest(
+        "2" * 16,
+        2,
+        "load",
+        b"x",
+        60_000_000_000,
+        False,
+        None,
+        "u",
+        None,
+        0.0,
+        None,
+        harness.class_settings(2),
+    )
     request_id = harness.accept(request, harness.client)
     harness.forwarder.apply(Forward(request_id, "a", 0))
     harness.end_last_attempt(OutcomeCode.RESET, request_id)
--- a/tests/test_flight_statements.py
+++ b/tests/test_flight_statements.py
@@ -20,16 +20,17 @@
     StatementSettings,
     parse_operator_settings,
 )
+from query_gateway.configuration.settings_parser import parse_settings
 from query_gateway.flight.messages import FlightMethod
-from query_gateway.flight.requests import FlightClass, FlightStatement, decode_request
-from query_gateway.forwarder.messages import Verdict
+from query_gateway.flight.requests import FlightStatement, decode_request
+from query_gateway.forwarder.messages import RequestClass, Verdict
 from query_gateway.gateway import Gateway
 from query_gateway.lifecycle.upgrade_messages import encode
 from query_gateway.net.loop import Loop
 from query_gateway.parsing.service import Classification, StatementService
 from query_gateway.statements.messages import Decision, Rules
 from tests.flight_client import FlightTestClient, call_headers, encode_ticket
-from tests.stand_ins import Engine, config, post
+from tests.stand_ins import SETTINGS, Engine, config, flatten_settings, post
 from tests.statements import KEYS
 from tests.test_flight import FlightEngine, client, command, gateway, options, run_query, run_update
 from tests.test_local import until
@@ -374,7 +375,7 @@
 
 
 def test_idempotency_key_made_by_the_gateway_belongs_to_one_request() -> None:
-    load_class = FlightClass(2, True, True, 10**10, False)
+    load_class = RequestClass(2, parse_settings(flatten_settings(SETTINGS)).classes[2])
     classification = Classification(Decision("load", True, False, "0" * 16, "insert", True))
     insert = FlightStatement(b"INSERT INTO a (b) VALUES (1)", is_update=True, received_at_ns=0)
     queries = [decode_request(insert, "load", load_class, {}, classification) for _ in range(2)]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -55,6 +55,20 @@
     assert not any(isinstance(action, Forward | Reject) for action in actions)
 
 
+def test_request_is_repeated_by_the_settings_that_it_keeps() -> None:
+    """Guards against a second run of a load whose class is deduplicated when the planner hears of it."""
+    unsafe = SITE.classes[2]
+    assert unsafe.idempotency is Idempotency.NON_IDEMPOTENT
+    keyed = replace(unsafe, idempotency=Idempotency.KEYED, deduplication_window=25 * SEC)
+    classes = tuple(keyed if settings is unsafe else settings for settings in SITE.classes)
+    for kept, expected in ((unsafe, [Fail]), (None, [Forward])):
+        harness = SchedulerHarness(replace(SITE, classes=classes), TWO_ENGINES)
+        request = replace(harness.new_request(2), class_settings=kept)
+        harness.notify(request)
+        actions = harness.end_attempt(request.request_id, OutcomeCode.RESET)
+        assert [type(action) for action in actions if isinstance(action, Fail | Forward)] == expected
+
+
 @pytest.mark.parametrize("code", [OutcomeCode.FULL, OutcomeCode.CONNECT_FAILED])
 def test_non_idempotent_that_never_ran_goes_elsewhere(code: OutcomeCode) -> None:
     harness = SchedulerHarness(engines=TWO_ENGINES)
--- a/tests/test_send_guard.py
+++ b/tests/test_send_guard.py
@@ -118,8 +118,7 @@
         self.forwarder.update_endpoints([Endpoint(entry, {"web": "127.0.0.1:1"}) for entry in entries], True)
 
     def accept(self, client_request_id: str, class_index: int = 0, work: int | None = None) -> int:
-        name = self.forwarder.settings.classes[class_index]
-        assert name
+        class_settings = self.forwarder.settings.classes[class_index]
         request = ClientRequest(
             client_request_id,
             class_index,
@@ -132,6 +131,7 @@
             work,
             0.0,
             None,
+            class_settings,
         )
         return self.forwarder.accept(request, self.client, "web").request_id
 
