Every load with a key passes through one queue, whatever else ends in its turn

Cause: Forwarder.accept passed a load to its planner at once if the watermark had moved beyond it, while an earlier load of the key was still in ArrivalOrder, which releases at the end of the turn.

Change: a request with a key is always queued in ArrivalOrder, whose release is now the only place that takes the order. One that is due is released by the hook of the same turn; if it comes behind the hooks, the loop turns again without a sleep. The test of a load held up to its deadline calls the hook, as the loop does; its assertions stay.

--- a/query_gateway/composition.py
+++ b/query_gateway/composition.py
@@ -111,7 +111,11 @@
         """Keep the loop turning without sleeping while the watermark is awaited and can advance."""
         self.loop.watermark.is_awaited = is_awaited
         if is_awaited and not self.loop.watermark.is_blocked:
-            self.loop.call_at(self.loop.now(), lambda: None)
+            self.release_soon()
+
+    def release_soon(self) -> None:
+        """Have the hooks run again after this turn without a sleep."""
+        self.loop.call_at(self.loop.now(), lambda: None)
 
 
 def _add_arrival_order_hook(loop: Loop, forwarder: Forwarder) -> None:
--- a/query_gateway/forwarder/arrival_order.py
+++ b/query_gateway/forwarder/arrival_order.py
@@ -2,7 +2,8 @@
 
 The kernel accepts connections and buffers requests while this process is not reading, and then reports them
 as readable in no particular order. A planner runs the requests of a key in the order of its notifications, so
-it must not be notified of a request while an earlier one may still be unread.
+it must not be notified of a request while an earlier one may still be unread, or is read but not passed on.
+Every request with a key therefore passes through this queue, also one that need not wait.
 
 Input:   the arrival time of the request, and the watermark: the time up to which all arrivals have been read
 Result:  the requests that may be passed on, in arrival order
@@ -24,6 +25,9 @@
     def await_progress(self, is_awaited: bool) -> None:
         """Tell the watermark whether any request is waiting for it to advance."""
 
+    def release_soon(self) -> None:
+        """Have `ArrivalOrder.release` called soon, even if the watermark cannot advance."""
+
 
 @dataclass(slots=True, frozen=True)
 class _Entry:
@@ -54,6 +58,8 @@
         """Call `release` once all earlier requests have been read, unless the request is removed first."""
         self._entries[request_id] = _Entry(arrived_at, next(self._sequence), release)
         self.watermark.await_progress(True)
+        if not self.must_wait(arrived_at):
+            self.watermark.release_soon()
 
     def remove(self, request_id: object) -> None:
         """Drop a request that has ended; no effect if it is not waiting."""
--- a/query_gateway/forwarder/forwarder.py
+++ b/query_gateway/forwarder/forwarder.py
@@ -132,8 +132,9 @@
         if request.fingerprint and self.context.observer:
             self.context.observer.on_accepted(request)
         exchange.timer = self.context.call_at(request.deadline, exchange.on_deadline)
-        if request.key and self.arrival_order and self.arrival_order.must_wait(request.received_at):
-            exchange.trace(TraceStep.HELD_FOR_ORDER)
+        if request.key and self.arrival_order:
+            if self.arrival_order.must_wait(request.received_at):
+                exchange.trace(TraceStep.HELD_FOR_ORDER)
             self.arrival_order.queue(
                 exchange.request_id,
                 request.received_at,
--- a/query_gateway/lifecycle/reload.py
+++ b/query_gateway/lifecycle/reload.py
@@ -6,8 +6,8 @@
 
 No change is made before both files, the configuration and the operator's file, have been read and validated
 as a whole. A request keeps the settings in force when its first byte arrived. Settings that need a restart
-keep their old value, and the log line states that they need one. `max_descriptors` is an exception: the connection
-limit that planners receive with their next settings is derived from the new value.
+keep their old value, and the log line states that they need one. `max_descriptors` is an exception: the
+connection limit that planners receive with their next settings is derived from the new value.
 """
 
 import os
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -211,6 +211,8 @@
 
     def await_progress(self, is_awaited: bool) -> None: ...
 
+    def release_soon(self) -> None: ...
+
 
 @pytest.mark.parametrize("delayed_by", ["quarantine", "order"])
 def test_a_load_that_was_held_up_to_its_deadline_is_rejected(delayed_by: str) -> None:
@@ -219,7 +221,7 @@
     Nothing of it has run and no planner knows of it, so its client may send it again.
     """
     harness = ForwarderHarness()
-    harness.forwarder.keep_arrival_order(StalledWatermark())
+    order = harness.forwarder.keep_arrival_order(StalledWatermark())
     received_at = 1 if delayed_by == "order" else 0
     deadline = 100_000_000
     if delayed_by == "quarantine":
@@ -243,6 +245,7 @@
     )
     client = RecordingClient()
     harness.accept(request, client)
+    order.release()
     for now in (deadline, deadline + PLANNER_GRACE_NS):
         assert not client.answers
         harness.pass_time(now)
--- a/tests/test_key_order.py
+++ b/tests/test_key_order.py
@@ -25,6 +25,7 @@
 from bench.fault_soak.control import CallFault, ShimControl, build_shim
 from query_gateway.configuration.operator_file import OperatorSettings, StatementSettings
 from query_gateway.forwarder.arrival_order import ArrivalOrder
+from query_gateway.forwarder.messages import ClientRequest
 from query_gateway.gateway import Gateway
 from query_gateway.model.actions import Forward
 from query_gateway.model.events import Request
@@ -45,6 +46,7 @@
     post,
     running_gateway,
 )
+from tests.test_exchange import ForwarderHarness
 from tests.test_flight import FlightEngine, run_update
 from tests.test_flight import gateway as flight_gateway
 from tests.test_local import connected_planners, planner, until
@@ -408,6 +410,49 @@
     def await_progress(self, is_awaited: bool) -> None:
         self.is_awaited = is_awaited
 
+    def release_soon(self) -> None:
+        self.is_release_due = True
+
+
+def load_of_key(harness: ForwarderHarness, digit: str, arrived_at: int) -> ClientRequest:
+    settings = harness.class_settings(2)
+    return ClientRequest(
+        digit * 16, 2, "load", b"x", 9 * 10**9, False, KEY, "u", None, 0.0, None, settings, arrived_at
+    )
+
+
+def test_load_whose_reading_ends_as_the_watermark_moves_does_not_overtake_an_earlier_one() -> None:
+    """Guards against a second place that takes the order, for loads that need not wait.
+
+    An earlier load of the key waits for the watermark, which moves beyond both loads within the turn in which
+    the reading of the later one ends. Only the end of the turn releases the earlier one.
+    """
+    harness, watermark = ForwarderHarness(), SettableWatermark()
+    order = harness.forwarder.keep_arrival_order(watermark)
+    harness.accept(load_of_key(harness, "2", arrived_at=10), harness.client)
+    watermark.read_through = 20
+    harness.accept(load_of_key(harness, "3", arrived_at=15), harness.client)
+    assert not harness.keyed_requests()
+    order.release()
+    exchanges = [harness.forwarder.exchanges[request_id] for request_id in harness.keyed_requests()]
+    assert [exchange.request.received_at for exchange in exchanges] == [10, 15]
+
+
+def test_load_that_need_not_wait_is_passed_on_while_the_watermark_cannot_advance() -> None:
+    """Guards against a load that waits in the queue, though due, until something else wakes the loop."""
+    gate = Gateway(config([]), OperatorSettings(), signals=False)
+    loop, released = gate.loop, list[float]()
+    loop.watermark.backlogged.add(object())
+    loop.turn()
+    order = gate.forwarder.arrival_order
+    assert order and loop.watermark.is_blocked
+    started_at = loop.now()
+    order.queue("load", order.watermark.read_through, lambda: released.append(loop.now()))
+    while not released:
+        loop.turn()
+    assert released[0] - started_at < 1.0  # the limit of a sleep is five times as long
+    loop.close()
+
 
 def test_requests_are_released_by_arrival_and_not_by_when_they_were_read() -> None:
     """Requests are read in another order than they arrived, and one of them ends while it waits."""
