A refusal calls a retry harmless only if engines would recognize it

Cause: client_may_retry looked at the class alone. A key that the gateway makes up is known to no client, and a client's own key is known to engines only within their deduplication window. Planner, stop and loss of a planner used the same rule.

Change: requests say whether their client has the key (client_has_key, passed to planners in Request); the rule also takes when the first attempt was sent and when the client is told to return. Exchange and planner share it.

--- a/query_gateway/flight/requests.py
+++ b/query_gateway/flight/requests.py
@@ -76,7 +76,8 @@
     group = classification.table_group if classification else None
     work_hint_ms = real_header(headers, "x-cpu-hint", MAX_WORK_HINT_MS)
     key = _ordering_key(request_class, headers, classification)
-    idempotency_key = _idempotency_key(request_class, headers, classification)
+    idempotency_key = _client_idempotency_key(request_class, headers, classification)
+    needs_own_key = request_class.needs_idempotency_key and idempotency_key is None
     return ClientRequest(
         client_request_id=client_request_id_of(headers),
         class_index=request_class.index,
@@ -85,7 +86,9 @@
         deadline=deadline_of(statement, timeout_ns),
         is_retry=headers.get("x-second-try") == "1",
         key=key if request_class.ordered_by_key else None,
-        idempotency_key=idempotency_key,
+        # Unique, as two identical inserts are two separate loads
+        idempotency_key=uuid4().hex if needs_own_key else idempotency_key,
+        client_has_key=not needs_own_key,
         estimated_work=_estimated_work_ns(work_hint_ms, classification),
         estimated_memory_mb=_memory_mb(headers, classification),
         table_group=None if group is None else float(group),
@@ -106,20 +109,17 @@
     return hex_header(headers, "x-row", KEY_DIGITS, request_class.ordered_by_key)
 
 
-def _idempotency_key(
+def _client_idempotency_key(
     request_class: RequestClass, headers: dict[str, str], classification: "Classification | None"
 ) -> str | None:
-    """Return the key in the header x-txn-key; None if the header is missing and the class needs no key.
+    """Return the client's key in the header x-txn-key, or None.
 
-    If it is missing although the class needs a key, one is generated for a classified statement; otherwise
-    RequestError is raised.
+    Raises RequestError if the class needs a key and the statement is not classified. For a classified one the
+    gateway makes up a key, by which engines know its own further attempts.
     """
     is_parsed = bool(classification and classification.decision)
     is_required = request_class.needs_idempotency_key and not is_parsed
-    idempotency_key = hex_header(headers, "x-txn-key", IDEMPOTENCY_KEY_DIGITS, is_required)
-    if idempotency_key is None and request_class.needs_idempotency_key:
-        return uuid4().hex  # unique, as two identical inserts are two separate loads
-    return idempotency_key
+    return hex_header(headers, "x-txn-key", IDEMPOTENCY_KEY_DIGITS, is_required)
 
 
 def _estimated_work_ns(hint_ms: float | None, classification: "Classification | None") -> int | None:
--- a/query_gateway/forwarder/engine_side.py
+++ b/query_gateway/forwarder/engine_side.py
@@ -15,7 +15,7 @@
 from query_gateway.model.events import OutcomeCode
 from query_gateway.model.settings import ClassSettings
 from query_gateway.model.units import MS
-from query_gateway.policy.repetition import NEVER_RAN_CODES, may_be_rejected, repeat_deadline
+from query_gateway.policy.repetition import NEVER_RAN_CODES, repeat_deadline
 
 # How long a cancelled attempt still counts as in flight, which delays the next attempt of the request. The
 # next attempt may reach the same engine over another connection; sent at once, it could overtake the
@@ -70,9 +70,11 @@
         return repeat_deadline(self.class_settings, self.first_executed_at)
 
     @property
-    def may_be_rejected(self) -> bool:
-        """Whether the request may be rejected because a retry by its client is safe (see `repetition`)."""
-        return may_be_rejected(self.class_settings, self.may_have_run or self.has_attempt_in_flight)
+    def first_sent_at(self) -> int | None:
+        """When the first attempt was sent that may have run or is in flight; None: there is none."""
+        if self.first_executed_at is None and (attempt := self.current_attempt):
+            return attempt.sent_at
+        return self.first_executed_at
 
     def next_attempt(self, exchange: AttemptOwner, endpoint: str) -> Attempt:
         """Create the next attempt; `start` sends it."""
--- a/query_gateway/forwarder/exchange.py
+++ b/query_gateway/forwarder/exchange.py
@@ -29,6 +29,7 @@
 from query_gateway.forwarder.trace import TraceStep
 from query_gateway.model.events import Event, OutcomeCode, RequestAbandoned
 from query_gateway.model.units import MS
+from query_gateway.policy.repetition import may_be_rejected
 
 ANSWER_SLACK_NS: Final = 400 * MS  # answers later than this after the deadline violate ANSWERED_IN_TIME
 PLANNER_GRACE_NS: Final = 5 * MS  # time for the planner to choose the answer after the deadline
@@ -171,19 +172,35 @@
         """Send the final answer; later calls are ignored."""
         if self.answered:
             return
-        if answer.verdict is Verdict.REJECTED and not self._check_rejection():
+        if answer.verdict is Verdict.REJECTED and not self._check_rejection(answer.retry_after_ns):
             answer = Answer(Verdict.FAILED)
         self._end()
         self.trace(TraceStep.ANSWERED, answer.verdict.value)
         self.context.counters.count_answer(self.request.class_name, answer.verdict)
         self.client.send_answer(answer)
 
-    def _check_rejection(self) -> bool:
-        """Whether the request may be rejected; a rejection guarantees that a retry has no second effect."""
+    def _is_retry_safe(self, retry_after_ns: int) -> bool:
+        """Whether a retry by the client after this time is safe, so that the request may be rejected."""
+        request = self.request
+        return may_be_rejected(
+            self.class_settings,
+            request.client_has_key,
+            self.engine_side.first_sent_at,
+            self.context.clock() + retry_after_ns,
+        )
+
+    def _check_rejection(self, retry_after_ns: int) -> bool:
+        """Whether the request may be rejected; a rejection guarantees that a retry has no second effect.
+
+        A rejection by a planner that stalled may come when engines no longer remember the first attempt. That
+        violates no invariant, as it was safe when the planner decided.
+        """
         if self.is_streaming:
             return False
-        if self.engine_side.may_be_rejected:
+        if self._is_retry_safe(retry_after_ns):
             return True
+        if self._is_retry_safe(-self.class_settings.deduplication_window):
+            return False
         details = f"request {self.request.client_request_id} may have run"
         self.context.invariants.report(Invariant.REJECTED_SAFELY, details)
         return False
@@ -250,7 +267,7 @@
         # Withdrawn first, because an attempt that was never sent does not rule out a rejection
         self.engine_side.withdraw()
         # Read before the abort: an attempt in flight counts as one that may have run
-        may_be_rejected = self.engine_side.may_be_rejected
+        is_retry_safe = self._is_retry_safe(retry_after_ns=0)
         self.engine_side.abort(OutcomeCode.CANCELLED)
-        self.answer(Answer(Verdict.REJECTED if may_be_rejected else Verdict.FAILED))
+        self.answer(Answer(Verdict.REJECTED if is_retry_safe else Verdict.FAILED))
         self.settle()
--- a/query_gateway/forwarder/forwarder.py
+++ b/query_gateway/forwarder/forwarder.py
@@ -232,6 +232,7 @@
             estimated_memory_mb=request.estimated_memory_mb,
             is_retry=request.is_retry,
             received_at=request.received_at,
+            client_has_key=request.client_has_key,
             class_settings=request.class_settings if has_old_settings else None,
         )
 
--- a/query_gateway/forwarder/messages.py
+++ b/query_gateway/forwarder/messages.py
@@ -107,6 +107,8 @@
     received_at: int = 0  # clock time of arrival, as exactly as is known; orders the requests of a key
     is_update: bool = False  # a statement without a result; always False on wires without this distinction
     fingerprint: bytes = b""  # of the parsed statement; empty: not parsed, and not used for learned state
+    # Whether the client can repeat the idempotency key in a retry; False: the gateway made it up
+    client_has_key: bool = True
 
 
 @dataclass(slots=True, frozen=True)
--- a/query_gateway/model/events.py
+++ b/query_gateway/model/events.py
@@ -57,6 +57,8 @@
     received_at: int = 0  # clock time of arrival, which orders the requests of a key; 0: unknown
     # Of its class when it arrived, if they have changed since; None: those that the scheduler has
     class_settings: ClassSettings | None = None
+    # Whether its client can repeat its idempotency key; False: the gateway made the key up
+    client_has_key: bool = True
 
 
 @dataclass(slots=True, frozen=True)
--- a/query_gateway/model/records.py
+++ b/query_gateway/model/records.py
@@ -99,6 +99,13 @@
         """Whether per-key ordering applies to the query: queries of its key run one at a time."""
         return self.request_class.settings.ordered_by_key and self.request.key is not None
 
+    @property
+    def first_sent_at(self) -> int | None:
+        """When the first of the attempts was sent that may have run or are in flight; None: there is none."""
+        sent_at = [executed.sent_at for executed in self.executed]
+        sent_at += [attempt.sent_at for attempt in self.in_flight]
+        return min(sent_at) if sent_at else None
+
     @property
     def first_executed_at(self) -> int | None:
         """When the first attempt that may have run was sent; None if there is no such attempt."""
--- a/query_gateway/policy/answers.py
+++ b/query_gateway/policy/answers.py
@@ -24,12 +24,13 @@
     """Reject a query if a retry is safe, else fail it; Retry-After follows from `start_delay`."""
     if query.ended:
         return
-    request_id, never_ran = query.request.request_id, not query.executed and not query.in_flight
-    if may_be_rejected(query.settings, may_have_run=not never_ran):
-        state.actions.append(Reject(request_id, retry_after(state, start_delay), reason))
+    request, first_sent_at = query.request, query.first_sent_at
+    delay = retry_after(state, start_delay)
+    if may_be_rejected(query.settings, request.client_has_key, first_sent_at, state.now + delay):
+        state.actions.append(Reject(request.request_id, delay, reason))
     else:
-        state.actions.append(Fail(request_id, reason))
-    _record_cost(state, query, late=state.now >= query.due_at or not never_ran)
+        state.actions.append(Fail(request.request_id, reason))
+    _record_cost(state, query, late=state.now >= query.due_at or first_sent_at is not None)
     query.ended = True
     _cancel_attempts(state, query)
 
--- a/query_gateway/policy/repetition.py
+++ b/query_gateway/policy/repetition.py
@@ -61,20 +61,27 @@
             return other.group == executed_at.group
 
 
-def client_may_retry(settings: ClassSettings) -> bool:
-    """Whether a client's retry has no further effect, although the request may have run.
+def client_may_retry(
+    settings: ClassSettings, client_has_key: bool, first_sent_at: int, retry_at: int
+) -> bool:
+    """Whether a client's retry at `retry_at` has no further effect, although the request may have run.
 
     The client's retry may reach any engine, so a request with an idempotency key needs all engines in one
-    deduplication scope.
+    deduplication scope. They must still remember the first attempt, sent at `first_sent_at`, and the client
+    must know the key (`client_has_key`): a retry of a request whose key the gateway made up has another one.
     """
     if settings.idempotency is Idempotency.KEYED:
-        return settings.deduplication_scope is DeduplicationScope.ALL
+        is_remembered = retry_at < first_sent_at + settings.deduplication_window
+        return client_has_key and is_remembered and settings.deduplication_scope is DeduplicationScope.ALL
     return settings.idempotency is Idempotency.IDEMPOTENT
 
 
-def may_be_rejected(settings: ClassSettings, may_have_run: bool) -> bool:
+def may_be_rejected(
+    settings: ClassSettings, client_has_key: bool, first_sent_at: int | None, retry_at: int
+) -> bool:
     """Whether a request without a result is rejected, which tells its client to retry; otherwise it fails.
 
-    `may_have_run`: an attempt that has ended may have run, or one is in flight.
+    `first_sent_at` is when the first attempt that may have run, or is in flight, was sent; None: there is
+    none. `retry_at` is when a client that heeds the rejection may return.
     """
-    return not may_have_run or client_may_retry(settings)
+    return first_sent_at is None or client_may_retry(settings, client_has_key, first_sent_at, retry_at)
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -1,6 +1,7 @@
 """Exchanges of a forwarder on a test clock: one attempt in flight at a time, and answers without delay."""
 
 from collections.abc import Callable
+from dataclasses import replace
 
 import pytest
 
@@ -252,6 +253,47 @@
     assert client.answers == [Answer(Verdict.REJECTED)] and not harness.keyed_requests()
 
 
+@pytest.mark.parametrize(
+    ("client_has_key", "elapsed", "expected"),
+    [
+        (True, 10**9, Verdict.REJECTED),
+        (False, 10**9, Verdict.FAILED),
+        (True, 25 * 10**9, Verdict.FAILED),
+    ],
+)
+def test_a_load_in_flight_is_rejected_by_a_stop_only_while_its_clients_retry_is_known(
+    client_has_key: bool, elapsed: int, expected: Verdict
+) -> None:
+    """Guards against a stop or a lost planner that calls a retry harmless which engines cannot recognize.
+
+    The load may have run. Its key was made up by the gateway, or the engines have forgotten it.
+    """
+    harness = ForwarderHarness()
+    request = replace(
+        ClientRequest(
+            "2" * 16,
+            2,
+            "load",
+            b"x",
+            60 * 10**9,
+            False,
+            None,
+            "u",
+            None,
+            0.0,
+            None,
+            harness.class_settings(2),
+        ),
+        client_has_key=client_has_key,
+    )
+    client = RecordingClient()
+    request_id = harness.accept(request, client)
+    harness.forwarder.apply(Forward(request_id, "a", 0))
+    harness.now = elapsed
+    harness.forwarder.on_planner_lost(0)
+    assert [answer.verdict for answer in client.answers] == [expected]
+
+
 def test_a_retry_is_not_sent_once_engines_have_forgotten_the_first_attempt() -> None:
     """A planner process that was suspended may forward a retry after the deduplication window.
 
--- a/tests/test_flight_statements.py
+++ b/tests/test_flight_statements.py
@@ -385,6 +385,7 @@
     } == {32}
     with_client_key = decode_request(insert, "load", load_class, {"x-txn-key": "f" * 32}, classification)
     assert with_client_key.idempotency_key == "f" * 32
+    assert with_client_key.client_has_key and not any(query.client_has_key for query in queries)
 
 
 def test_reload_applies_new_rules_and_invalid_ones_change_nothing(
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -69,6 +69,34 @@
         assert [type(action) for action in actions if isinstance(action, Fail | Forward)] == expected
 
 
+@pytest.mark.parametrize(
+    ("client_has_key", "scope", "elapsed", "expected"),
+    [
+        (True, DeduplicationScope.ALL, 1 * SEC, Reject),
+        (False, DeduplicationScope.ALL, 1 * SEC, Fail),
+        (True, DeduplicationScope.ZONE, 1 * SEC, Fail),
+        (True, DeduplicationScope.ALL, 5 * SEC, Fail),
+        (False, DeduplicationScope.ALL, 5 * SEC, Fail),
+    ],
+)
+def test_keyed_request_that_may_have_run_is_rejected_only_while_its_clients_retry_is_known(
+    client_has_key: bool, scope: DeduplicationScope, elapsed: int, expected: type[Action]
+) -> None:
+    """Guards against calling a retry harmless that engines cannot recognize."""
+    keyed = replace(
+        SITE.classes[2],
+        idempotency=Idempotency.KEYED,
+        deduplication_scope=scope,
+        deduplication_window=5 * SEC,
+    )
+    site = replace(SITE, classes=(*SITE.classes[:2], keyed), max_attempts=1)
+    harness = SchedulerHarness(site, TWO_ENGINES)
+    request = replace(harness.new_request(2), client_has_key=client_has_key)
+    harness.notify(request)
+    actions = harness.end_attempt(request.request_id, OutcomeCode.RESET, after=elapsed)
+    assert [type(action) for action in actions if isinstance(action, Reject | Fail)] == [expected]
+
+
 @pytest.mark.parametrize("code", [OutcomeCode.FULL, OutcomeCode.CONNECT_FAILED])
 def test_non_idempotent_that_never_ran_goes_elsewhere(code: OutcomeCode) -> None:
     harness = SchedulerHarness(engines=TWO_ENGINES)
