An error of ours in one Flight call ends that call, and not its connection

Cause: h2 takes in all frames of a read before its events are handled. The answer to a call whose RST_STREAM it had taken in was refused with a StreamClosedError, which GrpcConnection._receive took for a violation by the peer, as the events were handled within the same try. Any other exception in the work for a call, and a header that is not UTF-8, ended the connection too.

Change: only errors of receive_data are the peer's. A frame that h2 refuses ends its call (fail_call), also trailers and data. An unexpected exception is contained to its call, logged and counted as a fault; the call gets INTERNAL. Headers are decoded with a replacement and refused by the checks of their call.

--- a/query_gateway/flight/client_call.py
+++ b/query_gateway/flight/client_call.py
@@ -167,6 +167,13 @@
             status = GrpcStatus.INVALID_ARGUMENT if is_known else GrpcStatus.UNIMPLEMENTED
             self._finish(status, "the call holds no message")
 
+    def on_fault(self) -> None:
+        """Fail the call, and abandon its request."""
+        self.server.loop.watermark.release(self)
+        self._finish(FAILED_STATUS, "Internal")
+        if self.exchange:
+            self.exchange.abandon()
+
     def on_aborted(self, never_ran: bool) -> None:
         """Abandon the request: the client has cancelled the call, or its connection has ended."""
         self.state = FlightCallState.DONE
--- a/query_gateway/rpc/call.py
+++ b/query_gateway/rpc/call.py
@@ -17,6 +17,7 @@
 from typing import Protocol
 
 from h2.connection import H2Connection
+from h2.exceptions import ProtocolError
 
 from query_gateway.net.receive_budget import Reservation
 from query_gateway.net.stream import Stream
@@ -44,6 +45,9 @@
     def on_end_stream(self) -> None:
         """The peer has half-closed the call and sends nothing more on it."""
 
+    def on_fault(self) -> None:
+        """An unexpected exception was raised in the work for this call, which is the last of it."""
+
     def on_aborted(self, never_ran: bool) -> None:
         """The call was reset or refused, or its connection ended.
 
@@ -92,6 +96,9 @@
     def reset(self, call: "Call") -> None:
         """Close a call and send RST_STREAM with the error code CANCEL."""
 
+    def fail_call(self, call: "Call") -> None:
+        """Close a call that cannot continue, and no other one, and abort it at its handler soon."""
+
     def acknowledge(self, call: "Call", flow_controlled_bytes: int) -> None:
         """Return flow-control credit for received bytes on both the call and the connection."""
 
@@ -148,7 +155,11 @@
         """Send headers at once; with `end_stream` they are the complete response and close the call."""
         if self.is_closed:
             return
-        self.connection.h2.send_headers(self.stream_id, headers, end_stream=end_stream)
+        try:
+            self.connection.h2.send_headers(self.stream_id, headers, end_stream=end_stream)
+        except ProtocolError:
+            self.connection.fail_call(self)
+            return
         if end_stream:
             self.connection.remove_call(self)
         self.connection.wake()
@@ -199,7 +210,17 @@
         self.connection.acknowledge(self, flow_controlled_bytes)
 
     def send_queued(self) -> None:
-        """Send as much as the flow-control windows and the connection's outbox admit."""
+        """Send as much as the flow-control windows and the connection's outbox admit.
+
+        If h2 refuses a frame, because the peer has reset the call in input that is not handled yet, the call
+        ends and no other one.
+        """
+        try:
+            self._send_queued()
+        except ProtocolError:
+            self.connection.fail_call(self)
+
+    def _send_queued(self) -> None:
         sent_any = False
         while self.queue and not self.is_closed and self.connection.can_write and self._send_data_frame():
             sent_any = True
--- a/query_gateway/rpc/connection.py
+++ b/query_gateway/rpc/connection.py
@@ -9,7 +9,9 @@
 """
 
 import contextlib
-from collections.abc import Generator
+from collections.abc import Callable, Generator, Iterator
+from dataclasses import dataclass
+from functools import partial
 
 import h2.config
 import h2.connection
@@ -18,9 +20,10 @@
 import h2.settings
 from hyperframe.frame import GoAwayFrame
 
+from query_gateway.net.log import log
 from query_gateway.net.loop import Loop, Task
 from query_gateway.net.stream import Reason, Stream
-from query_gateway.rpc.call import Call, CallHandler, Headers
+from query_gateway.rpc.call import Call, CallHandler, CallState, Headers
 from query_gateway.rpc.peer_events import CallAcceptor, PeerEventHandler
 
 CALL_WINDOW_BYTES = 262_144  # per call: received or in transit, and not yet forwarded
@@ -38,6 +41,14 @@
 TaskGenerator = Generator[float | None, None, None]
 
 
+@dataclass(slots=True, frozen=True)
+class FailedCall:
+    """A call that was closed because it could not continue, and whose handler is not told yet."""
+
+    call: Call
+    never_ran: bool  # the peer cannot have processed the call
+
+
 class GrpcConnection:
     """One connection with its open calls; owns the stream and closes it when the connection ends.
 
@@ -50,6 +61,7 @@
         self.loop, self.stream, self.is_client = loop, stream, is_client
         self.h2 = _new_h2_connection(is_client)
         self.calls: dict[int, Call] = {}  # the open calls, by stream id
+        self._failed_calls: list[FailedCall] = []  # closed by `fail_call`; their handlers do not know yet
         self.on_call: CallAcceptor | None = None
         # Calls to engines wait in their own queues, not in the shared outbox, so that they can be withdrawn
         self.max_outbox_bytes = 1 if is_client else MAX_OUTBOX_BYTES
@@ -138,6 +150,18 @@
                 self.h2.reset_stream(call.stream_id, h2.errors.ErrorCodes.CANCEL)
             self.wake()
 
+    def fail_call(self, call: Call) -> None:
+        """Close a call that cannot continue; the connection's task then aborts it at its handler.
+
+        The handler is not told at once, as it may be the caller.
+        """
+        if call.is_closed:
+            return
+        # A peer processes a call only after it has received the complete message
+        self._failed_calls.append(FailedCall(call, never_ran=self.is_client and bool(call.queue)))
+        self.reset(call)
+        self.wake()
+
     def acknowledge(self, call: Call, flow_controlled_bytes: int) -> None:
         """Return flow-control credit for received bytes on both the call and the connection."""
         if flow_controlled_bytes and not self.stream.is_over:
@@ -162,7 +186,9 @@
             if self.stream.inbox and not (yield from self._receive()):
                 return Reason.MALFORMED_RESPONSE if self.is_client else Reason.BAD_REQUEST
             for call in list(self.calls.values()):
-                call.send_queued()
+                with self._ending_only(partial(_same, call)):
+                    call.send_queued()
+            self._abort_failed_calls()
             self.flush()
             if self.stream.inbox and not self.stream.closed:
                 continue
@@ -214,13 +240,41 @@
             yield deadline
         yield from self.stream.close_gracefully(HALF_CLOSE_TIMEOUT_S)
 
+    @contextlib.contextmanager
+    def _ending_only(self, find_call: Callable[[], Call | None]) -> Iterator[None]:
+        """Contain an unexpected exception in the work for one call, which `find_call` returns.
+
+        Without this, an error of ours in one call would end the connection, and with it all its calls.
+        `find_call` returns None if the work was for the connection; then the exception ends it.
+        """
+        try:
+            yield
+        except Exception as error:
+            call = find_call()
+            if call is None:
+                raise
+            log("fault", f"unexpected exception while handling a call: {error!r}")
+            self.loop.faults += 1
+            with contextlib.suppress(Exception):
+                call.handler.on_fault()
+            if call.state is CallState.OPEN:
+                self.fail_call(call)
+
+    def _abort_failed_calls(self) -> None:
+        while self._failed_calls:
+            failed = self._failed_calls.pop(0)
+            with self._ending_only(partial(_same, failed.call)):
+                failed.call.handler.on_aborted(failed.never_ran)
+
     def _abort_calls(self) -> None:
         calls, self.calls = list(self.calls.values()), {}
+        self._abort_failed_calls()
         for call in calls:
             call.mark_closed()
             # A peer processes a call only after it has received the complete message
             never_ran = self.peer_events.is_refused(call) or not self.stream.connected or bool(call.queue)
-            call.handler.on_aborted(never_ran)
+            with self._ending_only(partial(_same, call)):
+                call.handler.on_aborted(never_ran)
 
     def _receive(self) -> Generator[float | None, None, bool]:
         """Handle up to `MAX_BYTES_PER_STEP` of the received data; False if the peer violated the protocol.
@@ -233,11 +287,13 @@
             yield from self._pause()
         self.has_received, self.last_received_at = True, self.loop.now()
         try:
-            for event in self.h2.receive_data(self.stream.take_inbox(MAX_BYTES_PER_STEP)):
-                self.peer_events.handle(event)
-        except (h2.exceptions.ProtocolError, UnicodeDecodeError):
+            events = self.h2.receive_data(self.stream.take_inbox(MAX_BYTES_PER_STEP))
+        except h2.exceptions.ProtocolError:
             self.flush()  # the GOAWAY with the error code, which h2 has encoded
             return False
+        for event in events:
+            with self._ending_only(partial(self.peer_events.call_of, event)):
+                self.peer_events.handle(event)
         return True
 
     def _pause(self) -> Generator[float | None, None, None]:
@@ -255,9 +311,13 @@
             self.loop.watermark.release(self)
 
 
+def _same(call: Call) -> Call:
+    return call
+
+
 def _new_h2_connection(is_client: bool) -> h2.connection.H2Connection:
     connection = h2.connection.H2Connection(
-        h2.config.H2Configuration(client_side=is_client, header_encoding="utf-8")
+        h2.config.H2Configuration(client_side=is_client, header_encoding=None)
     )
     # h2 sends the settings in this attribute with the connection preface
     connection.local_settings = h2.settings.Settings(
--- a/query_gateway/rpc/peer_events.py
+++ b/query_gateway/rpc/peer_events.py
@@ -1,10 +1,12 @@
 """Applies the peer's HTTP/2 frames, as decoded by h2, to the calls of a connection."""
 
+import contextlib
 from collections.abc import Callable
 from typing import Protocol
 
 import h2.errors
 import h2.events
+import h2.exceptions
 
 from query_gateway.rpc.call import Call, CallConnection, CallHandler
 from query_gateway.rpc.errors import FramingError
@@ -54,6 +56,10 @@
             else:
                 self._on_reset(call, event)
 
+    def call_of(self, event: h2.events.Event) -> Call | None:
+        """The open call that an event belongs to; None if it belongs to the connection."""
+        return self._find_call(getattr(event, "stream_id", None))
+
     def _find_call(self, stream_id: int | None) -> Call | None:
         return None if stream_id is None else self.connection.calls.get(stream_id)
 
@@ -72,7 +78,8 @@
         if self.connection.draining:
             # The client sent the call before it received our GOAWAY. REFUSED_STREAM guarantees that the call
             # was not processed, so the client may retry it elsewhere (RFC 9113 section 8.7)
-            self.connection.h2.reset_stream(event.stream_id, h2.errors.ErrorCodes.REFUSED_STREAM)
+            with contextlib.suppress(h2.exceptions.ProtocolError):  # the client has reset it already
+                self.connection.h2.reset_stream(event.stream_id, h2.errors.ErrorCodes.REFUSED_STREAM)
             return
         self.newest_stream_id = event.stream_id
         call = Call(self.connection, event.stream_id, CallHandler())
@@ -122,4 +129,9 @@
 
 
 def _header_dict(event: h2.events.RequestReceived | HeadersEvent) -> dict[str, str]:
-    return {str(name): str(value) for name, value in event.headers or []}
+    """The headers as text; bytes that are not UTF-8 are replaced, so that only their call is refused."""
+    return {_header_text(name): _header_text(value) for name, value in event.headers or []}
+
+
+def _header_text(text: bytes | str) -> str:
+    return text if isinstance(text, str) else text.decode(errors="replace")
