HTTP requests that are not whole stay within what memory_mb leaves after the start

What operators saw: with hundreds of clients that stopped half way through a large request, or sent heads of very many short fields, a process passed its memory limit and was killed.

Cause: the budget was a quarter of memory_mb whatever the process itself takes, with at least 16 MB; HTTP input was counted and not limited; what h11 had buffered was not counted; and a head stayed in memory as h11's list of fields, 1 MB for 16 KB.

Change: the budget is a third of what memory_mb leaves after the start, less 8 KB for each client connection. A body over 2 KB reserves its length before it is read (a chunked one the most it may have), in order; it waits at most as long as its client, then it is rejected (memory-limit). Over a quarter of the budget in unreserved input inboxes are kept to 16 KB, over half to 2 KB while the request is incomplete, and h11 gets no more of it. Only the headers that requests use are kept.

The unit test of the limit follows the new rule.

--- a/query_gateway/gateway.py
+++ b/query_gateway/gateway.py
@@ -38,7 +38,7 @@
 from query_gateway.lifecycle.startup import Startup
 from query_gateway.net.log import log
 from query_gateway.net.loop import Loop
-from query_gateway.net.receive_budget import limit_for_memory
+from query_gateway.net.receive_budget import limit_for_memory, resident_bytes
 from query_gateway.net.steady_clock import steady_now_ns, wall_clock_offset_ns
 from query_gateway.planner.planner import Planner
 
@@ -69,7 +69,6 @@
         self.options = options or GatewayOptions()
         self.active = ActiveConfiguration(config, operator, config.classes)
         self.loop, self.readiness = Loop(), Readiness()
-        self.loop.receive_budget.limit_bytes = limit_for_memory(config.memory_mb)
         path = self.options.upgrade_path
         self.hot_upgrade = HotUpgrade(self.loop, path) if path else None
         self.startup = Startup(self.loop, self.readiness, self.hot_upgrade)
@@ -79,6 +78,10 @@
         self._build_fronts(parts, signals)
         self._build_announcer_and_admin_server()
         self._build_lifecycle()
+        # Last, as clients may use what the parts above have left of the memory
+        self.loop.receive_budget.limit_bytes = limit_for_memory(
+            config.memory_mb, resident_bytes(), self.max_connections * len(self.fronts.listeners)
+        )
         self._start()
         if signals:
             self._handle_signals()
--- a/query_gateway/http/connection.py
+++ b/query_gateway/http/connection.py
@@ -29,7 +29,7 @@
 
 from query_gateway.forwarder.invariants import Invariant
 from query_gateway.forwarder.kept_classes import KeptClasses
-from query_gateway.forwarder.messages import ClientRequest, RequestClasses
+from query_gateway.forwarder.messages import ClientRequest, EarlyRejection, RequestClasses
 from query_gateway.forwarder.readiness import DRAIN_CLOSE_IDLE_AFTER_S, Readiness
 from query_gateway.http.end_reasons import (
     reason_after_last_response,
@@ -38,12 +38,18 @@
     reason_of_lost_connection,
     reason_of_unused_connection,
 )
-from query_gateway.http.h11_request import MAX_BYTES_PER_STEP, MAX_HEADER_BYTES, HttpRequest, read_request
+from query_gateway.http.h11_request import (
+    MAX_BYTES_PER_STEP,
+    MAX_HEADER_BYTES,
+    HttpRequest,
+    MemoryUnavailableError,
+    RequestReader,
+)
 from query_gateway.http.plain_request import PlainRequest, parse_plain_request
-from query_gateway.http.request_decoding import RequestError, decode_request
+from query_gateway.http.request_decoding import CLIENT_ID_HEADER, RequestError, decode_request
 from query_gateway.http.request_handler import RequestContext, RequestHandler
 from query_gateway.http.response_sender import ResponseSender
-from query_gateway.http.responses import Response, failure_response
+from query_gateway.http.responses import Response, failure_response, response_to
 from query_gateway.http.routing import addressed_class_name, liveness_response
 from query_gateway.net.log import log
 from query_gateway.net.loop import Task
@@ -105,6 +111,7 @@
         self.handler = RequestHandler(server, self.stream, self.task)
         self.sender = ResponseSender(self.stream, self.http)
         self.stream.on_activity = self.task.wake
+        self.stream.holds_incomplete_request = True
         self.stream.start()
         self.has_sent_request = has_sent_request
         self.started_at = self.loop.now()
@@ -148,6 +155,8 @@
                 ended = yield from self._serve_plain_request(plain) if plain else self._serve_h11_request()
             except h11.RemoteProtocolError as error:
                 return (yield from self._reject(error.error_status_hint or 400, str(error)))
+            except MemoryUnavailableError as error:
+                return (yield from self._reject_for_memory(error))
             except RequestError as error:
                 return (yield from self._reject(error.status, str(error)))
             except Exception as error:  # the client must get a response even after a program error
@@ -160,6 +169,7 @@
     def _await_request(self) -> OptionalReasonCoroutine:
         """Wait for the first byte of a request; return the reason if the connection ends instead."""
         self._request_classes = None
+        self.stream.holds_incomplete_request = True
         deadline = self.first_request_deadline
         if self.has_sent_request:
             deadline = self.loop.now() + IDLE_TIMEOUT_SECONDS
@@ -226,6 +236,7 @@
 
     def _on_complete_request(self) -> None:
         self.has_sent_request = self.handler.has_open_request = True
+        self.stream.note_complete_request()
         self.server.awaiting_first_request.pop(self, None)
 
     # ---- one request
@@ -256,7 +267,8 @@
         deadline = self.first_request_deadline
         if self.has_sent_request:
             deadline = self.loop.now() + REQUEST_TIMEOUT_SECONDS
-        request = yield from read_request(self.http, self.stream, deadline, self._pause_if_due)
+        reader = RequestReader(self.http, self.stream, self.task, deadline, self._pause_if_due)
+        request = yield from reader.read()
         if isinstance(request, Reason):
             return request
         self._on_complete_request()
@@ -322,6 +334,18 @@
                 return ended
         return (yield from self._close_gracefully(reason_after_rejection(status)))
 
+    def _reject_for_memory(self, error: MemoryUnavailableError) -> ReasonCoroutine:
+        """Reject a request for whose statement there was no memory in time, and close."""
+        class_name = error.path.rpartition("/")[2]
+        if class_name not in self.server.classes:
+            return (yield from self._reject(404, "the path is unknown"))
+        forwarder = self.server.forwarder
+        client_request_id = error.headers.get(CLIENT_ID_HEADER, "")
+        answer = forwarder.reject_unaccepted(client_request_id, class_name, EarlyRejection.MEMORY_LIMIT)
+        if ended := (yield from self._send_response(response_to(answer), closing=True)):
+            return ended
+        return (yield from self._close_gracefully(Reason.SLOW_REQUEST))
+
     def _close_after_last_response(self) -> ReasonCoroutine:
         reason = reason_after_last_response(self.handler, self.server.closing, self.server.draining_for())
         return (yield from self._close_gracefully(reason))
--- a/query_gateway/http/request_decoding.py
+++ b/query_gateway/http/request_decoding.py
@@ -23,6 +23,15 @@
 CPU_HINT_HEADER = "x-cpu-hint"
 MEMORY_HEADER = "x-memory"
 RETRY_HEADER = "x-second-try"
+REQUEST_HEADERS = (
+    CLIENT_ID_HEADER,
+    TTL_HEADER,
+    IDEMPOTENCY_KEY_HEADER,
+    ORDERING_KEY_HEADER,
+    CPU_HINT_HEADER,
+    MEMORY_HEADER,
+    RETRY_HEADER,
+)
 
 
 class RequestError(Exception):
--- a/query_gateway/net/buffered_socket.py
+++ b/query_gateway/net/buffered_socket.py
@@ -41,6 +41,7 @@
         # Whether the connection was accepted, not dialled. Only of accepted ones are arrival times recorded,
         # from which the deadlines of clients count
         self._is_accepted = True
+        self.holds_incomplete_request = False  # set by a front while it reads a request
         self.bytes_consumed = 0  # bytes taken out of the inbox so far
         self._awaits_writable = False  # `try_write` wrote nothing, so `on_activity` is due once writable
         self.connected = True
@@ -111,8 +112,9 @@
         # The kernel is asked before the read, so that data arriving after the read does not count as the
         # newest of the bytes read
         waited = seconds_since_last_data(self.sock) if self._is_accepted else None
+        size = max(1, min(READ_SIZE_BYTES, self._max_inbox_bytes - len(self.inbox)))
         try:
-            data = self.sock.recv(READ_SIZE_BYTES)
+            data = self.sock.recv(size)
         except OSError as error:
             if is_transient(error):
                 if error.errno not in WOULD_BLOCK_ERRORS and self._is_accepted:
@@ -125,7 +127,7 @@
         self.inbox += data
         if self._is_accepted:
             self.loop.receive_budget.count(len(data))
-            more_waits = len(data) >= READ_SIZE_BYTES
+            more_waits = len(data) >= size
             self.arrivals.record_read(len(data), self._arrival_time(waited), more_waits)
         self.read_paused = len(self.inbox) >= self._max_inbox_bytes
         if self.read_paused:
@@ -135,7 +137,9 @@
     @property
     def _max_inbox_bytes(self) -> int:
         """Unconsumed bytes at which reading pauses."""
-        return self.loop.receive_budget.max_inbox_bytes if self._is_accepted else MAX_INBOX_BYTES
+        if not self._is_accepted:
+            return MAX_INBOX_BYTES
+        return self.loop.receive_budget.max_inbox_bytes(self.holds_incomplete_request)
 
     def _arrival_time(self, waited: float | None) -> ArrivalTime:
         """The arrival time of the bytes just read; the newest arrived `waited` seconds ago, if known."""
@@ -164,10 +168,19 @@
         self.bytes_consumed += len(data)
         if self._is_accepted:
             self.loop.receive_budget.count(-len(data))
+        self._resume_reading()
+        return data
+
+    def _resume_reading(self) -> None:
+        """Resume reading if it was paused and the inbox has room."""
         if self.read_paused and len(self.inbox) < self._max_inbox_bytes:
             self.read_paused = False
             self._update_mask()
-        return data
+
+    def note_complete_request(self) -> None:
+        """Let the inbox grow as for a connection whose request is read."""
+        self.holds_incomplete_request = False
+        self._resume_reading()
 
     # ---- writing
 
--- a/query_gateway/net/receive_budget.py
+++ b/query_gateway/net/receive_budget.py
@@ -6,26 +6,43 @@
 use, it is read ahead of its turn only up to a small size.
 """
 
+import os
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
 BYTES_PER_MB = 1_048_576
-# Of the process's memory. A received byte is in memory at most twice: in its buffer and its statement, then
-# there and in its encoding for an engine. The other half is for the process itself and its allocator
-SHARE_OF_MEMORY = 0.25
-MIN_LIMIT_BYTES = 16 * BYTES_PER_MB  # the longest message must fit
+# Of the memory that the process has left after its start. A received byte is in memory at most twice: in its
+# buffer and its statement, then there and in its encoding for an engine. The rest is for all other growth
+SHARE_OF_MEMORY_LEFT = 1 / 3
+MIN_LIMIT_BYTES = BYTES_PER_MB
+CONNECTION_BYTES = 8_192  # of the objects of a client's connection, without what it sends
 UNLIMITED_BYTES = 1 << 62
-# The inbox of a connection, in general and while over half of the budget is in use
+# The inbox of a connection, by how much of the budget is in use without a reservation. Only a connection
+# whose request is incomplete is kept to the least size
 MAX_INBOX_BYTES = 262_144
-MAX_INBOX_UNDER_PRESSURE_BYTES = 16_384
+MAX_INBOX_UNDER_PRESSURE_BYTES = 16_384  # over a quarter
+MAX_INCOMPLETE_REQUEST_UNDER_PRESSURE_BYTES = 2_048  # over half
 
 
-def limit_for_memory(memory_mb: float | None) -> int:
-    """The budget in bytes of a process that may use `memory_mb`; None: without a limit."""
+def limit_for_memory(memory_mb: float | None, resident_bytes: int, max_connections: int = 0) -> int:
+    """The budget in bytes of a process that may use `memory_mb` and now has `resident_bytes`.
+
+    The objects of `max_connections` clients are subtracted. Without a limit if `memory_mb` is None.
+    """
     if memory_mb is None:
         return UNLIMITED_BYTES
-    return max(MIN_LIMIT_BYTES, int(memory_mb * SHARE_OF_MEMORY * BYTES_PER_MB))
+    left = memory_mb * BYTES_PER_MB - resident_bytes - max_connections * CONNECTION_BYTES
+    return max(MIN_LIMIT_BYTES, int(left * SHARE_OF_MEMORY_LEFT))
+
+
+def resident_bytes() -> int:
+    """The memory of this process that is resident now; 0 if the kernel does not tell."""
+    try:
+        with open("/proc/self/statm", "rb") as statm:
+            return int(statm.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+    except (OSError, ValueError, IndexError):
+        return 0
 
 
 @dataclass(slots=True, eq=False)
@@ -45,6 +62,7 @@
         """Start with nothing held."""
         self.limit_bytes = limit_bytes
         self.held_bytes = self.most_held_bytes = 0
+        self._reserved_bytes = 0  # of the held bytes
         self._waiting: deque[Reservation] = deque()
 
     @property
@@ -53,9 +71,20 @@
         return sum(not reservation.is_released for reservation in self._waiting)
 
     @property
-    def max_inbox_bytes(self) -> int:
-        """Unconsumed bytes at which reading from a client pauses."""
-        is_under_pressure = 2 * self.held_bytes > self.limit_bytes
+    def unreserved_bytes(self) -> int:
+        """The bytes that are held without a reservation."""
+        return self.held_bytes - self._reserved_bytes
+
+    @property
+    def is_unreserved_part_used_up(self) -> bool:
+        """Whether so much is held without a reservation that no incomplete request may grow."""
+        return 2 * self.unreserved_bytes > self.limit_bytes
+
+    def max_inbox_bytes(self, is_incomplete: bool) -> int:
+        """Unconsumed bytes at which reading from a client pauses; `is_incomplete`: of an unread request."""
+        if is_incomplete and self.is_unreserved_part_used_up:
+            return MAX_INCOMPLETE_REQUEST_UNDER_PRESSURE_BYTES
+        is_under_pressure = 4 * self.unreserved_bytes > self.limit_bytes
         return MAX_INBOX_UNDER_PRESSURE_BYTES if is_under_pressure else MAX_INBOX_BYTES
 
     def count(self, size: int) -> None:
@@ -80,14 +109,19 @@
             return
         reservation.is_released = True
         if reservation.is_granted:
+            self._reserved_bytes -= reservation.size
             self.held_bytes -= reservation.size
         self._grant_waiting()
 
     def _fits(self, size: int) -> bool:
-        return self.held_bytes + size <= self.limit_bytes or self.held_bytes <= 0
+        # At most half is kept free for unreserved input: what clients send in pieces must not keep back those
+        # whose length is known for ever
+        unreserved_bytes = min(self.unreserved_bytes, self.limit_bytes // 2)
+        return self._reserved_bytes + unreserved_bytes + size <= self.limit_bytes or not self._reserved_bytes
 
     def _grant(self, reservation: Reservation) -> None:
         reservation.is_granted = True
+        self._reserved_bytes += reservation.size
         self.held_bytes += reservation.size
         self.most_held_bytes = max(self.most_held_bytes, self.held_bytes)
 
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -9,7 +9,7 @@
 import sys
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
@@ -63,14 +63,18 @@
 
 
 @contextlib.contextmanager
-def limited_gateway(folder: Path, engine: Engine, flight_engine: FlightEngine) -> Iterator[LimitedGateway]:
+def limited_gateway(
+    folder: Path, engine: Engine, flight_engine: FlightEngine | None, memory_mb: int = MEMORY_MB
+) -> Iterator[LimitedGateway]:
+    """Run a gateway process; without `flight_engine` as on the platform, which has no operator's file."""
     http, flight = ("127.0.0.1", free_port()), ("127.0.0.1", free_port())
-    flight_address = f"127.0.0.1:{flight_engine.port}"
-    host = {"host": "e0", "dial": engine.address, "flight": flight_address, "site": "hall-a",
-            "class": "std-16", "health": "up", "share": 1, "born_ms": 0}  # fmt: skip
+    host = {"host": "e0", "dial": engine.address, "site": "hall-a", "class": "std-16", "health": "up",
+            "share": 1, "born_ms": 0}  # fmt: skip
+    if flight_engine:
+        host["flight"] = f"127.0.0.1:{flight_engine.port}"
     configuration = {
         "name": "n1", "listen": f"{http[0]}:{http[1]}", "seed": "7", "journal": "127.0.0.1:1",
-        "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 1024},
+        "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": 1024},
         "settings": settings_with_timeout(TIMEOUT_S), "known": endpoint_list_answer(1, [host], snapshot=True),
     }  # fmt: skip
     (folder / "config.json").write_text(json.dumps(configuration))
@@ -79,8 +83,9 @@
     )
     environment = os.environ | {
         "ROUTER_CONFIG": str(folder / "config.json"), "TMPDIR": str(folder),
-        "QUERY_GATEWAY_OPERATOR_FILE": str(folder / "operator.toml"),
     }  # fmt: skip
+    if flight_engine:
+        environment["QUERY_GATEWAY_OPERATOR_FILE"] = str(folder / "operator.toml")
     command = [sys.executable, "-m", "query_gateway"]
     with ended_on_exit(
         subprocess.Popen(command, env=environment, stderr=subprocess.PIPE, text=True)
@@ -195,6 +200,76 @@
         client.close()
 
 
+LEAST_MEMORY_MB = 32  # of the scored days, for 256 to 1,024 descriptors
+CLIENTS = 760  # of the 768 that 1,024 descriptors leave for clients
+
+
+def unfinished_body(_: int) -> bytes:
+    return load_head(f"Content-Length: {STATEMENT_BYTES}\r\n\r\n") + b"x" * (STATEMENT_BYTES - 1_000)
+
+
+def unfinished_chunks(_: int) -> bytes:
+    chunk = b"3e8\r\n" + b"x" * 1_000 + b"\r\n"
+    return load_head("Transfer-Encoding: chunked\r\n\r\n") + chunk * 249
+
+
+def short_fields(number: int) -> bytes:
+    fields = "".join(f"a{field:x}: \r\n" for field in range(1_700))
+    return load_head(f"{fields}Content-Length: 1000\r\n\r\n") + b"x" * 900
+
+
+def unfinished_head(number: int) -> bytes:
+    return short_fields(number)[:15_000]
+
+
+def load_head(rest: str) -> bytes:
+    return (
+        f"POST /svc/load HTTP/1.1\r\nHost: x\r\nX-Txn: {uuid4().hex[:16]}\r\nX-Ttl-Ms: 20000\r\n"
+        f"X-Row: {uuid4().hex[:16]}\r\nX-Txn-Key: {uuid4().hex}\r\n{rest}"
+    ).encode()
+
+
+@pytest.mark.parametrize(
+    "request_of",
+    [unfinished_body, unfinished_chunks, short_fields, unfinished_head],
+    ids=lambda f: f.__name__,
+)
+def test_clients_that_stop_within_their_request_stay_within_the_least_memory(
+    request_of: Callable[[int], bytes], tmp_path: Path
+) -> None:
+    """Guards against a kill of the process at the least memory and the most descriptors of the pages.
+
+    Hundreds of clients stop half way through a large request, or send heads of very many short fields.
+    Afterwards a large sound load is served, and so is a small lookup meanwhile.
+    """
+    engine = Engine(pages=1)
+    with limited_gateway(tmp_path, engine, None, LEAST_MEMORY_MB) as gateway:
+        clients: list[socket.socket] = []
+
+        def send(number: int) -> None:
+            client = socket.create_connection(gateway.http)
+            clients.append(client)
+            client.settimeout(0.5)
+            with contextlib.suppress(OSError):
+                client.sendall(request_of(number))
+
+        with ThreadPoolExecutor(16) as executor:
+            list(executor.map(send, range(CLIENTS)))
+        time.sleep(0.3)
+        with socket.create_connection(gateway.http, timeout=20) as client:
+            head = load_head("Content-Length: 8\r\n\r\n").replace(b"/svc/load", b"/svc/lookup")
+            client.sendall(head + b"SELECT 1")
+            assert client.recv(65_536).startswith(b"HTTP/1.1 200")
+        for client in clients:
+            client.close()
+        statement = (b"INSERT INTO loans VALUES (0)" + b",(1,4)" * STATEMENT_BYTES)[:STATEMENT_BYTES]
+        with socket.create_connection(gateway.http, timeout=20) as client:
+            client.sendall(load_head(f"Content-Length: {STATEMENT_BYTES}\r\n\r\n") + statement)
+            assert client.recv(65_536).startswith(b"HTTP/1.1 200")
+        assert gateway.most_resident_mb() < LEAST_MEMORY_MB
+    engine.close()
+
+
 def test_reservations_are_granted_in_order_and_only_within_the_budget() -> None:
     budget, granted = ReceiveBudget(100), []
     first = budget.reserve(60, lambda: granted.append(1))
@@ -216,7 +291,9 @@
     budget = ReceiveBudget(100)
     assert budget.reserve(1_000, lambda: None).is_granted
     assert not budget.reserve(1, lambda: None).is_granted
-    assert limit_for_memory(192) == 48 * BYTES_PER_MB and limit_for_memory(1) == 16 * BYTES_PER_MB
+    assert limit_for_memory(192, 24 * BYTES_PER_MB) == 56 * BYTES_PER_MB
+    assert limit_for_memory(32, 20 * BYTES_PER_MB) == 4 * BYTES_PER_MB
+    assert limit_for_memory(1, 20 * BYTES_PER_MB) == BYTES_PER_MB
 
 
 @pytest.mark.parametrize("statement", ["", "SELECT 1", "š" * 40_000, "x" * 70_000])
