Heads, calls and incomplete messages of Flight SQL clients are counted and limited

What operators saw: a process over its memory limit under heads that never end.

Cause: h2 keeps every frame of a header block, up to 64 of 16 KB, until the last; a call kept all of its headers; messages of up to 64 KB and the objects of up to 1,000 calls of a connection were not counted.

Change: HeaderBlockLimit sums a block over its frames and ends the connection at 68 KB, beyond which the list of headers is over the advertised 64 KB in any case. A call keeps the headers that a request is decoded from. Calls and their incomplete messages are counted in the receive budget; while more is held without a reservation than it has, new calls get REFUSED_STREAM and calls whose message is not whole RESOURCE_EXHAUSTED (memory-limit): nothing of either can have run.

--- a/query_gateway/flight/client_call.py
+++ b/query_gateway/flight/client_call.py
@@ -50,6 +50,11 @@
 # may retry at once
 RETRY_AFTER_METADATA = "x-throttle-ms"
 RESPONSE_HEADERS = [(":status", "200"), ("content-type", "application/grpc")]
+# Those that a request is decoded from
+REQUEST_HEADERS = (
+    "x-class", "x-row", "x-txn", "x-txn-key", "x-cpu-hint", "x-memory", "x-second-try", "grpc-timeout",
+)  # fmt: skip
+MAX_METHOD_NAME = 2 * MAX_NAME_IN_ERROR  # characters; longer than that of any known method
 # Each verdict has exactly one status, which the on-call documentation lists
 REJECTED_STATUS, FAILED_STATUS = GrpcStatus.RESOURCE_EXHAUSTED, GrpcStatus.INTERNAL
 
@@ -85,8 +90,10 @@
 
         `classes`: those that clients might request when the call began; a reload does not change them.
         """
-        self.server, self.request_headers, self.call, self.classes = server, headers, call, classes
-        self.method_name = headers.get(":path", "").removeprefix(messages.SERVICE_PATH)
+        self.server, self.call, self.classes = server, call, classes
+        # A call may have thousands of others, and a connection a thousand calls
+        self.request_headers = {name: headers[name] for name in REQUEST_HEADERS if name in headers}
+        self.method_name = headers.get(":path", "").removeprefix(messages.SERVICE_PATH)[:MAX_METHOD_NAME]
         self.client_request_id = ""  # set when classification or scanning starts
         self.exchange: Exchange | None = None
         self.task: Task | None = None  # classifies or scans the statement, if that cannot be done at once
@@ -118,10 +125,7 @@
         if loop.now() < due_at:
             loop.call_at(min(due_at, loop.now() + MESSAGE_TIMEOUT_S), self._on_message_timeout)
         elif call.awaits_memory:
-            class_name = self.request_headers.get("x-class", self.server.update_class)
-            if class_name not in self.classes:
-                class_name = self.server.update_class
-            self._reject_unforwarded(class_name, EarlyRejection.MEMORY_LIMIT, "Overloaded")
+            self._reject_for_memory()
         else:
             self._finish(GrpcStatus.DEADLINE_EXCEEDED, "the call's message did not come in time")
 
@@ -167,6 +171,17 @@
             status = GrpcStatus.INVALID_ARGUMENT if is_known else GrpcStatus.UNIMPLEMENTED
             self._finish(status, "the call holds no message")
 
+    def on_memory_exhausted(self) -> None:
+        """Reject the call, whose message is not whole, so that nothing of it can have run."""
+        if self.state is FlightCallState.AWAITING_MESSAGE:
+            self._reject_for_memory()
+
+    def _reject_for_memory(self) -> None:
+        class_name = self.request_headers.get("x-class", self.server.update_class)
+        if class_name not in self.classes:
+            class_name = self.server.update_class
+        self._reject_unforwarded(class_name, EarlyRejection.MEMORY_LIMIT, "Overloaded")
+
     def on_fault(self) -> None:
         """Fail the call, and abandon its request."""
         self.server.loop.watermark.release(self)
--- a/query_gateway/net/receive_budget.py
+++ b/query_gateway/net/receive_budget.py
@@ -75,6 +75,11 @@
         """The bytes that are held without a reservation."""
         return self.held_bytes - self._reserved_bytes
 
+    @property
+    def is_overdrawn(self) -> bool:
+        """Whether more is held without a reservation than the budget has."""
+        return self.unreserved_bytes > self.limit_bytes
+
     @property
     def is_unreserved_part_used_up(self) -> bool:
         """Whether so much is held without a reservation that no incomplete request may grow."""
--- a/query_gateway/rpc/call.py
+++ b/query_gateway/rpc/call.py
@@ -25,6 +25,7 @@
 
 # Longer messages of clients reserve their length before they are received
 MAX_UNRESERVED_MESSAGE_BYTES = 65_536
+CALL_BYTES = 8_192  # of the objects of a client's call, without its message
 
 Headers = list[tuple[str, str]]
 
@@ -42,6 +43,9 @@
         the peer's flow-control window stays reduced by them until then.
         """
 
+    def on_memory_exhausted(self) -> None:
+        """There is no memory for the rest of the message, of which a part has been received."""
+
     def on_end_stream(self) -> None:
         """The peer has half-closed the call and sends nothing more on it."""
 
@@ -120,6 +124,7 @@
             None  # of memory for its message; held until the call is closed
         )
         self.memory_granted_at: float | None = None  # loop time; None: it reserves none, or waits for it
+        self._counted_bytes = 0  # held in memory without a reservation; counted for calls of clients only
         self._withheld_bytes = 0  # flow-control credit that is returned once the memory is granted
 
     @property
@@ -135,15 +140,29 @@
             self.reservation = loop.receive_budget.reserve(size, self._on_memory_granted)
             if self.reservation.is_granted:
                 self.memory_granted_at = loop.now()
+        self.count_held()
         if self.awaits_memory:
             self._withheld_bytes += flow_controlled_bytes
         else:
             self.acknowledge(flow_controlled_bytes)
+        if self._counted_bytes and self.connection.stream.loop.receive_budget.is_overdrawn:
+            self.handler.on_memory_exhausted()
+
+    def count_held(self) -> None:
+        """Count the objects of a client's call, and its incomplete message unless that has a reservation."""
+        is_granted = self.reservation is not None and self.reservation.is_granted
+        held_bytes = CALL_BYTES + (0 if is_granted else len(self.decoder.buffer))
+        self._count(0 if self.is_closed else held_bytes)
+
+    def _count(self, held_bytes: int) -> None:
+        self.connection.stream.loop.receive_budget.count(held_bytes - self._counted_bytes)
+        self._counted_bytes = held_bytes
 
     def _on_memory_granted(self) -> None:
         self.memory_granted_at = self.connection.stream.loop.now()
         withheld, self._withheld_bytes = self._withheld_bytes, 0
         if not self.is_closed:
+            self.count_held()
             self.acknowledge(withheld)
 
     @property
@@ -202,6 +221,7 @@
         # The call and its handler form a reference cycle that lives until the garbage collector runs; the
         # part of a long message that was received must not live as long
         self.decoder = MessageDecoder()
+        self._count(0)
         if self.reservation:
             self.connection.stream.loop.receive_budget.release(self.reservation)
 
--- a/query_gateway/rpc/connection.py
+++ b/query_gateway/rpc/connection.py
@@ -24,12 +24,14 @@
 from query_gateway.net.loop import Loop, Task
 from query_gateway.net.stream import Reason, Stream
 from query_gateway.rpc.call import Call, CallHandler, CallState, Headers
+from query_gateway.rpc.header_block_limit import CLIENT_PREFACE, HeaderBlockLimit
 from query_gateway.rpc.peer_events import CallAcceptor, PeerEventHandler
 
 CALL_WINDOW_BYTES = 262_144  # per call: received or in transit, and not yet forwarded
 CONNECTION_WINDOW_INCREMENT_BYTES = 16 * CALL_WINDOW_BYTES
 MAX_CONCURRENT_CALLS = 1_000  # per connection
 MAX_HEADER_LIST_BYTES = 65_536
+MAX_HEADER_BLOCK_BYTES = MAX_HEADER_LIST_BYTES + 4_096  # of one call, encoded, with its frames
 FIRST_BYTES_TIMEOUT_S = 2.0  # until a client must have sent its first bytes
 IDLE_TIMEOUT_S = 300.0  # without data, after which a client's connection without calls is closed
 # For a client to read the rest of a call's response, or of what is unsent when its connection closes
@@ -69,6 +71,9 @@
         self.has_received = False
         self.last_received_at = loop.now()
         self.peer_events = PeerEventHandler(self)
+        self._header_block_limit = HeaderBlockLimit(
+            MAX_HEADER_BLOCK_BYTES, 0 if is_client else len(CLIENT_PREFACE)
+        )
         self.end_reason = Reason.STOPPING  # logged when the connection ends after draining
         self.h2.initiate_connection()  # now, as calls may be opened before the task runs
         self.h2.increment_flow_control_window(CONNECTION_WINDOW_INCREMENT_BYTES)
@@ -286,8 +291,12 @@
         if paused_tasks.is_pause_due() or (has_much_input and paused_tasks.is_turn_late()):
             yield from self._pause()
         self.has_received, self.last_received_at = True, self.loop.now()
+        data = self.stream.take_inbox(MAX_BYTES_PER_STEP)
+        if self._header_block_limit.exceeded_by(data):
+            self.stream.write(GoAwayFrame(0, error_code=h2.errors.ErrorCodes.ENHANCE_YOUR_CALM).serialize())
+            return False
         try:
-            events = self.h2.receive_data(self.stream.take_inbox(MAX_BYTES_PER_STEP))
+            events = self.h2.receive_data(data)
         except h2.exceptions.ProtocolError:
             self.flush()  # the GOAWAY with the error code, which h2 has encoded
             return False
--- a/query_gateway/rpc/peer_events.py
+++ b/query_gateway/rpc/peer_events.py
@@ -75,15 +75,17 @@
         if not accept_call or not event.stream_id:
             return
         headers = _header_dict(event)
-        if self.connection.draining:
-            # The client sent the call before it received our GOAWAY. REFUSED_STREAM guarantees that the call
-            # was not processed, so the client may retry it elsewhere (RFC 9113 section 8.7)
+        if self.connection.draining or self.connection.stream.loop.receive_budget.is_overdrawn:
+            # The client sent the call before it received our GOAWAY, or there is no memory for it.
+            # REFUSED_STREAM guarantees that the call was not processed, so the client may retry it elsewhere
+            # (RFC 9113 section 8.7)
             with contextlib.suppress(h2.exceptions.ProtocolError):  # the client has reset it already
                 self.connection.h2.reset_stream(event.stream_id, h2.errors.ErrorCodes.REFUSED_STREAM)
             return
         self.newest_stream_id = event.stream_id
         call = Call(self.connection, event.stream_id, CallHandler())
         self.connection.calls[event.stream_id] = call
+        call.count_held()
         call.handler = accept_call(headers, call)
 
     def _on_data(self, event: h2.events.DataReceived) -> None:
@@ -112,6 +114,8 @@
             call.acknowledge(flow_controlled_bytes)
         elif not messages:
             call.acknowledge_partial_message(flow_controlled_bytes)
+        if messages and not self.connection.is_client:
+            call.count_held()
         for index, message in enumerate(messages):
             call.handler.on_message(message, flow_controlled_bytes if index == 0 else 0)
 
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -26,6 +26,7 @@
 from query_gateway.flight.messages import FlightMessageError
 from query_gateway.flight.wire_fields import WireFormatError, encode_varint, find_field
 from query_gateway.net.receive_budget import BYTES_PER_MB, ReceiveBudget, limit_for_memory
+from query_gateway.rpc.header_block_limit import CLIENT_PREFACE, HeaderBlockLimit
 from tests.flight_client import FlightTestClient, update_headers
 from tests.race_helpers import settings_with_timeout
 from tests.stand_ins import Engine, ended_on_exit, endpoint_list_answer
@@ -200,6 +201,7 @@
         client.close()
 
 
+LEAST_FLIGHT_MEMORY_MB = 96  # the Flight SQL front takes 41 MB at its start
 LEAST_MEMORY_MB = 32  # of the scored days, for 256 to 1,024 descriptors
 CLIENTS = 760  # of the 768 that 1,024 descriptors leave for clients
 
@@ -270,6 +272,45 @@
     engine.close()
 
 
+def http2_frame(frame_type: int, flags: int, stream_id: int, payload: bytes) -> bytes:
+    header = len(payload).to_bytes(3, "big") + bytes([frame_type, flags]) + stream_id.to_bytes(4, "big")
+    return header + payload
+
+
+def test_endless_heads_over_http2_stay_within_the_memory_limit(gate: LimitedGateway) -> None:
+    """Guards against a kill by 330 clients whose header blocks never end: h2 keeps up to 1 MB of each."""
+    fields = b"\x00\x01a\x01b" * 3_270
+    block = http2_frame(1, 0, 1, fields) + http2_frame(9, 0, 1, fields) * 62
+    clients: list[socket.socket] = []
+
+    def send(_: int) -> None:
+        client = FlightTestClient(gate.flight)
+        clients.append(client.socket)
+        with contextlib.suppress(OSError):
+            client.socket.settimeout(0.5)
+            client.socket.sendall(client.h2.data_to_send() + block)
+
+    with ThreadPoolExecutor(16) as executor:
+        list(executor.map(send, range(330)))
+    time.sleep(0.5)
+    assert gate.most_resident_mb() < LEAST_FLIGHT_MEMORY_MB
+    for client in clients:
+        client.close()
+    put(gate, "INSERT INTO lending_1.loans VALUES (1)")
+
+
+def test_header_block_is_measured_over_its_frames_however_they_are_split() -> None:
+    """Guards against counting payloads as frames, and blocks that are complete as one."""
+    stream = CLIENT_PREFACE + http2_frame(4, 0, 0, b"x" * 12) + http2_frame(1, 4, 1, b"h" * 900)
+    stream += http2_frame(0, 1, 1, b"\x09" * 5_000) + http2_frame(1, 0, 3, b"h" * 500)
+    for step in (1, 7, 1_000, len(stream)):
+        limit = HeaderBlockLimit(1_000, len(CLIENT_PREFACE))
+        pieces = [stream[start : start + step] for start in range(0, len(stream), step)]
+        assert not any(limit.exceeded_by(piece) for piece in pieces)
+        assert not limit.exceeded_by(http2_frame(9, 0, 3, b"h" * 400))
+        assert limit.exceeded_by(http2_frame(9, 4, 3, b"h" * 200))
+
+
 def test_reservations_are_granted_in_order_and_only_within_the_budget() -> None:
     budget, granted = ReceiveBudget(100), []
     first = budget.reserve(60, lambda: granted.append(1))
