A lookup asks for the limits of its input once

Change: the limit is read once for each read, its common case first; kept classes are looked for only where there are any.

--- a/query_gateway/forwarder/kept_classes.py
+++ b/query_gateway/forwarder/kept_classes.py
@@ -28,6 +28,10 @@
         """Start without kept classes."""
         self._ranges: deque[_KeptRange] = deque()
 
+    def __bool__(self) -> bool:
+        """Whether any classes are kept."""
+        return bool(self._ranges)
+
     @property
     def all(self) -> list[RequestClasses]:
         """The kept classes, oldest first."""
--- a/query_gateway/http/connection.py
+++ b/query_gateway/http/connection.py
@@ -197,9 +197,14 @@
                     return (yield from self._close_gracefully(reason))
             yield wake_at
         self.server.idle.pop(self, None)
-        self._request_classes = self._kept_classes.at(self._next_byte, self.server.classes)
+        self._request_classes = self._classes_of_next_request()
         return Reason.TOO_MANY if self.stream.closed else None
 
+    def _classes_of_next_request(self) -> RequestClasses:
+        if not self._kept_classes:
+            return self.server.classes
+        return self._kept_classes.at(self._next_byte, self.server.classes)
+
     @property
     def _next_byte(self) -> int:
         """The position of the first byte that is not decoded yet, counted from 1 over the connection."""
--- a/query_gateway/net/buffered_socket.py
+++ b/query_gateway/net/buffered_socket.py
@@ -112,7 +112,8 @@
         # The kernel is asked before the read, so that data arriving after the read does not count as the
         # newest of the bytes read
         waited = seconds_since_last_data(self.sock) if self._is_accepted else None
-        size = max(1, min(READ_SIZE_BYTES, self._max_inbox_bytes - len(self.inbox)))
+        max_inbox_bytes = self._max_inbox_bytes
+        size = max(1, min(READ_SIZE_BYTES, max_inbox_bytes - len(self.inbox)))
         try:
             data = self.sock.recv(size)
         except OSError as error:
@@ -129,7 +130,7 @@
             self.loop.receive_budget.count(len(data))
             more_waits = len(data) >= size
             self.arrivals.record_read(len(data), self._arrival_time(waited), more_waits)
-        self.read_paused = len(self.inbox) >= self._max_inbox_bytes
+        self.read_paused = len(self.inbox) >= max_inbox_bytes
         if self.read_paused:
             self.arrivals.unread_since = self.loop.now()
         return True
@@ -168,19 +169,21 @@
         self.bytes_consumed += len(data)
         if self._is_accepted:
             self.loop.receive_budget.count(-len(data))
-        self._resume_reading()
+        if self.read_paused:
+            self._resume_reading()
         return data
 
     def _resume_reading(self) -> None:
-        """Resume reading if it was paused and the inbox has room."""
-        if self.read_paused and len(self.inbox) < self._max_inbox_bytes:
+        """Resume reading, which was paused, if the inbox has room."""
+        if len(self.inbox) < self._max_inbox_bytes:
             self.read_paused = False
             self._update_mask()
 
     def note_complete_request(self) -> None:
         """Let the inbox grow as for a connection whose request is read."""
         self.holds_incomplete_request = False
-        self._resume_reading()
+        if self.read_paused:
+            self._resume_reading()
 
     # ---- writing
 
--- a/query_gateway/net/receive_budget.py
+++ b/query_gateway/net/receive_budget.py
@@ -87,10 +87,12 @@
 
     def max_inbox_bytes(self, is_incomplete: bool) -> int:
         """Unconsumed bytes at which reading from a client pauses; `is_incomplete`: of an unread request."""
-        if is_incomplete and self.is_unreserved_part_used_up:
+        unreserved_bytes = self.held_bytes - self._reserved_bytes
+        if 4 * unreserved_bytes <= self.limit_bytes:
+            return MAX_INBOX_BYTES
+        if is_incomplete and 2 * unreserved_bytes > self.limit_bytes:
             return MAX_INCOMPLETE_REQUEST_UNDER_PRESSURE_BYTES
-        is_under_pressure = 4 * self.unreserved_bytes > self.limit_bytes
-        return MAX_INBOX_UNDER_PRESSURE_BYTES if is_under_pressure else MAX_INBOX_BYTES
+        return MAX_INBOX_UNDER_PRESSURE_BYTES
 
     def count(self, size: int) -> None:
         """Add `size` bytes that are held without a reservation; negative: they are held no longer."""
