Containing an error of a call, request headers and test set-ups each stand once

The headers that a Flight call keeps are those of an HTTP request and two more. The tests share the head of a load with test_long_work, an open Flight query beside the call under test, and the load of the harness; they keep their assertions. Behaviour is as before but for one header: a Flight call keeps x-ttl-ms, which it does not read.

--- a/query_gateway/flight/client_call.py
+++ b/query_gateway/flight/client_call.py
@@ -33,7 +33,7 @@
     idempotent_class_names,
 )
 from query_gateway.forwarder.table_group import TableGroupScanner
-from query_gateway.http.request_decoding import RequestError, hex_header
+from query_gateway.http.request_decoding import REQUEST_HEADERS, RequestError, hex_header
 from query_gateway.net.loop import Loop, LoopCoroutine, Task
 from query_gateway.net.steady_clock import clock_time_of, loop_time_of
 from query_gateway.rpc.call import Call, CallHandler, Headers
@@ -51,9 +51,7 @@
 RETRY_AFTER_METADATA = "x-throttle-ms"
 RESPONSE_HEADERS = [(":status", "200"), ("content-type", "application/grpc")]
 # Those that a request is decoded from
-REQUEST_HEADERS = (
-    "x-class", "x-row", "x-txn", "x-txn-key", "x-cpu-hint", "x-memory", "x-second-try", "grpc-timeout",
-)  # fmt: skip
+CALL_HEADERS = (*REQUEST_HEADERS, "x-class", "grpc-timeout")
 MAX_METHOD_NAME = 2 * MAX_NAME_IN_ERROR  # characters; longer than that of any known method
 # Each verdict has exactly one status, which the on-call documentation lists
 REJECTED_STATUS, FAILED_STATUS = GrpcStatus.RESOURCE_EXHAUSTED, GrpcStatus.INTERNAL
@@ -92,7 +90,7 @@
         """
         self.server, self.call, self.classes = server, call, classes
         # A call may have thousands of others, and a connection a thousand calls
-        self.request_headers = {name: headers[name] for name in REQUEST_HEADERS if name in headers}
+        self.request_headers = {name: headers[name] for name in CALL_HEADERS if name in headers}
         self.method_name = headers.get(":path", "").removeprefix(messages.SERVICE_PATH)[:MAX_METHOD_NAME]
         self.client_request_id = ""  # set when classification or scanning starts
         self.exchange: Exchange | None = None
--- a/query_gateway/rpc/connection.py
+++ b/query_gateway/rpc/connection.py
@@ -9,13 +9,13 @@
 """
 
 import contextlib
-from collections.abc import Callable, Generator, Iterator
+from collections.abc import Generator, Iterator
 from dataclasses import dataclass
-from functools import partial
 
 import h2.config
 import h2.connection
 import h2.errors
+import h2.events
 import h2.exceptions
 import h2.settings
 from hyperframe.frame import GoAwayFrame
@@ -191,7 +191,7 @@
             if self.stream.inbox and not (yield from self._receive()):
                 return Reason.MALFORMED_RESPONSE if self.is_client else Reason.BAD_REQUEST
             for call in list(self.calls.values()):
-                with self._ending_only(partial(_same, call)):
+                with self._ending_only(call):
                     call.send_queued()
             self._abort_failed_calls()
             self.flush()
@@ -246,29 +246,35 @@
         yield from self.stream.close_gracefully(HALF_CLOSE_TIMEOUT_S)
 
     @contextlib.contextmanager
-    def _ending_only(self, find_call: Callable[[], Call | None]) -> Iterator[None]:
-        """Contain an unexpected exception in the work for one call, which `find_call` returns.
-
-        Without this, an error of ours in one call would end the connection, and with it all its calls.
-        `find_call` returns None if the work was for the connection; then the exception ends it.
-        """
+    def _ending_only(self, call: Call) -> Iterator[None]:
+        """Contain an unexpected exception in the work for one call, which ends that call."""
         try:
             yield
         except Exception as error:
-            call = find_call()
+            self._fail_for_fault(call, error)
+
+    def _handle_event(self, event: h2.events.Event) -> None:
+        """Handle an event; an unexpected exception ends the connection only if the event is not of a call."""
+        try:
+            self.peer_events.handle(event)
+        except Exception as error:
+            call = self.peer_events.call_of(event)  # a new call is open only since the event was handled
             if call is None:
                 raise
-            log("fault", f"unexpected exception while handling a call: {error!r}")
-            self.loop.faults += 1
-            with contextlib.suppress(Exception):
-                call.handler.on_fault()
-            if call.state is CallState.OPEN:
-                self.fail_call(call)
+            self._fail_for_fault(call, error)
+
+    def _fail_for_fault(self, call: Call, error: Exception) -> None:
+        log("fault", f"unexpected exception while handling a call: {error!r}")
+        self.loop.faults += 1
+        with contextlib.suppress(Exception):
+            call.handler.on_fault()
+        if call.state is CallState.OPEN:
+            self.fail_call(call)
 
     def _abort_failed_calls(self) -> None:
         while self._failed_calls:
             failed = self._failed_calls.pop(0)
-            with self._ending_only(partial(_same, failed.call)):
+            with self._ending_only(failed.call):
                 failed.call.handler.on_aborted(failed.never_ran)
 
     def _abort_calls(self) -> None:
@@ -278,7 +284,7 @@
             call.mark_closed()
             # A peer processes a call only after it has received the complete message
             never_ran = self.peer_events.is_refused(call) or not self.stream.connected or bool(call.queue)
-            with self._ending_only(partial(_same, call)):
+            with self._ending_only(call):
                 call.handler.on_aborted(never_ran)
 
     def _receive(self) -> Generator[float | None, None, bool]:
@@ -301,8 +307,7 @@
             self.flush()  # the GOAWAY with the error code, which h2 has encoded
             return False
         for event in events:
-            with self._ending_only(partial(self.peer_events.call_of, event)):
-                self.peer_events.handle(event)
+            self._handle_event(event)
         return True
 
     def _pause(self) -> Generator[float | None, None, None]:
@@ -320,10 +325,6 @@
             self.loop.watermark.release(self)
 
 
-def _same(call: Call) -> Call:
-    return call
-
-
 def _new_h2_connection(is_client: bool) -> h2.connection.H2Connection:
     connection = h2.connection.H2Connection(
         h2.config.H2Configuration(client_side=is_client, header_encoding=None)
--- a/tests/test_call_faults.py
+++ b/tests/test_call_faults.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import time
+from collections.abc import Iterator
 from typing import Any
 
 import pytest
@@ -50,9 +51,9 @@
 }
 
 
-@pytest.mark.parametrize("kind", IMMEDIATE_ANSWERS)
-def test_call_that_is_answered_at_once_and_cancelled_in_the_same_read_ends_alone(kind: str) -> None:
-    """Guards against taking h2's refusal of our own answer for a violation by the client."""
+@contextlib.contextmanager
+def client_with_open_query() -> Iterator[tuple[FlightTestClient, FlightEngine]]:
+    """A client with an open query, and the engine, which completes it once `may_continue` is set."""
     engine = FlightEngine()
     engine.may_continue.clear()
     with flight_gateway(engine) as gate:
@@ -60,12 +61,19 @@
         with contextlib.closing(FlightTestClient(gate.flight_server.listener.address)) as client:
             client.send_call(call_headers(FlightMethod.DO_GET), encode_ticket(SQL))
             until(lambda: gate.forwarder.exchanges)
-            open_second_call(client, *IMMEDIATE_ANSWERS[kind])
-            engine.may_continue.set()
-            assert status_of(client) == "0"
+            yield client, engine
     engine.shutdown()
 
 
+@pytest.mark.parametrize("kind", IMMEDIATE_ANSWERS)
+def test_call_that_is_answered_at_once_and_cancelled_in_the_same_read_ends_alone(kind: str) -> None:
+    """Guards against taking h2's refusal of our own answer for a violation by the client."""
+    with client_with_open_query() as (client, engine):
+        open_second_call(client, *IMMEDIATE_ANSWERS[kind])
+        engine.may_continue.set()
+        assert status_of(client) == "0"
+
+
 def status_of(client: FlightTestClient) -> str:
     deadline = time.monotonic() + 10
     while not (status := client.read()) and time.monotonic() < deadline:
@@ -75,22 +83,15 @@
 
 def test_call_with_a_header_outside_utf_8_is_refused_alone() -> None:
     """Guards against a connection that ends because one call has a header that cannot be decoded."""
-    engine = FlightEngine()
-    engine.may_continue.clear()
-    with flight_gateway(engine) as gate:
-        assert gate.flight_server
-        with contextlib.closing(FlightTestClient(gate.flight_server.listener.address)) as client:
-            client.send_call(call_headers(FlightMethod.DO_GET), encode_ticket(SQL))
-            until(lambda: gate.forwarder.exchanges)
-            headers: list[Any] = [*call_headers(FlightMethod.DO_GET), (b"x-class", b"\xff\xfe")]
-            client.h2.send_headers(SECOND_STREAM_ID, headers)
-            client.h2.send_data(SECOND_STREAM_ID, encode_message(encode_ticket("SELECT 1")), end_stream=True)
-            client.socket.sendall(client.h2.data_to_send())
-            assert status_of(client) == "3"  # of the second call
-            client.response_headers.clear()
-            engine.may_continue.set()
-            assert status_of(client) == "0"
-    engine.shutdown()
+    with client_with_open_query() as (client, engine):
+        headers: list[Any] = [*call_headers(FlightMethod.DO_GET), (b"x-class", b"\xff\xfe")]
+        client.h2.send_headers(SECOND_STREAM_ID, headers)
+        client.h2.send_data(SECOND_STREAM_ID, encode_message(encode_ticket("SELECT 1")), end_stream=True)
+        client.socket.sendall(client.h2.data_to_send())
+        assert status_of(client) == "3"  # of the second call
+        client.response_headers.clear()
+        engine.may_continue.set()
+        assert status_of(client) == "0"
 
 
 def test_error_of_ours_in_one_call_fails_it_and_leaves_the_others(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -89,6 +89,11 @@
     def class_settings(self, class_index: int) -> ClassSettings:
         return self.forwarder.settings.classes[class_index]
 
+    def new_load(self, deadline: int) -> ClientRequest:
+        """A load with an idempotency key of its client and no ordering key."""
+        settings = self.class_settings(2)
+        return ClientRequest("2" * 16, 2, "load", b"x", deadline, False, None, "u", None, 0.0, None, settings)
+
     def accept(self, request: ClientRequest, client: RecordingClient) -> int:
         return self.forwarder.accept(request, client, "web").request_id
 
@@ -269,23 +274,7 @@
     The load may have run. Its key was made up by the gateway, or the engines have forgotten it.
     """
     harness = ForwarderHarness()
-    request = replace(
-        ClientRequest(
-            "2" * 16,
-            2,
-            "load",
-            b"x",
-            60 * 10**9,
-            False,
-            None,
-            "u",
-            None,
-            0.0,
-            None,
-            harness.class_settings(2),
-        ),
-        client_has_key=client_has_key,
-    )
+    request = replace(harness.new_load(deadline=60 * 10**9), client_has_key=client_has_key)
     client = RecordingClient()
     request_id = harness.accept(request, client)
     harness.forwarder.apply(Forward(request_id, "a", 0))
@@ -300,20 +289,7 @@
     Engines no longer recognize it as a duplicate then, and the load could run twice.
     """
     harness = ForwarderHarness()
-    request = ClientRequest(
-        "2" * 16,
-        2,
-        "load",
-        b"x",
-        60_000_000_000,
-        False,
-        None,
-        "u",
-        None,
-        0.0,
-        None,
-        harness.class_settings(2),
-    )
+    request = harness.new_load(deadline=60 * 10**9)
     request_id = harness.accept(request, harness.client)
     harness.forwarder.apply(Forward(request_id, "a", 0))
     harness.end_last_attempt(OutcomeCode.RESET, request_id)
--- a/tests/test_key_order.py
+++ b/tests/test_key_order.py
@@ -410,8 +410,7 @@
     def await_progress(self, is_awaited: bool) -> None:
         self.is_awaited = is_awaited
 
-    def release_soon(self) -> None:
-        self.is_release_due = True
+    def release_soon(self) -> None: ...
 
 
 def load_of_key(harness: ForwarderHarness, digit: str, arrived_at: int) -> ClientRequest:
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -31,6 +31,7 @@
 from tests.race_helpers import settings_with_timeout
 from tests.stand_ins import Engine, ended_on_exit, endpoint_list_answer
 from tests.test_flight import SCHEMA, FlightEngine
+from tests.test_long_work import load_head
 
 MEMORY_MB = 192  # of scored days, as the deploy page has it
 LARGE = 15_000_000  # the gateway takes messages of 16 MB
@@ -186,12 +187,7 @@
     def send(client: socket.socket) -> None:
         with contextlib.suppress(OSError):
             for _ in range(3):
-                client.sendall(
-                    f"POST /svc/load HTTP/1.1\r\nHost: x\r\nX-Txn: {uuid4().hex[:16]}\r\nX-Ttl-Ms: 20000\r\n"
-                    f"X-Row: {uuid4().hex[:16]}\r\nX-Txn-Key: {uuid4().hex}\r\n"
-                    f"Content-Length: {len(statement)}\r\n\r\n".encode()
-                    + statement
-                )
+                client.sendall(load_head(f"Content-Length: {len(statement)}") + statement)
 
     with ThreadPoolExecutor(16) as executor:
         list(executor.map(send, clients))
@@ -206,29 +202,22 @@
 CLIENTS = 760  # of the 768 that 1,024 descriptors leave for clients
 
 
-def unfinished_body(_: int) -> bytes:
-    return load_head(f"Content-Length: {STATEMENT_BYTES}\r\n\r\n") + b"x" * (STATEMENT_BYTES - 1_000)
+def unfinished_body() -> bytes:
+    return load_head(f"Content-Length: {STATEMENT_BYTES}") + b"x" * (STATEMENT_BYTES - 1_000)
 
 
-def unfinished_chunks(_: int) -> bytes:
+def unfinished_chunks() -> bytes:
     chunk = b"3e8\r\n" + b"x" * 1_000 + b"\r\n"
-    return load_head("Transfer-Encoding: chunked\r\n\r\n") + chunk * 249
+    return load_head("Transfer-Encoding: chunked") + chunk * 249
 
 
-def short_fields(number: int) -> bytes:
+def short_fields() -> bytes:
     fields = "".join(f"a{field:x}: \r\n" for field in range(1_700))
-    return load_head(f"{fields}Content-Length: 1000\r\n\r\n") + b"x" * 900
+    return load_head(f"{fields}Content-Length: 1000") + b"x" * 900
 
 
-def unfinished_head(number: int) -> bytes:
-    return short_fields(number)[:15_000]
-
-
-def load_head(rest: str) -> bytes:
-    return (
-        f"POST /svc/load HTTP/1.1\r\nHost: x\r\nX-Txn: {uuid4().hex[:16]}\r\nX-Ttl-Ms: 20000\r\n"
-        f"X-Row: {uuid4().hex[:16]}\r\nX-Txn-Key: {uuid4().hex}\r\n{rest}"
-    ).encode()
+def unfinished_head() -> bytes:
+    return short_fields()[:15_000]
 
 
 @pytest.mark.parametrize(
@@ -237,7 +226,7 @@
     ids=lambda f: f.__name__,
 )
 def test_clients_that_stop_within_their_request_stay_within_the_least_memory(
-    request_of: Callable[[int], bytes], tmp_path: Path
+    request_of: Callable[[], bytes], tmp_path: Path
 ) -> None:
     """Guards against a kill of the process at the least memory and the most descriptors of the pages.
 
@@ -248,25 +237,25 @@
     with limited_gateway(tmp_path, engine, None, LEAST_MEMORY_MB) as gateway:
         clients: list[socket.socket] = []
 
-        def send(number: int) -> None:
+        def send(_: int) -> None:
             client = socket.create_connection(gateway.http)
             clients.append(client)
             client.settimeout(0.5)
             with contextlib.suppress(OSError):
-                client.sendall(request_of(number))
+                client.sendall(request_of())
 
         with ThreadPoolExecutor(16) as executor:
             list(executor.map(send, range(CLIENTS)))
         time.sleep(0.3)
         with socket.create_connection(gateway.http, timeout=20) as client:
-            head = load_head("Content-Length: 8\r\n\r\n").replace(b"/svc/load", b"/svc/lookup")
+            head = load_head("Content-Length: 8").replace(b"/svc/load", b"/svc/lookup")
             client.sendall(head + b"SELECT 1")
             assert client.recv(65_536).startswith(b"HTTP/1.1 200")
         for client in clients:
             client.close()
         statement = (b"INSERT INTO loans VALUES (0)" + b",(1,4)" * STATEMENT_BYTES)[:STATEMENT_BYTES]
         with socket.create_connection(gateway.http, timeout=20) as client:
-            client.sendall(load_head(f"Content-Length: {STATEMENT_BYTES}\r\n\r\n") + statement)
+            client.sendall(load_head(f"Content-Length: {STATEMENT_BYTES}") + statement)
             assert client.recv(65_536).startswith(b"HTTP/1.1 200")
         assert gateway.most_resident_mb() < LEAST_MEMORY_MB
     engine.close()
